--- a/main.go
+++ b/main.go
@@ -3,11 +3,105 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+)
+
+// Exit codes of every command.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitInvalid  = 4
 )
 
+// command is one subcommand: its flags, its own subcommands and its action.
+type command struct {
+	sub  *flaggy.Subcommand
+	subs []*command
+	// run is nil where only the subcommands do anything.
+	run func(ctx context.Context) error
+}
+
+// exitError is an error that ends the program with its own exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e exitError) Error() string { return e.err.Error() }
+func (e exitError) Unwrap() error { return e.err }
+
+// commands lists the subcommands in the order in which help shows them.
+func commands() []*command {
+	return []*command{
+		versionCommand(),
+	}
+}
+
 func main() {
-	fmt.Fprintln(os.Stderr, "plumpitch: no command given")
-	os.Exit(2)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := run(ctx, os.Args[1:])
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "plumpitch:", err)
+	var coded exitError
+	if errors.As(err, &coded) {
+		os.Exit(coded.code)
+	}
+	os.Exit(exitFailed)
+}
+
+func run(ctx context.Context, args []string) (err error) {
+	all := commands()
+	if err := checkNames(all, args); err != nil {
+		return exitError{exitUsage, err}
+	}
+	p := flaggy.NewParser("plumpitch")
+	p.Description = "load balancer for services whose load shifts within milliseconds"
+	p.AdditionalHelpAppend = "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 conflicting edit, 4 invalid settings."
+	p.Version = version()
+	for _, c := range all {
+		p.AttachSubcommand(c.attach(), 1)
+	}
+	if err := p.ParseArgs(args); err != nil {
+		return exitError{exitUsage, err}
+	}
+	c := chosen(all)
+	if c == nil || c.run == nil {
+		p.ShowHelp()
+		return exitError{exitUsage, errors.New("no command given")}
+	}
+	return c.run(ctx)
+}
+
+// attach hangs the command's own subcommands below it.
+func (c *command) attach() *flaggy.Subcommand {
+	for _, s := range c.subs {
+		c.sub.AttachSubcommand(s.attach(), 1)
+	}
+	return c.sub
+}
+
+// chosen finds the innermost command that the arguments name.
+func chosen(all []*command) *command {
+	for _, c := range all {
+		if !c.sub.Used {
+			continue
+		}
+		if inner := chosen(c.subs); inner != nil {
+			return inner
+		}
+		return c
+	}
+	return nil
 }
--- /dev/null
+++ b/names.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"strings"
+
+	"github.com/agnivade/levenshtein"
+	"github.com/pkg/errors"
+)
+
+// nearDistance is the largest edit distance at which a name is suggested.
+const nearDistance = 3
+
+// checkNames refuses a mistyped command and suggests the nearest name. The
+// parser would take the word for a positional value.
+func checkNames(all []*command, args []string) (err error) {
+	if len(args) == 0 || strings.HasPrefix(args[0], "-") || args[0] == "help" {
+		return nil
+	}
+	var names []string
+	for _, c := range all {
+		if c.sub.Name == args[0] {
+			if len(c.subs) == 0 {
+				return nil
+			}
+			return checkNames(c.subs, args[1:])
+		}
+		names = append(names, c.sub.Name)
+	}
+	if s := nearest(args[0], names); s != "" {
+		return errors.Errorf("unknown command %q, did you mean %q?", args[0], s)
+	}
+	return errors.Errorf("unknown command %q, expected one of: %s", args[0], strings.Join(names, ", "))
+}
+
+func nearest(word string, names []string) (best string) {
+	least := nearDistance + 1
+	for _, n := range names {
+		if d := levenshtein.ComputeDistance(word, n); d < least {
+			least, best = d, n
+		}
+	}
+	return best
+}
