--- /dev/null
+++ b/internal/store/call.go
@@ -0,0 +1,156 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// maxAnswer bounds the body of an answer: a list of a few values of 1 MB.
+const maxAnswer = 16 << 20
+
+// Get reads one object.
+func (s *Client) Get(ctx context.Context, kind, name string) (o Object, err error) {
+	defer func() { err = errors.WithMessagef(err, "get %s/%s", kind, name) }()
+	var j objectJSON
+	err = s.query(ctx, read, objectPath(kind, name), &j)
+	return Object(j), err
+}
+
+// List reads all objects of a kind and the store's version at that time, from
+// which a watch can go on.
+func (s *Client) List(ctx context.Context, kind string) (objects []Object, version uint64, err error) {
+	defer func() { err = errors.WithMessagef(err, "list %s", kind) }()
+	var j listJSON
+	if err = s.query(ctx, read, "/v1/objects/"+url.PathEscape(kind), &j); err != nil {
+		return nil, 0, err
+	}
+	for _, o := range j.Objects {
+		objects = append(objects, Object(o))
+	}
+	return objects, j.Version, nil
+}
+
+// VMs reads the VM list.
+func (s *Client) VMs(ctx context.Context) (list []VM, err error) {
+	defer func() { err = errors.WithMessage(err, "vms") }()
+	var j vmsJSON
+	if err = s.query(ctx, vms, "/v1/vms", &j); err != nil {
+		return nil, err
+	}
+	for _, vm := range j.VMs {
+		list = append(list, VM(vm))
+	}
+	return list, nil
+}
+
+// Put writes value when the object's version is the expected one, 0 for an
+// object that is to be created, and returns the new version. It makes one
+// attempt: see Unavailable for what a failure leaves open.
+func (s *Client) Put(ctx context.Context, kind, name string, expected uint64, value []byte) (version uint64, err error) {
+	defer func() { err = errors.WithMessagef(err, "put %s/%s", kind, name) }()
+	body, err := json.Marshal(putJSON{Version: expected, Value: value})
+	if err != nil {
+		return 0, err
+	}
+	return s.write(ctx, http.MethodPut, objectPath(kind, name), body, expected)
+}
+
+// Delete removes an object when its version is the expected one. It makes one
+// attempt, as Put does.
+func (s *Client) Delete(ctx context.Context, kind, name string, expected uint64) (err error) {
+	defer func() { err = errors.WithMessagef(err, "delete %s/%s", kind, name) }()
+	path := objectPath(kind, name) + "?version=" + strconv.FormatUint(expected, 10)
+	_, err = s.write(ctx, http.MethodDelete, path, nil, expected)
+	return err
+}
+
+func (s *Client) write(ctx context.Context, method, path string, body []byte, expected uint64) (uint64, error) {
+	if err := s.writes.Wait(ctx); err != nil {
+		return 0, &Unavailable{Cause: err, Untouched: true}
+	}
+	var j versionJSON
+	err := s.attempt(ctx, write, method, path, body, &j)
+	var c *ErrConflict
+	if errors.As(err, &c) {
+		c.Expected = expected
+	}
+	return j.Version, err
+}
+
+// query reads, and retries until ctx ends while the store is unavailable.
+func (s *Client) query(ctx context.Context, k kind, path string, into any) error {
+	for n := 0; ; n++ {
+		if err := s.reads.Wait(ctx); err != nil {
+			return &Unavailable{Cause: err, Untouched: true}
+		}
+		err := s.attempt(ctx, k, http.MethodGet, path, nil, into)
+		if !IsUnavailable(err) || s.pause(ctx, n) != nil {
+			return err
+		}
+		s.counts[retry].Add(1)
+	}
+}
+
+func (s *Client) attempt(ctx context.Context, k kind, method, path string, body []byte, into any) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	s.counts[k].Add(1)
+	defer func() {
+		if IsUnavailable(err) {
+			s.counts[failed].Add(1)
+		}
+	}()
+	r, err := http.NewRequestWithContext(ctx, method, s.addr+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	w, err := s.http.Do(r)
+	if err != nil {
+		return &Unavailable{Cause: err, Untouched: unsent(err)}
+	}
+	defer func() { _ = w.Body.Close() }()
+	return decode(w, into)
+}
+
+func decode(w *http.Response, into any) error {
+	b, err := io.ReadAll(io.LimitReader(w.Body, maxAnswer))
+	if err != nil {
+		return &Unavailable{Cause: err}
+	}
+	switch {
+	case w.StatusCode == http.StatusNotFound:
+		return ErrNotFound
+	case w.StatusCode == http.StatusConflict:
+		var j versionJSON
+		if err := json.Unmarshal(b, &j); err != nil {
+			return &Unavailable{Cause: err}
+		}
+		return &ErrConflict{Current: j.Version}
+	case w.StatusCode >= http.StatusInternalServerError || w.StatusCode == http.StatusTooManyRequests:
+		return &Unavailable{Cause: errors.Errorf("status %d", w.StatusCode)}
+	case w.StatusCode != http.StatusOK:
+		return errors.Errorf("store: found status %d, expected 200: %.200s", w.StatusCode, b)
+	}
+	if err := json.Unmarshal(b, into); err != nil {
+		return &Unavailable{Cause: errors.WithMessage(err, "answer")}
+	}
+	return nil
+}
+
+// unsent tells whether a failed call surely sent nothing.
+func unsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func objectPath(kind, name string) string {
+	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,141 @@
+// Package store is the client of the platform's object store and VM list. It
+// bounds every call by a deadline, keeps to a rate of calls that a fleet of
+// entries can share, and retries reads with jitter. A write is tried once: when
+// its answer is lost it may have taken effect, and only its caller can tell by
+// reading.
+//
+// The protocol is the one of package platform in internal/standin.
+package store
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Rates of one entry. The platform takes several hundred writes and about
+// 2,000 reads a second; 300 entries at these rates stay at 300 writes and
+// 600 reads, and at 1,800 reads in a second in which all spend their bursts.
+const (
+	ReadRate   = 2
+	ReadBurst  = 4
+	WriteRate  = 1
+	WriteBurst = 1
+)
+
+// DefaultTimeout bounds one attempt of a call.
+const DefaultTimeout = 2 * time.Second
+
+// Config is what a Client is built from. Zero values take the defaults.
+type Config struct {
+	Addr    string // base address such as http://10.0.0.9:7400
+	HTTP    *http.Client
+	Reads   *rate.Limiter
+	Writes  *rate.Limiter
+	Timeout time.Duration // of one attempt
+	Backoff Backoff
+	Rand    *rand.Rand // source of jitter
+}
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	addr    string
+	http    *http.Client
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	timeout time.Duration
+	backoff Backoff
+	mu      sync.Mutex // guards rand
+	rand    *rand.Rand
+	counts  [kinds]atomic.Uint64
+}
+
+// New returns a Client for the platform at c.Addr.
+func New(c Config) *Client {
+	s := &Client{
+		addr:    strings.TrimSuffix(c.Addr, "/"),
+		http:    c.HTTP,
+		reads:   c.Reads,
+		writes:  c.Writes,
+		timeout: c.Timeout,
+		backoff: c.Backoff,
+		rand:    c.Rand,
+	}
+	if !strings.Contains(s.addr, "://") {
+		s.addr = "http://" + s.addr
+	}
+	if s.http == nil {
+		s.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	}
+	if s.reads == nil {
+		s.reads = rate.NewLimiter(ReadRate, ReadBurst)
+	}
+	if s.writes == nil {
+		s.writes = rate.NewLimiter(WriteRate, WriteBurst)
+	}
+	if s.timeout <= 0 {
+		s.timeout = DefaultTimeout
+	}
+	if s.backoff == (Backoff{}) {
+		s.backoff = DefaultBackoff
+	}
+	if s.rand == nil {
+		s.rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return s
+}
+
+// Object is one stored object.
+type Object struct {
+	Kind    string
+	Name    string
+	Version uint64
+	Value   []byte
+}
+
+// Change is one event of a watch.
+type Change struct {
+	Object  Object
+	Deleted bool
+}
+
+// VM is one entry of the VM list. The list lags.
+type VM struct {
+	ID      string
+	Addr    string // host:port
+	Place   string
+	Service string
+	Slots   int
+	Boot    uint64
+	State   string // Live or Leaving
+}
+
+// States of a VM.
+const (
+	Live    = "live"
+	Leaving = "leaving"
+)
+
+func (s *Client) pause(ctx context.Context, attempt int) error {
+	s.mu.Lock()
+	d := s.backoff.Next(attempt, s.rand)
+	s.mu.Unlock()
+	return sleep(ctx, d)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/store/watch.go
@@ -0,0 +1,43 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Watch calls took for each change of a kind after version from, in order. It
+// returns when the stream ends or ctx is done, and never returns nil. It does
+// not open the watch again; Follow does.
+func (s *Client) Watch(ctx context.Context, kind string, from uint64, took func(Change)) (err error) {
+	defer func() { err = errors.WithMessagef(err, "watch %s", kind) }()
+	if err := s.reads.Wait(ctx); err != nil {
+		return &Unavailable{Cause: err, Untouched: true}
+	}
+	s.counts[watch].Add(1)
+	path := "/v1/watch/" + url.PathEscape(kind) + "?from=" + strconv.FormatUint(from, 10)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.addr+path, nil)
+	if err != nil {
+		return err
+	}
+	w, err := s.http.Do(r)
+	if err != nil {
+		return &Unavailable{Cause: err}
+	}
+	defer func() { _ = w.Body.Close() }()
+	if w.StatusCode != http.StatusOK {
+		return decode(w, nil)
+	}
+	lines := json.NewDecoder(w.Body)
+	for {
+		var j changeJSON
+		if err := lines.Decode(&j); err != nil {
+			return &Unavailable{Cause: err}
+		}
+		took(Change{Object: Object(j.Object), Deleted: j.Deleted})
+	}
+}
