pool: the decisions for one service's targets

Cause: the entry needs an API to drive. Policies (freeslot and four baselines), queue by deadline, admission, health by CUSUM of answer times and failures against the others, trials, cold targets, leaving; a probe budget. Not yet: tests of ejection and of the budget, any measurement.

--- /dev/null
+++ b/pkg/pool/answer.go
@@ -0,0 +1,76 @@
+package pool
+
+import "time"
+
+const (
+	shedPause    = 5 * time.Millisecond
+	shedPauseMax = 100 * time.Millisecond
+)
+
+// take learns from the end of request r at m.
+func (p *Pool[P]) take(m *Member, r run, kind Kind) {
+	m.answered = p.now
+	if p.cfg.Blind {
+		return
+	}
+	took := p.now - r.start
+	good := false
+	switch kind {
+	case Served:
+		good = p.takeServed(m, took)
+	case Failed:
+		p.addFail(m, true)
+	case Shed:
+		p.takeShed(m)
+	case RefusedConn, Broken:
+		m.fail = failOut + 1
+	case TimedOut:
+		m.addSlow(p.now, &p.curve, took, false)
+		p.addFail(m, true)
+	case Cancelled:
+		m.addSlow(p.now, &p.curve, took, false)
+		if !r.trial {
+			return
+		}
+	}
+	p.judge(m, good)
+}
+
+func (p *Pool[P]) takeServed(m *Member, took time.Duration) (good bool) {
+	m.sheds = 0
+	m.served++
+	m.room = min(m.room+1/m.room, float64(m.Slots))
+	if !m.out && m.warm(&p.cfg) {
+		p.curve.add(took)
+	}
+	change := 0.0
+	if m.warm(&p.cfg) {
+		change = m.addSlow(p.now, &p.curve, took, true)
+	}
+	p.addFail(m, false)
+	return change <= 0
+}
+
+// takeShed holds a target back for a moment that grows while it refuses all.
+func (p *Pool[P]) takeShed(m *Member) {
+	m.sheds++
+	m.room = max(float64(len(m.runs)), 1)
+	m.blocked = p.now + min(shedPause<<min(m.sheds-1, 8), shedPauseMax)
+	if m.sheds >= shedsOut {
+		p.addFail(m, true)
+	}
+}
+
+// report takes what a target says of itself. Its number of requests is of use
+// only for what other entries have there.
+func (p *Pool[P]) report(m *Member, l Load, out []Action) []Action {
+	if l.Leaving && !m.left {
+		p.leave(m)
+		out = append(out, Action{Kind: Left, Target: m.ID, Boot: m.Boot, Addr: m.Addr})
+	}
+	if l.Known {
+		m.foreign = min(max(float64(l.InFlight-len(m.runs)), 0), float64(m.Slots))
+		m.foreignAt = p.now
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/pool/curve.go
@@ -0,0 +1,94 @@
+package pool
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+const (
+	stepBits     = 3 // buckets per doubling: 8
+	buckets      = 27 << stepBits
+	rebuildEvery = 128
+	curveKeep    = 8192 // samples at which the older half is forgotten
+	curveReady   = 64   // samples below which nothing is judged
+)
+
+// Curve is the distribution of the service's answer times, learnt from all
+// targets together. It forgets: beyond curveKeep samples the weight of the old
+// ones is halved.
+type Curve struct {
+	count  [buckets]float64
+	hazard [buckets]float64 // cumulative hazard at the bucket's lower end
+	total  float64
+	sum    float64 // nanoseconds
+	median time.Duration
+	fresh  int
+	ready  bool
+}
+
+func bucket(d time.Duration) int {
+	us := uint64(max(d, 0)/time.Microsecond) + 1<<stepBits
+	top := bits.Len64(us) - 1
+	i := (top-stepBits)<<stepBits + int(us>>(top-stepBits))&(1<<stepBits-1)
+	return min(i, buckets-1)
+}
+
+func lower(i int) time.Duration {
+	top := i>>stepBits + stepBits
+	us := uint64(1)<<top + uint64(i&(1<<stepBits-1))<<(top-stepBits)
+	return time.Duration(us-1<<stepBits) * time.Microsecond
+}
+
+func (c *Curve) add(d time.Duration) {
+	c.count[bucket(d)]++
+	c.total++
+	c.sum += float64(d)
+	c.fresh++
+	if c.fresh >= rebuildEvery || !c.ready && c.total >= curveReady {
+		c.rebuild()
+	}
+}
+
+func (c *Curve) rebuild() {
+	c.fresh = 0
+	c.ready = true
+	if c.total > curveKeep {
+		for i := range c.count {
+			c.count[i] /= 2
+		}
+		c.total /= 2
+		c.sum /= 2
+	}
+	above := c.total + 1
+	for i := range c.count {
+		c.hazard[i] = -math.Log(above / (c.total + 1))
+		if above > (c.total+1)/2 {
+			c.median = lower(i)
+		}
+		above = max(above-c.count[i], 0.5)
+	}
+}
+
+// Hazard returns the cumulative hazard at age d: minus the logarithm of the
+// share of answers that take longer. Its mean over finished requests of an
+// ordinary target is 1. It is 0 until enough answers are seen.
+func (c *Curve) Hazard(d time.Duration) float64 {
+	return c.hazard[bucket(d)]
+}
+
+// Mean returns the mean answer time, or or while there is too little to tell.
+func (c *Curve) Mean(or time.Duration) time.Duration {
+	if !c.ready {
+		return or
+	}
+	return time.Duration(c.sum / c.total)
+}
+
+// Median returns the median answer time, or or while there is too little to tell.
+func (c *Curve) Median(or time.Duration) time.Duration {
+	if !c.ready {
+		return or
+	}
+	return c.median
+}
--- /dev/null
+++ b/pkg/pool/explain.go
@@ -0,0 +1,60 @@
+package pool
+
+import "time"
+
+// Row tells of one target why it would or would not be chosen now.
+type Row struct {
+	Target   string
+	Boot     uint64
+	Chosen   bool // it could get a request now
+	Why      string
+	InFlight int
+	Limit    int
+	Foreign  float64 // estimated requests of other entries
+	Slow     float64 // evidence of being slower than the others; 7 ejects
+	Fail     float64 // evidence of failing more than the others; 3.5 ejects
+	Until    time.Time
+}
+
+// Explain returns a row for each listed target, in the order of the list.
+func (p *Pool[P]) Explain(now time.Time) []Row {
+	p.set(now)
+	rows := make([]Row, 0, len(p.members))
+	for _, m := range p.members {
+		rows = append(rows, p.explain(m))
+	}
+	return rows
+}
+
+func (p *Pool[P]) explain(m *Member) Row {
+	r := Row{
+		Target:   m.ID,
+		Boot:     m.Boot,
+		InFlight: len(m.runs),
+		Limit:    m.limit(&p.cfg),
+		Foreign:  m.Foreign(p.now, p.curve.Mean(p.cfg.Service)),
+		Slow:     m.suspicion(p.now, &p.curve),
+		Fail:     m.fail,
+	}
+	switch {
+	case m.left:
+		r.Why, r.Until = "leaving", p.epoch.Add(m.leftUntil)
+	case m.out && m.fail > failReturn:
+		r.Why, r.Until = "ejected: fails more than the others", p.epoch.Add(m.trialAt)
+	case m.out:
+		r.Why, r.Until = "ejected: slower than the others", p.epoch.Add(m.trialAt)
+	case m.blocked > p.now:
+		r.Why, r.Until = "refused work a moment ago", p.epoch.Add(m.blocked)
+	case p.cfg.Unlimited:
+		r.Why, r.Chosen = "free", true
+	case float64(r.InFlight)+r.Foreign > float64(r.Limit)-0.5:
+		r.Why = "full"
+	case !m.warm(&p.cfg):
+		r.Why, r.Chosen = "cold: one request at a time", true
+	case r.Slow > slowSuspect || r.Fail > failSuspect:
+		r.Why, r.Chosen = "suspected: used last", true
+	default:
+		r.Why, r.Chosen = "free", true
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/pool/freeslot.go
@@ -0,0 +1,76 @@
+package pool
+
+import "time"
+
+// FreeSlot binds a request to a target only where it has reason to believe a
+// slot free. With Choice.Extra set it may also send one to the target that is
+// most likely to have a free slot by the time the request is there.
+type FreeSlot struct{}
+
+// extraHorizon is the time over which a target must show a free slot, in units
+// of the mean answer time.
+const extraHorizon = 1
+
+// Pick prefers a free slot on a target that is not suspected.
+func (FreeSlot) Pick(c *Choice) int {
+	best, ties, bestRank := -1, 0, 0.0
+	for i, m := range c.Members {
+		rank, ok := freeRank(c, m)
+		if !ok {
+			continue
+		}
+		switch {
+		case best < 0 || rank < bestRank:
+			best, bestRank, ties = i, rank, 1
+		case rank == bestRank:
+			ties++
+			if c.Rand.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	if best >= 0 || !c.Extra {
+		return best
+	}
+	return soonest(c)
+}
+
+const suspectRank = 1000
+
+func freeRank(c *Choice, m *Member) (rank float64, ok bool) {
+	rank = float64(m.InFlight()) + m.Foreign(c.Now, c.Keep)
+	if rank > float64(m.limit(c.Config))-0.5 {
+		return 0, false
+	}
+	if c.Suspect(m) {
+		rank += suspectRank
+	}
+	return rank, true
+}
+
+// soonest picks among full targets the one least likely to keep all its slots
+// busy over the horizon, by the ages of the requests there.
+func soonest(c *Choice) int {
+	best, bestStay := -1, 0.0
+	span := extraHorizon * c.Curve.Mean(c.Keep)
+	for i, m := range c.Members {
+		if m.InFlight() >= m.limit(c.Config)+c.Config.Allowance || !m.warm(c.Config) || c.Suspect(m) {
+			continue
+		}
+		stay := 0.0
+		for _, r := range m.runs {
+			if r.on {
+				stay += stayHazard(c, r, span)
+			}
+		}
+		if best < 0 || stay > bestStay {
+			best, bestStay = i, stay
+		}
+	}
+	return best
+}
+
+func stayHazard(c *Choice, r run, span time.Duration) float64 {
+	age := c.Now - r.start
+	return c.Curve.Hazard(age+span) - c.Curve.Hazard(age)
+}
--- /dev/null
+++ b/pkg/pool/health.go
@@ -0,0 +1,148 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+// A target is judged by how its answer times and failures compare with those
+// of all targets of the service. The evidence is a sum of log likelihood
+// ratios, never below zero (a CUSUM test), so that it needs no window, counts
+// requests that are still running, and fades by itself on good answers. A
+// service that is slow or failing as a whole moves the yardstick, not the
+// judgement of one target.
+const (
+	slowFactor  = 0.2 // a straggler finishes at a fifth of the usual rate or less
+	slowOut     = 7.0
+	slowSuspect = 3.0
+	slowReturn  = 2.0
+	hazardCap   = 4.5 // one long request alone can't eject its target
+	slowKeep    = 2 * time.Second
+
+	failOut     = 3.5
+	failSuspect = 1.8
+	failReturn  = 1.5
+	failFloor   = 0.01
+	failCeil    = 0.45
+	failBad     = 0.5
+	failWeight  = 1.0 / 32
+
+	shedsOut = 3
+)
+
+var slowGain = math.Log(slowFactor)
+
+// fade lets the judgement of a target that is in use age: without it, one that
+// gets no requests because it is suspected would be suspected for ever.
+func (m *Member) fade(now time.Duration) {
+	if m.slow > 0 && !m.out {
+		m.slow *= math.Exp2(-float64(now-m.slowAt) / float64(slowKeep))
+	}
+	m.slowAt = now
+}
+
+func (m *Member) addSlow(now time.Duration, c *Curve, took time.Duration, finished bool) (change float64) {
+	m.fade(now)
+	if !c.ready {
+		return 0
+	}
+	change = (1 - slowFactor) * min(c.Hazard(took), hazardCap)
+	if finished {
+		change += slowGain
+	}
+	m.slow = min(max(m.slow+change, 0), slowOut+1)
+	return change
+}
+
+// suspicion is the evidence with what the running requests already show.
+func (m *Member) suspicion(now time.Duration, c *Curve) (s float64) {
+	s = m.slow
+	for i := range m.runs {
+		if m.runs[i].on {
+			s += (1 - slowFactor) * min(c.Hazard(now-m.runs[i].start), hazardCap)
+		}
+	}
+	return s
+}
+
+func (p *Pool[P]) addFail(m *Member, failed bool) {
+	others := p.failSum - m.failRate
+	usual := min(max(others/float64(max(len(p.members)-1, 1)), failFloor), failCeil)
+	before := m.failRate
+	if failed {
+		m.fail += math.Log(failBad / usual)
+		m.failRate += failWeight * (1 - m.failRate)
+	} else {
+		m.fail += math.Log((1 - failBad) / (1 - usual))
+		m.failRate -= failWeight * m.failRate
+	}
+	m.fail = min(max(m.fail, 0), failOut+1)
+	p.failSum += m.failRate - before
+}
+
+// eject takes a target out unless too many are out. Without that floor a fault
+// that all targets share would leave nothing to send to.
+func (p *Pool[P]) eject(m *Member) {
+	if m.out || p.cfg.Blind || float64(p.out+1) > p.maxOut() {
+		return
+	}
+	m.out = true
+	p.out++
+	m.pause = p.cfg.TrialMin
+	m.trialAt = p.now + m.pause
+}
+
+// maxOut is how many targets may be out, by those that may get new work.
+func (p *Pool[P]) maxOut() float64 {
+	live := 0
+	for _, m := range p.members {
+		if !m.left {
+			live++
+		}
+	}
+	return p.cfg.MaxOut * float64(live)
+}
+
+func (p *Pool[P]) readmit(m *Member) {
+	if !m.out {
+		return
+	}
+	m.out = false
+	p.out--
+	m.room = 1
+	m.slow, m.fail = min(m.slow, slowReturn), min(m.fail, failReturn)
+	m.slowAt = p.now
+}
+
+// judge draws the conclusion from an answer. good tells whether it spoke for
+// the target; good trials follow each other without a pause.
+func (p *Pool[P]) judge(m *Member, good bool) {
+	if !m.out {
+		if m.slow > slowOut || m.fail > failOut {
+			p.eject(m)
+		}
+		return
+	}
+	if m.slow <= slowReturn && m.fail <= failReturn && good {
+		p.readmit(m)
+		return
+	}
+	if good {
+		m.pause = p.cfg.TrialMin
+		m.trialAt = p.now
+		return
+	}
+	m.pause = min(2*m.pause, p.cfg.TrialMax)
+	m.trialAt = p.now + m.pause
+}
+
+// watch ejects a target whose running requests alone show that it is stuck:
+// a stalled target gives no answers by which to judge it.
+func (p *Pool[P]) watch(m *Member) {
+	if m.out || len(m.runs) == 0 || !m.warm(&p.cfg) {
+		return
+	}
+	if m.suspicion(p.now, &p.curve) > slowOut {
+		p.eject(m)
+	}
+}
--- /dev/null
+++ b/pkg/pool/pool_test.go
@@ -0,0 +1,239 @@
+package pool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/pkg/pool"
+)
+
+var start = time.Unix(1000, 0)
+
+// bed drives a pool with targets that take as long as the test says.
+type bed struct {
+	pool pool.Chooser
+	now  time.Time
+	id   uint64
+	sent map[uint64]string
+	out  []pool.Action
+}
+
+func targets(n int) (list []pool.Target) {
+	for i := range n {
+		list = append(list, pool.Target{ID: fmt.Sprintf("t%d", i), Boot: 1, Slots: 2})
+	}
+	return list
+}
+
+func bedOf(c *qt.C, name string, cfg pool.Config, list []pool.Target) *bed {
+	p, err := pool.ByName(name, cfg, rand.New(rand.NewPCG(1, 2)))
+	c.Assert(err, qt.IsNil)
+	b := &bed{pool: p, now: start, sent: map[uint64]string{}}
+	b.act(p.Targets(start, list, nil))
+	return b
+}
+
+func (b *bed) act(out []pool.Action) []pool.Action {
+	for _, a := range out {
+		if a.Kind == pool.Dispatch {
+			b.sent[a.ID] = a.Target
+		}
+	}
+	b.out = append(b.out, out...)
+	return out
+}
+
+func (b *bed) arrive(in time.Duration) (id uint64, out []pool.Action) {
+	b.id++
+	a := pool.Arrival{ID: b.id, Deadline: b.now.Add(in), Idempotent: true}
+	return b.id, b.act(b.pool.Arrive(b.now, a, nil))
+}
+
+func (b *bed) done(id uint64, kind pool.Kind) []pool.Action {
+	delete(b.sent, id)
+	return b.act(b.pool.Done(b.now, pool.Answer{ID: id, Kind: kind}, nil))
+}
+
+// serve runs n requests one after the other, each as slow and as lucky as its
+// target; it returns how many each target got.
+func (b *bed) serve(n int, took func(string) (time.Duration, pool.Kind)) map[string]int {
+	got := map[string]int{}
+	for range n {
+		id, _ := b.arrive(time.Minute)
+		target, ok := b.sent[id]
+		if !ok {
+			b.now = b.now.Add(time.Millisecond)
+			b.act(b.pool.Cancel(b.now, id, nil))
+			continue
+		}
+		got[target]++
+		d, kind := took(target)
+		b.now = b.now.Add(d)
+		b.done(id, kind)
+	}
+	return got
+}
+
+func steady(string) (time.Duration, pool.Kind) { return 5 * time.Millisecond, pool.Served }
+
+func TestByName(t *testing.T) {
+	c := qt.New(t)
+	for _, name := range pool.Names() {
+		b := bedOf(c, name, pool.Config{}, targets(4))
+		got := b.serve(400, steady)
+		c.Check(got, qt.HasLen, 4, qt.Commentf(name))
+	}
+	_, err := pool.ByName("best", pool.Config{}, nil)
+	c.Assert(err, qt.ErrorMatches, `pool: policy: found "best", expected one of .*`)
+}
+
+// A caller is refused at once, or waits and is then served or refused once.
+// Requests come while all slots are taken; the queue gives the earliest
+// deadline the next slot and drops what can't be in time any more.
+func TestQueue(t *testing.T) {
+	ms := time.Millisecond
+	tests := []struct {
+		name      string
+		cfg       pool.Config
+		deadlines []time.Duration
+		wait      time.Duration // before the slots come free
+		dispatch  []uint64      // in this order, of those that came after the first two
+		refuse    map[uint64]pool.Reason
+	}{
+		{"by deadline", pool.Config{}, []time.Duration{900 * ms, 500 * ms}, 0, []uint64{4, 3}, nil},
+		{"first come at equal deadlines", pool.Config{}, []time.Duration{900 * ms, 900 * ms}, 0, []uint64{3, 4}, nil},
+		{"too late already", pool.Config{}, []time.Duration{ms}, 0, nil, map[uint64]pool.Reason{3: pool.TooLate}},
+		{"late in the queue", pool.Config{}, []time.Duration{30 * ms, 900 * ms}, 40 * ms, []uint64{4}, map[uint64]pool.Reason{3: pool.DeadlineUp}},
+		{"queue full", pool.Config{MaxQueue: 1}, []time.Duration{900 * ms, 900 * ms}, 0, []uint64{3}, map[uint64]pool.Reason{4: pool.QueueFull}},
+		{"wait too long", pool.Config{MaxWait: 4 * ms}, []time.Duration{900 * ms, 900 * ms}, 0, []uint64{3}, map[uint64]pool.Reason{4: pool.QueueFull}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			test.cfg.Allowance = -1
+			b := bedOf(c, "", test.cfg, targets(1))
+			b.arrive(time.Minute)
+			b.arrive(time.Minute)
+			for _, d := range test.deadlines {
+				b.arrive(d)
+			}
+			b.now = b.now.Add(test.wait)
+			b.act(b.pool.Tick(b.now, nil))
+			for id := range uint64(4) {
+				b.done(id+1, pool.Served)
+			}
+			var order []uint64
+			refused := map[uint64]pool.Reason{}
+			for _, a := range b.out {
+				switch {
+				case a.Kind == pool.Dispatch && a.ID > 2:
+					order = append(order, a.ID)
+				case a.Kind == pool.Refuse:
+					refused[a.ID] = a.Reason
+					c.Check(a.RetryAfter > 0, qt.IsTrue)
+				}
+			}
+			c.Check(order, qt.DeepEquals, test.dispatch)
+			c.Check(len(refused), qt.Equals, len(test.refuse))
+			for id, r := range test.refuse {
+				c.Check(refused[id], qt.Equals, r)
+			}
+		})
+	}
+}
+
+// A target that leaves gets no new work from the first word on, whoever speaks
+// it, although the list lags and still says that the target is live. A new
+// incarnation of it is a new target.
+func TestLeaving(t *testing.T) {
+	list := targets(3)
+	with := func(state pool.State, boot uint64) []pool.Target {
+		l := targets(3)
+		l[0].State, l[0].Boot = state, boot
+		return l
+	}
+	tests := []struct {
+		name  string
+		tell  func(b *bed)
+		after []pool.Target
+		wait  time.Duration
+		back  bool
+	}{
+		{"own word", ownWord, list, 0, false},
+		{"peer or store", func(b *bed) { b.pool.Leave(b.now, "t0", 1, nil) }, list, 0, false},
+		{"list says leaving", func(b *bed) { b.pool.Targets(b.now, with(pool.Leaving, 1), nil) }, list, 0, false},
+		{"list says gone", func(b *bed) { b.pool.Targets(b.now, with(pool.Gone, 1), nil) }, list, 0, false},
+		{"list drops it", func(b *bed) { b.pool.Targets(b.now, list[1:], nil) }, list[1:], 0, false},
+		{"old list after 30 s", ownWord, list, 30 * time.Second, false},
+		{"hold lapses", ownWord, list, 61 * time.Second, true},
+		{"new incarnation", ownWord, with(pool.Live, 2), 0, true},
+		{"word on another incarnation", func(b *bed) { b.pool.Leave(b.now, "t0", 7, nil) }, list, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := bedOf(c, "", pool.Config{}, list)
+			b.serve(50, steady)
+			test.tell(b)
+			b.now = b.now.Add(test.wait)
+			b.act(b.pool.Targets(b.now, test.after, nil))
+			b.act(b.pool.Tick(b.now, nil))
+			got := b.serve(200, steady)
+			c.Check(got["t0"] > 0, qt.Equals, test.back)
+			for _, r := range b.pool.Explain(b.now) {
+				if r.Target == "t0" && !test.back {
+					c.Check(r.Why, qt.Equals, "leaving")
+				}
+			}
+		})
+	}
+}
+
+func ownWord(b *bed) {
+	for {
+		id, _ := b.arrive(time.Minute)
+		if b.sent[id] != "t0" {
+			b.done(id, pool.Served)
+			continue
+		}
+		out := b.pool.Done(b.now, pool.Answer{ID: id, Kind: pool.Served, Load: pool.Load{Leaving: true}}, nil)
+		if len(out) != 1 || out[0].Kind != pool.Left || out[0].Boot != 1 {
+			panic("no action Left")
+		}
+		return
+	}
+}
+
+// Without a cap on allocations the hot path would feed the collector; the
+// driver passes its own slice.
+func BenchmarkDecision(b *testing.B) {
+	const services = 110
+	pools := make([]pool.Chooser, services)
+	for i := range pools {
+		pools[i], _ = pool.ByName("", pool.Config{}, rand.New(rand.NewPCG(1, uint64(i))))
+		n := 18
+		if i < 20 {
+			n = 19
+		}
+		pools[i].Targets(start, targets(n), nil)
+	}
+	now := start
+	out := make([]pool.Action, 0, 16)
+	inFlight := make([][]uint64, services)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		s := i % services
+		now = now.Add(10 * time.Microsecond)
+		id := uint64(i)
+		out = pools[s].Arrive(now, pool.Arrival{ID: id, Deadline: now.Add(time.Second)}, out[:0])
+		inFlight[s] = append(inFlight[s], id)
+		if len(inFlight[s]) > 20 {
+			out = pools[s].Done(now, pool.Answer{ID: inFlight[s][0]}, out[:0])
+			inFlight[s] = inFlight[s][:copy(inFlight[s], inFlight[s][1:])]
+		}
+	}
+}
--- /dev/null
+++ b/pkg/pool/tick.go
@@ -0,0 +1,94 @@
+package pool
+
+import "time"
+
+const (
+	queueTick = time.Millisecond
+	probeTick = 50 * time.Millisecond
+)
+
+// Tick refuses what has become too late, dispatches what has got room, lets
+// holds lapse and asks for probes.
+func (p *Pool[P]) Tick(now time.Time, out []Action) []Action {
+	p.set(now)
+	p.lapse()
+	out = p.drain(out)
+	return p.probes(now, out)
+}
+
+func (p *Pool[P]) lapse() {
+	for id, h := range p.holds {
+		if h.until > p.now {
+			continue
+		}
+		delete(p.holds, id)
+		if m := p.byID[id]; m != nil && m.State == Live {
+			m.left = false
+		}
+	}
+}
+
+// Next tells when Tick is needed next; the zero time means not at all.
+func (p *Pool[P]) Next() time.Time {
+	switch {
+	case p.queue.len() > 0:
+		return p.epoch.Add(p.now + queueTick)
+	case p.cfg.Budget != nil && len(p.members) > 0:
+		return p.epoch.Add(max(p.asked+probeTick, p.now))
+	case len(p.holds) > 0:
+		return p.epoch.Add(p.now + time.Second)
+	}
+	return time.Time{}
+}
+
+// probes asks about the targets of which an answer would change a decision.
+func (p *Pool[P]) probes(now time.Time, out []Action) []Action {
+	if p.cfg.Budget == nil || p.now < p.asked+probeTick {
+		return out
+	}
+	p.asked = p.now
+	for _, m := range p.members {
+		if m.left || m.probing || !p.worth(m) {
+			continue
+		}
+		if !p.cfg.Budget.Take(now) {
+			return out
+		}
+		m.probing = true
+		out = append(out, Action{Kind: Probe, Target: m.ID, Boot: m.Boot, Addr: m.Addr})
+	}
+	return out
+}
+
+// worth tells whether a probe of m could change what it is sent: one that is
+// out for lost connections and due back, or one that has been silent.
+func (p *Pool[P]) worth(m *Member) bool {
+	if m.out {
+		return m.fail > failReturn && m.trialAt <= p.now && m.trials == 0
+	}
+	return len(m.runs) == 0 && p.now-m.answered > p.cfg.Silent
+}
+
+// Probed takes the result of a probe. A good one only allows a trial request,
+// since health endpoints lag and mislead; a bad one puts the trial off.
+func (p *Pool[P]) Probed(now time.Time, r Probed, out []Action) []Action {
+	p.set(now)
+	m := p.byID[r.Target]
+	if m == nil {
+		return out
+	}
+	m.probing = false
+	m.answered = p.now
+	out = p.report(m, r.Load, out)
+	switch {
+	case r.OK && m.out:
+		m.trialAt = min(m.trialAt, p.now)
+	case !r.OK && m.out:
+		m.pause = min(2*m.pause, p.cfg.TrialMax)
+		m.trialAt = p.now + m.pause
+	case !r.OK:
+		m.fail = failOut + 1
+		p.judge(m, false)
+	}
+	return p.drain(out)
+}
