forward, call: one dispatch to one target, thin

Cause: the whole path waits for a dispatch and the words of its result. Change: pkg/call holds outcomes, reasons, stages and header names; internal/forward sends one request by its own http.Transport, counts the bytes that left to tell a request that surely did not run, and passes the answer on. Ruled out: httptrace alone; WroteHeaders fires on the buffer, not the socket.

--- /dev/null
+++ b/internal/forward/answer.go
@@ -0,0 +1,120 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Answer is a target's answer. Whole is set, and Body nil, when all of it is
+// in memory and its end was seen; else Body streams it. Close it in any case.
+type Answer struct {
+	Target  string
+	Status  int
+	Header  http.Header // without hop-by-hop and plumpitch's own headers
+	Length  int64       // bytes of the body; negative when not known
+	Whole   []byte
+	Body    io.ReadCloser
+	Trailer http.Header // values are complete after the end of Body
+	Load    Load
+
+	head bool // answer to a HEAD request
+	d    *dispatch
+}
+
+// Close drops what was not read. A connection with bytes left is closed, so
+// that they never reach another caller.
+func (a *Answer) Close() {
+	if a.Body == nil {
+		return
+	}
+	a.d.end(errClosed)
+	a.Body.Close()
+}
+
+// answer checks a head and reads a short body whole.
+func (d *dispatch) answer(resp *http.Response, f *Forwarder) (a *Answer, err error) {
+	if d.watch.stale.Load() {
+		return nil, errStale
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return nil, errUpgrade
+	}
+	bodyless := resp.Body == http.NoBody
+	if !bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, errUnframed
+	}
+	a = &Answer{
+		Target:  d.try.Target,
+		Status:  resp.StatusCode,
+		Header:  make(http.Header, len(resp.Header)),
+		Length:  resp.ContentLength,
+		Trailer: resp.Trailer,
+		head:    d.try.Request.Method == http.MethodHead,
+		d:       d,
+	}
+	copyHeader(a.Header, resp.Header)
+	a.Load = f.load(resp.Header)
+	if bodyless {
+		d.end(errClosed)
+		return a, nil
+	}
+	if a.Length >= 0 && a.Length <= f.cfg.Whole {
+		return a, d.whole(a, resp)
+	}
+	if d.timer != nil && !d.timer.Stop() {
+		return nil, errTimeout
+	}
+	a.Body = &stream{src: resp.Body, d: d}
+	return a, nil
+}
+
+// whole reads a short body to its end, which also frees its connection.
+func (d *dispatch) whole(a *Answer, resp *http.Response) error {
+	a.Whole = make([]byte, a.Length)
+	if _, err := io.ReadFull(resp.Body, a.Whole); err != nil {
+		return errors.WithMessage(err, "reading the answer")
+	}
+	if _, err := resp.Body.Read(make([]byte, 1)); err != io.EOF {
+		return errors.WithMessage(io.ErrUnexpectedEOF, "reading the end of the answer")
+	}
+	resp.Body.Close()
+	d.end(errClosed)
+	return nil
+}
+
+// stream is an answer body that fails when its target is silent for too long.
+type stream struct {
+	src   io.ReadCloser
+	d     *dispatch
+	timer *time.Timer
+}
+
+func (s *stream) Read(p []byte) (n int, err error) {
+	if s.timer == nil {
+		s.timer = time.AfterFunc(s.d.stall, func() { s.d.cancel(errStalled) })
+	} else {
+		s.timer.Reset(s.d.stall)
+	}
+	n, err = s.src.Read(p)
+	s.timer.Stop()
+	if err != nil && err != io.EOF {
+		err = s.cause(err)
+	}
+	return n, err
+}
+
+func (s *stream) cause(err error) error {
+	if cause := context.Cause(s.d.ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+func (s *stream) Close() error {
+	s.d.end(errClosed)
+	return s.src.Close()
+}
--- /dev/null
+++ b/internal/forward/body.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// body is the body of an outgoing request. Its type is what keeps the
+// transport from sending the request again: see the package comment.
+type body struct {
+	src io.Reader
+	in  http.Header // trailer of the caller, complete at the end of src
+	out http.Header // trailer of the outgoing request
+
+	mu     sync.Mutex
+	failed error
+}
+
+// set points the body at the try's bytes, which may be none.
+func (b *body) set(t *Try, out http.Header) {
+	b.in, b.out = t.Request.Trailer, out
+	if t.Stream != nil {
+		b.src = t.Stream
+		return
+	}
+	b.src = bytes.NewReader(t.Body)
+}
+
+// Read notes a failure of the source, so that it isn't blamed on the target.
+func (b *body) Read(p []byte) (n int, err error) {
+	n, err = b.src.Read(p)
+	if err == io.EOF {
+		b.trail()
+		return n, err
+	}
+	if err != nil {
+		b.mu.Lock()
+		b.failed = errors.WithMessage(err, "reading the request body")
+		b.mu.Unlock()
+	}
+	return n, err
+}
+
+func (b *body) trail() {
+	for k := range b.out {
+		b.out[k] = b.in[k]
+	}
+}
+
+// Close leaves the source to its owner.
+func (b *body) Close() error {
+	return nil
+}
+
+func (b *body) err() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failed
+}
--- /dev/null
+++ b/internal/forward/copy.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/pkg/call"
+)
+
+const chunk = 32 << 10
+
+var chunks = sync.Pool{New: func() any { return new([chunk]byte) }}
+
+// Copy passes an answer on to its caller and closes it. ended is called once,
+// with nil when all of it was passed on. Then, when the answer was cut or the
+// caller is gone, Copy panics with http.ErrAbortHandler: a normal return would
+// close the chunked answer properly, and the caller would take a part for the
+// whole. The server closes the connection without the end mark.
+func Copy(w http.ResponseWriter, a *Answer, ended func(*Failure)) {
+	defer a.Close()
+	h := w.Header()
+	for k, v := range a.Header {
+		h[k] = v
+	}
+	announce(h, a)
+	w.WriteHeader(a.Status)
+	fail := a.pass(w)
+	ended(fail)
+	if fail != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// announce names the trailers; they need an answer in chunks.
+func announce(h http.Header, a *Answer) {
+	for k := range a.Trailer {
+		if own(k) {
+			continue
+		}
+		h.Add("Trailer", k)
+	}
+}
+
+func (a *Answer) pass(w http.ResponseWriter) *Failure {
+	if a.Body == nil {
+		if _, err := w.Write(a.Whole); err != nil && !a.head && len(a.Whole) > 0 {
+			return a.failed(call.StageCancelled, err)
+		}
+		return nil
+	}
+	if f := a.stream(w); f != nil {
+		return f
+	}
+	for k, v := range a.Trailer {
+		if !own(k) {
+			w.Header()[k] = v
+		}
+	}
+	return nil
+}
+
+// stream copies the body. Answers of unknown length are flushed after each
+// read: their parts may be events that somebody waits for.
+func (a *Answer) stream(w http.ResponseWriter) *Failure {
+	buf := chunks.Get().(*[chunk]byte)
+	defer chunks.Put(buf)
+	ctl := http.NewResponseController(w)
+	if a.Length < 0 {
+		if err := ctl.Flush(); err != nil {
+			return a.failed(call.StageCancelled, err)
+		}
+	}
+	for {
+		n, err := a.Body.Read(buf[:])
+		if n > 0 {
+			if f := a.send(w, ctl, buf[:n]); f != nil {
+				return f
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return a.failed(a.d.streamStage(), errors.WithMessage(err, "reading the answer"))
+		}
+	}
+}
+
+func (a *Answer) send(w io.Writer, ctl *http.ResponseController, p []byte) *Failure {
+	_, err := w.Write(p)
+	if err == nil && a.Length < 0 {
+		err = ctl.Flush()
+	}
+	if err != nil {
+		return a.failed(call.StageCancelled, errors.WithMessage(err, "writing to the caller"))
+	}
+	return nil
+}
+
+// streamStage tells a caller that left from a target that cut its answer.
+func (d *dispatch) streamStage() call.Stage {
+	if d.parent.Err() != nil {
+		return call.StageCancelled
+	}
+	return call.StageCut
+}
+
+func (a *Answer) failed(s call.Stage, err error) *Failure {
+	return &Failure{Target: a.Target, Stage: s, Ran: call.DidRun, Status: a.Status, Cause: err}
+}
--- /dev/null
+++ b/internal/forward/dispatch.go
@@ -0,0 +1,129 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/pkg/call"
+)
+
+// Try is one dispatch of a request.
+type Try struct {
+	Target  string        // host:port
+	Request *http.Request // as received; it is only read
+	Path    string        // escaped path for the target; empty keeps the request's
+	Body    []byte        // whole body, when Stream is nil
+	Stream  io.Reader     // body that can be read once
+	Length  int64         // bytes of Stream; negative when not known
+	Timeout time.Duration // until the answer head, and the whole of a short answer; 0 is none
+	Attempt int           // earlier dispatches that may have run
+	Depth   int           // level of the request in its call tree
+	Header  http.Header   // set for the target, over what the caller sent
+}
+
+// Dispatch sends t to its target once. Exactly one of answer and failure is
+// not nil. Cancelling ctx cancels the request at the target, until the answer
+// is closed.
+func (f *Forwarder) Dispatch(ctx context.Context, t Try) (*Answer, *Failure) {
+	d := &dispatch{try: &t, parent: ctx, stall: f.cfg.Stall}
+	d.ctx, d.cancel = context.WithCancelCause(ctx)
+	d.watch.cancel = d.cancel
+	if t.Timeout > 0 {
+		d.timer = time.AfterFunc(t.Timeout, func() { d.cancel(errTimeout) })
+	}
+	req, err := d.request(d.watch.attach(d.ctx))
+	if err != nil {
+		return nil, d.fail(0, err)
+	}
+	resp, err := d.roundTrip(f.transport, req)
+	if err != nil {
+		return nil, d.fail(0, err)
+	}
+	a, err := d.answer(resp, f)
+	if err != nil {
+		resp.Body.Close()
+		return nil, d.fail(resp.StatusCode, err)
+	}
+	return a, nil
+}
+
+// dispatch is the state of one Dispatch until its answer is closed.
+type dispatch struct {
+	try    *Try
+	parent context.Context
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+	stall  time.Duration
+	body   body
+	watch  watch
+}
+
+func (d *dispatch) roundTrip(t *http.Transport, req *http.Request) (resp *http.Response, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			if r != any(errResent) {
+				panic(r)
+			}
+			err = errResent
+		}
+	}()
+	return t.RoundTrip(req)
+}
+
+// fail ends the dispatch and says how far it came.
+func (d *dispatch) fail(status int, err error) *Failure {
+	if d.watch.stale.Load() {
+		status, err = 0, errStale
+	}
+	f := &Failure{Target: d.try.Target, Status: status, Cause: err}
+	f.Stage = d.stage(status, err)
+	f.Ran = d.watch.ran()
+	if success(status) {
+		f.Ran = call.DidRun
+	}
+	d.end(err)
+	d.watch.drop()
+	return f
+}
+
+func (d *dispatch) stage(status int, err error) call.Stage {
+	cause := context.Cause(d.ctx)
+	switch {
+	case cause == errTimeout, errors.Is(cause, context.DeadlineExceeded):
+		return call.StageTimeout
+	case d.parent.Err() != nil:
+		return call.StageCancelled
+	case d.body.err() != nil:
+		return call.StageCaller
+	case status != 0:
+		return call.StageCut
+	case d.watch.conn.Load() == nil && errors.Is(err, syscall.ECONNREFUSED):
+		return call.StageRefused
+	case d.watch.conn.Load() == nil:
+		return call.StageConnect
+	case d.watch.ran() == call.DidNotRun:
+		return call.StageUnsent
+	default:
+		return call.StageSent
+	}
+}
+
+// success reports whether a head alone shows that the request ran; with any
+// other status the target may have refused to begin it.
+func success(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// end stops the timer and releases the context.
+func (d *dispatch) end(cause error) {
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	d.cancel(cause)
+}
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/pkg/call"
+)
+
+// bound is the longest that a test waits for a condition.
+const bound = 10 * time.Second
+
+// host returns the address of a test server.
+func host(s *httptest.Server) string {
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// front serves requests through one Forwarder to one target, as an entry does.
+func front(t testing.TB, f *Forwarder, target string, edit func(*Try)) *httptest.Server {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		try := Try{Target: target, Request: r, Stream: r.Body, Length: r.ContentLength}
+		if edit != nil {
+			edit(&try)
+		}
+		a, fail := f.Dispatch(r.Context(), try)
+		if fail != nil {
+			Refuse(w, call.Final{Reason: fail.Stage.Reason(), Detail: fail.Error()})
+			return
+		}
+		Copy(w, a, func(*Failure) {})
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func TestDispatchPassesRequestAndAnswer(t *testing.T) {
+	c := qt.New(t)
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Path", r.RequestURI)
+		w.WriteHeader(http.StatusCreated)
+		io.WriteString(w, r.Method+" "+string(b))
+	}))
+	defer target.Close()
+	f := New(Config{})
+	defer f.Close()
+	r := httptest.NewRequest("POST", "/a%2Fb?x=1", strings.NewReader("veil"))
+	a, fail := f.Dispatch(context.Background(), Try{Target: host(target), Request: r, Body: []byte("veil"), Timeout: bound})
+	c.Assert(fail == nil, qt.IsTrue, qt.Commentf("%v", fail))
+	c.Assert(a.Status, qt.Equals, http.StatusCreated)
+	c.Assert(string(a.Whole), qt.Equals, "POST veil")
+	c.Assert(a.Header.Get("X-Path"), qt.Equals, "/a%2Fb?x=1")
+}
--- /dev/null
+++ b/internal/forward/refuse.go
@@ -0,0 +1,45 @@
+package forward
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"plumpitch.example/plumpitch/pkg/call"
+)
+
+// refusal is the JSON body of an answer that plumpitch makes itself.
+type refusal struct {
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Detail  string `json:"detail"`
+	Retry   int64  `json:"retry"` // milliseconds
+}
+
+// Refuse writes an answer that plumpitch makes itself.
+func Refuse(w http.ResponseWriter, f call.Final) {
+	h := w.Header()
+	h.Set(call.HeaderOutcome, f.Outcome.String())
+	h.Set(call.HeaderReason, string(f.Reason))
+	h.Set("Cache-Control", "no-store")
+	if f.Retry > 0 {
+		h.Set(call.HeaderRetryAfter, strconv.FormatInt(int64((f.Retry+time.Second-1)/time.Second), 10))
+		h.Set(call.HeaderRetry, strconv.FormatInt(millis(f.Retry), 10))
+	}
+	body, err := json.Marshal(refusal{f.Outcome.String(), string(f.Reason), f.Detail, millis(f.Retry)})
+	if err != nil {
+		body = []byte(`{}`)
+	}
+	body = append(body, '\n')
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(f.Code())
+	// A caller that is gone by now needs no answer.
+	_, _ = w.Write(body)
+}
+
+// millis rounds up, so that nobody is told to come back at once by rounding.
+func millis(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
