entry, load, standin: the thin whole path as separate processes

A caller asks an entry which entries serve a service, sends there and gets a target's answer, under settings that lie in the platform's store.

Left for later: the entry polls the settings by itself, knows of no other entry, and dispatches each request once.

--- /dev/null
+++ b/ask.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// askTimeout bounds a question to an entry.
+const askTimeout = 10 * time.Second
+
+// ask sends a request without a body to an entry and returns the answer's
+// body, or an error that holds it.
+func ask(ctx context.Context, method, addr, path string) (body []byte, err error) {
+	defer func() { err = errors.WithMessagef(err, "entry %s", addr) }()
+	if addr == "" {
+		return nil, exitError{exitUsage, errors.New("--entry: found nothing, expected host:port")}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	if body, err = io.ReadAll(res.Body); err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("%s: %s", res.Status, body)
+	}
+	return body, nil
+}
+
+// printAnswer asks and prints the answer as it came.
+func printAnswer(ctx context.Context, addr, path string) (err error) {
+	body, err := ask(ctx, http.MethodGet, addr, path)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprint(os.Stdout, string(body))
+	return err
+}
--- /dev/null
+++ b/entry.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/integrii/flaggy"
+
+	"plumpitch.example/plumpitch/internal/entry"
+)
+
+func entryCommand() *command {
+	var path string
+	sub := flaggy.NewSubcommand("entry")
+	sub.Description = "run an entry VM's process until it is told to stop"
+	sub.AddPositionalValue(&path, "FILE", 1, true, "the VM's own settings, JSON with comments")
+	sub.AdditionalHelpAppend = "Example: plumpitch entry examples/entry.json"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		return runEntry(ctx, path)
+	}}
+}
+
+func runEntry(ctx context.Context, path string) (err error) {
+	f, err := entry.ReadFile(path)
+	if err != nil {
+		return exitError{exitInvalid, err}
+	}
+	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.MustParseLevel(f.Level)}
+	e, err := entry.New(entry.Config{File: f, Boot: uint64(time.Now().UnixNano()), Log: logger, Out: os.Stdout})
+	if err != nil {
+		return err
+	}
+	a := e.Addresses()
+	fmt.Println(a.Callers)
+	fmt.Println(a.Operators)
+	return e.Serve(ctx)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,158 @@
+// Package entry is the long-running process: the callers', peers' and
+// operators' listeners, the control loop and the path of a request.
+//
+// A supervisor tree restarts what dies. The control loop is the one owner of
+// control state; traffic reads the snapshots that it publishes.
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
+
+	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/pool"
+	"plumpitch.example/plumpitch/pkg/ring"
+	"plumpitch.example/plumpitch/pkg/tree"
+)
+
+// Config builds an Entry.
+type Config struct {
+	File File
+	Boot uint64 // incarnation; grows with each start
+	Log  log.Interface
+	Out  io.Writer // of traces
+}
+
+// Entry is one entry process.
+type Entry struct {
+	cfg     Config
+	log     log.Interface
+	site    atomic.Pointer[site]
+	forward *forward.Forwarder
+	metrics metrics
+	tracing tracing
+	control *control
+
+	callers   net.Listener
+	operators net.Listener
+}
+
+// New opens the listeners, so that a taken address is told before anything
+// starts.
+func New(cfg Config) (e *Entry, err error) {
+	defer func() { err = errors.WithMessage(err, "entry "+cfg.File.Name) }()
+	e = &Entry{
+		cfg:     cfg,
+		log:     cfg.Log.WithField("entry", cfg.File.Name),
+		forward: forward.New(forward.Config{}),
+		metrics: newMetrics(cfg.File.Name),
+	}
+	e.site.Store(&site{})
+	if e.tracing, err = newTracing(cfg.File.Trace, cfg.Out); err != nil {
+		return nil, err
+	}
+	if e.callers, err = net.Listen("tcp", cfg.File.Callers); err != nil {
+		return nil, err
+	}
+	if e.operators, err = net.Listen("tcp", cfg.File.Operators); err != nil {
+		e.callers.Close()
+		return nil, err
+	}
+	e.control = &control{
+		entry:    e,
+		store:    store.New(store.Config{Addr: cfg.File.Platform}),
+		live:     []ring.Member{e.self()},
+		document: tree.New(),
+	}
+	return e, nil
+}
+
+// Addresses are where the entry listens, which differs from its file where
+// that names port 0.
+type Addresses struct {
+	Callers   string
+	Operators string
+}
+
+// Addresses returns where the entry listens.
+func (e *Entry) Addresses() Addresses {
+	return Addresses{Callers: e.callers.Addr().String(), Operators: e.operators.Addr().String()}
+}
+
+// self is this incarnation as other entries know it.
+func (e *Entry) self() ring.Member {
+	f := e.cfg.File
+	return ring.Member{
+		Ident:  ring.Ident{Name: f.Name, Boot: e.cfg.Boot},
+		Caller: e.callers.Addr().String(), Peer: f.Peers, Place: f.Place, Region: f.Region,
+	}
+}
+
+// Serve runs the entry until ctx ends, then stops gracefully.
+func (e *Entry) Serve(ctx context.Context) (err error) {
+	top := suture.New("entry", suture.Spec{EventHook: e.supervised})
+	top.Add(e.control)
+	top.Add(&listener{name: "callers", on: e.callers, handler: e.callerHandler()})
+	top.Add(&listener{name: "operators", on: e.operators, handler: e.operatorHandler()})
+	err = top.Serve(ctx)
+	e.tracing.close()
+	e.metrics.close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (e *Entry) supervised(ev suture.Event) {
+	e.log.WithFields(log.Fields(ev.Map())).Warn("supervisor: " + ev.String())
+}
+
+func (e *Entry) probe(_ *service, _ pool.Action) {}
+
+func (e *Entry) left(_ string, _ uint64) {}
+
+// listener serves HTTP on one of the entry's listeners.
+type listener struct {
+	name    string
+	on      net.Listener
+	handler http.Handler
+}
+
+// graceTime bounds a graceful stop.
+const graceTime = 30 * time.Second
+
+// closing is the context of what has to end during a stop.
+func closing() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), graceTime)
+	time.AfterFunc(graceTime, cancel)
+	return ctx
+}
+
+// Serve runs until ctx ends, then lets requests in flight finish.
+func (l *listener) Serve(ctx context.Context) error {
+	srv := &http.Server{
+		Handler:           l.handler,
+		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       time.Minute,
+		MaxHeaderBytes:    64 << 10,
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(l.on) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return srv.Shutdown(closing())
+	}
+}
+
+func (l *listener) String() string { return l.name }
--- /dev/null
+++ b/internal/entry/file.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+// File is an entry VM's own settings: what it can't learn from the platform.
+// It is read once, at the start, from JSON with comments.
+type File struct {
+	Name      string   // unique among entries
+	Region    string   // region of the VM
+	Place     string   // failure domain of the VM
+	Callers   string   // host:port of the callers' listener
+	Peers     string   // host:port of the peers' listener
+	Operators string   // host:port of the operators' listener
+	Platform  string   // base URL of the platform's object store
+	Seeds     []string // peers' host:port of other entries, asked at the start
+	Trace     string   // "off" or "stdout"
+	Level     string   // least severe log level: debug, info, warn, error
+}
+
+// fileWire is the form of File on disk.
+type fileWire struct {
+	Name      string   `json:"name"`
+	Region    string   `json:"region"`
+	Place     string   `json:"place"`
+	Callers   string   `json:"callers"`
+	Peers     string   `json:"peers"`
+	Operators string   `json:"operators"`
+	Platform  string   `json:"platform"`
+	Seeds     []string `json:"seeds"`
+	Trace     string   `json:"trace"`
+	Level     string   `json:"level"`
+}
+
+// ReadFile reads and checks an entry's own settings file.
+func ReadFile(path string) (f File, err error) {
+	defer func() { err = errors.WithMessage(err, path) }()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return f, err
+	}
+	return ParseFile(data)
+}
+
+// ParseFile decodes and checks an entry's own settings.
+func ParseFile(data []byte) (f File, err error) {
+	std, err := hujson.Standardize(data)
+	if err != nil {
+		return f, err
+	}
+	var w fileWire
+	dec := json.NewDecoder(bytes.NewReader(std))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&w); err != nil {
+		return f, errors.WithMessagef(err, "line %d", line(std, dec.InputOffset()))
+	}
+	f = File(w)
+	f.setDefaults()
+	return f, f.check()
+}
+
+func line(data []byte, offset int64) int {
+	return 1 + bytes.Count(data[:min(int(offset), len(data))], []byte("\n"))
+}
+
+func (f *File) setDefaults() {
+	if f.Trace == "" {
+		f.Trace = traceOff
+	}
+	if f.Level == "" {
+		f.Level = "info"
+	}
+}
+
+func (f File) check() error {
+	for _, n := range []struct{ field, value string }{
+		{"name", f.Name}, {"region", f.Region}, {"place", f.Place}, {"platform", f.Platform},
+	} {
+		if n.value == "" {
+			return errors.Errorf("%s: found nothing, expected a value", n.field)
+		}
+	}
+	for _, a := range []struct{ field, value string }{
+		{"callers", f.Callers}, {"peers", f.Peers}, {"operators", f.Operators},
+	} {
+		if err := checkAddress(a.field, a.value); err != nil {
+			return err
+		}
+	}
+	for _, s := range f.Seeds {
+		if err := checkAddress("seeds", s); err != nil {
+			return err
+		}
+	}
+	if !strings.HasPrefix(f.Platform, "http://") && !strings.HasPrefix(f.Platform, "https://") {
+		return errors.Errorf("platform: found %q, expected an http or https URL", f.Platform)
+	}
+	if f.Trace != traceOff && f.Trace != traceStdout {
+		return errors.Errorf("trace: found %q, expected %q or %q", f.Trace, traceOff, traceStdout)
+	}
+	return nil
+}
+
+// checkAddress wants an IP address and a port: processes talk by IP numbers.
+func checkAddress(field, value string) error {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		return errors.Errorf("%s: found %q, expected an IP address and a port such as 127.0.0.1:8080", field, value)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/final.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/pkg/call"
+)
+
+// finalError is an answer that plumpitch makes itself.
+type finalError struct {
+	final call.Final
+}
+
+func (e finalError) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.final.Outcome, e.final.Reason, e.final.Detail)
+}
+
+func malformed(detail string) error {
+	return finalError{call.Final{Outcome: call.NotRun, Reason: call.ReasonMalformed, Detail: detail}}
+}
+
+func unknownService(name string) error {
+	return finalError{call.Final{
+		Outcome: call.NotRun, Reason: call.ReasonMalformed, Status: http.StatusNotFound,
+		Detail: fmt.Sprintf("service: found %q, expected a service of the settings tree", name),
+	}}
+}
+
+// encodeError writes what an endpoint failed with. An error that is no final
+// answer claims nothing about the execution.
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	var fe finalError
+	if !errors.As(err, &fe) {
+		fe.final = call.Final{Outcome: call.Unknown, Reason: call.ReasonPanic, Detail: err.Error()}
+	}
+	forward.Refuse(w, fe.final)
+}
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"net/http"
+
+	kithttp "github.com/go-kit/kit/transport/http"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+// callerHandler is what callers reach: locate and requests, nothing else.
+func (e *Entry) callerHandler() http.Handler {
+	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(encodeError)}
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/locate", kithttp.NewServer(e.locateEndpoint(), decodeLocate, encodeLocate, options...))
+	mux.Handle(callPrefix, kithttp.NewServer(e.requestEndpoint(), e.decodeRequest, encodeAnswer, options...))
+	return e.traced(mux)
+}
+
+// traced starts the span of the whole request.
+func (e *Entry) traced(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := e.tracing.carry.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := e.tracing.tracer.Start(ctx, r.Method)
+		defer span.End()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// operatorHandler is what operators reach.
+func (e *Entry) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	mux.Handle("GET /metrics", e.metrics.handler)
+	return mux
+}
+
+// serveReady is 200 once settings are in force.
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if e.site.Load().revision == 0 {
+		http.Error(w, "no settings yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"plumpitch.example/plumpitch/pkg/pool"
+	"plumpitch.example/plumpitch/pkg/tree"
+)
+
+// service is the traffic side of one service: its pool of targets under a
+// lock, and the requests that wait for the pool's word. The lock is held for
+// one decision at a time, a few microseconds.
+type service struct {
+	name    string
+	metrics serviceMetrics
+	policy  atomic.Pointer[tree.Policy]
+	probe   func(s *service, a pool.Action)
+	left    func(target string, boot uint64)
+
+	mu      sync.Mutex
+	chooser pool.Chooser
+	waiting map[uint64]chan pool.Action
+	list    []pool.Target
+	scratch []pool.Action
+	last    uint64 // id of the last arrival
+	timer   *time.Timer
+	due     time.Time // when timer fires; zero when it is not set
+	closed  bool
+}
+
+// serviceConfig builds a service.
+type serviceConfig struct {
+	Name    string
+	Policy  tree.Policy
+	Metrics serviceMetrics
+	Probe   func(s *service, a pool.Action)
+	Left    func(target string, boot uint64)
+}
+
+func newService(cfg serviceConfig) (s *service, err error) {
+	s = &service{
+		name:    cfg.Name,
+		metrics: cfg.Metrics,
+		probe:   cfg.Probe,
+		left:    cfg.Left,
+		waiting: make(map[uint64]chan pool.Action),
+	}
+	s.policy.Store(&cfg.Policy)
+	s.chooser, err = newChooser(cfg.Policy)
+	s.timer = time.AfterFunc(time.Hour, s.tick)
+	s.timer.Stop()
+	return s, err
+}
+
+func newChooser(p tree.Policy) (c pool.Chooser, err error) {
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return pool.ByName(poolName(p.Policy), poolConfig(p), rnd)
+}
+
+// poolName is the pool's name for a policy of the settings.
+func poolName(policy string) string {
+	switch policy {
+	case tree.RoundRobin:
+		return pool.NameRoundRobin
+	case tree.RandomChoice:
+		return pool.NameRandom
+	case tree.TwoChoices:
+		return pool.NameTwoChoices
+	case tree.LeastInFlight:
+		return pool.NameLeastInFlight
+	}
+	return pool.NameFreeSlot
+}
+
+func poolConfig(p tree.Policy) pool.Config {
+	return pool.Config{
+		Slots:    p.Slots,
+		MaxQueue: p.Queue,
+		MaxOut:   p.EjectShare,
+		Hold:     p.DrainHold,
+	}
+}
+
+// configure puts a new policy in force. The pool is replaced only when its
+// limits change; requests in flight end with the pool that dispatched them.
+func (s *service) configure(now time.Time, p tree.Policy) (err error) {
+	old := *s.policy.Load()
+	s.policy.Store(&p)
+	if p.Policy == old.Policy && reflect.DeepEqual(poolConfig(p), poolConfig(old)) {
+		return nil
+	}
+	c, err := newChooser(p)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser = c
+	s.act(now, c.Targets(now, s.list, s.scratch[:0]))
+	return nil
+}
+
+// targets takes the whole list of the service's targets.
+func (s *service) targets(now time.Time, list []pool.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = list
+	s.act(now, s.chooser.Targets(now, list, s.scratch[:0]))
+}
+
+// leave takes word that a target is leaving.
+func (s *service) leave(now time.Time, target string, boot uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.act(now, s.chooser.Leave(now, target, boot, s.scratch[:0]))
+}
+
+// ticket is one request's claim to a target.
+type ticket struct {
+	service *service
+	chooser pool.Chooser // the pool that took the request
+	id      uint64
+	action  pool.Action
+}
+
+// acquire waits until the pool dispatches or refuses the request, or ctx ends.
+func (s *service) acquire(ctx context.Context, now time.Time, a pool.Arrival) (t ticket, err error) {
+	answer := make(chan pool.Action, 1)
+	s.mu.Lock()
+	s.last++
+	a.ID = s.last
+	t = ticket{service: s, chooser: s.chooser, id: a.ID}
+	s.waiting[a.ID] = answer
+	s.act(now, s.chooser.Arrive(now, a, s.scratch[:0]))
+	s.mu.Unlock()
+	select {
+	case t.action = <-answer:
+		return t, nil
+	default:
+	}
+	select {
+	case t.action = <-answer:
+		return t, nil
+	case <-ctx.Done():
+		t.cancel(time.Now())
+		return t, ctx.Err()
+	}
+}
+
+// cancel takes the request back, queued or dispatched.
+func (t ticket) cancel(now time.Time) {
+	s := t.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, t.id)
+	s.act(now, t.chooser.Cancel(now, t.id, s.scratch[:0]))
+}
+
+// done ends a dispatched request.
+func (t ticket) done(now time.Time, kind pool.Kind, load pool.Load) {
+	s := t.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.act(now, t.chooser.Done(now, pool.Answer{ID: t.id, Kind: kind, Load: load}, s.scratch[:0]))
+}
+
+// act does what the pool decided. The lock is held: nothing here blocks.
+func (s *service) act(now time.Time, actions []pool.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case pool.Dispatch, pool.Refuse:
+			if c, ok := s.waiting[a.ID]; ok {
+				delete(s.waiting, a.ID)
+				c <- a
+			}
+		case pool.Probe:
+			go s.probe(s, a)
+		case pool.Left:
+			go s.left(a.Target, a.Boot)
+		}
+	}
+	s.scratch = actions[:0]
+	s.arm(now)
+}
+
+// arm sets the timer to the pool's next wish.
+func (s *service) arm(now time.Time) {
+	next := s.chooser.Next()
+	if next.Equal(s.due) || s.closed {
+		return
+	}
+	s.due = next
+	if next.IsZero() {
+		s.timer.Stop()
+		return
+	}
+	s.timer.Reset(max(next.Sub(now), 0))
+}
+
+func (s *service) tick() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.due = time.Time{}
+	s.act(now, s.chooser.Tick(now, s.scratch[:0]))
+}
+
+func (s *service) probed(now time.Time, p pool.Probed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.act(now, s.chooser.Probed(now, p, s.scratch[:0]))
+}
+
+// close stops the timer; requests in flight end as usual.
+func (s *service) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.timer.Stop()
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,252 @@
+// Package load sends bounded traffic to a site and judges the answers: each
+// must be whole and belong to its own request. It asks an entry which entries
+// to use, keeps that answer for the time it states, and connects there, as a
+// caller does.
+package load
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/pkg/call"
+)
+
+// Config describes a load.
+type Config struct {
+	Entries  []string // host:port of callers' listeners, asked in turn for locate
+	Direct   []string // host:port of targets; when set, no entry is asked
+	Services []string // chosen evenly
+	Rate     float64  // requests a second, open loop
+	Requests int      // sent in all; 0 means as many as Length allows
+	Length   time.Duration
+	Writes   float64 // share of requests that are non-idempotent, 0 to 1
+	Timeout  time.Duration
+	Seed     uint64
+}
+
+// Report counts what happened to the requests of a load.
+type Report struct {
+	Sent     int
+	Answered int
+	Refused  int // told not-run
+	Unknown  int // told unknown
+	Failed   int // the target's own error answers
+	Crossed  int // another request's answer
+	Lost     int // no whole answer
+	Latency  *hdrhistogram.Histogram
+	Keys     []string // idempotency keys sent, to be held against targets' logs
+	Example  string   // first reason of a lost or crossed answer
+}
+
+// Limits of the latency histogram, in microseconds.
+const (
+	shortest = 1
+	longest  = 60_000_000
+	digits   = 3
+)
+
+// maxOpen bounds the requests in flight; more are sent late, never dropped.
+const maxOpen = 2048
+
+type runner struct {
+	cfg    Config
+	client *http.Client
+	book   *book
+
+	mu     sync.Mutex
+	report Report
+}
+
+// Run sends the load and waits for every answer.
+func Run(ctx context.Context, cfg Config) (report Report, err error) {
+	defer func() { err = errors.WithMessage(err, "load") }()
+	if len(cfg.Services) == 0 {
+		return report, errors.New("services: none given, expected at least one")
+	}
+	if cfg.Rate <= 0 {
+		return report, errors.Errorf("rate: found %v, expected more than 0 requests a second", cfg.Rate)
+	}
+	client := newClient()
+	defer client.CloseIdleConnections()
+	r := &runner{cfg: cfg, client: client, book: newBook(client, cfg.Entries)}
+	r.report.Latency = hdrhistogram.New(shortest, longest, digits)
+	r.send(ctx)
+	return r.report, nil
+}
+
+func newClient() *http.Client {
+	dialer := &net.Dialer{Timeout: 2 * time.Second}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxOpen,
+		MaxConnsPerHost:     maxOpen,
+	}}
+}
+
+// send paces the requests by an exponential gap and waits for the last.
+func (r *runner) send(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(r.cfg.Seed, 1))
+	open := make(chan struct{}, maxOpen)
+	var wait sync.WaitGroup
+	start := time.Now()
+	next := start
+	for n := 0; r.more(ctx, n, start); n++ {
+		next = next.Add(time.Duration(rnd.ExpFloat64() / r.cfg.Rate * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		service := r.cfg.Services[rnd.IntN(len(r.cfg.Services))]
+		write := rnd.Float64() < r.cfg.Writes
+		id := strconv.FormatUint(rnd.Uint64(), 36)
+		open <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-open }()
+			r.one(service, id, write)
+		})
+	}
+	wait.Wait()
+}
+
+func (r *runner) more(ctx context.Context, n int, start time.Time) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if r.cfg.Requests > 0 && n >= r.cfg.Requests {
+		return false
+	}
+	return r.cfg.Length == 0 || time.Since(start) < r.cfg.Length
+}
+
+// one sends a request and files its answer.
+func (r *runner) one(service, id string, write bool) {
+	key := ""
+	if write {
+		key = uuid.Must(uuid.NewV7()).String()
+	}
+	began := time.Now()
+	v := r.try(service, id, key)
+	r.file(v, key, time.Since(began))
+}
+
+// verdict is the judgement on one answer.
+type verdict struct {
+	kind   kind
+	reason string
+}
+
+type kind int
+
+const (
+	answered kind = iota
+	refused
+	unknown
+	failed
+	crossed
+	lost
+)
+
+func (r *runner) try(service, id, key string) verdict {
+	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.Timeout)
+	defer cancel()
+	addr, path, err := r.address(ctx, service)
+	if err != nil {
+		return verdict{lost, "locate: " + err.Error()}
+	}
+	req, err := newRequest(ctx, addr+path, id, key)
+	if err != nil {
+		return verdict{lost, err.Error()}
+	}
+	res, err := r.client.Do(req)
+	if err != nil {
+		r.book.forget(service)
+		return verdict{lost, err.Error()}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return verdict{lost, "body: " + err.Error()}
+	}
+	return judge(res, string(body), id)
+}
+
+func (r *runner) address(ctx context.Context, service string) (addr, path string, err error) {
+	if n := len(r.cfg.Direct); n > 0 {
+		return r.cfg.Direct[rand.IntN(n)], "/hello", nil
+	}
+	addr, err = r.book.find(ctx, service)
+	return addr, "/v1/call/" + service + "/hello", err
+}
+
+func newRequest(ctx context.Context, url, id, key string) (req *http.Request, err error) {
+	method := http.MethodGet
+	if key != "" {
+		method = http.MethodPost
+	}
+	req, err = http.NewRequestWithContext(ctx, method, "http://"+url, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("X-Request-Id", id)
+	if key != "" {
+		req.Header.Set(call.HeaderKey, key)
+		// Without a body that can't be replayed the client's transport would
+		// resend a keyed request by itself.
+		req.Body = io.NopCloser(strings.NewReader("x"))
+		req.ContentLength = 1
+	}
+	return req, nil
+}
+
+func judge(res *http.Response, body, id string) verdict {
+	reason := res.Header.Get(call.HeaderReason)
+	switch res.Header.Get(call.HeaderOutcome) {
+	case call.NotRun.String():
+		return verdict{refused, reason}
+	case call.Unknown.String():
+		return verdict{unknown, reason}
+	}
+	if res.StatusCode != http.StatusOK {
+		return verdict{failed, res.Status}
+	}
+	if !strings.HasPrefix(body, "id="+id+" ") || !strings.HasSuffix(body, "\n") {
+		return verdict{crossed, "sent id " + id + ", found " + strconv.Quote(body)}
+	}
+	return verdict{kind: answered}
+}
+
+func (r *runner) file(v verdict, key string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := &r.report
+	p.Sent++
+	if key != "" {
+		p.Keys = append(p.Keys, key)
+	}
+	switch v.kind {
+	case answered:
+		p.Answered++
+		_ = p.Latency.RecordValue(min(took.Microseconds(), longest))
+	case refused:
+		p.Refused++
+	case unknown:
+		p.Unknown++
+	case failed:
+		p.Failed++
+	case crossed:
+		p.Crossed++
+	case lost:
+		p.Lost++
+	}
+	if v.kind != answered && (p.Example == "" || v.kind == crossed) {
+		p.Example = v.reason
+	}
+}
--- a/main.go
+++ b/main.go
@@ -42,6 +42,10 @@
 // commands lists the subcommands in the order in which help shows them.
 func commands() []*command {
 	return []*command{
+		entryCommand(),
+		locateCommand(),
+		loadCommand(),
+		standinCommand(),
 		versionCommand(),
 	}
 }
@@ -70,6 +74,7 @@
 	p.Description = "load balancer for services whose load shifts within milliseconds"
 	p.AdditionalHelpAppend = "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 conflicting edit, 4 invalid settings."
 	p.Version = version()
+	p.DisableShowVersionWithVersion()
 	for _, c := range all {
 		p.AttachSubcommand(c.attach(), 1)
 	}
--- a/pkg/ring/codec.go
+++ b/pkg/ring/codec.go
@@ -75,10 +75,7 @@
 			Missing: identsFromWire(l.Missing),
 		})
 	}
-	if err = check(r); err != nil {
-		return Ring{}, err
-	}
-	return r, nil
+	return r, check(r)
 }
 
 func check(r Ring) (err error) {
--- /dev/null
+++ b/standin.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/standin/platform"
+	"plumpitch.example/plumpitch/internal/standin/target"
+	"plumpitch.example/plumpitch/internal/store"
+)
+
+func standinCommand() *command {
+	sub := flaggy.NewSubcommand("standin")
+	sub.Description = "run a small stand-in of an outside system, for tests and trials"
+	return &command{sub: sub, subs: []*command{standinStore(), standinTarget()}}
+}
+
+func standinStore() *command {
+	addr := "127.0.0.1:0"
+	var file string
+	sub := flaggy.NewSubcommand("store")
+	sub.Description = "stand-in of the platform: object store and VM list"
+	sub.String(&addr, "l", "listen", "host:port to listen on")
+	sub.String(&file, "", "settings", "settings file to hold from the start")
+	sub.AdditionalHelpAppend = "Example: plumpitch standin store --listen 127.0.0.1:7400"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		return serveUntil(ctx, addr, platform.New(platform.Config{}), func(addr string) error {
+			if file == "" {
+				return nil
+			}
+			text, err := os.ReadFile(file)
+			if err != nil {
+				return err
+			}
+			_, err = store.New(store.Config{Addr: addr}).Put(ctx, "settings", "tree", 0, text)
+			return err
+		})
+	}}
+}
+
+func standinTarget() *command {
+	addr := "127.0.0.1:0"
+	var at, place string
+	cfg := target.Config{Name: "target", Service: "service", Slots: 2, Mean: 5 * time.Millisecond, Sigma: 1}
+	sub := flaggy.NewSubcommand("target")
+	sub.Description = "stand-in of a target: a worker with slots, a log and faults"
+	sub.String(&addr, "l", "listen", "host:port to listen on")
+	sub.String(&cfg.Name, "n", "name", "name of the target")
+	sub.String(&cfg.Service, "s", "service", "service that it works for")
+	sub.Int(&cfg.Slots, "", "slots", "requests served at once")
+	sub.Duration(&cfg.Mean, "", "mean", "mean service time")
+	sub.Float64(&cfg.Sigma, "", "sigma", "spread of the lognormal service time")
+	sub.UInt64(&cfg.Seed, "", "seed", "seed of the service times")
+	sub.String(&at, "p", "platform", "URL of the platform stand-in whose VM list names the target")
+	sub.String(&place, "", "place", "place of the target, for the VM list")
+	sub.AdditionalHelpAppend = "Example: plumpitch standin target --service gown-catalogue --listen 127.0.0.1:7500"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		return serveUntil(ctx, addr, target.New(cfg), func(addr string) error {
+			if at == "" {
+				return nil
+			}
+			return enlist(ctx, at, platform.VM{
+				ID: cfg.Name, Addr: addr, Place: place, Service: cfg.Service,
+				Slots: cfg.Slots, Boot: uint64(time.Now().UnixNano()), State: platform.Live,
+			})
+		})
+	}}
+}
+
+// enlist puts a stand-in target into the VM list of a platform stand-in.
+func enlist(ctx context.Context, at string, vm platform.VM) (err error) {
+	defer func() { err = errors.WithMessage(err, "VM list") }()
+	body, err := json.Marshal(map[string]any{
+		"addr": vm.Addr, "place": vm.Place, "service": vm.Service, "slots": vm.Slots, "boot": vm.Boot, "state": vm.State,
+	})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, at+"/v1/admin/vms/"+vm.ID, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("found %s, expected 200", res.Status)
+	}
+	return nil
+}
+
+// serveUntil serves on addr, prints the address that it got on the first line
+// of standard output, and lets requests in flight finish when ctx ends. up is
+// called with the address once it is open; it may be nil.
+func serveUntil(ctx context.Context, addr string, h http.Handler, up func(addr string) error) (err error) {
+	defer func() { err = errors.WithMessage(err, "stand-in") }()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(l) }()
+	if up != nil {
+		if err := up(l.Addr().String()); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintln(os.Stdout, l.Addr())
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	grace, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := srv.Shutdown(grace); err != nil {
+		return srv.Close()
+	}
+	return nil
+}
