entry, status, drain, explain: control loop, operators' calls, planned stop

A drain is an object of the store that names the target's incarnation, so a restarted target isn't drained by an old order. A stopping entry leaves locate at once and serves until every answer that named it has expired.

--- /dev/null
+++ b/explain.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/integrii/flaggy"
+)
+
+// explainView is one target as an entry judges it.
+type explainView struct {
+	Target   string  `json:"target"`
+	Chosen   bool    `json:"chosen"`
+	Why      string  `json:"why"`
+	InFlight int     `json:"inflight"`
+	Limit    int     `json:"limit"`
+	Until    string  `json:"until"`
+	Slow     float64 `json:"slow"`
+	Fail     float64 `json:"fail"`
+}
+
+func explainCommand() *command {
+	var at, service string
+	var asJSON bool
+	sub := flaggy.NewSubcommand("explain")
+	sub.Description = "tell why each target of a service would or would not be chosen"
+	sub.AddPositionalValue(&service, "SERVICE", 1, true, "name of the service")
+	sub.String(&at, "e", "entry", "host:port of an entry's operators' listener")
+	sub.Bool(&asJSON, "j", "json", "print the entry's JSON as it came")
+	sub.AdditionalHelpAppend = "Example: plumpitch explain gown-catalogue --entry 127.0.0.1:8003"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		path := "/v1/explain?name=" + url.QueryEscape(service)
+		if asJSON {
+			return printAnswer(ctx, at, path)
+		}
+		return showExplain(ctx, at, path)
+	}}
+}
+
+func showExplain(ctx context.Context, at, path string) (err error) {
+	body, err := ask(ctx, http.MethodGet, at, path)
+	if err != nil {
+		return err
+	}
+	var rows []explainView
+	if err := json.Unmarshal(body, &rows); err != nil {
+		return err
+	}
+	t := newTable("TARGET", "CHOSEN", "IN FLIGHT", "LIMIT", "SLOW", "FAIL", "WHY", "UNTIL")
+	for _, r := range rows {
+		t.Append([]string{
+			r.Target, fmt.Sprint(r.Chosen), fmt.Sprint(r.InFlight), fmt.Sprint(r.Limit),
+			fmt.Sprintf("%.1f", r.Slow), fmt.Sprintf("%.1f", r.Fail), r.Why, r.Until,
+		})
+	}
+	t.Render()
+	return nil
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,53 +13,80 @@
 	"plumpitch.example/plumpitch/pkg/tree"
 )
 
-// vmPeriod is the pause between reads of the VM list.
-const vmPeriod = time.Second
+// maxInbox bounds the messages that wait for the control loop.
+const maxInbox = 256
 
-// control is the one owner of what the traffic side reads as a site. It takes
-// settings, the VM list and the membership, and replaces the snapshot.
+// message is something that the control loop has to know. The set is closed.
+type message interface {
+	apply(now time.Time, c *control)
+}
+
+// control is the one owner of what the traffic side reads as a site. Workers
+// send it typed messages; after each batch it replaces the snapshot.
 type control struct {
 	entry    *Entry
-	store    *store.Client
+	inbox    chan message
+	site     *atomic.Pointer[site]
 	document tree.Document
 	vms      []store.VM
 	live     []ring.Member
+	drained  map[string]uint64 // target to the incarnation that operators drain
 	services map[string]*service
+	leaving  bool // this entry stops: locate no longer names it
+}
+
+func newControl(e *Entry) *control {
+	return &control{
+		entry:    e,
+		inbox:    make(chan message, maxInbox),
+		site:     &e.site,
+		document: tree.New(),
+		live:     []ring.Member{e.self()},
+		drained:  make(map[string]uint64),
+	}
 }
 
-// Serve runs until ctx ends.
+// tell hands a message to the control loop. It waits while the inbox is full
+// and gives up when ctx ends.
+func (c *control) tell(ctx context.Context, m message) {
+	select {
+	case c.inbox <- m:
+	case <-ctx.Done():
+	}
+}
+
+// Serve runs until ctx ends. Its state outlives a restart by the supervisor.
 func (c *control) Serve(ctx context.Context) error {
-	poll := time.NewTicker(vmPeriod)
-	defer poll.Stop()
-	c.poll(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-poll.C:
-			c.poll(ctx)
+		case m := <-c.inbox:
+			c.take(m)
 		}
 	}
 }
 
-func (c *control) poll(ctx context.Context) {
-	if o, err := c.store.Get(ctx, "settings", "tree"); err == nil {
-		if d, err := tree.Parse("settings/tree", o.Value); err == nil {
-			d.Revision = o.Version
-			c.document = d
+// take applies a message and all that wait behind it, then publishes once.
+func (c *control) take(m message) {
+	now := time.Now()
+	m.apply(now, c)
+	for {
+		select {
+		case m = <-c.inbox:
+			m.apply(now, c)
+		default:
+			if err := c.publish(now); err != nil {
+				c.entry.log.WithError(err).Error("settings not applied")
+			}
+			return
 		}
 	}
-	if list, err := c.store.VMs(ctx); err == nil {
-		c.vms = list
-	}
-	if err := c.apply(time.Now()); err != nil {
-		c.entry.log.WithError(err).Error("settings not applied")
-	}
 }
 
-// apply brings the services in line with what is known and publishes the
+// publish brings the services in line with what is known and replaces the
 // snapshot.
-func (c *control) apply(now time.Time) (err error) {
+func (c *control) publish(now time.Time) (err error) {
 	defer func() { err = errors.WithMessage(err, "control") }()
 	services := make(map[string]*service)
 	for _, want := range c.document.Services() {
@@ -66,7 +94,7 @@
 		if err != nil {
 			return err
 		}
-		sv.targets(now, targetsOf(c.vms, want))
+		sv.targets(now, c.targetsOf(want))
 		services[want.Name] = sv
 	}
 	for name, sv := range c.services {
@@ -75,10 +103,24 @@
 		}
 	}
 	c.services = services
-	c.entry.site.Store(&site{revision: c.document.Revision, services: services, live: c.live})
+	c.site.Store(&site{revision: c.document.Revision, services: services, live: c.named()})
 	return nil
 }
 
+// named are the entries that locate may name.
+func (c *control) named() []ring.Member {
+	if !c.leaving {
+		return c.live
+	}
+	var others []ring.Member
+	for _, m := range c.live {
+		if m.Name != c.entry.cfg.File.Name {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
 func (c *control) service(now time.Time, want tree.Target) (s *service, err error) {
 	if s = c.services[want.Name]; s != nil {
 		return s, s.configure(now, want.Policy)
@@ -93,13 +135,13 @@
 }
 
 // targetsOf picks the VMs of a service in its places.
-func targetsOf(vms []store.VM, want tree.Target) (list []pool.Target) {
-	for _, vm := range vms {
+func (c *control) targetsOf(want tree.Target) (list []pool.Target) {
+	for _, vm := range c.vms {
 		if vm.Service != want.Name || !inPlaces(want.Policy.Places, vm.Place) {
 			continue
 		}
 		t := pool.Target{ID: vm.ID, Boot: vm.Boot, Addr: vm.Addr, Place: vm.Place, Slots: vm.Slots}
-		if vm.State == store.Leaving {
+		if boot, ok := c.drained[vm.ID]; vm.State == store.Leaving || ok && boot == vm.Boot {
 			t.State = pool.Leaving
 		}
 		list = append(list, t)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,12 +16,18 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
+	"golang.org/x/time/rate"
 
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/internal/store"
 	"plumpitch.example/plumpitch/pkg/pool"
 	"plumpitch.example/plumpitch/pkg/ring"
-	"plumpitch.example/plumpitch/pkg/tree"
+)
+
+// Rates at which one entry may read the store.
+const (
+	readRate  = 4
+	readBurst = 8
 )
 
 // Config builds an Entry.
@@ -40,8 +46,11 @@
 	forward *forward.Forwarder
 	metrics metrics
 	tracing tracing
+	store   *store.Client
 	control *control
 
+	stopping atomic.Bool // the entry is on its way out
+
 	callers   net.Listener
 	operators net.Listener
 }
@@ -67,12 +76,8 @@
 		e.callers.Close()
 		return nil, err
 	}
-	e.control = &control{
-		entry:    e,
-		store:    store.New(store.Config{Addr: cfg.File.Platform}),
-		live:     []ring.Member{e.self()},
-		document: tree.New(),
-	}
+	e.store = store.New(store.Config{Addr: cfg.File.Platform, Reads: rate.NewLimiter(readRate, readBurst)})
+	e.control = newControl(e)
 	return e, nil
 }
 
@@ -97,28 +102,57 @@
 	}
 }
 
-// Serve runs the entry until ctx ends, then stops gracefully.
+// Serve runs the entry until ctx ends, then takes it out of locate, lets every
+// answer that named it expire, and stops between requests.
 func (e *Entry) Serve(ctx context.Context) (err error) {
-	top := suture.New("entry", suture.Spec{EventHook: e.supervised})
-	top.Add(e.control)
-	top.Add(&listener{name: "callers", on: e.callers, handler: e.callerHandler()})
-	top.Add(&listener{name: "operators", on: e.operators, handler: e.operatorHandler()})
-	err = top.Serve(ctx)
+	run, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		select {
+		case <-ctx.Done():
+			e.leave()
+			stop()
+		case <-run.Done():
+		}
+	}()
+	err = e.supervisor().Serve(run)
 	e.tracing.close()
 	e.metrics.close()
+	e.forward.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return err
 }
 
+// supervisor draws the tree: control workers may die and are restarted without
+// the listeners, and the other way round.
+func (e *Entry) supervisor() *suture.Supervisor {
+	spec := suture.Spec{EventHook: e.supervised, Timeout: graceTime}
+	control := suture.New("control", spec)
+	control.Add(e.control)
+	control.Add(&platformWorker{store: e.store, control: e.control})
+	traffic := suture.New("traffic", spec)
+	traffic.Add(&listener{name: "callers", on: e.callers, handler: e.callerHandler()})
+	traffic.Add(&listener{name: "operators", on: e.operators, handler: e.operatorHandler()})
+	top := suture.New("entry", spec)
+	top.Add(control)
+	top.Add(traffic)
+	return top
+}
+
 func (e *Entry) supervised(ev suture.Event) {
 	e.log.WithFields(log.Fields(ev.Map())).Warn("supervisor: " + ev.String())
 }
 
 func (e *Entry) probe(_ *service, _ pool.Action) {}
 
-func (e *Entry) left(_ string, _ uint64) {}
+// left spreads that a target is leaving.
+func (e *Entry) left(target string, boot uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	e.control.tell(ctx, targetLeaves{target, boot})
+}
 
 // listener serves HTTP on one of the entry's listeners.
 type listener struct {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -25,21 +25,3 @@
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
-
-// operatorHandler is what operators reach.
-func (e *Entry) operatorHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", e.serveReady)
-	mux.Handle("GET /metrics", e.metrics.handler)
-	return mux
-}
-
-// serveReady is 200 once settings are in force.
-func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.site.Load().revision == 0 {
-		http.Error(w, "no settings yet", http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
--- /dev/null
+++ b/internal/entry/message.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"time"
+
+	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/ring"
+	"plumpitch.example/plumpitch/pkg/tree"
+)
+
+// documentChanged brings the settings in force.
+type documentChanged struct{ document tree.Document }
+
+func (m documentChanged) apply(_ time.Time, c *control) {
+	if m.document.Revision < c.document.Revision {
+		return
+	}
+	c.document = m.document
+}
+
+// vmsListed brings the platform's list of VMs.
+type vmsListed struct{ list []store.VM }
+
+func (m vmsListed) apply(_ time.Time, c *control) { c.vms = m.list }
+
+// drainsListed brings the targets that operators drain, with their incarnation.
+type drainsListed struct{ targets map[string]uint64 }
+
+func (m drainsListed) apply(_ time.Time, c *control) { c.drained = m.targets }
+
+// membersChanged brings the entries that are live, this one included.
+type membersChanged struct{ live []ring.Member }
+
+func (m membersChanged) apply(_ time.Time, c *control) { c.live = m.live }
+
+// targetLeaves says that an incarnation of a target is leaving. It may name a
+// target that no list has shown yet.
+type targetLeaves struct {
+	target string
+	boot   uint64
+}
+
+func (m targetLeaves) apply(now time.Time, c *control) {
+	for _, sv := range c.services {
+		sv.leave(now, m.target, m.boot)
+	}
+}
+
+// stopping takes this entry out of locate.
+type stopping struct{}
+
+func (stopping) apply(_ time.Time, c *control) { c.leaving = true }
--- /dev/null
+++ b/internal/entry/operator.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/store"
+)
+
+// operatorHandler is what operators reach.
+func (e *Entry) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	mux.Handle("GET /metrics", e.metrics.handler)
+	mux.Handle("GET /v1/status", operation(e.statusEndpoint()))
+	mux.Handle("GET /v1/explain", operation(e.explainEndpoint()))
+	mux.Handle("POST /v1/drain", operation(e.drainEndpoint(e.drain)))
+	mux.Handle("POST /v1/undrain", operation(e.drainEndpoint(e.undrain)))
+	return mux
+}
+
+// operation serves an endpoint whose request is named by ?name=.
+func operation(ep endpoint.Endpoint) http.Handler {
+	decode := func(_ context.Context, r *http.Request) (any, error) { return r.URL.Query().Get("name"), nil }
+	return kithttp.NewServer(ep, decode, kithttp.EncodeJSONResponse, kithttp.ServerErrorEncoder(encodeOperatorError))
+}
+
+// operatorError is an error with the status that operators get.
+type operatorError struct {
+	status int
+	err    error
+}
+
+func (o operatorError) Error() string { return o.err.Error() }
+
+func encodeOperatorError(_ context.Context, err error, w http.ResponseWriter) {
+	status := http.StatusInternalServerError
+	var oe operatorError
+	if errors.As(err, &oe) {
+		status = oe.status
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(struct {
+		Error string `json:"error"`
+	}{err.Error()})
+}
+
+// serveReady is 200 while settings are in force and the entry isn't leaving.
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case e.stopping.Load():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case e.site.Load().revision == 0:
+		http.Error(w, "no settings yet", http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// explainRow tells of one target why it would or would not be chosen.
+type explainRow struct {
+	Target   string  `json:"target"`
+	Chosen   bool    `json:"chosen"`
+	Why      string  `json:"why"`
+	InFlight int     `json:"inflight"`
+	Limit    int     `json:"limit"`
+	Foreign  float64 `json:"foreign"`
+	Slow     float64 `json:"slow"`
+	Fail     float64 `json:"fail"`
+	Until    string  `json:"until,omitempty"`
+}
+
+func (e *Entry) explainEndpoint() endpoint.Endpoint {
+	return func(_ context.Context, request any) (any, error) {
+		name := request.(string)
+		sv, ok := e.site.Load().services[name]
+		if !ok {
+			return nil, operatorError{http.StatusNotFound, errors.Errorf("name: found %q, expected a service of the settings tree", name)}
+		}
+		return sv.explain(time.Now()), nil
+	}
+}
+
+func (s *service) explain(now time.Time) (rows []explainRow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.chooser.Explain(now) {
+		row := explainRow{r.Target, r.Chosen, r.Why, r.InFlight, r.Limit, r.Foreign, r.Slow, r.Fail, ""}
+		if !r.Until.IsZero() {
+			row.Until = r.Until.UTC().Format(time.RFC3339Nano)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// drainAnswer confirms a drain or its end.
+type drainAnswer struct {
+	Target  string `json:"target"`
+	Boot    uint64 `json:"boot"`
+	Drained bool   `json:"drained"`
+}
+
+func (e *Entry) drainEndpoint(do func(ctx context.Context, vm store.VM) error) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		name := request.(string)
+		vm, err := e.findVM(ctx, name)
+		if err != nil {
+			return nil, err
+		}
+		if err := do(ctx, vm); err != nil {
+			return nil, err
+		}
+		_, err = e.store.Get(ctx, drainKind, name)
+		return drainAnswer{name, vm.Boot, err == nil}, nil
+	}
+}
+
+func (e *Entry) findVM(ctx context.Context, name string) (vm store.VM, err error) {
+	list, err := e.store.VMs(ctx)
+	if err != nil {
+		return vm, err
+	}
+	for _, vm := range list {
+		if vm.ID == name {
+			return vm, nil
+		}
+	}
+	return vm, operatorError{http.StatusNotFound, errors.Errorf("name: found %q, expected a target of the VM list", name)}
+}
+
+// drain records in the store that operators drain a target, and takes it out
+// here at once. The incarnation is written, so that a restarted target is not
+// drained by an old order.
+func (e *Entry) drain(ctx context.Context, vm store.VM) (err error) {
+	defer func() { err = errors.WithMessage(err, "drain "+vm.ID) }()
+	want := strconv.FormatUint(vm.Boot, 10)
+	o, err := e.store.Get(ctx, drainKind, vm.ID)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	if string(o.Value) != want {
+		if _, err := e.store.Put(ctx, drainKind, vm.ID, o.Version, []byte(want)); err != nil {
+			return err
+		}
+	}
+	e.left(vm.ID, vm.Boot)
+	return nil
+}
+
+func (e *Entry) undrain(ctx context.Context, vm store.VM) (err error) {
+	defer func() { err = errors.WithMessage(err, "undrain "+vm.ID) }()
+	o, err := e.store.Get(ctx, drainKind, vm.ID)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return e.store.Delete(ctx, drainKind, vm.ID, o.Version)
+}
--- a/main.go
+++ b/main.go
@@ -44,6 +44,10 @@
 	return []*command{
 		entryCommand(),
 		locateCommand(),
+		statusCommand(),
+		drainCommand(),
+		undrainCommand(),
+		explainCommand(),
 		loadCommand(),
 		standinCommand(),
 		versionCommand(),
--- /dev/null
+++ b/status.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+
+	"github.com/integrii/flaggy"
+	"github.com/olekukonko/tablewriter"
+)
+
+// statusView is what people see of an entry's status.
+type statusView struct {
+	Entry    string `json:"entry"`
+	Settings uint64 `json:"settings"`
+	Ring     uint64 `json:"ring"`
+	Entries  []struct {
+		Name     string `json:"name"`
+		Place    string `json:"place"`
+		Callers  string `json:"callers"`
+		Settings uint64 `json:"settings"`
+		State    string `json:"state"`
+	} `json:"entries"`
+	Services []struct {
+		Name     string   `json:"name"`
+		Homes    []string `json:"homes"`
+		Targets  int      `json:"targets"`
+		Queued   int      `json:"queued"`
+		InFlight int      `json:"inflight"`
+	} `json:"services"`
+}
+
+func statusCommand() *command {
+	var at string
+	var asJSON bool
+	sub := flaggy.NewSubcommand("status")
+	sub.Description = "show entries, services and who has which settings"
+	sub.String(&at, "e", "entry", "host:port of an entry's operators' listener")
+	sub.Bool(&asJSON, "j", "json", "print the entry's JSON as it came")
+	sub.AdditionalHelpAppend = "Example: plumpitch status --entry 127.0.0.1:8003"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		if asJSON {
+			return printAnswer(ctx, at, "/v1/status")
+		}
+		return showStatus(ctx, at)
+	}}
+}
+
+func showStatus(ctx context.Context, at string) (err error) {
+	body, err := ask(ctx, http.MethodGet, at, "/v1/status")
+	if err != nil {
+		return err
+	}
+	var v statusView
+	if err := json.Unmarshal(body, &v); err != nil {
+		return err
+	}
+	fmt.Printf("entry %s, settings %d, ring %d\n\n", v.Entry, v.Settings, v.Ring)
+	t := newTable("ENTRY", "STATE", "PLACE", "SETTINGS", "CALLERS")
+	for _, e := range v.Entries {
+		t.Append([]string{e.Name, e.State, e.Place, fmt.Sprint(e.Settings), e.Callers})
+	}
+	t.Render()
+	fmt.Println()
+	t = newTable("SERVICE", "TARGETS", "QUEUED", "IN FLIGHT", "HOMES")
+	for _, s := range v.Services {
+		t.Append([]string{s.Name, fmt.Sprint(s.Targets), fmt.Sprint(s.Queued), fmt.Sprint(s.InFlight), fmt.Sprint(s.Homes)})
+	}
+	t.Render()
+	return nil
+}
+
+// newTable returns a table without lines, as a script's awk likes it.
+func newTable(heads ...string) *tablewriter.Table {
+	t := tablewriter.NewWriter(os.Stdout)
+	t.SetHeader(heads)
+	t.SetAutoFormatHeaders(false)
+	t.SetBorder(false)
+	t.SetHeaderLine(false)
+	t.SetColumnSeparator("")
+	t.SetNoWhiteSpace(true)
+	t.SetTablePadding("  ")
+	t.SetAutoWrapText(false)
+	t.SetHeaderAlignment(tablewriter.ALIGN_LEFT)
+	t.SetAlignment(tablewriter.ALIGN_LEFT)
+	return t
+}
