--- a/pkg/tree/check.go
+++ b/pkg/tree/check.go
@@ -60,7 +60,7 @@
 	if path == Root {
 		return k == RootKind
 	}
-	return k == Group || k == Service || k == Place
+	return k == GroupKind || k == ServiceKind || k == PlaceKind
 }
 
 func expectedKind(path string) string {
@@ -79,7 +79,7 @@
 	if !ok {
 		return Problems{{Path: path, Field: "parent", Found: "missing parent " + up, Expected: "a node " + up + " in the tree"}}
 	}
-	if parent.Kind == Service || parent.Kind == Place {
+	if parent.Kind == ServiceKind || parent.Kind == PlaceKind {
 		return Problems{{
 			Path: path, Field: "parent", Found: string(parent.Kind) + " " + up,
 			Expected: "a parent of kind group or root",
@@ -107,10 +107,7 @@
 func checkValue(k Kind, name, text string) *Problem {
 	f, ok := Lookup(name)
 	if !ok {
-		return &Problem{
-			Field: name, Found: "unknown field", Expected: "a field of docs/SETTINGS.md",
-			Hint: nearest(name, fieldNames()),
-		}
+		return unknownField(name)
 	}
 	if !slices.Contains(f.Levels, k) {
 		return &Problem{Field: name, Found: "a node of kind " + string(k), Expected: "it at " + joinKinds(f.Levels)}
@@ -134,7 +131,7 @@
 	first := map[string]string{}
 	for _, path := range d.paths() {
 		k := d.Nodes[path].Kind
-		if k != Service && k != Place {
+		if k != ServiceKind && k != PlaceKind {
 			continue
 		}
 		id := string(k) + " " + Name(path)
--- a/pkg/tree/field.go
+++ b/pkg/tree/field.go
@@ -80,7 +80,7 @@
 		literal: l,
 	}
 	if f.Levels == nil {
-		f.Levels = []Kind{RootKind, Group, Service}
+		f.Levels = []Kind{RootKind, GroupKind, ServiceKind}
 	}
 	f.expect = fmt.Sprintf("a %s such as %s", unit, example)
 	return f
--- a/pkg/tree/parse.go
+++ b/pkg/tree/parse.go
@@ -132,7 +132,8 @@
 		p.lines[path+" "+name] = p.line(at)
 		f, ok := Lookup(name)
 		if !ok {
-			p.fault(at, path, name, "unknown field", "a field of docs/SETTINGS.md", nearest(name, fieldNames()))
+			u := unknownField(name)
+			p.fault(at, path, name, u.Found, u.Expected, u.Hint)
 			return
 		}
 		raw, ok := plain(v, f.literal)
--- a/pkg/tree/problem.go
+++ b/pkg/tree/problem.go
@@ -87,3 +87,10 @@
 	}
 	return names
 }
+
+func unknownField(name string) *Problem {
+	return &Problem{
+		Field: name, Found: "unknown field", Expected: "a field of docs/SETTINGS.md",
+		Hint: nearest(name, fieldNames()),
+	}
+}
--- a/pkg/tree/resolve.go
+++ b/pkg/tree/resolve.go
@@ -44,8 +44,8 @@
 	return Origin{Field: f.Name, Value: f.Default}
 }
 
-// Target is one service with its policy.
-type Target struct {
+// Service is one service with its policy.
+type Service struct {
 	Name   string
 	Path   string
 	Policy Policy
@@ -53,35 +53,35 @@
 
 // Services returns all services in order of their names. The document must
 // have passed Check.
-func (d Document) Services() []Target {
-	var list []Target
+func (d Document) Services() []Service {
+	var list []Service
 	for path, n := range d.Nodes {
-		if n.Kind != Service {
+		if n.Kind != ServiceKind {
 			continue
 		}
 		p, _, err := d.Resolve(path)
 		if err != nil {
 			continue
 		}
-		list = append(list, Target{Name: Name(path), Path: path, Policy: p})
+		list = append(list, Service{Name: Name(path), Path: path, Policy: p})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
 
-// Location is one place with the region it lies in.
-type Location struct {
+// Place is one place with the region it lies in.
+type Place struct {
 	Name   string
 	Path   string
 	Region string // name of its parent
 }
 
 // Places returns all places in order of their names.
-func (d Document) Places() []Location {
-	var list []Location
+func (d Document) Places() []Place {
+	var list []Place
 	for path, n := range d.Nodes {
-		if n.Kind == Place {
-			list = append(list, Location{Name: Name(path), Path: path, Region: Name(parentOf(path, n))})
+		if n.Kind == PlaceKind {
+			list = append(list, Place{Name: Name(path), Path: path, Region: Name(parentOf(path, n))})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
--- a/pkg/tree/tree.go
+++ b/pkg/tree/tree.go
@@ -31,10 +31,10 @@
 
 // Kinds of nodes. Only groups and the root can be inherited from.
 const (
-	RootKind Kind = "root"
-	Group    Kind = "group"
-	Service  Kind = "service"
-	Place    Kind = "place"
+	RootKind    Kind = "root"
+	GroupKind   Kind = "group"
+	ServiceKind Kind = "service"
+	PlaceKind   Kind = "place"
 )
 
 // Edit is a set of changes that are accepted together or not at all.
--- /dev/null
+++ b/pkg/tree/wire_test.go
@@ -0,0 +1,107 @@
+package tree_test
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/pkg/tree"
+)
+
+func TestDecodeErrors(t *testing.T) {
+	whole := string(tree.Encode(site(qt.New(t))))
+	for _, c := range []struct {
+		name string
+		text string
+		want string
+	}{
+		{"empty", "", "settings document: EOF"},
+		{"cut", whole[:len(whole)/2], "settings document: unexpected EOF"},
+		{"more", whole + "{}", "settings document: found more after the end.*"},
+		{"unknown member", `{"rev": 1}`, `settings document: json: unknown field "rev"`},
+		{"no root", `{"revision": 0}`, `settings document: /: found no root.*`},
+		{"no log", `{"revision": 3, "nodes": {"/": {"kind": "root"}}}`, "settings document: edits: found none, expected the one of revision 3"},
+		{"gap in log", strings.Replace(whole, `"base":0,"revision":1`, `"base":0,"revision":7`, 1), "settings document: edits: found revision 7, expected 1"},
+		{"bad value", strings.Replace(whole, `"slots":"4"`, `"slots":"0"`, 1), `settings document: /g/s slots: found "0", expected a count .*`},
+		{"unknown field", strings.Replace(whole, `"slots":"4"`, `"slot":"4"`, 1), `settings document: /g/s slot: found unknown field.*`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := tree.Decode([]byte(c.text))
+			qt.Assert(t, err, qt.ErrorMatches, c.want)
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"swanbourne", "ccesa"} {
+		text, err := os.ReadFile("../../examples/" + name + ".json")
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Add([]byte(`{"/": {"kind": "root", "set": {"idempotent": ["GET"], "slots": 1e1, "trace": "off"}}} // end`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		d, err := tree.Parse("f", text)
+		if err != nil {
+			if _, ok := tree.AsProblems(err); !ok {
+				t.Fatalf("found %T, expected Problems", err)
+			}
+			return
+		}
+		roundTrip(t, d)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(tree.Encode(tree.New()))
+	f.Add(tree.Encode(site(qt.New(f))))
+	f.Add([]byte(`{"revision":1,"nodes":{"/":{"kind":"root"},"/a":{"kind":"group","parent":"/a"}},"edits":[{"id":"x","revision":1}]}`))
+	f.Add([]byte(`{"revision":18446744073709551615,"nodes":{"/":{"kind":"root"}},"edits":[{"id":"x","revision":18446744073709551615}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := tree.Decode(b)
+		if err != nil {
+			return
+		}
+		roundTrip(t, d)
+	})
+}
+
+func FuzzDecodeEdit(f *testing.F) {
+	f.Add(tree.EncodeEdit(edit("x", 1, set("/g", "slots", "2"), create("/h", tree.GroupKind))))
+	f.Add([]byte(`{"id":"x","revision":2,"time":"9999-12-31T23:59:59-05:00","changes":[{"op":"move","path":"/g","parent":"/g/s"}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e, err := tree.DecodeEdit(b)
+		if err != nil {
+			return
+		}
+		d := site(qt.New(t))
+		next, err := d.Replay([]tree.Edit{e})
+		if err != nil && next.Revision != d.Revision {
+			t.Fatalf("a refused edit left revision %d", next.Revision)
+		}
+		if err == nil {
+			roundTrip(t, next)
+		}
+	})
+}
+
+// roundTrip checks that an accepted document survives its stored form and that
+// every node resolves.
+func roundTrip(t *testing.T, d tree.Document) {
+	again, err := tree.Decode(tree.Encode(d))
+	if err != nil {
+		t.Fatalf("stored form: %v", err)
+	}
+	if !bytes.Equal(tree.Encode(again), tree.Encode(d)) {
+		t.Fatalf("found %s, expected %s", tree.Encode(again), tree.Encode(d))
+	}
+	for path := range d.Nodes {
+		if _, _, err := d.Resolve(path); err != nil {
+			t.Fatalf("resolve: %v", err)
+		}
+	}
+}
