--- a/pkg/tree/diff.go
+++ b/pkg/tree/diff.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // Diff returns the changes that lead from d to the nodes of other. It is empty
@@ -45,3 +46,12 @@
 	}
 	return changes
 }
+
+// Seed returns a document of revision 1 with the nodes of a parsed file, for a
+// store that holds none.
+func Seed(file Document, now time.Time) (Document, error) {
+	d := New()
+	first := Edit{ID: "seed", Author: "seed", Changes: d.Diff(file)}
+	seeded, _, err := d.Apply(first, now)
+	return seeded, err
+}
