claim: replica table and coordinator of one request

Cause: a booking that is sent again through another entry must not run twice, whatever became of the first entry. A replica accepts one claim for a key under its own ring revision and incarnation; an attempt runs only with a majority of each replica set, and not after its deadline. not-run is said only with a majority, or when a run surely did not begin; the result comes before the withdrawal, after which another attempt may run the key. Ruled out: not-run on a missing majority (a run under another claim can't be excluded); evicting keys when full; counting a reply of a former ring.

--- /dev/null
+++ b/pkg/claim/attempt.go
@@ -0,0 +1,256 @@
+package claim
+
+import (
+	"time"
+
+	"plumpitch.example/plumpitch/pkg/ring"
+)
+
+// Bid is one request that is to run under a key.
+type Bid struct {
+	Claim
+	Ring     ring.Ring
+	Bounds   ring.Config
+	Deadline time.Time     // after it the request may not be dispatched
+	Patience time.Duration // longest wait for the replicas
+}
+
+// Attempt decides for one request, in one incarnation, whether it may run. It
+// emits Run at most once.
+//
+// No lease is needed. A claim ends only by its own holder's withdrawal, by an
+// outcome, or by the retention of its key, which is far longer than any
+// deadline. A holder that is paused between its majority and its dispatch is
+// still the only one that may run the key.
+type Attempt struct {
+	bid   Bid
+	began time.Time
+	state state
+	peers []*asked
+}
+
+type state uint8
+
+const (
+	asking state = iota
+	running
+	done
+)
+
+// asked is what is known of one replica under the ring in force.
+type asked struct {
+	member ring.Member
+	groups []int
+	reply  Verdict // 0 while there is none
+	by     ring.Ident
+	retry  bool // no usable reply yet: ask again
+}
+
+// Begin starts an attempt.
+func Begin(now time.Time, b Bid) (a *Attempt, out []Action) {
+	a = &Attempt{bid: b, began: now}
+	return a, a.ask(now)
+}
+
+// Done tells that the attempt has given its result.
+func (a *Attempt) Done() bool {
+	return a.state == done
+}
+
+// Step takes one event and gives what is to be done, in this order.
+func (a *Attempt) Step(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Replied:
+		return a.replied(now, e)
+	case Unreachable:
+		return a.unreachable(e)
+	case Changed:
+		return a.changed(now, e)
+	case Tick:
+		return a.tick(now)
+	case Ended:
+		return a.ended(e)
+	}
+	return nil
+}
+
+// ask sends the claim to all replicas of the ring in force, unless these can't
+// know the key.
+func (a *Attempt) ask(now time.Time) []Action {
+	switch {
+	case a.bid.Bounds.Premature(now, a.bid.Key):
+		return a.refuse(Result{Kind: Uncertain, Reason: ReasonKeyTime, RetryAfter: a.bid.Bounds.Skew})
+	case !a.bid.Bounds.Knowable(now, a.bid.Ring, a.bid.Service, a.bid.Key):
+		return a.refuse(Result{Kind: Uncertain, Reason: ReasonRecordsLost, RetryAfter: retryLost})
+	}
+	a.peers = nil
+	for g, set := range a.bid.Ring.Groups(a.bid.Service, a.bid.Key) {
+		for _, m := range set {
+			p := a.find(m.Ident)
+			if p == nil {
+				p = &asked{member: m}
+				a.peers = append(a.peers, p)
+			}
+			p.groups = append(p.groups, g)
+		}
+	}
+	var out []Action
+	for _, p := range a.peers {
+		out = append(out, a.request(p))
+	}
+	return out
+}
+
+func (a *Attempt) request(p *asked) Action {
+	p.retry = false
+	return Send{To: p.member, Ask: Ask{Claim: a.bid.Claim, To: p.member.Ident, Ring: a.bid.Ring.Revision}}
+}
+
+func (a *Attempt) find(id ring.Ident) *asked {
+	for _, p := range a.peers {
+		if p.member.Ident == id {
+			return p
+		}
+	}
+	return nil
+}
+
+func (a *Attempt) replied(now time.Time, e Replied) []Action {
+	p := a.find(e.From)
+	if a.state != asking || p == nil || e.Ring != a.bid.Ring.Revision {
+		return nil
+	}
+	switch e.Reply.Verdict {
+	case Settled:
+		return a.replay(e.Reply)
+	case WrongRing:
+		if p.reply == 0 {
+			p.retry = true
+		}
+		return nil
+	}
+	p.reply = e.Reply.Verdict
+	p.by = e.Reply.By
+	return a.judge(now)
+}
+
+func (a *Attempt) unreachable(e Unreachable) []Action {
+	p := a.find(e.From)
+	if a.state == asking && p != nil && e.Ring == a.bid.Ring.Revision && p.reply == 0 {
+		p.retry = true
+	}
+	return nil
+}
+
+// changed starts over under a newer ring with the same ID: replicas that have
+// accepted it before do so again, and replies under the former ring no longer
+// count.
+func (a *Attempt) changed(now time.Time, e Changed) []Action {
+	if a.state == done || !e.Ring.Newer(a.bid.Ring) {
+		return nil
+	}
+	if a.state == running {
+		a.widen(e.Ring)
+		return nil
+	}
+	former := a.peers
+	a.bid.Ring = e.Ring
+	out := a.ask(now)
+	for _, p := range former {
+		if a.state == asking && a.find(p.member.Ident) == nil {
+			out = append(out, a.withdraw(p))
+		}
+	}
+	return out
+}
+
+// widen adds the replicas of a newer ring to those that hear of the outcome.
+func (a *Attempt) widen(r ring.Ring) {
+	a.bid.Ring = r
+	for _, set := range r.Groups(a.bid.Service, a.bid.Key) {
+		for _, m := range set {
+			if a.find(m.Ident) == nil {
+				a.peers = append(a.peers, &asked{member: m})
+			}
+		}
+	}
+}
+
+func (a *Attempt) tick(now time.Time) []Action {
+	if a.state != asking {
+		return nil
+	}
+	if !now.Before(a.bid.Deadline) || now.Sub(a.began) >= a.bid.Patience {
+		return a.refuse(a.undecided())
+	}
+	var out []Action
+	for _, p := range a.peers {
+		if p.retry {
+			out = append(out, a.request(p))
+		}
+	}
+	return out
+}
+
+// judge counts the votes.
+//
+// The deadline is looked at here, right before Run: a process that was paused
+// between its claim and this step must not dispatch a request whose caller has
+// given up long ago.
+func (a *Attempt) judge(now time.Time) []Action {
+	if a.wins() {
+		if !now.Before(a.bid.Deadline) {
+			return a.refuse(Result{Kind: NotRun, Reason: ReasonDeadline, RetryAfter: retrySoon})
+		}
+		a.state = running
+		return []Action{Run{}}
+	}
+	if a.loses() {
+		return a.refuse(a.undecided())
+	}
+	return nil
+}
+
+// wins tells whether a majority of each group has accepted.
+func (a *Attempt) wins() bool {
+	if len(a.peers) == 0 {
+		return false
+	}
+	for g, size := range a.sizes() {
+		if size > 0 && a.count(g, func(v Verdict) bool { return v == Accepted }) < ring.Majority(size) {
+			return false
+		}
+	}
+	return true
+}
+
+// loses tells whether a majority of some group is out of reach.
+func (a *Attempt) loses() bool {
+	for g, size := range a.sizes() {
+		against := a.count(g, func(v Verdict) bool { return v != 0 && v != Accepted })
+		if size > 0 && against > size-ring.Majority(size) {
+			return true
+		}
+	}
+	return false
+}
+
+// reused tells whether a majority of some group knows the key only from another
+// request. Had this one run, one of them would know of it.
+func (a *Attempt) reused() bool {
+	for g, size := range a.sizes() {
+		if size > 0 && a.count(g, func(v Verdict) bool { return v == OtherPrint }) >= ring.Majority(size) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Attempt) sizes() (sizes [2]int) {
+	for _, p := range a.peers {
+		for _, g := range p.groups {
+			sizes[g]++
+		}
+	}
+	return sizes
+}
