--- a/pkg/ring/codec.go
+++ b/pkg/ring/codec.go
@@ -75,7 +75,10 @@
 			Missing: identsFromWire(l.Missing),
 		})
 	}
-	return r, check(r)
+	if err = check(r); err != nil {
+		return Ring{}, err
+	}
+	return r, nil
 }
 
 func check(r Ring) (err error) {
--- a/pkg/ring/ring.go
+++ b/pkg/ring/ring.go
@@ -3,10 +3,7 @@
 // without a key being forgotten. It does no I/O and reads no clock.
 package ring
 
-import (
-	"fmt"
-	"time"
-)
+import "fmt"
 
 // Ident names one incarnation of an entry. An entry that restarts has the same
 // name and a higher boot number, and remembers nothing of the former one.
@@ -69,28 +66,6 @@
 	return n/2 + 1
 }
 
-// Loss marks that the records of some keys are gone: too many members of their
-// replica sets vanished before they could copy them.
-type Loss struct {
-	At      time.Time // when the members were given up
-	Sealed  time.Time // when they were known to be dead; zero while they may be only cut off
-	Members []Member  // the ring that they were members of
-	Missing []Ident   // who did not copy
-}
-
-// Covers tells whether the loss reaches a key: the members that did copy don't
-// meet every majority of its replica set.
-func (l Loss) Covers(service, key string) bool {
-	set := Replicas(l.Members, service, key)
-	copied := 0
-	for _, m := range set {
-		if !contains(l.Missing, m.Ident) {
-			copied++
-		}
-	}
-	return copied+Majority(len(set)) <= len(set)
-}
-
 func has(members []Member, id Ident) bool {
 	for _, m := range members {
 		if m.Ident == id {
