--- /dev/null
+++ b/internal/lab/tail/entry.go
@@ -0,0 +1,178 @@
+package tail
+
+import (
+	"strconv"
+	"time"
+
+	"plumpitch.example/plumpitch/pkg/pool"
+)
+
+// entry drives one pool.
+type entry struct {
+	pool   pool.Chooser
+	idle   []int // open connections to each worker that nobody uses
+	tick   int64 // when the next tick is scheduled
+	tokens float64
+	out    []pool.Action
+}
+
+const (
+	retryShare = 0.1 // of first tries
+	retryBurst = 10
+	maxTries   = 3
+	tryBits    = 3
+)
+
+func attempt(request, try int32) uint64 { return uint64(request)<<tryBits | uint64(try) }
+
+func (s *site) arrive(j job) {
+	r := &s.requests[j.request]
+	s.stat.offered++
+	e := &s.entries[r.entry]
+	e.tokens = min(e.tokens+retryShare, retryBurst)
+	s.offer(j.request, "")
+}
+
+func (s *site) offer(i int32, avoid string) {
+	r := &s.requests[i]
+	e := &s.entries[r.entry]
+	a := pool.Arrival{ID: attempt(i, r.try), Deadline: epoch.Add(time.Duration(r.at) + s.sc.deadline), Idempotent: true, Avoid: avoid}
+	s.do(r.entry, e.pool.Arrive(s.time(), a, e.out[:0]))
+}
+
+// do carries out what the pool of entry i decided.
+func (s *site) do(i int32, out []pool.Action) {
+	e := &s.entries[i]
+	for _, a := range out {
+		switch a.Kind {
+		case pool.Dispatch:
+			s.dispatch(i, a)
+		case pool.Refuse:
+			s.stat.refuse(a.Reason)
+			s.close(int32(a.ID >> tryBits))
+		case pool.Probe:
+			w, _ := strconv.Atoi(a.Target)
+			s.probe(i, int32(w))
+		case pool.Left:
+			s.tell(i, a)
+		}
+	}
+	e.out = out[:0]
+	s.plan(i)
+}
+
+func (s *site) dispatch(i int32, a pool.Action) {
+	e := &s.entries[i]
+	w, _ := strconv.Atoi(a.Target)
+	s.stat.tries++
+	if a.Trial {
+		s.stat.trials++
+	}
+	j := job{request: int32(a.ID >> tryBits), try: int32(a.ID & (1<<tryBits - 1)), entry: i, worker: int32(w)}
+	delay := s.sc.shape.Target
+	if e.idle[w] > 0 {
+		e.idle[w]--
+	} else {
+		delay += s.sc.shape.Connect
+	}
+	s.at(s.now+int64(delay), event{kind: atTarget, job: j})
+}
+
+func (s *site) probe(i, w int32) {
+	s.at(s.now+int64(s.sc.shape.Target), event{kind: atTarget, job: job{request: -1, entry: i, worker: w}})
+}
+
+// tell passes a target's own word on to the other entries.
+func (s *site) tell(from int32, a pool.Action) {
+	for i := range s.entries {
+		if int32(i) == from {
+			continue
+		}
+		s.do(int32(i), s.entries[i].pool.Leave(s.time(), a.Target, a.Boot, nil))
+	}
+}
+
+// plan schedules the tick that the pool asks for.
+func (s *site) plan(i int32) {
+	e := &s.entries[i]
+	next := e.pool.Next()
+	if next.IsZero() {
+		return
+	}
+	when := max(int64(next.Sub(epoch)), s.now)
+	if e.tick > s.now && e.tick <= when {
+		return
+	}
+	e.tick = when
+	s.at(when, event{kind: ticked, where: i})
+}
+
+func (s *site) tick(ev event) {
+	e := &s.entries[ev.where]
+	if e.tick != ev.at {
+		return
+	}
+	e.tick = 0
+	s.do(ev.where, e.pool.Tick(s.time(), e.out[:0]))
+}
+
+func (s *site) answer(j job) {
+	e := &s.entries[j.entry]
+	load := pool.Load{InFlight: j.end.load, Known: !s.sc.deaf, Leaving: j.end.leaving}
+	if s.sc.mislead {
+		load.InFlight = 0
+	}
+	if j.request < 0 {
+		r := pool.Probed{Target: strconv.Itoa(int(j.worker)), OK: j.end.kind != pool.RefusedConn, Load: load}
+		s.do(j.entry, e.pool.Probed(s.time(), r, e.out[:0]))
+		return
+	}
+	if j.end.kind != pool.RefusedConn && j.end.kind != pool.Broken {
+		e.idle[j.worker]++
+	}
+	s.settle(j)
+	s.do(j.entry, e.pool.Done(s.time(), pool.Answer{ID: attempt(j.request, j.try), Kind: j.end.kind, Load: load}, e.out[:0]))
+	s.again(j)
+}
+
+// settle gives the caller its answer, if this one is final.
+func (s *site) settle(j job) {
+	r := &s.requests[j.request]
+	switch j.end.kind {
+	case pool.Served:
+		s.stat.answer(s.now - r.at + 2*int64(s.sc.shape.Caller))
+		s.close(j.request)
+	case pool.Failed:
+		s.stat.failed++
+		s.close(j.request)
+	default:
+		s.stat.lost++
+	}
+}
+
+// again retries a request that surely did not run, or is idempotent, within
+// the budget.
+func (s *site) again(j job) {
+	r := &s.requests[j.request]
+	if r.over {
+		return
+	}
+	e := &s.entries[r.entry]
+	if !s.sc.retries || r.try+1 >= maxTries || e.tokens < 1 {
+		s.stat.failed++
+		s.close(j.request)
+		return
+	}
+	e.tokens--
+	s.stat.retries++
+	r.try++
+	s.offer(j.request, strconv.Itoa(int(j.worker)))
+}
+
+func (s *site) close(i int32) {
+	if s.requests[i].over {
+		return
+	}
+	s.requests[i].over = true
+	s.open--
+}
--- /dev/null
+++ b/internal/lab/tail/experiments.go
@@ -0,0 +1,243 @@
+package tail
+
+import (
+	"fmt"
+	"time"
+
+	"plumpitch.example/plumpitch/pkg/pool"
+)
+
+// experiment is one table.
+type experiment struct {
+	name string
+	note string
+	rows func(requests int) []row
+	hide []string // columns that say nothing here
+}
+
+func (x experiment) columns() (cols []column) {
+	for _, c := range columns {
+		hidden := false
+		for _, h := range x.hide {
+			hidden = hidden || h == c.name
+		}
+		if !hidden {
+			cols = append(cols, c)
+		}
+	}
+	return cols
+}
+
+// Names of the ways that other rows are held against.
+const (
+	wayMark = "omniscient queue"
+	wayTwo  = "two choices x14"
+	wayOwn  = "plumpitch"
+)
+
+const (
+	owners      = 1 // entries that locate names first
+	probeBudget = 0.005
+)
+
+var experiments = []experiment{
+	{"tail", "Policy by load, no faults.", tailRows, []string{"failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
+	{"owners", "Where a service's requests meet: k entries, used alike or the first preferred.", ownersRows, []string{"failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
+	{"straggler", "One worker 10 times slower, unannounced: all the time, or from a third to two thirds of the run; one that stalls for 300 ms every second.", stragglerRows, []string{"failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
+	{"swing", "Load that swings 10 times within a moment.", swingRows, []string{"failed %", "lost tries", "last new work ms"}},
+	{"probes", "The cost of measuring.", probesRows, []string{"failed %", "lost tries", "last new work ms"}},
+	{"drain", "A target leaves a third into the run, told in one way only; or crashes and comes back cold.", drainRows, []string{"worst 100 ms", "goodput %"}},
+	{"retry", "Overload and targets that fail fast.", retryRows, []string{"worst 100 ms", "last new work ms"}},
+}
+
+func base(s Shape, load float64, requests int) scenario {
+	return scenario{shape: s, load: load, requests: requests, deadline: time.Second, retries: true, listLag: 30 * time.Second}
+}
+
+func (s scenario) own() scenario {
+	s.policy, s.owners, s.budget = pool.NameFreeSlot, owners, probeBudget
+	return s
+}
+
+func (s scenario) with(policy string) scenario {
+	s.policy = policy
+	return s
+}
+
+// baselines are the rows that each group holds the product's own against.
+func baselines(group string, sc scenario) []row {
+	return []row{
+		{group: group, way: wayMark, sc: sc.with(omniscient)},
+		{group: group, way: "round robin x14", sc: sc.with(pool.NameRoundRobin)},
+		{group: group, way: "random x14", sc: sc.with(pool.NameRandom)},
+		{group: group, way: wayTwo, sc: sc.with(pool.NameTwoChoices)},
+		{group: group, way: "least in flight x14", sc: sc.with(pool.NameLeastInFlight)},
+	}
+}
+
+func tailRows(requests int) (rows []row) {
+	for _, s := range []Shape{gownCatalogue, paydesk, shiftboard} {
+		for _, load := range []float64{0.5, 0.7, 0.85, 0.95} {
+			group := fmt.Sprintf("%s %.0f %%", s.Name, 100*load)
+			sc := base(s, load, requests)
+			rows = append(rows, baselines(group, sc)...)
+			rows = append(rows, row{group: group, way: wayOwn, sc: sc.own()})
+		}
+	}
+	return rows
+}
+
+func ownersRows(requests int) (rows []row) {
+	for _, s := range []Shape{gownCatalogue, paydesk} {
+		for _, load := range []float64{0.7, 0.85, 0.95} {
+			group := fmt.Sprintf("%s %.0f %%", s.Name, 100*load)
+			sc := base(s, load, requests)
+			rows = append(rows, row{group: group, way: wayMark, sc: sc.with(omniscient)},
+				row{group: group, way: wayTwo, sc: sc.with(pool.NameTwoChoices)})
+			rows = append(rows, ownerWays(group, sc)...)
+		}
+	}
+	return rows
+}
+
+func ownerWays(group string, sc scenario) (rows []row) {
+	add := func(way string, change func(*scenario)) {
+		own := sc.own()
+		change(&own)
+		rows = append(rows, row{group: group, way: way, sc: own})
+	}
+	add("k=1", func(*scenario) {})
+	add("k=1, 5 % astray", func(s *scenario) { s.stray = 0.05 })
+	add("k=2 alike", func(s *scenario) { s.owners, s.even = 2, true })
+	add("k=2 alike, no reports", func(s *scenario) { s.owners, s.even, s.deaf = 2, true, true })
+	add("k=2 alike, reports mislead", func(s *scenario) { s.owners, s.even, s.mislead = 2, true, true })
+	add("k=3 alike", func(s *scenario) { s.owners, s.even = 3, true })
+	add("k=14", func(s *scenario) { s.owners = 0 })
+	return rows
+}
+
+func stragglerRows(requests int) (rows []row) {
+	s := gownCatalogue
+	for _, load := range []float64{0.7, 0.85} {
+		sc := base(s, load, requests)
+		whole := time.Duration(sc.seconds() * float64(time.Second))
+		cases := []struct {
+			name   string
+			faults []fault
+		}{
+			{"slow all the time", []fault{{kind: slow, worker: 3, from: 0, to: 10 * whole, factor: 10}}},
+			{"slow mid-run", []fault{{kind: slow, worker: 3, from: whole / 3, to: 2 * whole / 3, factor: 10}}},
+			{"stalls", stalls(whole)},
+		}
+		for _, x := range cases {
+			group := fmt.Sprintf("%s %.0f %%", x.name, 100*load)
+			sc.faults = x.faults
+			rows = append(rows, baselines(group, sc)...)
+			rows = append(rows, row{group: group, way: wayOwn, sc: sc.own()})
+		}
+	}
+	return rows
+}
+
+func stalls(whole time.Duration) (faults []fault) {
+	for i, at := 0, time.Second; at < whole; i, at = i+1, at+time.Second {
+		faults = append(faults, fault{kind: stall, worker: i * 5 % 14, from: at, to: at + 300*time.Millisecond})
+	}
+	return faults
+}
+
+func swingRows(requests int) (rows []row) {
+	for _, s := range []Shape{gownCatalogue, paydesk} {
+		for _, period := range []time.Duration{20 * time.Millisecond, 400 * time.Millisecond} {
+			group := fmt.Sprintf("%s, 9 to 90 %% each %v", s.Name, period/2)
+			sc := base(s, 0.9, requests)
+			sc.swing, sc.period = 10, period
+			rows = append(rows, baselines(group, sc)...)
+			rows = append(rows, row{group: group, way: wayOwn, sc: sc.own()})
+		}
+	}
+	return rows
+}
+
+func probesRows(requests int) (rows []row) {
+	for _, s := range []Shape{gownCatalogue, paydesk, shiftboard} {
+		for _, load := range []float64{0.7, 0.85} {
+			sc := base(s, load, requests)
+			whole := time.Duration(sc.seconds() * float64(time.Second))
+			for _, faulty := range []bool{false, true} {
+				group := fmt.Sprintf("%s %.0f %%", s.Name, 100*load)
+				if faulty {
+					group += ", straggler and crash"
+					sc.faults = []fault{
+						{kind: slow, worker: 3, from: whole / 3, to: 2 * whole / 3, factor: 10},
+						{kind: crash, worker: 1, from: whole / 2, to: whole * 2 / 3},
+					}
+				}
+				rows = append(rows, probeWays(group, sc)...)
+			}
+		}
+	}
+	return rows
+}
+
+func probeWays(group string, sc scenario) []row {
+	own, none, fixed := sc.own(), sc.own(), sc.with(pool.NameTwoChoices)
+	none.budget = 0
+	fixed.every = time.Second
+	return []row{
+		{group: group, way: wayOwn, sc: own},
+		{group: group, way: "plumpitch, budget zero", sc: none},
+		{group: group, way: "two choices x14, each target each second", sc: fixed},
+	}
+}
+
+func drainRows(requests int) (rows []row) {
+	for _, load := range []float64{0.7} {
+		sc := base(gownCatalogue, load, requests)
+		whole := time.Duration(sc.seconds() * float64(time.Second))
+		cases := []struct {
+			name string
+			kind faultKind
+			lag  time.Duration
+		}{
+			{"own word", drainWord, 30 * time.Second},
+			{"refusals only", drainShed, 30 * time.Second},
+			{"list only, 1 s late", drainList, time.Second},
+			{"crash", crash, 30 * time.Second},
+			{"restart, cold", restart, 30 * time.Second},
+			{"fails fast", failFast, 30 * time.Second},
+		}
+		for _, x := range cases {
+			sc.faults = []fault{{kind: x.kind, worker: 3, from: whole / 3, to: 2 * whole / 3}}
+			sc.listLag = x.lag
+			if x.kind <= drainList && x.kind >= drainWord {
+				sc.faults[0].to = 10 * whole
+			}
+			group := fmt.Sprintf("%s %.0f %%", x.name, 100*load)
+			rows = append(rows, row{group: group, way: wayTwo, sc: sc.with(pool.NameTwoChoices)},
+				row{group: group, way: "least in flight x14", sc: sc.with(pool.NameLeastInFlight)},
+				row{group: group, way: wayOwn, sc: sc.own()})
+		}
+	}
+	return rows
+}
+
+func retryRows(requests int) (rows []row) {
+	for _, load := range []float64{1, 2} {
+		group := fmt.Sprintf("gown-catalogue %.0f %%", 100*load)
+		sc := base(gownCatalogue, load, requests)
+		rows = append(rows, row{group: group, way: wayTwo, sc: sc.with(pool.NameTwoChoices)},
+			row{group: group, way: "least in flight x14", sc: sc.with(pool.NameLeastInFlight)},
+			row{group: group, way: wayOwn, sc: sc.own()})
+	}
+	sc := base(gownCatalogue, 0.7, requests)
+	for i := range gownCatalogue.Workers {
+		sc.faults = append(sc.faults, fault{kind: failFast, worker: i, from: time.Second, to: time.Hour})
+	}
+	rows = append(rows, row{group: "all fail", way: wayOwn, sc: sc.own()})
+	sc.faults = nil
+	for i := range gownCatalogue.Workers {
+		sc.faults = append(sc.faults, fault{kind: crash, worker: i, from: time.Second, to: time.Hour})
+	}
+	return append(rows, row{group: "all dead", way: wayOwn, sc: sc.own()})
+}
--- /dev/null
+++ b/internal/lab/tail/plot.go
@@ -0,0 +1,65 @@
+package tail
+
+import (
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgsvg" // the SVG format of Save
+)
+
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 5 * vg.Inch
+)
+
+// plotRows draws the p99 of each way over the groups.
+func plotRows(x experiment, rows []row, path string) (err error) {
+	defer func() { err = errors.WithMessage(err, "plot") }()
+	p := plot.New()
+	p.Title.Text = "plumpitch experiment " + x.name
+	p.Y.Label.Text = "p99, ms"
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Legend.Top = true
+	p.Legend.Left = true
+	groups, ways := axes(rows)
+	p.NominalX(groups...)
+	for i, way := range ways {
+		line, dots, err := plotter.NewLinePoints(points(rows, groups, way))
+		if err != nil {
+			return err
+		}
+		line.Color, dots.Color = plotutil.Color(i), plotutil.Color(i)
+		dots.Shape = plotutil.Shape(i)
+		line.Dashes = plotutil.Dashes(i)
+		p.Add(line, dots)
+		p.Legend.Add(way, line, dots)
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+func axes(rows []row) (groups, ways []string) {
+	seenGroup, seenWay := map[string]bool{}, map[string]bool{}
+	for _, r := range rows {
+		if !seenGroup[r.group] {
+			seenGroup[r.group] = true
+			groups = append(groups, r.group)
+		}
+		if !seenWay[r.way] {
+			seenWay[r.way] = true
+			ways = append(ways, r.way)
+		}
+	}
+	return groups, ways
+}
+
+func points(rows []row, groups []string, way string) (xy plotter.XYs) {
+	for i, g := range groups {
+		if r := named(rows, g, way); r != nil {
+			xy = append(xy, plotter.XY{X: float64(i), Y: r.p99.mid})
+		}
+	}
+	return xy
+}
--- /dev/null
+++ b/internal/lab/tail/stats.go
@@ -0,0 +1,94 @@
+package tail
+
+import (
+	"slices"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"plumpitch.example/plumpitch/pkg/pool"
+)
+
+const (
+	lowest  = 1                 // microseconds
+	highest = 600 * 1000 * 1000 // ten minutes
+	digits  = 3
+)
+
+type interval struct{ from, to int64 }
+
+// stats is what one run counted.
+type stats struct {
+	took    *hdr.Histogram // microseconds from caller to caller, of served requests
+	offered int
+	served  int
+	failed  int // answered with an error or broken off
+	refused int
+	late    int // refused after having waited in the queue
+	tries   int
+	retries int
+	trials  int
+	probes  []interval
+	denied  int
+	newest  time.Duration // last arrival of work at a leaving worker, after the notice
+	taken   time.Duration // the same, of work that it took
+	most    int           // requests queued or in flight at most
+	lost    int           // tries that met a dead worker or a crash
+	byReach []int
+	until   int64
+	reasons [8]int
+}
+
+func newStats(workers int) *stats {
+	return &stats{took: hdr.New(lowest, highest, digits), byReach: make([]int, workers)}
+}
+
+func (t *stats) afterDrain(age int64, took bool) {
+	t.newest = max(t.newest, time.Duration(age))
+	if took {
+		t.taken = max(t.taken, time.Duration(age))
+	}
+}
+
+func (t *stats) probeRan(from, to int64) { t.probes = append(t.probes, interval{from, to}) }
+
+func (t *stats) refuse(r pool.Reason) {
+	t.refused++
+	t.reasons[r]++
+	if r == pool.DeadlineUp {
+		t.late++
+	}
+}
+
+func (t *stats) answer(took int64) {
+	t.served++
+	_ = t.took.RecordValue(took / int64(time.Microsecond))
+}
+
+func (t *stats) probeTime() (sum time.Duration) {
+	for _, p := range t.probes {
+		sum += time.Duration(p.to - p.from)
+	}
+	return sum
+}
+
+// worstWindow is the most target time spent on probes in any window.
+func (t *stats) worstWindow(window time.Duration) (worst time.Duration) {
+	for _, p := range t.probes {
+		worst = max(worst, t.within(p.from, p.from+int64(window)), t.within(p.to-int64(window), p.to))
+	}
+	return worst
+}
+
+func (t *stats) within(from, to int64) (sum time.Duration) {
+	first, _ := slices.BinarySearchFunc(t.probes, from-int64(time.Second), func(p interval, at int64) int {
+		return int(min(max(p.from-at, -1), 1))
+	})
+	for _, p := range t.probes[first:] {
+		if p.from > to {
+			break
+		}
+		sum += time.Duration(max(min(p.to, to)-max(p.from, from), 0))
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/lab/tail/tweak.go
@@ -0,0 +1,13 @@
+package tail
+
+import "plumpitch.example/plumpitch/pkg/pool"
+
+// tweak changes a pool's settings for one row.
+type tweak func(*pool.Config)
+
+func (t tweak) apply(cfg pool.Config) pool.Config {
+	if t != nil {
+		t(&cfg)
+	}
+	return cfg
+}
