pool: two requests beyond the slots on each target, the likeliest first

Cause: with as many extra requests as slots come free in one round trip, only every third target held one, slots idled for the trip and the service collapsed at 85 %. Change: no common cap; up to two a target; fewest extras first, then the one whose running requests are the least likely to stay.

--- a/internal/lab/tail/site.go
+++ b/internal/lab/tail/site.go
@@ -100,7 +100,7 @@
 	for i := range s.entries {
 		e := &s.entries[i]
 		e.idle = make([]int, len(s.workers))
-		cfg := s.sc.tweak.apply(pool.Config{Slots: s.sc.shape.Slots, Trip: 2 * s.sc.shape.Target})
+		cfg := s.sc.tweak.apply(pool.Config{Slots: s.sc.shape.Slots})
 		cfg.Budget = s.share(i)
 		if e.pool, err = pool.ByName(s.sc.policy, cfg, rand.New(rand.NewPCG(s.sc.seed, uint64(2+i)))); err != nil {
 			return err
--- a/pkg/pool/config.go
+++ b/pkg/pool/config.go
@@ -10,7 +10,6 @@
 type Config struct {
 	Slots     int           // requests that a target runs at once, where it names none
 	Allowance int           // requests beyond its slots that one target may hold; negative: none
-	Trip      time.Duration // round trip to a target
 	MaxQueue  int           // requests in the queue
 	MaxWait   time.Duration // expected wait above which a request is refused
 	Service   time.Duration // mean service time until enough answers are seen
@@ -42,8 +41,7 @@
 
 func (c Config) withDefaults() Config {
 	c.Slots = orInt(c.Slots, 2)
-	c.Allowance = orInt(c.Allowance, 1)
-	c.Trip = orDuration(c.Trip, time.Millisecond)
+	c.Allowance = orInt(c.Allowance, 2)
 	c.MaxQueue = orInt(c.MaxQueue, 10000)
 	c.MaxWait = orDuration(c.MaxWait, 250*time.Millisecond)
 	c.Service = orDuration(c.Service, 5*time.Millisecond)
--- a/pkg/pool/freeslot.go
+++ b/pkg/pool/freeslot.go
@@ -3,8 +3,9 @@
 import "time"
 
 // FreeSlot binds a request to a target only where it has reason to believe a
-// slot free. With Choice.Extra set it may also send one to the target that is
-// most likely to have a free slot by the time the request is there.
+// slot free, or else, up to the allowance, to the target that is most likely to
+// have one soon. Without any allowance each slot would idle for the round trip
+// after each answer, and the service would collapse near saturation.
 type FreeSlot struct{}
 
 // extraHorizon is the time over which a target must show a free slot, in units
@@ -29,7 +30,7 @@
 			}
 		}
 	}
-	if best >= 0 || !c.Extra {
+	if best >= 0 {
 		return best
 	}
 	return soonest(c)
@@ -48,13 +49,15 @@
 	return rank, true
 }
 
-// soonest picks among full targets the one least likely to keep all its slots
-// busy over the horizon, by the ages of the requests there.
+// soonest picks among the full targets with the fewest requests beyond their
+// slots the one least likely to keep all slots busy over the horizon, by the
+// ages of the requests there.
 func soonest(c *Choice) int {
-	best, bestStay := -1, 0.0
+	best, bestStay, bestOver := -1, 0.0, 0
 	span := extraHorizon * c.Curve.Mean(c.Keep)
 	for i, m := range c.Members {
-		if m.InFlight() >= m.limit(c.Config)+c.Config.Allowance || !m.warm(c.Config) || c.Suspect(m) {
+		over := m.InFlight() - m.limit(c.Config)
+		if over >= c.Config.Allowance || !m.warm(c.Config) || c.Suspect(m) {
 			continue
 		}
 		stay := 0.0
@@ -63,8 +66,8 @@
 				stay += stayHazard(c, r, span)
 			}
 		}
-		if best < 0 || stay > bestStay {
-			best, bestStay = i, stay
+		if best < 0 || over < bestOver || over == bestOver && stay > bestStay {
+			best, bestStay, bestOver = i, stay, over
 		}
 	}
 	return best
--- a/pkg/pool/policy.go
+++ b/pkg/pool/policy.go
@@ -16,7 +16,6 @@
 type Choice struct {
 	Now     time.Duration // on the pool's own clock
 	Members []*Member     // those that may get the request
-	Extra   bool          // whether a target may get more than its slots
 	Keep    time.Duration // time in which a report's weight halves
 	Curve   *Curve
 	Config  *Config
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -135,7 +135,6 @@
 	}
 	p.choice.Now = p.now
 	p.choice.Members = p.usable
-	p.choice.Extra = p.mayExtra()
 	p.choice.Keep = p.curve.Mean(p.cfg.Service)
 	i := p.policy.Pick(&p.choice)
 	if i < 0 {
@@ -144,20 +143,6 @@
 	return p.usable[i], true
 }
 
-// mayExtra allows as many requests beyond the slots as slots come free within
-// one round trip. With none, each slot would idle for the trip and the service
-// would collapse near saturation.
-func (p *Pool[P]) mayExtra() bool {
-	running, extra := 0, 0
-	for _, m := range p.usable {
-		n := len(m.runs)
-		running += min(n, m.Slots)
-		extra += max(n-m.Slots, 0)
-	}
-	mean := p.curve.Mean(p.cfg.Service)
-	return float64(extra) < float64(running)*float64(p.cfg.Trip)/float64(mean)
-}
-
 func (p *Pool[P]) dispatch(m *Member, id uint64, trial bool, out []Action) []Action {
 	m.add(id, p.now, trial)
 	p.flights[id] = m
