pool: eject later, suspect later, use suspects last

Cause: ordinary heavy-tailed requests made 2 in 1000 dispatches trials; each false ejection took a fourteenth of the capacity away, which made the others look slow in turn. Change: 12/5; suspects take extras last instead of never; at ejection the evidence is cut to 5 so that some four good trials bring a target back.

--- a/pkg/pool/explain.go
+++ b/pkg/pool/explain.go
@@ -11,7 +11,7 @@
 	InFlight int
 	Limit    int
 	Foreign  float64 // estimated requests of other entries
-	Slow     float64 // evidence of being slower than the others; 7 ejects
+	Slow     float64 // evidence of being slower than the others; 12 ejects
 	Fail     float64 // evidence of failing more than the others; 3.5 ejects
 	Until    time.Time
 }
--- a/pkg/pool/freeslot.go
+++ b/pkg/pool/freeslot.go
@@ -57,9 +57,12 @@
 	span := extraHorizon * c.Curve.Mean(c.Keep)
 	for i, m := range c.Members {
 		over := m.InFlight() - m.limit(c.Config)
-		if over >= c.Config.Allowance || !m.warm(c.Config) || c.Suspect(m) {
+		if over >= c.Config.Allowance || !m.warm(c.Config) {
 			continue
 		}
+		if c.Suspect(m) {
+			over += suspectRank
+		}
 		stay := 0.0
 		for _, r := range m.runs {
 			if r.on {
--- a/pkg/pool/health.go
+++ b/pkg/pool/health.go
@@ -13,9 +13,10 @@
 // judgement of one target.
 const (
 	slowFactor  = 0.2 // a straggler finishes at a fifth of the usual rate or less
-	slowOut     = 7.0
-	slowSuspect = 3.0
+	slowOut     = 12.0
+	slowSuspect = 5.0
 	slowReturn  = 2.0
+	slowTrial   = 5.0 // evidence left at ejection, for good trials to wear down
 	hazardCap   = 4.5 // one long request alone can't eject its target
 	slowKeep    = 2 * time.Second
 
@@ -90,6 +91,7 @@
 	p.out++
 	m.pause = p.cfg.TrialMin
 	m.trialAt = p.now + m.pause
+	m.slow = min(m.slow, slowTrial)
 }
 
 // maxOut is how many targets may be out, by those that may get new work.
