--- /dev/null
+++ b/pkg/call/parse.go
@@ -0,0 +1,89 @@
+package call
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	maxTimeout = time.Hour
+	maxCount   = 1000 // of attempts and of levels
+	maxFound   = 64   // bytes of a bad value that an error repeats
+)
+
+// Header holds what a request says about its place in time and in a call tree.
+type Header struct {
+	Timeout time.Duration // time remaining
+	Limited bool          // Timeout was given; 0 is then expired
+	Attempt int
+	Depth   int
+}
+
+// HeaderError is a header that can't be read.
+type HeaderError struct {
+	Name     string
+	Found    string
+	Expected string
+}
+
+// Error names the header, what was found and what was expected.
+func (e *HeaderError) Error() string {
+	found := e.Found
+	if len(found) > maxFound {
+		found = found[:maxFound] + "..."
+	}
+	return "header " + e.Name + ": found " + strconv.Quote(found) + ", expected " + e.Expected
+}
+
+// ParseHeader reads the headers of a request. A missing header takes zero.
+func ParseHeader(h http.Header) (p Header, err error) {
+	if p.Timeout, p.Limited, err = parseTimeout(h); err != nil {
+		return Header{}, err
+	}
+	if p.Attempt, err = parseCount(h, HeaderAttempt); err != nil {
+		return Header{}, err
+	}
+	if p.Depth, err = parseCount(h, HeaderDepth); err != nil {
+		return Header{}, err
+	}
+	return p, nil
+}
+
+func parseTimeout(h http.Header) (d time.Duration, found bool, err error) {
+	s, found, err := single(h, HeaderTimeout)
+	if err != nil || !found {
+		return 0, false, err
+	}
+	d, bad := time.ParseDuration(s)
+	if bad != nil || d < 0 || d > maxTimeout {
+		return 0, false, &HeaderError{HeaderTimeout, s, "a duration with unit from 0ms to 1h, such as 250ms"}
+	}
+	return d, true, nil
+}
+
+func parseCount(h http.Header, name string) (n int, err error) {
+	s, found, err := single(h, name)
+	if err != nil || !found {
+		return 0, err
+	}
+	u, bad := strconv.ParseUint(s, 10, 16)
+	if bad != nil || u > maxCount {
+		return 0, &HeaderError{name, s, "a whole number from 0 to " + strconv.Itoa(maxCount)}
+	}
+	return int(u), nil
+}
+
+// single returns the only value of a header. Two values are an error: which of
+// them holds would depend on the reader.
+func single(h http.Header, name string) (s string, found bool, err error) {
+	values := h[name]
+	switch len(values) {
+	case 0:
+		return "", false, nil
+	case 1:
+		return values[0], true, nil
+	default:
+		return "", false, &HeaderError{name, values[0] + ", " + values[1], "one value"}
+	}
+}
