call: quarantine of requests that crash targets

Cause: one request that kills whatever runs it takes a service down, by retries and by its caller's resends under any key. Change: Suspects counts distinct targets by fingerprint, in a bounded table, and merges what other entries export. A whole answer clears a fingerprint. Ruled out: counting each broken connection: a place that fails with all its targets would quarantine what many callers ask for, so a dispatch that was under way when a crash was noted counts with that crash. Exporting what peers said: it comes back by a third entry and counts twice; only the verdict, which has a time of its own, is passed on. Shown failing (scratch copy): no quarantine, same target counted twice, crashes at once counted, no clearing, one list for all, no bound, peers' counts exported, verdict or clearing not spread: TestQuarantine, TestQuarantineBetweenEntries, TestSuspectsAreBounded or TestSuspectsProperties fails in each case. Not covered: copies of one request that are all sent before its first crash.

--- /dev/null
+++ b/pkg/call/spread.go
@@ -0,0 +1,87 @@
+package call
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Export returns at most n fingerprints for other entries, quarantined ones
+// first. Of the others it tells what was seen here and not what peers said: a
+// count that comes back by way of a third entry would be added twice. A
+// quarantine is a verdict with a time of its own and is passed on as it is.
+func (s *Suspects) Export(now time.Time, n int) []Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.export(nil, now, n, s.held)
+	return s.export(out, now, n, s.loose)
+}
+
+func (s *Suspects) export(out []Suspect, now time.Time, n int, l *list.List) []Suspect {
+	for e := l.Front(); e != nil && len(out) < n; e = e.Next() {
+		x := e.Value.(*suspect)
+		if s.expired(now, x) || !x.held && !x.cleared && len(x.targets) == 0 {
+			continue
+		}
+		crashes := len(x.targets)
+		if x.held {
+			crashes = s.cfg.Crashes
+		}
+		out = append(out, Suspect{Print: x.print, Crashes: crashes, Age: now.Sub(x.last)})
+	}
+	return out
+}
+
+// Merge takes what the entry called peer has exported.
+func (s *Suspects) Merge(now time.Time, peer string, list []Suspect) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	hash := xxhash.Sum64String(peer)
+	for _, in := range list {
+		s.merge(now, hash, in)
+	}
+}
+
+func (s *Suspects) merge(now time.Time, peer uint64, in Suspect) {
+	if in.Age < 0 || in.Age >= s.cfg.Hold || in.Crashes < 0 {
+		return
+	}
+	if in.Crashes < s.cfg.Crashes && in.Age >= s.cfg.Window {
+		return
+	}
+	if in.Crashes == 0 && s.known[in.Print] == nil {
+		return
+	}
+	at := now.Add(-in.Age)
+	x := s.take(now, in.Print)
+	switch {
+	case in.Crashes == 0 && !x.last.After(at):
+		s.clear(x, at)
+		return
+	case in.Crashes > 0 && !(x.cleared && !at.After(x.last)):
+		x.heard(peer, min(in.Crashes, s.cfg.Crashes))
+		x.cleared = false
+		x.last = latest(x.last, at)
+	}
+	s.put(x)
+}
+
+// heard keeps the highest count of each of the first few peers; with as many
+// the fingerprint is in quarantine anyhow.
+func (x *suspect) heard(peer uint64, crashes int) {
+	for i := range x.peers {
+		p := &x.peers[i]
+		if p.crashes == 0 || p.peer == peer {
+			*p = peerCount{peer: peer, crashes: max(p.crashes, crashes)}
+			return
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/pkg/call/suspect_test.go
@@ -0,0 +1,139 @@
+package call
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// crash is one target that breaks its connection; times are in seconds.
+type crash struct {
+	began, at int
+	target    string
+}
+
+func at(seconds int) time.Time {
+	return start.Add(time.Duration(seconds) * time.Second)
+}
+
+// One request crashes whatever target runs it, and its caller sends it again,
+// under the same key or a new one: the fingerprint doesn't look at keys. After
+// two targets it is refused, and what only stood near a crash isn't.
+func TestQuarantine(t *testing.T) {
+	tests := []struct {
+		name    string
+		crashes []crash
+		cleared int // second of a whole answer; 0 is none
+		ask     int
+		held    bool
+	}{
+		{"one target", []crash{{0, 1, "a"}}, 0, 2, false},
+		{"two targets, one after the other", []crash{{0, 1, "a"}, {2, 3, "b"}}, 0, 4, true},
+		{"the same target twice", []crash{{0, 1, "a"}, {2, 3, "a"}}, 0, 4, false},
+		{"two targets at once", []crash{{0, 2, "a"}, {1, 2, "b"}}, 0, 4, false},
+		{"begun before the first crash was known", []crash{{0, 1, "a"}, {0, 3, "b"}}, 0, 4, false},
+		{"further apart than the window", []crash{{0, 1, "a"}, {62, 63, "b"}}, 0, 64, false},
+		{"answered in between", []crash{{0, 1, "a"}, {2, 5, "b"}}, 3, 6, false},
+		{"answered by one that was under way", []crash{{0, 1, "a"}, {2, 3, "b"}}, 4, 5, false},
+		{"within the hold", []crash{{0, 1, "a"}, {2, 3, "b"}}, 0, 302, true},
+		{"after the hold", []crash{{0, 1, "a"}, {2, 3, "b"}}, 0, 303, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := NewSuspects(SuspectsConfig{})
+			for i, x := range tt.crashes {
+				if tt.cleared > 0 && i > 0 && tt.cleared < x.at {
+					s.Answered(at(tt.cleared), 7)
+				}
+				s.Crashed(at(x.at), 7, x.target, at(x.began))
+			}
+			if tt.cleared > 0 {
+				s.Answered(at(tt.cleared), 7)
+			}
+			c.Assert(s.Quarantined(at(tt.ask), 7) > 0, qt.Equals, tt.held)
+			c.Assert(s.Quarantined(at(tt.ask), 8), qt.Equals, time.Duration(0))
+		})
+	}
+}
+
+// A caller sends the request to another entry each time, so that each sees one
+// crash. The entries tell each other, also by way of a third and twice over.
+func TestQuarantineBetweenEntries(t *testing.T) {
+	c := qt.New(t)
+	a, b, d := NewSuspects(SuspectsConfig{}), NewSuspects(SuspectsConfig{}), NewSuspects(SuspectsConfig{})
+	a.Crashed(at(1), 7, "x", at(0))
+	for range 3 {
+		b.Merge(at(2), "a", a.Export(at(2), 10))
+		a.Merge(at(2), "b", b.Export(at(2), 10))
+	}
+	c.Assert(a.Quarantined(at(2), 7)+b.Quarantined(at(2), 7), qt.Equals, time.Duration(0))
+	e, f := NewSuspects(SuspectsConfig{Crashes: 3}), NewSuspects(SuspectsConfig{Crashes: 3})
+	e.Crashed(at(1), 7, "x", at(0))
+	f.Crashed(at(1), 7, "y", at(0))
+	for range 3 {
+		e.Merge(at(2), "f", f.Export(at(2), 10))
+		f.Merge(at(2), "e", e.Export(at(2), 10))
+	}
+	c.Assert(e.Quarantined(at(2), 7)+f.Quarantined(at(2), 7), qt.Equals, time.Duration(0))
+	c.Assert(b.Crashed(at(4), 7, "y", at(3)), qt.IsTrue)
+	d.Merge(at(5), "b", b.Export(at(5), 10))
+	c.Assert(d.Quarantined(at(5), 7), qt.Equals, 299*time.Second)
+	d.Merge(at(9), "a", d.Export(at(9), 10))
+	c.Assert(d.Quarantined(at(303), 7), qt.Equals, time.Second)
+	b.Answered(at(10), 7)
+	d.Merge(at(11), "b", b.Export(at(11), 10))
+	c.Assert(d.Quarantined(at(11), 7), qt.Equals, time.Duration(0))
+}
+
+// A storm of single crashes fills the table and doesn't free a request that is
+// in quarantine.
+func TestSuspectsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	s := NewSuspects(SuspectsConfig{Kept: 8})
+	s.Crashed(at(1), 7, "a", at(0))
+	s.Crashed(at(3), 7, "b", at(2))
+	for i := range 1000 {
+		s.Crashed(at(4), uint64(100+i), "c", at(0))
+		s.Merge(at(4), strconv.Itoa(i), []Suspect{{Print: uint64(5000 + i), Crashes: 1}})
+	}
+	c.Assert(len(s.known), qt.Equals, 9)
+	c.Assert(s.Quarantined(at(4), 7) > 0, qt.IsTrue)
+}
+
+// Whatever is noted, merged, cleared and exported in whatever order, the lists
+// and the index stay one table within its bound.
+func TestSuspectsProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewSuspects(SuspectsConfig{Kept: 3})
+		now := start
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "s")) * time.Second)
+			fp := rapid.Uint64Range(0, 6).Draw(t, "print")
+			target := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "target")
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				s.Answered(now, fp)
+				if s.Quarantined(now, fp) != 0 {
+					t.Fatal("answered and in quarantine")
+				}
+			case 1:
+				age := time.Duration(rapid.IntRange(-5, 400).Draw(t, "age")) * time.Second
+				s.Merge(now, target, []Suspect{{Print: fp, Crashes: rapid.IntRange(-1, 3).Draw(t, "crashes"), Age: age}})
+			default:
+				s.Crashed(now, fp, target, now.Add(-time.Second))
+			}
+			if s.held.Len() > 3 || s.loose.Len() > 3 || len(s.known) != s.held.Len()+s.loose.Len() {
+				t.Fatalf("%d held, %d loose, %d known", s.held.Len(), s.loose.Len(), len(s.known))
+			}
+			for _, x := range s.Export(now, 10) {
+				if x.Age < 0 || x.Crashes < 0 || x.Crashes > 2 {
+					t.Fatalf("exported %+v", x)
+				}
+			}
+		}
+	})
+}
