call: lifecycle of one request, and the retry budget of a call tree

Cause: not-run, ran and unknown must follow from the lifecycle alone, a request that isn't idempotent must not run twice, and retries must not multiply over 29 levels. Budget has a bucket for retries of what surely did not run, and one for each of the first levels for those that may have; first dispatches alone fill them. Ruled out: one bucket for each entry and level: 29 levels of a tenth add 290 %. Ruled out: a burst at the start: the share would not hold from the first request on.

--- /dev/null
+++ b/pkg/call/budget.go
@@ -0,0 +1,125 @@
+package call
+
+import "sync/atomic"
+
+const (
+	defaultShare  = 0.1
+	defaultRerun  = 0.5
+	defaultLevels = 1
+	defaultBurst  = 10
+	tokenUnit     = 1_000_000
+)
+
+// BudgetConfig of a Budget. Zero fields take the defaults.
+type BudgetConfig struct {
+	Share  float64 // second dispatches for each first one; default 0.1
+	Rerun  float64 // part of Share for dispatches after one that may have run; default 0.5
+	Levels int     // levels of a call tree that may use that part; default 1
+	Burst  int     // second dispatches that can be saved up, per bucket; default 10
+}
+
+// Budget bounds the retries and hedges of one service to a share of its first
+// dispatches, over the whole call tree. It is safe for concurrent use.
+//
+// A retry of a request that may have run, and a hedge, runs the tree below it
+// again, and each level could do so. So these draw on a bucket of their own
+// level, only the first Levels levels have one, and a request that is itself
+// such a retry gets none: all levels together stay within Rerun of Share. A
+// retry of what surely did not run adds nothing below and draws on the rest of
+// Share at any level. First dispatches alone fill the buckets, which start
+// empty, so the share holds from the first request on.
+type Budget struct {
+	clean    atomic.Int64
+	levels   []atomic.Int64
+	addClean int64
+	addRerun int64
+	most     int64
+}
+
+// Token is leave for one second dispatch.
+type Token struct {
+	bucket int // 0 none, 1 clean, then the levels
+}
+
+const cleanBucket = 1
+
+// NewBudget returns an empty budget.
+func NewBudget(cfg BudgetConfig) *Budget {
+	if cfg.Share <= 0 {
+		cfg.Share = defaultShare
+	}
+	if cfg.Rerun <= 0 {
+		cfg.Rerun = defaultRerun
+	}
+	if cfg.Levels <= 0 {
+		cfg.Levels = defaultLevels
+	}
+	if cfg.Burst <= 0 {
+		cfg.Burst = defaultBurst
+	}
+	rerun := cfg.Share * min(cfg.Rerun, 1)
+	return &Budget{
+		levels:   make([]atomic.Int64, cfg.Levels),
+		addClean: int64((cfg.Share - rerun) * tokenUnit),
+		addRerun: int64(rerun / float64(cfg.Levels) * tokenUnit),
+		most:     int64(cfg.Burst) * tokenUnit,
+	}
+}
+
+// First counts a first dispatch. One that repeats an earlier run adds nothing.
+func (b *Budget) First(depth, attempt int) {
+	if attempt > 0 {
+		return
+	}
+	b.fill(&b.clean, b.addClean)
+	if depth < len(b.levels) {
+		b.fill(&b.levels[depth], b.addRerun)
+	}
+}
+
+// Take asks leave for a second dispatch; clean says that no earlier one can
+// have run.
+func (b *Budget) Take(depth, attempt int, clean bool) (t Token, ok bool) {
+	if clean && drain(&b.clean) {
+		return Token{bucket: cleanBucket}, true
+	}
+	if attempt > 0 || depth >= len(b.levels) || !drain(&b.levels[depth]) {
+		return Token{}, false
+	}
+	return Token{bucket: cleanBucket + 1 + depth}, true
+}
+
+// Return gives back a token that was not used.
+func (b *Budget) Return(t Token) {
+	switch {
+	case t.bucket == 0:
+	case t.bucket == cleanBucket:
+		b.fill(&b.clean, tokenUnit)
+	default:
+		b.fill(&b.levels[t.bucket-cleanBucket-1], tokenUnit)
+	}
+}
+
+func (b *Budget) fill(bucket *atomic.Int64, n int64) {
+	for {
+		old := bucket.Load()
+		if old >= b.most {
+			return
+		}
+		if bucket.CompareAndSwap(old, min(old+n, b.most)) {
+			return
+		}
+	}
+}
+
+func drain(bucket *atomic.Int64) bool {
+	for {
+		old := bucket.Load()
+		if old < tokenUnit {
+			return false
+		}
+		if bucket.CompareAndSwap(old, old-tokenUnit) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/pkg/call/budget_test.go
@@ -0,0 +1,183 @@
+package call
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+const (
+	levels   = 29
+	mostSent = 5000 // far over the bound; ends a run that multiplies
+)
+
+// site is a call tree of one nested call at each level, all of whose targets
+// fail as the test says.
+type site struct {
+	budgets [levels]*Budget
+	sent    [levels]int
+	first   [levels]int
+	rng     *rand.Rand
+	bad     float64 // share of dispatches that fail
+	clean   float64 // share of these that surely did not run
+}
+
+// request runs one request at a level and reports whether it was answered.
+func (s *site) request(depth, attempt int) (answered bool) {
+	if depth == levels {
+		return true
+	}
+	c := New(Config{Budget: s.budgets[depth], Tries: MaxTries})
+	acts := c.Arrive(start, Arrival{Deadline: start.Add(time.Second), Idempotent: true, Attempt: attempt, Depth: depth})
+	for !c.State().Final() {
+		var next Actions
+		for _, a := range acts.All() {
+			switch a.Do {
+			case DoSeek:
+				next = c.Choose(start, Choice{Target: "t"})
+			case DoDispatch:
+				next = s.dispatch(&c, depth, a)
+			}
+		}
+		acts = next
+	}
+	return c.State() == Answered
+}
+
+func (s *site) dispatch(c *Call, depth int, a Action) Actions {
+	s.sent[depth]++
+	if s.sent[depth] > mostSent {
+		return c.Fail(start, Failed{Try: a.Try})
+	}
+	if a.Try == 0 && a.Attempt == 0 {
+		s.first[depth]++
+	}
+	if s.rng.Float64() < s.bad {
+		ran := MayHaveRun
+		if s.rng.Float64() < s.clean {
+			ran = DidNotRun
+		} else {
+			s.request(depth+1, a.Attempt)
+		}
+		return c.Fail(start, Failed{Try: a.Try, Stage: StageSent, Ran: ran, Replay: true})
+	}
+	if !s.request(depth+1, a.Attempt) {
+		return c.Head(start, Head{Try: a.Try, Status: 503, Replay: true})
+	}
+	return c.Head(start, Head{Try: a.Try, Status: 200})
+}
+
+// Targets fail at every level at once and each entry would like to try again.
+// A caller sees errors, and the services see at most a tenth more requests than
+// without retries, at any depth: with a retry at each of 29 levels the deepest
+// one would get hundreds of times as many.
+func TestBudgetHoldsOverTheTree(t *testing.T) {
+	tests := []struct {
+		name       string
+		bad, clean float64
+	}{
+		{"all may have run", 1, 0},
+		{"none ran", 1, 1},
+		{"half of each", 1, 0.5},
+		{"one in five fails", 0.2, 0.5},
+		{"one in a hundred fails", 0.01, 0.1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := site{rng: rand.New(rand.NewPCG(1, 2)), bad: tt.bad, clean: tt.clean}
+			for i := range s.budgets {
+				s.budgets[i] = NewBudget(BudgetConfig{})
+			}
+			for range 2000 {
+				s.request(0, 0)
+			}
+			c.Assert(s.sent[0] > s.first[0], qt.IsTrue, qt.Commentf("nothing was tried again"))
+			for depth := range levels {
+				c.Assert(float64(s.sent[depth]) <= 1.1*float64(s.first[depth]), qt.IsTrue,
+					qt.Commentf("depth %d: %d sent, %d first", depth, s.sent[depth], s.first[depth]))
+			}
+		})
+	}
+}
+
+// A level beyond the limit, and a request that is itself a second run, get no
+// leave to run the tree below them again, however much is saved up.
+func TestBudgetLeave(t *testing.T) {
+	tests := []struct {
+		depth, attempt int
+		clean, want    bool
+	}{
+		{0, 0, false, true},
+		{1, 0, false, true},
+		{2, 0, false, false},
+		{28, 0, false, false},
+		{0, 1, false, false},
+		{1, 3, false, false},
+		{28, 3, true, true},
+	}
+	for _, tt := range tests {
+		b := NewBudget(BudgetConfig{Levels: 2})
+		for range 1000 {
+			b.First(0, 0)
+			b.First(1, 0)
+		}
+		_, ok := b.Take(tt.depth, tt.attempt, tt.clean)
+		qt.Check(t, ok, qt.Equals, tt.want, qt.Commentf("%+v", tt))
+	}
+}
+
+// Tokens taken never exceed the share of first dispatches, in any order of
+// first dispatches, takes and returns.
+func TestBudgetProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget(BudgetConfig{Levels: rapid.IntRange(1, 3).Draw(t, "levels")})
+		first, taken := 0, 0
+		var tokens []Token
+		for range rapid.IntRange(0, 200).Draw(t, "events") {
+			depth := rapid.IntRange(0, 4).Draw(t, "depth")
+			attempt := rapid.IntRange(0, 1).Draw(t, "attempt")
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				if n := len(tokens); n > 0 {
+					b.Return(tokens[n-1])
+					tokens = tokens[:n-1]
+					taken--
+				}
+			case 1, 2:
+				if token, ok := b.Take(depth, attempt, rapid.Bool().Draw(t, "clean")); ok {
+					tokens = append(tokens, token)
+					taken++
+				}
+			default:
+				b.First(depth, attempt)
+				first += 1 - attempt
+			}
+			if float64(taken) > defaultShare*float64(first) {
+				t.Fatalf("%d taken of %d first dispatches", taken, first)
+			}
+		}
+	})
+}
+
+func BenchmarkCall(b *testing.B) {
+	budget := NewBudget(BudgetConfig{})
+	suspects := NewSuspects(SuspectsConfig{})
+	suspects.Crashed(start, 1, "a", start)
+	b.ReportAllocs()
+	for b.Loop() {
+		fp := Print("gown-catalogue", "GET", "/gowns", "size=12", 0)
+		c := New(Config{Budget: budget})
+		c.Arrive(start, Arrival{
+			Deadline: start.Add(time.Second), Idempotent: true, Hedge: time.Millisecond,
+			Quarantined: suspects.Quarantined(start, fp),
+		})
+		c.Choose(start, Choice{Target: "10.0.0.1:80"})
+		c.Head(start, Head{Status: 200})
+		c.End(start, End{Whole: true})
+		suspects.Answered(start, fp)
+	}
+}
--- /dev/null
+++ b/pkg/call/call_test.go
@@ -0,0 +1,304 @@
+package call
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+// rich returns a budget that allows n second dispatches of each kind.
+func rich(n int) *Budget {
+	b := NewBudget(BudgetConfig{Share: 1, Levels: 1})
+	for range 2 * n {
+		b.First(0, 0)
+	}
+	return b
+}
+
+// step is one event; now is milliseconds after the arrival.
+type step struct {
+	now   int
+	event any
+}
+
+type (
+	hedge  struct{}
+	expire struct{}
+	leave  struct{}
+)
+
+func (c *Call) apply(now time.Time, event any) (acts Actions) {
+	switch e := event.(type) {
+	case Arrival:
+		return c.Arrive(now, e)
+	case Choice:
+		return c.Choose(now, e)
+	case Decline:
+		return c.Decline(now, e)
+	case Failed:
+		return c.Fail(now, e)
+	case Head:
+		return c.Head(now, e)
+	case End:
+		c.End(now, e)
+	case hedge:
+		return c.Hedge(now)
+	case expire:
+		return c.Expire(now)
+	case leave:
+		return c.Leave(now)
+	}
+	return acts
+}
+
+func names(acts Actions) string {
+	var out []string
+	for _, a := range acts.All() {
+		out = append(out, a.Do.String())
+	}
+	return strings.Join(out, " ")
+}
+
+// A caller is told not-run only if nothing of its request can have run. Each
+// row fails a request in another place, in the order in which the entry would
+// see it, and gives what the caller is told at the end.
+func TestOutcome(t *testing.T) {
+	deadline := start.Add(100 * time.Millisecond)
+	once := Arrival{Deadline: deadline}
+	often := Arrival{Deadline: deadline, Idempotent: true, Hedge: 10 * time.Millisecond}
+	notRun := func(try int, s Stage) Failed { return Failed{Try: try, Stage: s, Ran: DidNotRun, Replay: true} }
+	maybe := func(try int, s Stage) Failed { return Failed{Try: try, Stage: s, Replay: true} }
+	tests := []struct {
+		name    string
+		steps   []step
+		acts    string // of the last step
+		state   State
+		outcome Outcome
+		reason  Reason
+	}{
+		{"expired on arrival", []step{{99, once}}, "refuse", Refused, NotRun, ReasonDeadline},
+		{"quarantined", []step{{0, Arrival{Deadline: deadline, Quarantined: time.Second}}}, "refuse", Refused, NotRun, ReasonQuarantined},
+		{"queue full", []step{{0, once}, {0, Decline{Reason: ReasonOverload}}}, "refuse", Refused, NotRun, ReasonOverload},
+		{"timeout in queue", []step{{0, once}, {100, expire{}}}, "withdraw refuse", Refused, NotRun, ReasonDeadline},
+		{"chosen too late", []step{{0, once}, {99, Choice{"a"}}}, "release refuse", Refused, NotRun, ReasonDeadline},
+		{"caller leaves the queue", []step{{0, once}, {5, leave{}}}, "withdraw refuse", Refused, NotRun, ReasonCancelled},
+		{"choice after the end", []step{{0, once}, {5, leave{}}, {6, Choice{"a"}}}, "release", Refused, NotRun, ReasonCancelled},
+		{"refused connection", []step{{0, once}, {0, Choice{"a"}}, {1, notRun(0, StageRefused)}}, "seek", Queued, NotRun, ""},
+		{"refused everywhere", []step{
+			{0, once},
+			{0, Choice{"a"}},
+			{1, notRun(0, StageRefused)},
+			{1, Choice{"b"}},
+			{2, notRun(1, StageRefused)},
+			{2, Choice{"c"}},
+			{3, notRun(2, StageRefused)},
+		}, "refuse", Refused, NotRun, ReasonConnect},
+		{"refused, then nobody", []step{{0, once}, {0, Choice{"a"}}, {1, notRun(0, StageRefused)}, {1, Decline{Reason: ReasonOverload}}}, "refuse", Refused, NotRun, ReasonConnect},
+		{"refused, then timeout", []step{{0, once}, {0, Choice{"a"}}, {99, notRun(0, StageConnect)}}, "refuse", Refused, NotRun, ReasonConnect},
+		{"shed", []step{{0, once}, {0, Choice{"a"}}, {1, Head{Status: 503, Shed: true, Replay: true}}}, "cancel seek", Queued, NotRun, ""},
+		{"shed after the body was read", []step{{0, once}, {0, Choice{"a"}}, {1, Head{Status: 503, Shed: true}}}, "cancel refuse", Refused, NotRun, ReasonShed},
+		{"unavailable without a word", []step{{0, once}, {0, Choice{"a"}}, {1, Head{Status: 503, Replay: true}}}, "answer", Answered, Ran, ""},
+		{"reset after the write", []step{{0, once}, {0, Choice{"a"}}, {1, maybe(0, StageSent)}}, "refuse", GivenUp, Unknown, ReasonReset},
+		{"refused, then reset", []step{
+			{0, once}, {0, Choice{"a"}}, {1, notRun(0, StageRefused)}, {1, Choice{"b"}}, {2, maybe(1, StageSent)},
+		}, "refuse", GivenUp, Unknown, ReasonReset},
+		{"cut after success", []step{{0, once}, {0, Choice{"a"}}, {1, Failed{Stage: StageCut, Ran: DidRun, Replay: true}}}, "refuse", GivenUp, Ran, ReasonCut},
+		{"timeout at the target", []step{{0, once}, {0, Choice{"a"}}, {100, expire{}}}, "cancel refuse", GivenUp, Unknown, ReasonTimeout},
+		{"timeout while connecting", []step{{0, once}, {0, Choice{"a"}}, {50, notRun(0, StageTimeout)}}, "refuse", Refused, NotRun, ReasonTimeout},
+		{"late answer", []step{{0, once}, {0, Choice{"a"}}, {100, expire{}}, {101, Head{Status: 200}}}, "cancel", GivenUp, Unknown, ReasonTimeout},
+		{"caller leaves a dispatch", []step{{0, once}, {0, Choice{"a"}}, {5, leave{}}}, "cancel refuse", GivenUp, Unknown, ReasonCancelled},
+		{"no hedge", []step{{0, once}, {0, Choice{"a"}}, {20, hedge{}}}, "", Dispatched, Unknown, ""},
+		{"idempotent, reset", []step{{0, often}, {0, Choice{"a"}}, {1, maybe(0, StageSent)}}, "seek", Queued, Unknown, ""},
+		{"idempotent, reset, body gone", []step{{0, often}, {0, Choice{"a"}}, {1, Failed{Stage: StageSent}}}, "refuse", GivenUp, Unknown, ReasonReset},
+		{"idempotent, reset, told otherwise later", []step{
+			{0, often},
+			{0, Choice{"a"}},
+			{1, maybe(0, StageSent)},
+			{2, notRun(0, StageConnect)},
+			{3, Decline{Reason: ReasonOverload}},
+		}, "refuse", GivenUp, Unknown, ReasonReset},
+		{"idempotent, reset, quarantined", []step{{0, often}, {0, Choice{"a"}}, {1, Failed{Stage: StageSent, Replay: true, Quarantined: true}}}, "refuse", GivenUp, Unknown, ReasonQuarantined},
+		{"idempotent, unavailable", []step{{0, often}, {0, Choice{"a"}}, {1, Head{Status: 503, Replay: true}}}, "cancel seek", Queued, Unknown, ""},
+		{"hedge wins", []step{{0, often}, {0, Choice{"a"}}, {10, hedge{}}, {10, Choice{"b"}}, {12, Head{Try: 1, Status: 200}}}, "cancel answer", Answered, Ran, ""},
+		{"hedge loses", []step{{0, often}, {0, Choice{"a"}}, {10, hedge{}}, {10, Choice{"b"}}, {12, Head{Status: 200}}, {13, Head{Try: 1, Status: 200}}}, "cancel", Answered, Ran, ""},
+		{"answer while the hedge is sought", []step{{0, often}, {0, Choice{"a"}}, {10, hedge{}}, {12, Head{Status: 200}}}, "withdraw answer", Answered, Ran, ""},
+		{"first fails, hedge goes on", []step{{0, often}, {0, Choice{"a"}}, {10, hedge{}}, {10, Choice{"b"}}, {12, maybe(0, StageSent)}}, "", Dispatched, Unknown, ""},
+		{"first fails while the hedge is sought", []step{{0, often}, {0, Choice{"a"}}, {10, hedge{}}, {12, maybe(0, StageSent)}, {12, Decline{Reason: ReasonOverload}}}, "refuse", GivenUp, Unknown, ReasonReset},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			call := New(Config{Budget: rich(4)})
+			var acts Actions
+			for _, s := range tt.steps {
+				acts = call.apply(start.Add(time.Duration(s.now)*time.Millisecond), s.event)
+			}
+			c.Assert(names(acts), qt.Equals, tt.acts)
+			c.Assert(call.State(), qt.Equals, tt.state)
+			c.Assert(call.Outcome(), qt.Equals, tt.outcome)
+			if call.State() != Answered {
+				c.Assert(call.Final().Reason, qt.Equals, tt.reason)
+				c.Assert(call.State().Final(), qt.Equals, tt.reason != "")
+			}
+			if call.State() == GivenUp || call.State() == Refused {
+				c.Assert(call.Final().Outcome, qt.Equals, tt.outcome)
+			}
+		})
+	}
+}
+
+// A nested call copies the attempt, so that its entry knows whether the tree
+// below already runs a second time. What surely did not run doesn't count.
+func TestAttemptTravels(t *testing.T) {
+	tests := []struct {
+		attempt int
+		event   any
+		want    int
+	}{
+		{0, Failed{Stage: StageRefused, Ran: DidNotRun, Replay: true}, 0},
+		{0, Failed{Stage: StageSent, Replay: true}, 1},
+		{0, Head{Status: 503, Replay: true}, 1},
+		{0, Head{Status: 503, Shed: true, Replay: true}, 0},
+		{0, hedge{}, 1},
+		{2, Failed{Stage: StageRefused, Ran: DidNotRun, Replay: true}, 2},
+	}
+	for _, tt := range tests {
+		c := qt.New(t)
+		call := New(Config{Budget: rich(4)})
+		call.Arrive(start, Arrival{Deadline: start.Add(time.Second), Idempotent: true, Attempt: tt.attempt})
+		acts := call.Choose(start, Choice{"a"})
+		c.Assert(acts.All()[0].Attempt, qt.Equals, tt.attempt)
+		call.apply(start, tt.event)
+		acts = call.Choose(start, Choice{"b"})
+		c.Assert(names(acts), qt.Equals, "dispatch", qt.Commentf("%+v", tt))
+		c.Assert(acts.All()[0].Attempt, qt.Equals, tt.want, qt.Commentf("%+v", tt))
+	}
+}
+
+// flight is what a target and its entry know of one dispatch in the model.
+type flight struct {
+	ended, cancelled, mayHaveRun bool
+}
+
+// model follows the actions of a call and checks what must hold after each.
+type model struct {
+	t       *rapid.T
+	call    *Call
+	arrival Arrival
+	flights []flight
+	seeking bool
+	answers int
+}
+
+func (m *model) take(acts Actions) {
+	for _, a := range acts.All() {
+		switch a.Do {
+		case DoSeek, DoHedge:
+			m.check(!m.seeking, "a second target sought")
+			m.seeking = true
+		case DoWithdraw, DoRelease:
+			m.seeking = false
+		case DoDispatch:
+			m.seeking = false
+			m.dispatched()
+		case DoCancel:
+			m.flights[a.Try].cancelled = true
+		case DoAnswer:
+			m.answers++
+			m.check(!m.flights[a.Try].cancelled, "a cancelled dispatch answers")
+		case DoRefuse:
+			m.answers++
+			for _, f := range m.flights {
+				m.check(m.call.Final().Outcome != NotRun || !f.mayHaveRun, "not-run, but may have run")
+			}
+		}
+	}
+	m.check(m.answers <= 1, "two answers")
+	m.check(m.call.State().Final() == (m.answers == 1), "final without an answer, or an answer before")
+	if m.call.State().Final() {
+		m.check(!m.seeking, "a target still sought after the end")
+	}
+}
+
+// dispatched checks the rule of one run before it adds the dispatch.
+func (m *model) dispatched() {
+	for _, f := range m.flights {
+		m.check(m.arrival.Idempotent || !f.mayHaveRun, "a second run of a request that isn't idempotent")
+	}
+	m.flights = append(m.flights, flight{mayHaveRun: true})
+	m.check(len(m.flights) <= MaxTries, "too many dispatches")
+}
+
+func (m *model) check(ok bool, what string) {
+	if !ok {
+		m.t.Fatalf("%s", what)
+	}
+}
+
+// event draws any event, also one that is late, doubled or out of order.
+func (m *model) event() any {
+	try := rapid.IntRange(-1, MaxTries).Draw(m.t, "try")
+	switch rapid.IntRange(0, 8).Draw(m.t, "event") {
+	case 0, 1, 2:
+		return Choice{Target: "t"}
+	case 3:
+		m.seeking = false
+		return Decline{Reason: ReasonOverload}
+	case 4, 5:
+		ran := rapid.SampledFrom([]Execution{MayHaveRun, DidNotRun, DidNotRun, DidRun}).Draw(m.t, "ran")
+		m.hear(try, ran == DidNotRun)
+		return Failed{Try: try, Stage: Stage(rapid.IntRange(1, 9).Draw(m.t, "stage")), Ran: ran, Replay: rapid.Bool().Draw(m.t, "replay")}
+	case 6:
+		shed := rapid.Bool().Draw(m.t, "shed")
+		m.hear(try, shed)
+		return Head{Try: try, Status: rapid.SampledFrom([]int{200, 503}).Draw(m.t, "status"), Shed: shed, Replay: true}
+	case 7:
+		return hedge{}
+	default:
+		return rapid.SampledFrom([]any{expire{}, leave{}, End{Try: try}}).Draw(m.t, "end")
+	}
+}
+
+// hear notes the first word about a dispatch; what follows can't change it.
+func (m *model) hear(try int, notRun bool) {
+	if try < 0 || try >= len(m.flights) || m.flights[try].ended {
+		return
+	}
+	m.flights[try].ended = true
+	m.flights[try].mayHaveRun = !notRun
+}
+
+// Whatever comes in whatever order, a caller gets one answer, a request that
+// isn't idempotent is dispatched again only after what surely did not run, and
+// not-run is said only then. Each request also ends once its dispatches do.
+func TestLifecycleProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		call := New(Config{Tries: MaxTries, Budget: rich(8)})
+		m := &model{t: t, call: &call, arrival: Arrival{
+			Deadline:   start.Add(time.Second),
+			Idempotent: rapid.Bool().Draw(t, "idempotent"),
+			Hedge:      time.Millisecond,
+		}}
+		m.take(call.Arrive(start, m.arrival))
+		now := start
+		for range rapid.IntRange(0, 30).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			m.take(call.apply(now, m.event()))
+		}
+		for i := range m.flights {
+			m.hear(i, false)
+			m.take(call.Fail(now, Failed{Try: i}))
+		}
+		m.seeking = false
+		m.take(call.Decline(now, Decline{Reason: ReasonOverload}))
+		m.check(m.answers == 1, "no answer")
+		for i, f := range m.flights {
+			m.check(f.ended || f.cancelled, "dispatch left in flight "+string(rune('0'+i)))
+		}
+	})
+}
--- a/pkg/call/outcome.go
+++ b/pkg/call/outcome.go
@@ -61,6 +61,8 @@
 	StageSent
 	// StageCut: the answer head came and its body ended early.
 	StageCut
+	// StageInvalid: the target lives, and its answer can't be passed on.
+	StageInvalid
 	// StageCaller: the body of the request could not be read from the caller.
 	StageCaller
 	// StageCancelled: the dispatch was cancelled.
@@ -71,7 +73,7 @@
 
 var stages = [...]string{
 	StageConnect: "connect", StageRefused: "refused", StageUnsent: "unsent", StageSent: "reset",
-	StageCut: "cut", StageCaller: "caller", StageCancelled: "cancelled", StageTimeout: "timeout",
+	StageCut: "cut", StageInvalid: "invalid", StageCaller: "caller", StageCancelled: "cancelled", StageTimeout: "timeout",
 }
 
 // String returns the one-word name of a stage.
@@ -95,6 +97,7 @@
 	ReasonShed        Reason = "shed"        // the target refused to begin it
 	ReasonReset       Reason = "reset"       // the target broke the connection
 	ReasonCut         Reason = "cut"         // the answer ended early
+	ReasonInvalid     Reason = "invalid"     // the answer broke the protocol
 	ReasonTimeout     Reason = "timeout"     // no answer in time after a dispatch
 	ReasonCancelled   Reason = "cancelled"   // its caller left
 	ReasonQuarantined Reason = "quarantined" // it crashed targets before
@@ -108,6 +111,8 @@
 		return ReasonConnect
 	case StageCut:
 		return ReasonCut
+	case StageInvalid:
+		return ReasonInvalid
 	case StageCaller, StageCancelled:
 		return ReasonCancelled
 	case StageTimeout:
@@ -138,7 +143,7 @@
 		return http.StatusGatewayTimeout
 	case ReasonQuarantined:
 		return http.StatusUnprocessableEntity
-	case ReasonReset, ReasonCut:
+	case ReasonReset, ReasonCut, ReasonInvalid:
 		return http.StatusBadGateway
 	case ReasonPanic:
 		return http.StatusInternalServerError
