--- a/pkg/claim/attempt.go
+++ b/pkg/claim/attempt.go
@@ -68,6 +68,8 @@
 		return a.changed(now, e)
 	case Tick:
 		return a.tick(now)
+	case Cancelled:
+		return a.cancelled()
 	case Ended:
 		return a.ended(e)
 	}
@@ -192,6 +194,13 @@
 	return out
 }
 
+func (a *Attempt) cancelled() []Action {
+	if a.state != asking {
+		return nil
+	}
+	return a.refuse(a.undecided())
+}
+
 // judge counts the votes.
 //
 // The deadline is looked at here, right before Run: a process that was paused
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"plumpitch.example/plumpitch/pkg/call"
@@ -40,23 +41,30 @@
 // printDigits is the length of the fingerprint that begins an ID.
 const printDigits = 16
 
-// ID names the n-th attempt of an incarnation. It begins with the fingerprint
-// of the request, so that a replica which hears of the outcome before the claim
-// still refuses to replay it to another request under the same key.
+// ID names the n-th attempt of an incarnation. It holds the fingerprint of the
+// request and the incarnation: a replica which hears of the outcome before the
+// claim still refuses to replay it to another request under the same key, and
+// needs no more memory than the ID for the three.
 func ID(mark uint64, by ring.Ident, n uint64) string {
-	return fmt.Sprintf("%016x%s.%x", mark, by, n)
+	return fmt.Sprintf("%016x%s#%x.%x", mark, by.Name, by.Boot, n)
 }
 
-// printOf gives the fingerprint in an ID, and 0 where there is none.
-func printOf(id string) uint64 {
+// parseID gives what ID was made of, and zeros where it wasn't made by ID.
+func parseID(id string) (mark uint64, by ring.Ident) {
 	if len(id) < printDigits {
-		return 0
+		return 0, ring.Ident{}
 	}
 	mark, err := strconv.ParseUint(id[:printDigits], 16, 64)
+	rest := id[printDigits:]
+	hash, dot := strings.LastIndexByte(rest, '#'), strings.LastIndexByte(rest, '.')
+	if err != nil || hash < 0 || dot < hash {
+		return 0, ring.Ident{}
+	}
+	boot, err := strconv.ParseUint(rest[hash+1:dot], 16, 64)
 	if err != nil {
-		return 0
+		return 0, ring.Ident{}
 	}
-	return mark
+	return mark, ring.Ident{Name: rest[:hash], Boot: boot}
 }
 
 // Ask asks the incarnation To to accept a claim under a ring revision.
--- a/pkg/claim/event.go
+++ b/pkg/claim/event.go
@@ -29,6 +29,9 @@
 // Tick is due every few milliseconds while the attempt isn't done.
 type Tick struct{}
 
+// Cancelled tells that nobody waits for the result any more.
+type Cancelled struct{}
+
 // Ended is the outcome of the run.
 type Ended struct {
 	Outcome    call.Outcome
@@ -41,6 +44,7 @@
 func (Unreachable) event() {}
 func (Changed) event()     {}
 func (Tick) event()        {}
+func (Cancelled) event()   {}
 func (Ended) event()       {}
 
 // Action is what an Attempt asks its driver to do.
--- a/pkg/claim/store.go
+++ b/pkg/claim/store.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // maxWithdrawals bounds how many withdrawn claims are remembered.
@@ -16,6 +18,7 @@
 		one = strings.Clone(service)
 		t.services[one] = one
 	}
+	h.id = strings.Clone(h.id)
 	s := &slot{name: name{one, strings.Clone(key)}, held: h, prev: t.newest}
 	if t.newest == nil {
 		t.oldest = s
@@ -23,7 +26,44 @@
 		t.newest.next = s
 	}
 	t.newest = s
-	t.slots[s.name] = s
+	sum := t.hash(s.name)
+	s.chain = t.slots[sum]
+	t.slots[sum] = s
+	t.keys++
+}
+
+func hash(n name) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(n.service)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(n.key)
+	return d.Sum64()
+}
+
+func (t *Table) find(n name) *slot {
+	for s := t.slots[t.hash(n)]; s != nil; s = s.chain {
+		if s.name == n {
+			return s
+		}
+	}
+	return nil
+}
+
+func (t *Table) unchain(s *slot) {
+	sum := t.hash(s.name)
+	head := t.slots[sum]
+	switch {
+	case head == s && s.chain == nil:
+		delete(t.slots, sum)
+	case head == s:
+		t.slots[sum] = s.chain
+	default:
+		for head.chain != s {
+			head = head.chain
+		}
+		head.chain = s.chain
+	}
 }
 
 func (t *Table) remove(s *slot) {
@@ -40,7 +80,8 @@
 	} else {
 		s.next.prev = s.prev
 	}
-	delete(t.slots, s.name)
+	t.unchain(s)
+	t.keys--
 }
 
 // expire forgets keys whose retention has passed. A key is never evicted to
--- a/pkg/claim/table.go
+++ b/pkg/claim/table.go
@@ -35,7 +35,9 @@
 type Table struct {
 	cfg      Config
 	ring     uint64
-	slots    map[name]*slot
+	slots    map[uint64]*slot // by hash of the name
+	hash     func(name) uint64
+	keys     int
 	services map[string]string // one copy of each service's name
 	oldest   *slot
 	newest   *slot
@@ -53,15 +55,14 @@
 type slot struct {
 	name
 	held
-	more []held
-	prev *slot
-	next *slot
+	more  []held
+	prev  *slot
+	next  *slot
+	chain *slot // another key of the same hash
 }
 
 type held struct {
-	id     string
-	by     ring.Ident
-	print  uint64
+	id     string        // tells the fingerprint and the holder too
 	at     time.Duration // since the start of the table
 	answer *Answer
 }
@@ -70,7 +71,8 @@
 func New(cfg Config) *Table {
 	return &Table{
 		cfg:      cfg,
-		slots:    make(map[name]*slot),
+		hash:     hash,
+		slots:    make(map[uint64]*slot),
 		services: make(map[string]string),
 		dropped:  withdrawals{ids: make(map[string]struct{})},
 	}
@@ -83,7 +85,7 @@
 
 // Len gives the number of remembered keys.
 func (t *Table) Len() int {
-	return len(t.slots)
+	return t.keys
 }
 
 // Bytes gives the size of the kept answers.
@@ -107,21 +109,21 @@
 	case t.dropped.has(a.ID):
 		return Reply{Verdict: Held, Ring: t.ring, ID: a.ID, By: a.By}
 	}
-	s, ok := t.slots[name{a.Service, a.Key}]
-	if ok {
+	if s := t.find(name{a.Service, a.Key}); s != nil {
 		return t.judge(s, a)
 	}
-	if len(t.slots) >= t.cfg.Keys {
+	if t.keys >= t.cfg.Keys {
 		return Reply{Verdict: Full, Ring: t.ring}
 	}
-	t.add(a.Service, a.Key, held{id: a.ID, by: a.By, print: a.Print, at: t.since(now)})
+	t.add(a.Service, a.Key, held{id: a.ID, at: t.since(now)})
 	return Reply{Verdict: Accepted, Ring: t.ring, ID: a.ID, By: a.By}
 }
 
 func (t *Table) judge(s *slot, a Ask) Reply {
-	r := Reply{Ring: t.ring, ID: s.id, By: s.by}
+	mark, by := parseID(s.id)
+	r := Reply{Ring: t.ring, ID: s.id, By: by}
 	switch {
-	case s.print != a.Print && len(s.more) == 0:
+	case mark != a.Print && len(s.more) == 0:
 		r.Verdict = OtherPrint
 	case s.answer != nil:
 		r.Verdict = Settled
@@ -142,17 +144,16 @@
 	if st.To != t.cfg.Self {
 		return false
 	}
-	s, ok := t.slots[name{st.Service, st.Key}]
+	s := t.find(name{st.Service, st.Key})
 	if st.Withdraw {
 		t.dropped.add(t.since(now), st.ID)
-		return ok && t.withdraw(s, st.ID)
+		return s != nil && t.withdraw(s, st.ID)
 	}
 	if st.Answer == nil || st.Answer.Outcome == call.NotRun {
 		return false
 	}
-	if !ok {
-		h := held{id: st.ID, print: printOf(st.ID), at: t.since(now)}
-		h.answer = t.keep(st.Answer)
+	if s == nil {
+		h := held{id: st.ID, at: t.since(now), answer: t.keep(st.Answer)}
 		t.add(st.Service, st.Key, h)
 		return false
 	}
@@ -173,8 +174,6 @@
 	known = h.id == id
 	if !known {
 		h.id = id
-		h.by = ring.Ident{}
-		h.print = printOf(id)
 	}
 	h.answer = t.keep(a)
 	s.held = h
@@ -218,9 +217,9 @@
 }
 
 func (t *Table) take(now time.Time, r Record) {
-	s, ok := t.slots[name{r.Service, r.Key}]
-	if !ok {
-		h := held{id: r.ID, by: r.By, print: r.Print, at: t.since(now) - r.Age}
+	s := t.find(name{r.Service, r.Key})
+	if s == nil {
+		h := held{id: r.ID, at: t.since(now) - r.Age}
 		if r.Answer != nil {
 			h.answer = t.keep(r.Answer)
 		}
@@ -231,7 +230,7 @@
 		return
 	}
 	if !s.knows(r.ID) {
-		s.more = append(s.more, held{id: r.ID, by: r.By, print: r.Print, at: t.since(now) - r.Age})
+		s.more = append(s.more, held{id: r.ID, at: t.since(now) - r.Age})
 	}
 	if r.Answer != nil {
 		t.settle(s, r.ID, r.Answer)
@@ -253,7 +252,7 @@
 // Records gives all that is known, oldest key first.
 func (t *Table) Records(now time.Time) (out []Record) {
 	t.expire(now)
-	out = make([]Record, 0, len(t.slots))
+	out = make([]Record, 0, t.keys)
 	for s := t.oldest; s != nil; s = s.next {
 		out = append(out, t.record(now, s, s.held))
 		for _, m := range s.more {
@@ -264,8 +263,9 @@
 }
 
 func (t *Table) record(now time.Time, s *slot, h held) Record {
+	mark, by := parseID(h.id)
 	return Record{
-		Claim:  Claim{Service: s.service, Key: s.key, Print: h.print, ID: h.id, By: h.by},
+		Claim:  Claim{Service: s.service, Key: s.key, Print: mark, ID: h.id, By: by},
 		Age:    t.since(now) - h.at,
 		Answer: h.answer,
 	}
--- a/pkg/claim/table_test.go
+++ b/pkg/claim/table_test.go
@@ -99,17 +99,41 @@
 		}, ask(y), Held},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			tab := table(func(c *Config) { c.Keys = 2 })
-			tc.before(tab)
-			got := tab.Claim(epoch, tc.ask)
-			qt.Assert(t, got.Verdict, qt.Equals, tc.want)
-			if tc.want == Settled {
-				qt.Assert(t, got.Answer, qt.DeepEquals, ran)
+			for _, h := range []func(name) uint64{hash, func(name) uint64 { return 7 }} {
+				tab := table(func(c *Config) { c.Keys = 2 })
+				tab.hash = h
+				tc.before(tab)
+				got := tab.Claim(epoch, tc.ask)
+				qt.Assert(t, got.Verdict, qt.Equals, tc.want)
+				if tc.want == Settled {
+					qt.Assert(t, got.Answer, qt.DeepEquals, ran)
+				}
 			}
 		})
 	}
 }
 
+// Two keys whose hashes collide stay apart, whichever goes first.
+func TestHashCollision(t *testing.T) {
+	for _, first := range []int{0, 1, 2} {
+		c := qt.New(t)
+		tab := table()
+		tab.hash = func(name) uint64 { return 7 }
+		for i := range 3 {
+			c.Assert(tab.Claim(epoch, ask(of(fmt.Sprint(i), 1))).Verdict, qt.Equals, Accepted)
+		}
+		tab.Settle(epoch, settle(of(fmt.Sprint(first), 1), nil))
+		for i := range 3 {
+			want := Held
+			if i == first {
+				want = Accepted
+			}
+			c.Assert(tab.Claim(epoch, ask(of(fmt.Sprint(i), 2))).Verdict, qt.Equals, want)
+		}
+		c.Assert(tab.Len(), qt.Equals, 3)
+	}
+}
+
 func TestTableWithoutRing(t *testing.T) {
 	tab := New(Default(self, epoch))
 	qt.Assert(t, tab.Claim(epoch, Ask{Claim: of("k", 1), To: self}).Verdict, qt.Equals, WrongRing)
@@ -171,3 +195,25 @@
 		})
 	}
 }
+
+func TestParseID(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		id   string
+		mark uint64
+		by   ring.Ident
+	}{
+		{"whole", ID(1<<63+5, other, 12), 1<<63 + 5, other},
+		{"name with the separators", ID(5, ring.Ident{Name: "a#1.2", Boot: 1 << 63}, 3), 5, ring.Ident{Name: "a#1.2", Boot: 1 << 63}},
+		{"short", "00", 0, ring.Ident{}},
+		{"not hexadecimal", "zzzzzzzzzzzzzzzze1#1.1", 0, ring.Ident{}},
+		{"no separators", "0000000000000001e1", 0, ring.Ident{}},
+		{"no boot", "0000000000000001e1#.1", 0, ring.Ident{}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			mark, by := parseID(tc.id)
+			qt.Assert(t, mark, qt.Equals, tc.mark)
+			qt.Assert(t, by, qt.Equals, tc.by)
+		})
+	}
+}
