--- a/pkg/claim/attempt.go
+++ b/pkg/claim/attempt.go
@@ -122,13 +122,11 @@
 	if a.state != asking || p == nil || e.Ring != a.bid.Ring.Revision {
 		return nil
 	}
-	switch e.Reply.Verdict {
-	case Settled:
+	switch {
+	case e.Reply.Verdict == Settled:
 		return a.replay(e.Reply)
-	case WrongRing:
-		if p.reply == 0 {
-			p.retry = true
-		}
+	case a.early(e.Reply):
+		p.retry = p.reply == 0
 		return nil
 	}
 	p.reply = e.Reply.Verdict
@@ -136,6 +134,12 @@
 	return a.judge(now)
 }
 
+// early tells that a reply says nothing yet: one of the two sides has to take a
+// newer ring first.
+func (a *Attempt) early(r Reply) bool {
+	return r.Verdict == WrongRing || (r.Verdict == WrongIncarnation && r.Ring > a.bid.Ring.Revision)
+}
+
 func (a *Attempt) unreachable(e Unreachable) []Action {
 	p := a.find(e.From)
 	if a.state == asking && p != nil && e.Ring == a.bid.Ring.Revision && p.reply == 0 {
--- a/pkg/claim/attempt_test.go
+++ b/pkg/claim/attempt_test.go
@@ -168,6 +168,8 @@
 		{"silent", Tick{}, 3},
 		{"unreachable", Unreachable{at(0, 1), 4}, 4},
 		{"behind", says(0, WrongRing), 4},
+		{"restarted", says(0, WrongIncarnation), 3},
+		{"restarted and in a newer ring", Replied{From: at(0, 1), Ring: 4, Reply: Reply{Verdict: WrongIncarnation, Ring: 5}}, 4},
 		{"accepted", says(0, Accepted), 3},
 		{"unreachable under a former ring", Unreachable{at(0, 1), 3}, 3},
 	} {
