--- a/pkg/probe/budget.go
+++ b/pkg/probe/budget.go
@@ -34,15 +34,17 @@
 // New returns a budget without a share.
 func New(cfg Config) *Budget { return &Budget{cfg: cfg} }
 
-// span is the time over which sent probes are counted. A probe sent just
-// before a window still runs in it, hence Cost; a clock may step ahead unseen
-// by as much as one Window, hence two.
-func (b *Budget) span() time.Duration { return 2*b.cfg.Window + b.cfg.Cost }
+// span is the time over which sent probes are counted. One Window would do,
+// since two probes that start so far apart spend no more than one of them in
+// any window; the second one covers a clock that steps ahead unseen by less.
+func (b *Budget) span() time.Duration { return 2 * b.cfg.Window }
 
 // set moves the budget's own clock. A clock that stepped ahead would make the
 // spent probes look old and grant them again within the same window; so a step
 // longer than Window counts as no time at all, and so does one back. A driver
-// that asks at least once a window loses nothing by it.
+// that asks at least once a window loses nothing by it. What is left: a clock
+// that steps ahead by almost a window twice within one. Readings of Go's
+// monotonic clock do not step at all.
 func (b *Budget) set(now time.Time) {
 	step := now.Sub(b.last)
 	b.last = now
