pool: trials for suspects, faults shared by all, clock steps

Cause, each found by the new tests of health: - a target that was suspected and then recovered got nothing and stayed suspected for seconds, since a suspect is used last; - the first targets to meet a fault of all stayed out for ever; - one middling answer of a trial, or a trial that the caller gave up, doubled the pause; - after the clock stepped back an hour, every deadline seemed to be over.

--- a/pkg/pool/answer.go
+++ b/pkg/pool/answer.go
@@ -23,15 +23,12 @@
 	case Shed:
 		p.takeShed(m)
 	case RefusedConn, Broken:
-		m.fail = failOut + 1
+		p.lost(m)
 	case TimedOut:
 		m.addSlow(p.now, &p.curve, took, false)
 		p.addFail(m, true)
 	case Cancelled:
-		m.addSlow(p.now, &p.curve, took, false)
-		if !r.trial {
-			return
-		}
+		good = m.addSlow(p.now, &p.curve, took, false) <= trialBad
 	}
 	p.judge(m, good)
 }
@@ -48,7 +45,7 @@
 		change = m.addSlow(p.now, &p.curve, took, true)
 	}
 	p.addFail(m, false)
-	return change <= 0
+	return change <= trialBad
 }
 
 // takeShed holds a target back for a moment that grows while it refuses all.
--- a/pkg/pool/health.go
+++ b/pkg/pool/health.go
@@ -20,6 +20,8 @@
 	hazardCap   = 4.5 // one long request alone can't eject its target
 	slowKeep    = 2 * time.Second
 
+	trialBad = 1.0 // change by an answer from which on a trial counts as bad
+
 	failOut     = 3.5
 	failSuspect = 1.8
 	failReturn  = 1.5
@@ -66,21 +68,43 @@
 	return s
 }
 
+// addFail counts an answer against or for the target. Where the others fail as
+// often, a failure says nothing against this one, and what was held against it
+// before the others began goes by halves: else the first ones to meet a fault
+// of all would stay out.
 func (p *Pool[P]) addFail(m *Member, failed bool) {
-	others := p.failSum - m.failRate
-	usual := min(max(others/float64(max(len(p.members)-1, 1)), failFloor), failCeil)
+	usual := p.usualFail(m)
 	before := m.failRate
-	if failed {
-		m.fail += math.Log(failBad / usual)
-		m.failRate += failWeight * (1 - m.failRate)
-	} else {
-		m.fail += math.Log((1 - failBad) / (1 - usual))
+	switch {
+	case !failed:
+		m.fail += math.Log((1 - failBad) / (1 - min(usual, failCeil)))
 		m.failRate -= failWeight * m.failRate
+	case usual >= failBad:
+		m.fail /= 2
+		m.failRate += failWeight * (1 - m.failRate)
+	default:
+		m.fail += math.Log(failBad / min(usual, failCeil))
+		m.failRate += failWeight * (1 - m.failRate)
 	}
 	m.fail = min(max(m.fail, 0), failOut+1)
 	p.failSum += m.failRate - before
 }
 
+// usualFail is the share of failures at the other targets.
+func (p *Pool[P]) usualFail(m *Member) float64 {
+	others := p.failSum - m.failRate
+	return max(others/float64(max(len(p.members)-1, 1)), failFloor)
+}
+
+// lost counts a connection that failed: that alone takes a target out, so that
+// a crash costs no more than the requests there, unless the others fail too.
+func (p *Pool[P]) lost(m *Member) {
+	p.addFail(m, true)
+	if p.usualFail(m) < failBad {
+		m.fail = failOut + 1
+	}
+}
+
 // eject takes a target out unless too many are out. Without that floor a fault
 // that all targets share would leave nothing to send to.
 func (p *Pool[P]) eject(m *Member) {
@@ -117,7 +141,7 @@
 }
 
 // judge draws the conclusion from an answer. good tells whether it spoke for
-// the target; good trials follow each other without a pause.
+// the target; a bad trial doubles the pause before the next.
 func (p *Pool[P]) judge(m *Member, good bool) {
 	if !m.out {
 		if m.slow > slowOut || m.fail > failOut {
@@ -125,7 +149,7 @@
 		}
 		return
 	}
-	if m.slow <= slowReturn && m.fail <= failReturn && good {
+	if m.slow <= slowReturn && m.fail <= failReturn {
 		p.readmit(m)
 		return
 	}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -48,13 +48,19 @@
 	return p
 }
 
-// set moves the pool's clock. A clock that steps back stands still instead, so
-// that no pause, hold or age is counted twice.
+// set moves the pool's clock. Where the clock that is passed in steps back, the
+// pool's own goes on from where it was: else pauses and holds would last as
+// much longer, and every deadline would seem to be over.
 func (p *Pool[P]) set(now time.Time) {
 	if p.epoch.IsZero() {
 		p.epoch = now
 	}
-	p.now = max(p.now, now.Sub(p.epoch))
+	at := now.Sub(p.epoch)
+	if at < p.now {
+		p.epoch = now.Add(-p.now)
+		return
+	}
+	p.now = at
 }
 
 // Len returns the number of queued requests and of those in flight.
@@ -149,16 +155,25 @@
 	return append(out, Action{Kind: Dispatch, ID: id, Target: m.ID, Boot: m.Boot, Addr: m.Addr, Trial: trial})
 }
 
-// trial returns a target that is out and due for a trial request.
+// trial returns a target that is due for a trial request. One that is suspected
+// needs trials too: being used last, it may get nothing else, and its judgement
+// would outlast its fault.
 func (p *Pool[P]) trial(a Arrival) *Member {
-	if p.out == 0 || a.Avoid != "" {
+	if p.cfg.Blind || a.Avoid != "" {
 		return nil
 	}
 	for _, m := range p.members {
-		if !m.out || m.left || m.trials > 0 || m.trialAt > p.now {
+		if m.left || m.trials > 0 {
 			continue
 		}
-		if a.Idempotent || p.now > m.trialAt+m.pause {
+		at := m.trialAt
+		if !m.out {
+			if len(m.runs) > 0 || m.slow <= slowSuspect && m.fail <= failSuspect {
+				continue
+			}
+			at = m.answered + p.cfg.TrialMin
+		}
+		if p.now >= at && (a.Idempotent || p.now > at+max(m.pause, p.cfg.TrialMin)) {
 			return m
 		}
 	}
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -20,6 +20,9 @@
 	id   uint64
 	sent map[uint64]string
 	out  []pool.Action
+
+	flights []flight
+	refused int
 }
 
 func targets(n int) (list []pool.Target) {
