entry: lifecycle, outcomes, probes, logs and metrics of each request; dev, experiment hop

A request is carried through pkg/call: retries and hedges within the budget, final answers with outcome and reason, quarantine of requests that crash targets. A panic in one request answers that caller unknown and nothing else. dev runs a whole site in one process; experiment hop measures what an entry adds, against the same load direct in the same run.

--- /dev/null
+++ b/internal/entry/drive.go
@@ -0,0 +1,278 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+
+	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/pool"
+)
+
+// drive carries out what the lifecycle of one request decides. It runs in the
+// goroutine of the request; only a request that may be hedged dispatches in
+// goroutines of its own.
+type drive struct {
+	entry   *Entry
+	q       *request
+	ctx     context.Context
+	call    call.Call
+	seek    ticket // waits for the pool while seeking
+	seeking bool
+	tries   [call.MaxTries]flight
+	results chan result // from dispatches in goroutines
+	flying  int         // of these, not yet received
+	hedge   <-chan time.Time
+	timer   *time.Timer
+	won     *passing
+	refused bool
+}
+
+// flight is one dispatch.
+type flight struct {
+	ticket ticket
+	action pool.Action
+	began  time.Time
+	cancel context.CancelFunc
+	answer *forward.Answer
+}
+
+// result is how a dispatch ended, or the head of its answer.
+type result struct {
+	try     int
+	answer  *forward.Answer
+	failure *forward.Failure
+}
+
+func newDrive(ctx context.Context, e *Entry, q *request) *drive {
+	d := &drive{entry: e, q: q, ctx: ctx}
+	d.call = call.New(call.Config{
+		Tries:  q.policy.Attempts,
+		Retry:  q.policy.RetryAfter,
+		Budget: q.service.budget.Load(),
+	})
+	return d
+}
+
+// run ends with an answer to pass on, or with what to tell the caller.
+func (d *drive) run() (p *passing, final call.Final) {
+	d.perform(d.call.Arrive(d.q.arrived, d.arrival()))
+	for d.won == nil && !d.refused {
+		d.perform(d.next())
+	}
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	if d.flying > 0 {
+		go d.reap()
+	}
+	return d.won, d.call.Final()
+}
+
+func (d *drive) arrival() call.Arrival {
+	q := d.q
+	a := call.Arrival{
+		Deadline:    q.deadline,
+		Idempotent:  q.idempotent(),
+		Attempt:     q.header.Attempt,
+		Depth:       q.header.Depth,
+		Quarantined: d.entry.suspects.Quarantined(q.arrived, q.fingerprint()),
+	}
+	if q.policy.Hedge && q.stream == nil && a.Idempotent {
+		a.Hedge = q.policy.HedgeAfter
+		d.results = make(chan result, call.MaxTries)
+	}
+	return a
+}
+
+// next waits for the next event and gives it to the lifecycle.
+func (d *drive) next() call.Actions {
+	var answer chan pool.Action
+	if d.seeking {
+		answer = d.seek.answer
+	}
+	select {
+	case a := <-answer:
+		return d.chosen(a)
+	default:
+	}
+	select {
+	case a := <-answer:
+		return d.chosen(a)
+	case r := <-d.results:
+		d.flying--
+		return d.took(r)
+	case <-d.hedge:
+		d.hedge = nil
+		return d.call.Hedge(time.Now())
+	case <-d.ctx.Done():
+		if d.ctx.Err() == context.DeadlineExceeded {
+			return d.call.Expire(time.Now())
+		}
+		return d.call.Leave(time.Now())
+	}
+}
+
+// chosen takes the pool's answer.
+func (d *drive) chosen(a pool.Action) call.Actions {
+	d.seeking = false
+	if a.Kind == pool.Refuse {
+		return d.call.Decline(time.Now(), call.Decline{Reason: reasonOf(a.Reason), Retry: a.RetryAfter})
+	}
+	d.tries[d.free()] = flight{ticket: d.seek, action: a}
+	return d.call.Choose(time.Now(), call.Choice{Target: a.Addr})
+}
+
+// free is the index that the lifecycle gives to the next dispatch.
+func (d *drive) free() (n int) {
+	for n = range d.tries {
+		if d.tries[n].cancel == nil {
+			return n
+		}
+	}
+	return n
+}
+
+// perform carries out actions. An inline dispatch leads to further ones.
+func (d *drive) perform(acts call.Actions) {
+	for _, a := range acts.All() {
+		switch a.Do {
+		case call.DoSeek:
+			d.enter()
+		case call.DoHedge:
+			d.enterHedge()
+		case call.DoWithdraw:
+			d.seeking = false
+			d.seek.cancel(time.Now())
+		case call.DoRelease:
+			d.seek.cancel(time.Now())
+		case call.DoDispatch:
+			d.dispatch(a)
+		case call.DoTimer:
+			d.timer = time.NewTimer(a.After)
+			d.hedge = d.timer.C
+		case call.DoCancel:
+			d.cancel(a.Try)
+		case call.DoAnswer:
+			d.won = &passing{answer: d.tries[a.Try].answer, ticket: d.tries[a.Try].ticket}
+		case call.DoRefuse:
+			d.refused = true
+		}
+	}
+}
+
+func (d *drive) enter() {
+	avoid := ""
+	for i := range d.tries {
+		if d.tries[i].cancel != nil {
+			avoid = d.tries[i].action.Target
+		}
+	}
+	d.seeking = true
+	d.seek = d.q.service.enter(time.Now(), pool.Arrival{Deadline: d.q.deadline, Idempotent: d.q.idempotent(), Avoid: avoid})
+}
+
+// enterHedge takes a slot that is free at once. A hedge that queues would take
+// the place of a first dispatch.
+func (d *drive) enterHedge() {
+	d.enter()
+	select {
+	case a := <-d.seek.answer:
+		d.perform(d.chosen(a))
+	default:
+		d.seeking = false
+		d.seek.cancel(time.Now())
+		d.perform(d.call.Decline(time.Now(), call.Decline{Reason: call.ReasonUnavailable}))
+	}
+}
+
+func (d *drive) dispatch(a call.Action) {
+	f := &d.tries[a.Try]
+	ctx, cancel := context.WithCancel(d.ctx)
+	f.cancel, f.began = cancel, time.Now()
+	if d.results == nil {
+		d.perform(d.took(d.send(ctx, a, f.action)))
+		return
+	}
+	d.flying++
+	action := f.action
+	go func() { d.results <- d.send(ctx, a, action) }()
+}
+
+// send dispatches the request to one target, in a span of its own.
+func (d *drive) send(ctx context.Context, a call.Action, to pool.Action) (r result) {
+	e, q := d.entry, d.q
+	ctx, span := e.tracing.tracer.Start(ctx, "dispatch")
+	defer span.End()
+	header := make(http.Header, 1)
+	e.tracing.carry.Inject(ctx, propagation.HeaderCarrier(header))
+	r.try = a.Try
+	r.answer, r.failure = e.forward.Dispatch(ctx, forward.Try{
+		Target: to.Addr, Request: q.in, Path: q.path,
+		Body: q.body, Stream: q.stream, Length: q.in.ContentLength,
+		Timeout: a.After, Attempt: a.Attempt, Depth: q.header.Depth, Header: header,
+	})
+	span.SetAttributes(attribute.String("target", to.Target), attribute.Int("attempt", a.Attempt))
+	if r.failure != nil {
+		span.SetAttributes(attribute.String("failure", r.failure.Stage.String()))
+	}
+	return r
+}
+
+// took gives a dispatch's result to the lifecycle.
+func (d *drive) took(r result) call.Actions {
+	now := time.Now()
+	f := &d.tries[r.try]
+	replay := d.q.stream == nil
+	if r.failure != nil {
+		f.cancel()
+		f.ticket.done(now, kindOfStage(r.failure.Stage), pool.Load{})
+		return d.call.Fail(now, call.Failed{
+			Try: r.try, Stage: r.failure.Stage, Ran: r.failure.Ran, Replay: replay,
+			Quarantined: d.crashed(now, r.failure, f.began),
+		})
+	}
+	f.answer = r.answer
+	d.entry.suspects.Answered(now, d.q.fingerprint())
+	return d.call.Head(now, call.Head{Try: r.try, Status: r.answer.Status, Shed: r.answer.Load.Shed, Replay: replay})
+}
+
+func (d *drive) crashed(now time.Time, f *forward.Failure, began time.Time) bool {
+	if !f.Stage.Crash() {
+		return false
+	}
+	return d.entry.suspects.Crashed(now, d.q.fingerprint(), f.Target, began)
+}
+
+// cancel ends a dispatch whose answer is not wanted. One that still flies in a
+// goroutine is cleared away when its result comes.
+func (d *drive) cancel(try int) {
+	f := &d.tries[try]
+	f.cancel()
+	if f.answer == nil {
+		return
+	}
+	f.answer.Close()
+	kind := kindOf(f.answer.Status)
+	if f.answer.Load.Shed {
+		kind = pool.Shed
+	}
+	f.ticket.done(time.Now(), kind, loadOf(f.answer.Load))
+}
+
+// reap clears away the results that come after the request has ended.
+func (d *drive) reap() {
+	for ; d.flying > 0; d.flying-- {
+		r := <-d.results
+		f := &d.tries[r.try]
+		f.cancel()
+		if r.answer != nil {
+			r.answer.Close()
+		}
+		f.ticket.done(time.Now(), pool.Cancelled, pool.Load{})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,7 +20,7 @@
 
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/internal/store"
-	"plumpitch.example/plumpitch/pkg/pool"
+	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/ring"
 )
 
@@ -40,18 +40,22 @@
 
 // Entry is one entry process.
 type Entry struct {
-	cfg     Config
-	log     log.Interface
-	site    atomic.Pointer[site]
-	forward *forward.Forwarder
-	metrics metrics
-	tracing tracing
-	store   *store.Client
-	control *control
+	cfg      Config
+	log      log.Interface
+	site     atomic.Pointer[site]
+	forward  *forward.Forwarder
+	metrics  metrics
+	tracing  tracing
+	store    *store.Client
+	prober   *prober
+	suspects *call.Suspects
+	control  *control
 
 	stopping atomic.Bool // the entry is on its way out
+	quiet    bool        // answers that targets gave are not logged
 
 	callers   net.Listener
+	peers     net.Listener
 	operators net.Listener
 }
 
@@ -60,20 +64,19 @@
 func New(cfg Config) (e *Entry, err error) {
 	defer func() { err = errors.WithMessage(err, "entry "+cfg.File.Name) }()
 	e = &Entry{
-		cfg:     cfg,
-		log:     cfg.Log.WithField("entry", cfg.File.Name),
-		forward: forward.New(forward.Config{}),
-		metrics: newMetrics(cfg.File.Name),
+		cfg:      cfg,
+		log:      cfg.Log.WithField("entry", cfg.File.Name),
+		forward:  forward.New(forward.Config{}),
+		metrics:  newMetrics(cfg.File.Name),
+		prober:   newProber(),
+		suspects: call.NewSuspects(call.SuspectsConfig{}),
 	}
 	e.site.Store(&site{})
+	e.quiet = cfg.File.Level != "debug"
 	if e.tracing, err = newTracing(cfg.File.Trace, cfg.Out); err != nil {
 		return nil, err
 	}
-	if e.callers, err = net.Listen("tcp", cfg.File.Callers); err != nil {
-		return nil, err
-	}
-	if e.operators, err = net.Listen("tcp", cfg.File.Operators); err != nil {
-		e.callers.Close()
+	if err := e.listen(); err != nil {
 		return nil, err
 	}
 	e.store = store.New(store.Config{Addr: cfg.File.Platform, Reads: rate.NewLimiter(readRate, readBurst)})
@@ -81,16 +84,48 @@
 	return e, nil
 }
 
+// listen opens the three listeners, or none.
+func (e *Entry) listen() (err error) {
+	f := e.cfg.File
+	for _, l := range []struct {
+		field string
+		on    *net.Listener
+		addr  string
+	}{
+		{"callers", &e.callers, f.Callers},
+		{"peers", &e.peers, f.Peers},
+		{"operators", &e.operators, f.Operators},
+	} {
+		if *l.on, err = net.Listen("tcp", l.addr); err != nil {
+			e.unlisten()
+			return errors.WithMessage(err, l.field)
+		}
+	}
+	return nil
+}
+
+func (e *Entry) unlisten() {
+	for _, l := range []net.Listener{e.callers, e.peers, e.operators} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// Ready tells whether settings are in force.
+func (e *Entry) Ready() bool { return e.site.Load().revision > 0 }
+
 // Addresses are where the entry listens, which differs from its file where
 // that names port 0.
 type Addresses struct {
 	Callers   string
+	Peers     string
 	Operators string
 }
 
 // Addresses returns where the entry listens.
 func (e *Entry) Addresses() Addresses {
-	return Addresses{Callers: e.callers.Addr().String(), Operators: e.operators.Addr().String()}
+	return Addresses{Callers: e.callers.Addr().String(), Peers: e.peers.Addr().String(), Operators: e.operators.Addr().String()}
 }
 
 // self is this incarnation as other entries know it.
@@ -98,7 +133,7 @@
 	f := e.cfg.File
 	return ring.Member{
 		Ident:  ring.Ident{Name: f.Name, Boot: e.cfg.Boot},
-		Caller: e.callers.Addr().String(), Peer: f.Peers, Place: f.Place, Region: f.Region,
+		Caller: e.callers.Addr().String(), Peer: e.peers.Addr().String(), Place: f.Place, Region: f.Region,
 	}
 }
 
@@ -145,8 +180,6 @@
 	e.log.WithFields(log.Fields(ev.Map())).Warn("supervisor: " + ev.String())
 }
 
-func (e *Entry) probe(_ *service, _ pool.Action) {}
-
 // left spreads that a target is leaving.
 func (e *Entry) left(target string, boot uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -2,26 +2,121 @@
 
 import (
 	"net/http"
+	"runtime/debug"
+	"time"
 
+	"github.com/apex/log"
 	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/pkg/call"
 )
 
+// headerID is the request's id: the caller's own or a new one.
+const headerID = "X-Request-Id"
+
+// maxID bounds a caller's request id, in bytes.
+const maxID = 128
+
 // callerHandler is what callers reach: locate and requests, nothing else.
 func (e *Entry) callerHandler() http.Handler {
 	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(encodeError)}
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/locate", kithttp.NewServer(e.locateEndpoint(), decodeLocate, encodeLocate, options...))
 	mux.Handle(callPrefix, kithttp.NewServer(e.requestEndpoint(), e.decodeRequest, encodeAnswer, options...))
-	return e.traced(mux)
+	return e.observed(mux)
 }
 
-// traced starts the span of the whole request.
-func (e *Entry) traced(next http.Handler) http.Handler {
+// observed gives each request an id and a span, counts and logs its outcome,
+// and answers for a request whose handling panics.
+func (e *Entry) observed(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began := time.Now()
+		id := r.Header.Get(headerID)
+		if id == "" || len(id) > maxID {
+			id = uuid.NewString()
+			r.Header.Set(headerID, id)
+		}
 		ctx := e.tracing.carry.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-		ctx, span := e.tracing.tracer.Start(ctx, r.Method)
+		ctx, span := e.tracing.tracer.Start(ctx, r.Method, trace.WithAttributes(attribute.String("request", id)))
 		defer span.End()
-		next.ServeHTTP(w, r.WithContext(ctx))
+		ow := &outcomeWriter{ResponseWriter: w}
+		defer e.observe(ow, r, id, span.SpanContext().TraceID().String(), began)
+		defer e.guard(ow, id)
+		next.ServeHTTP(ow, r.WithContext(ctx))
+	})
+}
+
+// guard turns a panic of one request into its final answer. Whether the
+// request ran can't be told any more, so it claims nothing. An abort is how a
+// cut answer is kept from looking whole, and goes on to the server.
+func (e *Entry) guard(w *outcomeWriter, id string) {
+	r := recover()
+	if r == nil {
+		return
+	}
+	if r != any(http.ErrAbortHandler) {
+		e.log.WithFields(log.Fields{"request": id, "stack": string(debug.Stack())}).Errorf("panic: %v", r)
+	}
+	if w.begun || r == any(http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+	forward.Refuse(w, call.Final{Outcome: call.Unknown, Reason: call.ReasonPanic, Detail: "a fault in plumpitch itself"})
+}
+
+// observe counts and logs a request's outcome.
+func (e *Entry) observe(w *outcomeWriter, r *http.Request, id, traceID string, began time.Time) {
+	name, _ := splitPath(r.URL.EscapedPath())
+	outcome := w.Header().Get(call.HeaderOutcome)
+	if sv, ok := e.site.Load().services[name]; ok {
+		sv.metrics.latency.RecordDuration(time.Since(began))
+		sv.metrics.count(outcome)
+	}
+	if outcome == "" && e.quiet {
+		return
+	}
+	l := e.log.WithFields(log.Fields{
+		"request": id, "trace": traceID, "service": name, "method": r.Method,
+		"status": w.status, "took": time.Since(began).String(),
 	})
+	if outcome == "" {
+		l.Debug("answered")
+		return
+	}
+	l = l.WithFields(log.Fields{"outcome": outcome, "reason": w.Header().Get(call.HeaderReason)})
+	if outcome == call.Unknown.String() {
+		l.Warn("final answer")
+		return
+	}
+	l.Info("final answer")
 }
+
+// outcomeWriter remembers whether an answer has begun and with which status.
+type outcomeWriter struct {
+	http.ResponseWriter
+	begun  bool
+	status int
+}
+
+// WriteHeader notes the status.
+func (w *outcomeWriter) WriteHeader(status int) {
+	if !w.begun && status >= http.StatusOK {
+		w.begun, w.status = true, status
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write notes that the answer has begun.
+func (w *outcomeWriter) Write(p []byte) (int, error) {
+	if !w.begun {
+		w.begun, w.status = true, http.StatusOK
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController flush.
+func (w *outcomeWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -7,6 +7,8 @@
 	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+
+	"plumpitch.example/plumpitch/pkg/call"
 )
 
 // metrics reports by tally, in a form that Prometheus scrapes.
@@ -75,3 +77,16 @@
 		ejected:  s.Gauge("ejected"),
 	}
 }
+
+// count adds one request with the value of its outcome header, which is empty
+// on a target's own answer.
+func (m serviceMetrics) count(outcome string) {
+	switch outcome {
+	case call.NotRun.String():
+		m.notRun.Inc(1)
+	case call.Unknown.String():
+		m.unknown.Inc(1)
+	default:
+		m.ran.Inc(1)
+	}
+}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -59,7 +59,7 @@
 	switch {
 	case e.stopping.Load():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
-	case e.site.Load().revision == 0:
+	case !e.Ready():
 		http.Error(w, "no settings yet", http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -8,12 +8,9 @@
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/pkg/call"
-	"plumpitch.example/plumpitch/pkg/pool"
 	"plumpitch.example/plumpitch/pkg/tree"
 )
 
@@ -34,8 +31,8 @@
 	deadline time.Time
 	body     []byte
 	stream   io.Reader // instead of body
-	attempt  int
-	depth    int
+	header   call.Header
+	print    uint64 // fingerprint, once it was needed
 }
 
 func (e *Entry) decodeRequest(_ context.Context, r *http.Request) (any, error) {
@@ -61,6 +58,15 @@
 	return service, "/" + path
 }
 
+// fingerprint tells whether two requests are the same. A streamed body is not
+// known and counts as none.
+func (q *request) fingerprint() uint64 {
+	if q.print == 0 {
+		q.print = call.Print(q.service.name, q.in.Method, q.path, q.in.URL.RawQuery, call.BodyHash(q.body))
+	}
+	return q.print
+}
+
 func (q *request) idempotent() bool {
 	for _, m := range q.policy.Idempotent {
 		if m == q.in.Method {
@@ -77,45 +83,15 @@
 }
 
 // serve finds a target, dispatches the request there and returns the answer.
-func (e *Entry) serve(ctx context.Context, q *request) (a *passing, err error) {
+func (e *Entry) serve(ctx context.Context, q *request) (*passing, error) {
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
-	t, err := q.service.acquire(ctx, time.Now(), pool.Arrival{Deadline: q.deadline, Idempotent: q.idempotent()})
-	if err != nil {
-		cancel()
-		return nil, finalError{call.Final{Outcome: call.NotRun, Reason: call.ReasonDeadline, Detail: "time ran out in the queue", Retry: q.policy.RetryAfter}}
-	}
-	if t.action.Kind == pool.Refuse {
-		cancel()
-		return nil, finalError{call.Final{Outcome: call.NotRun, Reason: call.ReasonOverload, Detail: t.action.Reason.String(), Retry: t.action.RetryAfter}}
-	}
-	answer, failure := e.dispatch(ctx, q, t.action)
-	if failure != nil {
+	p, final := newDrive(ctx, e, q).run()
+	if p == nil {
 		cancel()
-		t.done(time.Now(), pool.Broken, pool.Load{})
-		outcome := call.Unknown
-		if failure.Ran == call.DidNotRun {
-			outcome = call.NotRun
-		}
-		return nil, finalError{call.Final{Outcome: outcome, Reason: failure.Stage.Reason(), Detail: failure.Error(), Retry: q.policy.RetryAfter}}
+		return nil, finalError{final}
 	}
-	return &passing{answer: answer, ticket: t, cancel: cancel}, nil
-}
-
-// dispatch sends the request to one target, in a span of its own.
-func (e *Entry) dispatch(ctx context.Context, q *request, a pool.Action) (*forward.Answer, *forward.Failure) {
-	ctx, span := e.tracing.tracer.Start(ctx, "dispatch")
-	defer span.End()
-	header := make(http.Header)
-	e.tracing.carry.Inject(ctx, propagation.HeaderCarrier(header))
-	answer, failure := e.forward.Dispatch(ctx, forward.Try{
-		Target: a.Addr, Request: q.in, Path: q.path,
-		Body: q.body, Stream: q.stream, Length: q.in.ContentLength,
-		Timeout: time.Until(q.deadline), Attempt: q.attempt, Depth: q.depth, Header: header,
-	})
-	if failure != nil {
-		span.SetAttributes(attribute.String("failure", failure.Stage.String()))
-	}
-	return answer, failure
+	p.cancel = cancel
+	return p, nil
 }
 
 // passing is an answer on its way to the caller.
@@ -128,12 +104,15 @@
 func encodeAnswer(_ context.Context, w http.ResponseWriter, response any) error {
 	p := response.(*passing)
 	defer p.cancel()
-	forward.Copy(w, p.answer, func(f *forward.Failure) {
-		kind := pool.Served
-		if f != nil {
-			kind = pool.Broken
-		}
-		p.ticket.done(time.Now(), kind, pool.Load{InFlight: max(p.answer.Load.Inflight, 0), Known: p.answer.Load.Inflight >= 0, Leaving: p.answer.Load.Leaving})
-	})
+	forward.Copy(w, p.answer, p.end)
 	return nil
 }
+
+// end gives the slot back once the whole answer is passed on, or cut.
+func (p *passing) end(f *forward.Failure) {
+	kind := kindOf(p.answer.Status)
+	if f != nil {
+		kind = kindOfStage(f.Stage)
+	}
+	p.ticket.done(time.Now(), kind, loadOf(p.answer.Load))
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -1,13 +1,13 @@
 package entry
 
 import (
-	"context"
 	"math/rand/v2"
 	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/pool"
 	"plumpitch.example/plumpitch/pkg/tree"
 )
@@ -19,11 +19,13 @@
 	name    string
 	metrics serviceMetrics
 	policy  atomic.Pointer[tree.Policy]
+	budget  atomic.Pointer[call.Budget] // of second dispatches; nil allows none
 	probe   func(s *service, a pool.Action)
 	left    func(target string, boot uint64)
 
 	mu      sync.Mutex
 	chooser pool.Chooser
+	retired []pool.Chooser // replaced, with requests that still have to end
 	waiting map[uint64]chan pool.Action
 	list    []pool.Target
 	scratch []pool.Action
@@ -33,6 +35,9 @@
 	closed  bool
 }
 
+// retiredTick is how often replaced pools are looked after.
+const retiredTick = 2 * time.Millisecond
+
 // serviceConfig builds a service.
 type serviceConfig struct {
 	Name    string
@@ -51,6 +56,7 @@
 		waiting: make(map[uint64]chan pool.Action),
 	}
 	s.policy.Store(&cfg.Policy)
+	s.budget.Store(newBudget(cfg.Policy))
 	s.chooser, err = newChooser(cfg.Policy)
 	s.timer = time.AfterFunc(time.Hour, s.tick)
 	s.timer.Stop()
@@ -77,6 +83,13 @@
 	return pool.NameFreeSlot
 }
 
+func newBudget(p tree.Policy) *call.Budget {
+	if p.RetryShare == 0 {
+		return nil
+	}
+	return call.NewBudget(call.BudgetConfig{Share: p.RetryShare})
+}
+
 func poolConfig(p tree.Policy) pool.Config {
 	return pool.Config{
 		Slots:    p.Slots,
@@ -91,6 +104,9 @@
 func (s *service) configure(now time.Time, p tree.Policy) (err error) {
 	old := *s.policy.Load()
 	s.policy.Store(&p)
+	if p.RetryShare != old.RetryShare {
+		s.budget.Store(newBudget(p))
+	}
 	if p.Policy == old.Policy && reflect.DeepEqual(poolConfig(p), poolConfig(old)) {
 		return nil
 	}
@@ -100,6 +116,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.retired = append(s.retired, s.chooser)
 	s.chooser = c
 	s.act(now, c.Targets(now, s.list, s.scratch[:0]))
 	return nil
@@ -120,36 +137,25 @@
 	s.act(now, s.chooser.Leave(now, target, boot, s.scratch[:0]))
 }
 
-// ticket is one request's claim to a target.
+// ticket is one request's wait for a target, and its slot once it has one.
 type ticket struct {
 	service *service
 	chooser pool.Chooser // the pool that took the request
 	id      uint64
-	action  pool.Action
+	answer  chan pool.Action // brings one Dispatch or Refuse
 }
 
-// acquire waits until the pool dispatches or refuses the request, or ctx ends.
-func (s *service) acquire(ctx context.Context, now time.Time, a pool.Arrival) (t ticket, err error) {
-	answer := make(chan pool.Action, 1)
+// enter asks the pool for a target. The answer may be there at once.
+func (s *service) enter(now time.Time, a pool.Arrival) ticket {
+	t := ticket{service: s, answer: make(chan pool.Action, 1)}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.last++
 	a.ID = s.last
-	t = ticket{service: s, chooser: s.chooser, id: a.ID}
-	s.waiting[a.ID] = answer
+	t.id, t.chooser = a.ID, s.chooser
+	s.waiting[a.ID] = t.answer
 	s.act(now, s.chooser.Arrive(now, a, s.scratch[:0]))
-	s.mu.Unlock()
-	select {
-	case t.action = <-answer:
-		return t, nil
-	default:
-	}
-	select {
-	case t.action = <-answer:
-		return t, nil
-	case <-ctx.Done():
-		t.cancel(time.Now())
-		return t, ctx.Err()
-	}
+	return t
 }
 
 // cancel takes the request back, queued or dispatched.
@@ -191,6 +197,9 @@
 // arm sets the timer to the pool's next wish.
 func (s *service) arm(now time.Time) {
 	next := s.chooser.Next()
+	if len(s.retired) > 0 {
+		next = now.Add(retiredTick)
+	}
 	if next.Equal(s.due) || s.closed {
 		return
 	}
@@ -211,6 +220,19 @@
 	}
 	s.due = time.Time{}
 	s.act(now, s.chooser.Tick(now, s.scratch[:0]))
+	s.tickRetired(now)
+}
+
+// tickRetired serves the queues of replaced pools until they are empty.
+func (s *service) tickRetired(now time.Time) {
+	kept := s.retired[:0]
+	for _, c := range s.retired {
+		s.act(now, c.Tick(now, s.scratch[:0]))
+		if queued, inFlight := c.Len(); queued+inFlight > 0 {
+			kept = append(kept, c)
+		}
+	}
+	s.retired = kept
 }
 
 func (s *service) probed(now time.Time, p pool.Probed) {
--- /dev/null
+++ b/internal/lab/hop/hop.go
@@ -0,0 +1,187 @@
+// Package hop measures what an entry adds to a call: the same load goes to the
+// targets directly and through one entry, in turns, in one process. What the
+// second costs more in latency, processor time and allocations is the entry's.
+package hop
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/olekukonko/tablewriter"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/load"
+	"plumpitch.example/plumpitch/internal/site"
+	"plumpitch.example/plumpitch/internal/store"
+)
+
+// Config of a measurement.
+type Config struct {
+	Rounds   int     // turns of direct and through
+	Requests int     // in each half of a turn
+	Rate     float64 // requests a second
+	Writes   float64 // share of keyed non-idempotent requests
+	Entries  int     // live entries; keyed requests need replicas
+	Settings []byte  // settings file that names the service
+	Service  string
+	JSON     bool
+}
+
+// side is what one way cost.
+type side struct {
+	latency *hdrhistogram.Histogram
+	cpu     time.Duration
+	allocs  uint64
+	sent    int
+	bad     int
+}
+
+// warmUp is the number of requests before anything is measured.
+const warmUp = 500
+
+// longest start of the site.
+const startTime = 20 * time.Second
+
+// Run prints the table.
+func Run(ctx context.Context, cfg Config, w io.Writer) (err error) {
+	defer func() { err = errors.WithMessage(err, "hop") }()
+	s, err := site.Start(site.Config{
+		Region: "perth-metro", Places: []string{"fremantle-hall", "subiaco-hall", "joondalup-hall"},
+		Services: []site.Service{{Name: cfg.Service, Targets: 4, Slots: 64}},
+		Entries:  cfg.Entries,
+		Log:      &log.Logger{Handler: discard.New()},
+		Out:      io.Discard,
+	})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if err := start(ctx, s, cfg.Settings); err != nil {
+		return err
+	}
+	direct, through, err := measure(ctx, s, cfg)
+	if err != nil {
+		return err
+	}
+	return show(w, cfg, direct, through)
+}
+
+func start(ctx context.Context, s *site.Site, settings []byte) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	if _, err := store.New(store.Config{Addr: s.Store}).Put(ctx, "settings", "tree", 0, settings); err != nil {
+		return err
+	}
+	return s.Ready(ctx)
+}
+
+func measure(ctx context.Context, s *site.Site, cfg Config) (direct, through side, err error) {
+	straight := load.Config{
+		Services: []string{cfg.Service}, Rate: cfg.Rate, Writes: cfg.Writes, Timeout: 5 * time.Second,
+	}
+	for _, t := range s.Targets {
+		straight.Direct = append(straight.Direct, t.Addr)
+	}
+	routed := straight
+	routed.Direct, routed.Entries = nil, s.Callers()
+	direct.latency = hdrhistogram.New(1, 60_000_000, 3)
+	through.latency = hdrhistogram.New(1, 60_000_000, 3)
+	for _, c := range []load.Config{straight, routed} {
+		c.Requests = warmUp
+		if _, err := load.Run(ctx, c); err != nil {
+			return direct, through, err
+		}
+	}
+	for n := range cfg.Rounds {
+		straight.Seed, routed.Seed = uint64(n), uint64(n)
+		straight.Requests, routed.Requests = cfg.Requests, cfg.Requests
+		if err := direct.add(ctx, straight); err != nil {
+			return direct, through, err
+		}
+		if err := through.add(ctx, routed); err != nil {
+			return direct, through, err
+		}
+	}
+	return direct, through, nil
+}
+
+// add runs one half of a turn and adds what it cost.
+func (s *side) add(ctx context.Context, cfg load.Config) (err error) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	cpu, err := cpuTime()
+	if err != nil {
+		return err
+	}
+	report, err := load.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	end, err := cpuTime()
+	if err != nil {
+		return err
+	}
+	runtime.ReadMemStats(&after)
+	s.cpu += end - cpu
+	s.allocs += after.Mallocs - before.Mallocs
+	s.sent += report.Sent
+	s.bad += report.Sent - report.Answered
+	s.latency.Merge(report.Latency)
+	return nil
+}
+
+// cpuTime is the processor time of this process.
+func cpuTime() (d time.Duration, err error) {
+	var u syscall.Rusage
+	err = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), err
+}
+
+// result is one line of the table.
+type result struct {
+	Way    string  `json:"way"`
+	Sent   int     `json:"sent"`
+	Bad    int     `json:"bad"`
+	P50    float64 `json:"p50us"`
+	P99    float64 `json:"p99us"`
+	CPU    float64 `json:"cpuus"`
+	Allocs float64 `json:"allocs"`
+}
+
+func (s side) result(way string) result {
+	n := float64(s.sent)
+	return result{
+		Way: way, Sent: s.sent, Bad: s.bad,
+		P50: float64(s.latency.ValueAtQuantile(50)), P99: float64(s.latency.ValueAtQuantile(99)),
+		CPU: float64(s.cpu.Microseconds()) / n, Allocs: float64(s.allocs) / n,
+	}
+}
+
+func show(w io.Writer, cfg Config, direct, through side) (err error) {
+	d, t := direct.result("direct"), through.result("entry")
+	added := result{Way: "added", P50: t.P50 - d.P50, P99: t.P99 - d.P99, CPU: t.CPU - d.CPU, Allocs: t.Allocs - d.Allocs}
+	rows := []result{d, t, added}
+	if cfg.JSON {
+		return json.NewEncoder(w).Encode(rows)
+	}
+	table := tablewriter.NewWriter(w)
+	table.SetHeader([]string{"way", "sent", "not answered", "p50 us", "p99 us", "cpu us", "allocs"})
+	table.SetBorders(tablewriter.Border{Left: true, Right: true})
+	table.SetCenterSeparator("|")
+	for _, r := range rows {
+		table.Append([]string{
+			r.Way, fmt.Sprint(r.Sent), fmt.Sprint(r.Bad), fmt.Sprintf("%.0f", r.P50), fmt.Sprintf("%.0f", r.P99),
+			fmt.Sprintf("%.1f", r.CPU), fmt.Sprintf("%.1f", r.Allocs),
+		})
+	}
+	table.Render()
+	return nil
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,190 @@
+// Package site runs a whole small site in one process on loopback: the
+// platform's stand-in, stand-in targets and entries. It serves trials and
+// tests; the entries are the very ones that run on VMs.
+package site
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/entry"
+	"plumpitch.example/plumpitch/internal/standin/platform"
+	"plumpitch.example/plumpitch/internal/standin/target"
+)
+
+// Config describes a site.
+type Config struct {
+	Region   string
+	Places   []string // entries and targets are spread over them in turn
+	Services []Service
+	Entries  int
+	Log      log.Interface
+	Out      io.Writer // of traces
+	Trace    string    // exporter of the entries
+}
+
+// Service is one service's targets.
+type Service struct {
+	Name    string
+	Targets int
+	Slots   int
+	Mean    time.Duration // mean service time
+	Sigma   float64       // of the lognormal service time
+}
+
+// Site is a running site.
+type Site struct {
+	Platform *platform.Platform
+	Store    string // URL of the platform's stand-in
+	Entries  []*entry.Entry
+	Targets  []*Target
+
+	stopEntries context.CancelFunc
+	entries     sync.WaitGroup
+	servers     []*http.Server
+}
+
+// Target is a stand-in target with its address.
+type Target struct {
+	*target.Target
+	Name    string
+	Service string
+	Addr    string
+}
+
+// Start brings the site up. Settings are not applied yet.
+func Start(cfg Config) (s *Site, err error) {
+	defer func() { err = errors.WithMessage(err, "site") }()
+	s = &Site{Platform: platform.New(platform.Config{})}
+	defer func() {
+		if err != nil {
+			s.Close()
+		}
+	}()
+	addr, err := s.serve(s.Platform)
+	if err != nil {
+		return nil, err
+	}
+	s.Store = "http://" + addr
+	if err := s.startTargets(cfg); err != nil {
+		return nil, err
+	}
+	return s, s.startEntries(cfg)
+}
+
+func (s *Site) serve(h http.Handler) (addr string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	s.servers = append(s.servers, srv)
+	go func() { _ = srv.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+func (s *Site) startTargets(cfg Config) (err error) {
+	for _, sv := range cfg.Services {
+		for n := range sv.Targets {
+			t := &Target{Name: fmt.Sprintf("%s-%d", sv.Name, n+1), Service: sv.Name}
+			t.Target = target.New(target.Config{
+				Name: t.Name, Service: sv.Name, Slots: sv.Slots, Mean: sv.Mean, Sigma: sv.Sigma, Seed: uint64(n + 1),
+			})
+			if t.Addr, err = s.serve(t.Target); err != nil {
+				return err
+			}
+			s.Targets = append(s.Targets, t)
+			s.Platform.PutVM(platform.VM{
+				ID: t.Name, Addr: t.Addr, Place: cfg.Places[n%len(cfg.Places)], Service: sv.Name,
+				Slots: sv.Slots, Boot: 1, State: platform.Live,
+			})
+		}
+	}
+	return nil
+}
+
+func (s *Site) startEntries(cfg Config) (err error) {
+	ctx, stop := context.WithCancel(context.Background())
+	s.stopEntries = stop
+	var seeds []string
+	for n := range cfg.Entries {
+		e, err := entry.New(entry.Config{
+			File: entry.File{
+				Name: fmt.Sprintf("entry-%d", n+1), Region: cfg.Region, Place: cfg.Places[n%len(cfg.Places)],
+				Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0",
+				Platform: s.Store, Seeds: seeds, Trace: cfg.Trace, Level: "warn",
+			},
+			Boot: uint64(time.Now().UnixNano()),
+			Log:  cfg.Log,
+			Out:  cfg.Out,
+		})
+		if err != nil {
+			return err
+		}
+		seeds = append(seeds, e.Addresses().Peers)
+		s.Entries = append(s.Entries, e)
+		s.entries.Go(func() { _ = e.Serve(ctx) })
+	}
+	return nil
+}
+
+// Callers are the addresses of the entries' callers' listeners.
+func (s *Site) Callers() (addrs []string) {
+	for _, e := range s.Entries {
+		addrs = append(addrs, e.Addresses().Callers)
+	}
+	return addrs
+}
+
+// readyPoll is the pause between questions to an entry that isn't ready.
+const readyPoll = 20 * time.Millisecond
+
+// Ready waits until every entry has settings.
+func (s *Site) Ready(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "site not ready") }()
+	for _, e := range s.Entries {
+		for !e.Ready() {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// Doubled counts the keys that targets ran more than once.
+func (s *Site) Doubled() (n int) {
+	runs := make(map[string]int)
+	for _, t := range s.Targets {
+		for _, r := range t.Runs() {
+			if r.Key == "" {
+				continue
+			}
+			if runs[r.Key]++; runs[r.Key] == 2 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Close stops the entries gracefully, then the rest.
+func (s *Site) Close() {
+	if s.stopEntries != nil {
+		s.stopEntries()
+	}
+	s.entries.Wait()
+	for _, srv := range s.servers {
+		_ = srv.Close()
+	}
+}
--- a/main.go
+++ b/main.go
@@ -43,12 +43,14 @@
 func commands() []*command {
 	return []*command{
 		entryCommand(),
+		devCommand(),
 		locateCommand(),
 		statusCommand(),
 		drainCommand(),
 		undrainCommand(),
 		explainCommand(),
 		loadCommand(),
+		experimentCommand(),
 		standinCommand(),
 		versionCommand(),
 	}
