member: table of entries, gossip by digest, suspicion and its objection

Entries need to know of each other within the control budget at hundreds of entries. Each round an entry asks the one after it in an order by hash (so that every death is noticed within a period) and one random entry, mostly near; only where digests differ do changes pass, by place. News are pushed at once within a budget. A death is suspected first, after two others could not ping it either.

Ruled out: heartbeat counters (every digest differs in every round) and a full mesh (messages grow with the square).

Faults run in virtual time in internal/lab/fleet, through the real codec.

--- a/pkg/member/entry.go
+++ b/pkg/member/entry.go
@@ -22,7 +22,7 @@
 	Leaving              // announced its stop and still serves
 	Suspect              // did not answer, neither directly nor through others
 	Dead                 // suspected for too long without an objection
-	Left                 // announced its stop and is gone
+	Left                 // said itself that it is gone
 )
 
 var stateNames = [...]string{"alive", "leaving", "suspect", "dead", "left"}
--- /dev/null
+++ b/pkg/member/faults_test.go
@@ -0,0 +1,300 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/lab/fleet"
+	"plumpitch.example/plumpitch/pkg/member"
+)
+
+// size is a fleet to run a fault on.
+type size struct {
+	name    string
+	cfg     fleet.Config
+	seeds   uint64
+	noticed time.Duration // bound for a death to be known everywhere
+}
+
+var (
+	today = size{"today", fleet.Config{Entries: 14, Places: 3, Regions: 1}, 4, 5 * time.Second}
+	grown = size{"grown", fleet.Config{Entries: 30, Places: 15, Regions: 4}, 1, 13 * time.Second}
+)
+
+func settled(c *qt.C, s size, seed uint64) *fleet.Fleet {
+	cfg := s.cfg
+	cfg.Seed = seed
+	f := fleet.New(cfg)
+	f.BootAll()
+	took := f.RunUntil(time.Minute, f.Agreed)
+	c.Assert(f.Agreed(), qt.IsTrue, qt.Commentf("seed %d: no agreement after %v", seed, took))
+	f.Run(5 * time.Second)
+	return f
+}
+
+func seenAs(f *fleet.Fleet, n *fleet.Node, states ...member.State) func() bool {
+	return func() bool {
+		return f.All(func(_ *fleet.Node, v member.View) bool {
+			e, ok := v.Find(n.Entry.ID.Name)
+			for _, s := range states {
+				if ok && e.ID == n.Entry.ID && e.State == s {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
+// within runs until ok holds, and fails if that takes too long.
+func within(c *qt.C, f *fleet.Fleet, bound time.Duration, what string, ok func() bool) {
+	took := f.RunUntil(bound, ok)
+	c.Assert(ok(), qt.IsTrue, qt.Commentf("%s: not after %v", what, took))
+}
+
+// watched runs for d and fails as soon as any entry sees one of innocent as
+// gone.
+func watched(c *qt.C, f *fleet.Fleet, d time.Duration, innocent ...*fleet.Node) {
+	const step = 100 * time.Millisecond
+	for end := f.Now().Add(d); f.Now().Before(end); f.Run(step) {
+		for _, n := range innocent {
+			ok := f.All(func(_ *fleet.Node, v member.View) bool {
+				e, _ := v.Find(n.Entry.ID.Name)
+				return !e.State.Gone()
+			})
+			c.Assert(ok, qt.IsTrue, qt.Commentf("%s seen as gone at %v", n.Entry.ID.Name, f.Now().Sub(fleet.Start)))
+		}
+	}
+}
+
+// Callers hold an address from locate, so an entry that is gone must vanish
+// from every view within the bound, and one that only looked gone must come
+// back, with no other entry harmed. Each row makes one fault in a settled fleet
+// and tells what every entry must see, and until when.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		sizes []size
+		run   func(c *qt.C, f *fleet.Fleet, s size)
+	}{
+		{"an entry lost", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, s size) {
+			f.Lose(f.Nodes[4])
+			within(c, f, s.noticed, "death", seenAs(f, f.Nodes[4], member.Dead))
+		}},
+		{"a place lost", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, _ size) {
+			var lost []*fleet.Node
+			for _, n := range f.Nodes {
+				if n.Entry.Place == "place-01" {
+					f.Lose(n)
+					lost = append(lost, n)
+				}
+			}
+			for _, n := range lost {
+				within(c, f, 13*time.Second, "death in a lost place", seenAs(f, n, member.Dead))
+			}
+		}},
+		{"two lost at once", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, _ size) {
+			f.Lose(f.Nodes[4])
+			f.Lose(f.Nodes[5])
+			within(c, f, 13*time.Second, "first", seenAs(f, f.Nodes[4], member.Dead))
+			within(c, f, 13*time.Second, "second", seenAs(f, f.Nodes[5], member.Dead))
+		}},
+		{"a short pause", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, _ size) {
+			f.Pause(f.Nodes[4])
+			f.Run(time.Second)
+			f.Resume(f.Nodes[4])
+			watched(c, f, 10*time.Second, f.Nodes...)
+		}},
+		{"a long pause", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, s size) {
+			f.Pause(f.Nodes[4])
+			within(c, f, s.noticed, "death", seenAs(f, f.Nodes[4], member.Dead))
+			f.Run(time.Minute)
+			f.Resume(f.Nodes[4])
+			within(c, f, 20*time.Second, "return", f.Agreed)
+			watched(c, f, 20*time.Second, f.Nodes...)
+		}},
+		{"a paused one wakes and blames nobody", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, _ size) {
+			f.Run(50 * time.Millisecond)
+			f.Pause(f.Nodes[4])
+			f.Run(30 * time.Second)
+			f.Resume(f.Nodes[4])
+			others := append(append([]*fleet.Node{}, f.Nodes[:4]...), f.Nodes[5:]...)
+			watched(c, f, 20*time.Second, others...)
+		}},
+		{"paused while another is lost", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, _ size) {
+			f.Pause(f.Nodes[4])
+			f.Lose(f.Nodes[7])
+			f.Run(time.Minute)
+			f.Resume(f.Nodes[4])
+			within(c, f, 8*time.Second, "death", seenAs(f, f.Nodes[7], member.Dead))
+		}},
+		{"flapping", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, _ size) {
+			others := append(append([]*fleet.Node{}, f.Nodes[:4]...), f.Nodes[5:]...)
+			for range 8 {
+				f.Pause(f.Nodes[4])
+				watched(c, f, 5*time.Second, others...)
+				f.Resume(f.Nodes[4])
+				watched(c, f, 3*time.Second, others...)
+			}
+			within(c, f, 20*time.Second, "return", f.Agreed)
+		}},
+		{"two entries can't see each other", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, _ size) {
+			one, two := f.Nodes[4], f.Nodes[7]
+			f.Cut(func(a, b *fleet.Node) bool { return a == one && b == two || a == two && b == one })
+			watched(c, f, 30*time.Second, f.Nodes...)
+		}},
+		{"a group cut off for a minute", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, _ size) {
+			side := func(n *fleet.Node) bool { return n.Entry.Place == "place-00" }
+			f.Cut(func(a, b *fleet.Node) bool { return side(a) != side(b) })
+			f.Run(time.Minute)
+			f.Cut(nil)
+			within(c, f, 25*time.Second, "merge", f.Agreed)
+			watched(c, f, 20*time.Second, f.Nodes...)
+		}},
+		{"restarted at once", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, _ size) {
+			f.Lose(f.Nodes[4])
+			f.Boot(f.Nodes[4])
+			within(c, f, 8*time.Second, "new incarnation", seenAs(f, f.Nodes[4], member.Alive))
+			within(c, f, 20*time.Second, "agreement", f.Agreed)
+		}},
+		{"restarted after its death was noticed", []size{today}, func(c *qt.C, f *fleet.Fleet, s size) {
+			f.Lose(f.Nodes[4])
+			within(c, f, s.noticed, "death", seenAs(f, f.Nodes[4], member.Dead))
+			f.Boot(f.Nodes[4])
+			within(c, f, 5*time.Second, "new incarnation", seenAs(f, f.Nodes[4], member.Alive))
+		}},
+		{"all restarted", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, _ size) {
+			for _, n := range f.Nodes {
+				f.Lose(n)
+				f.Boot(n)
+			}
+			within(c, f, 25*time.Second, "agreement", f.Agreed)
+		}},
+		{"a planned stop", []size{today, grown}, func(c *qt.C, f *fleet.Fleet, _ size) {
+			f.Handle(f.Nodes[4], member.Leave{})
+			within(c, f, 5*time.Second, "leaving", seenAs(f, f.Nodes[4], member.Leaving))
+			watched(c, f, 20*time.Second, f.Nodes...)
+			f.Handle(f.Nodes[4], member.Depart{})
+			f.Run(time.Second)
+			f.Lose(f.Nodes[4])
+			within(c, f, 5*time.Second, "left", seenAs(f, f.Nodes[4], member.Left))
+		}},
+		{"lost while leaving", []size{today}, func(c *qt.C, f *fleet.Fleet, s size) {
+			f.Handle(f.Nodes[4], member.Leave{})
+			f.Run(3 * time.Second)
+			f.Lose(f.Nodes[4])
+			within(c, f, s.noticed, "death", seenAs(f, f.Nodes[4], member.Dead))
+		}},
+	}
+	for _, tt := range tests {
+		for _, s := range tt.sizes {
+			t.Run(tt.name+"/"+s.name, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				for seed := range s.seeds {
+					tt.run(c, settled(c, s, seed), s)
+				}
+			})
+		}
+	}
+}
+
+// Two regions lose each other, here for three minutes: longer makes no difference
+// until the dead are forgotten after a day. Each goes on with the entries that
+// it reaches and holds the other for dead; when they meet again each is told
+// that its own entries died long ago. Taken at its word that would empty
+// locate in both regions at once. No entry may see one of its own side as gone
+// at any time, and all must agree again soon.
+func TestRegionsApart(t *testing.T) {
+	c := qt.New(t)
+	f := settled(c, grown, 7)
+	side := func(n *fleet.Node) bool { return n.Entry.Region == "region-0" }
+	f.Cut(func(a, b *fleet.Node) bool { return side(a) != side(b) })
+	f.Run(3 * time.Minute)
+	f.Cut(nil)
+	for start := f.Now(); f.Now().Sub(start) < 40*time.Second; f.Run(100 * time.Millisecond) {
+		ok := f.All(func(n *fleet.Node, v member.View) bool {
+			for _, o := range f.Nodes {
+				e, _ := v.Find(o.Entry.ID.Name)
+				if side(o) == side(n) && e.State.Gone() {
+					return false
+				}
+			}
+			return true
+		})
+		c.Assert(ok, qt.IsTrue, qt.Commentf("own side seen as gone %v after the merge", f.Now().Sub(start)))
+	}
+	c.Assert(f.Agreed(), qt.IsTrue)
+}
+
+// An operator's edit reaches one entry, right before or while others can't be
+// reached. Every entry must have it within 13 s of being reachable.
+func TestMarksSpread(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(f *fleet.Fleet)
+		heal  func(f *fleet.Fleet)
+	}{
+		{"in quiet", func(*fleet.Fleet) {}, func(*fleet.Fleet) {}},
+		{"with a place lost", func(f *fleet.Fleet) {
+			for _, n := range f.Nodes {
+				if n.Entry.Place == "place-01" {
+					f.Lose(n)
+				}
+			}
+		}, func(*fleet.Fleet) {}},
+		{"with a place cut off", func(f *fleet.Fleet) {
+			f.Cut(func(a, b *fleet.Node) bool {
+				return a.Entry.Place != b.Entry.Place && (a.Entry.Place == "place-01" || b.Entry.Place == "place-01")
+			})
+			f.Run(20 * time.Second)
+		}, func(f *fleet.Fleet) { f.Cut(nil) }},
+		{"with an entry paused", func(f *fleet.Fleet) { f.Pause(f.Nodes[5]); f.Run(10 * time.Second) }, func(f *fleet.Fleet) { f.Resume(f.Nodes[5]) }},
+	}
+	for _, tt := range tests {
+		for _, s := range []size{today, grown} {
+			t.Run(tt.name+"/"+s.name, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				f := settled(c, s, 3)
+				tt.fault(f)
+				f.Handle(f.Nodes[0], member.Revised{Marks: member.Marks{Settings: 8, Ring: 2}})
+				f.Run(time.Second)
+				tt.heal(f)
+				within(c, f, 13*time.Second, "settings", func() bool {
+					return f.All(func(n *fleet.Node, _ member.View) bool { return n.Marks == member.Marks{Settings: 8, Ring: 2} })
+				})
+			})
+		}
+	}
+}
+
+// A target says that it is about to stop to the one entry that it serves just
+// then, and a request that crashes targets meets one entry at a time: each must
+// be known to the others within a few seconds.
+func TestRumours(t *testing.T) {
+	for _, s := range []size{today, grown} {
+		t.Run(s.name, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range s.seeds {
+				f := settled(c, s, seed)
+				f.Handle(f.Nodes[2], member.Tell{Rumours: member.Rumours{
+					Stopping: []member.Stopping{{Target: "w1", Boot: 4, At: f.Now()}},
+					Crashers: []member.Crasher{{Print: 99, Crashes: 1, At: f.Now()}},
+				}})
+				within(c, f, 5*time.Second, "rumours", func() bool {
+					return f.All(func(n *fleet.Node, _ member.View) bool {
+						return n == f.Nodes[2] || len(n.Learned.Stopping) == 1 && len(n.Learned.Crashers) == 1
+					})
+				})
+				f.Run(20 * time.Second)
+				f.All(func(n *fleet.Node, _ member.View) bool {
+					c.Assert(len(n.Learned.Stopping) <= 1 && len(n.Learned.Crashers) <= 1, qt.IsTrue, qt.Commentf("learned again: %+v", n.Learned))
+					return true
+				})
+			}
+		})
+	}
+}
