--- a/pkg/tree/edit_test.go
+++ b/pkg/tree/edit_test.go
@@ -155,7 +155,7 @@
 	q.Assert(ok, qt.IsFalse)
 	edits, ok := d.Since(d.Revision - 3)
 	q.Assert(ok, qt.IsTrue)
-	q.Assert(edits, qt.HasLen, 3)
+	q.Assert(edits, qt.HasLen, 4)
 }
 
 func TestDiffLeadsToOther(t *testing.T) {
--- a/pkg/tree/merge.go
+++ b/pkg/tree/merge.go
@@ -104,14 +104,16 @@
 // ErrGap says that edits don't follow on a document.
 var ErrGap = errors.New("edits do not follow the revision in force")
 
-// Since returns the edits after a revision, and whether the log reaches back so
-// far.
+// Since returns the edits from the one that led to a revision, that one
+// included, and whether the log reaches back so far. The overlap shows the
+// receiver that its own history is the same: without it two histories that went
+// apart would mix unnoticed, each entry with settings that nobody accepted.
 func (d Document) Since(revision uint64) (edits []Edit, ok bool) {
-	if revision < d.oldest() || revision > d.Revision {
+	if revision <= d.oldest() || revision > d.Revision {
 		return nil, false
 	}
 	for _, e := range d.Edits {
-		if e.Revision > revision {
+		if e.Revision >= revision {
 			edits = append(edits, e)
 		}
 	}
@@ -119,10 +121,14 @@
 }
 
 // Replay applies edits which were accepted elsewhere, skipping those that d
-// already holds. Each entry that replays the same edits gets the same document.
+// already holds. The first must be one of these: see Since. Each entry that
+// replays the same edits gets the same document.
 func (d Document) Replay(edits []Edit) (next Document, err error) {
 	defer func() { err = errors.WithMessage(err, "replay") }()
 	next = d
+	if len(edits) > 0 && edits[0].Revision > d.Revision {
+		return d, ErrGap
+	}
 	for _, e := range edits {
 		if e.Revision <= next.Revision {
 			if old, ok := next.Find(e.ID); !ok || old.Revision != e.Revision {
--- a/pkg/tree/merge_test.go
+++ b/pkg/tree/merge_test.go
@@ -51,6 +51,22 @@
 	}
 }
 
+// An entry at 2' asks one at 3 for the edits since 2. Its own edit 2' is not in
+// that history: the edits must not be replayed on top of it.
+func TestReplayRefusesAnotherHistory(t *testing.T) {
+	q := qt.New(t)
+	base := site(q)
+	ours := apply(q, base, edit("ours", 1, set("/g/s", "timeout", "1s")))
+	theirs := apply(q, base, edit("a", 1, set("/g/t", "queue", "9")), edit("b", 2, set("/g/t", "slots", "9")))
+	edits, ok := theirs.Since(ours.Revision)
+	q.Assert(ok, qt.IsTrue)
+	kept, err := ours.Replay(edits)
+	q.Assert(err, qt.ErrorIs, tree.ErrGap)
+	q.Assert(kept.Revision, qt.Equals, ours.Revision)
+	_, err = base.Replay(edits)
+	q.Assert(err, qt.ErrorIs, tree.ErrGap)
+}
+
 // copies is a model of entries that hold copies of the document and pass them
 // on in any order, through a store that may come back older.
 type copies struct {
--- a/pkg/tree/wire_test.go
+++ b/pkg/tree/wire_test.go
@@ -79,7 +79,7 @@
 			return
 		}
 		d := site(qt.New(t))
-		next, err := d.Replay([]tree.Edit{e})
+		next, err := d.Replay([]tree.Edit{d.Edits[0], e})
 		if err != nil && next.Revision != d.Revision {
 			t.Fatalf("a refused edit left revision %d", next.Revision)
 		}
