settings: faults of an accepted configuration as a table

Seen to fail on a scratch copy: without healing, without reading after a lost answer, without the open flag, without Merge, without Join, without the check of the stored value, without the question to peers at boot; each failed the rows of TestEditUnderFaults that name it.

--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,214 @@
+package settings_test
+
+import (
+	"errors"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/settings"
+	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/tree"
+)
+
+// An operator's edit is accepted by one of three entries while something fails.
+// Every entry has it in force in the end, none goes back to an older revision
+// on the way, and no accepted edit is lost. The faults are those of the store
+// (down, lost answer, older data, silent watch), of peers, and of the entries.
+func TestEditUnderFaults(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		run  func(w *world)
+	}{
+		{"none", func(w *world) {
+			w.accept(0, "e", 1, 2)
+			w.inForce(2, "e")
+		}},
+		{"store down right after acceptance", func(w *world) {
+			w.store.set(func(f *fakeStore) { f.downAfter = f.writes + 1 })
+			w.accept(1, "e", 1, 2)
+			w.inForce(2, "e")
+		}},
+		{"answer lost", func(w *world) {
+			w.store.set(func(f *fakeStore) { f.lose = 1 })
+			w.accept(0, "e", 1, 2)
+			w.accept(2, "e", 1, 2)
+			w.inForce(2, "e")
+		}},
+		{"answer lost, then stale reads for a while", func(w *world) {
+			w.store.set(func(f *fakeStore) { f.lose, f.staleAfter = 1, true })
+			_, err := w.edit(0, "e", 1, set("/g/s", "slots", "3"))
+			w.q.Assert(errors.As(err, new(*settings.Uncertain)), qt.IsTrue, qt.Commentf("%v", err))
+			w.store.set(func(f *fakeStore) { f.stale = 0 })
+			w.accept(0, "e", 1, 2)
+			w.inForce(2, "e")
+		}},
+		{"store comes back older", func(w *world) {
+			w.accept(0, "e", 1, 2)
+			w.inForce(2, "e")
+			w.store.rollback(1)
+			w.until("healed", func() bool { return w.stored().Revision == 2 })
+			w.inForce(2, "e")
+		}},
+		{"store comes back empty", func(w *world) {
+			w.accept(0, "e", 1, 2)
+			w.inForce(2, "e")
+			w.store.rollback(2)
+			w.until("healed", func() bool { return w.stored().Revision == 2 })
+			w.inForce(2, "e")
+		}},
+		{"older store takes an edit from an entry that was cut off", func(w *world) {
+			w.entries[2].cut.Store(true)
+			w.entries[2].view.off.Store(true)
+			w.accept(0, "e", 1, 2)
+			w.until("the others", func() bool { return w.entries[1].Document().Revision == 2 })
+			w.entries[0].view.off.Store(true)
+			w.entries[1].view.off.Store(true)
+			w.store.rollback(1)
+			w.entries[2].view.off.Store(false)
+			_, err := w.edit(2, "f", 1, set("/g/s", "queue", "7"))
+			w.q.Assert(err, qt.IsNil)
+			for _, e := range w.entries {
+				e.cut.Store(false)
+				e.view.off.Store(false)
+			}
+			w.inForce(3, "e", "f")
+		}},
+		{"entry boots during an outage", func(w *world) {
+			w.accept(0, "e", 1, 2)
+			w.inForce(2, "e")
+			w.store.set(func(f *fakeStore) { f.down = true })
+			w.mute.Store(true)
+			w.boot()
+			w.inForce(2, "e")
+		}},
+		{"entry boots on an older store", func(w *world) {
+			w.accept(0, "e", 1, 2)
+			w.inForce(2, "e")
+			w.store.set(func(f *fakeStore) { f.stale = 1 })
+			w.boot()
+			w.inForce(2, "e")
+		}},
+		{"entry cut off for a while", func(w *world) {
+			w.entries[2].cut.Store(true)
+			w.store.set(func(f *fakeStore) { f.downAfter = f.writes + 1 })
+			w.accept(0, "e", 1, 2)
+			w.until("the others", func() bool { return w.entries[1].Document().Revision == 2 })
+			w.q.Assert(w.entries[2].Document().Revision, qt.Equals, uint64(1))
+			w.entries[2].cut.Store(false)
+			w.inForce(2, "e")
+		}},
+		{"silent watch and no peers", func(w *world) {
+			for _, e := range w.entries {
+				e.cut.Store(true)
+			}
+			w.store.set(func(f *fakeStore) { f.silent = true })
+			w.accept(0, "e", 1, 2)
+			w.inForce(2, "e")
+		}},
+		{"corrupt value", func(w *world) {
+			w.store.set(func(f *fakeStore) {
+				f.history = append(f.history, store.Object{Version: 2, Value: []byte(`{"revision": 9}`)})
+			})
+			_, err := w.edit(0, "e", 1, set("/g/s", "slots", "3"))
+			w.q.Assert(errors.As(err, new(*settings.Corrupt)), qt.IsTrue, qt.Commentf("%v", err))
+			w.inForce(1, "seed")
+			w.store.rollback(1)
+			w.accept(0, "e", 1, 2)
+			w.inForce(2, "e")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), 3)
+			w.seed()
+			c.run(w)
+		})
+	}
+}
+
+// Two operators edit through two entries from the same base. One is accepted;
+// the other gets a conflict that shows both edits, whichever entry is asked.
+func TestOperatorsRace(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		first  tree.Change
+		second tree.Change
+	}{
+		{"one node", set("/g/s", "timeout", "1s"), set("/g/s", "timeout", "3s")},
+		{"parent and child", set("/g", "timeout", "1s"), set("/g/s", "timeout", "3s")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := qt.New(t)
+			w := newWorld(q, 2)
+			w.seed()
+			_, err := w.edit(0, "one", 1, c.first)
+			q.Assert(err, qt.IsNil)
+			_, err = w.edit(1, "two", 1, c.second)
+			var conflict *tree.Conflict
+			q.Assert(errors.As(err, &conflict), qt.IsTrue, qt.Commentf("%v", err))
+			q.Assert(conflict.Theirs.Author, qt.Equals, "op-one")
+			q.Assert(conflict.Mine.ID, qt.Equals, "two")
+			w.inForce(2, "one")
+		})
+	}
+	t.Run("at once", func(t *testing.T) {
+		q := qt.New(t)
+		w := newWorld(q, 2)
+		w.seed()
+		errs := make(chan error, 2)
+		for i, id := range []string{"one", "two"} {
+			go func() {
+				_, err := w.edit(i, id, 1, set("/g/s", "slots", strconv.Itoa(3+i)))
+				errs <- err
+			}()
+		}
+		a, b := <-errs, <-errs
+		q.Assert((a == nil) != (b == nil), qt.IsTrue, qt.Commentf("%v, %v", a, b))
+		w.inForce(2)
+	})
+}
+
+// The store is down for the whole edit. Nothing was written, so the edit was
+// surely not accepted; when a write was sent, its fate is open until the same
+// edit is sent again.
+func TestEditDuringOutage(t *testing.T) {
+	q := qt.New(t)
+	w := newWorld(q, 2)
+	w.seed()
+	w.store.set(func(f *fakeStore) { f.down = true })
+	_, err := w.edit(0, "never", 1, set("/g/s", "slots", "3"))
+	q.Assert(errors.As(err, new(*settings.Uncertain)), qt.IsFalse, qt.Commentf("%v", err))
+	q.Assert(store.IsUnavailable(err), qt.IsTrue, qt.Commentf("%v", err))
+	w.store.set(func(f *fakeStore) { f.down, f.lose, f.downAfter = false, 1, f.writes+1 })
+	_, err = w.edit(0, "open", 1, set("/g/s", "slots", "3"))
+	q.Assert(errors.As(err, new(*settings.Uncertain)), qt.IsTrue, qt.Commentf("%v", err))
+	w.store.set(func(f *fakeStore) { f.down, f.downAfter = false, 0 })
+	w.accept(1, "open", 1, 2)
+	w.inForce(2, "open")
+}
+
+// Many entries see a store that came back older. The writes are conditional and
+// jittered, so the store is healed by one of them.
+func TestOneEntryHeals(t *testing.T) {
+	q := qt.New(t)
+	w := newWorld(q, 8)
+	w.seed()
+	w.accept(0, "e", 1, 2)
+	w.inForce(2, "e")
+	w.store.rollback(1)
+	w.until("healed", func() bool { return w.stored().Revision == 2 })
+	w.store.set(func(f *fakeStore) { q.Check(f.writes, qt.Equals, 3) })
+}
+
+func TestTooLong(t *testing.T) {
+	q := qt.New(t)
+	w := newWorld(q, 1)
+	w.seed()
+	var changes []tree.Change
+	for i := range 12_000 {
+		changes = append(changes, tree.Change{Op: tree.Create, Path: "/g/service-" + strconv.Itoa(i), Kind: tree.ServiceKind})
+	}
+	_, err := w.edit(0, "long", 1, changes...)
+	q.Assert(errors.As(err, new(*settings.TooLong)), qt.IsTrue, qt.Commentf("%v", err))
+}
--- /dev/null
+++ b/internal/settings/world_test.go
@@ -0,0 +1,315 @@
+package settings_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/settings"
+	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/tree"
+)
+
+// fakeStore is the platform's store for one object, with faults.
+type fakeStore struct {
+	mu         sync.Mutex
+	history    []store.Object
+	down       bool
+	downAfter  int // goes down after so many writes; 0 is never
+	lose       int // answers to so many writes are lost
+	silent     bool
+	stale      int  // reads show the object as it was so many writes ago
+	staleAfter bool // stale becomes 1 with the next write
+	writes     int
+	followers  []func(store.Object)
+}
+
+var errDown = &store.Unavailable{Cause: errors.New("refused"), Untouched: true}
+
+func (f *fakeStore) current() store.Object {
+	if n := len(f.history) - f.stale; n > 0 {
+		return f.history[n-1]
+	}
+	return store.Object{}
+}
+
+func (f *fakeStore) Get(ctx context.Context, _, _ string) (store.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case ctx.Err() != nil || f.down:
+		return store.Object{}, errDown
+	case f.current().Version == 0:
+		return store.Object{}, store.ErrNotFound
+	}
+	return f.current(), nil
+}
+
+func (f *fakeStore) Put(_ context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return 0, errDown
+	}
+	var version uint64
+	if n := len(f.history); n > 0 {
+		version = f.history[n-1].Version
+	}
+	if version != expected {
+		return 0, &store.ErrConflict{Expected: expected, Current: version}
+	}
+	f.writes++
+	f.history = append(f.history, store.Object{Kind: kind, Name: name, Version: version + 1, Value: value})
+	if f.staleAfter {
+		f.stale, f.staleAfter = 1, false
+	}
+	if f.downAfter > 0 && f.writes >= f.downAfter {
+		f.down, f.silent = true, true
+	}
+	f.tell()
+	if f.lose > 0 {
+		f.lose--
+		return 0, &store.Unavailable{Cause: errors.New("reset")}
+	}
+	return version + 1, nil
+}
+
+// tell is the watch.
+func (f *fakeStore) tell() {
+	if f.silent {
+		return
+	}
+	for _, took := range f.followers {
+		go took(f.current())
+	}
+}
+
+// view is the store as one entry reaches it.
+type view struct {
+	*fakeStore
+	off atomic.Bool // can't be reached
+}
+
+func (v *view) Get(ctx context.Context, kind, name string) (store.Object, error) {
+	if v.off.Load() {
+		return store.Object{}, errDown
+	}
+	return v.fakeStore.Get(ctx, kind, name)
+}
+
+func (v *view) Put(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
+	if v.off.Load() {
+		return 0, errDown
+	}
+	return v.fakeStore.Put(ctx, kind, name, expected, value)
+}
+
+// Follow polls each millisecond besides the watch, unless the store is down.
+func (v *view) Follow(ctx context.Context, w store.Follow) error {
+	took := func(o store.Object) {
+		if !v.off.Load() {
+			w.Took(o)
+		}
+	}
+	v.set(func(f *fakeStore) { f.followers = append(f.followers, took) })
+	for ctx.Err() == nil {
+		var o store.Object
+		var down bool
+		v.set(func(f *fakeStore) { o, down = f.current(), f.down })
+		if !down {
+			took(o)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+// set changes faults or contents.
+func (f *fakeStore) set(change func(f *fakeStore)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// rollback forgets the newest n writes.
+func (f *fakeStore) rollback(n int) {
+	f.set(func(f *fakeStore) { f.history = f.history[:len(f.history)-n] })
+}
+
+// entry is one entry of a world.
+type entry struct {
+	*settings.Settings
+	world *world
+	cut   atomic.Bool // from its peers
+	view  *view
+	low   atomic.Bool // its revision was seen going down
+}
+
+// peers asks the first other entry that can be reached.
+type peers struct{ e *entry }
+
+func (p peers) Settings(_ context.Context, since uint64) (settings.Change, error) {
+	for _, other := range p.e.world.all() {
+		if other != p.e && !other.cut.Load() && !p.e.cut.Load() {
+			return other.Since(since), nil
+		}
+	}
+	return settings.Change{}, errors.New("no peer")
+}
+
+// world is a site of entries, their store and their gossip.
+type world struct {
+	q       *qt.C
+	ctx     context.Context
+	store   *fakeStore
+	running sync.WaitGroup
+	mu      sync.Mutex
+	entries []*entry
+	mute    atomic.Bool // no gossip; peers still answer questions
+}
+
+func newWorld(q *qt.C, entries int) *world {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	w := &world{q: q, ctx: ctx, store: &fakeStore{}}
+	q.Cleanup(func() {
+		cancel()
+		w.running.Wait()
+	})
+	for range entries {
+		w.boot()
+	}
+	return w
+}
+
+// boot starts an entry.
+func (w *world) boot() {
+	e := &entry{world: w, view: &view{fakeStore: w.store}}
+	e.Settings = settings.New(settings.Config{
+		Store: e.view,
+		Peers: peers{e},
+		Log:   &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+		Rand:  rand.New(rand.NewPCG(1, uint64(len(w.entries)))),
+		Now:   func() time.Time { return time.Unix(1_800_000_000, 0) },
+		Wait: func(ctx context.Context, _ time.Duration) error {
+			time.Sleep(100 * time.Microsecond)
+			return ctx.Err()
+		},
+	})
+	w.mu.Lock()
+	w.entries = append(w.entries, e)
+	w.mu.Unlock()
+	for _, worker := range e.Workers() {
+		w.running.Go(func() { _ = worker.Serve(w.ctx) })
+	}
+	w.running.Go(e.gossip)
+}
+
+// gossip offers what is in force to the other entries, as the real one does.
+func (e *entry) gossip() {
+	newest := uint64(0)
+	for e.world.ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+		if r := e.Document().Revision; r < newest {
+			e.low.Store(true)
+		} else {
+			newest = r
+		}
+		for _, o := range e.world.all() {
+			if o != e && !e.cut.Load() && !o.cut.Load() && !e.world.mute.Load() {
+				e.offer(o)
+			}
+		}
+	}
+}
+
+func (w *world) all() []*entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.entries)
+}
+
+func (e *entry) offer(o *entry) {
+	if err := o.Offer(e.world.ctx, e.Since(o.Document().Revision)); errors.Is(err, tree.ErrGap) {
+		_ = o.Offer(e.world.ctx, e.Since(0))
+	}
+}
+
+// edit sends an edit to an entry and waits at most a while for its fate.
+func (w *world) edit(to int, id string, base uint64, changes ...tree.Change) (tree.Edit, error) {
+	ctx, cancel := context.WithTimeout(w.ctx, 300*time.Millisecond)
+	defer cancel()
+	return w.entries[to].Edit(ctx, tree.Edit{ID: id, Author: "op-" + id, Base: base, Changes: changes})
+}
+
+// seed has the first revisions accepted: a group, and a service below it.
+func (w *world) seed() {
+	w.q.Helper()
+	_, err := w.edit(0, "seed", 0,
+		tree.Change{Op: tree.Create, Path: "/g", Kind: tree.GroupKind},
+		tree.Change{Op: tree.Create, Path: "/g/s", Kind: tree.ServiceKind})
+	w.q.Assert(err, qt.IsNil)
+	w.inForce(1, "seed")
+}
+
+// inForce waits until every entry has a revision with certain edits, and checks
+// that none went back on the way.
+func (w *world) inForce(revision uint64, ids ...string) {
+	w.q.Helper()
+	w.until("revision "+fmt.Sprint(revision), func() bool {
+		for _, e := range w.entries {
+			d := e.Document()
+			if d.Revision != revision {
+				return false
+			}
+			for _, id := range ids {
+				if _, ok := d.Find(id); !ok {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	for i, e := range w.entries {
+		w.q.Assert(e.low.Load(), qt.IsFalse, qt.Commentf("entry %d went back", i))
+	}
+}
+
+func (w *world) until(what string, done func() bool) {
+	w.q.Helper()
+	for end := time.Now().Add(5 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			w.q.Fatalf("%s not reached in 5 s", what)
+		}
+	}
+}
+
+func set(path, field, value string) tree.Change {
+	return tree.Change{Op: tree.Set, Path: path, Field: field, Value: value}
+}
+
+// accept has an edit accepted with a revision.
+func (w *world) accept(to int, id string, base, revision uint64) {
+	w.q.Helper()
+	accepted, err := w.edit(to, id, base, set("/g/s", "slots", "3"))
+	w.q.Assert(err, qt.IsNil)
+	w.q.Assert(accepted.Revision, qt.Equals, revision)
+}
+
+// stored is the document that the store holds.
+func (w *world) stored() (d tree.Document) {
+	w.store.set(func(f *fakeStore) {
+		if o := f.current(); o.Version > 0 {
+			d, _ = tree.Decode(o.Value)
+		}
+	})
+	return d
+}
