members: the driver of membership over the peers' protocol

Ring gives the view by which package ring weighs a change: an incarnation counts as gone for sure only when it said so itself, and a dead one is no source of a newer ring.

--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,160 @@
+package members
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/peer"
+	"plumpitch.example/plumpitch/pkg/member"
+	"plumpitch.example/plumpitch/pkg/ring"
+)
+
+// node is an entry with a real listener and client.
+type node struct {
+	*Members
+	self     member.Entry
+	cancel   context.CancelFunc
+	server   *http.Server
+	learned  atomic.Int32
+	replaced atomic.Int32
+	behind   atomic.Uint64
+}
+
+// pace makes rounds ten times faster than those of an entry.
+const pace = 10
+
+func start(c *qt.C, name string, boot uint64, seeds ...string) *node {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := l.Addr().String()
+	n := &node{self: member.Entry{
+		ID: member.ID{Name: name, Boot: boot}, Caller: "c-" + address, Peer: address, Place: "p", Region: "r",
+	}}
+	client := peer.NewClient(peer.ClientConfig{})
+	n.Members = New(Config{
+		Member: member.Config{
+			Self: n.self, Seeds: seeds, Rand: rand.New(rand.NewPCG(1, boot)),
+			Period: member.DefaultPeriod / pace, Suspicion: member.DefaultSuspicion / pace,
+		},
+		Client:     client,
+		Behind:     func(_ member.Ref, m member.Marks) { n.behind.Store(m.Settings) },
+		Learned:    func(member.Rumours) { n.learned.Add(1) },
+		Superseded: func(member.ID) { n.replaced.Add(1) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.server = peer.NewServer(peer.ServerConfig{Self: n.self.ID, Members: n.Members})
+	go n.server.Serve(l)
+	go n.Serve(ctx)
+	c.Cleanup(func() { n.stop(); client.Close() })
+	return n
+}
+
+func (n *node) stop() {
+	n.cancel()
+	n.server.Close()
+}
+
+func (n *node) state(name string) member.State {
+	e, ok := n.View().Find(name)
+	if !ok {
+		return member.Left
+	}
+	return e.State
+}
+
+func eventually(c *qt.C, what string, ok func() bool) {
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Fatalf("not within 10 s: %s", what)
+}
+
+// Three entries meet over loopback through one seed; then one announces its
+// stop, one is killed, and the last is told of both.
+func TestMembers(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	a := start(c, "a", 1)
+	b := start(c, "b", 1, a.self.Peer)
+	d := start(c, "d", 1, a.self.Peer)
+	nodes := []*node{a, b, d}
+	for _, n := range nodes {
+		eventually(c, n.self.ID.Name+" sees all", func() bool { return len(n.Serving()) == 3 })
+		got, _ := n.View().Find("b")
+		c.Assert(got.Caller, qt.Equals, b.self.Caller)
+	}
+
+	c.Assert(b.Revised(ctx, member.Marks{Settings: 4}), qt.IsNil)
+	c.Assert(b.Tell(ctx, member.Rumours{Stopping: []member.Stopping{{Target: "w", At: time.Now()}}}), qt.IsNil)
+	c.Assert(b.Synced(ctx, 3), qt.IsNil)
+	for _, n := range []*node{a, d} {
+		eventually(c, "settings of b", func() bool { return n.behind.Load() == 4 })
+		eventually(c, "rumour of b", func() bool { return n.learned.Load() == 1 })
+		eventually(c, "synced mark of b", func() bool {
+			return fmt.Sprint(n.Ring(time.Now(), 3).Synced) == "[b#1]"
+		})
+	}
+
+	c.Assert(b.Leave(ctx), qt.IsNil)
+	for _, n := range nodes {
+		eventually(c, "b leaves", func() bool { return n.state("b") == member.Leaving })
+	}
+	c.Assert(b.Depart(ctx), qt.IsNil)
+	b.stop()
+	eventually(c, "b left", func() bool { return a.state("b") == member.Left })
+	c.Assert(a.Ring(time.Now(), 0).Gone, qt.DeepEquals, []ring.Ident{{Name: "b", Boot: 1}})
+
+	d.stop()
+	eventually(c, "d dead", func() bool { return a.state("d") == member.Dead })
+	v := a.Ring(time.Now().Add(time.Minute), 0)
+	c.Assert(v.Seen[0].Name, qt.Equals, "a")
+	c.Assert(v.Gone, qt.HasLen, 1)
+	for _, s := range v.Seen[1:] {
+		c.Assert(time.Since(s.Last) > 0, qt.IsTrue)
+	}
+}
+
+// A replacement starts under the name of an entry that still runs.
+func TestReplaced(t *testing.T) {
+	c := qt.New(t)
+	a := start(c, "a", 1)
+	b := start(c, "b", 1, a.self.Peer)
+	eventually(c, "meeting", func() bool { return len(a.Serving()) == 2 && len(b.Serving()) == 2 })
+	start(c, "b", 2, a.self.Peer)
+	eventually(c, "the old one hears", func() bool { return b.replaced.Load() == 1 })
+}
+
+// The platform and the settings name addresses where nothing answers, or answers
+// late: calls must end with the context, and the entry goes on alone.
+func TestAlone(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts and never answers
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	a := start(c, "a", 1, l.Addr().String(), "127.0.0.1:1")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err = a.Ping(ctx, l.Addr().String())
+	c.Assert(err, qt.ErrorMatches, "ping .*deadline exceeded.*")
+	c.Assert(a.Seeds(ctx, []string{"127.0.0.1:1"}), qt.IsNil)
+	c.Assert(a.Serving(), qt.HasLen, 1)
+	a.cancel()
+	gone, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	for range postQueue + 2 {
+		err = a.Leave(gone)
+	}
+	c.Assert(err, qt.ErrorMatches, "membership: .*deadline exceeded")
+}
--- a/pkg/member/entry.go
+++ b/pkg/member/entry.go
@@ -49,6 +49,7 @@
 	Peer     string    // host:port of the peers' listener
 	Place    string
 	Region   string
+	Marks    Marks // as it last said itself to this entry; not passed on
 }
 
 // Brief tells whether the addresses are left out.
--- a/pkg/member/exchange.go
+++ b/pkg/member/exchange.go
@@ -97,9 +97,12 @@
 		t.learn(now, e, all)
 	}
 	t.hear(now, m.Rumours)
-	t.hearMarks(m.Marks)
 	r, ok := t.records[m.From.Name]
-	if ok && r != t.self && (m.Marks.Settings > t.marks.Settings || m.Marks.Ring > t.marks.Ring) {
+	if !ok || r.ID != m.From || r == t.self {
+		return
+	}
+	t.hearMarks(r, m.Marks)
+	if m.Marks.Settings > t.marks.Settings || m.Marks.Ring > t.marks.Ring {
 		t.act(Behind{Peer: r.ref(), Marks: m.Marks})
 	}
 }
--- a/pkg/member/learn.go
+++ b/pkg/member/learn.go
@@ -102,7 +102,7 @@
 
 // update takes a newer statement about a known incarnation. Its addresses stay.
 func (t *Table) update(now time.Time, r *record, e Entry) {
-	e.Caller, e.Peer, e.Place, e.Region = r.Caller, r.Peer, r.Place, r.Region
+	e.Caller, e.Peer, e.Place, e.Region, e.Marks = r.Caller, r.Peer, r.Place, r.Region, r.Marks
 	if e.State == Suspect && (r.State != Suspect || e.Sequence != r.Sequence) {
 		r.deadline = now.Add(t.suspicion())
 	}
--- a/pkg/member/records.go
+++ b/pkg/member/records.go
@@ -142,12 +142,11 @@
 	Self    Entry
 	Entries []Entry // by name, this entry and those that are gone included
 	Digest  uint64
-	Heard   Marks // newest revisions that any entry spoke of
 }
 
 // View gives a copy of the table.
 func (t *Table) View() View {
-	v := View{Self: t.self.Entry, Digest: t.sums.all, Heard: t.heard}
+	v := View{Self: t.self.Entry, Digest: t.sums.all}
 	for _, r := range t.byName() {
 		v.Entries = append(v.Entries, r.Entry)
 	}
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -17,7 +17,6 @@
 	sums    sums
 	seeds   []string
 	marks   Marks
-	heard   Marks // newest that any entry spoke of
 
 	exchanges map[uint64]exchange
 	exchange  uint64 // last number given out
@@ -168,14 +167,13 @@
 		return
 	}
 	t.marks = m
-	t.hearMarks(m)
+	t.hearMarks(t.self, m)
 	t.news = true
 }
 
-func (t *Table) hearMarks(m Marks) {
-	newest := Marks{Settings: max(t.heard.Settings, m.Settings), Ring: max(t.heard.Ring, m.Ring)}
-	t.changed = t.changed || newest != t.heard
-	t.heard = newest
+func (t *Table) hearMarks(from *record, m Marks) {
+	t.changed = t.changed || m != from.Marks
+	from.Marks = m
 }
 
 func (t *Table) act(a Action) { t.actions = append(t.actions, a) }
