settings: operators' calls (go-kit) and their client

Cause: operators need get with origins, edits, files, diff and history on the operators' listener. Change: Handler mounts them, Client makes them and sends an edit again under its id after a lost answer. Ran: go test -race ./internal/settings, ok.

--- /dev/null
+++ b/internal/settings/client.go
@@ -0,0 +1,146 @@
+package settings
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/pkg/tree"
+)
+
+// Client makes the calls of Handler from an operator's side.
+type Client struct {
+	Addr string // host:port of an entry's operators' listener
+}
+
+// Attempts of a call and the pause between them. An edit keeps its ID, so
+// sending it again after a lost answer does it no second time.
+const (
+	clientAttempts = 3
+	clientPause    = 300 * time.Millisecond
+	clientTimeout  = editTimeout + 2*time.Second
+)
+
+// Refused is an answer that is no success.
+type Refused struct {
+	Status  int // HTTP status
+	Message string
+}
+
+// Error is the entry's message.
+func (r *Refused) Error() string { return r.Message }
+
+// Get returns the values in effect at a node.
+func (c Client) Get(ctx context.Context, path string) (Node, error) {
+	var j nodeJSON
+	err := c.call(ctx, http.MethodGet, "get?path="+url.QueryEscape(path), nil, &j)
+	return nodeFromJSON(j), err
+}
+
+// Document returns the document in force at the entry.
+func (c Client) Document(ctx context.Context) (tree.Document, error) {
+	var raw json.RawMessage
+	if err := c.call(ctx, http.MethodGet, "document", nil, &raw); err != nil {
+		return tree.Document{}, err
+	}
+	return tree.Decode(raw)
+}
+
+// History returns the last n edits, oldest first.
+func (c Client) History(ctx context.Context, n int) (edits []tree.Edit, err error) {
+	var j historyJSON
+	err = c.call(ctx, http.MethodGet, "history?count="+strconv.Itoa(n), nil, &j)
+	for _, e := range j.Edits {
+		edits = append(edits, editFromJSON(e))
+	}
+	return edits, err
+}
+
+// Edit has an edit accepted. A nil base leaves it to the entry.
+func (c Client) Edit(ctx context.Context, e tree.Edit, base *uint64) (Accepted, error) {
+	j := draftJSON{ID: e.ID, Author: e.Author, Base: base, Changes: changesToJSON(e.Changes)}
+	return c.change(ctx, "edit", j)
+}
+
+// Diff tells what a settings file would change.
+func (c Client) Diff(ctx context.Context, p Proposal) (Accepted, error) {
+	return c.change(ctx, "diff", proposalToJSON(p))
+}
+
+// Apply has the whole tree follow a settings file.
+func (c Client) Apply(ctx context.Context, p Proposal) (Accepted, error) {
+	return c.change(ctx, "apply", proposalToJSON(p))
+}
+
+func proposalToJSON(p Proposal) proposalJSON {
+	return proposalJSON{ID: p.ID, Author: p.Author, Base: p.Base, File: p.File, Text: string(p.Text)}
+}
+
+func (c Client) change(ctx context.Context, name string, body any) (Accepted, error) {
+	var j acceptedJSON
+	err := c.call(ctx, http.MethodPost, name, body, &j)
+	return Accepted{ID: j.ID, Revision: j.Revision, Changes: changesFromJSON(j.Changes)}, err
+}
+
+func (c Client) call(ctx context.Context, method, name string, body, into any) (err error) {
+	defer func() { err = errors.WithMessage(err, "entry "+c.Addr) }()
+	var sent []byte
+	if body != nil {
+		if sent, err = json.Marshal(body); err != nil {
+			return err
+		}
+	}
+	for n := 1; ; n++ {
+		err = c.once(ctx, method, name, sent, into)
+		if n == clientAttempts || !again(err) || wait(ctx, clientPause) != nil {
+			return err
+		}
+	}
+}
+
+// again tells whether a call may fare better when it is made again.
+func again(err error) bool {
+	var r *Refused
+	if errors.As(err, &r) {
+		return r.Status == http.StatusGatewayTimeout
+	}
+	return err != nil
+}
+
+func (c Client) once(ctx context.Context, method, name string, sent []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.Addr+"/v1/settings/"+name, bytes.NewReader(sent))
+	if err != nil {
+		return err
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = w.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(w.Body, maxBody))
+	if err != nil {
+		return err
+	}
+	if w.StatusCode == http.StatusOK {
+		return json.Unmarshal(b, into)
+	}
+	return refused(w.StatusCode, b)
+}
+
+func refused(status int, body []byte) error {
+	var j errorJSON
+	if json.Unmarshal(body, &j) != nil || j.Error == "" {
+		j.Error = fmt.Sprintf("found status %d, expected 200: %.200s", status, body)
+	}
+	return &Refused{Status: status, Message: j.Error}
+}
--- /dev/null
+++ b/internal/settings/http.go
@@ -0,0 +1,143 @@
+package settings
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/tree"
+)
+
+// maxBody is the longest body of a call in bytes.
+const maxBody = 2 << 20
+
+// defaultHistory is how many edits history shows unless it is asked for more.
+const defaultHistory = 20
+
+// Handler returns the operators' calls on the settings, in JSON:
+//
+//	GET  /v1/settings/get?path=P       values in effect at a node, and where each comes from
+//	GET  /v1/settings/document         the whole document, as it is stored
+//	GET  /v1/settings/history?count=N  the last edits
+//	POST /v1/settings/edit             has an edit accepted
+//	POST /v1/settings/diff             what a settings file would change
+//	POST /v1/settings/apply            has the whole tree follow a settings file
+//
+// Errors are {"error"}, with "problems" at 422, with "mine" and "theirs" at
+// 409; 504 leaves open whether the edit was accepted.
+func Handler(s *Settings) http.Handler {
+	m := http.NewServeMux()
+	m.Handle("GET /v1/settings/get", call(s.getEndpoint(), decodePath, encodeNode))
+	m.Handle("GET /v1/settings/document", call(s.documentEndpoint(), decodeNothing, encodeDocument))
+	m.Handle("GET /v1/settings/history", call(s.historyEndpoint(), decodeCount, encodeHistory))
+	m.Handle("POST /v1/settings/edit", call(s.editEndpoint(), decodeDraft, encodeAccepted))
+	m.Handle("POST /v1/settings/diff", call(s.diffEndpoint(), decodeProposal, encodeAccepted))
+	m.Handle("POST /v1/settings/apply", call(s.applyEndpoint(), decodeProposal, encodeAccepted))
+	return m
+}
+
+func call(e endpoint.Endpoint, d kithttp.DecodeRequestFunc, enc kithttp.EncodeResponseFunc) http.Handler {
+	return kithttp.NewServer(e, d, enc, kithttp.ServerErrorEncoder(encodeError))
+}
+
+// badRequest is a call that can't be read.
+type badRequest struct{ err error }
+
+func (b badRequest) Error() string { return b.err.Error() }
+
+func decodeNothing(context.Context, *http.Request) (any, error) { return nil, nil }
+
+func decodePath(_ context.Context, r *http.Request) (any, error) {
+	if path := r.URL.Query().Get("path"); path != "" {
+		return path, nil
+	}
+	return tree.Root, nil
+}
+
+func decodeCount(_ context.Context, r *http.Request) (any, error) {
+	text := r.URL.Query().Get("count")
+	if text == "" {
+		return defaultHistory, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		return nil, badRequest{errors.Errorf("count: found %q, expected a number from 1", text)}
+	}
+	return n, nil
+}
+
+func decodeDraft(_ context.Context, r *http.Request) (any, error) {
+	var j draftJSON
+	if err := decodeBody(r, &j); err != nil {
+		return nil, err
+	}
+	e := tree.Edit{ID: j.ID, Author: j.Author, Changes: changesFromJSON(j.Changes)}
+	return draft{edit: e, base: j.Base}, nil
+}
+
+func decodeProposal(_ context.Context, r *http.Request) (any, error) {
+	var j proposalJSON
+	if err := decodeBody(r, &j); err != nil {
+		return nil, err
+	}
+	return Proposal{ID: j.ID, Author: j.Author, Base: j.Base, File: j.File, Text: []byte(j.Text)}, nil
+}
+
+func decodeBody(r *http.Request, into any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return badRequest{errors.WithMessage(err, "body")}
+	}
+	return nil
+}
+
+func encodeNode(ctx context.Context, w http.ResponseWriter, v any) error {
+	return kithttp.EncodeJSONResponse(ctx, w, nodeToJSON(v.(Node)))
+}
+
+func encodeDocument(_ context.Context, w http.ResponseWriter, v any) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, err := w.Write(tree.Encode(v.(tree.Document)))
+	return err
+}
+
+func encodeHistory(ctx context.Context, w http.ResponseWriter, v any) error {
+	return kithttp.EncodeJSONResponse(ctx, w, historyToJSON(v.([]tree.Edit)))
+}
+
+func encodeAccepted(ctx context.Context, w http.ResponseWriter, v any) error {
+	a := v.(Accepted)
+	j := acceptedJSON{ID: a.ID, Revision: a.Revision, Changes: changesToJSON(a.Changes)}
+	return kithttp.EncodeJSONResponse(ctx, w, j)
+}
+
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(status(err))
+	_ = json.NewEncoder(w).Encode(errorToJSON(err))
+}
+
+func status(err error) int {
+	switch {
+	case errors.As(err, new(badRequest)):
+		return http.StatusBadRequest
+	case errors.Is(err, tree.ErrNoNode):
+		return http.StatusNotFound
+	case errors.As(err, new(tree.Problems)), errors.As(err, new(*TooLong)):
+		return http.StatusUnprocessableEntity
+	case decided(err):
+		return http.StatusConflict
+	case errors.As(err, new(*Uncertain)):
+		return http.StatusGatewayTimeout
+	case store.IsUnavailable(err), errors.As(err, new(*Corrupt)):
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusInternalServerError
+}
