--- /dev/null
+++ b/settings.go
@@ -0,0 +1,293 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/settings"
+	"plumpitch.example/plumpitch/pkg/tree"
+)
+
+func settingsCommand() *command {
+	sub := flaggy.NewSubcommand("settings")
+	sub.Description = "show and edit the settings tree"
+	sub.AdditionalHelpAppend = "Example: plumpitch settings get /swanbourne/deposit-ledger --entry 127.0.0.1:8003"
+	return &command{sub: sub, subs: []*command{
+		settingsGet(), settingsSet(), settingsUnset(), settingsApply(), settingsDiff(), settingsHistory(),
+	}}
+}
+
+// reader is what the commands share that only look.
+type reader struct {
+	at     string
+	asJSON bool
+}
+
+func (r *reader) attach(sub *flaggy.Subcommand) {
+	sub.String(&r.at, "e", "entry", "host:port of an entry's operators' listener")
+	sub.Bool(&r.asJSON, "j", "json", "print JSON")
+}
+
+func (r *reader) client() (settings.Client, error) {
+	if r.at == "" {
+		return settings.Client{}, exitError{exitUsage, errors.New("--entry: found nothing, expected host:port")}
+	}
+	return settings.Client{Addr: r.at}, nil
+}
+
+// writer is what the commands share that edit.
+type writer struct {
+	reader
+	id     string
+	author string
+	base   int64
+	wait   bool
+	within time.Duration
+}
+
+// noBase leaves the base of an edit to the entry.
+const noBase = -1
+
+func newWriter() *writer {
+	w := &writer{base: noBase, author: os.Getenv("USER"), within: 30 * time.Second}
+	if w.author == "" {
+		w.author = "operator"
+	}
+	return w
+}
+
+func (w *writer) attach(sub *flaggy.Subcommand) {
+	w.reader.attach(sub)
+	sub.String(&w.id, "", "id", "id of the edit, to send an edit again whose fate is not known")
+	sub.String(&w.author, "a", "author", "who edits, for the history")
+	sub.Int64(&w.base, "b", "base", "revision that you have seen; a later edit of the same value is then a conflict")
+	sub.Bool(&w.wait, "w", "wait", "wait until the edit is in force at every live entry")
+	sub.Duration(&w.within, "", "within", "longest wait")
+}
+
+func (w *writer) baseRevision() *uint64 {
+	if w.base < 0 {
+		return nil
+	}
+	base := uint64(w.base)
+	return &base
+}
+
+func (w *writer) editID() string {
+	if w.id == "" {
+		w.id = uuid.NewString()
+	}
+	return w.id
+}
+
+// edit has changes accepted and reports the outcome.
+func (w *writer) edit(ctx context.Context, changes ...tree.Change) error {
+	c, err := w.client()
+	if err != nil {
+		return err
+	}
+	e := tree.Edit{ID: w.editID(), Author: w.author, Changes: changes}
+	a, err := c.Edit(ctx, e, w.baseRevision())
+	return w.report(ctx, a, err)
+}
+
+// report prints what became of an edit, and waits until it is in force where
+// that was asked for.
+func (w *writer) report(ctx context.Context, a settings.Accepted, err error) error {
+	if err != nil {
+		return withExit(errors.WithMessagef(err, "edit %s", w.id))
+	}
+	if w.wait {
+		if err := awaitRevision(ctx, w.at, a.Revision, w.within); err != nil {
+			return err
+		}
+	}
+	if w.asJSON {
+		return printJSON(acceptedView{a.ID, a.Revision, changeTexts(a.Changes), w.wait})
+	}
+	for _, c := range a.Changes {
+		fmt.Println(c)
+	}
+	if len(a.Changes) == 0 {
+		fmt.Printf("nothing to change at revision %d\n", a.Revision)
+		return nil
+	}
+	where := "accepted"
+	if w.wait {
+		where = "in force at every live entry"
+	}
+	fmt.Printf("revision %d %s\n", a.Revision, where)
+	return nil
+}
+
+type acceptedView struct {
+	ID       string   `json:"id"`
+	Revision uint64   `json:"revision"`
+	Changes  []string `json:"changes"`
+	InForce  bool     `json:"inforce"` // at every live entry; known only after --wait
+}
+
+func changeTexts(changes []tree.Change) []string {
+	texts := []string{}
+	for _, c := range changes {
+		texts = append(texts, c.String())
+	}
+	return texts
+}
+
+// withExit gives an error of an entry its exit code.
+func withExit(err error) error {
+	var r *settings.Refused
+	if !errors.As(err, &r) {
+		return err
+	}
+	switch r.Status {
+	case http.StatusConflict:
+		return exitError{exitConflict, err}
+	case http.StatusUnprocessableEntity:
+		return exitError{exitInvalid, err}
+	}
+	return err
+}
+
+func printJSON(v any) error {
+	return json.NewEncoder(os.Stdout).Encode(v)
+}
+
+func settingsGet() *command {
+	var r reader
+	path := tree.Root
+	sub := flaggy.NewSubcommand("get")
+	sub.Description = "show the values in effect at a node and where each comes from"
+	sub.AddPositionalValue(&path, "PATH", 1, false, "path of a node; / when left out")
+	r.attach(sub)
+	sub.AdditionalHelpAppend = "Example: plumpitch settings get /swanbourne/deposit-ledger --entry 127.0.0.1:8003"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		c, err := r.client()
+		if err != nil {
+			return err
+		}
+		n, err := c.Get(ctx, path)
+		if err != nil {
+			return withExit(err)
+		}
+		return r.printNode(n)
+	}}
+}
+
+type nodeView struct {
+	Revision uint64      `json:"revision"`
+	Path     string      `json:"path"`
+	Kind     string      `json:"kind"`
+	Values   []valueView `json:"values"`
+}
+
+type valueView struct {
+	Field string `json:"field"`
+	Value string `json:"value"`
+	From  string `json:"from"`
+}
+
+func (r *reader) printNode(n settings.Node) error {
+	v := nodeView{Revision: n.Revision, Path: n.Path, Kind: string(n.Kind)}
+	for _, o := range n.Values {
+		from := o.From
+		if from == "" {
+			from = "default"
+		}
+		v.Values = append(v.Values, valueView{o.Field, o.Value, from})
+	}
+	if r.asJSON {
+		return printJSON(v)
+	}
+	fmt.Printf("%s %s, revision %d\n\n", v.Kind, v.Path, v.Revision)
+	t := newTable("SETTING", "VALUE", "FROM")
+	for _, o := range v.Values {
+		t.Append([]string{o.Field, o.Value, o.From})
+	}
+	t.Render()
+	return nil
+}
+
+func settingsSet() *command {
+	w := newWriter()
+	var path, field, value string
+	sub := flaggy.NewSubcommand("set")
+	sub.Description = "override a value at a node"
+	sub.AddPositionalValue(&path, "PATH", 1, true, "path of a node")
+	sub.AddPositionalValue(&field, "SETTING", 2, true, "name of a setting")
+	sub.AddPositionalValue(&value, "VALUE", 3, true, "value with its unit; a list is written with commas")
+	w.attach(sub)
+	sub.AdditionalHelpAppend = "Example: plumpitch settings set /swanbourne/deposit-ledger timeout 5s --wait --entry 127.0.0.1:8003"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		return w.edit(ctx, tree.Change{Op: tree.Set, Path: path, Field: field, Value: value})
+	}}
+}
+
+func settingsUnset() *command {
+	w := newWriter()
+	var path, field string
+	sub := flaggy.NewSubcommand("unset")
+	sub.Description = "drop an override, so that the value is inherited again"
+	sub.AddPositionalValue(&path, "PATH", 1, true, "path of a node")
+	sub.AddPositionalValue(&field, "SETTING", 2, true, "name of a setting")
+	w.attach(sub)
+	sub.AdditionalHelpAppend = "Example: plumpitch settings unset /swanbourne/deposit-ledger timeout --entry 127.0.0.1:8003"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		return w.edit(ctx, tree.Change{Op: tree.Unset, Path: path, Field: field})
+	}}
+}
+
+func settingsHistory() *command {
+	var r reader
+	count := 20
+	sub := flaggy.NewSubcommand("history")
+	sub.Description = "show the last edits"
+	sub.Int(&count, "n", "count", "how many edits")
+	r.attach(sub)
+	sub.AdditionalHelpAppend = "Example: plumpitch settings history --count 5 --entry 127.0.0.1:8003"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		c, err := r.client()
+		if err != nil {
+			return err
+		}
+		edits, err := c.History(ctx, count)
+		if err != nil {
+			return withExit(err)
+		}
+		return r.printHistory(edits)
+	}}
+}
+
+type editView struct {
+	Revision uint64    `json:"revision"`
+	Time     time.Time `json:"time"`
+	Author   string    `json:"author"`
+	ID       string    `json:"id"`
+	Base     uint64    `json:"base"`
+	Changes  []string  `json:"changes"`
+}
+
+func (r *reader) printHistory(edits []tree.Edit) error {
+	views := []editView{}
+	for _, e := range edits {
+		views = append(views, editView{e.Revision, e.Time, e.Author, e.ID, e.Base, changeTexts(e.Changes)})
+	}
+	if r.asJSON {
+		return printJSON(views)
+	}
+	for _, v := range views {
+		fmt.Printf("revision %d by %s at %s, base %d, id %s\n", v.Revision, v.Author, v.Time.Format(time.RFC3339), v.Base, v.ID)
+		fmt.Println("  " + strings.Join(v.Changes, "\n  "))
+	}
+	return nil
+}
