--- a/internal/lab/tail/row.go
+++ b/internal/lab/tail/row.go
@@ -32,6 +32,7 @@
 	goodput        spread // percent of the capacity of the workers
 	lost           spread // tries that met a dead worker or a crash
 	drained        spread // milliseconds from the notice to the last new work
+	again          spread // milliseconds from the end of a fault to full use
 	closed         float64
 	hasClosed      bool
 }
@@ -56,6 +57,7 @@
 	})
 	r.worst = over(all, func(t *stats) float64 { return inMillis(t.worstWindow(100 * time.Millisecond)) })
 	r.goodput = over(all, func(t *stats) float64 { return 100 * float64(t.served) / seconds(t) / r.sc.shape.capacity() })
+	r.again = over(all, func(t *stats) float64 { return inMillis(r.usedAgain(t)) })
 	r.drained = over(all, func(t *stats) float64 { return inMillis(t.taken) })
 }
 
@@ -93,3 +95,14 @@
 	}
 	return nil
 }
+
+// usedAgain is the longest time until a worker is used fully after its fault.
+func (r *row) usedAgain(t *stats) (most time.Duration) {
+	if r.sc.policy == omniscient {
+		return 0
+	}
+	for _, f := range r.sc.faults {
+		most = max(most, t.usedAgain(f.worker, f.to))
+	}
+	return most
+}
--- a/internal/lab/tail/table.go
+++ b/internal/lab/tail/table.go
@@ -30,6 +30,7 @@
 	{"trials %", func(r *row) spread { return r.trials }, 2, false},
 	{"goodput %", func(r *row) spread { return r.goodput }, 1, false},
 	{"lost tries", func(r *row) spread { return r.lost }, 0, false},
+	{"used again ms", func(r *row) spread { return r.again }, 0, true},
 	{"last new work ms", func(r *row) spread { return r.drained }, 0, false},
 }
 
--- a/internal/lab/tail/worker.go
+++ b/internal/lab/tail/worker.go
@@ -32,6 +32,9 @@
 
 func (s *site) reach(j job) {
 	w := &s.workers[j.worker]
+	if j.request >= 0 {
+		s.stat.reach(j.worker, s.now)
+	}
 	if w.leaving && j.request >= 0 {
 		s.stat.afterDrain(s.now-w.told, !w.refuses)
 	}
