--- a/pkg/pool/config.go
+++ b/pkg/pool/config.go
@@ -43,7 +43,7 @@
 	c.Slots = orInt(c.Slots, 2)
 	c.Allowance = orInt(c.Allowance, 2)
 	c.MaxQueue = orInt(c.MaxQueue, 10000)
-	c.MaxWait = orDuration(c.MaxWait, 250*time.Millisecond)
+	c.MaxWait = orDuration(c.MaxWait, 100*time.Millisecond)
 	c.Service = orDuration(c.Service, 5*time.Millisecond)
 	c.Hold = orDuration(c.Hold, time.Minute)
 	c.TrialMin = orDuration(c.TrialMin, 50*time.Millisecond)
