pool: reports count the answered request, no deadline, leaving words to pass on

Cause, seen when reading the driver: targets report requests in flight with the answered one among them, which the pool took for one of another entry, so each target would have looked one slot fuller; a request without a deadline was refused when it had to queue; a pool that is replaced forgot which targets had told it that they leave. Change: Load.InFlight includes the answered request (the fake too); a zero deadline is none; Held returns the words for the next pool's Leave. Tests fail with each change taken out.

--- a/internal/lab/tail/entry.go
+++ b/internal/lab/tail/entry.go
@@ -123,6 +123,7 @@
 		load.InFlight = 0
 	}
 	if j.request < 0 {
+		load.InFlight--
 		r := pool.Probed{Target: strconv.Itoa(int(j.worker)), OK: j.end.kind != pool.RefusedConn, Load: load}
 		s.do(j.entry, e.pool.Probed(s.time(), r, e.out[:0]))
 		return
--- a/internal/lab/tail/worker.go
+++ b/internal/lab/tail/worker.go
@@ -92,7 +92,7 @@
 // reply sends the answer on its way with the load of this moment.
 func (s *site) reply(j job, kind pool.Kind) {
 	w := &s.workers[j.worker]
-	j.end = end{kind: kind, load: len(w.running) + len(w.waiting), leaving: w.leaving && !w.silent && !w.refuses}
+	j.end = end{kind: kind, load: len(w.running) + len(w.waiting) + 1, leaving: w.leaving && !w.silent && !w.refuses}
 	s.at(s.now+int64(s.sc.shape.Target), event{kind: answered, where: j.entry, job: j})
 }
 
--- a/pkg/pool/answer.go
+++ b/pkg/pool/answer.go
@@ -59,14 +59,14 @@
 }
 
 // report takes what a target says of itself. Its number of requests is of use
-// only for what other entries have there.
-func (p *Pool[P]) report(m *Member, l Load, out []Action) []Action {
+// only for what other entries have there, beside own of this one.
+func (p *Pool[P]) report(m *Member, l Load, own int, out []Action) []Action {
 	if l.Leaving && !m.left {
 		p.leave(m)
 		out = append(out, Action{Kind: Left, Target: m.ID, Boot: m.Boot, Addr: m.Addr})
 	}
 	if l.Known {
-		m.foreign = min(max(float64(l.InFlight-len(m.runs)), 0), float64(m.Slots))
+		m.foreign = min(max(float64(l.InFlight-own), 0), float64(m.Slots))
 		m.foreignAt = p.now
 	}
 	return out
--- a/pkg/pool/chooser.go
+++ b/pkg/pool/chooser.go
@@ -13,6 +13,8 @@
 	Targets(now time.Time, list []Target, out []Action) []Action
 	// Leave takes word that an incarnation of a target is leaving.
 	Leave(now time.Time, target string, boot uint64, out []Action) []Action
+	// Held returns the leaving words in force.
+	Held(now time.Time) []Held
 	// Arrive takes a request; it is dispatched, queued or refused.
 	Arrive(now time.Time, a Arrival, out []Action) []Action
 	// Done takes the end of a dispatched request.
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -24,8 +24,8 @@
 
 // Arrival is a request that wants a target.
 type Arrival struct {
-	ID         uint64 // unique among the requests in this pool
-	Deadline   time.Time
+	ID         uint64    // unique among the requests in this pool
+	Deadline   time.Time // zero: none
 	Idempotent bool
 	Avoid      string // target that was tried before, or empty
 }
@@ -46,7 +46,7 @@
 
 // Load is what a target says of itself on an answer.
 type Load struct {
-	InFlight int  // other requests there, of all entries
+	InFlight int  // requests there, of all entries, the answered one included
 	Known    bool // whether InFlight was given
 	Leaving  bool
 }
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -71,7 +72,7 @@
 // Arrive dispatches the request, queues it, or refuses it at once.
 func (p *Pool[P]) Arrive(now time.Time, a Arrival, out []Action) []Action {
 	p.set(now)
-	w := waiting{Arrival: a, due: a.Deadline.Sub(p.epoch), at: p.now}
+	w := waiting{Arrival: a, due: p.due(a.Deadline)}
 	if p.queue.len() == 0 {
 		if next, done := p.place(a, out); done {
 			return next
@@ -84,6 +85,13 @@
 	return p.drain(out)
 }
 
+func (p *Pool[P]) due(deadline time.Time) time.Duration {
+	if deadline.IsZero() {
+		return math.MaxInt64
+	}
+	return deadline.Sub(p.epoch)
+}
+
 // Done takes the end of a dispatched request. An unknown id is ignored: the
 // request was given up before.
 func (p *Pool[P]) Done(now time.Time, a Answer, out []Action) []Action {
@@ -93,9 +101,9 @@
 		return out
 	}
 	delete(p.flights, a.ID)
+	out = p.report(m, a.Load, len(m.runs), out)
 	r := m.remove(a.ID, p.now)
 	p.gap.done(p.now, p.queue.len() > 0)
-	out = p.report(m, a.Load, out)
 	p.take(m, r, a.Kind)
 	return p.drain(out)
 }
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -211,6 +211,59 @@
 	}
 }
 
+// A driver replaces a pool, and callers must not be sent to a target that told
+// only the old one that it leaves.
+func TestHeld(t *testing.T) {
+	c := qt.New(t)
+	b := bedOf(c, "", pool.Config{}, targets(3))
+	c.Assert(b.pool.Held(b.now), qt.HasLen, 0)
+	ownWord(b)
+	c.Assert(b.pool.Held(b.now), qt.DeepEquals, []pool.Held{{Target: "t0", Boot: 1}})
+	next := bedOf(c, "", pool.Config{}, targets(3))
+	for _, h := range b.pool.Held(b.now) {
+		next.pool.Leave(next.now, h.Target, h.Boot, nil)
+	}
+	c.Assert(next.serve(100, steady)["t0"], qt.Equals, 0)
+	c.Assert(b.pool.Held(b.now.Add(time.Hour)), qt.HasLen, 0)
+}
+
+// A target's own count names requests of other entries, which this entry must
+// leave room for; a report that counts only this entry's own says nothing.
+func TestReport(t *testing.T) {
+	tests := []struct {
+		name   string
+		report int // with one of two own requests answered
+		more   int // requests that then fit without a queue
+	}{
+		{"own only", 2, 1},
+		{"one of another entry", 3, 0},
+		{"below the own", 0, 1},
+	}
+	for _, test := range tests {
+		c := qt.New(t)
+		b := bedOf(c, "", pool.Config{Allowance: -1}, targets(1))
+		first, _ := b.arrive(time.Minute)
+		b.arrive(time.Minute)
+		b.pool.Done(b.now, pool.Answer{ID: first, Load: pool.Load{InFlight: test.report, Known: true}}, nil)
+		_, out := b.arrive(0)
+		c.Check(len(out), qt.Equals, 1)
+		c.Check(out[0].Kind == pool.Dispatch, qt.Equals, test.more == 1, qt.Commentf(test.name))
+	}
+}
+
+// A request without a deadline waits like any other.
+func TestNoDeadline(t *testing.T) {
+	c := qt.New(t)
+	b := bedOf(c, "", pool.Config{Allowance: -1}, targets(1))
+	b.arrive(time.Minute)
+	first := b.id
+	b.arrive(time.Minute)
+	c.Assert(b.pool.Arrive(b.now, pool.Arrival{ID: 9}, nil), qt.HasLen, 0)
+	out := b.done(first, pool.Served)
+	c.Assert(out, qt.HasLen, 1)
+	c.Assert(out[0].ID, qt.Equals, uint64(9))
+}
+
 // Without a cap on allocations the hot path would feed the collector; the
 // driver passes its own slice.
 func BenchmarkDecision(b *testing.B) {
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -9,7 +9,6 @@
 type waiting struct {
 	Arrival
 	due time.Duration // deadline on the pool's clock
-	at  time.Duration
 }
 
 // Before orders by deadline, then by arrival.
--- a/pkg/pool/targets.go
+++ b/pkg/pool/targets.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Targets takes the whole list of targets. One that is missing gets no new
 // work; its requests in flight go on.
@@ -104,3 +108,24 @@
 	}
 	return p.drain(out)
 }
+
+// Held is an incarnation of a target that said, or of which was said, that it
+// leaves.
+type Held struct {
+	Target string
+	Boot   uint64
+}
+
+// Held returns the leaving words in force. A driver that replaces a pool passes
+// them on by Leave: else a target that only this pool was told of would get new
+// work again.
+func (p *Pool[P]) Held(now time.Time) (held []Held) {
+	p.set(now)
+	for id, h := range p.holds {
+		if p.now < h.until {
+			held = append(held, Held{Target: id, Boot: h.boot})
+		}
+	}
+	slices.SortFunc(held, func(a, b Held) int { return cmp.Compare(a.Target, b.Target) })
+	return held
+}
--- a/pkg/pool/tick.go
+++ b/pkg/pool/tick.go
@@ -79,7 +79,7 @@
 	}
 	m.probing = false
 	m.answered = p.now
-	out = p.report(m, r.Load, out)
+	out = p.report(m, r.Load, len(m.runs), out)
 	switch {
 	case r.OK && m.out:
 		m.trialAt = min(m.trialAt, p.now)
