--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -142,6 +144,30 @@
 	}
 }
 
+// Several workers of one entry read from a store that answers at once with a
+// failure. However short their backoff, the calls keep to the entry's rate.
+func TestRateHoldsDuringOutage(t *testing.T) {
+	q := qt.New(t)
+	p, _, _ := site(t)
+	p.SetFaults(platform.Faults{Down: true})
+	srv := httptest.NewServer(p)
+	q.Cleanup(srv.Close)
+	s := store.New(store.Config{Addr: srv.URL, Backoff: store.Backoff{Base: time.Millisecond, Cap: time.Millisecond}})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var readers sync.WaitGroup
+	for range 8 {
+		readers.Go(func() {
+			for ctx.Err() == nil {
+				_, _ = s.Get(ctx, "settings", "tree")
+			}
+		})
+	}
+	readers.Wait()
+	q.Assert(p.Counts().Reads <= store.ReadBurst+store.ReadRate, qt.IsTrue, qt.Commentf("%d reads", p.Counts().Reads))
+	q.Assert(p.Counts().Reads > 0, qt.IsTrue)
+}
+
 func TestBackoffBounds(t *testing.T) {
 	q := qt.New(t)
 	r := rand.New(rand.NewPCG(3, 4))
--- a/pkg/tree/field.go
+++ b/pkg/tree/field.go
@@ -44,7 +44,7 @@
 	case f.Low != "" || f.High != "":
 		return f.Low + " to " + f.High
 	}
-	return "any"
+	return f.expect
 }
 
 // Canon returns the canonical text of a value, or a Problem that lacks only its
