pool: requests that are not idempotent go first in the queue

Cause: at overload bookings were refused as often as browsing. Change: two heaps; admission counts only what would go before.

--- a/internal/lab/tail/entry.go
+++ b/internal/lab/tail/entry.go
@@ -28,6 +28,9 @@
 func (s *site) arrive(j job) {
 	r := &s.requests[j.request]
 	s.stat.offered++
+	if r.write {
+		s.stat.writes++
+	}
 	e := &s.entries[r.entry]
 	e.tokens = min(e.tokens+retryShare, retryBurst)
 	s.offer(j.request, "")
@@ -36,7 +39,7 @@
 func (s *site) offer(i int32, avoid string) {
 	r := &s.requests[i]
 	e := &s.entries[r.entry]
-	a := pool.Arrival{ID: attempt(i, r.try), Deadline: epoch.Add(time.Duration(r.at) + s.sc.deadline), Idempotent: true, Avoid: avoid}
+	a := pool.Arrival{ID: attempt(i, r.try), Deadline: epoch.Add(time.Duration(r.at) + s.sc.deadline), Idempotent: !r.write, Avoid: avoid}
 	s.do(r.entry, e.pool.Arrive(s.time(), a, e.out[:0]))
 }
 
@@ -48,7 +51,7 @@
 		case pool.Dispatch:
 			s.dispatch(i, a)
 		case pool.Refuse:
-			s.stat.refuse(a.Reason)
+			s.stat.refuse(a.Reason, s.requests[a.ID>>tryBits].write)
 			s.close(int32(a.ID >> tryBits))
 		case pool.Probe:
 			w, _ := strconv.Atoi(a.Target)
@@ -141,7 +144,7 @@
 	r := &s.requests[j.request]
 	switch j.end.kind {
 	case pool.Served:
-		s.stat.answer(s.now - r.at + 2*int64(s.sc.shape.Caller))
+		s.stat.answer(s.now-r.at+2*int64(s.sc.shape.Caller), r.write)
 		s.close(j.request)
 	case pool.Failed:
 		s.stat.failed++
@@ -159,7 +162,8 @@
 		return
 	}
 	e := &s.entries[r.entry]
-	if !s.sc.retries || r.try+1 >= maxTries || e.tokens < 1 {
+	sure := j.end.kind == pool.Shed || j.end.kind == pool.RefusedConn
+	if !s.sc.retries || r.write && !sure || r.try+1 >= maxTries || e.tokens < 1 {
 		s.stat.failed++
 		s.close(j.request)
 		return
--- a/internal/lab/tail/experiments.go
+++ b/internal/lab/tail/experiments.go
@@ -41,12 +41,12 @@
 )
 
 var experiments = []experiment{
-	{"tail", "Policy by load, no faults.", tailRows, []string{"used again ms", "failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
-	{"owners", "Where a service's requests meet: k entries, used alike or the first preferred.", ownersRows, []string{"used again ms", "failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
-	{"straggler", "One worker 10 times slower, unannounced: all the time, or from a third to two thirds of the run; one that stalls for 300 ms every second.", stragglerRows, []string{"failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
-	{"swing", "Load that swings 10 times within a moment.", swingRows, []string{"used again ms", "failed %", "lost tries", "last new work ms"}},
-	{"probes", "The cost of measuring.", probesRows, []string{"used again ms", "failed %", "lost tries", "last new work ms"}},
-	{"drain", "A target leaves a third into the run, told in one way only; or crashes and comes back cold.", drainRows, []string{"worst 100 ms", "goodput %"}},
+	{"tail", "Policy by load, no faults.", tailRows, []string{"p99 of writes ms", "writes refused %", "used again ms", "failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
+	{"owners", "Where a service's requests meet: k entries, used alike or the first preferred.", ownersRows, []string{"p99 of writes ms", "writes refused %", "used again ms", "failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
+	{"straggler", "One worker 10 times slower, unannounced: all the time, or from a third to two thirds of the run; one that stalls for 300 ms every second.", stragglerRows, []string{"p99 of writes ms", "writes refused %", "failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
+	{"swing", "Load that swings 10 times within a moment.", swingRows, []string{"p99 of writes ms", "writes refused %", "used again ms", "failed %", "lost tries", "last new work ms"}},
+	{"probes", "The cost of measuring.", probesRows, []string{"p99 of writes ms", "writes refused %", "used again ms", "failed %", "lost tries", "last new work ms"}},
+	{"drain", "A target leaves a third into the run, told in one way only; or crashes and comes back cold.", drainRows, []string{"p99 of writes ms", "writes refused %", "worst 100 ms", "goodput %"}},
 	{"retry", "Overload and targets that fail fast.", retryRows, []string{"used again ms", "worst 100 ms", "last new work ms"}},
 }
 
@@ -223,9 +223,10 @@
 }
 
 func retryRows(requests int) (rows []row) {
-	for _, load := range []float64{1, 2} {
-		group := fmt.Sprintf("gown-catalogue %.0f %%", 100*load)
+	for _, load := range []float64{0.95, 1, 2} {
+		group := fmt.Sprintf("gown-catalogue %.0f %%, a tenth writes", 100*load)
 		sc := base(gownCatalogue, load, requests)
+		sc.writes = 0.1
 		rows = append(rows, row{group: group, way: wayTwo, sc: sc.with(pool.NameTwoChoices)},
 			row{group: group, way: "least in flight x14", sc: sc.with(pool.NameLeastInFlight)},
 			row{group: group, way: wayOwn, sc: sc.own()})
--- a/internal/lab/tail/row.go
+++ b/internal/lab/tail/row.go
@@ -22,6 +22,8 @@
 
 	p50, p99, p999 spread // milliseconds
 	refused        spread // percent of requests
+	write99        spread // p99 of requests that are not idempotent, milliseconds
+	writesRefused  spread // percent of these
 	late           spread // percent of requests, refused after a wait
 	failed         spread // percent of requests
 	probes         spread // a second
@@ -46,6 +48,8 @@
 		return over(all, func(t *stats) float64 { return 100 * float64(n(t)) / float64(t.offered) })
 	}
 	r.refused = percent(func(t *stats) int { return t.refused })
+	r.write99 = over(all, func(t *stats) float64 { return float64(t.tookWrite.ValueAtQuantile(99)) / 1000 })
+	r.writesRefused = over(all, func(t *stats) float64 { return 100 * float64(t.refusedWrites) / float64(max(t.writes, 1)) })
 	r.late = percent(func(t *stats) int { return t.late })
 	r.failed = percent(func(t *stats) int { return t.failed })
 	r.retries = percent(func(t *stats) int { return t.retries })
--- a/internal/lab/tail/scenario.go
+++ b/internal/lab/tail/scenario.go
@@ -47,6 +47,7 @@
 	mislead  bool          // load reports always say zero
 	deaf     bool          // answers carry no load report
 	retries  bool
+	writes   float64 // share of requests that are not idempotent
 	tweak    tweak
 }
 
--- a/internal/lab/tail/site.go
+++ b/internal/lab/tail/site.go
@@ -19,6 +19,7 @@
 	demand float64
 	try    int32
 	over   bool
+	write  bool // not idempotent
 }
 
 // site is one service, its entries and callers in virtual time.
@@ -61,7 +62,7 @@
 
 // draw makes the requests: Poisson arrivals, lognormal demands.
 func (s *site) draw() {
-	rnd := rand.New(rand.NewPCG(s.sc.seed, 1))
+	rnd, kinds := rand.New(rand.NewPCG(s.sc.seed, 1)), rand.New(rand.NewPCG(s.sc.seed, 1<<32))
 	shape := s.sc.shape
 	mu := math.Log(float64(shape.Service)) - shape.Sigma*shape.Sigma/2
 	at := 0.0
@@ -69,6 +70,7 @@
 	for i := range s.requests {
 		at += rnd.ExpFloat64() / s.rate(at) * float64(time.Second)
 		s.requests[i] = request{at: int64(at), entry: s.meet(rnd), demand: math.Exp(mu + shape.Sigma*rnd.NormFloat64())}
+		s.requests[i].write = kinds.Float64() < s.sc.writes
 		s.at(int64(at), event{kind: atEntry, job: job{request: int32(i)}})
 	}
 	s.stat.until = int64(at)
--- a/internal/lab/tail/stats.go
+++ b/internal/lab/tail/stats.go
@@ -19,28 +19,31 @@
 
 // stats is what one run counted.
 type stats struct {
-	took    *hdr.Histogram // microseconds from caller to caller, of served requests
-	offered int
-	served  int
-	failed  int // answered with an error or broken off
-	refused int
-	late    int // refused after having waited in the queue
-	tries   int
-	retries int
-	trials  int
-	probes  []interval
-	denied  int
-	newest  time.Duration // last arrival of work at a leaving worker, after the notice
-	taken   time.Duration // the same, of work that it took
-	most    int           // requests queued or in flight at most
-	lost    int           // tries that met a dead worker or a crash
-	reached [][]int       // requests at each worker in each reachStep
-	until   int64
-	reasons [8]int
+	took          *hdr.Histogram // microseconds from caller to caller, of served requests
+	tookWrite     *hdr.Histogram // the same of those that are not idempotent
+	writes        int
+	refusedWrites int
+	offered       int
+	served        int
+	failed        int // answered with an error or broken off
+	refused       int
+	late          int // refused after having waited in the queue
+	tries         int
+	retries       int
+	trials        int
+	probes        []interval
+	denied        int
+	newest        time.Duration // last arrival of work at a leaving worker, after the notice
+	taken         time.Duration // the same, of work that it took
+	most          int           // requests queued or in flight at most
+	lost          int           // tries that met a dead worker or a crash
+	reached       [][]int       // requests at each worker in each reachStep
+	until         int64
+	reasons       [8]int
 }
 
 func newStats(workers int) *stats {
-	return &stats{took: hdr.New(lowest, highest, digits), reached: make([][]int, workers)}
+	return &stats{took: hdr.New(lowest, highest, digits), tookWrite: hdr.New(lowest, highest, digits), reached: make([][]int, workers)}
 }
 
 func (t *stats) afterDrain(age int64, took bool) {
@@ -52,16 +55,22 @@
 
 func (t *stats) probeRan(from, to int64) { t.probes = append(t.probes, interval{from, to}) }
 
-func (t *stats) refuse(r pool.Reason) {
+func (t *stats) refuse(r pool.Reason, write bool) {
 	t.refused++
+	if write {
+		t.refusedWrites++
+	}
 	t.reasons[r]++
 	if r == pool.DeadlineUp {
 		t.late++
 	}
 }
 
-func (t *stats) answer(took int64) {
+func (t *stats) answer(took int64, write bool) {
 	t.served++
+	if write {
+		_ = t.tookWrite.RecordValue(took / int64(time.Microsecond))
+	}
 	_ = t.took.RecordValue(took / int64(time.Microsecond))
 }
 
--- a/internal/lab/tail/table.go
+++ b/internal/lab/tail/table.go
@@ -21,6 +21,8 @@
 	{"p99 ms", func(r *row) spread { return r.p99 }, 1, true},
 	{"p99.9 ms", func(r *row) spread { return r.p999 }, 1, true},
 	{"refused %", func(r *row) spread { return r.refused }, 2, false},
+	{"p99 of writes ms", func(r *row) spread { return r.write99 }, 1, true},
+	{"writes refused %", func(r *row) spread { return r.writesRefused }, 2, false},
 	{"after a wait %", func(r *row) spread { return r.late }, 2, false},
 	{"failed %", func(r *row) spread { return r.failed }, 2, false},
 	{"probes/s", func(r *row) spread { return r.probes }, 2, false},
--- a/pkg/pool/admit.go
+++ b/pkg/pool/admit.go
@@ -24,7 +24,7 @@
 }
 
 // wait is the expected time that a request queued now would wait.
-func (p *Pool[P]) wait() time.Duration {
+func (p *Pool[P]) wait(idempotent bool) time.Duration {
 	between := p.gap.mean
 	if between == 0 {
 		slots := 0
@@ -35,14 +35,14 @@
 		}
 		between = float64(p.curve.Mean(p.cfg.Service)) / float64(max(slots, 1))
 	}
-	return time.Duration(between * float64(p.queue.len()+1))
+	return time.Duration(between * float64(p.queue.ahead(idempotent)+1))
 }
 
 // admit tells whether a request may be queued. Refusing here, at once, is the
 // only honest answer to a request that would be given up later: it has not run
 // and its caller can still go elsewhere.
 func (p *Pool[P]) admit(w waiting) (reason Reason, wait time.Duration) {
-	wait = p.wait()
+	wait = p.wait(w.Idempotent)
 	switch {
 	case p.queue.len() >= p.cfg.MaxQueue || wait > p.cfg.MaxWait:
 		return QueueFull, wait
@@ -56,5 +56,3 @@
 func (p *Pool[P]) need() time.Duration {
 	return p.curve.Median(p.cfg.Service)
 }
-
-func (p *Pool[P]) late(w waiting) bool { return p.now+p.need() > w.due }
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -43,7 +43,7 @@
 		byID:    map[string]*Member{},
 		holds:   map[string]hold{},
 		flights: map[uint64]*Member{},
-		queue:   queue{live: map[uint64]struct{}{}},
+		queue:   queue{live: map[uint64]bool{}},
 	}
 	p.choice = Choice{Curve: &p.curve, Config: &p.cfg, Rand: rnd}
 	return p
@@ -188,27 +188,34 @@
 	return nil
 }
 
-// drain dispatches from the head of the queue while a target has room.
+// drain refuses what has become too late and dispatches from the head of the
+// queue while a target has room.
 func (p *Pool[P]) drain(out []Action) []Action {
+	out = p.refuseLate(out)
 	for {
 		w, ok := p.queue.head()
 		if !ok {
 			return out
 		}
-		if p.late(w) {
-			p.queue.pop()
-			out = append(out, Action{Kind: Refuse, ID: w.ID, Reason: DeadlineUp, RetryAfter: p.wait()})
-			continue
-		}
 		next, done := p.place(w.Arrival, out)
 		if !done {
 			return out
 		}
-		p.queue.pop()
+		p.queue.remove(w.ID)
 		out = next
 	}
 }
 
+func (p *Pool[P]) refuseLate(out []Action) []Action {
+	for {
+		w, ok := p.queue.late(p.now + p.need())
+		if !ok {
+			return out
+		}
+		out = append(out, Action{Kind: Refuse, ID: w.ID, Reason: DeadlineUp, RetryAfter: p.wait(w.Idempotent)})
+	}
+}
+
 // place dispatches the request, or refuses it where no target may get new
 // work. done is false when it has to wait.
 func (p *Pool[P]) place(a Arrival, out []Action) (next []Action, done bool) {
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -251,6 +251,25 @@
 	}
 }
 
+// At overload browsing would crowd out bookings, whose callers can't just try
+// again. Those that are not idempotent go first, whatever their deadlines, and
+// are not refused for the length of a queue that they pass.
+func TestPriority(t *testing.T) {
+	c := qt.New(t)
+	b := bedOf(c, "", pool.Config{Allowance: -1, MaxWait: 4 * time.Millisecond}, targets(1))
+	running, _ := b.arrive(time.Minute)
+	b.arrive(time.Minute)
+	read, _ := b.arrive(50 * time.Millisecond)
+	_, out := b.arrive(time.Minute)
+	c.Assert(out[0].Reason, qt.Equals, pool.QueueFull)
+	write := pool.Arrival{ID: 9, Deadline: b.now.Add(time.Minute)}
+	c.Assert(b.pool.Arrive(b.now, write, nil), qt.HasLen, 0)
+	out = b.done(running, pool.Served)
+	c.Assert(out[0].ID, qt.Equals, uint64(9))
+	out = b.done(9, pool.Served)
+	c.Assert(out[0].ID, qt.Equals, read)
+}
+
 // A request without a deadline waits like any other.
 func TestNoDeadline(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -19,38 +19,72 @@
 	return w.ID < o.ID
 }
 
-// queue holds waiting requests by deadline. A request that is taken back stays
-// in the heap and is passed over when it comes up.
+// queue holds waiting requests, those that are not idempotent before the rest,
+// each by deadline. A request that is taken back stays in its heap and is
+// passed over when it comes up.
 type queue struct {
-	heap heap.Heap[waiting]
-	live map[uint64]struct{}
+	first  heap.Heap[waiting] // not idempotent
+	rest   heap.Heap[waiting]
+	live   map[uint64]bool // whether it is idempotent
+	firsts int
 }
 
 func (q *queue) len() int { return len(q.live) }
 
+// ahead returns how many requests would go before a new one, if all came by
+// the same deadline.
+func (q *queue) ahead(idempotent bool) int {
+	if idempotent {
+		return len(q.live)
+	}
+	return q.firsts
+}
+
 func (q *queue) push(w waiting) {
-	q.heap.Push(w)
-	q.live[w.ID] = struct{}{}
+	q.live[w.ID] = w.Idempotent
+	if w.Idempotent {
+		q.rest.Push(w)
+		return
+	}
+	q.firsts++
+	q.first.Push(w)
 }
 
 func (q *queue) remove(id uint64) (found bool) {
-	_, found = q.live[id]
+	idempotent, found := q.live[id]
+	if found && !idempotent {
+		q.firsts--
+	}
 	delete(q.live, id)
 	return found
 }
 
+// head returns the next request.
 func (q *queue) head() (w waiting, ok bool) {
-	for q.heap.Len() > 0 {
-		w = q.heap.Head()
+	if w, ok = q.top(&q.first); ok {
+		return w, true
+	}
+	return q.top(&q.rest)
+}
+
+func (q *queue) top(h *heap.Heap[waiting]) (w waiting, ok bool) {
+	for h.Len() > 0 {
+		w = h.Head()
 		if _, ok = q.live[w.ID]; ok {
 			return w, true
 		}
-		q.heap.Pop()
+		h.Pop()
 	}
 	return waiting{}, false
 }
 
-func (q *queue) pop() {
-	w := q.heap.Pop()
-	delete(q.live, w.ID)
+// late takes out a request that is due before then.
+func (q *queue) late(then time.Duration) (w waiting, ok bool) {
+	for _, h := range []*heap.Heap[waiting]{&q.first, &q.rest} {
+		if w, ok = q.top(h); ok && w.due < then {
+			q.remove(w.ID)
+			return w, true
+		}
+	}
+	return waiting{}, false
 }
