--- a/pkg/claim/attempt.go
+++ b/pkg/claim/attempt.go
@@ -40,7 +40,7 @@
 // asked is what is known of one replica under the ring in force.
 type asked struct {
 	member ring.Member
-	groups []int
+	groups []int   // of the ring in force; none when the replica has fallen out
 	reply  Verdict // 0 while there is none
 	by     ring.Ident
 	retry  bool // no usable reply yet: ask again
@@ -85,20 +85,20 @@
 	case !a.bid.Bounds.Knowable(now, a.bid.Ring, a.bid.Service, a.bid.Key):
 		return a.refuse(Result{Kind: Uncertain, Reason: ReasonRecordsLost, RetryAfter: retryLost})
 	}
-	a.peers = nil
+	for _, p := range a.peers {
+		*p = asked{member: p.member}
+	}
 	for g, set := range a.bid.Ring.Groups(a.bid.Service, a.bid.Key) {
 		for _, m := range set {
-			p := a.find(m.Ident)
-			if p == nil {
-				p = &asked{member: m}
-				a.peers = append(a.peers, p)
-			}
+			p := a.join(m)
 			p.groups = append(p.groups, g)
 		}
 	}
 	var out []Action
 	for _, p := range a.peers {
-		out = append(out, a.request(p))
+		if len(p.groups) > 0 {
+			out = append(out, a.request(p))
+		}
 	}
 	return out
 }
@@ -150,38 +150,40 @@
 
 // changed starts over under a newer ring with the same ID: replicas that have
 // accepted it before do so again, and replies under the former ring no longer
-// count.
+// count. Replicas that fall out keep the claim until the attempt ends. To
+// withdraw it there would be a promise never to run it, and they would drop the
+// record of its run when they become replicas again.
 func (a *Attempt) changed(now time.Time, e Changed) []Action {
 	if a.state == done || !e.Ring.Newer(a.bid.Ring) {
 		return nil
 	}
+	a.bid.Ring = e.Ring
 	if a.state == running {
-		a.widen(e.Ring)
+		a.widen()
 		return nil
 	}
-	former := a.peers
-	a.bid.Ring = e.Ring
-	out := a.ask(now)
-	for _, p := range former {
-		if a.state == asking && a.find(p.member.Ident) == nil {
-			out = append(out, a.withdraw(p))
-		}
-	}
-	return out
+	return a.ask(now)
 }
 
-// widen adds the replicas of a newer ring to those that hear of the outcome.
-func (a *Attempt) widen(r ring.Ring) {
-	a.bid.Ring = r
-	for _, set := range r.Groups(a.bid.Service, a.bid.Key) {
+// widen adds the replicas of the ring in force to those that hear of the
+// outcome.
+func (a *Attempt) widen() {
+	for _, set := range a.bid.Ring.Groups(a.bid.Service, a.bid.Key) {
 		for _, m := range set {
-			if a.find(m.Ident) == nil {
-				a.peers = append(a.peers, &asked{member: m})
-			}
+			a.join(m)
 		}
 	}
 }
 
+func (a *Attempt) join(m ring.Member) *asked {
+	p := a.find(m.Ident)
+	if p == nil {
+		p = &asked{member: m}
+		a.peers = append(a.peers, p)
+	}
+	return p
+}
+
 func (a *Attempt) tick(now time.Time) []Action {
 	if a.state != asking {
 		return nil
@@ -224,17 +226,8 @@
 	return nil
 }
 
-// wins tells whether a majority of each group has accepted.
 func (a *Attempt) wins() bool {
-	if len(a.peers) == 0 {
-		return false
-	}
-	for g, size := range a.sizes() {
-		if size > 0 && a.count(g, func(v Verdict) bool { return v == Accepted }) < ring.Majority(size) {
-			return false
-		}
-	}
-	return true
+	return a.all(Accepted)
 }
 
 // loses tells whether a majority of some group is out of reach.
@@ -248,15 +241,24 @@
 	return false
 }
 
-// reused tells whether a majority of some group knows the key only from another
-// request. Had this one run, one of them would know of it.
+// reused tells whether a majority of each group knows the key only from another
+// request. Had this one run, one of them would know of it. The new list of a
+// joint ring alone proves nothing: it may not have the records yet.
 func (a *Attempt) reused() bool {
+	return a.all(OtherPrint)
+}
+
+// all tells whether a majority of each group gave a verdict.
+func (a *Attempt) all(v Verdict) bool {
+	if len(a.peers) == 0 {
+		return false
+	}
 	for g, size := range a.sizes() {
-		if size > 0 && a.count(g, func(v Verdict) bool { return v == OtherPrint }) >= ring.Majority(size) {
-			return true
+		if size > 0 && a.count(g, func(o Verdict) bool { return o == v }) < ring.Majority(size) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 func (a *Attempt) sizes() (sizes [2]int) {
--- a/pkg/claim/attempt_test.go
+++ b/pkg/claim/attempt_test.go
@@ -21,6 +21,7 @@
 
 var (
 	stable = ring.Ring{Revision: 4, Members: fleet(3, 1)}
+	moved  = ring.Ring{Revision: 5, Members: fleet(3, 2)}
 	joint  = ring.Ring{Revision: 5, Members: fleet(3, 2), Old: fleet(3, 1)}
 )
 
@@ -124,6 +125,7 @@
 		{name: "settled", ring: stable, steps: []step{{1, says(0, Accepted)}, {2, says(1, Settled)}}, kind: Replay, withdraw: 3},
 		{name: "key reused", ring: stable, steps: []step{{1, says(0, OtherPrint)}, {2, says(1, OtherPrint)}}, kind: Conflict, reason: ReasonKeyReused, withdraw: 3},
 		{name: "key reused, only one says so", ring: stable, steps: []step{{1, says(0, OtherPrint)}, {2, says(1, Held)}}, kind: Uncertain, reason: ReasonKeyReused, withdraw: 3},
+		{name: "key reused in the new list, which lacks the records", ring: joint, steps: []step{{1, saysJoint(0, 2, OtherPrint)}, {2, saysJoint(1, 2, OtherPrint)}}, kind: Uncertain, reason: ReasonKeyReused, withdraw: 6},
 		{name: "full", ring: stable, steps: []step{{1, says(0, Full)}, {2, says(1, Full)}}, kind: Uncertain, reason: ReasonFull, withdraw: 3},
 		{name: "one dead, two accept", ring: stable, steps: []step{{1, Unreachable{at(0, 1), 4}}, {2, says(1, Accepted)}, {3, says(2, Accepted)}}, runs: 1, pending: true},
 		{name: "two dead", ring: stable, steps: []step{{1, Unreachable{at(0, 1), 4}}, {2, says(1, Accepted)}, {3, Unreachable{at(2, 1), 4}}, {1000, Tick{}}}, kind: Uncertain, reason: ReasonUnreachable, withdraw: 3},
@@ -136,6 +138,9 @@
 		{name: "held by most of the old list", ring: joint, steps: []step{{1, saysJoint(0, 1, Held)}, {2, saysJoint(1, 1, Held)}}, kind: Uncertain, reason: ReasonInProgress, withdraw: 6},
 		{name: "the ring changes between two replies", ring: stable, steps: []step{{1, says(0, Accepted)}, {2, Changed{joint}}, {3, says(1, Accepted)}}, pending: true},
 		{name: "the ring changes and all accept again", ring: stable, steps: []step{{1, says(0, Accepted)}, {2, Changed{joint}}, {3, saysJoint(0, 1, Accepted)}, {3, saysJoint(1, 1, Accepted)}, {3, saysJoint(0, 2, Accepted)}, {3, saysJoint(1, 2, Accepted)}}, runs: 1, pending: true},
+		{name: "the ring changes to other replicas", ring: stable, steps: []step{{1, says(0, Accepted)}, {2, Changed{moved}}}, pending: true},
+		{name: "the ring changes to other replicas, which accept", ring: stable, steps: []step{{1, says(0, Accepted)}, {2, Changed{moved}}, {3, saysJoint(0, 2, Accepted)}, {4, saysJoint(1, 2, Accepted)}, {5, fresh}}, runs: 1, kind: Fresh, record: 6},
+		{name: "the ring changes to other replicas, which refuse", ring: stable, steps: []step{{1, says(0, Accepted)}, {2, Changed{moved}}, {3, saysJoint(0, 2, Held)}, {4, saysJoint(1, 2, Held)}}, kind: Uncertain, reason: ReasonHolderGone, withdraw: 6},
 		{name: "the ring changes during the run", ring: stable, steps: []step{{1, says(0, Accepted)}, {1, says(1, Accepted)}, {2, Changed{joint}}, {3, fresh}}, runs: 1, kind: Fresh, record: 6},
 		{name: "an older ring comes late", ring: joint, steps: []step{{1, Changed{stable}}, {2, says(0, Accepted)}, {3, says(1, Accepted)}}, pending: true},
 		{name: "records lost", ring: ring.Ring{Revision: 4, Members: fleet(3, 1), Losses: []ring.Loss{{At: epoch}}}, kind: Uncertain, reason: ReasonRecordsLost},
@@ -148,6 +153,7 @@
 			c.Assert(got.runs, qt.Equals, tc.runs)
 			if tc.pending {
 				c.Assert(got.results, qt.HasLen, 0)
+				c.Assert(got.withdraw+got.record, qt.Equals, 0)
 				return
 			}
 			c.Assert(got.results, qt.HasLen, 1)
--- a/pkg/ring/next.go
+++ b/pkg/ring/next.go
@@ -86,6 +86,7 @@
 	members := c.wanted(now, cur, v)
 	if now.Sub(v.Since) >= c.Pause && lacksAny(members, cur.Members) && c.differ(now, cur, members, v) {
 		next.Members = members
+		next.Losses = cur.Losses
 		return next, true
 	}
 	return Ring{}, false
@@ -96,7 +97,7 @@
 func (c Config) missing(now time.Time, cur Ring, v View) (out []Ident, done bool) {
 	alive, waits := 0, false
 	for _, m := range cur.Old {
-		if v.unseen(now, m.Ident) < c.Remove {
+		if c.fresh(now, v, m.Ident) && !v.gone(m.Ident) {
 			alive++
 		}
 		if contains(v.Synced, m.Ident) {
@@ -157,11 +158,13 @@
 	}
 	alive, cut := 0, false
 	for _, m := range cur.Members {
-		seen := v.unseen(now, m.Ident) < c.Remove
-		if seen && !v.gone(m.Ident) {
+		if v.gone(m.Ident) {
+			continue
+		}
+		if c.fresh(now, v, m.Ident) {
 			alive++
 		}
-		cut = cut || (!seen && !v.gone(m.Ident))
+		cut = cut || v.unseen(now, m.Ident) >= c.Remove
 	}
 	if cut && alive < Majority(len(cur.Members)-v.countGone(cur.Members)) {
 		return false
@@ -169,6 +172,13 @@
 	return lacksAny(members, cur.Members) || lacksAny(cur.Members, members)
 }
 
+// fresh tells that an incarnation was heard of lately. When an entry is cut off,
+// the others pass Remove one after the other, and those that have not passed it
+// yet must not count as a majority that it sees.
+func (c Config) fresh(now time.Time, v View, id Ident) bool {
+	return v.unseen(now, id) < c.Remove/2
+}
+
 // behind tells that some entry has a newer ring than this one.
 func (v View) behind(cur Ring) bool {
 	for _, s := range v.Seen {
--- a/pkg/ring/next_test.go
+++ b/pkg/ring/next_test.go
@@ -65,6 +65,7 @@
 		{name: "one was never seen", cur: stable, view: view(all[1:6]...), ok: true, members: all[1:6], old: all[:6]},
 		{name: "one restarts", cur: stable, view: view(append([]Member{reborn}, all[1:6]...)...), ok: true, members: append([]Member{reborn}, all[1:6]...), old: all[:6]},
 		{name: "cut off from most", cur: stable, view: view(all[:6]...).with(unseen(time.Minute, 0, 1, 2))},
+		{name: "cut off from all, some not long enough", cur: stable, view: view(all[:6]...).with(unseen(9*time.Second, 2, 3, 4, 5)).with(unseen(11*time.Second, 1))},
 		{name: "most are surely dead", cur: stable, view: view(all[:6]...).with(unseen(time.Minute, 0, 1, 2)).with(func(v *View) { v.Gone = idents(all[:3]...) }), ok: true, members: all[3:6], old: all[:6]},
 		{name: "another has a newer ring", cur: stable, view: view(all...).with(func(v *View) { v.Seen[3].Ring = 5 })},
 		{name: "joint, not all copied", cur: joint, view: view(all[:6]...).with(func(v *View) { v.Synced = idents(all[1:5]...) })},
@@ -173,6 +174,31 @@
 	}
 }
 
+// Two entries were given up; one comes back and copies under a joint ring, whose
+// new list then changes. The copies are at replicas of the former new list only,
+// so the loss must stay until copies reach a list that lasts.
+func TestLossOutlivesAListThatIsDropped(t *testing.T) {
+	all := fleet(6)
+	loss := Loss{At: epoch, Members: all, Missing: idents(all[4:]...)}
+	for _, tc := range []struct {
+		name   string
+		synced []Ident
+		losses int
+	}{
+		{"new list changes", idents(all[4]), 1},
+		{"old list goes", idents(all[0], all[1], all[2], all[3], all[4]), 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			cur := Ring{Revision: 8, Members: all[1:], Old: all[:4], Losses: []Loss{loss}}
+			v := view(all...).with(unseen(20*time.Second, 3)).with(func(v *View) { v.Synced = tc.synced })
+			next, ok := config.Next(epoch, cur, v)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(next.Losses, qt.HasLen, tc.losses)
+		})
+	}
+}
+
 func TestLossesAreBounded(t *testing.T) {
 	c := qt.New(t)
 	var losses []Loss
