entry: membership, settings spread and claims in the real process; proofs with processes

An entry now knows the others by gossip, takes settings from store and peers, and runs a keyed request only under a claim that a majority of its replicas has accepted. A granted run goes on though its caller leaves, so that a resend gets the recorded answer. A stopping entry leaves locate and membership, hands its records over and then ends; traffic ends before control.

Found on the way: keyed requests in the first two seconds of a new site were told unknown, since no ring was in force; readiness now waits for one. The last entry of a site waited 30 s for a ring that nobody could change; it no longer does.

--- a/dev.go
+++ b/dev.go
@@ -14,7 +14,6 @@
 
 	"plumpitch.example/plumpitch/internal/load"
 	"plumpitch.example/plumpitch/internal/site"
-	"plumpitch.example/plumpitch/internal/store"
 )
 
 //go:embed examples/swanbourne.json
@@ -64,7 +63,7 @@
 	defer s.Close()
 	start, cancel := context.WithTimeout(ctx, devStart)
 	defer cancel()
-	if err := applyDev(start, s); err != nil {
+	if err := site.Apply(start, s.Store, "examples/swanbourne.json", swanbourne); err != nil {
 		return err
 	}
 	if err := s.Ready(start); err != nil {
@@ -79,12 +78,6 @@
 	return loadDev(ctx, s, length, asJSON)
 }
 
-// applyDev puts Swanbourne's settings in force.
-func applyDev(ctx context.Context, s *site.Site) error {
-	_, err := store.New(store.Config{Addr: s.Store}).Put(ctx, "settings", "tree", 0, swanbourne)
-	return err
-}
-
 func printDev(s *site.Site) {
 	callers := s.Callers()
 	operators := s.Entries[0].Addresses().Operators
--- a/entry.go
+++ b/entry.go
@@ -37,5 +37,6 @@
 	a := e.Addresses()
 	fmt.Println(a.Callers)
 	fmt.Println(a.Operators)
+	fmt.Println(a.Peers)
 	return e.Serve(ctx)
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -121,7 +121,7 @@
 	return others
 }
 
-func (c *control) service(now time.Time, want tree.Target) (s *service, err error) {
+func (c *control) service(now time.Time, want tree.Service) (s *service, err error) {
 	if s = c.services[want.Name]; s != nil {
 		return s, s.configure(now, want.Policy)
 	}
@@ -135,7 +135,7 @@
 }
 
 // targetsOf picks the VMs of a service in its places.
-func (c *control) targetsOf(want tree.Target) (list []pool.Target) {
+func (c *control) targetsOf(want tree.Service) (list []pool.Target) {
 	for _, vm := range c.vms {
 		if vm.Service != want.Name || !inPlaces(want.Policy.Places, vm.Place) {
 			continue
--- a/internal/entry/drive.go
+++ b/internal/entry/drive.go
@@ -245,7 +245,9 @@
 	if !f.Stage.Crash() {
 		return false
 	}
-	return d.entry.suspects.Crashed(now, d.q.fingerprint(), f.Target, began)
+	held := d.entry.suspects.Crashed(now, d.q.fingerprint(), f.Target, began)
+	go d.entry.tellSuspect(d.q.fingerprint())
+	return held
 }
 
 // cancel ends a dispatch whose answer is not wanted. One that still flies in a
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,7 +18,11 @@
 	"github.com/thejerf/suture/v4"
 	"golang.org/x/time/rate"
 
+	"plumpitch.example/plumpitch/internal/claims"
 	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/internal/members"
+	"plumpitch.example/plumpitch/internal/peer"
+	"plumpitch.example/plumpitch/internal/settings"
 	"plumpitch.example/plumpitch/internal/store"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/ring"
@@ -42,17 +46,25 @@
 type Entry struct {
 	cfg      Config
 	log      log.Interface
+	quiet    bool // answers that targets gave are not logged
+	stop     chan struct{}
+	stopping atomic.Bool // the entry is on its way out
+
 	site     atomic.Pointer[site]
 	forward  *forward.Forwarder
+	suspects *call.Suspects
+	prober   *prober
 	metrics  metrics
 	tracing  tracing
+
 	store    *store.Client
-	prober   *prober
-	suspects *call.Suspects
 	control  *control
-
-	stopping atomic.Bool // the entry is on its way out
-	quiet    bool        // answers that targets gave are not logged
+	counters *peer.Counters
+	client   *peer.Client
+	settings *settings.Settings
+	members  *members.Members
+	claims   *claims.Claims
+	relay    *relay
 
 	callers   net.Listener
 	peers     net.Listener
@@ -68,6 +80,7 @@
 		log:      cfg.Log.WithField("entry", cfg.File.Name),
 		forward:  forward.New(forward.Config{}),
 		metrics:  newMetrics(cfg.File.Name),
+		stop:     make(chan struct{}, 1),
 		prober:   newProber(),
 		suspects: call.NewSuspects(call.SuspectsConfig{}),
 	}
@@ -81,6 +94,7 @@
 	}
 	e.store = store.New(store.Config{Addr: cfg.File.Platform, Reads: rate.NewLimiter(readRate, readBurst)})
 	e.control = newControl(e)
+	e.build()
 	return e, nil
 }
 
@@ -112,8 +126,11 @@
 	}
 }
 
-// Ready tells whether settings are in force.
-func (e *Entry) Ready() bool { return e.site.Load().revision > 0 }
+// Ready tells whether settings are in force and a ring is known, without which
+// keyed requests can't run.
+func (e *Entry) Ready() bool {
+	return e.site.Load().revision > 0 && e.claims.Ring().Revision > 0
+}
 
 // Addresses are where the entry listens, which differs from its file where
 // that names port 0.
@@ -139,59 +156,98 @@
 
 // Serve runs the entry until ctx ends, then takes it out of locate, lets every
 // answer that named it expire, and stops between requests.
+//
+// Traffic ends before control: a request in flight still needs the peers that
+// record its outcome.
 func (e *Entry) Serve(ctx context.Context) (err error) {
-	run, stop := context.WithCancel(context.Background())
-	defer stop()
-	go func() {
-		select {
-		case <-ctx.Done():
-			e.leave()
-			stop()
-		case <-run.Done():
-		}
-	}()
-	err = e.supervisor().Serve(run)
+	defer e.close()
+	control, stopControl := context.WithCancel(context.Background())
+	defer stopControl()
+	traffic, stopTraffic := context.WithCancel(context.Background())
+	defer stopTraffic()
+	below := e.controlSupervisor().ServeBackground(control)
+	above := e.trafficSupervisor().ServeBackground(traffic)
+	select {
+	case <-ctx.Done():
+	case <-e.stop:
+		err = errSuperseded
+	case err = <-below:
+		return errors.WithMessage(err, "control")
+	case err = <-above:
+		return errors.WithMessage(err, "traffic")
+	}
+	e.leave()
+	stopTraffic()
+	<-above
+	e.depart()
+	stopControl()
+	<-below
+	return err
+}
+
+func (e *Entry) close() {
+	e.claims.Close()
+	e.client.Close()
+	e.forward.Close()
 	e.tracing.close()
 	e.metrics.close()
-	e.forward.Close()
-	if errors.Is(err, context.Canceled) {
-		return nil
+}
+
+// errSuperseded says that a later start of this entry's name is up.
+var errSuperseded = errors.New("a later start of this entry is up")
+
+// superseded stops this incarnation.
+func (e *Entry) superseded() {
+	select {
+	case e.stop <- struct{}{}:
+	default:
 	}
-	return err
 }
 
-// supervisor draws the tree: control workers may die and are restarted without
-// the listeners, and the other way round.
-func (e *Entry) supervisor() *suture.Supervisor {
-	spec := suture.Spec{EventHook: e.supervised, Timeout: graceTime}
-	control := suture.New("control", spec)
-	control.Add(e.control)
-	control.Add(&platformWorker{store: e.store, control: e.control})
-	traffic := suture.New("traffic", spec)
-	traffic.Add(&listener{name: "callers", on: e.callers, handler: e.callerHandler()})
-	traffic.Add(&listener{name: "operators", on: e.operators, handler: e.operatorHandler()})
-	top := suture.New("entry", spec)
-	top.Add(control)
-	top.Add(traffic)
-	return top
+// controlSupervisor restarts a control worker that dies without touching the
+// others. What they know outlives their restart.
+func (e *Entry) controlSupervisor() *suture.Supervisor {
+	s := suture.New("control", suture.Spec{EventHook: e.supervised, Timeout: graceTime})
+	s.Add(e.control)
+	s.Add(e.relay)
+	s.Add(e.members)
+	s.Add(e.claims)
+	for _, w := range e.settings.Workers() {
+		s.Add(w)
+	}
+	s.Add(&platformWorker{store: e.store, control: e.control})
+	s.Add(&reporter{entry: e})
+	s.Add(e.peerServer())
+	return s
+}
+
+// trafficSupervisor holds the listeners of callers and operators.
+func (e *Entry) trafficSupervisor() *suture.Supervisor {
+	s := suture.New("traffic", suture.Spec{EventHook: e.supervised, Timeout: graceTime})
+	s.Add(newServer("callers", e.callers, e.callerHandler()))
+	s.Add(newServer("operators", e.operators, e.operatorHandler()))
+	return s
 }
 
 func (e *Entry) supervised(ev suture.Event) {
 	e.log.WithFields(log.Fields(ev.Map())).Warn("supervisor: " + ev.String())
 }
 
-// left spreads that a target is leaving.
-func (e *Entry) left(target string, boot uint64) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	e.control.tell(ctx, targetLeaves{target, boot})
+// server serves HTTP on one of the entry's listeners.
+type server struct {
+	name string
+	on   net.Listener
+	http *http.Server
 }
 
-// listener serves HTTP on one of the entry's listeners.
-type listener struct {
-	name    string
-	on      net.Listener
-	handler http.Handler
+// newServer bounds what a slow or greedy client can hold.
+func newServer(name string, on net.Listener, h http.Handler) *server {
+	return &server{name: name, on: on, http: &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       time.Minute,
+		MaxHeaderBytes:    64 << 10,
+	}}
 }
 
 // graceTime bounds a graceful stop.
@@ -205,21 +261,15 @@
 }
 
 // Serve runs until ctx ends, then lets requests in flight finish.
-func (l *listener) Serve(ctx context.Context) error {
-	srv := &http.Server{
-		Handler:           l.handler,
-		ReadHeaderTimeout: 5 * time.Second,
-		IdleTimeout:       time.Minute,
-		MaxHeaderBytes:    64 << 10,
-	}
+func (s *server) Serve(ctx context.Context) error {
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(l.on) }()
+	go func() { failed <- s.http.Serve(s.on) }()
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		return srv.Shutdown(closing())
+		return s.http.Shutdown(closing())
 	}
 }
 
-func (l *listener) String() string { return l.name }
+func (s *server) String() string { return s.name }
--- /dev/null
+++ b/internal/entry/keyed.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"plumpitch.example/plumpitch/internal/claims"
+	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/claim"
+)
+
+// maxKey bounds an idempotency key, in bytes.
+const maxKey = 255
+
+// headerReplay marks a recorded answer of an earlier send.
+const headerReplay = "Plumpitch-Replay"
+
+// readKey takes and checks the idempotency key of a request that needs one.
+func (q *request) readKey() error {
+	if q.idempotent() {
+		return nil
+	}
+	values := q.in.Header.Values(call.HeaderKey)
+	switch {
+	case len(values) > 1:
+		return malformed(call.HeaderKey + ": found several values, expected one")
+	case len(values) == 0 || values[0] == "":
+		if q.policy.RequireKey {
+			return malformed(call.HeaderKey + ": found nothing, expected a key of at most 255 characters, best a UUID of version 7")
+		}
+		return nil
+	case !validKey(values[0]):
+		return malformed(call.HeaderKey + ": found a value that is too long or holds other than visible ASCII, expected at most 255 visible ASCII characters")
+	}
+	q.key = values[0]
+	return nil
+}
+
+func validKey(key string) bool {
+	if len(key) > maxKey {
+		return false
+	}
+	for _, c := range []byte(key) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// serveKeyed runs a keyed non-idempotent request at most once. Once the claim
+// is granted the run goes on though its caller leaves: its answer is recorded,
+// and the caller's resend gets it instead of an unknown outcome.
+func (e *Entry) serveKeyed(ctx context.Context, q *request) (*passing, error) {
+	var own *passing
+	ctx, span := e.tracing.tracer.Start(ctx, "claim")
+	defer span.End()
+	result := e.claims.Do(ctx, claims.Request{
+		Service: q.service.name, Key: q.key, Print: q.fingerprint(), Deadline: q.deadline,
+	}, func(context.Context) claim.Ended {
+		run, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
+		p, final := newDrive(run, e, q).run()
+		if p == nil {
+			cancel()
+			return claim.Ended{Outcome: final.Outcome, Reason: claim.Reason(final.Reason), RetryAfter: final.Retry}
+		}
+		p.cancel = cancel
+		own = p
+		return claim.Ended{Outcome: call.Ran, Answer: recorded(p.answer)}
+	})
+	switch {
+	case result.Kind == claim.Fresh && own != nil:
+		return own, nil
+	case result.Kind == claim.Replay && result.Answer.Whole:
+		return &passing{replay: &result.Answer}, nil
+	}
+	return nil, finalError{finalOf(result)}
+}
+
+// finalOf is what the caller is told when there is no answer to pass on.
+func finalOf(r claim.Result) call.Final {
+	f := call.Final{Outcome: call.Unknown, Reason: call.Reason(r.Reason), Retry: r.RetryAfter}
+	switch r.Kind {
+	case claim.NotRun:
+		f.Outcome = call.NotRun
+	case claim.Conflict:
+		f.Outcome, f.Status = call.NotRun, http.StatusUnprocessableEntity
+		f.Detail = call.HeaderKey + ": found a key that belongs to another request, expected a key of its own"
+	case claim.Replay:
+		f.Outcome, f.Status = call.Ran, http.StatusConflict
+		f.Detail = "the request ran; its answer was too long to be kept"
+	}
+	return f
+}
+
+// recorded is an answer as it is kept for resends. One that is streamed is not
+// kept.
+func recorded(a *forward.Answer) claim.Answer {
+	out := claim.Answer{Outcome: call.Ran, Status: a.Status, Whole: a.Body == nil, Body: a.Whole}
+	for name, values := range a.Header {
+		for _, v := range values {
+			out.Header = append(out.Header, claim.Field{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// writeReplay gives a recorded answer.
+func writeReplay(w http.ResponseWriter, a *claim.Answer) {
+	h := w.Header()
+	for _, f := range a.Header {
+		h.Add(f.Name, f.Value)
+	}
+	h.Set(headerReplay, "true")
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+// claimWait is the pause between looks at whether the ring counts on this
+// entry's records.
+const claimWait = 100 * time.Millisecond
+
+// handOver waits until no ring counts on this entry's records, or no other
+// entry is left that could take them.
+func (e *Entry) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), graceTime)
+	defer cancel()
+	for !e.claims.Clear() {
+		if _, ok := e.anyPeer(); !ok {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			e.log.Warn("stopped before the ring let this entry go")
+			return
+		case <-time.After(claimWait):
+		}
+	}
+}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -11,6 +11,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/settings"
 	"plumpitch.example/plumpitch/internal/store"
 )
 
@@ -20,6 +21,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", e.serveReady)
 	mux.Handle("GET /metrics", e.metrics.handler)
+	mux.Handle("/v1/settings/", settings.Handler(e.settings))
 	mux.Handle("GET /v1/status", operation(e.statusEndpoint()))
 	mux.Handle("GET /v1/explain", operation(e.explainEndpoint()))
 	mux.Handle("POST /v1/drain", operation(e.drainEndpoint(e.drain)))
@@ -54,13 +56,13 @@
 	}{err.Error()})
 }
 
-// serveReady is 200 while settings are in force and the entry isn't leaving.
+// serveReady is 200 while the entry is ready and isn't leaving.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	switch {
 	case e.stopping.Load():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 	case !e.Ready():
-		http.Error(w, "no settings yet", http.StatusServiceUnavailable)
+		http.Error(w, "no settings or no ring yet", http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"plumpitch.example/plumpitch/internal/store"
-	"plumpitch.example/plumpitch/pkg/tree"
 )
 
 // platformPeriod is the pause between reads of the VM list and the drains. At
@@ -49,12 +48,6 @@
 	if objects, _, err := p.store.List(ctx, drainKind); err == nil {
 		p.control.tell(ctx, drainsListed{drains(objects)})
 	}
-	if o, err := p.store.Get(ctx, "settings", "tree"); err == nil {
-		if d, err := tree.Parse("settings/tree", o.Value); err == nil {
-			d.Revision = o.Version
-			p.control.tell(ctx, documentChanged{d})
-		}
-	}
 }
 
 // drains decodes the drain objects; one that can't be read drains nothing.
--- /dev/null
+++ b/internal/entry/report.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"plumpitch.example/plumpitch/internal/store"
+)
+
+// gaugePeriod is how often gauges are set.
+const gaugePeriod = time.Second
+
+// reporter sets the gauges of control state and hands counters of others on to
+// tally.
+type reporter struct {
+	entry *Entry
+	store store.Counts
+}
+
+func (r *reporter) String() string { return "reporter" }
+
+// Serve runs until ctx ends.
+func (r *reporter) Serve(ctx context.Context) error {
+	tick := time.NewTicker(gaugePeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			r.report(time.Now())
+		}
+	}
+}
+
+func (r *reporter) report(now time.Time) {
+	e := r.entry
+	s := e.site.Load()
+	scope := e.metrics.scope
+	scope.Gauge("settings_revision").Update(float64(s.revision))
+	scope.Gauge("ring_revision").Update(float64(e.claims.Ring().Revision))
+	scope.Gauge("entries_live").Update(float64(len(s.live)))
+	keys, bytes := e.claims.Keys()
+	scope.Gauge("claim_keys").Update(float64(keys))
+	scope.Gauge("claim_bytes").Update(float64(bytes))
+	scope.Gauge("probe_ms").Update(float64(e.prober.spent.Load()) / float64(time.Millisecond))
+	for _, sv := range s.services {
+		sv.gauges(now)
+	}
+	r.storeCalls(scope)
+	r.peerBytes(scope)
+}
+
+func (s *service) gauges(now time.Time) {
+	s.mu.Lock()
+	queued, inFlight := s.chooser.Len()
+	rows := s.chooser.Explain(now)
+	s.mu.Unlock()
+	out := 0
+	for _, row := range rows {
+		if !row.Until.IsZero() {
+			out++
+		}
+	}
+	s.metrics.queue.Update(float64(queued))
+	s.metrics.inflight.Update(float64(inFlight))
+	s.metrics.ejected.Update(float64(out))
+}
+
+func (r *reporter) storeCalls(scope tally.Scope) {
+	now := r.entry.store.Counts()
+	for _, c := range []struct {
+		kind      string
+		now, last uint64
+	}{
+		{"read", now.Reads + now.VMs, r.store.Reads + r.store.VMs},
+		{"write", now.Writes, r.store.Writes},
+		{"watch", now.Watches, r.store.Watches},
+		{"retry", now.Retries, r.store.Retries},
+		{"failed", now.Failed, r.store.Failed},
+	} {
+		scope.Tagged(map[string]string{"kind": c.kind}).Counter("store_calls").Inc(int64(c.now - c.last))
+	}
+	r.store = now
+}
+
+// peerBytes sets what peers have said and heard since the start. Claims carry
+// requests, the other kinds are control.
+func (r *reporter) peerBytes(scope tally.Scope) {
+	c := r.entry.counters
+	for _, k := range c.Counts() {
+		kind := scope.Tagged(map[string]string{"kind": k.Kind.String()})
+		kind.Gauge("peer_calls").Update(float64(k.Calls))
+		kind.Gauge("peer_bytes").Update(float64(k.In + k.Out))
+	}
+	scope.Gauge("peer_wire_bytes").Update(float64(c.ConnIn.Load() + c.ConnOut.Load()))
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -11,6 +11,7 @@
 
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/claim"
 	"plumpitch.example/plumpitch/pkg/tree"
 )
 
@@ -32,6 +33,7 @@
 	body     []byte
 	stream   io.Reader // instead of body
 	header   call.Header
+	key      string // of a non-idempotent request
 	print    uint64 // fingerprint, once it was needed
 }
 
@@ -46,6 +48,9 @@
 	if err := q.readHeaders(now); err != nil {
 		return nil, err
 	}
+	if err := q.readKey(); err != nil {
+		return nil, err
+	}
 	if err := q.readBody(); err != nil {
 		return nil, err
 	}
@@ -78,7 +83,11 @@
 
 func (e *Entry) requestEndpoint() endpoint.Endpoint {
 	return func(ctx context.Context, r any) (any, error) {
-		return e.serve(ctx, r.(*request))
+		q := r.(*request)
+		if q.key != "" {
+			return e.serveKeyed(ctx, q)
+		}
+		return e.serve(ctx, q)
 	}
 }
 
@@ -99,10 +108,15 @@
 	answer *forward.Answer
 	ticket ticket
 	cancel context.CancelFunc
+	replay *claim.Answer // instead of the others
 }
 
 func encodeAnswer(_ context.Context, w http.ResponseWriter, response any) error {
 	p := response.(*passing)
+	if p.replay != nil {
+		writeReplay(w, p.replay)
+		return nil
+	}
 	defer p.cancel()
 	forward.Copy(w, p.answer, p.end)
 	return nil
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -12,6 +12,8 @@
 	Entry    string          `json:"entry"`
 	Settings uint64          `json:"settings"`
 	Ring     uint64          `json:"ring"`
+	Members  int             `json:"members"` // of the ring
+	Joint    bool            `json:"joint"`   // the ring is changing
 	Leaving  bool            `json:"leaving"`
 	Entries  []statusEntry   `json:"entries"`
 	Services []statusService `json:"services"`
@@ -38,9 +40,10 @@
 func (e *Entry) statusEndpoint() endpoint.Endpoint {
 	return func(context.Context, any) (any, error) {
 		s := e.site.Load()
+		r := e.claims.Ring()
 		out := statusJSON{
-			Entry: e.cfg.File.Name, Settings: s.revision, Leaving: e.stopping.Load(),
-			Entries: e.statusEntries(s), Services: []statusService{},
+			Entry: e.cfg.File.Name, Settings: s.revision, Ring: r.Revision, Members: len(r.Members), Joint: r.Joint(),
+			Leaving: e.stopping.Load(), Entries: e.statusEntries(), Services: []statusService{},
 		}
 		for name, sv := range s.services {
 			addrs, _, _ := s.locate(name)
@@ -51,12 +54,12 @@
 	}
 }
 
-func (e *Entry) statusEntries(s *site) []statusEntry {
+func (e *Entry) statusEntries() []statusEntry {
 	list := []statusEntry{}
-	for _, m := range s.live {
+	for _, m := range e.members.View().Entries {
 		list = append(list, statusEntry{
-			Name: m.Name, Boot: m.Boot, Place: m.Place, Callers: m.Caller,
-			Settings: s.revision, Live: true, State: "alive",
+			Name: m.ID.Name, Boot: m.ID.Boot, Place: m.Place, Callers: m.Caller,
+			Settings: m.Marks.Settings, Live: m.Serves(), State: m.State.String(),
 		})
 	}
 	return list
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -18,13 +18,26 @@
 	defer cancel()
 	e.log.Info("leaving")
 	e.control.tell(ctx, stopping{})
-	wait := e.longestTTL() + stopMargin
+	if err := e.members.Leave(ctx); err != nil {
+		e.log.WithError(err).Warn("leave not announced")
+	}
 	select {
-	case <-time.After(wait):
+	case <-time.After(e.longestTTL() + stopMargin):
 	case <-ctx.Done():
 	}
 }
 
+// depart ends what other entries count on: the ring lets this one go once its
+// records are copied, then membership is told that it is gone.
+func (e *Entry) depart() {
+	e.handOver()
+	ctx, cancel := context.WithTimeout(context.Background(), graceTime)
+	defer cancel()
+	if err := e.members.Depart(ctx); err != nil {
+		e.log.WithError(err).Warn("departure not announced")
+	}
+}
+
 // longestTTL is the longest time for which a caller may keep an answer.
 func (e *Entry) longestTTL() (ttl time.Duration) {
 	for _, sv := range e.site.Load().services {
--- a/internal/lab/hop/hop.go
+++ b/internal/lab/hop/hop.go
@@ -20,7 +20,6 @@
 
 	"plumpitch.example/plumpitch/internal/load"
 	"plumpitch.example/plumpitch/internal/site"
-	"plumpitch.example/plumpitch/internal/store"
 )
 
 // Config of a measurement.
@@ -77,7 +76,7 @@
 func start(ctx context.Context, s *site.Site, settings []byte) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
-	if _, err := store.New(store.Config{Addr: s.Store}).Put(ctx, "settings", "tree", 0, settings); err != nil {
+	if err := site.Apply(ctx, s.Store, "settings", settings); err != nil {
 		return err
 	}
 	return s.Ready(ctx)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -16,8 +16,11 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/entry"
+	"plumpitch.example/plumpitch/internal/settings"
 	"plumpitch.example/plumpitch/internal/standin/platform"
 	"plumpitch.example/plumpitch/internal/standin/target"
+	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/tree"
 )
 
 // Config describes a site.
@@ -80,6 +83,22 @@
 	return s, s.startEntries(cfg)
 }
 
+// Apply puts a settings file into an empty store, as the first accepted
+// document.
+func Apply(ctx context.Context, addr, file string, text []byte) (err error) {
+	defer func() { err = errors.WithMessage(err, "settings") }()
+	d, err := tree.Parse(file, text)
+	if err != nil {
+		return err
+	}
+	d, err = tree.Seed(d, time.Now())
+	if err != nil {
+		return err
+	}
+	_, err = store.New(store.Config{Addr: addr}).Put(ctx, settings.Kind, settings.Name, 0, tree.Encode(d))
+	return err
+}
+
 func (s *Site) serve(h http.Handler) (addr string, err error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- /dev/null
+++ b/metrics.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+
+	"github.com/integrii/flaggy"
+)
+
+func readyCommand() *command {
+	var at string
+	sub := flaggy.NewSubcommand("ready")
+	sub.Description = "succeed when an entry has settings and a ring and isn't leaving"
+	sub.String(&at, "e", "entry", "host:port of an entry's operators' listener")
+	sub.AdditionalHelpAppend = "Example: plumpitch ready --entry 127.0.0.1:8003"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		return printAnswer(ctx, at, "/readyz")
+	}}
+}
+
+func metricsCommand() *command {
+	var at string
+	sub := flaggy.NewSubcommand("metrics")
+	sub.Description = "print an entry's metrics in the form that Prometheus scrapes"
+	sub.String(&at, "e", "entry", "host:port of an entry's operators' listener")
+	sub.AdditionalHelpAppend = "Example: plumpitch metrics --entry 127.0.0.1:8003"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		return printAnswer(ctx, at, "/metrics")
+	}}
+}
--- a/pkg/tree/resolve.go
+++ b/pkg/tree/resolve.go
@@ -87,8 +87,3 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
-
-// Target is Service.
-//
-// Deprecated: use Service.
-type Target = Service
--- /dev/null
+++ b/proof_test.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"plumpitch.example/plumpitch/internal/load"
+	"plumpitch.example/plumpitch/pkg/call"
+)
+
+// A deposit takes a second at its target. Its entry is killed, or paused and
+// later resumed, while it runs. The caller gets no answer and resends the same
+// key through another entry, several times, while the store is up or down. The
+// targets' logs must show each key once: the resend is told unknown or gets
+// the recorded answer, and a paused entry that resumes runs nothing again.
+func TestKeyRunsOnceThoughItsEntryFails(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(e *process)
+		after func(e *process)
+		store string
+	}{
+		{"killed", func(e *process) { e.signal(syscall.SIGKILL) }, func(*process) {}, `{}`},
+		{"paused", func(e *process) { e.signal(syscall.SIGSTOP) }, func(e *process) { e.signal(syscall.SIGCONT) }, `{}`},
+		{"killed, store down", func(e *process) { e.signal(syscall.SIGKILL) }, func(*process) {}, `{"down":true}`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := qt.New(t)
+			s := newCluster(t, 2, 3, 500*time.Millisecond)
+			s.faults(t, c.store)
+			keys := make([]string, 4)
+			var first sync.WaitGroup
+			for n := range keys {
+				keys[n] = uuid.Must(uuid.NewV7()).String()
+				first.Go(func() { s.post(1, keys[n], 3*time.Second) })
+			}
+			time.Sleep(150 * time.Millisecond)
+			c.fault(s.entries[1])
+			for _, key := range keys {
+				for n := range 4 {
+					a := s.post([]int{0, 2}[n%2], key, 3*time.Second)
+					if a.outcome == call.NotRun.String() {
+						q.Check(s.runs(t)[key], qt.Equals, 0, qt.Commentf("told not-run: %+v", a))
+					}
+				}
+			}
+			c.after(s.entries[1])
+			first.Wait()
+			time.Sleep(600 * time.Millisecond)
+			for _, key := range keys {
+				runs := s.runs(t)[key]
+				q.Check(runs <= 1, qt.IsTrue, qt.Commentf("key %s ran %d times", key, runs))
+			}
+		})
+	}
+}
+
+// The store is down for the whole time. Callers browse and pay deposits; none
+// of them notices, since settings, ring and targets stay as they were.
+func TestStoreOutageHurtsNoCaller(t *testing.T) {
+	for _, c := range []struct{ name, faults string }{
+		{"down", `{"down":true}`},
+		{"slow", `{"delay":"3s"}`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := qt.New(t)
+			s := newCluster(t, 3, 3, 2*time.Millisecond)
+			s.faults(t, c.faults)
+			r, err := load.Run(t.Context(), load.Config{
+				Entries: []string{s.callers(0), s.callers(1), s.callers(2)}, Services: []string{provedService},
+				Rate: 150, Requests: 600, Writes: 0.5, Timeout: 5 * time.Second, Seed: 3,
+			})
+			q.Assert(err, qt.IsNil)
+			q.Check(r.Answered, qt.Equals, r.Sent, qt.Commentf("%+v", reportOf(r)))
+			for key, runs := range s.runs(t) {
+				q.Check(key == "" || runs == 1, qt.IsTrue, qt.Commentf("key %s ran %d times", key, runs))
+			}
+		})
+	}
+}
+
+// An entry gets SIGTERM under load, and a second one soon after. Callers keep
+// their locate answers to the end. Each gets its whole answer: the entry serves
+// until no locate answer names it, and its requests in flight finish.
+func TestPlannedStopOfAnEntryCutsOffNothing(t *testing.T) {
+	q := qt.New(t)
+	s := newCluster(t, 3, 3, 5*time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		time.Sleep(time.Second)
+		s.entries[1].signal(syscall.SIGTERM)
+		s.entries[2].signal(syscall.SIGTERM)
+		time.Sleep(200 * time.Millisecond)
+		s.entries[1].signal(syscall.SIGTERM)
+	}()
+	r, err := load.Run(t.Context(), load.Config{
+		Entries: []string{s.callers(0), s.callers(1), s.callers(2)}, Services: []string{provedService},
+		Rate: 150, Requests: 3000, Writes: 0.3, Timeout: 5 * time.Second, Seed: 4,
+	})
+	q.Assert(err, qt.IsNil)
+	<-stopped
+	q.Check(r.Answered, qt.Equals, r.Sent, qt.Commentf("%+v", reportOf(r)))
+	for _, n := range []int{1, 2} {
+		select {
+		case <-s.entries[n].ended:
+		case <-time.After(bound):
+			t.Fatalf("entry %d did not end", n)
+		}
+		q.Check(s.entries[n].cmd.ProcessState.ExitCode(), qt.Equals, 0)
+	}
+}
+
+// An operator drains a target at one entry while all entries send it work. Two
+// seconds later no entry sends it anything new, and nothing was cut off.
+func TestDrainedTargetGetsNoNewWork(t *testing.T) {
+	q := qt.New(t)
+	s := newCluster(t, 3, 3, 2*time.Millisecond)
+	done := make(chan load.Report)
+	go func() {
+		r, _ := load.Run(t.Context(), load.Config{
+			Entries: []string{s.callers(0), s.callers(1), s.callers(2)}, Services: []string{provedService},
+			Rate: 200, Requests: 1200, Writes: 0.2, Timeout: 5 * time.Second, Seed: 5,
+		})
+		done <- r
+	}()
+	time.Sleep(time.Second)
+	res, err := http.Post("http://"+s.operators(0)+"/v1/drain?name=ledger-0", "", nil)
+	q.Assert(err, qt.IsNil)
+	res.Body.Close()
+	q.Assert(res.StatusCode, qt.Equals, http.StatusOK)
+	time.Sleep(2 * time.Second)
+	before := targetRuns(t, s, 0)
+	r := <-done
+	q.Check(targetRuns(t, s, 0), qt.Equals, before)
+	q.Check(r.Answered, qt.Equals, r.Sent, qt.Commentf("%+v", reportOf(r)))
+}
+
+func targetRuns(t *testing.T, s *cluster, n int) int {
+	t.Helper()
+	var log []struct{ ID string }
+	qt.Assert(t, getJSON("http://"+s.targets[n].addrs[0]+"/-/log", &log), qt.IsNil)
+	return len(log)
+}
+
+// A target crashes under one request, which its caller sends again and again
+// with new keys through every entry. After a bounded number of crashed
+// connections it is refused, and other requests go on.
+func TestOneBadRequestIsStopped(t *testing.T) {
+	q := qt.New(t)
+	s := newCluster(t, 4, 3, time.Millisecond)
+	for n := range s.targets {
+		breakTarget(t, s, n, `{"Crash":true}`)
+	}
+	before := total(s.runs(t))
+	for n := range 30 {
+		s.post(n%3, uuid.Must(uuid.NewV7()).String(), 2*time.Second)
+	}
+	crashed := total(s.runs(t)) - before
+	q.Check(crashed <= 6, qt.IsTrue, qt.Commentf("%d dispatches of a request that crashes targets", crashed))
+	a := s.post(0, uuid.Must(uuid.NewV7()).String(), time.Second)
+	q.Check(fmt.Sprint(a.outcome, a.reason), qt.Equals, "not-runquarantined")
+}
+
+func breakTarget(t *testing.T, s *cluster, n int, fault string) {
+	t.Helper()
+	res, err := http.Post("http://"+s.targets[n].addrs[0]+"/-/fault", "application/json", strings.NewReader(fault))
+	qt.Assert(t, err, qt.IsNil)
+	res.Body.Close()
+}
+
+func total(runs map[string]int) (n int) {
+	for _, r := range runs {
+		n += r
+	}
+	return n
+}
--- a/scripts/path.sh
+++ b/scripts/path.sh
@@ -15,7 +15,7 @@
 trap cleanup EXIT
 fail() {
 	echo "path failed: $*" >&2
-	tail -n 5 "$work"/*.err >&2 || true
+	tail -qn 2 "$work"/*.err >&2 || true
 	exit 1
 }
 
@@ -36,7 +36,7 @@
 }
 address() { head -n 1 "$work/$1.out"; }
 
-start store standin store --settings examples/swanbourne.json
+start store standin store
 store="http://$(address store)"
 
 for n in 1 2 3; do
@@ -57,13 +57,16 @@
 done
 entries="$(address entry1),$(address entry2)"
 
+"$bin" settings apply examples/swanbourne.json --entry "$(sed -n 2p "$work/entry1.out")" --wait >"$work/apply.out" 2>"$work/apply.err" ||
+	fail "settings apply: $(cat "$work/apply.out" "$work/apply.err")"
+
 for n in 1 2; do
 	ok=
 	for _ in $(seq 100); do
-		"$bin" locate gown-catalogue --entry "$(address "entry$n")" >/dev/null 2>&1 && ok=1 && break
+		"$bin" ready --entry "$(sed -n 2p "$work/entry$n.out")" >/dev/null 2>&1 && ok=1 && break
 		sleep 0.1
 	done
-	[ -n "$ok" ] || fail "entry $n has no settings"
+	[ -n "$ok" ] || fail "entry $n is not ready"
 done
 
 "$bin" load --entries "$entries" --services gown-catalogue --rate 200 --requests 600 --writes 0.2 --seconds 30 --json \
--- a/standin.go
+++ b/standin.go
@@ -13,9 +13,9 @@
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/site"
 	"plumpitch.example/plumpitch/internal/standin/platform"
 	"plumpitch.example/plumpitch/internal/standin/target"
-	"plumpitch.example/plumpitch/internal/store"
 )
 
 func standinCommand() *command {
@@ -41,8 +41,7 @@
 			if err != nil {
 				return err
 			}
-			_, err = store.New(store.Config{Addr: addr}).Put(ctx, "settings", "tree", 0, text)
-			return err
+			return site.Apply(ctx, addr, file, text)
 		})
 	}}
 }
