forward: failures by stage, proofs of no resend and of not-run

Cause: not-run must be certain, and net/http sends requests again by itself. Change: the connection notes whether the target ended it, so that a crash is told from a broken answer; a request body that broke or ended early is blamed on its caller; a failure says whether the body can be sent again. Ruled out: reading the transport's error texts.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -18,11 +18,10 @@
 	Length  int64       // bytes of the body; negative when not known
 	Whole   []byte
 	Body    io.ReadCloser
-	Trailer http.Header // values are complete after the end of Body
+	Trailer http.Header // announced ones; complete after the end of Body
 	Load    Load
 
-	head bool // answer to a HEAD request
-	d    *dispatch
+	d *dispatch
 }
 
 // Close drops what was not read. A connection with bytes left is closed, so
@@ -53,7 +52,6 @@
 		Header:  make(http.Header, len(resp.Header)),
 		Length:  resp.ContentLength,
 		Trailer: resp.Trailer,
-		head:    d.try.Request.Method == http.MethodHead,
 		d:       d,
 	}
 	copyHeader(a.Header, resp.Header)
@@ -68,7 +66,7 @@
 	if d.timer != nil && !d.timer.Stop() {
 		return nil, errTimeout
 	}
-	a.Body = &stream{src: resp.Body, d: d}
+	a.Body = &stream{src: resp.Body, d: d, a: a, resp: resp}
 	return a, nil
 }
 
@@ -90,6 +88,8 @@
 type stream struct {
 	src   io.ReadCloser
 	d     *dispatch
+	a     *Answer
+	resp  *http.Response
 	timer *time.Timer
 }
 
@@ -101,7 +101,11 @@
 	}
 	n, err = s.src.Read(p)
 	s.timer.Stop()
-	if err != nil && err != io.EOF {
+	if err == io.EOF {
+		s.a.Trailer = s.resp.Trailer
+		return n, err
+	}
+	if err != nil {
 		err = s.cause(err)
 	}
 	return n, err
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -16,6 +17,10 @@
 	in  http.Header // trailer of the caller, complete at the end of src
 	out http.Header // trailer of the outgoing request
 
+	left int64 // bytes still to come; counts below 0 when the length is unknown
+	once bool  // src can be read only once
+	read atomic.Bool
+
 	mu     sync.Mutex
 	failed error
 }
@@ -24,7 +29,8 @@
 func (b *body) set(t *Try, out http.Header) {
 	b.in, b.out = t.Request.Trailer, out
 	if t.Stream != nil {
-		b.src = t.Stream
+		b.once = true
+		b.src, b.left = t.Stream, t.Length
 		return
 	}
 	b.src = bytes.NewReader(t.Body)
@@ -32,7 +38,12 @@
 
 // Read notes a failure of the source, so that it isn't blamed on the target.
 func (b *body) Read(p []byte) (n int, err error) {
+	b.read.Store(true)
 	n, err = b.src.Read(p)
+	b.left -= int64(n)
+	if err == io.EOF && b.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
 	if err == io.EOF {
 		b.trail()
 		return n, err
@@ -56,6 +67,11 @@
 	return nil
 }
 
+// used reports whether the body can't be sent again.
+func (b *body) used() bool {
+	return b.once && b.read.Load()
+}
+
 func (b *body) err() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/forward/copy.go
+++ b/internal/forward/copy.go
@@ -25,7 +25,10 @@
 	for k, v := range a.Header {
 		h[k] = v
 	}
-	announce(h, a)
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps the server from guessing one
+	}
+	announce(h, a.Trailer)
 	w.WriteHeader(a.Status)
 	fail := a.pass(w)
 	ended(fail)
@@ -35,29 +38,44 @@
 }
 
 // announce names the trailers; they need an answer in chunks.
-func announce(h http.Header, a *Answer) {
-	for k := range a.Trailer {
-		if own(k) {
-			continue
+func announce(h, trailer http.Header) {
+	for k := range trailer {
+		if !own(k) && !hopByHop[k] {
+			h.Add("Trailer", k)
+		}
+	}
+}
+
+// trail sets the trailers, also those that the target had not announced.
+func (a *Answer) trail(h http.Header) {
+	for k, v := range a.Trailer {
+		switch {
+		case own(k) || hopByHop[k]:
+		case lists(h["Trailer"], k):
+			h[k] = v
+		default:
+			h[http.TrailerPrefix+k] = v
 		}
-		h.Add("Trailer", k)
 	}
 }
 
 func (a *Answer) pass(w http.ResponseWriter) *Failure {
 	if a.Body == nil {
-		if _, err := w.Write(a.Whole); err != nil && !a.head && len(a.Whole) > 0 {
-			return a.failed(call.StageCancelled, err)
-		}
-		return nil
+		return a.passWhole(w)
 	}
 	if f := a.stream(w); f != nil {
 		return f
 	}
-	for k, v := range a.Trailer {
-		if !own(k) {
-			w.Header()[k] = v
-		}
+	a.trail(w.Header())
+	return nil
+}
+
+func (a *Answer) passWhole(w io.Writer) *Failure {
+	if len(a.Whole) == 0 {
+		return nil
+	}
+	if _, err := w.Write(a.Whole); err != nil {
+		return a.failed(call.StageCancelled, errors.WithMessage(err, "writing to the caller"))
 	}
 	return nil
 }
@@ -84,7 +102,7 @@
 			return nil
 		}
 		if err != nil {
-			return a.failed(a.d.streamStage(), errors.WithMessage(err, "reading the answer"))
+			return a.failed(a.d.stage(a.Status, err), errors.WithMessage(err, "reading the answer"))
 		}
 	}
 }
@@ -100,14 +118,10 @@
 	return nil
 }
 
-// streamStage tells a caller that left from a target that cut its answer.
-func (d *dispatch) streamStage() call.Stage {
-	if d.parent.Err() != nil {
-		return call.StageCancelled
-	}
-	return call.StageCut
-}
-
 func (a *Answer) failed(s call.Stage, err error) *Failure {
-	return &Failure{Target: a.Target, Stage: s, Ran: call.DidRun, Status: a.Status, Cause: err}
+	f := &Failure{Target: a.Target, Stage: s, Status: a.Status, Cause: err}
+	if success(a.Status) {
+		f.Ran = call.DidRun
+	}
+	return f
 }
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -84,6 +84,7 @@
 	f := &Failure{Target: d.try.Target, Status: status, Cause: err}
 	f.Stage = d.stage(status, err)
 	f.Ran = d.watch.ran()
+	f.Replay = !d.body.used()
 	if success(status) {
 		f.Ran = call.DidRun
 	}
@@ -92,28 +93,37 @@
 	return f
 }
 
+// stage tells whose doing a failure is: first that of the clock and the
+// caller, whose going breaks connections too, then that of the target.
 func (d *dispatch) stage(status int, err error) call.Stage {
 	cause := context.Cause(d.ctx)
 	switch {
-	case cause == errTimeout, errors.Is(cause, context.DeadlineExceeded):
+	case cause == errTimeout, cause == errStalled, errors.Is(cause, context.DeadlineExceeded):
 		return call.StageTimeout
 	case d.parent.Err() != nil:
 		return call.StageCancelled
 	case d.body.err() != nil:
 		return call.StageCaller
-	case status != 0:
-		return call.StageCut
-	case d.watch.conn.Load() == nil && errors.Is(err, syscall.ECONNREFUSED):
-		return call.StageRefused
 	case d.watch.conn.Load() == nil:
-		return call.StageConnect
+		return connectStage(err)
 	case d.watch.ran() == call.DidNotRun:
 		return call.StageUnsent
+	case !d.watch.broken() || err == errUnframed:
+		return call.StageInvalid
+	case status != 0:
+		return call.StageCut
 	default:
 		return call.StageSent
 	}
 }
 
+func connectStage(err error) call.Stage {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return call.StageRefused
+	}
+	return call.StageConnect
+}
+
 // success reports whether a head alone shows that the request ran; with any
 // other status the target may have refused to begin it.
 func success(status int) bool {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -125,7 +125,8 @@
 	Target string
 	Stage  call.Stage
 	Ran    call.Execution
-	Status int // of the answer head, when one came
+	Status int  // of the answer head, when one came
+	Replay bool // the body can be sent again
 	Cause  error
 }
 
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -66,6 +66,12 @@
 	return call.MayHaveRun
 }
 
+// broken reports whether the target ended the connection.
+func (w *watch) broken() bool {
+	c := w.conn.Load()
+	return c != nil && c.broken.Load()
+}
+
 // drop closes the connection, so that nothing left on it is read as an answer
 // to a later request.
 func (w *watch) drop() {
