pool: a probe before a trial of a lost target, few trials in a quiet service

Change: lost connections want a good probe before a request, where there is a budget; 200 requests between bad trials; suspects are judged by trials instead of fading; probes without result are forgotten after 1 s; it takes two bad probes to eject.

--- a/internal/lab/tail/experiments.go
+++ b/internal/lab/tail/experiments.go
@@ -45,7 +45,7 @@
 	{"owners", "Where a service's requests meet: k entries, used alike or the first preferred.", ownersRows, []string{"p99 of writes ms", "writes refused %", "used again ms", "failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
 	{"straggler", "One worker 10 times slower, unannounced: all the time, or from a third to two thirds of the run; one that stalls for 300 ms every second.", stragglerRows, []string{"p99 of writes ms", "writes refused %", "failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
 	{"swing", "Load that swings 10 times within a moment.", swingRows, []string{"p99 of writes ms", "writes refused %", "used again ms", "failed %", "lost tries", "last new work ms"}},
-	{"probes", "The cost of measuring.", probesRows, []string{"p99 of writes ms", "writes refused %", "used again ms", "failed %", "lost tries", "last new work ms"}},
+	{"probes", "The cost of measuring.", probesRows, []string{"p99 of writes ms", "writes refused %", "used again ms", "failed %", "last new work ms"}},
 	{"drain", "A target leaves a third into the run, told in one way only; or crashes and comes back cold.", drainRows, []string{"p99 of writes ms", "writes refused %", "worst 100 ms", "goodput %"}},
 	{"retry", "Overload and targets that fail fast.", retryRows, []string{"used again ms", "worst 100 ms", "last new work ms"}},
 }
@@ -177,7 +177,18 @@
 			}
 		}
 	}
-	return rows
+	return append(rows, quietRows(requests)...)
+}
+
+// quietRows are of a service with so few requests that targets are silent for
+// seconds, and one is gone half the time.
+func quietRows(requests int) []row {
+	sc := base(paydesk, 0.002, requests/10)
+	whole := time.Duration(sc.seconds() * float64(time.Second))
+	for at := time.Duration(0); at < whole; at += 20 * time.Second {
+		sc.faults = append(sc.faults, fault{kind: crash, worker: 1, from: at, to: at + 10*time.Second})
+	}
+	return probeWays("paydesk 0.2 %, one target gone each other 10 s", sc)
 }
 
 func probeWays(group string, sc scenario) []row {
--- a/pkg/pool/answer.go
+++ b/pkg/pool/answer.go
@@ -15,6 +15,7 @@
 	}
 	took := p.now - r.start
 	good := false
+	m.unclear = kind == RefusedConn || kind == Broken || kind == TimedOut
 	switch kind {
 	case Served:
 		good = p.takeServed(m, took)
--- a/pkg/pool/health.go
+++ b/pkg/pool/health.go
@@ -20,7 +20,8 @@
 	hazardCap   = 4.5 // one long request alone can't eject its target
 	slowKeep    = 2 * time.Second
 
-	trialBad = 1.0 // change by an answer from which on a trial counts as bad
+	trialEvery = 200 // requests for each trial after a bad one, so that few meet it
+	trialBad   = 1.0 // change by an answer from which on a trial counts as bad
 
 	failOut     = 3.5
 	failSuspect = 1.8
@@ -35,10 +36,11 @@
 
 var slowGain = math.Log(slowFactor)
 
-// fade lets the judgement of a target that is in use age: without it, one that
-// gets no requests because it is suspected would be suspected for ever.
+// fade lets slight evidence age. A suspected target is judged anew by trials
+// instead: in a quiet service its evidence would fade between two requests, and
+// callers would meet the same slow target again and again.
 func (m *Member) fade(now time.Duration) {
-	if m.slow > 0 && !m.out {
+	if m.slow <= slowSuspect && !m.out {
 		m.slow *= math.Exp2(-float64(now-m.slowAt) / float64(slowKeep))
 	}
 	m.slowAt = now
@@ -147,6 +149,9 @@
 		if m.slow > slowOut || m.fail > failOut {
 			p.eject(m)
 		}
+		if !good {
+			m.nextTry = p.arrivals + trialEvery
+		}
 		return
 	}
 	if m.slow <= slowReturn && m.fail <= failReturn {
@@ -158,8 +163,14 @@
 		m.trialAt = p.now
 		return
 	}
+	p.putOff(m)
+}
+
+// putOff makes the pause before the next trial longer.
+func (p *Pool[P]) putOff(m *Member) {
 	m.pause = min(2*m.pause, p.cfg.TrialMax)
 	m.trialAt = p.now + m.pause
+	m.nextTry = p.arrivals + trialEvery
 }
 
 // watch ejects a target whose running requests alone show that it is stuck:
--- a/pkg/pool/health_test.go
+++ b/pkg/pool/health_test.go
@@ -16,7 +16,7 @@
 
 // usual spreads answers over 2 to 10 ms.
 func usual(_ time.Duration, n int) (time.Duration, pool.Kind) {
-	return 2*ms + time.Duration(n*7%9)*ms, pool.Served
+	return 2*ms + time.Duration(uint32(n)*2654435761>>8%9)*ms, pool.Served
 }
 
 func slowBy(factor int) how {
@@ -54,6 +54,9 @@
 	until := b.now.Add(whole)
 	take := func(out []pool.Action) {
 		for _, a := range out {
+			if a.Kind == pool.Probe {
+				b.probe(a.Target, targets[a.Target])
+			}
 			if a.Kind != pool.Dispatch {
 				continue
 			}
@@ -90,6 +93,16 @@
 	return got
 }
 
+// probe answers at once; only a target that refuses connections looks bad.
+func (b *bed) probe(target string, do how) {
+	ok := true
+	if do != nil {
+		_, kind := do(b.now.Sub(start), 0)
+		ok = kind != pool.RefusedConn
+	}
+	b.pool.Probed(b.now, pool.Probed{Target: target, OK: ok}, nil)
+}
+
 // A target turns bad without a word, at 1 s; callers would see its delays and
 // errors. Its answers, or its silence, compare badly with those of the others;
 // it is taken out but for trials, and used fully again 2 s after its recovery.
--- a/pkg/pool/member.go
+++ b/pkg/pool/member.go
@@ -34,8 +34,10 @@
 	out      bool
 	trialAt  time.Duration
 	pause    time.Duration
-	trials   int // trial requests in flight
-	probing  bool
+	trials   int           // trial requests in flight
+	nextTry  int           // arrivals at the pool before the next trial
+	unclear  bool          // whether it may be gone: a probe goes before a trial
+	probing  time.Duration // until then the result of a probe may come
 
 	left      bool
 	leftUntil time.Duration
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -17,18 +17,19 @@
 	policy P
 	rnd    *rand.Rand
 
-	epoch   time.Time
-	now     time.Duration // since epoch; never goes back
-	members []*Member
-	byID    map[string]*Member
-	holds   map[string]hold // targets that said they leave
-	flights map[uint64]*Member
-	queue   queue
-	curve   Curve
-	gap     gap
-	out     int
-	failSum float64
-	asked   time.Duration // last look for a target worth a probe
+	epoch    time.Time
+	now      time.Duration // since epoch; never goes back
+	members  []*Member
+	byID     map[string]*Member
+	holds    map[string]hold // targets that said they leave
+	flights  map[uint64]*Member
+	queue    queue
+	curve    Curve
+	gap      gap
+	out      int
+	failSum  float64
+	arrivals int
+	asked    time.Duration // last look for a target worth a probe
 
 	usable []*Member // scratch
 	choice Choice
@@ -72,6 +73,7 @@
 // Arrive dispatches the request, queues it, or refuses it at once.
 func (p *Pool[P]) Arrive(now time.Time, a Arrival, out []Action) []Action {
 	p.set(now)
+	p.arrivals++
 	w := waiting{Arrival: a, due: p.due(a.Deadline)}
 	if p.queue.len() == 0 {
 		if next, done := p.place(a, out); done {
@@ -163,31 +165,6 @@
 	return append(out, Action{Kind: Dispatch, ID: id, Target: m.ID, Boot: m.Boot, Addr: m.Addr, Trial: trial})
 }
 
-// trial returns a target that is due for a trial request. One that is suspected
-// needs trials too: being used last, it may get nothing else, and its judgement
-// would outlast its fault.
-func (p *Pool[P]) trial(a Arrival) *Member {
-	if p.cfg.Blind || a.Avoid != "" {
-		return nil
-	}
-	for _, m := range p.members {
-		if m.left || m.trials > 0 {
-			continue
-		}
-		at := m.trialAt
-		if !m.out {
-			if len(m.runs) > 0 || m.slow <= slowSuspect && m.fail <= failSuspect {
-				continue
-			}
-			at = m.answered + p.cfg.TrialMin
-		}
-		if p.now >= at && (a.Idempotent || p.now > at+max(m.pause, p.cfg.TrialMin)) {
-			return m
-		}
-	}
-	return nil
-}
-
 // drain refuses what has become too late and dispatches from the head of the
 // queue while a target has room.
 func (p *Pool[P]) drain(out []Action) []Action {
--- /dev/null
+++ b/pkg/pool/probe_test.go
@@ -0,0 +1,147 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/pkg/pool"
+	"plumpitch.example/plumpitch/pkg/probe"
+)
+
+func budget(now time.Time) *probe.Budget {
+	b := probe.New(probe.Config{Window: 100 * ms, Budget: 10 * ms, Cost: ms})
+	b.Share(now, probe.Share{Of: 1})
+	return b
+}
+
+// idle ticks the pool for a while and returns how often each target was probed.
+func (b *bed) idle(whole time.Duration, ok func(target string) bool) map[string]int {
+	probed := map[string]int{}
+	for until := b.now.Add(whole); b.now.Before(until); b.now = b.now.Add(10 * ms) {
+		for _, a := range b.pool.Tick(b.now, nil) {
+			if a.Kind == pool.Probe {
+				probed[a.Target]++
+				b.act(b.pool.Probed(b.now.Add(ms), pool.Probed{Target: a.Target, OK: ok(a.Target)}, nil))
+			}
+		}
+	}
+	return probed
+}
+
+func fine(string) bool { return true }
+
+// Measuring takes time from the targets, which callers pay for. A target is
+// probed only where the result could change a decision.
+func TestWorthProbing(t *testing.T) {
+	tests := []struct {
+		name string
+		make func(b *bed)
+		most int // probes of t0 in the next second
+		none bool
+	}{
+		{"busy", func(b *bed) { b.load(4, time.Second, nil) }, 0, true},
+		{"silent for a second", func(b *bed) { b.load(4, time.Second, nil); b.now = b.now.Add(500 * ms) }, 0, true},
+		{"silent for long", func(b *bed) { b.now = b.now.Add(time.Minute) }, 1, false},
+		{"leaving and silent", func(b *bed) { b.pool.Leave(b.now, "t0", 1, nil); b.now = b.now.Add(30 * time.Second) }, 0, true},
+		{"slow, not gone", func(b *bed) {
+			b.load(6, 500*ms, nil)
+			b.load(6, 500*ms, map[string]how{"t0": slowBy(10)})
+		}, 0, true},
+		{"gone", func(b *bed) { b.load(6, 500*ms, map[string]how{"t0": ends(ms, pool.RefusedConn)}) }, 2, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := bedOf(c, "", pool.Config{Budget: budget(start)}, targets(4))
+			b.idle(500*ms, fine)
+			test.make(b)
+			got := b.idle(time.Second, fine)
+			c.Check(got["t0"] <= test.most, qt.IsTrue, qt.Commentf("%v", got))
+			c.Check(got["t0"] == 0, qt.Equals, test.none, qt.Commentf("%v", got))
+		})
+	}
+}
+
+// Callers of a quiet service would find out one by one that a target is gone.
+// Its connections fail; probes ask whether it is back, and a request goes there
+// only after a good one, or as a last resort where no probe can be had.
+func TestProbeBeforeTrial(t *testing.T) {
+	gone := map[string]how{"t0": ends(ms, pool.RefusedConn)}
+	tests := []struct {
+		name   string
+		budget bool
+		most   int // requests to the target in 4 s
+	}{
+		{"with a budget", true, 1},
+		{"without", false, 16},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			cfg := pool.Config{}
+			if test.budget {
+				cfg.Budget = budget(start)
+			}
+			b := bedOf(c, "", cfg, targets(6))
+			b.load(6, 500*ms, nil)
+			got := b.load(6, 4*time.Second, gone)
+			c.Check(got["t0"] <= test.most, qt.IsTrue, qt.Commentf("%v", got))
+			b.idle(time.Second, fine)
+			b.load(6, time.Second, nil)
+			got = b.load(6, time.Second, nil)
+			c.Check(got["t0"] > got["t1"]*4/5, qt.IsTrue, qt.Commentf("%v", got))
+		})
+	}
+}
+
+// With few requests a second, each pause before a trial passes between two of
+// them; every second caller would be sent to a target that is known to be slow.
+func TestQuietTrials(t *testing.T) {
+	c := qt.New(t)
+	b := bedOf(c, "", pool.Config{}, targets(6))
+	b.load(6, time.Second, nil)
+	b.load(0, 100*ms, nil)
+	got := 0
+	for range 1000 {
+		id, _ := b.arrive(time.Minute)
+		took, target := 5*ms, b.sent[id]
+		if target == "t0" {
+			took = 80 * ms
+			got++
+		}
+		b.now = b.now.Add(took)
+		b.done(id, pool.Served)
+		b.now = b.now.Add(400 * ms)
+	}
+	c.Check(got <= 20, qt.IsTrue, qt.Commentf("%d", got))
+}
+
+// The result of a probe may never come, as with any call. The target must not
+// go unprobed for ever because of it.
+func TestProbeWithoutResult(t *testing.T) {
+	c := qt.New(t)
+	b := bedOf(c, "", pool.Config{Budget: budget(start)}, targets(1))
+	probes := 0
+	for range 600 {
+		b.now = b.now.Add(10 * ms)
+		probes += len(b.pool.Tick(b.now, nil))
+	}
+	c.Check(probes >= 2, qt.IsTrue, qt.Commentf("%d", probes))
+	c.Check(probes <= 4, qt.IsTrue, qt.Commentf("%d", probes))
+}
+
+// A health endpoint misleads both ways. Callers keep their targets where one
+// probe fails by chance; and a good probe does not bring back a slow target.
+func TestProbesMislead(t *testing.T) {
+	c := qt.New(t)
+	b := bedOf(c, "", pool.Config{Budget: budget(start)}, targets(6))
+	b.load(6, time.Second, nil)
+	b.pool.Probed(b.now, pool.Probed{Target: "t1"}, nil)
+	c.Check(b.outs(), qt.Equals, 0)
+	b.load(10, 2*time.Second, map[string]how{"t2": slowBy(10)})
+	c.Check(b.outs(), qt.Equals, 1)
+	b.pool.Probed(b.now, pool.Probed{Target: "t2", OK: true}, nil)
+	c.Check(b.outs(), qt.Equals, 1)
+}
--- a/pkg/pool/tick.go
+++ b/pkg/pool/tick.go
@@ -5,6 +5,8 @@
 const (
 	queueTick = time.Millisecond
 	probeTick = 50 * time.Millisecond
+	probeLost = time.Second
+	probeFail = 2.0 // evidence of a failed probe
 )
 
 // Tick refuses what has become too late, dispatches what has got room, lets
@@ -48,46 +50,47 @@
 	}
 	p.asked = p.now
 	for _, m := range p.members {
-		if m.left || m.probing || !p.worth(m) {
+		if m.left || p.now < m.probing || !p.worth(m) {
 			continue
 		}
 		if !p.cfg.Budget.Take(now) {
 			return out
 		}
-		m.probing = true
+		m.probing = p.now + probeLost
 		out = append(out, Action{Kind: Probe, Target: m.ID, Boot: m.Boot, Addr: m.Addr})
 	}
 	return out
 }
 
 // worth tells whether a probe of m could change what it is sent: one that is
-// out for lost connections and due back, or one that has been silent.
+// due back after lost connections, or one that has been silent.
 func (p *Pool[P]) worth(m *Member) bool {
-	if m.out {
-		return m.fail > failReturn && m.trialAt <= p.now && m.trials == 0
+	if m.doubted() {
+		return m.unclear && p.now >= p.trialDue(m)-probeFirst
 	}
-	return len(m.runs) == 0 && p.now-m.answered > p.cfg.Silent
+	return !m.out && len(m.runs) == 0 && p.now-m.answered > p.cfg.Silent
 }
 
 // Probed takes the result of a probe. A good one only allows a trial request,
-// since health endpoints lag and mislead; a bad one puts the trial off.
+// since health endpoints lag and mislead; it takes two bad ones to eject.
 func (p *Pool[P]) Probed(now time.Time, r Probed, out []Action) []Action {
 	p.set(now)
 	m := p.byID[r.Target]
 	if m == nil {
 		return out
 	}
-	m.probing = false
+	m.probing = 0
 	m.answered = p.now
 	out = p.report(m, r.Load, len(m.runs), out)
+	m.unclear = !r.OK
 	switch {
 	case r.OK && m.out:
 		m.trialAt = min(m.trialAt, p.now)
+		m.nextTry = 0
 	case !r.OK && m.out:
-		m.pause = min(2*m.pause, p.cfg.TrialMax)
-		m.trialAt = p.now + m.pause
+		p.putOff(m)
 	case !r.OK:
-		m.fail = failOut + 1
+		m.fail = min(m.fail+probeFail, failOut+1)
 		p.judge(m, false)
 	}
 	return p.drain(out)
