--- a/experiment.go
+++ b/experiment.go
@@ -6,13 +6,48 @@
 
 	"github.com/integrii/flaggy"
 
+	"plumpitch.example/plumpitch/internal/lab/faults"
 	"plumpitch.example/plumpitch/internal/lab/hop"
+	lab "plumpitch.example/plumpitch/internal/lab/tail"
 )
 
 func experimentCommand() *command {
 	sub := flaggy.NewSubcommand("experiment")
 	sub.Description = "measure a decision or a cost and print a table"
-	return &command{sub: sub, subs: []*command{experimentHop()}}
+	subs := []*command{experimentHop(), experimentFaults()}
+	for _, name := range lab.Names() {
+		subs = append(subs, experimentTail(name))
+	}
+	return &command{sub: sub, subs: subs}
+}
+
+// experimentTail drives the decisions in virtual time.
+func experimentTail(name string) *command {
+	cfg := lab.Config{Name: name}
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = "decisions of the pool against baselines, in virtual time"
+	sub.Int(&cfg.Seeds, "", "seeds", "runs of each row; default 5")
+	sub.UInt64(&cfg.Seed, "", "seed", "the first seed; default 1")
+	sub.Int(&cfg.Requests, "n", "requests", "requests of each run; default 60000")
+	sub.Bool(&cfg.JSON, "j", "json", "print JSON lines")
+	sub.String(&cfg.Plot, "", "plot", "path of an SVG to write")
+	sub.AdditionalHelpAppend = "Example: plumpitch experiment " + name + " --seeds 5"
+	return &command{sub: sub, run: func(context.Context) error {
+		return lab.Run(cfg, os.Stdout)
+	}}
+}
+
+func experimentFaults() *command {
+	cfg := faults.Config{Seed: 1}
+	sub := flaggy.NewSubcommand("faults")
+	sub.Description = "random pairs of faults against the decisions, in virtual time"
+	sub.UInt64(&cfg.Seed, "", "seed", "of the first run")
+	sub.Int(&cfg.Seeds, "", "seeds", "runs, each with the next seed; default 1000")
+	sub.Bool(&cfg.JSON, "j", "json", "print one JSON object")
+	sub.AdditionalHelpAppend = "Example: plumpitch experiment faults --seed 1 --seeds 1000"
+	return &command{sub: sub, run: func(context.Context) error {
+		return faults.Run(cfg, os.Stdout)
+	}}
 }
 
 func experimentHop() *command {
