entry: probes within a hard budget, dealt out among a service's home entries

The pool asked for no probes since it had no budget. Each service now has one: probeshare of the time of all its slots in any 100 ms, dealt out by rank among its home entries; an entry that is no home probes nothing. A changed budget starts without a share, so that a change never pays twice.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -9,6 +9,7 @@
 
 	"plumpitch.example/plumpitch/internal/store"
 	"plumpitch.example/plumpitch/pkg/pool"
+	"plumpitch.example/plumpitch/pkg/probe"
 	"plumpitch.example/plumpitch/pkg/ring"
 	"plumpitch.example/plumpitch/pkg/tree"
 )
@@ -95,6 +96,7 @@
 			return err
 		}
 		sv.targets(now, c.targetsOf(want))
+		sv.grant(now, c.share(want))
 		services[want.Name] = sv
 	}
 	for name, sv := range c.services {
@@ -107,6 +109,18 @@
 	return nil
 }
 
+// share is this entry's part among the home entries of a service. An entry that
+// serves it only by a stale locate answer probes nothing.
+func (c *control) share(want tree.Service) probe.Share {
+	homes := ring.Homes(c.named(), want.Name, want.Policy.Entries)
+	for rank, m := range homes {
+		if m.Name == c.entry.cfg.File.Name {
+			return probe.Share{Rank: rank, Of: len(homes)}
+		}
+	}
+	return probe.Share{}
+}
+
 // named are the entries that locate may name.
 func (c *control) named() []ring.Member {
 	if !c.leaving {
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -10,6 +10,7 @@
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/pool"
+	"plumpitch.example/plumpitch/pkg/probe"
 )
 
 // prober sends probes. Whether one may be sent is the pool's decision, within
@@ -20,6 +21,41 @@
 	spent  atomic.Int64 // nanoseconds that probes took
 }
 
+// Windows of the probe budget.
+const (
+	probeWindow = 100 * time.Millisecond
+	probeSettle = 5 * time.Second // until all entries know of a change of members
+)
+
+// grant sets what the service's probes may cost: a share of the time of all its
+// slots in any window, dealt out by rank among its home entries. A new budget
+// starts without a share and gets one only after the others have surely given
+// theirs up, so a change of settings or targets never pays twice.
+func (s *service) grant(now time.Time, share probe.Share) {
+	p := s.policy.Load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slots := 0
+	for _, t := range s.list {
+		n := t.Slots
+		if n == 0 {
+			n = p.Slots
+		}
+		slots += n
+	}
+	cfg := probe.Config{
+		Window: probeWindow,
+		Budget: time.Duration(p.ProbeShare * float64(slots) * float64(probeWindow)),
+		Cost:   p.ProbeCost,
+		Settle: probeSettle,
+	}
+	if cfg != s.granted {
+		s.granted = cfg
+		*s.probes = *probe.New(cfg)
+	}
+	s.probes.Share(now, share)
+}
+
 // maxProbeBody bounds what is read of a probe's answer, in bytes.
 const maxProbeBody = 4 << 10
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -9,6 +9,7 @@
 
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/pool"
+	"plumpitch.example/plumpitch/pkg/probe"
 	"plumpitch.example/plumpitch/pkg/tree"
 )
 
@@ -24,6 +25,8 @@
 	left    func(target string, boot uint64)
 
 	mu      sync.Mutex
+	probes  *probe.Budget // also held by the chooser
+	granted probe.Config  // of probes
 	chooser pool.Chooser
 	retired []pool.Chooser // replaced, with requests that still have to end
 	waiting map[uint64]chan pool.Action
@@ -57,15 +60,18 @@
 	}
 	s.policy.Store(&cfg.Policy)
 	s.budget.Store(newBudget(cfg.Policy))
-	s.chooser, err = newChooser(cfg.Policy)
+	s.probes = probe.New(probe.Config{})
+	s.chooser, err = newChooser(cfg.Policy, s.probes)
 	s.timer = time.AfterFunc(time.Hour, s.tick)
 	s.timer.Stop()
 	return s, err
 }
 
-func newChooser(p tree.Policy) (c pool.Chooser, err error) {
+func newChooser(p tree.Policy, probes *probe.Budget) (c pool.Chooser, err error) {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return pool.ByName(poolName(p.Policy), poolConfig(p), rnd)
+	cfg := poolConfig(p)
+	cfg.Budget = probes
+	return pool.ByName(poolName(p.Policy), cfg, rnd)
 }
 
 // poolName is the pool's name for a policy of the settings.
@@ -110,7 +116,7 @@
 	if p.Policy == old.Policy && reflect.DeepEqual(poolConfig(p), poolConfig(old)) {
 		return nil
 	}
-	c, err := newChooser(p)
+	c, err := newChooser(p, s.probes)
 	if err != nil {
 		return err
 	}
