tree, entry: only settings that something obeys

Nine settings were parsed, checked and documented, and nothing read them: the pool judges by evidence and has no ejection factor, suspects and headers have one bound for all services. They are gone; what the pool does have (maxwait, trialmin, trialmax, warmup, probeafter, leavehold) can be set. The words of policy are the pool's own names, so that no table translates them. A leaving entry serves on for drainhold, which had been taken for the pool's hold of a target's leaving word.

Keys are remembered for an hour and at most 250,000 of them with 64 MB of answers: the default of a million keys would take 310 MB by the measured 310 bytes a record, on VMs that are small.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -251,7 +251,7 @@
 }
 
 // graceTime bounds a graceful stop.
-const graceTime = 30 * time.Second
+const graceTime = time.Minute
 
 // closing is the context of what has to end during a stop.
 func closing() context.Context {
--- a/internal/entry/plane.go
+++ b/internal/entry/plane.go
@@ -10,6 +10,7 @@
 	"plumpitch.example/plumpitch/internal/peer"
 	"plumpitch.example/plumpitch/internal/settings"
 	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/claim"
 	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/ring"
 )
@@ -36,15 +37,37 @@
 		Superseded: func(member.ID) { e.superseded() },
 	})
 	e.claims = claims.New(claims.Config{
-		Self:  e.self(),
-		Peers: claims.Remote{Client: e.client},
-		Store: claims.Platform{Client: e.store},
-		View:  func() ring.View { return e.members.Ring(time.Now(), e.claims.Ring().Revision) },
-		Log:   func(message string, err error) { e.log.WithError(err).Warn(message) },
+		Self:   e.self(),
+		Table:  keyTable(e.self().Ident),
+		Bounds: ringBounds(),
+		Peers:  claims.Remote{Client: e.client},
+		Store:  claims.Platform{Client: e.store},
+		View:   func() ring.View { return e.members.Ring(time.Now(), e.claims.Ring().Revision) },
+		Log:    func(message string, err error) { e.log.WithError(err).Warn(message) },
 	})
 	e.relay = newRelay(e)
 }
 
+// What an entry remembers of keys. A record takes 310 bytes besides its answer,
+// so that both bounds together stay under 150 MB.
+const (
+	keyRetention = time.Hour
+	maxKeys      = 250_000
+	maxKept      = 64 << 20 // bytes of answers
+)
+
+func keyTable(self ring.Ident) claim.Config {
+	c := claim.Default(self, time.Now())
+	c.Retention, c.Keys, c.Bytes = keyRetention, maxKeys, maxKept
+	return c
+}
+
+func ringBounds() ring.Config {
+	c := ring.Default()
+	c.Retention = keyRetention
+	return c
+}
+
 // documents are the two documents that peers hand on.
 func (e *Entry) documents() documents {
 	return documents{settings: e.settings, claims: e.claims, client: e.client}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -71,22 +71,7 @@
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	cfg := poolConfig(p)
 	cfg.Budget = probes
-	return pool.ByName(poolName(p.Policy), cfg, rnd)
-}
-
-// poolName is the pool's name for a policy of the settings.
-func poolName(policy string) string {
-	switch policy {
-	case tree.RoundRobin:
-		return pool.NameRoundRobin
-	case tree.RandomChoice:
-		return pool.NameRandom
-	case tree.TwoChoices:
-		return pool.NameTwoChoices
-	case tree.LeastInFlight:
-		return pool.NameLeastInFlight
-	}
-	return pool.NameFreeSlot
+	return pool.ByName(p.Policy, cfg, rnd)
 }
 
 func newBudget(p tree.Policy) *call.Budget {
@@ -100,8 +85,13 @@
 	return pool.Config{
 		Slots:    p.Slots,
 		MaxQueue: p.Queue,
+		MaxWait:  p.MaxWait,
 		MaxOut:   p.EjectShare,
-		Hold:     p.DrainHold,
+		Hold:     p.LeaveHold,
+		TrialMin: p.TrialMin,
+		TrialMax: p.TrialMax,
+		Warmup:   p.Warmup,
+		Silent:   p.ProbeAfter,
 	}
 }
 
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// stopMargin is added to the time for which callers keep a locate answer: an
+// stopMargin is added to the time for which a leaving entry serves on: a locate
 // answer may be under way when the entry begins to leave.
 const stopMargin = time.Second
 
@@ -22,7 +22,7 @@
 		e.log.WithError(err).Warn("leave not announced")
 	}
 	select {
-	case <-time.After(e.longestTTL() + stopMargin):
+	case <-time.After(e.longestHold() + stopMargin):
 	case <-ctx.Done():
 	}
 }
@@ -38,10 +38,11 @@
 	}
 }
 
-// longestTTL is the longest time for which a caller may keep an answer.
-func (e *Entry) longestTTL() (ttl time.Duration) {
+// longestHold is the longest time for which services want a leaving entry to
+// serve on. The settings keep it at least as long as callers keep an answer.
+func (e *Entry) longestHold() (hold time.Duration) {
 	for _, sv := range e.site.Load().services {
-		ttl = max(ttl, sv.policy.Load().LocateTTL)
+		hold = max(hold, sv.policy.Load().DrainHold)
 	}
-	return ttl
+	return hold
 }
--- a/pkg/tree/field.go
+++ b/pkg/tree/field.go
@@ -11,7 +11,7 @@
 // its name, unit, default, range and levels.
 type Field struct {
 	Name    string
-	Unit    string // duration, share, factor, size, count, flag, word, list
+	Unit    string // duration, share, size, count, flag, word, list
 	Default string
 	Low     string // least value; empty for none
 	High    string // greatest value; empty for none
--- a/pkg/tree/parse_test.go
+++ b/pkg/tree/parse_test.go
@@ -95,8 +95,8 @@
 			[]string{`f:1: /A b: found path "/A b", expected lower-case names after slashes.*`},
 		},
 		{
-			"level", `{"/": {"kind": "root"}, "/a": {"kind": "group", "set": {"trace": "off"}}}`,
-			[]string{`f:1: /a trace: found a node of kind group, expected it at root`},
+			"level", `{"/": {"kind": "root"}, "/a": {"kind": "place", "set": {"timeout": "2s"}}}`,
+			[]string{`f:1: /a timeout: found a node of kind place, expected it at root, group, service`},
 		},
 		{
 			"same name", `{"/": {"kind": "root"}, "/a": {"kind": "group"}, "/s": {"kind": "service"}, "/a/s": {"kind": "service"}}`,
--- a/pkg/tree/table.go
+++ b/pkg/tree/table.go
@@ -46,10 +46,6 @@
 			name: "requirekey", def: "false",
 			help: "Whether a non-idempotent request without an Idempotency-Key is refused.",
 		}, func(p *Policy) *bool { return &p.RequireKey }),
-		between(spans, spec{
-			name: "retention", def: "10m", low: "1s", high: "24h",
-			help: "How long a key and its recorded answer are remembered after the run.",
-		}, func(p *Policy) *time.Duration { return &p.Retention }),
 		between(shares, spec{
 			name: "retryshare", def: "10%", low: "0%", high: "100%",
 			help: "Retries and hedges, as a share of first tries.",
@@ -66,10 +62,6 @@
 			name: "hedgeafter", def: "50ms", low: "1ms", high: "1m",
 			help: "Wait for an answer before a hedge is sent.",
 		}, func(p *Policy) *time.Duration { return &p.HedgeAfter }),
-		between(numbers, spec{
-			name: "crashes", def: "2", low: "1", high: "10",
-			help: "Crashed targets after which a request is refused, however it is resent.",
-		}, func(p *Policy) *int { return &p.Crashes }),
 	}
 }
 
@@ -87,9 +79,13 @@
 			name: "queue", def: "256", low: "0", high: "100000",
 			help: "Requests of a service that wait for a slot at one entry; more are refused.",
 		}, func(p *Policy) *int { return &p.Queue }),
+		between(spans, spec{
+			name: "maxwait", def: "100ms", low: "1ms", high: "10m",
+			help: "Expected wait for a slot above which a request is refused at once.",
+		}, func(p *Policy) *time.Duration { return &p.MaxWait }),
 		oneOf(spec{
-			name: "policy", def: LateBinding,
-			words: []string{LateBinding, LeastInFlight, Weighed, TwoChoices, RoundRobin, RandomChoice},
+			name: "policy", def: FreeSlot,
+			words: []string{FreeSlot, LeastInFlight, TwoChoices, RoundRobin, Random},
 			help:  "How a target is chosen.",
 		}, func(p *Policy) *string { return &p.Policy }),
 		within(lists, spec{
@@ -115,34 +111,34 @@
 			help: "Path that a probe requests.",
 		}, "a path such as /healthz", isProbePath, func(p *Policy) *string { return &p.ProbePath }),
 		between(spans, spec{
-			name: "probeperiod", def: "1s", low: "10ms", high: "1h",
-			help: "Least time between two probes of one target by one entry.",
-		}, func(p *Policy) *time.Duration { return &p.ProbePeriod }),
+			name: "probeafter", def: "2s", low: "10ms", high: "1h",
+			help: "Time without an answer after which a target is worth a probe.",
+		}, func(p *Policy) *time.Duration { return &p.ProbeAfter }),
 	}
 }
 
 func healthFields() []Field {
 	return []Field{
-		between(factors, spec{
-			name: "ejectslow", def: "3x", low: "1.2x", high: "100x",
-			help: "A target this many times slower than the others is ejected.",
-		}, func(p *Policy) *float64 { return &p.EjectSlow }),
-		between(numbers, spec{
-			name: "ejectfails", def: "3", low: "1", high: "100",
-			help: "Failures in a row after which a target is ejected.",
-		}, func(p *Policy) *int { return &p.EjectFails }),
-		between(spans, spec{
-			name: "ejecttime", def: "2s", low: "10ms", high: "10m",
-			help: "How long an ejected target gets nothing before trial requests.",
-		}, func(p *Policy) *time.Duration { return &p.EjectTime }),
 		between(shares, spec{
 			name: "ejectshare", def: "30%", low: "0%", high: "90%",
 			help: "Most targets that may be ejected at a time.",
 		}, func(p *Policy) *float64 { return &p.EjectShare }),
 		between(spans, spec{
-			name: "slowstart", def: "5s", low: "0s", high: "10m",
-			help: "Time over which a new target's share of the work grows to the whole.",
-		}, func(p *Policy) *time.Duration { return &p.SlowStart }),
+			name: "trialmin", def: "50ms", low: "1ms", high: "1m",
+			help: "First pause of an ejected target before a trial request; it doubles up to trialmax.",
+		}, func(p *Policy) *time.Duration { return &p.TrialMin }),
+		between(spans, spec{
+			name: "trialmax", def: "1s", low: "1ms", high: "10m",
+			help: "Longest pause of an ejected target before a trial request.",
+		}, func(p *Policy) *time.Duration { return &p.TrialMax }),
+		between(numbers, spec{
+			name: "warmup", def: "8", low: "1", high: "1000",
+			help: "Answers until a new target gets more than one request at a time.",
+		}, func(p *Policy) *int { return &p.Warmup }),
+		between(spans, spec{
+			name: "leavehold", def: "1m", low: "1s", high: "1h",
+			help: "How long a target's word that it is leaving outweighs a VM list that says live.",
+		}, func(p *Policy) *time.Duration { return &p.LeaveHold }),
 	}
 }
 
@@ -164,13 +160,5 @@
 			name: "maxbody", def: "8MB", low: "0B", high: "1024MB",
 			help: "Largest body of a request.",
 		}, func(p *Policy) *int64 { return &p.MaxBody }),
-		between(sizes, spec{
-			name: "maxheader", def: "64KB", low: "1KB", high: "1MB",
-			help: "Largest header of a request.",
-		}, func(p *Policy) *int64 { return &p.MaxHeader }),
-		oneOf(spec{
-			name: "trace", def: TraceOff, words: []string{TraceOff, TraceStdout}, levels: []Kind{RootKind},
-			help: "Exporter of traces.",
-		}, func(p *Policy) *string { return &p.Trace }),
 	}
 }
--- a/pkg/tree/unit.go
+++ b/pkg/tree/unit.go
@@ -42,13 +42,6 @@
 		parse:   func(s string) (float64, error) { return suffixed(s, "%", 0.01) },
 		format:  func(f float64) string { return decimal(f*100) + "%" },
 	}
-	factors = unit[float64]{
-		name:    "factor",
-		example: "3x or 2.5x",
-		literal: textLiteral,
-		parse:   func(s string) (float64, error) { return suffixed(s, "x", 1) },
-		format:  func(f float64) string { return decimal(f) + "x" },
-	}
 	sizes = unit[int64]{
 		name:    "size",
 		example: "512B, 64KB or 8MB",
--- a/pkg/tree/wire_test.go
+++ b/pkg/tree/wire_test.go
@@ -43,7 +43,7 @@
 		}
 		f.Add(text)
 	}
-	f.Add([]byte(`{"/": {"kind": "root", "set": {"idempotent": ["GET"], "slots": 1e1, "trace": "off"}}} // end`))
+	f.Add([]byte(`{"/": {"kind": "root", "set": {"idempotent": ["GET"], "slots": 1e1, "policy": "random"}}} // end`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		d, err := tree.Parse("f", text)
 		if err != nil {
--- a/settings_test.go
+++ b/settings_test.go
@@ -107,7 +107,7 @@
 		{[]string{"service", "create", "/swanbourne/veils", "--set", "slots=4", "-e", addr}, exitOK, `.*revision 4 accepted`},
 		{[]string{"service", "create", "/swanbourne/veils", "-e", addr}, exitInvalid, `.*found an existing service.*`},
 		{[]string{"service", "create", "/swanbourne/x", "--set", "slots", "-e", addr}, exitUsage, `--set: found "slots", expected SETTING=VALUE`},
-		{[]string{"service", "list", "-e", addr}, exitOK, `.*veils +every +late +2 +4 +2s.*`},
+		{[]string{"service", "list", "-e", addr}, exitOK, `.*veils +every +freeslot +2 +4 +2s.*`},
 		{[]string{"service", "remove", "veil", "-e", addr}, exitFailed, `found "veil", .*did you mean veils\?`},
 		{[]string{"service", "remove", "veils", "-e", addr}, exitOK, `.*revision 5 accepted`},
 		{[]string{"place", "create", "/swanbourne/perth-metro/claremont-hall", "-e", addr}, exitOK, `.*revision 6 accepted`},
