entry: a panic gives back the request's slot, also in a dispatch's goroutine

Cause: the slot of a request was given back only on the ways on which nothing panics. A target's status 099 makes net/http's WriteHeader panic, so that each such answer took one of the target's slots for as long as the entry ran. A panic in the goroutine of a dispatch that may be hedged ended the process. Change: a drive that doesn't end whole gives back its tickets and cancels its dispatches; an answer that isn't passed on is released; a panic of a dispatch's goroutine goes on in the request's; a keyed run that panics records 'unknown'.

--- a/internal/entry/drive.go
+++ b/internal/entry/drive.go
@@ -43,9 +43,10 @@
 
 // result is how a dispatch ended, or the head of its answer.
 type result struct {
-	try     int
-	answer  *forward.Answer
-	failure *forward.Failure
+	try      int
+	answer   *forward.Answer
+	failure  *forward.Failure
+	panicked any
 }
 
 func newDrive(ctx context.Context, e *Entry, q *request) *drive {
@@ -60,6 +61,12 @@
 
 // run ends with an answer to pass on, or with what to tell the caller.
 func (d *drive) run() (p *passing, final call.Final) {
+	whole := false
+	defer func() {
+		if !whole {
+			d.abandon()
+		}
+	}()
 	d.perform(d.call.Arrive(d.q.arrived, d.arrival()))
 	for d.won == nil && !d.refused {
 		d.perform(d.next())
@@ -67,6 +74,7 @@
 	if d.timer != nil {
 		d.timer.Stop()
 	}
+	whole = true
 	if d.flying > 0 {
 		go d.reap()
 	}
@@ -199,8 +207,7 @@
 		return
 	}
 	d.flying++
-	action := f.action
-	go func() { d.results <- d.send(ctx, a, action) }()
+	go d.sendApart(ctx, a, f.action)
 }
 
 // send dispatches the request to one target, in a span of its own.
@@ -225,6 +232,9 @@
 
 // took gives a dispatch's result to the lifecycle.
 func (d *drive) took(r result) call.Actions {
+	if r.panicked != nil {
+		panic(r.panicked)
+	}
 	now := time.Now()
 	f := &d.tries[r.try]
 	replay := d.q.stream == nil
@@ -249,32 +259,3 @@
 	go d.entry.tellSuspect(d.q.fingerprint())
 	return held
 }
-
-// cancel ends a dispatch whose answer is not wanted. One that still flies in a
-// goroutine is cleared away when its result comes.
-func (d *drive) cancel(try int) {
-	f := &d.tries[try]
-	f.cancel()
-	if f.answer == nil {
-		return
-	}
-	f.answer.Close()
-	kind := kindOf(f.answer.Status)
-	if f.answer.Load.Shed {
-		kind = pool.Shed
-	}
-	f.ticket.done(time.Now(), kind, loadOf(f.answer.Load))
-}
-
-// reap clears away the results that come after the request has ended.
-func (d *drive) reap() {
-	for ; d.flying > 0; d.flying-- {
-		r := <-d.results
-		f := &d.tries[r.try]
-		f.cancel()
-		if r.answer != nil {
-			r.answer.Close()
-		}
-		f.ticket.done(time.Now(), pool.Cancelled, pool.Load{})
-	}
-}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/apex/log"
@@ -60,7 +59,7 @@
 		return
 	}
 	if r != any(http.ErrAbortHandler) {
-		e.log.WithFields(log.Fields{"request": id, "stack": string(debug.Stack())}).Errorf("panic: %v", r)
+		e.logPanic(id, r)
 	}
 	if w.begun || r == any(http.ErrAbortHandler) {
 		panic(http.ErrAbortHandler)
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -54,31 +54,58 @@
 // is granted the run goes on though its caller leaves: its answer is recorded,
 // and the caller's resend gets it instead of an unknown outcome.
 func (e *Entry) serveKeyed(ctx context.Context, q *request) (*passing, error) {
-	var own *passing
 	ctx, span := e.tracing.tracer.Start(ctx, "claim")
 	defer span.End()
+	r := keyedRun{entry: e, q: q}
+	defer r.release()
 	result := e.claims.Do(ctx, claims.Request{
 		Service: q.service.name, Key: q.key, Print: q.fingerprint(), Deadline: q.deadline,
-	}, func(context.Context) claim.Ended {
-		run, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
-		p, final := newDrive(run, e, q).run()
-		if p == nil {
-			cancel()
-			return claim.Ended{Outcome: final.Outcome, Reason: claim.Reason(final.Reason), RetryAfter: final.Retry}
-		}
-		p.cancel = cancel
-		own = p
-		return claim.Ended{Outcome: call.Ran, Answer: recorded(p.answer)}
-	})
+	}, func(context.Context) claim.Ended { return r.run(context.WithoutCancel(ctx)) })
 	switch {
-	case result.Kind == claim.Fresh && own != nil:
-		return own, nil
+	case result.Kind == claim.Fresh && r.own != nil:
+		return r.take(), nil
 	case result.Kind == claim.Replay && result.Answer.Whole:
 		return &passing{replay: &result.Answer}, nil
 	}
 	return nil, finalError{finalOf(result)}
 }
 
+// keyedRun is the run of a keyed request. Its answer is released unless it is
+// taken to be passed on.
+type keyedRun struct {
+	entry *Entry
+	q     *request
+	own   *passing
+}
+
+// run drives the request. A panic counts as an outcome: without one the key's
+// record would say for as long as it is kept that the request is in progress.
+func (r *keyedRun) run(ctx context.Context) (ended claim.Ended) {
+	defer func() {
+		if v := recover(); v != nil {
+			r.entry.logPanic(r.q.in.Header.Get(headerID), v)
+			ended = claim.Ended{Outcome: call.Unknown, Reason: claim.Reason(call.ReasonPanic)}
+		}
+	}()
+	p, final := r.entry.drive(ctx, r.q)
+	if p == nil {
+		return claim.Ended{Outcome: final.Outcome, Reason: claim.Reason(final.Reason), RetryAfter: final.Retry}
+	}
+	r.own = p
+	return claim.Ended{Outcome: call.Ran, Answer: recorded(p.answer)}
+}
+
+func (r *keyedRun) take() (p *passing) {
+	p, r.own = r.own, nil
+	return p
+}
+
+func (r *keyedRun) release() {
+	if r.own != nil {
+		r.own.release()
+	}
+}
+
 // finalOf is what the caller is told when there is no answer to pass on.
 func finalOf(r claim.Result) call.Final {
 	f := call.Final{Outcome: call.Unknown, Reason: call.Reason(r.Reason), Retry: r.RetryAfter}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -93,21 +93,35 @@
 
 // serve finds a target, dispatches the request there and returns the answer.
 func (e *Entry) serve(ctx context.Context, q *request) (*passing, error) {
-	ctx, cancel := context.WithDeadline(ctx, q.deadline)
-	p, final := newDrive(ctx, e, q).run()
+	p, final := e.drive(ctx, q)
 	if p == nil {
-		cancel()
 		return nil, finalError{final}
 	}
-	p.cancel = cancel
 	return p, nil
 }
 
+// drive runs the request until its deadline. The answer's release ends the
+// context of its dispatch.
+func (e *Entry) drive(ctx context.Context, q *request) (p *passing, final call.Final) {
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	defer func() {
+		if p == nil {
+			cancel()
+		}
+	}()
+	p, final = newDrive(ctx, e, q).run()
+	if p != nil {
+		p.cancel = cancel
+	}
+	return p, final
+}
+
 // passing is an answer on its way to the caller.
 type passing struct {
 	answer *forward.Answer
 	ticket ticket
 	cancel context.CancelFunc
+	ended  bool
 	replay *claim.Answer // instead of the others
 }
 
@@ -117,16 +131,7 @@
 		writeReplay(w, p.replay)
 		return nil
 	}
-	defer p.cancel()
+	defer p.release()
 	forward.Copy(w, p.answer, p.end)
 	return nil
 }
-
-// end gives the slot back once the whole answer is passed on, or cut.
-func (p *passing) end(f *forward.Failure) {
-	kind := kindOf(p.answer.Status)
-	if f != nil {
-		kind = kindOfStage(f.Stage)
-	}
-	p.ticket.done(time.Now(), kind, loadOf(p.answer.Load))
-}
--- /dev/null
+++ b/internal/entry/slot_test.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A target answers with a status that net/http refuses to write. The caller
+// must get a final answer, and the slot must come back: without that each such
+// answer takes a slot away for ever, until the target gets no work at all.
+func TestOddStatusFreesTheSlot(t *testing.T) {
+	odd := raw(t, func(c net.Conn) {
+		defer c.Close()
+		in := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, "HTTP/1.1 099 Odd\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	w := start(t, served{name: "odd", targets: []string{odd}})
+	for range 4 {
+		w.c.Assert(w.ask("GET", "/v1/call/odd/", nil).outcome(), qt.Equals, "unknown panic")
+	}
+	w.idle("odd")
+}
