entry: the gauges release a service's lock when the pool panics

Cause: the reporter locked without defer; a panic there left the lock taken, and the supervisor's restart could not help: each request of that service hung.

--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/pool"
 )
 
 // gaugePeriod is how often gauges are set.
@@ -53,11 +54,17 @@
 	r.peerBytes(scope)
 }
 
-func (s *service) gauges(now time.Time) {
+// look reads the pool under its lock, which a panic must not keep: all requests
+// of the service would wait for it.
+func (s *service) look(now time.Time) (queued, inFlight int, rows []pool.Row) {
 	s.mu.Lock()
-	queued, inFlight := s.chooser.Len()
-	rows := s.chooser.Explain(now)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	queued, inFlight = s.chooser.Len()
+	return queued, inFlight, s.chooser.Explain(now)
+}
+
+func (s *service) gauges(now time.Time) {
+	queued, inFlight, rows := s.look(now)
 	out := 0
 	for _, row := range rows {
 		if !row.Until.IsZero() {
--- /dev/null
+++ b/internal/entry/report_test.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/pkg/pool"
+)
+
+// brokenChooser panics where the gauges read it.
+type brokenChooser struct{ pool.Chooser }
+
+func (brokenChooser) Explain(time.Time) []pool.Row { panic("broken") }
+
+// The worker that sets the gauges dies at every turn. Requests must not wait
+// for a lock that it took with it.
+func TestPanicOfReporterKeepsTraffic(t *testing.T) {
+	addr := target(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") })
+	w := start(t, served{name: "plain", targets: []string{addr}})
+	sv := w.site.Load().services["plain"]
+	sv.mu.Lock()
+	sv.chooser = brokenChooser{sv.chooser}
+	sv.mu.Unlock()
+	func() {
+		defer func() { w.c.Assert(recover(), qt.Not(qt.IsNil)) }()
+		sv.gauges(time.Now())
+	}()
+	w.c.Assert(w.ask("GET", "/v1/call/plain/", nil).body, qt.Equals, "fine")
+}
