forward: answers kept to their requests, cut answers never whole

Cause: HTTP/1.1 ties an answer to its request by order alone. Change: before a request is written to a reused connection, it is peeked at; with bytes left or at its end nothing is written, and the request surely did not run. Each dispatch has a name (Plumpitch-Request); an answer with another one is dropped. Request bodies in memory go out in one packet with the head. Not covered: a target that answers twice, without the name, and whose second copy arrives after the next request was written. Ruled out: waiting for the transport's reader; it notices after a time of its own. A connection for each request; it costs 1 ms.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/pkg/call"
 )
 
 // Answer is a target's answer. Whole is set, and Body nil, when all of it is
@@ -36,6 +38,9 @@
 
 // answer checks a head and reads a short body whole.
 func (d *dispatch) answer(resp *http.Response, f *Forwarder) (a *Answer, err error) {
+	if named := resp.Header[call.HeaderRequest]; len(named) > 0 && named[0] != d.id {
+		d.watch.stale.Store(true)
+	}
 	if d.watch.stale.Load() {
 		return nil, errStale
 	}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -10,30 +10,32 @@
 	"github.com/pkg/errors"
 )
 
-// body is the body of an outgoing request. Its type is what keeps the
-// transport from sending the request again: see the package comment.
+// body is the body of an outgoing request that is read from its caller.
 type body struct {
 	src io.Reader
 	in  http.Header // trailer of the caller, complete at the end of src
 	out http.Header // trailer of the outgoing request
 
 	left int64 // bytes still to come; counts below 0 when the length is unknown
-	once bool  // src can be read only once
+	once bool  // there is a src, which can be read only once
 	read atomic.Bool
 
 	mu     sync.Mutex
 	failed error
 }
 
-// set points the body at the try's bytes, which may be none.
-func (b *body) set(t *Try, out http.Header) {
-	b.in, b.out = t.Request.Trailer, out
-	if t.Stream != nil {
-		b.once = true
-		b.src, b.left = t.Stream, t.Length
-		return
+// open returns the body for the transport. It is never nil or http.NoBody, not
+// even when it is empty: that keeps the transport from sending the request
+// again (see the package comment).
+func (d *dispatch) open(trailer http.Header) io.ReadCloser {
+	b, t := &d.body, d.try
+	b.in, b.out = t.Request.Trailer, trailer
+	if t.Stream == nil {
+		b.trail()
+		return io.NopCloser(bytes.NewReader(t.Body))
 	}
-	b.src = bytes.NewReader(t.Body)
+	b.src, b.left, b.once = t.Stream, t.Length, true
+	return b
 }
 
 // Read notes a failure of the source, so that it isn't blamed on the target.
--- a/internal/forward/copy.go
+++ b/internal/forward/copy.go
@@ -86,6 +86,11 @@
 	buf := chunks.Get().(*[chunk]byte)
 	defer chunks.Put(buf)
 	ctl := http.NewResponseController(w)
+	if a.d.body.once {
+		// Else the server drops what is left of the request at the first write.
+		// One that can't do it (HTTP/2) has no such limit.
+		_ = ctl.EnableFullDuplex()
+	}
 	if a.Length < 0 {
 		if err := ctl.Flush(); err != nil {
 			return a.failed(call.StageCancelled, err)
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -31,6 +32,7 @@
 // is closed.
 func (f *Forwarder) Dispatch(ctx context.Context, t Try) (*Answer, *Failure) {
 	d := &dispatch{try: &t, parent: ctx, stall: f.cfg.Stall}
+	d.id = strconv.FormatUint(f.sent.Add(1), 36)
 	d.ctx, d.cancel = context.WithCancelCause(ctx)
 	d.watch.cancel = d.cancel
 	if t.Timeout > 0 {
@@ -60,6 +62,7 @@
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
 	stall  time.Duration
+	id     string // of HeaderRequest
 	body   body
 	watch  watch
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -9,7 +9,7 @@
 // bytes were written, when Request.isReplayable holds: no body or a GetBody,
 // and a method of GET, HEAD, OPTIONS or TRACE, or an Idempotency-Key or
 // X-Idempotency-Key header. Both need a nil Body, http.NoBody or a GetBody.
-// So a request leaves here with a body of its own type, empty if need be, and
+// So a request leaves here with a body that is neither, empty if need be, and
 // without GetBody. A second guard doesn't depend on that reading: the GetConn
 // trace hook, which runs before each connection is chosen, panics when it is
 // called again for the same dispatch. HTTP/2 is off.
@@ -21,6 +21,13 @@
 //
 // # Answers
 //
+// HTTP/1.1 ties an answer to its request by order alone. A connection whose
+// answer was not read to its end is closed; so is one that has bytes to read
+// before a request is written to it. What a target sends twice can still arrive
+// just after the next request was written. Only a name tells it apart then: a
+// target that repeats the Plumpitch-Request header of a request on its answer
+// is safe from that too.
+//
 // An answer without a length and without chunks is refused: its end can't be
 // told from a cut.
 package forward
@@ -61,6 +68,7 @@
 	cfg       Config
 	transport *http.Transport
 	malformed atomic.Uint64
+	sent      atomic.Uint64
 }
 
 // New returns a Forwarder with a transport of its own.
@@ -74,7 +82,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return newConn(c)
 		},
 		DisableCompression:     true,
 		MaxIdleConns:           0,
--- a/internal/forward/raw_test.go
+++ b/internal/forward/raw_test.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/pkg/call"
 )
 
 // raw is a target that a test drives byte by byte. It counts what it was sent,
@@ -25,7 +28,7 @@
 	net.Conn
 	br     *bufio.Reader
 	target *raw
-	n      int64 // connections before this one
+	name   string // of the request, to repeat on its answer
 }
 
 func newRaw(t testing.TB, serve func(p *peer)) *raw {
@@ -40,7 +43,8 @@
 			if err != nil {
 				return
 			}
-			p := &peer{Conn: c, target: r, n: r.conns.Add(1) - 1}
+			r.conns.Add(1)
+			p := &peer{Conn: c, target: r}
 			p.br = bufio.NewReader(p)
 			go func() {
 				defer c.Close()
@@ -78,6 +82,15 @@
 	_, _ = io.WriteString(p.Conn, s)
 }
 
+// answer answers a request, by its name if it has one.
+func (p *peer) answer(body string) {
+	s := answer(body)
+	if p.name != "" {
+		s = strings.Replace(s, "\r\n", "\r\n"+call.HeaderRequest+": "+p.name+"\r\n", 1)
+	}
+	p.say(s)
+}
+
 // reset ends the connection by RST.
 func (p *peer) reset() {
 	_ = p.Conn.(*net.TCPConn).SetLinger(0)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -34,10 +34,10 @@
 		URL:     u,
 		Host:    in.Host,
 		Header:  t.header(),
-		Body:    &d.body,
 		Trailer: trailer(in.Trailer),
 	}
-	d.body.set(t, out.Trailer)
+	out.Header[call.HeaderRequest] = []string{d.id}
+	out.Body = d.open(out.Trailer)
 	frame(out, t)
 	return out.WithContext(ctx), nil
 }
@@ -176,10 +176,15 @@
 	return strings.Join(old, ", ") + ", " + v
 }
 
+var quoted = strings.NewReplacer(`\`, `\\`, `"`, `\"`)
+
 // element is one hop of a Forwarded header (RFC 7239).
 func element(ip, host, proto string) string {
 	if strings.Contains(ip, ":") {
 		ip = `"[` + ip + `]"`
 	}
-	return "for=" + ip + `;host="` + strings.NewReplacer(`\`, `\\`, `"`, `\"`).Replace(host) + `";proto=` + proto
+	if strings.ContainsAny(host, `\"`) {
+		host = quoted.Replace(host)
+	}
+	return "for=" + ip + `;host="` + host + `";proto=` + proto
 }
--- a/pkg/call/header.go
+++ b/pkg/call/header.go
@@ -21,6 +21,9 @@
 	HeaderDepth = "Plumpitch-Depth"
 	// HeaderLoad is a target's report of its own load on an answer.
 	HeaderLoad = "Plumpitch-Load"
+	// HeaderRequest names one dispatch. A target that repeats it on its answer
+	// is safe from having the answer taken for another's.
+	HeaderRequest = "Plumpitch-Request"
 	// HeaderKey is the caller's idempotency key.
 	HeaderKey = "Idempotency-Key"
 )
