--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -119,7 +119,7 @@
 }
 
 func strikes(seed uint64, pair [2]Fault) Counts {
-	w := build(seed)
+	w := build(seed, entries)
 	plans := w.callers()
 	for _, f := range pair {
 		w.strike(f, plans)
--- a/internal/lab/faults/flight.go
+++ b/internal/lab/faults/flight.go
@@ -26,7 +26,8 @@
 	result  claim.Result
 	over    bool
 	denied  bool // its caller was told that nothing ran
-	flights int
+	began   time.Duration
+	granted time.Duration // when it was allowed to run; 0 when it was not
 }
 
 // flight is the attempt of a try in its entry.
@@ -41,6 +42,7 @@
 // request has an entry run a try.
 func (n *node) request(t *try, limit time.Duration) {
 	n.attempts++
+	t.began = n.w.now
 	id := claim.ID(t.print, n.self.Ident, n.attempts)
 	f := &flight{n: n, t: t, deadline: n.now().Add(limit)}
 	a, out := claim.Begin(n.now(), claim.Bid{
@@ -77,6 +79,7 @@
 		case claim.Send:
 			f.ask(action)
 		case claim.Run:
+			f.t.granted = f.n.w.now
 			f.n.w.after(f.n, f.n.w.between(0, time.Millisecond), f.dispatch)
 		case claim.Tell:
 			f.n.tell(action, firstGap, tells)
--- a/internal/lab/faults/world.go
+++ b/internal/lab/faults/world.go
@@ -53,14 +53,14 @@
 	do    func()
 }
 
-func build(seed uint64) *world {
+func build(seed uint64, size int) *world {
 	w := &world{
 		rand:   rand.New(rand.NewPCG(seed, 0)),
 		bounds: ring.Default(),
 		target: targets{runs: make(map[string]int), budget: call.NewBudget(call.BudgetConfig{})},
 	}
 	w.bounds.Retention = 10 * time.Minute
-	for i := range entries {
+	for i := range size {
 		w.start(fmt.Sprintf("e%d", i), places[i%len(places)])
 	}
 	return w
