--- a/experiment.go
+++ b/experiment.go
@@ -6,6 +6,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"plumpitch.example/plumpitch/internal/lab/capacity"
 	"plumpitch.example/plumpitch/internal/lab/faults"
 	"plumpitch.example/plumpitch/internal/lab/hop"
 	lab "plumpitch.example/plumpitch/internal/lab/tail"
@@ -14,7 +15,7 @@
 func experimentCommand() *command {
 	sub := flaggy.NewSubcommand("experiment")
 	sub.Description = "measure a decision or a cost and print a table"
-	subs := []*command{experimentHop(), experimentFaults()}
+	subs := []*command{experimentHop(), experimentFaults(), experimentCapacity()}
 	for _, name := range lab.Names() {
 		subs = append(subs, experimentTail(name))
 	}
@@ -64,3 +65,15 @@
 		return hop.Run(ctx, cfg, os.Stdout)
 	}}
 }
+
+func experimentCapacity() *command {
+	var cfg capacity.Config
+	sub := flaggy.NewSubcommand("capacity")
+	sub.Description = "what control costs against the number of entries, workers and services"
+	sub.String(&cfg.Only, "", "only", "name of the one part to run")
+	sub.Int(&cfg.Seeds, "", "seeds", "runs of each size in virtual time; default 5")
+	sub.AdditionalHelpAppend = "Example: plumpitch experiment capacity"
+	return &command{sub: sub, run: func(context.Context) error {
+		return capacity.Run(cfg, os.Stdout)
+	}}
+}
