--- a/internal/lab/tail/entry.go
+++ b/internal/lab/tail/entry.go
@@ -179,5 +179,6 @@
 		return
 	}
 	s.requests[i].over = true
+	s.stat.ended = s.now
 	s.open--
 }
--- a/internal/lab/tail/experiments.go
+++ b/internal/lab/tail/experiments.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"plumpitch.example/plumpitch/pkg/pool"
@@ -17,17 +18,16 @@
 
 func (x experiment) columns() (cols []column) {
 	for _, c := range columns {
-		hidden := false
-		for _, h := range x.hide {
-			hidden = hidden || h == c.name
-		}
-		if !hidden {
+		if !slices.Contains(x.hide, c.name) {
 			cols = append(cols, c)
 		}
 	}
 	return cols
 }
 
+// marked tells whether the rows are held against the omniscient queue.
+func (x experiment) marked() bool { return !slices.Contains(x.hide, "gap closed %") }
+
 // Names of the ways that other rows are held against.
 const (
 	wayMark = "omniscient queue"
@@ -45,9 +45,9 @@
 	{"owners", "Where a service's requests meet: k entries, used alike or the first preferred.", ownersRows, []string{"p99 of writes ms", "writes refused %", "used again ms", "failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
 	{"straggler", "One worker 10 times slower, unannounced: all the time, or from a third to two thirds of the run; one that stalls for 300 ms every second.", stragglerRows, []string{"p99 of writes ms", "writes refused %", "failed %", "worst 100 ms", "goodput %", "lost tries", "last new work ms"}},
 	{"swing", "Load that swings 10 times within a moment.", swingRows, []string{"p99 of writes ms", "writes refused %", "used again ms", "failed %", "lost tries", "last new work ms"}},
-	{"probes", "The cost of measuring.", probesRows, []string{"p99 of writes ms", "writes refused %", "used again ms", "failed %", "last new work ms"}},
-	{"drain", "A target leaves a third into the run, told in one way only; or crashes and comes back cold.", drainRows, []string{"p99 of writes ms", "writes refused %", "worst 100 ms", "goodput %"}},
-	{"retry", "Overload and targets that fail fast.", retryRows, []string{"used again ms", "worst 100 ms", "last new work ms"}},
+	{"probes", "The cost of measuring.", probesRows, []string{"gap closed %", "p99 of writes ms", "writes refused %", "used again ms", "failed %", "last new work ms"}},
+	{"drain", "A target leaves a third into the run, told in one way only; or crashes and comes back cold.", drainRows, []string{"gap closed %", "p99 of writes ms", "writes refused %", "worst 100 ms", "goodput %"}},
+	{"retry", "Overload and targets that fail fast.", retryRows, []string{"gap closed %", "used again ms", "worst 100 ms", "last new work ms"}},
 }
 
 func base(s Shape, load float64, requests int) scenario {
@@ -107,6 +107,7 @@
 		rows = append(rows, row{group: group, way: way, sc: own})
 	}
 	add("k=1", func(*scenario) {})
+	add("least in flight k=1", func(s *scenario) { s.policy = pool.NameLeastInFlight })
 	add("k=1, 5 % astray", func(s *scenario) { s.stray = 0.05 })
 	add("k=2 alike", func(s *scenario) { s.owners, s.even = 2, true })
 	add("k=2 alike, no reports", func(s *scenario) { s.owners, s.even, s.deaf = 2, true, true })
--- a/internal/lab/tail/mark.go
+++ b/internal/lab/tail/mark.go
@@ -38,6 +38,7 @@
 		begin := max(now, slot.at)
 		end := stalled(sc, slot.slot/sc.shape.Slots, begin, begin+int64(r.demand))
 		s.stat.answer(end+way-r.at+2*int64(sc.shape.Caller), r.write)
+		s.stat.ended = max(s.stat.ended, end+way)
 		free.Push(instant{at: end, slot: slot.slot})
 	}
 	s.stat.tries = s.stat.offered
--- a/internal/lab/tail/plot.go
+++ b/internal/lab/tail/plot.go
@@ -1,17 +1,22 @@
 package tail
 
 import (
+	"math"
+	"strconv"
+
 	"github.com/pkg/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/text"
 	"gonum.org/v1/plot/vg"
 	_ "gonum.org/v1/plot/vg/vgsvg" // the SVG format of Save
 )
 
 const (
 	plotWidth  = 9 * vg.Inch
-	plotHeight = 5 * vg.Inch
+	plotHeight = 6 * vg.Inch
+	labelTurn  = math.Pi / 6
 )
 
 // plotRows draws the p99 of each way over the groups.
@@ -21,11 +26,14 @@
 	p.Title.Text = "plumpitch experiment " + x.name
 	p.Y.Label.Text = "p99, ms"
 	p.Y.Scale = plot.LogScale{}
-	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Y.Tick.Marker = plot.TickerFunc(ticks)
 	p.Legend.Top = true
 	p.Legend.Left = true
 	groups, ways := axes(rows)
 	p.NominalX(groups...)
+	p.X.Tick.Label.Rotation = labelTurn
+	p.X.Tick.Label.XAlign = text.XRight
+	p.X.Tick.Label.YAlign = text.YCenter
 	for i, way := range ways {
 		line, dots, err := plotter.NewLinePoints(points(rows, groups, way))
 		if err != nil {
@@ -63,3 +71,16 @@
 	}
 	return xy
 }
+
+// ticks labels enough values of a logarithmic axis that spans less than a
+// power of ten.
+func ticks(low, high float64) (t []plot.Tick) {
+	for power := 1.0; power <= high; power *= 10 {
+		for _, step := range []float64{1, 1.5, 2, 3, 4, 5, 7} {
+			if v := power * step; v >= low && v <= high {
+				t = append(t, plot.Tick{Value: v, Label: strconv.FormatFloat(v, 'g', -1, 64)})
+			}
+		}
+	}
+	return t
+}
--- a/internal/lab/tail/row.go
+++ b/internal/lab/tail/row.go
@@ -60,7 +60,9 @@
 		return 100 * t.probeTime().Seconds() / seconds(t) / float64(r.sc.shape.Workers*r.sc.shape.Slots)
 	})
 	r.worst = over(all, func(t *stats) float64 { return inMillis(t.worstWindow(100 * time.Millisecond)) })
-	r.goodput = over(all, func(t *stats) float64 { return 100 * float64(t.served) / seconds(t) / r.sc.shape.capacity() })
+	r.goodput = over(all, func(t *stats) float64 {
+		return 100 * float64(t.served) / time.Duration(t.ended).Seconds() / r.sc.shape.capacity()
+	})
 	r.again = over(all, func(t *stats) float64 { return inMillis(r.usedAgain(t)) })
 	r.drained = over(all, func(t *stats) float64 { return inMillis(t.taken) })
 }
--- a/internal/lab/tail/stats.go
+++ b/internal/lab/tail/stats.go
@@ -38,7 +38,8 @@
 	most          int           // requests queued or in flight at most
 	lost          int           // tries that met a dead worker or a crash
 	reached       [][]int       // requests at each worker in each reachStep
-	until         int64
+	until         int64         // last arrival
+	ended         int64         // last answer
 	reasons       [8]int
 }
 
--- a/internal/lab/tail/table.go
+++ b/internal/lab/tail/table.go
@@ -42,7 +42,10 @@
 		return err
 	}
 	t := tablewriter.NewWriter(w)
-	head := []string{"group", "way", "gap closed %"}
+	head := []string{"group", "way"}
+	if x.marked() {
+		head = append(head, "gap closed %")
+	}
 	for _, c := range x.columns() {
 		head = append(head, c.name)
 	}
@@ -52,19 +55,21 @@
 	t.SetBorders(tablewriter.Border{Left: true, Right: true})
 	t.SetCenterSeparator("|")
 	for i := range rows {
-		t.Append(cells(&rows[i], x.columns()))
+		t.Append(cells(&rows[i], x))
 	}
 	t.Render()
 	return nil
 }
 
-func cells(r *row, cols []column) (line []string) {
-	closed := "-"
-	if r.hasClosed {
-		closed = fmt.Sprintf("%.1f", r.closed)
+func cells(r *row, x experiment) (line []string) {
+	line = []string{r.group, r.way}
+	switch {
+	case r.hasClosed:
+		line = append(line, fmt.Sprintf("%.1f", r.closed))
+	case x.marked():
+		line = append(line, "-")
 	}
-	line = []string{r.group, r.way, closed}
-	for _, c := range cols {
+	for _, c := range x.columns() {
 		v := c.value(r)
 		text := fmt.Sprintf("%.*f", c.digits, v.mid)
 		if c.spread {
