--- a/internal/lab/capacity/capacity.go
+++ b/internal/lab/capacity/capacity.go
@@ -47,6 +47,8 @@
 		{"events", runEvents, true},
 		{"apart", runApart, true},
 		{"memory", runMemory, false},
+		{"store", runStore, false},
+		{"claims", runClaims, false},
 		{"loopback", runLoopback, false},
 	}
 }
--- a/internal/lab/capacity/gossip.go
+++ b/internal/lab/capacity/gossip.go
@@ -154,6 +154,7 @@
 	edit := &series{name: "an edit, B"}
 	restart := &series{name: "a restart, B"}
 	loss := &series{name: "an entry lost, B"}
+	synced := &series{name: "all mark their claim records copied, B"}
 	mass := &series{name: "all restarted: mean of 30 s, B/s"}
 	worst := &series{name: "all restarted: worst entry, B/s"}
 	for _, n := range cfg.Entries {
@@ -162,6 +163,7 @@
 		edit.add(n, extra(f, quiet, func() { f.Handle(f.Nodes[1], member.Revised{Marks: member.Marks{Settings: 9}}) }))
 		restart.add(n, extra(f, quiet, func() { f.Lose(f.Nodes[3]); f.Boot(f.Nodes[3]) }))
 		loss.add(n, extra(f, quiet, func() { f.Lose(f.Nodes[4]) }))
+		synced.add(n, extra(f, quiet, func() { markSynced(f) }))
 		mark(f)
 		for _, n := range f.Nodes {
 			f.Lose(n)
@@ -172,10 +174,19 @@
 		worst.add(n, since(f).worst/window.Seconds())
 	}
 	fmt.Fprintf(w, "virtual time; B in and out per entry beyond quiet over %v; an edit's answer holds %d B\n\n", window, m.fetch)
-	write(w, "entries", edit, restart, loss, mass, worst)
+	write(w, "entries", edit, restart, loss, synced, mass, worst)
 	return nil
 }
 
+// markSynced lets every entry announce within a second that it has copied its
+// claim records, as after a change of the ring.
+func markSynced(f *fleet.Fleet) {
+	for _, n := range f.Nodes {
+		f.Handle(n, member.Synced{Ring: 9})
+		f.Run(time.Second / time.Duration(len(f.Nodes)))
+	}
+}
+
 // window is the time after an event in which its cost is counted.
 const window = 30 * time.Second
 
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -154,7 +154,8 @@
 	e.Sequence++
 	e.Since = now
 	t.put(t.self, e)
-	t.announce(t.self)
+	t.carry(t.self, false)
+	t.news = true
 }
 
 func (t *Table) depart(now time.Time) {
