pool: no ticks for a probe budget without a share

Cause: an entry ticked the pool of each service 20 times a second for probes, also where it is no home of the service and may send none. Change: Next asks Budget.Active; a test of Next; a test that a decision allocates at most twice, beside the benchmark. TestNext fails with the condition taken out.

--- /dev/null
+++ b/pkg/pool/bench_test.go
@@ -0,0 +1,74 @@
+package pool_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/pkg/pool"
+)
+
+const (
+	services = 110
+	each     = 18 // targets of a service
+	more     = 20 // services with one more, 2,000 targets in all
+	busy     = 20 // requests in flight in each service
+)
+
+// fleet is one entry's pools of 2,000 targets in 110 services.
+type fleet struct {
+	pools    []pool.Chooser
+	inFlight [][]uint64
+	now      time.Time
+	id       uint64
+	out      []pool.Action
+}
+
+func fleetOf() *fleet {
+	f := &fleet{now: start, inFlight: make([][]uint64, services), out: make([]pool.Action, 0, 16)}
+	for i := range services {
+		n := each
+		if i < more {
+			n++
+		}
+		p := pool.New(pool.Config{}, pool.FreeSlot{}, rand.New(rand.NewPCG(1, uint64(i))))
+		p.Targets(start, targets(n), nil)
+		f.pools = append(f.pools, p)
+	}
+	return f
+}
+
+// decide takes one arrival, and one answer once some requests are in flight.
+func (f *fleet) decide() {
+	s := int(f.id % services)
+	f.now = f.now.Add(10 * time.Microsecond)
+	a := pool.Arrival{ID: f.id, Deadline: f.now.Add(time.Second)}
+	f.out = f.pools[s].Arrive(f.now, a, f.out[:0])
+	f.inFlight[s] = append(f.inFlight[s], f.id)
+	f.id++
+	if len(f.inFlight[s]) > busy {
+		f.out = f.pools[s].Done(f.now, pool.Answer{ID: f.inFlight[s][0]}, f.out[:0])
+		f.inFlight[s] = f.inFlight[s][:copy(f.inFlight[s], f.inFlight[s][1:])]
+	}
+}
+
+// Allocations on the hot path would feed the collector, and callers would wait
+// for it. The driver passes its own slice; maps and slices grow only at first.
+func TestAllocations(t *testing.T) {
+	f := fleetOf()
+	for range 100 * services {
+		f.decide()
+	}
+	got := testing.AllocsPerRun(10000, f.decide)
+	qt.Assert(t, got <= 2, qt.IsTrue, qt.Commentf("%v", got))
+}
+
+func BenchmarkDecision(b *testing.B) {
+	f := fleetOf()
+	b.ReportAllocs()
+	for b.Loop() {
+		f.decide()
+	}
+}
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -282,33 +282,3 @@
 	c.Assert(out, qt.HasLen, 1)
 	c.Assert(out[0].ID, qt.Equals, uint64(9))
 }
-
-// Without a cap on allocations the hot path would feed the collector; the
-// driver passes its own slice.
-func BenchmarkDecision(b *testing.B) {
-	const services = 110
-	pools := make([]pool.Chooser, services)
-	for i := range pools {
-		pools[i], _ = pool.ByName("", pool.Config{}, rand.New(rand.NewPCG(1, uint64(i))))
-		n := 18
-		if i < 20 {
-			n = 19
-		}
-		pools[i].Targets(start, targets(n), nil)
-	}
-	now := start
-	out := make([]pool.Action, 0, 16)
-	inFlight := make([][]uint64, services)
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		s := i % services
-		now = now.Add(10 * time.Microsecond)
-		id := uint64(i)
-		out = pools[s].Arrive(now, pool.Arrival{ID: id, Deadline: now.Add(time.Second)}, out[:0])
-		inFlight[s] = append(inFlight[s], id)
-		if len(inFlight[s]) > 20 {
-			out = pools[s].Done(now, pool.Answer{ID: inFlight[s][0]}, out[:0])
-			inFlight[s] = inFlight[s][:copy(inFlight[s], inFlight[s][1:])]
-		}
-	}
-}
--- a/pkg/pool/probe_test.go
+++ b/pkg/pool/probe_test.go
@@ -118,6 +118,36 @@
 	c.Check(got <= 20, qt.IsTrue, qt.Commentf("%d", got))
 }
 
+// Ticks of all services would cost an idle entry as much as requests do.
+func TestNext(t *testing.T) {
+	tests := []struct {
+		name  string
+		of    int // entries that share the budget; zero: this one has no share
+		make  func(b *bed)
+		after time.Duration // zero: never
+	}{
+		{"idle, no share", 0, func(*bed) {}, 0},
+		{"in flight, no share", 0, func(b *bed) { b.arrive(time.Minute) }, 0},
+		{"idle with a share", 1, func(*bed) {}, 50 * ms},
+		{"queued", 0, func(b *bed) { b.load(40, ms/4, nil) }, ms},
+		{"told that one leaves", 0, func(b *bed) { b.pool.Leave(b.now, "t0", 1, nil) }, time.Second},
+	}
+	for _, test := range tests {
+		c := qt.New(t)
+		shared := probe.New(probe.Config{Window: 100 * ms, Budget: 10 * ms, Cost: ms})
+		shared.Share(start, probe.Share{Of: test.of})
+		b := bedOf(c, "", pool.Config{Budget: shared}, targets(4))
+		b.pool.Tick(b.now.Add(50*ms), nil)
+		b.now = b.now.Add(50 * ms)
+		test.make(b)
+		next := b.pool.Next()
+		c.Check(next.IsZero(), qt.Equals, test.after == 0, qt.Commentf(test.name))
+		if test.after > 0 {
+			c.Check(next.Sub(b.now) <= test.after, qt.IsTrue, qt.Commentf(test.name))
+		}
+	}
+}
+
 // The result of a probe may never come, as with any call. The target must not
 // go unprobed for ever because of it.
 func TestProbeWithoutResult(t *testing.T) {
--- a/pkg/pool/tick.go
+++ b/pkg/pool/tick.go
@@ -30,12 +30,14 @@
 	}
 }
 
-// Next tells when Tick is needed next; the zero time means not at all.
+// Next tells when Tick is needed next; the zero time means not at all. An entry
+// without a share of the probe budget needs no ticks for it, since most entries
+// hold most services without probing them; a new share is a reason to ask again.
 func (p *Pool[P]) Next() time.Time {
 	switch {
 	case p.queue.len() > 0:
 		return p.epoch.Add(p.now + queueTick)
-	case p.cfg.Budget != nil && len(p.members) > 0:
+	case p.cfg.Budget != nil && p.cfg.Budget.Active() && len(p.members) > 0:
 		return p.epoch.Add(max(p.asked+probeTick, p.now))
 	case len(p.holds) > 0:
 		return p.epoch.Add(p.now + time.Second)
--- a/pkg/probe/budget.go
+++ b/pkg/probe/budget.go
@@ -102,6 +102,9 @@
 	return true
 }
 
+// Active tells whether this entry has a share, or will have one.
+func (b *Budget) Active() bool { return b.count > 0 || b.next > 0 }
+
 // Left returns how many probes could be sent now.
 func (b *Budget) Left(now time.Time) int {
 	b.set(now)
--- a/pkg/probe/budget_test.go
+++ b/pkg/probe/budget_test.go
@@ -180,7 +180,9 @@
 	c := qt.New(t)
 	b := probe.New(probe.Config{Window: window, Budget: 2 * ms, Cost: ms})
 	c.Assert(b.Left(start), qt.Equals, 0)
+	c.Assert(b.Active(), qt.IsFalse)
 	b.Share(start, probe.Share{Of: 1})
+	c.Assert(b.Active(), qt.IsTrue)
 	for i := range 5 {
 		b.Left(start.Add(time.Duration(i) * 50 * ms))
 	}
