entry: bodies, paths and methods that are wrong get a final answer in time

Causes found: a caller that held back a streamed body kept its request, its target's slot and its own answer until it sent more, because the transport waits for the read of a cancelled dispatch; a held body had no deadline at all; a timeout of such a request counted against its target; a body in chunks over the limit was answered 'cancelled'; the mux redirected paths with // or .. (a client follows the redirect of a POST with a GET) and answered 404 and 405 without an outcome; a key could not tell two bodies in chunks or over 64 KB apart. Change: callerBody knows the limit and the end, reads by the deadline and is interrupted with its dispatch; an answer before the body's end closes the connection after a short linger; route replaces the mux; a keyed body's first 64 KB are read before the claim and count in its fingerprint.

--- a/internal/entry/drive.go
+++ b/internal/entry/drive.go
@@ -78,7 +78,7 @@
 	if d.flying > 0 {
 		go d.reap()
 	}
-	return d.won, d.call.Final()
+	return d.won, d.q.explain(d.call.Final())
 }
 
 func (d *drive) arrival() call.Arrival {
@@ -218,6 +218,9 @@
 	header := make(http.Header, 1)
 	e.tracing.carry.Inject(ctx, propagation.HeaderCarrier(header))
 	r.try = a.Try
+	if q.stream != nil {
+		defer context.AfterFunc(ctx, q.upload.interrupt)()
+	}
 	r.answer, r.failure = e.forward.Dispatch(ctx, forward.Try{
 		Target: to.Addr, Request: q.in, Path: q.path,
 		Body: q.body, Stream: q.stream, Length: q.in.ContentLength,
@@ -240,7 +243,7 @@
 	replay := d.q.stream == nil
 	if r.failure != nil {
 		f.cancel()
-		f.ticket.done(now, kindOfStage(r.failure.Stage), pool.Load{})
+		f.ticket.done(now, d.kindOf(r.failure.Stage), pool.Load{})
 		return d.call.Fail(now, call.Failed{
 			Try: r.try, Stage: r.failure.Stage, Ran: r.failure.Ran, Replay: replay,
 			Quarantined: d.crashed(now, r.failure, f.began),
@@ -251,6 +254,15 @@
 	return d.call.Head(now, call.Head{Try: r.try, Status: r.answer.Status, Shed: r.answer.Load.Shed, Replay: replay})
 }
 
+// kindOf is how a failed dispatch counts for its target, which can't answer in
+// time while the caller holds back the body.
+func (d *drive) kindOf(s call.Stage) pool.Kind {
+	if s == call.StageTimeout && d.q.uploading() {
+		return pool.Cancelled
+	}
+	return kindOfStage(s)
+}
+
 func (d *drive) crashed(now time.Time, f *forward.Failure, began time.Time) bool {
 	if !f.Stage.Crash() {
 		return false
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -31,6 +31,20 @@
 	}}
 }
 
+func noSuchPath(path string) error {
+	return finalError{call.Final{
+		Outcome: call.NotRun, Reason: call.ReasonMalformed, Status: http.StatusNotFound,
+		Detail: fmt.Sprintf("path: found %.100q, expected %s or %sSERVICE/PATH", path, locatePath, callPrefix),
+	}}
+}
+
+func badMethod(method string) error {
+	return finalError{call.Final{
+		Outcome: call.NotRun, Reason: call.ReasonMalformed, Status: http.StatusMethodNotAllowed,
+		Detail: fmt.Sprintf("method: found %.20q, expected GET", method),
+	}}
+}
+
 // encodeError writes what an endpoint failed with. An error that is no final
 // answer claims nothing about the execution.
 func encodeError(_ context.Context, err error, w http.ResponseWriter) {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -24,10 +25,35 @@
 // callerHandler is what callers reach: locate and requests, nothing else.
 func (e *Entry) callerHandler() http.Handler {
 	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(encodeError)}
-	mux := http.NewServeMux()
-	mux.Handle("GET /v1/locate", kithttp.NewServer(e.locateEndpoint(), decodeLocate, encodeLocate, options...))
-	mux.Handle(callPrefix, kithttp.NewServer(e.requestEndpoint(), e.decodeRequest, encodeAnswer, options...))
-	return e.observed(mux)
+	return e.observed(route{
+		locate: kithttp.NewServer(e.locateEndpoint(), decodeLocate, encodeLocate, options...),
+		call:   kithttp.NewServer(e.requestEndpoint(), e.decodeRequest, encodeAnswer, options...),
+	})
+}
+
+// route picks by the path. A http.ServeMux would redirect a path that holds
+// "//" or "..", which are the target's to understand, and a client follows the
+// redirect of a POST with a GET.
+type route struct {
+	locate http.Handler
+	call   http.Handler
+}
+
+const locatePath = "/v1/locate"
+
+// ServeHTTP serves the two paths that callers have.
+func (m route) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case strings.HasPrefix(r.URL.EscapedPath(), callPrefix):
+		m.call.ServeHTTP(w, r)
+	case r.URL.Path != locatePath:
+		encodeError(r.Context(), noSuchPath(r.URL.Path), w)
+	case r.Method != http.MethodGet && r.Method != http.MethodHead:
+		w.Header().Set("Allow", "GET, HEAD")
+		encodeError(r.Context(), badMethod(r.Method), w)
+	default:
+		m.locate.ServeHTTP(w, r)
+	}
 }
 
 // observed gives each request an id and a span, counts and logs its outcome,
@@ -44,9 +70,15 @@
 		ctx, span := e.tracing.tracer.Start(ctx, r.Method, trace.WithAttributes(attribute.String("request", id)))
 		defer span.End()
 		ow := &outcomeWriter{ResponseWriter: w}
+		in := r.WithContext(ctx)
+		if r.ContentLength != 0 {
+			ow.body = newCallerBody(w, r)
+			in.Body = ow.body
+			defer ow.body.leave()
+		}
 		defer e.observe(ow, r, id, span.SpanContext().TraceID().String(), began)
 		defer e.guard(ow, id)
-		next.ServeHTTP(ow, r.WithContext(ctx))
+		next.ServeHTTP(ow, in)
 	})
 }
 
@@ -93,29 +125,3 @@
 	}
 	l.Info("final answer")
 }
-
-// outcomeWriter remembers whether an answer has begun and with which status.
-type outcomeWriter struct {
-	http.ResponseWriter
-	begun  bool
-	status int
-}
-
-// WriteHeader notes the status.
-func (w *outcomeWriter) WriteHeader(status int) {
-	if !w.begun && status >= http.StatusOK {
-		w.begun, w.status = true, status
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write notes that the answer has begun.
-func (w *outcomeWriter) Write(p []byte) (int, error) {
-	if !w.begun {
-		w.begun, w.status = true, http.StatusOK
-	}
-	return w.ResponseWriter.Write(p)
-}
-
-// Unwrap lets http.ResponseController flush.
-func (w *outcomeWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -1,9 +1,6 @@
 package entry
 
 import (
-	"fmt"
-	"io"
-	"net/http"
 	"time"
 
 	"plumpitch.example/plumpitch/pkg/call"
@@ -22,27 +19,3 @@
 	q.deadline = now.Add(timeout)
 	return nil
 }
-
-// readBody holds a short body in memory and leaves a longer one to be
-// streamed.
-func (q *request) readBody() error {
-	n := q.in.ContentLength
-	if n > q.policy.MaxBody {
-		return finalError{call.Final{
-			Outcome: call.NotRun, Reason: call.ReasonMalformed, Status: http.StatusRequestEntityTooLarge,
-			Detail: fmt.Sprintf("body: found %d bytes, expected at most %d", n, q.policy.MaxBody),
-		}}
-	}
-	if n == 0 {
-		return nil
-	}
-	if n < 0 || n > maxHeld || len(q.in.Trailer) > 0 {
-		q.stream = http.MaxBytesReader(nil, q.in.Body, q.policy.MaxBody)
-		return nil
-	}
-	q.body = make([]byte, n)
-	if _, err := io.ReadFull(q.in.Body, q.body); err != nil {
-		return malformed("body: found fewer bytes than Content-Length says")
-	}
-	return nil
-}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -67,7 +67,7 @@
 	case result.Kind == claim.Replay && result.Answer.Whole:
 		return &passing{replay: &result.Answer}, nil
 	}
-	return nil, finalError{finalOf(result)}
+	return nil, finalError{q.explain(finalOf(result))}
 }
 
 // keyedRun is the run of a keyed request. Its answer is released unless it is
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -18,10 +18,6 @@
 // callPrefix starts the path of a request: /v1/call/{service}/{path at the target}.
 const callPrefix = "/v1/call/"
 
-// maxHeld is the longest request body that is held in memory, in bytes, so
-// that it can be sent again. A longer one is streamed and sent once.
-const maxHeld = 64 << 10
-
 // request is a caller's request on its way through the entry.
 type request struct {
 	in       *http.Request
@@ -32,6 +28,7 @@
 	deadline time.Time
 	body     []byte
 	stream   io.Reader // instead of body
+	upload   *callerBody
 	header   call.Header
 	key      string // of a non-idempotent request
 	print    uint64 // fingerprint, once it was needed
@@ -64,14 +61,18 @@
 }
 
 // fingerprint tells whether two requests are the same. A streamed body is not
-// known and counts as none.
+// known and counts as none, unless a key needs its beginning.
 func (q *request) fingerprint() uint64 {
 	if q.print == 0 {
-		q.print = call.Print(q.service.name, q.in.Method, q.path, q.in.URL.RawQuery, call.BodyHash(q.body))
+		q.print = q.printOf(call.BodyHash(q.body))
 	}
 	return q.print
 }
 
+func (q *request) printOf(body uint64) uint64 {
+	return call.Print(q.service.name, q.in.Method, q.path, q.in.URL.RawQuery, body)
+}
+
 func (q *request) idempotent() bool {
 	for _, m := range q.policy.Idempotent {
 		if m == q.in.Method {
