--- a/pkg/claim/result.go
+++ b/pkg/claim/result.go
@@ -1,9 +1,6 @@
 package claim
 
-import (
-	"plumpitch.example/plumpitch/pkg/call"
-	"plumpitch.example/plumpitch/pkg/ring"
-)
+import "plumpitch.example/plumpitch/pkg/call"
 
 // refuse ends the attempt without a run. The result comes before the
 // withdrawal: once that is out, another attempt may run the key.
@@ -100,16 +97,3 @@
 	}
 	return n
 }
-
-// Ring gives the ring revision under which the attempt asks.
-func (a *Attempt) Ring() uint64 {
-	return a.bid.Ring.Revision
-}
-
-// Peers gives the replicas that were asked.
-func (a *Attempt) Peers() (out []ring.Member) {
-	for _, p := range a.peers {
-		out = append(out, p.member)
-	}
-	return out
-}
