proofs: stops and leaving with processes, sharper

Cause: two proofs could not fail. Without the wait for the locate TTL TestPlannedStopOfAnEntryCutsOffNothing passed, since the load used only the preferred home entry and the test stopped others; without the rumour and the drain list TestDrainedTargetGetsNoNewWork passed, since only home entries had work and each of them learned of the drain by an answer.

Change: the stop hits the home entries. TestLeavingTargetGetsNoNewWork replaces the drain test: one entry hears of the leave, the others are idle and begin two seconds later; drained by an operator, told on answers only, and the same with the store down. New: long answers stream on past the close of their entry's listeners.

--- /dev/null
+++ b/leaving_proof_test.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/load"
+)
+
+// An entry gets SIGTERM under load, and a second one soon after. They are the
+// home entries, so that all callers use them, and callers keep their locate
+// answers to the end. Each gets its whole answer: an entry serves until no
+// locate answer names it, and its requests in flight finish.
+func TestPlannedStopOfAnEntryCutsOffNothing(t *testing.T) {
+	t.Parallel()
+	q := qt.New(t)
+	s := newCluster(t, 3, 3, 5*time.Millisecond)
+	homes := s.homes(t, 0)
+	q.Assert(homes, qt.HasLen, 2)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		time.Sleep(time.Second)
+		s.entries[homes[0]].signal(syscall.SIGTERM)
+		s.entries[homes[1]].signal(syscall.SIGTERM)
+		time.Sleep(200 * time.Millisecond)
+		s.entries[homes[0]].signal(syscall.SIGTERM)
+	}()
+	r, err := load.Run(t.Context(), load.Config{
+		Entries: []string{s.callers(0), s.callers(1), s.callers(2)}, Services: []string{provedService},
+		Rate: 150, Requests: 3000, Writes: 0.3, Timeout: 5 * time.Second, Seed: 4,
+	})
+	q.Assert(err, qt.IsNil)
+	<-stopped
+	q.Check(r.Answered, qt.Equals, r.Sent, qt.Commentf("%+v", reportOf(r)))
+	for _, n := range homes {
+		s.awaitEnd(t, n)
+	}
+}
+
+// awaitEnd waits until an entry has ended by itself, without a fault.
+func (c *cluster) awaitEnd(t *testing.T, n int) {
+	t.Helper()
+	select {
+	case <-c.entries[n].ended:
+	case <-time.After(bound):
+		t.Fatalf("entry %d did not end", n)
+	}
+	qt.Check(t, c.entries[n].cmd.ProcessState.ExitCode(), qt.Equals, 0)
+}
+
+// A target says that it is leaving in one way only, while its health and the
+// VM list show it live. One entry sends it work and so hears of it; the others
+// are idle. When they begin two seconds later, no entry sends it anything new.
+// Nothing was cut off at any time.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		leave func(t *testing.T, s *cluster)
+	}{
+		{"drained by an operator", func(t *testing.T, s *cluster) {
+			code, out := s.operate(t, 0, "drain", targetName(0))
+			qt.Assert(t, code, qt.Equals, exitOK, qt.Commentf("%s", out))
+		}},
+		{"says so on its answers", sayLeaving},
+		{"says so on its answers, store down", func(t *testing.T, s *cluster) {
+			s.faults(t, `{"down":true}`)
+			sayLeaving(t, s)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			q := qt.New(t)
+			s := newCluster(t, 3, 3, 2*time.Millisecond)
+			first := s.flood(0)
+			eventually(t, "the target works", func() bool { return targetRuns(t, s, 0) > 100 })
+			c.leave(t, s)
+			time.Sleep(2 * time.Second)
+			before := targetRuns(t, s, 0)
+			rest := s.flood(1, 2)
+			eventually(t, "the other targets work for all entries", func() bool { return rest.sent.Load() > 500 && first.sent.Load() > 500 })
+			q.Check(targetRuns(t, s, 0), qt.Equals, before)
+			q.Check(first.end(), qt.HasLen, 0)
+			q.Check(rest.end(), qt.HasLen, 0)
+		})
+	}
+}
+
+func sayLeaving(t *testing.T, s *cluster) {
+	t.Helper()
+	res, err := http.Post("http://"+s.targets[0].addrs[0]+"/-/drain", "", nil)
+	qt.Assert(t, err, qt.IsNil)
+	res.Body.Close()
+}
+
+func targetRuns(t *testing.T, s *cluster, n int) int {
+	t.Helper()
+	var log []struct{ ID string }
+	qt.Assert(t, getJSON("http://"+s.targets[n].addrs[0]+"/-/log", &log), qt.IsNil)
+	return len(log)
+}
+
+// flood is a steady stream of idempotent requests to some entries.
+type flood struct {
+	sent atomic.Int64
+	stop chan struct{}
+	all  sync.WaitGroup
+
+	mu  sync.Mutex
+	bad []told
+}
+
+// floodPause paces one of the senders of a flood.
+const floodPause = 5 * time.Millisecond
+
+// flood starts two senders at each entry.
+func (c *cluster) flood(entries ...int) *flood {
+	f := &flood{stop: make(chan struct{})}
+	for _, n := range append(entries, entries...) {
+		f.all.Go(func() { f.send(c, n) })
+	}
+	return f
+}
+
+func (f *flood) send(c *cluster, n int) {
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(floodPause):
+		}
+		id := newKey()
+		if a := c.get(n, id, 5*time.Second); !a.whole(id) {
+			f.mu.Lock()
+			f.bad = append(f.bad, a)
+			f.mu.Unlock()
+		}
+		f.sent.Add(1)
+	}
+}
+
+// end stops the senders and gives the answers that were not whole.
+func (f *flood) end() []told {
+	close(f.stop)
+	f.all.Wait()
+	return f.bad
+}
+
+// Long answers stream through an entry when it gets SIGTERM. They go on for
+// longer than the entry is named by locate answers, past the close of its
+// listeners, and each arrives whole though the entry is told to stop twice.
+func TestLongAnswerSurvivesTheStopOfItsEntry(t *testing.T) {
+	t.Parallel()
+	q := qt.New(t)
+	s := newStore(t)
+	streamer, release := newStreamer(t)
+	s.enlist(t, "ledger-stream", streamer)
+	s.startEntries(t, 2)
+	for _, set := range [][2]string{{"locatettl", "500ms"}, {"timeout", "1m"}} {
+		code, out := s.operate(t, 0, "settings", "set", ledger, set[0], set[1], "--wait")
+		q.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+	}
+	answers := make(chan told, 4)
+	for n := range cap(answers) {
+		go func() {
+			answers <- s.send(1, []string{http.MethodGet, http.MethodPost}[n%2], "/stream", newKey(), bound)
+		}()
+	}
+	eventually(t, "the answers stream", func() bool { return release.streams.Load() == int64(cap(answers)) })
+	s.entries[1].signal(syscall.SIGTERM)
+	s.entries[1].signal(syscall.SIGTERM)
+	eventually(t, "the entry has closed its listener", func() bool {
+		c, err := net.Dial("tcp", s.callers(1))
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	close(release.end)
+	for range cap(answers) {
+		a := <-answers
+		q.Check(a.err, qt.IsNil)
+		q.Check(a.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", a))
+		q.Check(len(a.body) > 0 && a.body[len(a.body)-4:] == "end\n", qt.IsTrue, qt.Commentf("%d bytes", len(a.body)))
+	}
+	s.awaitEnd(t, 1)
+}
+
+// streamer is a target in this process that streams until it is released.
+type streamer struct {
+	streams atomic.Int64
+	end     chan struct{}
+}
+
+func newStreamer(t *testing.T) (addr string, s *streamer) {
+	t.Helper()
+	s = &streamer{end: make(chan struct{})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	srv := &http.Server{Handler: http.HandlerFunc(s.serve)}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { srv.Close() })
+	return l.Addr().String(), s
+}
+
+func (s *streamer) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/stream" {
+		fmt.Fprintf(w, "id=%s \n", r.Header.Get("X-Request-Id"))
+		return
+	}
+	s.streams.Add(1)
+	for {
+		_, _ = io.WriteString(w, "part\n")
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-s.end:
+			_, _ = io.WriteString(w, "end\n")
+			return
+		case <-r.Context().Done():
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- a/proof_test.go
+++ b/proof_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/google/uuid"
 
 	"plumpitch.example/plumpitch/internal/load"
 	"plumpitch.example/plumpitch/pkg/call"
@@ -22,6 +21,7 @@
 // targets' logs must show each key once: the resend is told unknown or gets
 // the recorded answer, and a paused entry that resumes runs nothing again.
 func TestKeyRunsOnceThoughItsEntryFails(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		fault func(e *process)
@@ -33,16 +33,17 @@
 		{"killed, store down", func(e *process) { e.signal(syscall.SIGKILL) }, func(*process) {}, `{"down":true}`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			q := qt.New(t)
 			s := newCluster(t, 2, 3, 500*time.Millisecond)
 			s.faults(t, c.store)
 			keys := make([]string, 4)
 			var first sync.WaitGroup
 			for n := range keys {
-				keys[n] = uuid.Must(uuid.NewV7()).String()
+				keys[n] = newKey()
 				first.Go(func() { s.post(1, keys[n], 3*time.Second) })
 			}
-			time.Sleep(150 * time.Millisecond)
+			eventually(t, "the targets run a request of each slot", func() bool { return ran(s.runs(t), keys) == len(keys) })
 			c.fault(s.entries[1])
 			for _, key := range keys {
 				for n := range 4 {
@@ -54,7 +55,7 @@
 			}
 			c.after(s.entries[1])
 			first.Wait()
-			time.Sleep(600 * time.Millisecond)
+			time.Sleep(600 * time.Millisecond) // a second run would take no longer to begin
 			for _, key := range keys {
 				runs := s.runs(t)[key]
 				q.Check(runs <= 1, qt.IsTrue, qt.Commentf("key %s ran %d times", key, runs))
@@ -63,14 +64,26 @@
 	}
 }
 
+// ran counts the keys that a target has run.
+func ran(runs map[string]int, keys []string) (n int) {
+	for _, key := range keys {
+		if runs[key] > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // The store is down for the whole time. Callers browse and pay deposits; none
 // of them notices, since settings, ring and targets stay as they were.
 func TestStoreOutageHurtsNoCaller(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ name, faults string }{
 		{"down", `{"down":true}`},
 		{"slow", `{"delay":"3s"}`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			q := qt.New(t)
 			s := newCluster(t, 3, 3, 2*time.Millisecond)
 			s.faults(t, c.faults)
@@ -87,74 +100,11 @@
 	}
 }
 
-// An entry gets SIGTERM under load, and a second one soon after. Callers keep
-// their locate answers to the end. Each gets its whole answer: the entry serves
-// until no locate answer names it, and its requests in flight finish.
-func TestPlannedStopOfAnEntryCutsOffNothing(t *testing.T) {
-	q := qt.New(t)
-	s := newCluster(t, 3, 3, 5*time.Millisecond)
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		time.Sleep(time.Second)
-		s.entries[1].signal(syscall.SIGTERM)
-		s.entries[2].signal(syscall.SIGTERM)
-		time.Sleep(200 * time.Millisecond)
-		s.entries[1].signal(syscall.SIGTERM)
-	}()
-	r, err := load.Run(t.Context(), load.Config{
-		Entries: []string{s.callers(0), s.callers(1), s.callers(2)}, Services: []string{provedService},
-		Rate: 150, Requests: 3000, Writes: 0.3, Timeout: 5 * time.Second, Seed: 4,
-	})
-	q.Assert(err, qt.IsNil)
-	<-stopped
-	q.Check(r.Answered, qt.Equals, r.Sent, qt.Commentf("%+v", reportOf(r)))
-	for _, n := range []int{1, 2} {
-		select {
-		case <-s.entries[n].ended:
-		case <-time.After(bound):
-			t.Fatalf("entry %d did not end", n)
-		}
-		q.Check(s.entries[n].cmd.ProcessState.ExitCode(), qt.Equals, 0)
-	}
-}
-
-// An operator drains a target at one entry while all entries send it work. Two
-// seconds later no entry sends it anything new, and nothing was cut off.
-func TestDrainedTargetGetsNoNewWork(t *testing.T) {
-	q := qt.New(t)
-	s := newCluster(t, 3, 3, 2*time.Millisecond)
-	done := make(chan load.Report)
-	go func() {
-		r, _ := load.Run(t.Context(), load.Config{
-			Entries: []string{s.callers(0), s.callers(1), s.callers(2)}, Services: []string{provedService},
-			Rate: 200, Requests: 1200, Writes: 0.2, Timeout: 5 * time.Second, Seed: 5,
-		})
-		done <- r
-	}()
-	time.Sleep(time.Second)
-	res, err := http.Post("http://"+s.operators(0)+"/v1/drain?name=ledger-0", "", nil)
-	q.Assert(err, qt.IsNil)
-	res.Body.Close()
-	q.Assert(res.StatusCode, qt.Equals, http.StatusOK)
-	time.Sleep(2 * time.Second)
-	before := targetRuns(t, s, 0)
-	r := <-done
-	q.Check(targetRuns(t, s, 0), qt.Equals, before)
-	q.Check(r.Answered, qt.Equals, r.Sent, qt.Commentf("%+v", reportOf(r)))
-}
-
-func targetRuns(t *testing.T, s *cluster, n int) int {
-	t.Helper()
-	var log []struct{ ID string }
-	qt.Assert(t, getJSON("http://"+s.targets[n].addrs[0]+"/-/log", &log), qt.IsNil)
-	return len(log)
-}
-
 // A target crashes under one request, which its caller sends again and again
 // with new keys through every entry. After a bounded number of crashed
 // connections it is refused, and other requests go on.
 func TestOneBadRequestIsStopped(t *testing.T) {
+	t.Parallel()
 	q := qt.New(t)
 	s := newCluster(t, 4, 3, time.Millisecond)
 	for n := range s.targets {
@@ -162,11 +112,11 @@
 	}
 	before := total(s.runs(t))
 	for n := range 30 {
-		s.post(n%3, uuid.Must(uuid.NewV7()).String(), 2*time.Second)
+		s.post(n%3, newKey(), 2*time.Second)
 	}
 	crashed := total(s.runs(t)) - before
 	q.Check(crashed <= 6, qt.IsTrue, qt.Commentf("%d dispatches of a request that crashes targets", crashed))
-	a := s.post(0, uuid.Must(uuid.NewV7()).String(), time.Second)
+	a := s.post(0, newKey(), time.Second)
 	q.Check(fmt.Sprint(a.outcome, a.reason), qt.Equals, "not-runquarantined")
 }
 
