--- /dev/null
+++ b/settings_proof_test.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/settings"
+	"plumpitch.example/plumpitch/pkg/tree"
+)
+
+// ledger is the path of the proved service.
+const ledger = "/swanbourne/" + provedService
+
+// inForce is the bound within which an accepted edit is in force everywhere.
+const inForce = 13 * time.Second
+
+// An operator's edit is accepted at one entry and the store fails right after,
+// in one case with watches that have been silent from before the edit. The
+// other entries can hear of it from their peers only. They have it in force in
+// time, and so has an entry that boots during the outage.
+func TestAcceptedEditIsInForceThoughTheStoreFails(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ name, before, after string }{
+		{"down", `{}`, `{"down":true}`},
+		{"watches silent, then down", `{"silent":true}`, `{"down":true}`},
+		{"watches silent, then slow", `{"silent":true}`, `{"delay":"30s"}`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			q := qt.New(t)
+			s := newCluster(t, 2, 3, time.Millisecond)
+			s.faults(t, c.before)
+			began := time.Now()
+			code, out := s.operate(t, 1, "settings", "set", ledger, "timeout", "4s")
+			s.faults(t, c.after)
+			q.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+			took := s.awaitRevision(t, s.revision(1), began, 0, 1, 2)
+			t.Logf("edit in force at the last of 3 entries %v after the command began", took)
+			q.Check(took < inForce, qt.IsTrue, qt.Commentf("took %v", took))
+			q.Check(s.value(t, 2, "timeout"), qt.Equals, "4s")
+
+			began = time.Now()
+			n := s.startEntry(t)
+			took = s.awaitRevision(t, s.revision(1), began, n)
+			t.Logf("entry booted during the outage has the settings after %v", took)
+			q.Check(took < inForce, qt.IsTrue, qt.Commentf("took %v", took))
+			q.Check(s.value(t, n, "timeout"), qt.Equals, "4s")
+		})
+	}
+}
+
+// The store comes back older than what it had accepted. No entry's revision
+// goes down at any time, the entries write the newest document back, and an
+// entry that boots afterwards starts with the newest one.
+func TestOlderStoreRevertsNothing(t *testing.T) {
+	t.Parallel()
+	q := qt.New(t)
+	s := newCluster(t, 1, 3, time.Millisecond)
+	old := s.stored(t)
+	for _, timeout := range []string{"4s", "3s"} {
+		code, out := s.operate(t, 1, "settings", "set", ledger, "timeout", timeout, "--wait")
+		q.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+	}
+	newest := s.revision(1)
+	stop := s.watchRevisions(t, 0, 1, 2)
+	s.faults(t, `{"down":true}`)
+	s.admin(t, fmt.Sprintf("/rollback?to=%d", old.Version), "")
+	q.Assert(s.stored(t).Revision < newest, qt.IsTrue)
+	s.faults(t, `{}`)
+	began := time.Now()
+	eventually(t, "the store is healed", func() bool { return s.stored(t).Revision >= newest })
+	t.Logf("store healed after %v", time.Since(began))
+	n := s.startEntry(t)
+	s.awaitRevision(t, newest, time.Now(), n)
+	q.Check(stop(), qt.HasLen, 0)
+	for n := range s.entries {
+		q.Check(s.value(t, n, "timeout"), qt.Equals, "3s")
+	}
+}
+
+// Two operators set one value at the same time through two entries, each
+// having seen the same revision. One edit is accepted; the other operator is
+// told of a conflict that shows both.
+func TestOperatorsWhoRaceSeeBothEdits(t *testing.T) {
+	t.Parallel()
+	q := qt.New(t)
+	s := newCluster(t, 1, 3, time.Millisecond)
+	for _, c := range []struct{ field, one, other string }{
+		{"timeout", "3s", "4s"},
+		{"slots", "3", "5"},
+		{"retention", "2h", "3h"},
+	} {
+		base := fmt.Sprint(s.revision(0))
+		s.awaitRevision(t, s.revision(0), time.Now(), 0, 1, 2)
+		var codes [2]int
+		var outs [2]string
+		var race sync.WaitGroup
+		for n, value := range []string{c.one, c.other} {
+			race.Go(func() {
+				codes[n], outs[n] = s.operate(t, n, "settings", "set", ledger, c.field, value, "--base", base, "--wait")
+				if codes[n] == exitOK {
+					s.checkEverywhere(t, c.field, value)
+				}
+			})
+		}
+		race.Wait()
+		comment := qt.Commentf("%q", outs)
+		q.Assert(codes[0]+codes[1], qt.Equals, exitOK+exitConflict, comment)
+		lost := outs[0]
+		if codes[1] == exitConflict {
+			lost = outs[1]
+		}
+		q.Check(strings.Contains(lost, c.one) && strings.Contains(lost, c.other), qt.IsTrue, comment)
+	}
+}
+
+// An entry is paused when an operator's edit is accepted at another one. The
+// command with --wait must not tell the operator that the edit is in force
+// everywhere before the paused entry has it.
+func TestWaitReturnsWhenInForceEverywhere(t *testing.T) {
+	t.Parallel()
+	q := qt.New(t)
+	s := newCluster(t, 1, 3, time.Millisecond)
+	s.entries[2].signal(syscall.SIGSTOP)
+	var code int
+	returned := make(chan struct{})
+	go func() {
+		defer close(returned)
+		code, _ = s.operate(t, 0, "settings", "set", ledger, "timeout", "4s", "--wait")
+	}()
+	eventually(t, "the edit is in force at the other entries", func() bool { return s.value(t, 0, "timeout") == "4s" && s.value(t, 1, "timeout") == "4s" })
+	select {
+	case <-returned:
+		t.Error("returned before the paused entry had the edit")
+	case <-time.After(500 * time.Millisecond):
+	}
+	s.entries[2].signal(syscall.SIGCONT)
+	<-returned
+	q.Assert(code, qt.Equals, exitOK)
+	s.checkEverywhere(t, "timeout", "4s")
+}
+
+// checkEverywhere checks a value at every entry, without waiting for it.
+func (c *cluster) checkEverywhere(t *testing.T, field, value string) {
+	t.Helper()
+	for n := range c.entries {
+		qt.Check(t, c.value(t, n, field), qt.Equals, value, qt.Commentf("entry %d after --wait", n))
+	}
+}
+
+// value is what an entry has in force for a setting of the proved service.
+func (c *cluster) value(t *testing.T, n int, field string) string {
+	t.Helper()
+	node, err := (settings.Client{Addr: c.operators(n)}).Get(t.Context(), ledger)
+	qt.Check(t, err, qt.IsNil)
+	for _, v := range node.Values {
+		if v.Field == field {
+			return v.Value
+		}
+	}
+	return ""
+}
+
+// awaitRevision waits until entries have a revision in force and tells how
+// long after began the last one had.
+func (c *cluster) awaitRevision(t *testing.T, revision uint64, began time.Time, entries ...int) time.Duration {
+	t.Helper()
+	for _, n := range entries {
+		eventually(t, fmt.Sprintf("entry %d has revision %d", n, revision), func() bool { return c.revision(n) >= revision })
+	}
+	return time.Since(began)
+}
+
+// watchRevisions looks at the entries' revisions until it is stopped, and then
+// tells of each that went down.
+func (c *cluster) watchRevisions(t *testing.T, entries ...int) (stop func() []string) {
+	t.Helper()
+	ended := make(chan struct{})
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var down []string
+	for _, n := range entries {
+		addr := c.operators(n)
+		all.Go(func() {
+			for last := uint64(0); ; time.Sleep(10 * time.Millisecond) {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				r := revisionAt(addr)
+				if r > 0 && r < last {
+					mu.Lock()
+					down = append(down, fmt.Sprintf("entry %d: %d after %d", n, r, last))
+					mu.Unlock()
+				}
+				last = max(last, r)
+			}
+		})
+	}
+	return func() []string {
+		close(ended)
+		all.Wait()
+		return down
+	}
+}
+
+// storedSettings is the version of the settings object and the revision in it.
+type storedSettings struct {
+	Version  uint64
+	Revision uint64
+}
+
+// stored reads the settings object; revision 0 when there is none to be had.
+func (c *cluster) stored(t *testing.T) (s storedSettings) {
+	t.Helper()
+	var o struct {
+		Version uint64 `json:"version"`
+		Value   []byte `json:"value"`
+	}
+	if getJSON(c.store+"/v1/objects/"+settings.Kind+"/"+settings.Name, &o) != nil || o.Version == 0 {
+		return s
+	}
+	d, err := tree.Decode(o.Value)
+	qt.Assert(t, err, qt.IsNil)
+	return storedSettings{o.Version, d.Revision}
+}
