pool: a pause of all targets doesn't shut the queue for ever

Cause, found by TestPaceRecovers (4000 of 4000 requests refused after all targets stood still for 10 s with a queue): the pace of the queue is learnt only while there is a queue; one gap of 10 s made the expected wait of the first queued request longer than what is allowed, so there was no queue again. Change: a gap counts for at most the mean answer time.

--- a/pkg/pool/admit.go
+++ b/pkg/pool/admit.go
@@ -5,16 +5,19 @@
 const gapWeight = 1.0 / 64
 
 // gap is the mean time between answers while requests are queued: the pace at
-// which the queue moves, whoever else uses the targets.
+// which the queue moves, whoever else uses the targets. One sample counts for at
+// most the mean answer time, the pace of a single slot: after a pause of all
+// targets a longer one would have every request refused, and as only a queue
+// shows the pace, nothing would ever correct it.
 type gap struct {
 	mean float64 // nanoseconds; zero until measured
 	last time.Duration
 	busy bool
 }
 
-func (g *gap) done(now time.Duration, queued bool) {
+func (g *gap) done(now time.Duration, queued bool, most time.Duration) {
 	if g.busy && queued {
-		between := float64(now - g.last)
+		between := float64(min(now-g.last, most))
 		if g.mean == 0 {
 			g.mean = between
 		}
--- a/pkg/pool/health_test.go
+++ b/pkg/pool/health_test.go
@@ -185,6 +185,26 @@
 	return n
 }
 
+// All targets stand still for ten seconds with requests queued, then go on. The
+// pace of the queue was nil meanwhile; taken for the pace of now, it would have
+// every caller refused who finds the slots full, for ever, since only a queue
+// shows the pace.
+func TestPaceRecovers(t *testing.T) {
+	c := qt.New(t)
+	b := bedOf(c, "", pool.Config{}, targets(3))
+	still := func(at time.Duration, n int) (time.Duration, pool.Kind) {
+		if at > time.Second && at < 11*time.Second {
+			return 11*time.Second - at, pool.Served
+		}
+		return usual(at, n)
+	}
+	bad := map[string]how{"t0": still, "t1": still, "t2": still}
+	b.load(20, 12*time.Second, bad)
+	b.refused = 0
+	b.load(20, time.Second, nil)
+	c.Check(b.refused, qt.Equals, 0)
+}
+
 // A new target is slow at first; callers sent there in numbers would all wait.
 // It gets one request at a time until it is warm.
 func TestCold(t *testing.T) {
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -105,7 +105,7 @@
 	delete(p.flights, a.ID)
 	out = p.report(m, a.Load, len(m.runs), out)
 	r := m.remove(a.ID, p.now)
-	p.gap.done(p.now, p.queue.len() > 0)
+	p.gap.done(p.now, p.queue.len() > 0, p.curve.Mean(p.cfg.Service))
 	p.take(m, r, a.Kind)
 	return p.drain(out)
 }
