proofs: operators race on settings that exist

Cause: the setting retention went away while the test landed, and its edit was refused as unknown (exit code 4). The test races on queue instead, as strictly.

--- a/settings_proof_test.go
+++ b/settings_proof_test.go
@@ -94,7 +94,7 @@
 	for _, c := range []struct{ field, one, other string }{
 		{"timeout", "3s", "4s"},
 		{"slots", "3", "5"},
-		{"retention", "2h", "3h"},
+		{"queue", "301", "402"},
 	} {
 		base := fmt.Sprint(s.revision(0))
 		s.awaitRevision(t, s.revision(0), time.Now(), 0, 1, 2)
