entry: locate names entries of the ring only

Cause: an entry that booted while the platform was down was named by locate though it knew no target, and refused every caller.

Ruled out: handing the VM list between peers would let such an entry serve, but needs a change of the peers' protocol; holding back its membership would keep it from getting the settings.

Change: locate names live entries of the ring, and all live ones only while none of the ring is live. An entry can't enter the ring before the store is back, and the VM list comes back with it. A new entry is named when it enters the ring, some seconds after it was first seen.

Not mended: such an entry still refuses callers that reach it directly, and so does a site whose entries were all replaced during one outage.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -121,8 +121,25 @@
 	return probe.Share{}
 }
 
-// named are the entries that locate may name.
-func (c *control) named() []ring.Member {
+// named are the entries that locate may name: those of the ring, while one of
+// them is live. An entry that boots while the platform is down knows no target
+// and would refuse every caller that is sent to it. It can't enter the ring
+// before the store is back, and the VM list comes back with it.
+func (c *control) named() (named []ring.Member) {
+	agreed := c.entry.claims.Ring()
+	for _, m := range c.others() {
+		if agreed.Has(m.Ident) {
+			named = append(named, m)
+		}
+	}
+	if len(named) == 0 {
+		return c.others()
+	}
+	return named
+}
+
+// others are the live entries, but for this one when it is leaving.
+func (c *control) others() []ring.Member {
 	if !c.leaving {
 		return c.live
 	}
