--- /dev/null
+++ b/internal/forward/conn_test.go
@@ -0,0 +1,162 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/pkg/call"
+)
+
+// The transport stops an answer whose first byte was there before the request.
+func TestAnswerBeforeTheRequestIsStale(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps func(k *conn)
+		stale bool
+	}{
+		{"nothing written", func(k *conn) { k.begin() }, true},
+		{"written, nothing read since", func(k *conn) {
+			k.begin()
+			_, _ = k.Write([]byte("GET"))
+		}, true},
+		{"written, then read", func(k *conn) {
+			k.begin()
+			_, _ = k.Write([]byte("GET"))
+			_, _ = k.Read(make([]byte, 9))
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			target := newRaw(t, func(p *peer) {
+				p.say(ok)
+				p.request()
+			})
+			tcp, err := net.Dial("tcp", target.addr())
+			c.Assert(err, qt.IsNil)
+			defer tcp.Close()
+			var w watch
+			var ctx context.Context
+			ctx, w.cancel = context.WithCancelCause(context.Background())
+			k, err := newConn(tcp)
+			c.Assert(err, qt.IsNil)
+			w.conn.Store(k)
+			tt.steps(k)
+			w.firstByte()
+			c.Assert(w.stale.Load(), qt.Equals, tt.stale)
+			c.Assert(context.Cause(ctx) == errStale, qt.Equals, tt.stale)
+		})
+	}
+}
+
+// A reused connection has bytes left, or its target has ended it, and no reader
+// has run since. A request that is written there is answered by those bytes, or
+// by nobody; so it is not written.
+func TestWriteNeedsQuietConnection(t *testing.T) {
+	tests := []struct {
+		name  string
+		after func(p *peer) // what the target does after the first request
+		quiet bool
+	}{
+		{"silent", func(*peer) {}, true},
+		{"bytes left", func(p *peer) { p.say(ok) }, false},
+		{"closed", func(p *peer) { p.Close() }, false},
+		{"reset", (*peer).reset, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			target := newRaw(t, func(p *peer) {
+				p.request()
+				tt.after(p)
+				p.request()
+			})
+			tcp, err := net.Dial("tcp", target.addr())
+			c.Assert(err, qt.IsNil)
+			defer tcp.Close()
+			k, err := newConn(tcp)
+			c.Assert(err, qt.IsNil)
+			const get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+			start := k.begin()
+			_, err = k.Write([]byte(get))
+			c.Assert(err, qt.IsNil)
+			c.Assert(k.sent.Load() > start, qt.IsTrue)
+			start = k.begin()
+			eventually(c, func() bool {
+				_ = k.raw.Control(k.peek)
+				return k.silent == tt.quiet
+			})
+			n, err := k.Write([]byte(get))
+			c.Assert(err == errStale, qt.Equals, !tt.quiet, qt.Commentf("%v", err))
+			c.Assert(n > 0, qt.Equals, tt.quiet)
+			c.Assert(k.sent.Load() > start, qt.Equals, tt.quiet)
+		})
+	}
+}
+
+// Taking bytes from the kernel and counting them is one step: while the peek
+// before a write holds the lock, a reader that is woken must not take any.
+func TestReadWaitsForThePeek(t *testing.T) {
+	c := qt.New(t)
+	target := newRaw(t, func(p *peer) {
+		p.request()
+		p.say(ok)
+		p.request()
+	})
+	tcp, err := net.Dial("tcp", target.addr())
+	c.Assert(err, qt.IsNil)
+	defer tcp.Close()
+	k, err := newConn(tcp)
+	c.Assert(err, qt.IsNil)
+	k.mu.Lock()
+	read := make(chan int, 1)
+	go func() {
+		n, _ := k.Read(make([]byte, 100))
+		read <- n
+	}()
+	_, err = tcp.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	c.Assert(err, qt.IsNil)
+	for held := 0; held < 20; held++ {
+		eventually(c, func() bool {
+			_ = k.raw.Control(k.peek)
+			return !k.silent
+		})
+		c.Assert(k.got.Load(), qt.Equals, int64(0))
+		time.Sleep(time.Millisecond)
+	}
+	k.mu.Unlock()
+	c.Assert(<-read, qt.Equals, len(ok))
+	c.Assert(k.got.Load(), qt.Equals, int64(len(ok)))
+}
+
+// A target closes its idle connection. Nobody has read from it since, so the
+// next request would be written to it, and its caller told unknown. It must be
+// answered, or be told not-run.
+func TestClosedIdleConnection(t *testing.T) {
+	c := qt.New(t)
+	closed := make(chan struct{})
+	target := newRaw(t, func(p *peer) {
+		if p.request() != nil {
+			p.say(ok)
+			p.Close()
+			closed <- struct{}{}
+		}
+	})
+	f := New(Config{})
+	defer f.Close()
+	for range 500 {
+		try := post("veil")
+		try.Target = target.addr()
+		_, fail := f.Dispatch(context.Background(), try)
+		if fail == nil {
+			<-closed
+			continue
+		}
+		c.Assert(fail.Ran, qt.Equals, call.DidNotRun, qt.Commentf("%v", fail))
+		c.Assert(fail.Replay, qt.IsTrue)
+	}
+}
