--- /dev/null
+++ b/pkg/call/crash_test.go
@@ -0,0 +1,90 @@
+package call
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// outage sends one request that crashes each target, again and again, through
+// entries that tell each other of it between two sends.
+type outage struct {
+	entries []*Suspects
+	now     time.Time
+	lost    int // targets; a new one stands in for each
+	told    map[Reason]int
+}
+
+// send is one request of the caller; nothing in it depends on its key.
+func (o *outage) send(s *Suspects, a Arrival) {
+	const fp = 7
+	a.Deadline = o.now.Add(time.Second)
+	a.Quarantined = s.Quarantined(o.now, fp)
+	c := New(Config{Budget: rich(4)})
+	acts := c.Arrive(o.now, a)
+	for !c.State().Final() {
+		var next Actions
+		for _, x := range acts.All() {
+			switch x.Do {
+			case DoSeek:
+				next = c.Choose(o.now, Choice{Target: strconv.Itoa(o.lost)})
+			case DoDispatch:
+				next = o.crash(s, &c, x, fp)
+			}
+		}
+		acts = next
+	}
+	o.told[c.Final().Reason]++
+}
+
+func (o *outage) crash(s *Suspects, c *Call, x Action, fp uint64) Actions {
+	o.lost++
+	began := o.now
+	o.now = o.now.Add(time.Millisecond)
+	held := s.Crashed(o.now, fp, x.Target, began)
+	return c.Fail(o.now, Failed{Try: x.Try, Stage: StageSent, Replay: true, Quarantined: held})
+}
+
+func (o *outage) gossip() {
+	for i, from := range o.entries {
+		for _, to := range o.entries {
+			if to != from {
+				to.Merge(o.now, strconv.Itoa(i), from.Export(o.now, 10))
+			}
+		}
+	}
+}
+
+// A caller sends a request that crashes its target a hundred times, a second
+// apart, to one entry or to all in turn. Two targets are lost in each quarantine
+// time and no more; without it, each send costs one, or three with retries.
+func TestOneBadRequest(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		entries    int
+	}{
+		{"one entry", false, 1},
+		{"one entry, idempotent", true, 1},
+		{"14 entries in turn", false, 14},
+		{"14 entries in turn, idempotent", true, 14},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			o := outage{now: start, told: map[Reason]int{}}
+			for range tt.entries {
+				o.entries = append(o.entries, NewSuspects(SuspectsConfig{}))
+			}
+			for i := range 100 {
+				o.send(o.entries[i%tt.entries], Arrival{Idempotent: tt.idempotent})
+				o.now = o.now.Add(time.Second)
+				o.gossip()
+			}
+			c.Assert(o.lost, qt.Equals, 2)
+			c.Assert(o.told[ReasonQuarantined] >= 98, qt.IsTrue, qt.Commentf("%v", o.told))
+		})
+	}
+}
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -93,7 +93,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.take(now, fp)
-	if x.count() == 0 || began.After(x.last) {
+	if x.count() == 0 || !began.Before(x.last) {
 		x.crash(xxhash.Sum64String(target), s.cfg.Crashes)
 		x.cleared = false
 		x.last = now
