proofs: a relay's cut waits until a request comes its way

Cause: one of 6 runs of TestCutConnectionIsToldTruthfully failed with "no request met the cut": the cuts before had ejected the relay's target, and 200 requests were over before its trial. The requests are paced and bounded by time now.

--- a/relay_test.go
+++ b/relay_test.go
@@ -184,13 +184,18 @@
 	}
 }
 
+// hitPause paces the requests until one meets the cut: a target that an earlier
+// cut has put out of use gets a trial only after seconds.
+const hitPause = 5 * time.Millisecond
+
 // hit sends requests, each to a path of its own, until one of them meets the
 // cut, and gives its path, its id and what its caller was told. All others must
 // be answered whole.
 func (c *cluster) hit(t *testing.T, r *relay, with cut, method string) (path, id string, a told) {
 	t.Helper()
 	r.next.Store(&with)
-	for n := range 200 {
+	end := time.Now().Add(bound)
+	for n := 0; time.Now().Before(end); n++ {
 		id = newKey()
 		path = "/deposits/" + id
 		a = c.send(n%len(c.entries), method, path, id, 5*time.Second)
@@ -198,6 +203,7 @@
 			return path, id, a
 		}
 		qt.Assert(t, a.whole(id), qt.IsTrue, qt.Commentf("%+v", a))
+		time.Sleep(hitPause)
 	}
 	t.Fatalf("no request met the cut of %s", r.addr)
 	return path, id, a
