--- a/experiment.go
+++ b/experiment.go
@@ -9,13 +9,14 @@
 	"plumpitch.example/plumpitch/internal/lab/capacity"
 	"plumpitch.example/plumpitch/internal/lab/faults"
 	"plumpitch.example/plumpitch/internal/lab/hop"
+	"plumpitch.example/plumpitch/internal/lab/order"
 	lab "plumpitch.example/plumpitch/internal/lab/tail"
 )
 
 func experimentCommand() *command {
 	sub := flaggy.NewSubcommand("experiment")
 	sub.Description = "measure a decision or a cost and print a table"
-	subs := []*command{experimentHop(), experimentFaults(), experimentCapacity()}
+	subs := []*command{experimentHop(), experimentFaults(), experimentCapacity(), experimentOrder()}
 	for _, name := range lab.Names() {
 		subs = append(subs, experimentTail(name))
 	}
@@ -77,3 +78,18 @@
 		return capacity.Run(cfg, os.Stdout)
 	}}
 }
+
+func experimentOrder() *command {
+	cfg := order.Config{Requests: 10000, Load: 0.7, Factor: 10, Seed: 1, Settings: swanbourne, Service: "gown-catalogue"}
+	sub := flaggy.NewSubcommand("order")
+	sub.Description = "the policies one after the other over loopback, with a straggler, as ratios"
+	sub.Int(&cfg.Requests, "n", "requests", "requests of each policy")
+	sub.Float64(&cfg.Load, "", "load", "share of what the targets can do")
+	sub.Float64(&cfg.Factor, "", "factor", "how much slower one target is; 1 for none")
+	sub.UInt64(&cfg.Seed, "", "seed", "seed of the arrivals")
+	sub.Bool(&cfg.JSON, "j", "json", "print JSON")
+	sub.AdditionalHelpAppend = "Example: plumpitch experiment order --factor 10"
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		return order.Run(ctx, cfg, os.Stdout)
+	}}
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -91,6 +91,11 @@
 	if err != nil {
 		return err
 	}
+	return ApplyDocument(ctx, addr, d)
+}
+
+// ApplyDocument puts a document into an empty store, as the first accepted one.
+func ApplyDocument(ctx context.Context, addr string, d tree.Document) (err error) {
 	d, err = tree.Seed(d, time.Now())
 	if err != nil {
 		return err
@@ -197,13 +202,26 @@
 	return n
 }
 
-// Close stops the entries gracefully, then the rest.
-func (s *Site) Close() {
+// Kill ends the stand-ins at once and leaves the entries to end by themselves:
+// for measurements that need no graceful stop.
+func (s *Site) Kill() {
 	if s.stopEntries != nil {
 		s.stopEntries()
 	}
-	s.entries.Wait()
+	s.closeServers()
+}
+
+func (s *Site) closeServers() {
 	for _, srv := range s.servers {
 		_ = srv.Close()
 	}
 }
+
+// Close stops the entries gracefully, then the rest.
+func (s *Site) Close() {
+	if s.stopEntries != nil {
+		s.stopEntries()
+	}
+	s.entries.Wait()
+	s.closeServers()
+}
