proofs: silent watches stay silent in the outage that follows

Cause: replacing the store's faults woke the watches, which then brought the edit: the slow case reached the last entry in 10 ms without any peer. Change: the fault after the edit keeps the watches silent.

--- a/settings_proof_test.go
+++ b/settings_proof_test.go
@@ -28,8 +28,8 @@
 	t.Parallel()
 	for _, c := range []struct{ name, before, after string }{
 		{"down", `{}`, `{"down":true}`},
-		{"watches silent, then down", `{"silent":true}`, `{"down":true}`},
-		{"watches silent, then slow", `{"silent":true}`, `{"delay":"30s"}`},
+		{"watches silent, then down", `{"silent":true}`, `{"silent":true,"down":true}`},
+		{"watches silent, then slow", `{"silent":true}`, `{"silent":true,"delay":"30s"}`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
