entry: retries and hedges are counted beside their budget

Cause: both counters were declared and never raised, so that an operator read 0 in any retry storm. Change: each dispatch counts as first, hedge or retry; the budget stands beside them as the share of first dispatches. TestRetriesAndHedgesAreCounted was seen to fail before (no such value but 0).

--- a/internal/entry/drive.go
+++ b/internal/entry/drive.go
@@ -202,6 +202,7 @@
 	f := &d.tries[a.Try]
 	ctx, cancel := context.WithCancel(d.ctx)
 	f.cancel, f.began = cancel, time.Now()
+	d.q.service.metrics.dispatched(a.Try, d.flying)
 	if d.results == nil {
 		d.perform(d.took(d.send(ctx, a, f.action)))
 		return
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -51,8 +51,10 @@
 	ran      tally.Counter
 	notRun   tally.Counter
 	unknown  tally.Counter
+	firsts   tally.Counter // first dispatches, which retries and hedges are a share of
 	retries  tally.Counter
 	hedges   tally.Counter
+	share    tally.Gauge // most retries and hedges for each first dispatch
 	probes   tally.Counter
 	inflight tally.Gauge
 	queue    tally.Gauge
@@ -69,7 +71,9 @@
 		ran:      outcome("ran"),
 		notRun:   outcome("not-run"),
 		unknown:  outcome("unknown"),
+		firsts:   s.Counter("dispatches"),
 		retries:  s.Counter("retries"),
+		share:    s.Gauge("retry_share"),
 		hedges:   s.Counter("hedges"),
 		probes:   s.Counter("probes"),
 		inflight: s.Gauge("inflight"),
@@ -78,6 +82,19 @@
 	}
 }
 
+// dispatched counts one dispatch of a request: its first, a hedge beside
+// another that flies, or a retry.
+func (m serviceMetrics) dispatched(try, flying int) {
+	switch {
+	case try == 0:
+		m.firsts.Inc(1)
+	case flying > 0:
+		m.hedges.Inc(1)
+	default:
+		m.retries.Inc(1)
+	}
+}
+
 // count adds one request with the value of its outcome header, which is empty
 // on a target's own answer.
 func (m serviceMetrics) count(outcome string) {
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -74,6 +74,7 @@
 	s.metrics.queue.Update(float64(queued))
 	s.metrics.inflight.Update(float64(inFlight))
 	s.metrics.ejected.Update(float64(out))
+	s.metrics.share.Update(s.policy.Load().RetryShare)
 }
 
 func (r *reporter) storeCalls(scope tally.Scope) {
