--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -33,7 +33,7 @@
 // dispatches and the share of these that is their budget.
 func TestRetriesAndHedgesAreCounted(t *testing.T) {
 	var bad, slow atomic.Int64
-	retried := target(t, func(w http.ResponseWriter, r *http.Request) {
+	retried := target(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/bad" && bad.Add(1) == 1 {
 			panic(http.ErrAbortHandler)
 		}
--- /dev/null
+++ b/internal/entry/supervisor_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/platform"
+)
+
+// poison kills the control loop.
+type poison struct{ taken *atomic.Int64 }
+
+func (p poison) apply(time.Time, *control) {
+	p.taken.Add(1)
+	panic("poison")
+}
+
+// The control loop dies. Requests go on meanwhile, the supervisor starts it
+// again, and it still knows its services: a target that the platform lists
+// afterwards is taken in beside the old one.
+func TestControlLoopIsRestarted(t *testing.T) {
+	var began, taken atomic.Int64
+	addr := counted(t, &began)
+	w := start(t, served{name: "plain", targets: []string{addr}})
+	before := w.site.Load().services["plain"]
+	for range 2 {
+		w.control.tell(t.Context(), poison{&taken})
+	}
+	w.until("the control loop to die twice", func() bool { return taken.Load() == 2 })
+	w.c.Assert(w.ask("GET", "/v1/call/plain/", nil).StatusCode, qt.Equals, http.StatusOK)
+	w.platform.PutVM(platform.VM{
+		ID: "new", Addr: counted(t, &began), Place: "fremantle-hall", Service: "plain", Slots: 2, Boot: 1, State: platform.Live,
+	})
+	w.until("the new target", func() bool { return len(w.site.Load().services["plain"].explain(time.Now())) == 2 })
+	w.c.Assert(w.site.Load().services["plain"], qt.Equals, before)
+}
