entry: spans for locate, queue and calls of store and peers; none made while off

Spans: locate, queue (wait for a target), each dispatch with target, attempt and status or failure, claim, each claim asked of a peer, each store call, whose context goes on to the store. While tracing is off no span is made and no trace header read; the caller's own header reaches the target as any other.

--- a/internal/entry/drive.go
+++ b/internal/entry/drive.go
@@ -7,6 +7,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/pkg/call"
@@ -23,6 +24,7 @@
 	call    call.Call
 	seek    ticket // waits for the pool while seeking
 	seeking bool
+	wait    trace.Span // of seeking
 	tries   [call.MaxTries]flight
 	results chan result // from dispatches in goroutines
 	flying  int         // of these, not yet received
@@ -50,7 +52,7 @@
 }
 
 func newDrive(ctx context.Context, e *Entry, q *request) *drive {
-	d := &drive{entry: e, q: q, ctx: ctx}
+	d := &drive{entry: e, q: q, ctx: ctx, wait: noSpan}
 	d.call = call.New(call.Config{
 		Tries:  q.policy.Attempts,
 		Retry:  q.policy.RetryAfter,
@@ -129,8 +131,10 @@
 func (d *drive) chosen(a pool.Action) call.Actions {
 	d.seeking = false
 	if a.Kind == pool.Refuse {
+		ended(d.wait, a.Reason.String())
 		return d.call.Decline(time.Now(), call.Decline{Reason: reasonOf(a.Reason), Retry: a.RetryAfter})
 	}
+	d.wait.End()
 	d.tries[d.free()] = flight{ticket: d.seek, action: a}
 	return d.call.Choose(time.Now(), call.Choice{Target: a.Addr})
 }
@@ -155,6 +159,7 @@
 			d.enterHedge()
 		case call.DoWithdraw:
 			d.seeking = false
+			ended(d.wait, "withdrawn")
 			d.seek.cancel(time.Now())
 		case call.DoRelease:
 			d.seek.cancel(time.Now())
@@ -181,6 +186,7 @@
 		}
 	}
 	d.seeking = true
+	_, d.wait = d.entry.tracing.start(d.ctx, "queue")
 	d.seek = d.q.service.enter(time.Now(), pool.Arrival{Deadline: d.q.deadline, Idempotent: d.q.idempotent(), Avoid: avoid})
 }
 
@@ -193,6 +199,7 @@
 		d.perform(d.chosen(a))
 	default:
 		d.seeking = false
+		ended(d.wait, "no free slot")
 		d.seek.cancel(time.Now())
 		d.perform(d.call.Decline(time.Now(), call.Decline{Reason: call.ReasonUnavailable}))
 	}
@@ -214,10 +221,14 @@
 // send dispatches the request to one target, in a span of its own.
 func (d *drive) send(ctx context.Context, a call.Action, to pool.Action) (r result) {
 	e, q := d.entry, d.q
-	ctx, span := e.tracing.tracer.Start(ctx, "dispatch")
+	ctx, span := e.tracing.start(ctx, "dispatch")
 	defer span.End()
-	header := make(http.Header, 1)
-	e.tracing.carry.Inject(ctx, propagation.HeaderCarrier(header))
+	var header http.Header
+	if e.tracing.on {
+		header = make(http.Header, 1)
+		e.tracing.carry.Inject(ctx, propagation.HeaderCarrier(header))
+		defer func() { describe(span, to.Target, a.Attempt, r) }()
+	}
 	r.try = a.Try
 	if q.stream != nil {
 		defer context.AfterFunc(ctx, q.upload.interrupt)()
@@ -227,11 +238,18 @@
 		Body: q.body, Stream: q.stream, Length: q.in.ContentLength,
 		Timeout: a.After, Attempt: a.Attempt, Depth: q.header.Depth, Header: header,
 	})
-	span.SetAttributes(attribute.String("target", to.Target), attribute.Int("attempt", a.Attempt))
-	if r.failure != nil {
+	return r
+}
+
+// describe tells of a dispatch on its span.
+func describe(span trace.Span, target string, attempt int, r result) {
+	span.SetAttributes(attribute.String("target", target), attribute.Int("attempt", attempt))
+	switch {
+	case r.failure != nil:
 		span.SetAttributes(attribute.String("failure", r.failure.Stage.String()))
+	case r.answer != nil:
+		span.SetAttributes(attribute.Int("status", r.answer.Status))
 	}
-	return r
 }
 
 // took gives a dispatch's result to the lifecycle.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,6 +34,9 @@
 	readBurst = 8
 )
 
+// storeConns is how many idle connections to the store are kept.
+const storeConns = 4
+
 // Config builds an Entry.
 type Config struct {
 	File File
@@ -92,12 +95,17 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
-	e.store = store.New(store.Config{Addr: cfg.File.Platform, Reads: rate.NewLimiter(readRate, readBurst)})
+	e.store = store.New(store.Config{Addr: cfg.File.Platform, HTTP: e.storeCalls(), Reads: rate.NewLimiter(readRate, readBurst)})
 	e.control = newControl(e)
 	e.build()
 	return e, nil
 }
 
+func (e *Entry) storeCalls() *http.Client {
+	t := &http.Transport{MaxIdleConnsPerHost: storeConns}
+	return &http.Client{Transport: tracedCalls{&e.tracing, "store", t}}
+}
+
 // listen opens the three listeners, or none.
 func (e *Entry) listen() (err error) {
 	f := e.cfg.File
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -8,8 +8,6 @@
 	"github.com/apex/log"
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/google/uuid"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"plumpitch.example/plumpitch/internal/forward"
@@ -66,8 +64,7 @@
 			id = uuid.NewString()
 			r.Header.Set(headerID, id)
 		}
-		ctx := e.tracing.carry.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-		ctx, span := e.tracing.tracer.Start(ctx, r.Method, trace.WithAttributes(attribute.String("request", id)))
+		ctx, span := e.tracing.received(r, id)
 		defer span.End()
 		ow := &outcomeWriter{ResponseWriter: w}
 		in := r.WithContext(ctx)
@@ -76,7 +73,7 @@
 			in.Body = ow.body
 			defer ow.body.leave()
 		}
-		defer e.observe(ow, r, id, span.SpanContext().TraceID().String(), began)
+		defer e.observe(ow, r, id, span, began)
 		defer e.guard(ow, id)
 		next.ServeHTTP(ow, in)
 	})
@@ -100,7 +97,7 @@
 }
 
 // observe counts and logs a request's outcome.
-func (e *Entry) observe(w *outcomeWriter, r *http.Request, id, traceID string, began time.Time) {
+func (e *Entry) observe(w *outcomeWriter, r *http.Request, id string, span trace.Span, began time.Time) {
 	name, _ := splitPath(r.URL.EscapedPath())
 	outcome := w.Header().Get(call.HeaderOutcome)
 	if sv, ok := e.site.Load().services[name]; ok {
@@ -111,7 +108,7 @@
 		return
 	}
 	l := e.log.WithFields(log.Fields{
-		"request": id, "trace": traceID, "service": name, "method": r.Method,
+		"request": id, "trace": e.tracing.id(r, span), "service": name, "method": r.Method,
 		"status": w.status, "took": time.Since(began).String(),
 	})
 	if outcome == "" {
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -54,7 +54,7 @@
 // is granted the run goes on though its caller leaves: its answer is recorded,
 // and the caller's resend gets it instead of an unknown outcome.
 func (e *Entry) serveKeyed(ctx context.Context, q *request) (*passing, error) {
-	ctx, span := e.tracing.tracer.Start(ctx, "claim")
+	ctx, span := e.tracing.start(ctx, "claim")
 	defer span.End()
 	r := keyedRun{entry: e, q: q}
 	defer r.release()
--- a/internal/entry/locate.go
+++ b/internal/entry/locate.go
@@ -24,7 +24,9 @@
 }
 
 func (e *Entry) locateEndpoint() endpoint.Endpoint {
-	return func(_ context.Context, request any) (any, error) {
+	return func(ctx context.Context, request any) (any, error) {
+		_, span := e.tracing.start(ctx, "locate")
+		defer span.End()
 		q := request.(locateRequest)
 		addrs, ttl, ok := e.site.Load().locate(q.service)
 		if !ok {
--- a/internal/entry/panic_test.go
+++ b/internal/entry/panic_test.go
@@ -35,7 +35,7 @@
 	addr := target(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") })
 	w := prepare(t, served{name: "plain", targets: []string{addr}}, served{name: "hedged", set: `"hedge": true`, targets: []string{addr}})
 	b := &bomb{}
-	w.tracing.tracer = b
+	w.tracing.on, w.tracing.tracer = true, b
 	w.serve()
 	for _, tt := range []struct {
 		name, method, service string
--- a/internal/entry/plane.go
+++ b/internal/entry/plane.go
@@ -40,7 +40,7 @@
 		Self:   e.self(),
 		Table:  keyTable(e.self().Ident),
 		Bounds: ringBounds(),
-		Peers:  claims.Remote{Client: e.client},
+		Peers:  tracedPeers{claims.Remote{Client: e.client}, &e.tracing},
 		Store:  claims.Platform{Client: e.store},
 		View:   func() ring.View { return e.members.Ring(time.Now(), e.claims.Ring().Revision) },
 		Log:    func(message string, err error) { e.log.WithError(err).Warn(message) },
--- a/internal/entry/release.go
+++ b/internal/entry/release.go
@@ -48,6 +48,7 @@
 func (d *drive) abandon() {
 	now := time.Now()
 	d.seek.drop(now)
+	d.wait.End()
 	for i := range d.tries {
 		f := &d.tries[i]
 		if f.cancel != nil {
--- a/internal/entry/trace.go
+++ b/internal/entry/trace.go
@@ -1,14 +1,21 @@
 package entry
 
 import (
+	"context"
 	"io"
+	"net/http"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
 	"go.opentelemetry.io/otel/propagation"
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
+
+	"plumpitch.example/plumpitch/internal/claims"
+	"plumpitch.example/plumpitch/pkg/claim"
+	"plumpitch.example/plumpitch/pkg/ring"
 )
 
 // Exporters that the settings file may name.
@@ -18,12 +25,98 @@
 )
 
 // tracing makes spans and carries their context in W3C headers.
+//
+// While it is off the request path makes no span and reads no context: the
+// caller's own trace headers reach the target as any other header does.
 type tracing struct {
+	on     bool
 	tracer trace.Tracer
 	carry  propagation.TraceContext
 	close  func()
 }
 
+// start begins a span of one hop, or none while tracing is off.
+func (t tracing) start(ctx context.Context, name string) (context.Context, trace.Span) {
+	if !t.on {
+		return ctx, noSpan
+	}
+	return t.tracer.Start(ctx, name)
+}
+
+// noSpan stands for all spans while tracing is off.
+var noSpan trace.Span = noop.Span{}
+
+// received begins the span of a caller's request, below the caller's own.
+func (t tracing) received(r *http.Request, id string) (context.Context, trace.Span) {
+	if !t.on {
+		return r.Context(), noSpan
+	}
+	ctx := t.carry.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	return t.tracer.Start(ctx, r.Method, trace.WithAttributes(attribute.String("request", id)))
+}
+
+// id is the trace that a request belongs to, its caller's while tracing is off.
+func (t tracing) id(r *http.Request, span trace.Span) string {
+	if t.on {
+		return span.SpanContext().TraceID().String()
+	}
+	ctx := t.carry.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	return trace.SpanContextFromContext(ctx).TraceID().String()
+}
+
+// ended ends a span, with the failure if there is one.
+func ended(span trace.Span, failure string) {
+	if failure != "" {
+		span.SetAttributes(attribute.String("failure", failure))
+	}
+	span.End()
+}
+
+// tracedCalls makes a span of each HTTP call and hands the context on.
+type tracedCalls struct {
+	tracing *tracing
+	name    string
+	next    http.RoundTripper
+}
+
+// RoundTrip calls next.
+func (c tracedCalls) RoundTrip(r *http.Request) (res *http.Response, err error) {
+	if !c.tracing.on {
+		return c.next.RoundTrip(r)
+	}
+	ctx, span := c.tracing.start(r.Context(), c.name)
+	defer func() { ended(span, problem(err)) }()
+	span.SetAttributes(attribute.String("method", r.Method), attribute.String("path", r.URL.Path))
+	r = r.Clone(ctx)
+	c.tracing.carry.Inject(ctx, propagation.HeaderCarrier(r.Header))
+	res, err = c.next.RoundTrip(r)
+	if err == nil {
+		span.SetAttributes(attribute.Int("status", res.StatusCode))
+	}
+	return res, err
+}
+
+func problem(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// tracedPeers makes a span of each claim that a peer is asked for.
+type tracedPeers struct {
+	claims.Peers
+	tracing *tracing
+}
+
+// Claim asks a peer.
+func (p tracedPeers) Claim(ctx context.Context, to ring.Member, a claim.Ask) (r claim.Reply, err error) {
+	ctx, span := p.tracing.start(ctx, "peer claim")
+	defer func() { ended(span, problem(err)) }()
+	span.SetAttributes(attribute.String("peer", to.Name))
+	return p.Peers.Claim(ctx, to, a)
+}
+
 func newTracing(exporter string, w io.Writer) (t tracing, err error) {
 	defer func() { err = errors.WithMessage(err, "trace") }()
 	if exporter != traceStdout {
@@ -35,6 +128,7 @@
 	}
 	p := sdk.NewTracerProvider(sdk.WithBatcher(exp))
 	return tracing{
+		on:     true,
 		tracer: p.Tracer("plumpitch"),
 		close:  func() { _ = p.Shutdown(closing()) },
 	}, nil
