ring, claim: a replica out of contact accepts nothing, so a loss has an end

Cause: when two replicas of a key vanished and never came back under their names, the loss was sealed only once both were surely dead. They might be only cut off and still accept claims under the former ring, so it never was, and all keys of such sets, new ones too, were answered unknown without end.

Change: an entry asks the members of its ring (an empty batch of records, which names the incarnation and is answered with the ring in force) five times within Remove, and accepts claims only while a majority of each list has answered within Remove without having a newer ring; looked at under the lock of the claim, by the longer of monotonic and wall time. Otherwise it gives recorded outcomes, and WrongRing for the rest. The old list goes only when a majority of its living members has copied under the joint ring; that it is this majority is now counted and no longer follows from Forget. Any later majority of answers meets one of them, so the former ring ends Remove after that, and the loss is sealed then. One that comes back after the seal copies and lifts the loss: it must owe its records, else the loss would go without a copy.

Membership dates a suspect from the suspicion.

TestOverTheWire's entries now probe, as those that are served do.

Conclusion: keys made after a loss run again about two skews after it.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -73,7 +73,8 @@
 	ring    ring.Ring
 	since   time.Time
 	changed chan struct{} // closed when the ring changes
-	synced  uint64        // revision for which this entry has copied its records
+	contact ring.Contact
+	synced  uint64 // revision for which this entry has copied its records
 	flights map[flightKey]*flight
 }
 
@@ -142,7 +143,11 @@
 func (c *Claims) decide(a claim.Ask) claim.Reply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Claim(c.cfg.Now(), a)
+	now := c.cfg.Now()
+	if !c.cfg.Bounds.InContact(now, c.ring, c.cfg.Self.Ident, &c.contact) {
+		return c.table.Recall(now, a)
+	}
+	return c.table.Claim(now, a)
 }
 
 // Settle takes the withdrawal or the outcome of a claim, and tells whether the
@@ -209,6 +214,7 @@
 	c.ring = r
 	c.since = c.cfg.Now()
 	c.table.Adopt(r.Revision)
+	c.contact.Keep(r)
 	close(c.changed)
 	c.changed = make(chan struct{})
 	return true
--- a/internal/claims/remote_test.go
+++ b/internal/claims/remote_test.go
@@ -40,7 +40,10 @@
 		e := New(Config{Self: self, Peers: Remote{client}, View: func() ring.View { return ring.View{} }})
 		srv := peer.NewServer(peer.ServerConfig{Self: member.ID(self.Ident), Settings: settings{e}, Claims: Local{e}})
 		go func() { _ = srv.Serve(l) }()
+		ctx, cancel := context.WithCancel(context.Background())
+		go e.probing(ctx)
 		c.Cleanup(func() {
+			cancel()
 			e.Close()
 			_ = srv.Close()
 		})
--- a/internal/claims/ring.go
+++ b/internal/claims/ring.go
@@ -41,6 +41,7 @@
 func (c *Claims) Serve(ctx context.Context) error {
 	var wg sync.WaitGroup
 	wg.Go(func() { c.copying(ctx) })
+	wg.Go(func() { c.probing(ctx) })
 	c.keep(ctx)
 	wg.Wait()
 	return ctx.Err()
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -121,6 +121,9 @@
 func strikes(seed uint64, pair [2]Fault) Counts {
 	w := build(seed, entries)
 	plans := w.callers()
+	if pair[0].lasting() || pair[1].lasting() {
+		w.late()
+	}
 	for _, f := range pair {
 		w.strike(f, plans)
 	}
--- a/internal/lab/faults/node.go
+++ b/internal/lab/faults/node.go
@@ -29,6 +29,7 @@
 	since    time.Time
 	synced   uint64
 	copy     *claim.Copy
+	contact  ring.Contact
 	seen     []ring.Seen
 	syncs    map[ring.Ident]uint64
 	due      time.Time
@@ -71,6 +72,7 @@
 			w.send(n.self.Name, m.self.Name, func(m *node) { m.hear(beat) })
 		}
 	}
+	n.probe()
 	n.copying()
 	n.look()
 }
@@ -127,6 +129,8 @@
 	if claim.Owes(r, n.self.Ident) {
 		n.copy = claim.Plan(r, n.self.Ident, n.table.Records(n.now()))
 	}
+	n.contact.Keep(r)
+	n.probe()
 	n.copying()
 	for _, f := range n.flights {
 		f.step(claim.Changed{Ring: r})
--- a/internal/members/ring.go
+++ b/internal/members/ring.go
@@ -41,6 +41,9 @@
 			v.Synced = append(v.Synced, id)
 		}
 		s := ring.Seen{Member: Member(e), First: first.at[e.ID], Last: now, Leaving: e.State == member.Leaving, Ring: e.Marks.Ring}
+		if e.State == member.Suspect {
+			s.Last = e.Since // an entry that is cut off suspects the others and must not count them as seen
+		}
 		if e.State.Gone() {
 			s.Last, s.Ring = e.Since, 0 // nothing can be fetched from it
 			gone = append(gone, s)
--- a/pkg/claim/copy.go
+++ b/pkg/claim/copy.go
@@ -31,7 +31,7 @@
 
 func returned(r ring.Ring, self ring.Ident) bool {
 	for _, l := range r.Losses {
-		if l.Sealed.IsZero() && slices.Contains(l.Missing, self) {
+		if slices.Contains(l.Missing, self) {
 			return true
 		}
 	}
--- a/pkg/claim/table.go
+++ b/pkg/claim/table.go
@@ -119,6 +119,22 @@
 	return Reply{Verdict: Accepted, Ring: t.ring, ID: a.ID, By: a.By}
 }
 
+// Recall answers a claim while this replica may accept none, as it is out of
+// contact with the ring: it gives the outcome of a run that it knows of. All
+// else is no vote, as the others may have gone on without this replica.
+func (t *Table) Recall(now time.Time, a Ask) Reply {
+	t.expire(now)
+	if a.To != t.cfg.Self {
+		return Reply{Verdict: WrongIncarnation, Ring: t.ring}
+	}
+	if s := t.find(name{a.Service, a.Key}); s != nil && a.Ring == t.ring {
+		if r := t.judge(s, a); r.Verdict == Settled {
+			return r
+		}
+	}
+	return Reply{Verdict: WrongRing, Ring: t.ring}
+}
+
 func (t *Table) judge(s *slot, a Ask) Reply {
 	mark, by := parseID(s.id)
 	r := Reply{Ring: t.ring, ID: s.id, By: by}
--- a/pkg/ring/loss.go
+++ b/pkg/ring/loss.go
@@ -15,7 +15,7 @@
 // replica sets vanished before they could copy them.
 type Loss struct {
 	At      time.Time // when the members were given up
-	Sealed  time.Time // when all missing were known to be dead; zero while they may be only cut off
+	Sealed  time.Time // from when on no missing accepts a claim under the old list; zero when that is not known
 	Members []Member  // the ring that they were members of; empty covers every key
 	Missing []Ident   // who did not copy
 }
@@ -71,9 +71,10 @@
 //
 // Two members of a replica set that died took the only proof of a run along.
 // The key is refused until its retention has passed since they were surely
-// dead. A key that was made after that can't have run before. Members that may
-// be only cut off could still accept claims among themselves, hence nothing
-// ends before Sealed.
+// out: dead, or past the bound of InContact. A key that was made after that
+// can't have run before. A claim that they accepted just before it may be
+// dispatched up to its deadline later, but its key was made before, and stays
+// refused. Nothing ends before Sealed.
 func (c Config) Knowable(now time.Time, r Ring, service, key string) bool {
 	for _, l := range r.Losses {
 		if !c.over(now, l) && !c.bornAfter(l, key) && l.Covers(service, key) {
@@ -110,7 +111,7 @@
 			changed = true
 			continue
 		}
-		back := func(id Ident) bool { return l.Sealed.IsZero() && contains(v.Synced, id) }
+		back := func(id Ident) bool { return contains(v.Synced, id) }
 		missing := slices.DeleteFunc(slices.Clone(l.Missing), back)
 		changed = changed || len(missing) != len(l.Missing)
 		l.Missing = missing
--- a/pkg/ring/next.go
+++ b/pkg/ring/next.go
@@ -97,10 +97,10 @@
 func (c Config) missing(now time.Time, cur Ring, v View) (out []Ident, done bool) {
 	alive, waits := 0, false
 	for _, m := range cur.Old {
-		if c.fresh(now, v, m.Ident) && !v.gone(m.Ident) {
-			alive++
-		}
 		if contains(v.Synced, m.Ident) {
+			if c.fresh(now, v, m.Ident) && !v.gone(m.Ident) {
+				alive++
+			}
 			continue
 		}
 		out = append(out, m.Ident)
@@ -116,8 +116,11 @@
 	return out, true
 }
 
+// lose marks the records that went with the missing. These may be only cut off,
+// but from Remove after now on they accept no claim under the old list
+// (InContact), so the loss has an end whether they come back or not.
 func (c Config) lose(now time.Time, cur Ring, losses []Loss, missing []Ident, v View) []Loss {
-	l := Loss{At: now, Members: cur.Old, Missing: missing}
+	l := Loss{At: now, Sealed: now.Add(c.Remove), Members: cur.Old, Missing: missing}
 	if len(missing) == 0 || l.empty() {
 		return losses
 	}
