--- a/internal/claims/contact_test.go
+++ b/internal/claims/contact_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"plumpitch.example/plumpitch/pkg/claim"
+	"plumpitch.example/plumpitch/pkg/ring"
 )
 
 // Most entries are out of reach, or the loops of all stand still, so that
@@ -60,3 +62,26 @@
 		}
 	}
 }
+
+// Two of three entries go on under a newer ring, which has given up this one,
+// and still answer it. Their answers don't make the former ring valid.
+func TestAnswersUnderANewerRing(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		revision uint64
+		want     claim.Verdict
+	}{
+		{"behind", 6, claim.Accepted},
+		{"same", 7, claim.Accepted},
+		{"newer", 8, claim.WrongRing},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			members := []ring.Member{{Ident: ring.Ident{Name: "a", Boot: 1}}, {Ident: ring.Ident{Name: "b", Boot: 1}}, {Ident: ring.Ident{Name: "c", Boot: 1}}}
+			e := New(Config{Self: members[0]})
+			e.adopt(ring.Ring{Revision: 7, Members: members})
+			e.heard(time.Now(), members[1].Ident, tc.revision)
+			reply := e.Claim(claim.Ask{Claim: claim.Claim{Service: "s", Key: "k", ID: "x"}, To: members[0].Ident, Ring: 7})
+			qt.Assert(t, reply.Verdict, qt.Equals, tc.want)
+		})
+	}
+}
