store: reads are conditional, an unchanged list isn't sent again

Cause: each entry read the whole VM list every second and the whole settings document every 8 s. At 2,000 workers and 110 services that is 283 KB/s and 9.4 KB/s against 6 KB/s for all of control (docs/CAPACITY.md). Ruled out: spreading the reads over the entries, which makes the list of an entry depend on its peers; a longer period, which makes a leaving target known too late.

A platform without tags answers as before.

The control loop hears of a list only when it differs.

--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,6 +23,8 @@
 type platformWorker struct {
 	store   *store.Client
 	control *control
+	vms     []store.VM
+	drained map[string]uint64
 }
 
 // Serve runs until ctx ends.
@@ -42,14 +46,23 @@
 func (p *platformWorker) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, 2*platformPeriod)
 	defer cancel()
-	if list, err := p.store.VMs(ctx); err == nil {
+	if list, err := p.store.VMs(ctx); err == nil && !slices.Equal(list, p.vms) {
+		p.vms = list
 		p.control.tell(ctx, vmsListed{list})
 	}
 	if objects, _, err := p.store.List(ctx, drainKind); err == nil {
-		p.control.tell(ctx, drainsListed{drains(objects)})
+		p.readDrains(ctx, drains(objects))
 	}
 }
 
+func (p *platformWorker) readDrains(ctx context.Context, targets map[string]uint64) {
+	if maps.Equal(targets, p.drained) {
+		return
+	}
+	p.drained = targets
+	p.control.tell(ctx, drainsListed{targets})
+}
+
 // drains decodes the drain objects; one that can't be read drains nothing.
 func drains(objects []store.Object) map[string]uint64 {
 	targets := make(map[string]uint64, len(objects))
--- a/internal/standin/platform/http.go
+++ b/internal/standin/platform/http.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // maxBody is the largest body of a call: a value of 1 MB in base64 and the
@@ -41,7 +43,7 @@
 		fail(w, http.StatusNotFound, 0)
 		return
 	}
-	reply(w, encodeObject(o))
+	replyTagged(w, r, encodeObject(o))
 }
 
 func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
@@ -53,7 +55,7 @@
 	for _, o := range objects {
 		list.Objects = append(list.Objects, encodeObject(o))
 	}
-	reply(w, list)
+	replyTagged(w, r, list)
 }
 
 func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
@@ -124,7 +126,7 @@
 	}
 }
 
-func (p *Platform) serveVMs(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) serveVMs(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	vms := p.vmsAt(p.now().Add(-p.faults.Lag))
 	p.mu.Unlock()
@@ -132,7 +134,7 @@
 	for _, vm := range vms {
 		list.VMs = append(list.VMs, vmJSON(vm))
 	}
-	reply(w, list)
+	replyTagged(w, r, list)
 }
 
 func pathKey(r *http.Request) key {
@@ -144,6 +146,24 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// replyTagged answers a read with an entity tag, or with 304 when the reader has
+// that very answer.
+func replyTagged(w http.ResponseWriter, r *http.Request, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
 func fail(w http.ResponseWriter, status int, version uint64) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -11,6 +11,10 @@
 //	DELETE /v1/objects/{kind}/{name}?version=N  conditional; 409 as with PUT
 //	GET    /v1/watch/{kind}?from=N              one JSON line for each change after version N
 //	GET    /v1/vms                              {"vms": [vm...]}
+//
+// Reads have an ETag and answer 304 to an If-None-Match with it. For tests there
+// are, untouched by faults:
+//
 //	PUT    /v1/admin/vms/{id}                   puts a VM, DELETE removes it
 //	GET    /v1/admin/faults, PUT                reads and replaces Faults
 //	GET    /v1/admin/counts                     calls since the start
--- a/internal/store/call.go
+++ b/internal/store/call.go
@@ -112,33 +112,46 @@
 	if err != nil {
 		return err
 	}
+	known := s.tags.condition(r)
 	w, err := s.http.Do(r)
 	if err != nil {
 		return &Unavailable{Cause: err, Untouched: unsent(err)}
 	}
 	defer func() { _ = w.Body.Close() }()
-	return decode(w, into)
+	if w.StatusCode == http.StatusNotModified && known != nil {
+		return parse(known, into)
+	}
+	b, err := decode(w, into)
+	if err == nil {
+		s.tags.keep(r, w, b)
+	}
+	return err
 }
 
-func decode(w *http.Response, into any) error {
-	b, err := io.ReadAll(io.LimitReader(w.Body, maxAnswer))
+// decode reads an answer and gives its body as well.
+func decode(w *http.Response, into any) (b []byte, err error) {
+	b, err = io.ReadAll(io.LimitReader(w.Body, maxAnswer))
 	if err != nil {
-		return &Unavailable{Cause: err}
+		return nil, &Unavailable{Cause: err}
 	}
 	switch {
 	case w.StatusCode == http.StatusNotFound:
-		return ErrNotFound
+		return nil, ErrNotFound
 	case w.StatusCode == http.StatusConflict:
 		var j versionJSON
 		if err := json.Unmarshal(b, &j); err != nil {
-			return &Unavailable{Cause: err}
+			return nil, &Unavailable{Cause: err}
 		}
-		return &ErrConflict{Current: j.Version}
+		return nil, &ErrConflict{Current: j.Version}
 	case w.StatusCode >= http.StatusInternalServerError || w.StatusCode == http.StatusTooManyRequests:
-		return &Unavailable{Cause: errors.Errorf("status %d", w.StatusCode)}
+		return nil, &Unavailable{Cause: errors.Errorf("status %d", w.StatusCode)}
 	case w.StatusCode != http.StatusOK:
-		return errors.Errorf("store: found status %d, expected 200: %.200s", w.StatusCode, b)
+		return nil, errors.Errorf("store: found status %d, expected 200: %.200s", w.StatusCode, b)
 	}
+	return b, parse(b, into)
+}
+
+func parse(b []byte, into any) error {
 	if err := json.Unmarshal(b, into); err != nil {
 		return &Unavailable{Cause: errors.WithMessage(err, "answer")}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -55,6 +55,7 @@
 	mu      sync.Mutex // guards rand
 	rand    *rand.Rand
 	counts  [kinds]atomic.Uint64
+	tags    tags
 }
 
 // New returns a Client for the platform at c.Addr.
--- /dev/null
+++ b/internal/store/tag_test.go
@@ -0,0 +1,68 @@
+package store_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/time/rate"
+
+	"plumpitch.example/plumpitch/internal/standin/platform"
+	"plumpitch.example/plumpitch/internal/store"
+)
+
+// counted counts the bytes of the answers' bodies.
+type counted struct {
+	http.ResponseWriter
+	n *atomic.Int64
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	c.n.Add(int64(len(p)))
+	return c.ResponseWriter.Write(p)
+}
+
+// An entry reads the VM list again and again. While nothing changes the list
+// must not cross the wire again; a change, also one back to an older list, must
+// be seen at the next read.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	q := qt.New(t)
+	p := platform.New(platform.Config{})
+	var sent atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.ServeHTTP(counted{w, &sent}, r)
+	}))
+	defer srv.Close()
+	s := store.New(store.Config{Addr: srv.URL, Reads: rate.NewLimiter(rate.Inf, 1)})
+	one := platform.VM{ID: "vm-1", Addr: "127.0.0.1:1", State: platform.Live}
+	two := platform.VM{ID: "vm-2", Addr: "127.0.0.1:2", State: platform.Live}
+	read := func() (ids []string, bytes int64) {
+		before := sent.Load()
+		list, err := s.VMs(context.Background())
+		q.Assert(err, qt.IsNil)
+		for _, vm := range list {
+			ids = append(ids, vm.ID)
+		}
+		return ids, sent.Load() - before
+	}
+	for _, step := range []struct {
+		name   string
+		change func()
+		want   []string
+		sent   bool
+	}{
+		{"first", func() { p.PutVM(one) }, []string{"vm-1"}, true},
+		{"unchanged", func() {}, []string{"vm-1"}, false},
+		{"added", func() { p.PutVM(two) }, []string{"vm-1", "vm-2"}, true},
+		{"unchanged again", func() {}, []string{"vm-1", "vm-2"}, false},
+		{"back to the first", func() { p.RemoveVM("vm-2") }, []string{"vm-1"}, true},
+	} {
+		step.change()
+		ids, bytes := read()
+		q.Check(ids, qt.DeepEquals, step.want, qt.Commentf(step.name))
+		q.Check(bytes > 0, qt.Equals, step.sent, qt.Commentf(step.name))
+	}
+}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -30,7 +30,8 @@
 	}
 	defer func() { _ = w.Body.Close() }()
 	if w.StatusCode != http.StatusOK {
-		return decode(w, nil)
+		_, err := decode(w, nil)
+		return err
 	}
 	lines := json.NewDecoder(w.Body)
 	for {
