--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -21,7 +21,7 @@
 //	PUT    /v1/admin/rollback?to=N              forgets every write after version N
 //
 // An object is {"kind", "name", "version", "value"}, a line of a watch is
-// {"object": object, "deleted": bool}, and a VM is {"id", "addr", "place",
+// {"object": object, "deleted": bool, "tag": the ETag of a read of it}, and a VM is {"id", "addr", "place",
 // "service", "slots", "boot", "state"} with the state live or leaving.
 package platform
 
--- a/internal/standin/platform/wire.go
+++ b/internal/standin/platform/wire.go
@@ -26,6 +26,7 @@
 type watchJSON struct {
 	Object  objectJSON `json:"object"`
 	Deleted bool       `json:"deleted"`
+	Tag     string     `json:"tag"` // ETag of a read of the object
 }
 
 type vmJSON struct {
--- a/internal/store/tag.go
+++ b/internal/store/tag.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"encoding/json"
 	"net/http"
 	"sync"
 )
@@ -47,10 +48,27 @@
 	if r.Method != http.MethodGet || tag == "" || len(body) > maxTagged {
 		return
 	}
+	t.put(r.URL.Path, tagged{tag: tag, body: body})
+}
+
+// watched remembers what a watch has brought, so that the next read of the
+// object doesn't fetch it a second time.
+func (t *tags) watched(c changeJSON) {
+	if c.Tag == "" {
+		return
+	}
+	body, err := json.Marshal(c.Object)
+	if err != nil || len(body) > maxTagged {
+		return
+	}
+	t.put(objectPath(c.Object.Kind, c.Object.Name), tagged{tag: c.Tag, body: body})
+}
+
+func (t *tags) put(path string, answer tagged) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.kept == nil || len(t.kept) >= maxTags {
 		t.kept = make(map[string]tagged)
 	}
-	t.kept[r.URL.Path] = tagged{tag: tag, body: body}
+	t.kept[path] = answer
 }
--- a/internal/store/tag_test.go
+++ b/internal/store/tag_test.go
@@ -25,6 +25,8 @@
 	return c.ResponseWriter.Write(p)
 }
 
+func (c counted) Unwrap() http.ResponseWriter { return c.ResponseWriter }
+
 // An entry reads the VM list again and again. While nothing changes the list
 // must not cross the wire again; a change, also one back to an older list, must
 // be seen at the next read.
@@ -66,3 +68,41 @@
 		q.Check(bytes > 0, qt.Equals, step.sent, qt.Commentf(step.name))
 	}
 }
+
+// A watch has brought an object. The read that checks for a dead watch must not
+// fetch it again, and must see an object that a store which came back older has
+// put under the same version.
+func TestReadAfterWatch(t *testing.T) {
+	q := qt.New(t)
+	p := platform.New(platform.Config{})
+	var sent atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.ServeHTTP(counted{w, &sent}, r)
+	}))
+	defer srv.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := store.New(store.Config{Addr: srv.URL, Reads: rate.NewLimiter(rate.Inf, 1), Writes: rate.NewLimiter(rate.Inf, 1)})
+	version, err := s.Put(ctx, "settings", "tree", 0, []byte("one"))
+	q.Assert(err, qt.IsNil)
+	changes := make(chan store.Change, 16)
+	go func() { _ = s.Watch(ctx, "settings", 0, func(c store.Change) { changes <- c }) }()
+	q.Assert(string((<-changes).Object.Value), qt.Equals, "one")
+
+	before := sent.Load()
+	o, err := s.Get(ctx, "settings", "tree")
+	q.Assert(err, qt.IsNil)
+	q.Check(string(o.Value), qt.Equals, "one")
+	q.Check(sent.Load(), qt.Equals, before)
+
+	p.Rollback(version - 1)
+	again, err := s.Put(ctx, "settings", "tree", 0, []byte("two"))
+	q.Assert(err, qt.IsNil)
+	q.Assert(again, qt.Equals, version)
+	other := store.New(store.Config{Addr: srv.URL})
+	_, err = other.Get(ctx, "settings", "tree")
+	q.Assert(err, qt.IsNil)
+	o, err = s.Get(ctx, "settings", "tree")
+	q.Assert(err, qt.IsNil)
+	q.Check(string(o.Value), qt.Equals, "two")
+}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -39,6 +39,7 @@
 		if err := lines.Decode(&j); err != nil {
 			return &Unavailable{Cause: err}
 		}
+		s.tags.watched(j)
 		took(Change{Object: Object(j.Object), Deleted: j.Deleted})
 	}
 }
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -24,6 +24,7 @@
 type changeJSON struct {
 	Object  objectJSON `json:"object"`
 	Deleted bool       `json:"deleted"`
+	Tag     string     `json:"tag"`
 }
 
 type vmJSON struct {
