claims: ask only as many members as a majority lacks

Cause: each entry asked every member of the ring five times in 10 s whether it is there. Ruled out: counting membership's rounds, whose two exchanges a second don't reach a majority of 100 entries within 10 s.

--- a/pkg/ring/contact.go
+++ b/pkg/ring/contact.go
@@ -39,18 +39,34 @@
 // hasn't one of these in it, so whoever has still the former ring in force stops
 // within Remove, whichever way it was cut off.
 func (c Config) InContact(now time.Time, r Ring, self Ident, heard *Contact) bool {
-	return c.reaches(now, r.Members, self, heard) && (!r.Joint() || c.reaches(now, r.Old, self, heard))
+	return heard.Lacking(now, r, self, c.Remove) == 0
 }
 
-func (c Config) reaches(now time.Time, list []Member, self Ident, heard *Contact) bool {
+// Lacking gives how many more members of the list that lacks most have to
+// answer, for a majority of each list of a ring, self included, to have answered
+// within a time.
+func (c *Contact) Lacking(now time.Time, r Ring, self Ident, within time.Duration) int {
+	n := c.lacking(now, r.Members, self, within)
+	if r.Joint() {
+		n = max(n, c.lacking(now, r.Old, self, within))
+	}
+	return n
+}
+
+func (c *Contact) lacking(now time.Time, list []Member, self Ident, within time.Duration) int {
 	n := 0
 	for _, m := range list {
-		at, ok := heard.heard[m.Ident]
-		if m.Ident == self || (ok && elapsed(now, at) < c.Remove) {
+		if m.Ident == self || c.Fresh(now, m.Ident, within) {
 			n++
 		}
 	}
-	return n >= Majority(len(list))
+	return max(Majority(len(list))-n, 0)
+}
+
+// Fresh tells whether an incarnation has answered within a time.
+func (c *Contact) Fresh(now time.Time, id Ident, within time.Duration) bool {
+	at, ok := c.heard[id]
+	return ok && elapsed(now, at) < within
 }
 
 // elapsed takes the longer of the monotonic and the wall clock's difference: the
