--- a/internal/entry/drive.go
+++ b/internal/entry/drive.go
@@ -171,7 +171,8 @@
 		case call.DoCancel:
 			d.cancel(a.Try)
 		case call.DoAnswer:
-			d.won = &passing{answer: d.tries[a.Try].answer, ticket: d.tries[a.Try].ticket}
+			f := &d.tries[a.Try]
+			d.won = &passing{answer: f.answer, ticket: f.ticket, drive: d, began: f.began}
 		case call.DoRefuse:
 			d.refused = true
 		}
@@ -269,7 +270,9 @@
 		})
 	}
 	f.answer = r.answer
-	d.entry.suspects.Answered(now, d.q.fingerprint())
+	if r.answer.Body == nil {
+		d.entry.suspects.Answered(now, d.q.fingerprint())
+	}
 	return d.call.Head(now, call.Head{Try: r.try, Status: r.answer.Status, Shed: r.answer.Load.Shed, Replay: replay})
 }
 
--- a/internal/entry/release.go
+++ b/internal/entry/release.go
@@ -87,12 +87,16 @@
 
 // end gives the slot back once the whole answer is passed on, or cut.
 func (p *passing) end(f *forward.Failure) {
+	now := time.Now()
 	kind := kindOf(p.answer.Status)
 	if f != nil {
 		kind = kindOfStage(f.Stage)
+		p.drive.crashed(now, f, p.began)
+	} else if p.answer.Body != nil {
+		p.drive.entry.suspects.Answered(now, p.drive.q.fingerprint())
 	}
 	p.ended = true
-	p.ticket.done(time.Now(), kind, loadOf(p.answer.Load))
+	p.ticket.done(now, kind, loadOf(p.answer.Load))
 }
 
 // release ends an answer that was not passed on to its end. A panic on the way
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -119,6 +119,8 @@
 
 // passing is an answer on its way to the caller.
 type passing struct {
+	drive  *drive    // that brought it
+	began  time.Time // of its dispatch
 	answer *forward.Answer
 	ticket ticket
 	cancel context.CancelFunc
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -96,7 +96,8 @@
 }
 
 // configure puts a new policy in force. The pool is replaced only when its
-// limits change; requests in flight end with the pool that dispatched them.
+// limits change; requests in flight end with the pool that dispatched them, and
+// the leaving words that it holds go to the new one.
 func (s *service) configure(now time.Time, p tree.Policy) (err error) {
 	old := *s.policy.Load()
 	s.policy.Store(&p)
@@ -112,8 +113,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	held := s.chooser.Held(now)
 	s.retired = append(s.retired, s.chooser)
 	s.chooser = c
+	for _, h := range held {
+		s.act(now, c.Leave(now, h.Target, h.Boot, s.scratch[:0]))
+	}
 	s.act(now, c.Targets(now, s.list, s.scratch[:0]))
 	return nil
 }
