entry: a new ring makes locate look again

The control loop hears of the VM list only when it differs, so nothing was sure to make it look at the ring again after an entry had joined it. The relay now tells it at each new ring. TestJoinedEntryIsNamed passes with and without this (changes of membership happen to follow on each ring), so the fault was reasoned and not seen.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -77,6 +77,8 @@
 	marks := member.Marks{Settings: e.settings.Document().Revision, Ring: e.claims.Ring().Revision}
 	if marks != r.marks && e.members.Revised(ctx, marks) == nil {
 		r.marks = marks
+		// locate names entries of the ring, so a new ring changes what it says.
+		r.membership(ctx)
 	}
 	if synced := e.claims.Synced(); synced != r.sync && e.members.Synced(ctx, synced) == nil {
 		r.sync = synced
