entry: a list that the control loop didn't take is told again

Read over once more: the platform worker noted a changed VM list or drain as told before the control loop had taken it. Reasoned, not seen, and without a test of its own. Beside it a loop gives way to slices.Contains.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -47,12 +48,14 @@
 	}
 }
 
-// tell hands a message to the control loop. It waits while the inbox is full
-// and gives up when ctx ends.
-func (c *control) tell(ctx context.Context, m message) {
+// tell hands a message to the control loop and tells whether it was taken. It
+// waits while the inbox is full and gives up when ctx ends.
+func (c *control) tell(ctx context.Context, m message) bool {
 	select {
 	case c.inbox <- m:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -181,13 +184,5 @@
 }
 
 func inPlaces(places []string, place string) bool {
-	if len(places) == 0 {
-		return true
-	}
-	for _, p := range places {
-		if p == place {
-			return true
-		}
-	}
-	return false
+	return len(places) == 0 || slices.Contains(places, place)
 }
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -46,9 +46,8 @@
 func (p *platformWorker) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, 2*platformPeriod)
 	defer cancel()
-	if list, err := p.store.VMs(ctx); err == nil && !slices.Equal(list, p.vms) {
+	if list, err := p.store.VMs(ctx); err == nil && !slices.Equal(list, p.vms) && p.control.tell(ctx, vmsListed{list}) {
 		p.vms = list
-		p.control.tell(ctx, vmsListed{list})
 	}
 	if objects, _, err := p.store.List(ctx, drainKind); err == nil {
 		p.readDrains(ctx, drains(objects))
@@ -56,11 +55,9 @@
 }
 
 func (p *platformWorker) readDrains(ctx context.Context, targets map[string]uint64) {
-	if maps.Equal(targets, p.drained) {
-		return
+	if !maps.Equal(targets, p.drained) && p.control.tell(ctx, drainsListed{targets}) {
+		p.drained = targets
 	}
-	p.drained = targets
-	p.control.tell(ctx, drainsListed{targets})
 }
 
 // drains decodes the drain objects; one that can't be read drains nothing.
