--- /dev/null
+++ b/gateway.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/integrii/flaggy"
+
+	"plumpitch.example/plumpitch/internal/gateway"
+	"plumpitch.example/plumpitch/platform"
+)
+
+func gatewayCommand() *command {
+	level := "info"
+	sub := flaggy.NewSubcommand("gateway")
+	sub.Description = "serve callers on the users' platform until told to stop"
+	sub.String(&level, "l", "level", "least severe log level: debug, info, warn, error")
+	sub.AdditionalHelpAppend = "The settings file is named by " + platform.SettingsVariable + "."
+	return &command{sub: sub, run: func(ctx context.Context) error {
+		return runGateway(ctx, level)
+	}}
+}
+
+func runGateway(ctx context.Context, level string) (err error) {
+	least, err := log.ParseLevel(level)
+	if err != nil {
+		return exitError{exitUsage, err}
+	}
+	path := os.Getenv(platform.SettingsVariable)
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		return exitError{exitInvalid, err}
+	}
+	logger := &log.Logger{Handler: json.New(os.Stdout), Level: least}
+	g, err := gateway.New(gateway.Config{
+		Settings: s, Boot: uint64(time.Now().UnixNano()), Log: logger.WithField("entry", s.Name),
+	})
+	if err != nil {
+		return err
+	}
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	go func() {
+		for range hups {
+			g.Reload(platform.ReadSettings(path))
+		}
+	}()
+	return g.Serve(ctx)
+}
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -38,7 +39,7 @@
 
 // answer checks a head and reads a short body whole.
 func (d *dispatch) answer(resp *http.Response, f *Forwarder) (a *Answer, err error) {
-	if named := resp.Header[call.HeaderRequest]; len(named) > 0 && named[0] != d.id {
+	if !d.echoed(resp.Header) {
 		d.watch.stale.Store(true)
 	}
 	if d.watch.stale.Load() {
@@ -48,7 +49,7 @@
 		return nil, errUpgrade
 	}
 	bodyless := resp.Body == http.NoBody
-	if !bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if d.echo == "" && !bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, errUnframed
 	}
 	a = &Answer{
@@ -59,8 +60,12 @@
 		Trailer: resp.Trailer,
 		d:       d,
 	}
-	copyHeader(a.Header, resp.Header)
-	a.Load = f.load(resp.Header)
+	if d.echo != "" {
+		copyHeader(a.Header, resp.Header, nil)
+	} else {
+		copyHeader(a.Header, resp.Header, own)
+		a.Load = f.load(resp.Header)
+	}
 	if bodyless {
 		d.end(errClosed)
 		return a, nil
@@ -68,13 +73,51 @@
 	if a.Length >= 0 && a.Length <= f.cfg.Whole {
 		return a, d.whole(a, resp)
 	}
+	a.Body = &stream{src: resp.Body, d: d, a: a, resp: resp}
+	if d.echo != "" {
+		return a, d.gather(a, f.cfg.Whole)
+	}
 	if d.timer != nil && !d.timer.Stop() {
 		return nil, errTimeout
 	}
-	a.Body = &stream{src: resp.Body, d: d, a: a, resp: resp}
 	return a, nil
 }
 
+// gather reads a body of any framing up to most bytes. One that is longer is
+// passed on as it comes. A body that breaks off is then seen before its caller
+// was told anything, so that another target may be asked.
+func (d *dispatch) gather(a *Answer, most int64) error {
+	var b bytes.Buffer
+	_, err := io.CopyN(&b, a.Body, most+1)
+	switch {
+	case err == io.EOF:
+		a.Whole, a.Length = b.Bytes(), int64(b.Len())
+		a.Close()
+		a.Body = nil
+		return nil
+	case err != nil:
+		return errors.WithMessage(err, "reading the answer")
+	}
+	a.Body = &rest{io.MultiReader(&b, a.Body), a.Body}
+	return nil
+}
+
+// rest is a body of which the beginning was read.
+type rest struct {
+	io.Reader
+	io.Closer
+}
+
+// echoed reports whether an answer doesn't name another request.
+func (d *dispatch) echoed(h http.Header) bool {
+	name := call.HeaderRequest
+	if d.echo != "" {
+		name = d.echo
+	}
+	named := h[name]
+	return len(named) == 0 || named[0] == d.id
+}
+
 // whole reads a short body to its end, which also frees its connection.
 func (d *dispatch) whole(a *Answer, resp *http.Response) error {
 	a.Whole = make([]byte, a.Length)
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -31,7 +31,7 @@
 // not nil. Cancelling ctx cancels the request at the target, until the answer
 // is closed.
 func (f *Forwarder) Dispatch(ctx context.Context, t Try) (*Answer, *Failure) {
-	d := &dispatch{try: &t, parent: ctx, stall: f.cfg.Stall}
+	d := &dispatch{try: &t, parent: ctx, stall: f.cfg.Stall, echo: f.cfg.Echo}
 	d.id = strconv.FormatUint(f.sent.Add(1), 36)
 	d.ctx, d.cancel = context.WithCancelCause(ctx)
 	d.watch.cancel = d.cancel
@@ -62,7 +62,8 @@
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
 	stall  time.Duration
-	id     string // of HeaderRequest
+	id     string // by which the answer is known
+	echo   string // Config.Echo
 	body   body
 	watch  watch
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -52,6 +52,16 @@
 	Idle      time.Duration // idle connections are closed after it; default 4 s
 	Stall     time.Duration // longest silence within an answer body; default 30 s
 	Whole     int64         // answers up to this many bytes are read before they are passed on; default 32 KiB
+	// Silence is how long sent bytes may stay unacknowledged before the
+	// connection counts as lost; 0 leaves that to the system. A connection that
+	// went silent without a reset would hold each request sent on it until its
+	// deadline.
+	Silence time.Duration
+	// Echo names the header in which targets repeat the id that callers send in
+	// it. Where it is set, headers are passed on as they are in both
+	// directions, and an answer may end with its connection. Empty means the
+	// product's own headers.
+	Echo string
 }
 
 const (
@@ -74,7 +84,7 @@
 // New returns a Forwarder with a transport of its own.
 func New(cfg Config) *Forwarder {
 	cfg = cfg.withDefaults()
-	dialer := net.Dialer{Timeout: cfg.Connect}
+	dialer := net.Dialer{Timeout: cfg.Connect, Control: silence(cfg.Silence)}
 	f := &Forwarder{cfg: cfg}
 	f.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -33,10 +33,9 @@
 		Method:  in.Method,
 		URL:     u,
 		Host:    in.Host,
-		Header:  t.header(),
+		Header:  d.header(),
 		Trailer: trailer(in.Trailer),
 	}
-	out.Header[call.HeaderRequest] = []string{d.id}
 	out.Body = d.open(out.Trailer)
 	frame(out, t)
 	return out.WithContext(ctx), nil
@@ -106,11 +105,31 @@
 	return len(name) > n && (name[n] == '-' || name[n] == '_') && strings.EqualFold(name[:n], call.HeaderPrefix[:n])
 }
 
+// header returns the headers for the target, and takes the id by which its
+// answer is known.
+func (d *dispatch) header() http.Header {
+	if d.echo == "" {
+		h := d.try.header()
+		h[call.HeaderRequest] = []string{d.id}
+		return h
+	}
+	h := make(http.Header, len(d.try.Request.Header)+len(d.try.Header))
+	copyHeader(h, d.try.Request.Header, nil)
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil
+	}
+	for k, v := range d.try.Header {
+		h[k] = v
+	}
+	d.id = h.Get(d.echo)
+	return h
+}
+
 // header returns the caller's headers as the target may see them.
 func (t *Try) header() http.Header {
 	in := t.Request.Header
 	out := make(http.Header, len(in)+8)
-	copyHeader(out, in)
+	copyHeader(out, in, own)
 	if lists(in["Te"], "trailers") {
 		out["Te"] = []string{"trailers"}
 	}
@@ -129,11 +148,12 @@
 	return out
 }
 
-// copyHeader copies what belongs to the message and not to the connection.
-func copyHeader(out, in http.Header) {
+// copyHeader copies what belongs to the message and not to the connection. left
+// names headers that are left out; nil leaves out none.
+func copyHeader(out, in http.Header, left func(name string) bool) {
 	listed := in["Connection"]
 	for k, v := range in {
-		if hopByHop[k] || own(k) || len(listed) > 0 && lists(listed, k) {
+		if hopByHop[k] || left != nil && left(k) || len(listed) > 0 && lists(listed, k) {
 			continue
 		}
 		out[k] = v
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/platform"
+)
+
+var errImproper = errors.New("answer isn't a target's own")
+
+// proper reports whether an answer may be passed on. A success needs its
+// target's signature and the id of this request. A status that promises that
+// the request did not run needs the target's word for it.
+func (q *request) proper(a *forward.Answer) bool {
+	switch {
+	case platform.NotRun(a.Status, a.Header):
+		return true
+	case a.Status < http.StatusOK || promises(a.Status):
+		return false
+	case a.Status < http.StatusMultipleChoices:
+		return platform.Signed(a.Header) && platform.RequestID(a.Header) == q.id
+	}
+	return true
+}
+
+// promises reports whether callers take a status for the promise that the
+// request did not run and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// pass passes the answer of a try on.
+func (q *request) pass(i int) {
+	t := &q.tries[i]
+	a := t.answer
+	t.answer = nil
+	for _, name := range platform.TargetsOnly {
+		a.Header.Del(name)
+	}
+	if a.Body == nil {
+		a.Header.Set("Content-Length", strconv.Itoa(len(a.Whole)))
+	}
+	forward.Copy(q.w, a, func(f *forward.Failure) {
+		if f != nil {
+			q.gateway.log.WithFields(q.logFields()).WithError(f.Cause).Info("answer cut")
+		}
+	})
+}
+
+// giveUp answers in place of a target.
+func (q *request) giveUp() {
+	f := q.call.Final()
+	switch {
+	case q.r.Context().Err() != nil:
+		// The caller is gone; nobody reads an answer.
+		panic(http.ErrAbortHandler)
+	case f.Outcome == call.NotRun:
+		reason := string(f.Reason)
+		if q.refused.Do != 0 {
+			reason = q.refused.Reason.String()
+		}
+		q.refuse(reason, f.Retry)
+	case f.Reason == call.ReasonTimeout || f.Reason == call.ReasonDeadline:
+		q.final(http.StatusGatewayTimeout, string(f.Reason))
+	default:
+		q.final(http.StatusBadGateway, string(f.Reason))
+	}
+}
+
+// refuse answers that the request has not run and never will.
+func (q *request) refuse(reason string, retry time.Duration) {
+	if retry > 0 {
+		platform.RetryAfter(q.w.Header(), retry)
+	}
+	q.final(http.StatusServiceUnavailable, reason)
+}
+
+// final answers a request that no target answered.
+func (q *request) final(status int, reason string) {
+	name := ""
+	if q.route != nil {
+		name = q.route.Name
+	}
+	q.gateway.log.WithField("request", q.id).WithField("route", name).WithField("status", status).
+		WithField("ms", time.Since(q.arrived).Milliseconds()).Info("answered " + reason)
+	q.w.Header().Set(call.HeaderReason, reason)
+	q.w.Header().Set("Content-Length", "0")
+	q.w.WriteHeader(status)
+}
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,390 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/relay"
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/roster"
+	"plumpitch.example/plumpitch/pkg/route"
+	"plumpitch.example/plumpitch/pkg/slot"
+)
+
+// maxInbox bounds the messages that wait for the control loop.
+const maxInbox = 256
+
+// Times of the control loop.
+const (
+	// beatPeriod is how often an entry says that it lives. Three lost beats and
+	// a late one make it dead, so callers are sent elsewhere within a second.
+	beatPeriod = 250 * time.Millisecond
+	deadAfter  = 900 * time.Millisecond
+)
+
+// message is something that the control loop has to know. The set is closed.
+type message interface {
+	apply(now time.Time, c *control)
+}
+
+// control is the one owner of what this entry believes.
+type control struct {
+	gateway *Gateway
+	inbox   chan message
+	started time.Time
+
+	config  route.Config
+	table   *route.Table
+	raw     []byte // the configuration as the operator wrote it
+	targets *roster.Roster[slot.Target]
+	// confirmed is when the store was asked for what targets holds.
+	confirmed time.Time
+	peers     map[string]*peer
+	services  map[string]*service
+	shut      bool // the store doesn't serve this entry
+	pulling   bool
+}
+
+// peer is another entry.
+type peer struct {
+	entry owner.Entry
+	heard time.Time
+	beat  relay.Beat
+}
+
+func newControl(g *Gateway) *control {
+	return &control{
+		gateway: g, inbox: make(chan message, maxInbox), started: time.Now(),
+		targets: roster.New(slot.Same), peers: make(map[string]*peer), services: make(map[string]*service),
+	}
+}
+
+// tell hands a message to the control loop; it waits while the inbox is full.
+func (c *control) tell(ctx context.Context, m message) {
+	select {
+	case c.inbox <- m:
+	case <-ctx.Done():
+	}
+}
+
+// heard takes a beat of another entry. One that finds the inbox full is
+// dropped: the next one says the same.
+func (c *control) heard(b relay.Beat) {
+	select {
+	case c.inbox <- beatHeard{b}:
+	default:
+		c.gateway.log.WithField("from", b.Entry.Name).Warn("control: inbox full, beat dropped")
+	}
+}
+
+// Serve runs until ctx ends. Its state outlives a restart by the supervisor.
+func (c *control) Serve(ctx context.Context) error {
+	tick := time.NewTicker(beatPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-c.inbox:
+			c.take(m)
+		case <-tick.C:
+			c.publish(time.Now())
+			c.beat(time.Now())
+		}
+	}
+}
+
+func (c *control) String() string { return "control" }
+
+// take applies a message and all that wait behind it, then publishes once.
+func (c *control) take(m message) {
+	now := time.Now()
+	for {
+		m.apply(now, c)
+		select {
+		case m = <-c.inbox:
+		default:
+			c.publish(now)
+			return
+		}
+	}
+}
+
+// live are the entries that are known to be up, this one among them.
+func (c *control) live(now time.Time) []owner.Candidate {
+	var list []owner.Candidate
+	if !c.gateway.leaving.Load() {
+		list = append(list, owner.Candidate{Entry: c.gateway.self})
+	}
+	for _, p := range c.peers {
+		if now.Sub(p.heard) < deadAfter && !p.beat.Leaving {
+			list = append(list, owner.Candidate{Entry: p.entry, Strained: p.beat.Strained})
+		}
+	}
+	return list
+}
+
+// readers are the entries that the store serves, as far as is known.
+func (c *control) readers(now time.Time) []owner.Candidate {
+	var list []owner.Candidate
+	for _, e := range c.live(now) {
+		p := c.peers[e.Name]
+		if p != nil && p.beat.Shut || p == nil && c.shut {
+			continue
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+// publish brings the services in line with what is known and replaces the view.
+func (c *control) publish(now time.Time) {
+	byService := make(map[string][]slot.Target)
+	places := make(map[string]map[string]int)
+	for _, it := range c.targets.Items() {
+		t := it.Value
+		byService[t.Service] = append(byService[t.Service], t)
+		if places[t.Service] == nil {
+			places[t.Service] = make(map[string]int)
+		}
+		places[t.Service][t.Place]++
+	}
+	var needs []owner.Need
+	for name, s := range c.config.Services {
+		sv := c.services[name]
+		if sv == nil {
+			sv = newService(c.gateway, s)
+			c.services[name] = sv
+		}
+		sv.configure(s)
+		sv.take(now, byService[name])
+		needs = append(needs, owner.Need{Service: name, Places: places[name]})
+	}
+	live := c.live(now)
+	services := make(map[string]*service, len(c.services))
+	for name, sv := range c.services {
+		services[name] = sv
+	}
+	c.gateway.view.Store(&view{
+		table: c.table, services: services, live: live, owners: owner.Owners(live, needs, ownersEach),
+	})
+}
+
+// ownersEach is how many entries the callers of a service are sent to. With one
+// it sees all requests of the service, and so knows what each target holds.
+const ownersEach = 1
+
+// beat tells the other entries that this one lives and what it knows.
+func (c *control) beat(now time.Time) {
+	var to []owner.Entry
+	for _, p := range c.peers {
+		to = append(to, p.entry)
+	}
+	b := relay.Beat{
+		Entry: c.gateway.self, Config: c.config.Version, Targets: c.targets.Moved(), Age: now.Sub(c.confirmed),
+		Shut: c.shut, Leaving: c.gateway.leaving.Load(), Suspects: c.gateway.suspects.Export(now, maxSuspects),
+	}
+	if err := c.gateway.relay.Tell(b, to); err != nil {
+		c.gateway.log.WithError(err).Debug("beat not sent to all")
+	}
+}
+
+// maxSuspects is how many suspects a beat carries.
+const maxSuspects = 32
+
+// News gives another entry what it lacks.
+func (c *control) News(ctx context.Context, have relay.Have) (n relay.News, err error) {
+	q := newsAsked{have: have, answer: make(chan relay.News, 1)}
+	c.tell(ctx, q)
+	select {
+	case n = <-q.answer:
+		return n, nil
+	case <-ctx.Done():
+		return n, errors.WithMessage(ctx.Err(), "control")
+	}
+}
+
+// newsAsked is another entry's question.
+type newsAsked struct {
+	have   relay.Have
+	answer chan relay.News
+}
+
+func (m newsAsked) apply(now time.Time, c *control) {
+	var n relay.News
+	if m.have.Config < c.config.Version {
+		n.Config = c.raw
+	}
+	if m.have.Targets < c.targets.Moved() {
+		n.Listed, n.At, n.Age = true, c.targets.At(), now.Sub(c.confirmed)
+		for _, it := range c.targets.Items() {
+			n.Targets = append(n.Targets, it)
+		}
+	}
+	m.answer <- n
+}
+
+// beatHeard is a beat of another entry.
+type beatHeard struct{ beat relay.Beat }
+
+func (m beatHeard) apply(now time.Time, c *control) {
+	b := m.beat
+	p := c.peers[b.Entry.Name]
+	if b.Entry.Name == c.gateway.self.Name || p != nil && p.entry.Boot > b.Entry.Boot {
+		return
+	}
+	if p == nil || p.entry != b.Entry || now.Sub(p.heard) >= deadAfter || p.beat.Leaving != b.Leaving {
+		c.gateway.log.WithFields(log.Fields{
+			"peer": b.Entry.Name, "boot": b.Entry.Boot, "leaving": b.Leaving,
+		}).Info("entry is up")
+	}
+	c.peers[b.Entry.Name] = &peer{entry: b.Entry, heard: now, beat: b}
+	c.gateway.suspects.Merge(now, b.Entry.Name, b.Suspects)
+	switch {
+	case b.Config > c.config.Version || b.Targets > c.targets.Moved():
+		c.pull(b.Entry)
+	case b.Targets == c.targets.Moved():
+		c.confirm(now.Add(-b.Age))
+	}
+}
+
+// confirm notes that the store said at that time what targets holds.
+func (c *control) confirm(at time.Time) {
+	if at.After(c.confirmed) {
+		c.confirmed = at
+	}
+}
+
+// pull asks another entry for what it has and this one lacks.
+func (c *control) pull(from owner.Entry) {
+	if c.pulling {
+		return
+	}
+	c.pulling = true
+	have := relay.Have{Config: c.config.Version, Targets: c.targets.Moved()}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		n, err := c.gateway.relay.Pull(ctx, from, have)
+		c.tell(context.Background(), newsPulled{from: from, news: n, err: err})
+	}()
+}
+
+// newsPulled is the answer to a pull.
+type newsPulled struct {
+	from owner.Entry
+	news relay.News
+	err  error
+}
+
+func (m newsPulled) apply(now time.Time, c *control) {
+	c.pulling = false
+	if m.err != nil {
+		c.gateway.log.WithError(m.err).Warn("nothing pulled")
+		return
+	}
+	if len(m.news.Config) > 0 {
+		c.adopt(now, m.news.Config, "entry "+m.from.Name)
+	}
+	if m.news.Listed {
+		c.targets.Replace(m.news.Targets, m.news.At)
+		c.confirm(now.Add(-m.news.Age))
+	}
+}
+
+// configRead is the configuration as the store has it.
+type configRead struct{ raw []byte }
+
+func (m configRead) apply(now time.Time, c *control) {
+	c.adopt(now, m.raw, "store")
+}
+
+// adopt puts a configuration in force that is newer than the one that is.
+func (c *control) adopt(now time.Time, raw []byte, source string) {
+	cfg, err := parseConfig(raw)
+	if err != nil {
+		c.gateway.log.WithError(err).WithField("source", source).Error("configuration refused")
+		return
+	}
+	if cfg.Version <= c.config.Version {
+		return
+	}
+	c.gateway.log.WithFields(log.Fields{
+		"version": uint64(cfg.Version), "before": uint64(c.config.Version), "source": source, "routes": len(cfg.Routes),
+	}).Info("configuration in force")
+	c.config, c.raw = cfg, raw
+	c.table = route.New(cfg, c.table)
+	c.publish(now)
+	c.beat(now)
+}
+
+// targetsListed is the whole list of targets.
+type targetsListed struct {
+	items []roster.Item[slot.Target]
+	at    roster.Revision
+	asked time.Time
+}
+
+func (m targetsListed) apply(now time.Time, c *control) {
+	moved := c.targets.Replace(m.items, m.at)
+	c.targetsRead(now, moved, m.asked)
+}
+
+// targetsChanged are changes of targets since the last ones.
+type targetsChanged struct {
+	changes []roster.Change[slot.Target]
+	at      roster.Revision
+	asked   time.Time
+}
+
+func (m targetsChanged) apply(now time.Time, c *control) {
+	moved := c.targets.Apply(m.changes, m.at)
+	c.targetsRead(now, moved, m.asked)
+}
+
+func (c *control) targetsRead(now time.Time, moved bool, asked time.Time) {
+	c.confirm(asked)
+	if !moved {
+		return
+	}
+	c.gateway.log.WithFields(log.Fields{"revision": uint64(c.targets.Moved()), "targets": len(c.targets.Items())}).Info("targets changed")
+	c.beat(now)
+}
+
+// entriesListed are the entries that the store has on record.
+type entriesListed struct{ items []roster.Item[owner.Entry] }
+
+func (m entriesListed) apply(now time.Time, c *control) {
+	for _, it := range m.items {
+		e := it.Value
+		if e.Name != c.gateway.self.Name && c.peers[e.Name] == nil {
+			c.peers[e.Name] = &peer{entry: e, heard: now}
+		}
+	}
+	c.beat(now)
+}
+
+// storeAnswered tells whether the store serves this entry.
+type storeAnswered struct{ err error }
+
+func (m storeAnswered) apply(_ time.Time, c *control) {
+	shut := m.err != nil
+	if shut == c.shut {
+		return
+	}
+	c.shut = shut
+	if shut {
+		c.gateway.log.WithError(m.err).Warn("store lost")
+	} else {
+		c.gateway.log.Info("store regained")
+	}
+}
+
+var _ relay.Source = (*control)(nil)
+
+// suspectsOf is the table of requests that crash targets.
+func (c *control) suspectsOf() *call.Suspects { return c.gateway.suspects }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,162 @@
+// Package gateway is the process that serves callers on the users' platform.
+//
+// One control loop owns what is known of the configuration, the targets and
+// the other entries; it publishes snapshots that traffic reads. Each service
+// has a book of slots behind a lock of its own. The store is read by one or two
+// entries for all; see reader.go.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
+
+	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/internal/relay"
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/platform"
+)
+
+// Config builds a Gateway.
+type Config struct {
+	Settings platform.Settings
+	Boot     uint64 // incarnation; grows with each start
+	Log      log.Interface
+}
+
+// Gateway is one entry process.
+type Gateway struct {
+	cfg      Config
+	log      log.Interface
+	self     owner.Entry
+	store    *platform.Store
+	forward  *forward.Forwarder
+	relay    *relay.Relay
+	control  *control
+	suspects *call.Suspects
+	leaving  atomic.Bool
+	bounds   atomic.Pointer[platform.Bounds]
+	view     atomic.Pointer[view]
+
+	front, ready, directory net.Listener
+}
+
+// Limits of connections to targets. The figures are said beside each.
+const (
+	// targetSilence is the time after which unacknowledged bytes show that a
+	// connection has gone silent: several times the round trip and the first
+	// retransmission of a lost packet, and less than the shortest deadline.
+	targetSilence = 500 * time.Millisecond
+	// targetIdle is below the 10 s after which targets close idle connections,
+	// so that a request seldom meets a connection that is just being closed.
+	targetIdle = 8 * time.Second
+	// wholeAnswer bounds an answer that is read before any of it is passed on.
+	wholeAnswer = 1 << 20
+)
+
+// New opens the listeners, so that a taken address is told before anything
+// starts.
+func New(cfg Config) (g *Gateway, err error) {
+	defer func() { err = errors.WithMessage(err, "gateway "+cfg.Settings.Name) }()
+	s := cfg.Settings
+	g = &Gateway{
+		cfg: cfg,
+		log: cfg.Log,
+		forward: forward.New(forward.Config{
+			Echo: platform.HeaderRequest, Silence: targetSilence, Idle: targetIdle, Whole: wholeAnswer,
+		}),
+		suspects: call.NewSuspects(call.SuspectsConfig{Crashes: crashLimit}),
+	}
+	peerAddress := net.JoinHostPort(s.Address, portText(s.Ports[0]))
+	g.self = owner.Entry{
+		Name: s.Name, Boot: cfg.Boot, Front: s.Front, Peer: peerAddress, Place: s.Place, Region: s.Region,
+	}
+	g.view.Store(&view{})
+	g.bounds.Store(&s.Bounds)
+	g.store = platform.NewStore(platform.StoreConfig{
+		Address: s.Store, HTTP: storeClient(),
+		Refused: func(err error) { g.log.WithError(err).Warn("store: object not understood") },
+	})
+	g.control = newControl(g)
+	if g.relay, err = relay.New(relay.Config{
+		Address: peerAddress, Source: g.control, Heard: g.control.heard, Log: g.log,
+	}); err != nil {
+		return nil, err
+	}
+	return g, g.listen()
+}
+
+// crashLimit is how many targets in a row a request may crash before it is sent
+// to none any more.
+const crashLimit = 3
+
+func (g *Gateway) listen() (err error) {
+	s := g.cfg.Settings
+	for _, l := range []struct {
+		name string
+		on   *net.Listener
+		addr string
+	}{
+		{"front", &g.front, s.Front}, {"ready", &g.ready, s.Ready}, {"directory", &g.directory, s.Directory},
+	} {
+		if *l.on, err = net.Listen("tcp", l.addr); err != nil {
+			return errors.WithMessage(err, l.name)
+		}
+	}
+	return nil
+}
+
+// Serve runs until ctx ends, then stops gracefully.
+func (g *Gateway) Serve(ctx context.Context) (err error) {
+	traffic, stopTraffic := context.WithCancel(context.Background())
+	defer stopTraffic()
+	s := suture.New("gateway", suture.Spec{EventHook: func(ev suture.Event) {
+		g.log.WithFields(log.Fields(ev.Map())).Warn("supervisor: " + ev.String())
+	}})
+	s.Add(g.control)
+	s.Add(g.relay)
+	s.Add(&enroller{g})
+	s.Add(newConfigReader(g))
+	s.Add(newTargetReader(g))
+	below := s.ServeBackground(traffic)
+	front := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
+	side := &http.Server{Handler: g.sideHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
+	failed := make(chan error, 3)
+	go func() { failed <- front.Serve(g.front) }()
+	go func() { failed <- side.Serve(g.ready) }()
+	go func() { failed <- side.Serve(g.directory) }()
+	g.log.Info("gateway started")
+	select {
+	case <-ctx.Done():
+		g.leave(front)
+	case err = <-failed:
+		err = errors.WithMessage(err, "listener")
+	case err = <-below:
+		err = errors.WithMessage(err, "control")
+	}
+	g.log.WithField("cause", cause(err)).Info("gateway stopped")
+	return err
+}
+
+func cause(err error) string {
+	if err == nil {
+		return "asked to stop"
+	}
+	return err.Error()
+}
+
+// Times of callers' connections.
+const (
+	// headerTime bounds a request head.
+	headerTime = 10 * time.Second
+	// callerIdle is longer than any idle time that a configuration has named:
+	// callers reuse connections up to four fifths of that.
+	callerIdle = 2 * time.Minute
+)
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/route"
+	"plumpitch.example/plumpitch/pkg/slot"
+	"plumpitch.example/plumpitch/platform"
+)
+
+// service drives the book of one service.
+type service struct {
+	gateway *Gateway
+	budget  *call.Budget
+
+	mu      sync.Mutex
+	is      route.Service
+	book    *slot.Book
+	waiting map[uint64]chan<- slot.Action
+	last    uint64
+	timer   *time.Timer
+	due     time.Time
+}
+
+// askGrace is how long an answer to a question may take. A choice doesn't wait
+// for it that long; cutting it off sooner would cost its connection.
+const askGrace = 150 * time.Millisecond
+
+// burstParts is in how many parts the slack of the retry budget is cut for
+// each entry: the budget keeps two buckets.
+const burstParts = 2
+
+// retryMargin keeps the entries together below the share of repeats that the
+// platform allows: requests at the edge of a window count late.
+const retryMargin = 0.85
+
+func newService(g *Gateway, s route.Service) *service {
+	b := g.bounds.Load()
+	sv := &service{
+		gateway: g, is: s, waiting: make(map[uint64]chan<- slot.Action),
+		book: slot.New(slot.Config{Place: g.self.Place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		budget: call.NewBudget(call.BudgetConfig{
+			Share: b.RetryShare * retryMargin, Burst: max(b.RetrySlack/(expectedEntries*burstParts), 1),
+		}),
+	}
+	sv.timer = time.AfterFunc(time.Hour, sv.tick)
+	return sv
+}
+
+// expectedEntries is among how many entries the slack of the retry budget is
+// shared.
+const expectedEntries = 16
+
+func (s *service) configure(is route.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.is = is
+}
+
+// take takes the whole list of targets.
+func (s *service) take(now time.Time, list []slot.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.act(now, s.book.Targets(now, list, nil))
+}
+
+// arrive asks for a target. One Send or Refuse comes through answer, which has
+// room for it.
+func (s *service) arrive(now time.Time, r slot.Request, answer chan<- slot.Action) (id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	r.ID = s.last
+	s.waiting[r.ID] = answer
+	s.act(now, s.book.Arrive(now, r, nil))
+	return r.ID
+}
+
+// cancel takes a request back that seeks a target or is at one.
+func (s *service) cancel(now time.Time, id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, id)
+	s.act(now, s.book.Cancel(now, id, nil))
+}
+
+func (s *service) done(now time.Time, e slot.End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.act(now, s.book.Done(now, e, nil))
+}
+
+// act does what the book decided. The lock is held, so nothing here blocks.
+func (s *service) act(now time.Time, actions []slot.Action) {
+	for _, a := range actions {
+		switch a.Do {
+		case slot.Send, slot.Refuse:
+			if c, ok := s.waiting[a.ID]; ok {
+				delete(s.waiting, a.ID)
+				c <- a
+			}
+		case slot.Ask:
+			go s.ask(a, s.is.Health)
+		}
+	}
+	s.arm(now)
+}
+
+func (s *service) arm(now time.Time) {
+	next := s.book.Next()
+	if next.Equal(s.due) {
+		return
+	}
+	s.due = next
+	if next.IsZero() {
+		s.timer.Stop()
+		return
+	}
+	s.timer.Reset(max(next.Sub(now), 0))
+}
+
+func (s *service) tick() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.due = time.Time{}
+	s.act(now, s.book.Tick(now, nil))
+}
+
+// ask asks a target for its load.
+func (s *service) ask(a slot.Action, path string) {
+	ctx, cancel := context.WithTimeout(context.Background(), askGrace)
+	defer cancel()
+	status, h, err := s.gateway.forward.Ask(ctx, a.Target.Address, path)
+	r := slot.Reply{ID: a.ID, Target: a.Target.ID}
+	if err == nil && platform.Instance(h) == a.Target.ID {
+		r.Well = status == http.StatusOK
+		r.Load, r.Loaded = platform.Load(h)
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.act(now, s.book.Replied(now, r, nil))
+}
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Times of a graceful stop.
+const (
+	// serveOn is how long a stopping entry still serves whoever comes: callers
+	// keep a directory answer up to three times as long as it says.
+	serveOn = 3 * directoryTTL
+	// stopReserve is what is kept of the grace for the end of the process.
+	stopReserve = 500 * time.Millisecond
+)
+
+// leave stops gracefully: out of the directory and not ready at once, then
+// serving until nobody is sent here any more, then closing between requests.
+func (g *Gateway) leave(front *http.Server) {
+	grace := g.bounds.Load().Grace
+	deadline := time.Now().Add(grace - stopReserve)
+	g.leaving.Store(true)
+	g.log.Info("gateway stops")
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	go func() {
+		if err := g.store.Leave(ctx, g.self.Name, 0); err != nil {
+			g.log.WithError(err).Warn("still on record")
+		}
+	}()
+	sleep(ctx, min(serveOn, grace/2))
+	if err := front.Shutdown(ctx); err != nil {
+		g.log.WithError(err).Warn("requests cut by the stop")
+	}
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,188 @@
+// Package relay carries between entries that they live, what they have in
+// force, and what one of them has read from the store for the others.
+//
+// A beat is a small datagram to each other entry. It says how new the sender's
+// knowledge is; an entry that lacks something pulls it from the sender. Word
+// that comes twice, late or in the wrong order does no harm, since everything
+// in it is told by version or revision.
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/relay/wire"
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/roster"
+	"plumpitch.example/plumpitch/pkg/route"
+	"plumpitch.example/plumpitch/pkg/slot"
+)
+
+// Beat is what an entry says of itself.
+type Beat struct {
+	Entry    owner.Entry
+	Config   route.Version   // in force
+	Targets  roster.Revision // of the last change of targets
+	Age      time.Duration   // since the store last confirmed that
+	Shut     bool            // the store doesn't serve the sender
+	Leaving  bool            // it stops
+	Strained bool            // it can't keep up
+	Suspects []call.Suspect
+}
+
+// Have is what the caller of Pull knows already.
+type Have struct {
+	Config  route.Version
+	Targets roster.Revision
+}
+
+// News is what it lacks.
+type News struct {
+	Config  []byte // as the operator wrote it; empty where there is nothing newer
+	Listed  bool   // whether Targets is a list
+	At      roster.Revision
+	Age     time.Duration // since the store confirmed the list
+	Targets []roster.Item[slot.Target]
+}
+
+// Source gives what this entry knows.
+type Source interface {
+	News(ctx context.Context, have Have) (News, error)
+}
+
+// Config builds a Relay.
+type Config struct {
+	Address string // host:port, for datagrams and calls
+	Source  Source
+	Heard   func(Beat) // called for each beat, by one goroutine
+	Log     log.Interface
+}
+
+// Relay speaks with the other entries. It is safe for concurrent use.
+type Relay struct {
+	cfg      Config
+	packets  net.PacketConn
+	listener net.Listener
+	server   *http.Server
+	client   *http.Client
+}
+
+// Times of calls between entries. They are a millisecond apart.
+const (
+	callTime   = 500 * time.Millisecond
+	idleTime   = 30 * time.Second
+	headerTime = 2 * time.Second
+)
+
+// maxBeat bounds a datagram: it has to fit into one packet.
+const maxBeat = 1400
+
+// New opens the sockets, so that a taken port is told before anything starts.
+func New(cfg Config) (r *Relay, err error) {
+	defer func() { err = errors.WithMessage(err, "relay") }()
+	r = &Relay{cfg: cfg, client: &http.Client{
+		Timeout:   callTime,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTime, DisableCompression: true},
+	}}
+	if r.packets, err = net.ListenPacket("udp", cfg.Address); err != nil {
+		return nil, err
+	}
+	if r.listener, err = net.Listen("tcp", cfg.Address); err != nil {
+		r.packets.Close()
+		return nil, err
+	}
+	r.server = &http.Server{
+		Handler:           wire.NewRelayServer(&server{cfg.Source}),
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       2 * idleTime,
+	}
+	return r, nil
+}
+
+// Serve answers calls and hears beats until ctx ends.
+func (r *Relay) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		r.packets.Close()
+		r.server.Close()
+	})
+	defer stop()
+	go r.hear()
+	err := r.server.Serve(r.listener)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+func (r *Relay) String() string { return "relay" }
+
+func (r *Relay) hear() {
+	buf := make([]byte, maxBeat)
+	for {
+		n, from, err := r.packets.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			r.cfg.Log.WithError(err).Warn("relay: no datagram read")
+			continue
+		}
+		b, err := decodeBeat(buf[:n])
+		if err != nil {
+			r.cfg.Log.WithError(err).WithField("from", from.String()).Warn("relay: beat not understood")
+			continue
+		}
+		r.cfg.Heard(b)
+	}
+}
+
+// Tell sends a beat to the given entries. A beat that is lost is made up for by
+// the next one.
+func (r *Relay) Tell(b Beat, to []owner.Entry) (err error) {
+	data, err := encodeBeat(b)
+	if err != nil {
+		return err
+	}
+	for _, e := range to {
+		addr, resolved := net.ResolveUDPAddr("udp", e.Peer)
+		if resolved != nil {
+			err = resolved
+			continue
+		}
+		if _, failed := r.packets.WriteTo(data, addr); failed != nil {
+			err = failed
+		}
+	}
+	return errors.WithMessage(err, "beat")
+}
+
+// Pull asks an entry for what is newer than have.
+func (r *Relay) Pull(ctx context.Context, from owner.Entry, have Have) (n News, err error) {
+	defer func() { err = errors.WithMessage(err, "pull from "+from.Name) }()
+	c := wire.NewRelayProtobufClient("http://"+from.Peer, r.client)
+	reply, err := c.Pull(ctx, &wire.PullRequest{Config: uint64(have.Config), Targets: uint64(have.Targets)})
+	if err != nil {
+		return n, err
+	}
+	return decodeNews(time.Now(), reply), nil
+}
+
+// server answers calls of other entries.
+type server struct {
+	source Source
+}
+
+// Pull implements wire.Relay.
+func (s *server) Pull(ctx context.Context, r *wire.PullRequest) (*wire.PullReply, error) {
+	n, err := s.source.News(ctx, Have{Config: route.Version(r.Config), Targets: roster.Revision(r.Targets)})
+	if err != nil {
+		return nil, err
+	}
+	return encodeNews(time.Now(), n), nil
+}
--- a/main.go
+++ b/main.go
@@ -43,6 +43,7 @@
 func commands() []*command {
 	return []*command{
 		entryCommand(),
+		gatewayCommand(),
 		devCommand(),
 		locateCommand(),
 		settingsCommand(),
--- a/pkg/call/event.go
+++ b/pkg/call/event.go
@@ -37,6 +37,7 @@
 	Try    int
 	Status int
 	Shed   bool // the target says that it did not begin the request
+	Unwell bool // the target failed, whatever the status says
 	Replay bool // the body can be sent again
 }
 
--- a/pkg/call/step.go
+++ b/pkg/call/step.go
@@ -215,7 +215,7 @@
 // retryHead drops an answer that says the target can't serve, when a hedge is
 // on its way or another target may be asked.
 func (c *Call) retryHead(now time.Time, e Head, acts *Actions) bool {
-	if !c.arrival.Idempotent || !unavailable(e.Status) {
+	if !c.arrival.Idempotent || !unavailable(e.Status) && !e.Unwell {
 		return false
 	}
 	if c.flying() == 1 && c.seek == seekNone {
--- /dev/null
+++ b/pkg/slot/book.go
@@ -0,0 +1,228 @@
+package slot
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Book holds the targets of one service and the requests that want one.
+type Book struct {
+	cfg     Config
+	rnd     *rand.Rand
+	members map[string]*member
+	order   []*member // by id
+	flights map[uint64]*flight
+	seeking map[uint64]*seeker
+	queue   []*seeker // waiting, in the order in which they are served
+	usual   usual
+	mean    float64 // pace over all targets
+}
+
+// seeker is a request without a target.
+type seeker struct {
+	Request
+	asked   int
+	pending int       // answers still to come
+	until   time.Time // end of the wait for them
+	again   time.Time // earliest next question while it waits
+	waiting bool
+}
+
+// New returns a book without targets.
+func New(cfg Config, rnd *rand.Rand) *Book {
+	cfg = cfg.withDefaults()
+	return &Book{
+		cfg: cfg, rnd: rnd, mean: 1,
+		members: make(map[string]*member),
+		flights: make(map[uint64]*flight),
+		seeking: make(map[uint64]*seeker),
+		usual:   usual{mean: cfg.Usual},
+	}
+}
+
+// Targets takes the whole list of targets. One that is missing gets no new
+// work; its requests in flight go on.
+func (b *Book) Targets(now time.Time, list []Target, out []Action) []Action {
+	old := b.members
+	b.members = make(map[string]*member, len(list))
+	b.order = b.order[:0]
+	for _, t := range list {
+		m := old[t.ID]
+		if m == nil {
+			m = newMember(t)
+		}
+		m.Target = t
+		b.members[t.ID] = m
+		b.order = append(b.order, m)
+	}
+	slices.SortFunc(b.order, func(a, c *member) int { return cmp.Compare(a.ID, c.ID) })
+	return b.serve(now, out)
+}
+
+// Arrive takes a request.
+func (b *Book) Arrive(now time.Time, r Request, out []Action) []Action {
+	s := &seeker{Request: r}
+	b.seeking[r.ID] = s
+	if !b.anyOpen(now) {
+		return b.refuse(s, NoTarget, b.cfg.PauseMin, out)
+	}
+	if r.Hedge {
+		return b.ask(now, s, out)
+	}
+	if len(b.queue) > 0 && b.crowded(now, s) {
+		return b.refuse(s, Full, b.retry(), out)
+	}
+	if len(b.queue) > 0 || !b.room(now, s) {
+		return b.wait(now, s, out)
+	}
+	return b.ask(now, s, out)
+}
+
+// Replied takes a target's answer to a question.
+func (b *Book) Replied(now time.Time, r Reply, out []Action) []Action {
+	m := b.members[r.Target]
+	if m != nil {
+		b.learn(now, m, r)
+	}
+	s := b.seeking[r.ID]
+	if s == nil || s.pending == 0 {
+		return out
+	}
+	s.pending--
+	if s.pending == 0 || m != nil && r.Loaded && b.ideal(now, m, s) {
+		return b.decide(now, s, out)
+	}
+	return out
+}
+
+func (b *Book) learn(now time.Time, m *member, r Reply) {
+	if r.Loaded {
+		b.tell(now, m, r.Load)
+	}
+	if !r.Well {
+		m.closed = later(m.closed, now.Add(shedPause))
+	}
+}
+
+func (b *Book) tell(now time.Time, m *member, l Load) {
+	const weight = 1.0 / 64
+	m.tell(now, l)
+	b.mean += (l.Pace - b.mean) * weight
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Done takes the end of a request at its target.
+func (b *Book) Done(now time.Time, e End, out []Action) []Action {
+	f := b.flights[e.ID]
+	if f == nil {
+		return out
+	}
+	delete(b.flights, e.ID)
+	m := f.member
+	m.inFlight--
+	if e.Loaded {
+		// Its own request may still be counted in its word.
+		e.Load.Running = max(e.Load.Running-1, 0)
+		b.tell(now, m, e.Load)
+	}
+	b.judge(now, f, e)
+	return b.serve(now, out)
+}
+
+func (b *Book) judge(now time.Time, f *flight, e End) {
+	m := f.member
+	took := now.Sub(f.sent)
+	switch e.Kind {
+	case Served:
+		m.praise()
+		plain := float64(b.usual.mean) * f.pace
+		if f.beside > 0 {
+			plain *= b.cfg.Knee
+		}
+		m.measure(now, took, time.Duration(plain))
+		if f.beside == 0 && f.pace <= b.cfg.Slow {
+			b.usual.add(time.Duration(float64(took) / f.pace))
+		}
+	case Failed, Lost, TimedOut:
+		m.blame(now, failWeight, &b.cfg)
+	case Shed:
+		m.blame(now, shedWeight, &b.cfg)
+		m.closed = later(m.closed, now.Add(shedPause<<min(m.sheds, shedShift)))
+		m.sheds++
+	case Cancelled:
+	}
+	if e.Moved {
+		m.Leaving = true
+	}
+	if !m.out && m.fails >= failsOut && b.mayEject() {
+		m.eject(now, &b.cfg)
+	}
+}
+
+// mayEject keeps half of the targets in: a fault that all share would leave
+// nothing to send to.
+func (b *Book) mayEject() bool {
+	out := 0
+	for _, m := range b.order {
+		if m.out {
+			out++
+		}
+	}
+	return 2*(out+1) <= len(b.order)
+}
+
+// Cancel takes back a request that seeks a target.
+func (b *Book) Cancel(now time.Time, id uint64, out []Action) []Action {
+	s := b.seeking[id]
+	if s == nil {
+		return b.Done(now, End{ID: id, Kind: Cancelled}, out)
+	}
+	b.drop(s)
+	return out
+}
+
+// Leave takes word that a target wants no new work.
+func (b *Book) Leave(id string) {
+	if m := b.members[id]; m != nil {
+		m.Leaving = true
+	}
+}
+
+// Len returns the number of requests that seek a target and of those in flight.
+func (b *Book) Len() (seeking, inFlight int) {
+	return len(b.seeking), len(b.flights)
+}
+
+func (b *Book) drop(s *seeker) {
+	delete(b.seeking, s.ID)
+	if s.waiting {
+		s.waiting = false
+		b.queue = slices.DeleteFunc(b.queue, func(q *seeker) bool { return q == s })
+	}
+}
+
+func (b *Book) refuse(s *seeker, r Reason, retry time.Duration, out []Action) []Action {
+	b.drop(s)
+	return append(out, Action{Do: Refuse, ID: s.ID, Reason: r, Retry: retry})
+}
+
+func (b *Book) send(now time.Time, s *seeker, m *member, out []Action) []Action {
+	b.drop(s)
+	pace := m.estimate(now, b.mean, &b.cfg)
+	beside := m.busy(now, &b.cfg)
+	why := Why{
+		InFlight: beside, Pace: m.pace, Age: now.Sub(m.told), Asked: s.asked, Waited: now.Sub(s.Arrived),
+		Expected: m.expected(now, b.usual.mean, pace, &b.cfg),
+	}
+	m.inFlight++
+	b.flights[s.ID] = &flight{member: m, sent: now, beside: beside, pace: pace}
+	return append(out, Action{Do: Send, ID: s.ID, Target: m.Target, Why: why})
+}
--- /dev/null
+++ b/pkg/slot/choose.go
@@ -0,0 +1,138 @@
+package slot
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+func (b *Book) anyOpen(now time.Time) bool {
+	return slices.ContainsFunc(b.order, func(m *member) bool { return !m.Leaving })
+}
+
+// usable reports whether s may be sent to m, as far as is known.
+func (b *Book) usable(now time.Time, m *member, s *seeker) bool {
+	return m.open(now) && m.busy(now, &b.cfg) < m.Slots && !slices.Contains(s.Tried, m.ID)
+}
+
+// room reports whether any target could take s.
+func (b *Book) room(now time.Time, s *seeker) bool {
+	return slices.ContainsFunc(b.order, func(m *member) bool { return b.usable(now, m, s) })
+}
+
+// candidate is a target with the time that an answer from it should take.
+type candidate struct {
+	*member
+	pace     float64
+	expected time.Duration
+}
+
+// candidates returns the targets that could take s, the most promising first.
+func (b *Book) candidates(now time.Time, s *seeker) []candidate {
+	var list []candidate
+	for _, m := range b.order {
+		if !b.usable(now, m, s) {
+			continue
+		}
+		pace := m.estimate(now, b.mean, &b.cfg)
+		list = append(list, candidate{m, pace, m.expected(now, b.usual.mean, pace, &b.cfg)})
+	}
+	b.rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(x.rank(), y.rank()), cmp.Compare(x.expected, y.expected), b.nearer(x, y))
+	})
+	return list
+}
+
+// rank puts trial requests of targets that failed last.
+func (c candidate) rank() int {
+	if c.out {
+		return 1
+	}
+	return 0
+}
+
+// nearer prefers a target in the entry's own failure domain.
+func (b *Book) nearer(x, y candidate) int {
+	switch {
+	case x.Place == y.Place:
+		return 0
+	case x.Place == b.cfg.Place:
+		return -1
+	case y.Place == b.cfg.Place:
+		return 1
+	}
+	return 0
+}
+
+// ask asks the most promising targets for their load.
+func (b *Book) ask(now time.Time, s *seeker, out []Action) []Action {
+	list := b.candidates(now, s)
+	if len(list) == 0 {
+		return b.settle(now, s, out)
+	}
+	n := min(b.cfg.Ask, len(list))
+	if n <= 0 {
+		return b.decide(now, s, out)
+	}
+	s.pending, s.until = n, now.Add(b.cfg.AskTime)
+	s.asked += n
+	for _, c := range list[:n] {
+		out = append(out, Action{Do: Ask, ID: s.ID, Target: c.Target})
+	}
+	return out
+}
+
+// ideal reports whether m just said that it is idle and as fast as usual: then
+// no other answer can change the choice.
+func (b *Book) ideal(now time.Time, m *member, s *seeker) bool {
+	return b.usable(now, m, s) && !m.out && m.busy(now, &b.cfg) == 0 && m.pace <= 1.1 && m.slower(now) < 1.5 && !now.Before(m.Warm)
+}
+
+// decide sends s to the target that promises the earliest end, if that is good
+// enough.
+func (b *Book) decide(now time.Time, s *seeker, out []Action) []Action {
+	s.pending = 0
+	list := b.candidates(now, s)
+	for _, c := range list {
+		if b.good(now, c, s) {
+			return b.send(now, s, c.member, out)
+		}
+	}
+	return b.settle(now, s, out)
+}
+
+// margin is how much longer than expected an answer may take.
+const margin = 1.25
+
+// good reports whether m should answer s within its objective. A second
+// request at a slow target would hold up both for long.
+func (b *Book) good(now time.Time, c candidate, s *seeker) bool {
+	if c.busy(now, &b.cfg) > 0 && c.pace > b.cfg.Slow {
+		return false
+	}
+	return !now.Add(time.Duration(float64(c.expected) * margin)).After(s.Objective)
+}
+
+// settle decides what becomes of a request for which no target is good enough:
+// it waits while it can still meet its objective. After that it is served late
+// by a target that would be idle otherwise, or refused.
+func (b *Book) settle(now time.Time, s *seeker, out []Action) []Action {
+	if s.Hedge {
+		return b.refuse(s, Full, 0, out)
+	}
+	if now.Add(b.need()).Before(s.Objective) {
+		return b.wait(now, s, out)
+	}
+	for _, c := range b.candidates(now, s) {
+		if c.busy(now, &b.cfg) == 0 && now.Add(time.Duration(float64(c.expected)*margin)).Before(s.Deadline) {
+			return b.send(now, s, c.member, out)
+		}
+	}
+	return b.refuse(s, Full, b.retry(), out)
+}
+
+// need is the time that an answer takes at best.
+func (b *Book) need() time.Duration {
+	return time.Duration(float64(b.usual.mean) * margin)
+}
--- /dev/null
+++ b/pkg/slot/doc.go
@@ -0,0 +1,38 @@
+// Package slot decides which target serves a request, and when it is better
+// refused. A Book holds the targets of one service. It does no I/O, starts no
+// goroutine and reads no clock: events come in with the time, actions go out.
+//
+// How long work takes at a target changes several times a second, so a report
+// is old within tens of milliseconds. A request therefore asks a few of the
+// best-looking targets just before it is sent, and goes to the one whose answer
+// promises the earliest end. A target never holds more than two requests more
+// than it should: the second one slows down both, and nothing queues there.
+package slot
+
+import "time"
+
+// Target is one incarnation of a target.
+type Target struct {
+	ID      string
+	Address string // host:port
+	Service string
+	Place   string    // failure domain
+	Slots   int       // requests that it runs at once
+	Leaving bool      // it wants no new work
+	Warm    time.Time // until then its work takes longer
+}
+
+// Same reports whether two records differ in nothing that a decision needs. The
+// end of the warm-up moves by the delay of each report.
+func Same(a, b Target) bool {
+	a.Warm, b.Warm = time.Time{}, time.Time{}
+	return a == b
+}
+
+// Load is what a target says of itself.
+type Load struct {
+	Running int // requests that have begun, also those of other entries
+	Waiting int
+	Slots   int
+	Pace    float64 // how long work takes there, as a multiple of the usual
+}
--- /dev/null
+++ b/pkg/slot/event.go
@@ -0,0 +1,96 @@
+package slot
+
+import "time"
+
+// Request wants a target.
+type Request struct {
+	ID        uint64    // unique in the book
+	Arrived   time.Time // at this entry
+	Objective time.Time // an answer is worth its full credit until then
+	Deadline  time.Time // no answer is of use after it
+	Priority  int       // 0 goes first
+	Tried     []string  // targets that failed it, which it isn't sent to again
+	Hedge     bool      // it is sent at once, or not at all
+}
+
+// Kind is how a request ended at its target.
+type Kind uint8
+
+// Ends of a request at a target.
+const (
+	Served    Kind = iota // answered as it should be
+	Failed                // answered with a server error
+	Shed                  // refused by the target, surely not run
+	Lost                  // connection failed, or the answer broke off
+	TimedOut              // no answer in time
+	Cancelled             // the caller is gone, or another answer came first
+)
+
+// End is the end of a request at a target.
+type End struct {
+	ID     uint64
+	Kind   Kind
+	Load   Load
+	Loaded bool // whether Load was given
+	Moved  bool // another target has its address now
+}
+
+// Reply is a target's answer to a question for its load.
+type Reply struct {
+	ID     uint64 // request for which it was asked
+	Target string
+	Load   Load
+	Loaded bool
+	Well   bool // it answered, and says that it is well
+}
+
+// Do is what the driver has to do.
+type Do uint8
+
+// The actions.
+const (
+	Ask    Do = iota + 1 // ask Target for its load, for request ID
+	Send                 // send request ID to Target
+	Refuse               // request ID gets no target
+)
+
+// Reason tells why a request was refused.
+type Reason uint8
+
+// Reasons of a refusal.
+const (
+	NoReason Reason = iota
+	Full            // no target could answer it in time
+	NoTarget        // no target may get work
+	Late            // its time was up while it waited
+)
+
+var reasons = [...]string{"none", "full", "notarget", "late"}
+
+// String returns the one-word name of a reason.
+func (r Reason) String() string {
+	if int(r) >= len(reasons) {
+		return reasons[0]
+	}
+	return reasons[r]
+}
+
+// Action is one thing for the driver to do.
+type Action struct {
+	Do     Do
+	ID     uint64
+	Target Target
+	Reason Reason        // of Refuse
+	Retry  time.Duration // of Refuse: when room is likely
+	Why    Why           // of Send
+}
+
+// Why is what a choice was made by, for the log.
+type Why struct {
+	InFlight int           // requests at the target, this one excluded
+	Pace     float64       // as it was last told
+	Age      time.Duration // of that word
+	Expected time.Duration // until the answer
+	Asked    int           // targets that were asked
+	Waited   time.Duration // since the request's arrival
+}
--- /dev/null
+++ b/pkg/slot/member.go
@@ -0,0 +1,142 @@
+package slot
+
+import (
+	"math"
+	"time"
+)
+
+// flight is a request at a target.
+type flight struct {
+	member *member
+	sent   time.Time
+	beside int     // requests there when it was sent
+	pace   float64 // when it was sent
+}
+
+// member is a target with what is known of it.
+type member struct {
+	Target
+	inFlight int // requests of this entry
+
+	pace     float64 // as last told
+	foreign  int     // requests of other entries, as last told
+	told     time.Time
+	loads    bool    // it tells its load
+	slowness float64 // how much longer it takes than it says, 1 is as said
+	judged   time.Time
+
+	fails  float64 // recent failures, less what went well since
+	out    bool    // it gets trial requests only
+	rest   time.Time
+	pause  time.Duration
+	sheds  int // in a row
+	closed time.Time
+}
+
+func newMember(t Target) *member {
+	return &member{Target: t, pace: 1, slowness: 1}
+}
+
+// estimate is the pace that is to be expected now: the last word, which goes
+// by halves towards the mean of all as it ages.
+func (m *member) estimate(now time.Time, mean float64, c *Config) float64 {
+	if !m.loads {
+		return 1
+	}
+	fresh := math.Exp2(-float64(now.Sub(m.told)) / float64(c.Hold))
+	return m.pace*fresh + mean*(1-fresh)
+}
+
+// others is how many requests of other entries it holds. That word ages too.
+func (m *member) others(now time.Time, c *Config) int {
+	if m.foreign == 0 || now.Sub(m.told) > 2*c.Hold {
+		return 0
+	}
+	return m.foreign
+}
+
+func (m *member) busy(now time.Time, c *Config) int {
+	return m.inFlight + m.others(now, c)
+}
+
+// slower is how much longer than it says the target takes. A target that is
+// never sent anything would never be seen to have recovered, so this ages.
+func (m *member) slower(now time.Time) float64 {
+	const half = 2 * time.Second
+	aged := math.Exp2(-float64(now.Sub(m.judged)) / float64(half))
+	return 1 + (m.slowness-1)*aged
+}
+
+// expected is how long an answer takes that is asked for now.
+func (m *member) expected(now time.Time, usual time.Duration, pace float64, c *Config) time.Duration {
+	d := float64(usual) * pace * m.slower(now)
+	if m.busy(now, c) > 0 {
+		d *= c.Knee
+	}
+	if now.Before(m.Warm) {
+		d *= coldFactor
+	}
+	return time.Duration(d)
+}
+
+// coldFactor is how much longer work takes on a target that has just started.
+const coldFactor = 2
+
+// tell takes the target's word on its load.
+func (m *member) tell(now time.Time, l Load) {
+	m.loads = true
+	m.pace = l.Pace
+	m.foreign = max(l.Running+l.Waiting-m.inFlight, 0)
+	m.told = now
+}
+
+// open reports whether the target may get a request at all now.
+func (m *member) open(now time.Time) bool {
+	if m.Leaving || now.Before(m.closed) {
+		return false
+	}
+	if m.out {
+		return !now.Before(m.rest) && m.inFlight == 0
+	}
+	return true
+}
+
+// Weights of what speaks against a target, and the sum at which it is taken
+// out: two failures in a row, or four refusals. A target that fails half of its
+// requests comes to that within a few of them.
+const (
+	failWeight  = 1.0
+	shedWeight  = 0.5
+	failsOut    = 2.0
+	servedKeeps = 0.5 // part of the sum that an answer leaves
+	shedPause   = 20 * time.Millisecond
+	shedShift   = 4 // doublings of shedPause at the most
+)
+
+func (m *member) blame(now time.Time, weight float64, c *Config) {
+	m.fails += weight
+	if m.out {
+		m.pause = min(2*m.pause, c.PauseMax)
+		m.rest = now.Add(m.pause)
+	}
+}
+
+func (m *member) praise() {
+	m.fails *= servedKeeps
+	m.sheds = 0
+	m.out = false
+}
+
+func (m *member) eject(now time.Time, c *Config) {
+	m.out = true
+	m.pause = c.PauseMin
+	m.rest = now.Add(m.pause)
+}
+
+// measure compares how long an answer took with what was expected.
+func (m *member) measure(now time.Time, took, expected time.Duration) {
+	const weight = 0.3
+	ratio := min(max(float64(took)/float64(max(expected, time.Millisecond)), 0.3), 10)
+	m.slowness = max(m.slower(now)*(1-weight)+ratio*weight, 0.7)
+	m.judged = now
+}
--- /dev/null
+++ b/pkg/slot/queue.go
@@ -0,0 +1,132 @@
+package slot
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// askAgain is how long a waiting request goes on without a new question. Pace
+// changes in about 150 ms, so that a target asked 15 ms ago says little new.
+const askAgain = 15 * time.Millisecond
+
+// wait puts s in the queue.
+func (b *Book) wait(now time.Time, s *seeker, out []Action) []Action {
+	s.again = now.Add(askAgain)
+	if s.waiting {
+		return out
+	}
+	s.waiting = true
+	i, _ := slices.BinarySearchFunc(b.queue, s, before)
+	b.queue = slices.Insert(b.queue, i, s)
+	return out
+}
+
+// before orders the queue: urgent ones first, then by the end of their time.
+func before(x, y *seeker) int {
+	return cmp.Or(cmp.Compare(x.Priority, y.Priority), x.Objective.Compare(y.Objective), cmp.Compare(x.ID, y.ID))
+}
+
+// crowded reports whether so many requests would be served before s that it
+// could not meet its objective.
+func (b *Book) crowded(now time.Time, s *seeker) bool {
+	ahead := 0
+	for _, q := range b.queue {
+		if before(q, s) < 0 {
+			ahead++
+		}
+	}
+	slots := 0
+	for _, m := range b.order {
+		if m.open(now) || m.inFlight > 0 {
+			slots++
+		}
+	}
+	wait := time.Duration(float64(b.usual.mean) * float64(ahead+1) / float64(max(slots, 1)))
+	return now.Add(wait + b.need()).After(s.Objective)
+}
+
+// serve sends waiting requests where a target has become good enough by what
+// was just told, and ends the wait of those whose time is up.
+func (b *Book) serve(now time.Time, out []Action) []Action {
+	for _, s := range slices.Clone(b.queue) {
+		if s.pending > 0 {
+			continue
+		}
+		if next, sent := b.place(now, s, out); sent {
+			out = next
+			continue
+		}
+		if !now.Add(b.need()).Before(s.Objective) {
+			out = b.settle(now, s, out)
+		}
+	}
+	return out
+}
+
+// place sends s to a target of which fresh word says that it is good.
+func (b *Book) place(now time.Time, s *seeker, out []Action) (next []Action, sent bool) {
+	for _, c := range b.candidates(now, s) {
+		if !c.out && now.Sub(c.told) < askAgain && b.good(now, c, s) {
+			return b.send(now, s, c.member, out), true
+		}
+	}
+	return out, false
+}
+
+// Tick ends waits for answers and in the queue, and asks again.
+func (b *Book) Tick(now time.Time, out []Action) []Action {
+	for _, s := range b.seeking {
+		if s.pending > 0 && !now.Before(s.until) {
+			out = b.decide(now, s, out)
+		}
+	}
+	out = b.serve(now, out)
+	for _, s := range slices.Clone(b.queue) {
+		if s.pending == 0 && !now.Before(s.again) && b.room(now, s) {
+			s.again = now.Add(askAgain)
+			return b.ask(now, s, out)
+		}
+	}
+	return out
+}
+
+// Next tells when Tick is needed next; the zero time means not at all.
+func (b *Book) Next() (at time.Time) {
+	soonest := func(t time.Time) {
+		if at.IsZero() || t.Before(at) {
+			at = t
+		}
+	}
+	for _, s := range b.seeking {
+		if s.pending > 0 {
+			soonest(s.until)
+		}
+	}
+	for _, s := range b.queue {
+		soonest(s.again)
+		soonest(s.Objective.Add(-b.need()))
+	}
+	return at
+}
+
+// retry is when a refused request is likely to find room: about as long as the
+// queue takes to empty, spread so that those refused together don't come back
+// together.
+func (b *Book) retry() time.Duration {
+	base := b.usual.mean
+	return base/2 + time.Duration(b.rnd.Int64N(int64(base)+1))
+}
+
+// usual is the time that work takes at a target that is idle and not slow.
+type usual struct {
+	mean  time.Duration
+	count int
+}
+
+// add takes one answer. The first ones weigh as much as their number says.
+func (u *usual) add(took time.Duration) {
+	const most = 64
+	u.count = min(u.count+1, most)
+	u.mean += (took - u.mean) / time.Duration(u.count)
+}
