slot: one question to a target serves all requests that wait for it

Cause: at 250 requests a second each request sent four questions of its own, so that the entry's processor was busy (0.19 of 0.32 cores), questions timed out, their connections were closed and 21,797 new ones were made. Change: a target that is being asked, or was heard of within 10 ms, isn't asked again.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -29,7 +29,7 @@
 
 // askGrace is how long an answer to a question may take. A choice doesn't wait
 // for it that long; cutting it off sooner would cost its connection.
-const askGrace = 150 * time.Millisecond
+const askGrace = time.Second
 
 // burstParts is in how many parts the slack of the retry budget is cut for
 // each entry: the budget keeps two buckets.
@@ -137,7 +137,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askGrace)
 	defer cancel()
 	status, h, err := s.gateway.forward.Ask(ctx, a.Target.Address, path)
-	r := slot.Reply{ID: a.ID, Target: a.Target.ID}
+	r := slot.Reply{Target: a.Target.ID}
 	if err == nil && platform.Instance(h) == a.Target.ID {
 		r.Well = status == http.StatusOK
 		r.Load, r.Loaded = platform.Load(h)
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -80,19 +80,24 @@
 	return b.ask(now, s, out)
 }
 
-// Replied takes a target's answer to a question.
+// Replied takes the end of a question.
 func (b *Book) Replied(now time.Time, r Reply, out []Action) []Action {
 	m := b.members[r.Target]
-	if m != nil {
-		b.learn(now, m, r)
-	}
-	s := b.seeking[r.ID]
-	if s == nil || s.pending == 0 {
+	if m == nil {
 		return out
 	}
-	s.pending--
-	if s.pending == 0 || m != nil && r.Loaded && b.ideal(now, m, s) {
-		return b.decide(now, s, out)
+	m.asking = false
+	b.learn(now, m, r)
+	askers := m.askers
+	m.askers = nil
+	for _, s := range askers {
+		if b.seeking[s.ID] != s || s.pending == 0 {
+			continue
+		}
+		s.pending--
+		if s.pending == 0 || r.Loaded && b.ideal(now, m, s) {
+			out = b.decide(now, s, out)
+		}
 	}
 	return out
 }
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -75,14 +75,30 @@
 	if n <= 0 {
 		return b.decide(now, s, out)
 	}
-	s.pending, s.until = n, now.Add(b.cfg.AskTime)
-	s.asked += n
+	s.until = now.Add(b.cfg.AskTime)
 	for _, c := range list[:n] {
-		out = append(out, Action{Do: Ask, ID: s.ID, Target: c.Target})
+		if c.loads && now.Sub(c.told) < askFresh {
+			continue
+		}
+		s.pending++
+		s.asked++
+		c.askers = append(c.askers, s)
+		if c.asking {
+			continue
+		}
+		c.asking = true
+		out = append(out, Action{Do: Ask, Target: c.Target})
+	}
+	if s.pending == 0 {
+		return b.decide(now, s, out)
 	}
 	return out
 }
 
+// askFresh is how old a target's word may be to be taken without a question. It
+// is a fifteenth of the time in which the pace changes.
+const askFresh = 10 * time.Millisecond
+
 // ideal reports whether m just said that it is idle and as fast as usual: then
 // no other answer can change the choice.
 func (b *Book) ideal(now time.Time, m *member, s *seeker) bool {
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -35,9 +35,8 @@
 	Moved  bool // another target has its address now
 }
 
-// Reply is a target's answer to a question for its load.
+// Reply is the end of a question to a target for its load.
 type Reply struct {
-	ID     uint64 // request for which it was asked
 	Target string
 	Load   Load
 	Loaded bool
@@ -49,7 +48,7 @@
 
 // The actions.
 const (
-	Ask    Do = iota + 1 // ask Target for its load, for request ID
+	Ask    Do = iota + 1 // ask Target for its load; a Reply follows in any case
 	Send                 // send request ID to Target
 	Refuse               // request ID gets no target
 )
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -25,6 +25,9 @@
 	slowness float64 // how much longer it takes than it says, 1 is as said
 	judged   time.Time
 
+	asking bool      // a question is under way
+	askers []*seeker // requests that wait for its answer
+
 	fails  float64 // recent failures, less what went well since
 	out    bool    // it gets trial requests only
 	rest   time.Time
