gateway: no watch of the store stays open long; one entry reads each kind

Ruled out: the relay (all entries lacked it). Change: watches end after a second and confirm by that; the age of what is known goes round by beats, and the next entry reads when it grows.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -41,8 +41,9 @@
 	table   *route.Table
 	raw     []byte // the configuration as the operator wrote it
 	targets *roster.Roster[slot.Target]
-	// confirmed is when the store was asked for what targets holds.
-	confirmed time.Time
+	// confirmed is when the store was asked for what is known.
+	confirmed [duties]time.Time
+	configAt  roster.Revision // up to which the configuration's history is known
 	peers     map[string]*peer
 	services  map[string]*service
 	shut      bool // the store doesn't serve this entry
@@ -185,7 +186,8 @@
 		to = append(to, p.entry)
 	}
 	b := relay.Beat{
-		Entry: c.gateway.self, Config: c.config.Version, Targets: c.targets.Moved(), Age: now.Sub(c.confirmed),
+		Entry: c.gateway.self, Config: c.config.Version, Targets: c.targets.Moved(),
+		ConfigAge: now.Sub(c.confirmed[dutyConfig]), TargetsAge: now.Sub(c.confirmed[dutyTargets]),
 		Shut: c.shut, Leaving: c.gateway.leaving.Load(), Suspects: c.gateway.suspects.Export(now, maxSuspects),
 	}
 	if err := c.gateway.relay.Tell(b, to); err != nil {
@@ -220,7 +222,7 @@
 		n.Config = c.raw
 	}
 	if m.have.Targets < c.targets.Moved() {
-		n.Listed, n.At, n.Age = true, c.targets.At(), now.Sub(c.confirmed)
+		n.Listed, n.At, n.Age = true, c.targets.At(), now.Sub(c.confirmed[dutyTargets])
 		for _, it := range c.targets.Items() {
 			n.Targets = append(n.Targets, it)
 		}
@@ -244,19 +246,20 @@
 	}
 	c.peers[b.Entry.Name] = &peer{entry: b.Entry, heard: now, beat: b}
 	c.gateway.suspects.Merge(now, b.Entry.Name, b.Suspects)
-	switch {
-	case b.Config > c.config.Version || b.Targets > c.targets.Moved():
+	if b.Config > c.config.Version || b.Targets > c.targets.Moved() {
 		c.pull(b.Entry)
-	case b.Targets == c.targets.Moved():
-		c.confirm(now.Add(-b.Age))
+	}
+	if b.Config == c.config.Version {
+		c.confirm(dutyConfig, now.Add(-b.ConfigAge))
+	}
+	if b.Targets == c.targets.Moved() {
+		c.confirm(dutyTargets, now.Add(-b.TargetsAge))
 	}
 }
 
-// confirm notes that the store said at that time what targets holds.
-func (c *control) confirm(at time.Time) {
-	if at.After(c.confirmed) {
-		c.confirmed = at
-	}
+// confirm notes that the store said at that time that nothing is newer.
+func (c *control) confirm(d duty, at time.Time) {
+	c.confirmed[d] = later(c.confirmed[d], at)
 }
 
 // pull asks another entry for what it has and this one lacks.
@@ -292,15 +295,23 @@
 	}
 	if m.news.Listed {
 		c.targets.Replace(m.news.Targets, m.news.At)
-		c.confirm(now.Add(-m.news.Age))
+		c.confirm(dutyTargets, now.Add(-m.news.Age))
 	}
 }
 
-// configRead is the configuration as the store has it.
-type configRead struct{ raw []byte }
+// configRead is what the store has of the configuration, oldest first.
+type configRead struct {
+	raw   [][]byte
+	at    roster.Revision
+	asked time.Time
+}
 
 func (m configRead) apply(now time.Time, c *control) {
-	c.adopt(now, m.raw, "store")
+	for _, raw := range m.raw {
+		c.adopt(now, raw, "store")
+	}
+	c.configAt = max(c.configAt, m.at)
+	c.confirm(dutyConfig, m.asked)
 }
 
 // adopt puts a configuration in force that is newer than the one that is.
@@ -347,7 +358,7 @@
 }
 
 func (c *control) targetsRead(now time.Time, moved bool, asked time.Time) {
-	c.confirm(asked)
+	c.confirm(dutyTargets, asked)
 	if !moved {
 		return
 	}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/roster"
 	"plumpitch.example/plumpitch/pkg/route"
@@ -13,32 +11,63 @@
 	"plumpitch.example/plumpitch/platform"
 )
 
+// duty is something that one entry reads from the store for all.
+type duty uint8
+
+const (
+	dutyConfig duty = iota
+	dutyTargets
+	duties
+)
+
+var dutyNames = [duties]string{"configuration", "targets"}
+
 // The store counts each call, and targets write their heartbeats to it all the
 // time, so that a watch of them is answered at once. A watch by each entry
 // would cost a call an event and entry. So the live entries have an order, and
 // each reads when what it knows is older than its place in the order says: the
 // first one keeps the others from ever having to. Where the first is dead, cut
 // off or turned away by the store, the next one's turn comes by itself.
+//
+// A watch that hears nothing is no proof that nothing has changed: it may have
+// lost its connection or its history without a word. So none stays open for
+// longer than it may take until a change is known everywhere.
+var patience = [duties]struct {
+	first time.Duration // age at which the first entry reads
+	step  time.Duration // how much later each further one takes over
+	wait  time.Duration // how long a watch stays open
+}{
+	// A configuration has 2 s until it is in force everywhere. The first entry
+	// always watches, and what the others know is then at most as old as one
+	// watch and one beat.
+	dutyConfig: {first: 0, step: 300 * time.Millisecond, wait: time.Second},
+	// A leaving target has to be known within 2 s as well. Its watch is
+	// answered at once, so the pause is what bounds the calls.
+	dutyTargets: {first: 550 * time.Millisecond, step: 350 * time.Millisecond, wait: time.Millisecond},
+}
+
 const (
-	// targetPeriod is how old the list of targets gets before the first entry
-	// reads it: with the beat that tells of it, well within the 2 s in which a
-	// leaving target has to be known.
-	targetPeriod = 550 * time.Millisecond
-	// targetStep is how much later each further entry takes over.
-	targetStep = 350 * time.Millisecond
-	// configReaders is how many entries watch the configuration. A change
-	// reaches the others from whichever sees it first.
-	configReaders = 3
-	// configWait is how long a watch of the configuration stays open.
-	configWait = 8 * time.Second
 	// readerTick is how often an entry looks whether it is its turn.
 	readerTick = 50 * time.Millisecond
-	// readTime bounds a call that the store answers at once.
-	readTime = 1500 * time.Millisecond
+	// readTime bounds a call beside the time for which its watch stays open:
+	// the store answers within 4 ms, and is taken for lost when it doesn't
+	// within a hundred times that.
+	readTime = 400 * time.Millisecond
+	// listTime bounds a list, which may take several pages of a slow store.
+	listTime = 2 * time.Second
 	// storeRest is the pause after a call that failed.
-	storeRest = 500 * time.Millisecond
+	storeRest = 300 * time.Millisecond
 )
 
+// due tells whether an entry with that place in the order reads now.
+func (d duty) due(age time.Duration, rank int) bool {
+	p := patience[d]
+	if rank == 0 {
+		return age >= p.first
+	}
+	return age >= p.first+p.wait+beatPeriod+time.Duration(rank)*p.step
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -51,22 +80,25 @@
 
 // turn is what a reader has to know of the control loop's state.
 type turn struct {
-	targets time.Duration // age of the list of targets
-	rank    int           // this entry's place among the readers
-	at      roster.Revision
+	due bool
+	at  roster.Revision // up to which the history is known
 }
 
 // turnAsked is a reader's question.
 type turnAsked struct {
-	duty   string
+	duty   duty
 	answer chan turn
 }
 
 func (m turnAsked) apply(now time.Time, c *control) {
-	t := turn{rank: owner.Rank(c.readers(now), m.duty, c.gateway.self.Name), at: c.targets.At()}
-	t.targets = now.Sub(later(c.confirmed, c.started))
-	if c.confirmed.IsZero() && t.rank == 0 {
-		t.targets = targetPeriod
+	rank := owner.Rank(c.readers(now), dutyNames[m.duty], c.gateway.self.Name)
+	age := now.Sub(later(c.confirmed[m.duty], c.started))
+	if c.confirmed[m.duty].IsZero() && rank == 0 {
+		age = time.Hour
+	}
+	t := turn{due: m.duty.due(age, rank), at: c.configAt}
+	if m.duty == dutyTargets {
+		t.at = c.targets.At()
 	}
 	m.answer <- t
 }
@@ -79,8 +111,8 @@
 }
 
 // turn asks the control loop.
-func (c *control) turn(ctx context.Context, duty string) (t turn) {
-	q := turnAsked{duty: duty, answer: make(chan turn, 1)}
+func (c *control) turn(ctx context.Context, d duty) (t turn) {
+	q := turnAsked{duty: d, answer: make(chan turn, 1)}
 	c.tell(ctx, q)
 	select {
 	case t = <-q.answer:
@@ -89,24 +121,56 @@
 	return t
 }
 
-// targetReader reads the targets when it is this entry's turn.
-type targetReader struct {
+// reader reads one kind of objects when it is this entry's turn.
+type reader[T any] struct {
 	gateway *Gateway
-	kind    platform.Kind[slot.Target]
-	listed  bool
-}
-
-func newTargetReader(g *Gateway) *targetReader {
-	return &targetReader{gateway: g, kind: g.store.Targets()}
-}
-
-func (r *targetReader) String() string { return "targets" }
+	duty    duty
+	kind    platform.Kind[T]
+	listed  func(items []roster.Item[T], at roster.Revision, asked time.Time) message
+	changed func(changes []roster.Change[T], at roster.Revision, asked time.Time) message
+}
+
+func newTargetReader(g *Gateway) *reader[slot.Target] {
+	return &reader[slot.Target]{
+		gateway: g, duty: dutyTargets, kind: g.store.Targets(),
+		listed: func(items []roster.Item[slot.Target], at roster.Revision, asked time.Time) message {
+			return targetsListed{items, at, asked}
+		},
+		changed: func(changes []roster.Change[slot.Target], at roster.Revision, asked time.Time) message {
+			return targetsChanged{changes, at, asked}
+		},
+	}
+}
+
+func newConfigReader(g *Gateway) *reader[[]byte] {
+	return &reader[[]byte]{
+		gateway: g, duty: dutyConfig, kind: g.store.Configs(),
+		listed: func(items []roster.Item[[]byte], at roster.Revision, asked time.Time) message {
+			m := configRead{at: at, asked: asked}
+			for _, it := range items {
+				m.raw = append(m.raw, it.Value)
+			}
+			return m
+		},
+		changed: func(changes []roster.Change[[]byte], at roster.Revision, asked time.Time) message {
+			m := configRead{at: at, asked: asked}
+			for _, c := range changes {
+				if !c.Deleted {
+					m.raw = append(m.raw, c.Value)
+				}
+			}
+			return m
+		},
+	}
+}
+
+func (r *reader[T]) String() string { return dutyNames[r.duty] }
 
 // Serve runs until ctx ends.
-func (r *targetReader) Serve(ctx context.Context) error {
+func (r *reader[T]) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		t := r.gateway.control.turn(ctx, "targets")
-		if t.targets < targetPeriod+time.Duration(t.rank)*targetStep {
+		t := r.gateway.control.turn(ctx, r.duty)
+		if !t.due {
 			sleep(ctx, readerTick)
 			continue
 		}
@@ -119,90 +183,35 @@
 	return ctx.Err()
 }
 
-func (r *targetReader) read(ctx context.Context, at roster.Revision) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, readTime)
-	defer cancel()
-	asked := time.Now()
+// read watches from revision at, or lists where that is not known or a watch
+// fails: it may have missed a change then.
+func (r *reader[T]) read(ctx context.Context, at roster.Revision) (err error) {
 	if at > 0 {
-		changes, upTo, err := r.kind.Watch(ctx, at, time.Millisecond)
-		if err == nil {
-			r.gateway.control.tell(ctx, targetsChanged{changes, upTo, asked})
+		if err = r.watch(ctx, at); err == nil {
 			return nil
 		}
-		if !errors.Is(err, platform.ErrHistory) {
-			return err
-		}
+		r.gateway.log.WithError(err).Debug("watch ended")
 	}
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	asked := time.Now()
 	items, upTo, err := r.kind.List(ctx)
 	if err == nil {
-		r.gateway.control.tell(ctx, targetsListed{items, upTo, asked})
+		r.gateway.control.tell(ctx, r.listed(items, upTo, asked))
 	}
 	return err
 }
 
-// configReader watches the configuration while this entry is one of its
-// readers.
-type configReader struct {
-	gateway *Gateway
-	kind    platform.Kind[[]byte]
-	at      roster.Revision
-}
-
-func newConfigReader(g *Gateway) *configReader {
-	return &configReader{gateway: g, kind: g.store.Configs()}
-}
-
-func (r *configReader) String() string { return "configuration" }
-
-// Serve runs until ctx ends.
-func (r *configReader) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if r.gateway.control.turn(ctx, "configuration").rank >= configReaders {
-			r.at = 0
-			sleep(ctx, readerTick)
-			continue
-		}
-		if err := r.read(ctx); err != nil && ctx.Err() == nil {
-			r.gateway.log.WithError(err).Debug("configuration not read")
-			sleep(ctx, storeRest)
-		}
-	}
-	return ctx.Err()
-}
-
-func (r *configReader) read(ctx context.Context) (err error) {
-	if r.at == 0 {
-		return r.list(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, configWait+readTime)
-	defer cancel()
-	changes, at, err := r.kind.Watch(ctx, r.at, configWait)
-	if err != nil {
-		r.at = 0
-		return err
-	}
-	for _, c := range changes {
-		if !c.Deleted {
-			r.gateway.control.tell(ctx, configRead{c.Value})
-		}
-	}
-	r.at = max(r.at, at)
-	return nil
-}
-
-func (r *configReader) list(ctx context.Context) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, readTime)
+func (r *reader[T]) watch(ctx context.Context, at roster.Revision) (err error) {
+	wait := patience[r.duty].wait
+	ctx, cancel := context.WithTimeout(ctx, wait+readTime)
 	defer cancel()
-	items, at, err := r.kind.List(ctx)
-	r.gateway.control.tell(ctx, storeAnswered{err})
-	if err != nil {
-		return err
-	}
-	for _, it := range items {
-		r.gateway.control.tell(ctx, configRead{it.Value})
+	asked := time.Now()
+	changes, upTo, err := r.kind.Watch(ctx, at, wait)
+	if err == nil {
+		r.gateway.control.tell(ctx, r.changed(changes, upTo, asked))
 	}
-	r.at = at
-	return nil
+	return err
 }
 
 // enroller puts this entry on record and learns of the others. It enters before
@@ -227,7 +236,7 @@
 }
 
 func (e *enroller) enroll(ctx context.Context) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*readTime)
+	ctx, cancel := context.WithTimeout(ctx, listTime)
 	defer cancel()
 	if err := e.gateway.store.Enter(ctx, e.gateway.self); err != nil {
 		return err
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -30,7 +30,8 @@
 	w := &wire.Beat{
 		Name: b.Entry.Name, Boot: b.Entry.Boot, Front: b.Entry.Front, Peer: b.Entry.Peer,
 		Place: b.Entry.Place, Region: b.Entry.Region,
-		Config: uint64(b.Config), Targets: uint64(b.Targets), TargetsAge: millis(b.Age),
+		Config: uint64(b.Config), Targets: uint64(b.Targets),
+		ConfigAge: millis(b.ConfigAge), TargetsAge: millis(b.TargetsAge),
 		Shut: b.Shut, Leaving: b.Leaving, Strained: b.Strained,
 	}
 	for _, s := range b.Suspects[:min(len(b.Suspects), maxSuspects)] {
@@ -49,7 +50,8 @@
 	}
 	b = Beat{
 		Entry:  owner.Entry{Name: w.Name, Boot: w.Boot, Front: w.Front, Peer: w.Peer, Place: w.Place, Region: w.Region},
-		Config: route.Version(w.Config), Targets: roster.Revision(w.Targets), Age: span(w.TargetsAge),
+		Config: route.Version(w.Config), Targets: roster.Revision(w.Targets),
+		ConfigAge: span(w.ConfigAge), TargetsAge: span(w.TargetsAge),
 		Shut: w.Shut, Leaving: w.Leaving, Strained: w.Strained,
 	}
 	for _, s := range w.Suspects {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,14 +26,17 @@
 
 // Beat is what an entry says of itself.
 type Beat struct {
-	Entry    owner.Entry
-	Config   route.Version   // in force
-	Targets  roster.Revision // of the last change of targets
-	Age      time.Duration   // since the store last confirmed that
-	Shut     bool            // the store doesn't serve the sender
-	Leaving  bool            // it stops
-	Strained bool            // it can't keep up
-	Suspects []call.Suspect
+	Entry   owner.Entry
+	Config  route.Version   // in force
+	Targets roster.Revision // of the last change of targets
+	// ConfigAge and TargetsAge are the times since the store last confirmed
+	// that there is nothing newer.
+	ConfigAge  time.Duration
+	TargetsAge time.Duration
+	Shut       bool // the store doesn't serve the sender
+	Leaving    bool // it stops
+	Strained   bool // it can't keep up
+	Suspects   []call.Suspect
 }
 
 // Have is what the caller of Pull knows already.
