--- /dev/null
+++ b/internal/gateway/answer_test.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/worker"
+)
+
+func TestRequestIsServed(t *testing.T) {
+	w := newWorld(t, site{targets: 2})
+	e := w.entry("a").settled()
+	a := e.call("POST", "/a/x?y=1", "veil")
+	w.c.Assert(a.err, qt.IsNil)
+	w.c.Assert(a.status, qt.Equals, http.StatusOK)
+	w.c.Assert(a.body, qt.Equals, "ran /a/x veil")
+	w.c.Assert(a.header.Get("Plumpitch-Request-Id"), qt.Equals, a.id)
+	w.c.Assert(a.header.Get("Plumpitch-Response-Signature"), qt.Not(qt.Equals), "")
+	w.c.Assert(a.header.Get("Plumpitch-Server-Load"), qt.Equals, "")
+	w.c.Assert(w.runs(a.id), qt.Equals, 1)
+}
+
+// The caller of a request that may run once gets its answer, or word that says
+// no more than is certain, whatever the first target does with it. What the
+// target does stands in each row; the other target is well. A second run would
+// book twice, and a refusal of what has run would make the caller book again.
+func TestFirstTargetFails(t *testing.T) {
+	tests := []struct {
+		name   string
+		kind   string
+		fault  worker.Fault
+		status int
+		runs   int
+	}{
+		{"sheds, may run once", "non_idempotent", worker.Fault{Shed: true}, 200, 1},
+		{"loses the answer, may run once", "non_idempotent", worker.Fault{Lose: true}, 502, 1},
+		{"cuts the answer, may run once", "non_idempotent", worker.Fault{Cut: true}, 502, 1},
+		{"answers without signature, may run once", "non_idempotent", worker.Fault{Unsigned: true}, 502, 1},
+		{"answers another request, may run once", "non_idempotent", worker.Fault{Crossed: true}, 502, 1},
+		{"says 503 after the run, may run once", "non_idempotent", worker.Fault{Plain503: true}, 502, 1},
+		{"fails, may run once", "non_idempotent", worker.Fault{Fail: true}, 500, 1},
+		{"has the address of another target", "non_idempotent", worker.Fault{Other: "i-other"}, 200, 1},
+		{"sends no length, may run once", "non_idempotent", worker.Fault{Unframed: true}, 200, 1},
+		{"never answers, may run once", "non_idempotent", worker.Fault{Mute: true}, 504, 1},
+		{"sheds", "idempotent", worker.Fault{Shed: true}, 200, 1},
+		{"loses the answer", "idempotent", worker.Fault{Lose: true}, 200, 2},
+		{"cuts the answer", "idempotent", worker.Fault{Cut: true}, 200, 2},
+		{"answers another request", "idempotent", worker.Fault{Crossed: true}, 200, 2},
+		{"fails", "idempotent", worker.Fault{Fail: true}, 200, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, site{targets: 2, kind: tt.kind, timeout: "600ms"})
+			e := w.entry("a").settled()
+			earn(e)
+			var first atomic.Bool
+			for _, k := range w.workers {
+				k.Fail(func(r *http.Request) worker.Fault {
+					if r.URL.Path != "/health" && first.CompareAndSwap(false, true) {
+						return tt.fault
+					}
+					return worker.Fault{}
+				})
+			}
+			a := e.call("POST", "/a/book", "veil")
+			w.c.Assert(a.err, qt.IsNil)
+			w.c.Assert(a.status, qt.Equals, tt.status)
+			w.c.Assert(w.runs(a.id), qt.Equals, tt.runs)
+			if a.status == http.StatusOK {
+				w.c.Assert(a.body, qt.Equals, "ran /a/book veil")
+			}
+		})
+	}
+}
+
+// earn makes enough requests for the retry budget to allow a retry.
+func earn(e *entry) {
+	for range 30 {
+		e.call("GET", "/a/earn", "")
+	}
+}
+
+// The caller must never get the second answer that a target sends to an earlier
+// request. It comes late, where the answer to the next request on that
+// connection is due; only its id tells it apart.
+func TestSecondAnswerReachesNobody(t *testing.T) {
+	for _, late := range []time.Duration{0, 3 * time.Millisecond} {
+		w := newWorld(t, site{targets: 1})
+		e := w.entry("a").settled()
+		w.workers[0].Fail(func(r *http.Request) worker.Fault {
+			return worker.Fault{Extra: r.URL.Path != "/health", ExtraIn: late}
+		})
+		for range 40 {
+			a := e.call("GET", "/a/x", "")
+			if a.err != nil || a.status != http.StatusOK {
+				continue
+			}
+			w.c.Assert(a.header.Get("Plumpitch-Request-Id"), qt.Equals, a.id)
+		}
+	}
+}
+
+// The caller of a target that never answers is told so at the route's timeout,
+// though it would wait longer itself.
+func TestRouteTimeout(t *testing.T) {
+	w := newWorld(t, site{targets: 1, kind: "non_idempotent", timeout: "300ms"})
+	e := w.entry("a").settled()
+	w.workers[0].Fail(func(r *http.Request) worker.Fault { return worker.Fault{Mute: r.URL.Path != "/health"} })
+	a := e.call("POST", "/a/x", "veil")
+	w.c.Assert(a.status, qt.Equals, http.StatusGatewayTimeout)
+	w.c.Assert(a.took > 250*time.Millisecond && a.took < 700*time.Millisecond, qt.IsTrue, qt.Commentf("%v", a.took))
+}
+
+// A caller closes its connection while its target works. The target's
+// connection must end too: else its slot is lost to a request that nobody
+// waits for.
+func TestCallerLeaves(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	e := w.entry("a").settled()
+	w.workers[0].Work(2 * time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		w.until("the run", func() bool { return len(w.workers[0].Runs()) == 1 })
+		cancel()
+	}()
+	a := e.callWith(ctx, "left", "GET", "/a/x", "")
+	w.c.Assert(a.err, qt.IsNotNil)
+	w.until("the end of the target's connection", func() bool { return !w.workers[0].Runs()[0].Gone.IsZero() })
+	run := w.workers[0].Runs()[0]
+	w.c.Assert(run.Gone.Sub(run.At) < time.Second, qt.IsTrue)
+}
+
+func TestNoRoute(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	e := w.entry("a").settled()
+	w.c.Assert(e.call("GET", "/b/x", "").status, qt.Equals, http.StatusNotFound)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -74,23 +75,28 @@
 		}),
 		suspects: call.NewSuspects(call.SuspectsConfig{Crashes: crashLimit}),
 	}
-	peerAddress := net.JoinHostPort(s.Address, portText(s.Ports[0]))
-	g.self = owner.Entry{
-		Name: s.Name, Boot: cfg.Boot, Front: s.Front, Peer: peerAddress, Place: s.Place, Region: s.Region,
+	if err := g.listen(); err != nil {
+		return nil, err
 	}
 	g.view.Store(&view{})
 	g.bounds.Store(&s.Bounds)
 	g.store = platform.NewStore(platform.StoreConfig{
-		Address: s.Store, HTTP: storeClient(),
+		Address: s.Store, Name: s.Name, HTTP: storeClient(),
 		Refused: func(err error) { g.log.WithError(err).Warn("store: object not understood") },
 	})
 	g.control = newControl(g)
 	if g.relay, err = relay.New(relay.Config{
-		Address: peerAddress, Source: g.control, Heard: g.control.heard, Log: g.log,
+		Address: net.JoinHostPort(s.Address, strconv.Itoa(s.Ports[0])),
+		Source:  g.control, Heard: g.control.heard, Log: g.log,
 	}); err != nil {
+		g.unlisten()
 		return nil, err
 	}
-	return g, g.listen()
+	g.self = owner.Entry{
+		Name: s.Name, Boot: cfg.Boot, Front: g.front.Addr().String(), Peer: g.relay.Address(),
+		Place: s.Place, Region: s.Region,
+	}
+	return g, nil
 }
 
 // crashLimit is how many targets in a row a request may crash before it is sent
@@ -107,12 +113,21 @@
 		{"front", &g.front, s.Front}, {"ready", &g.ready, s.Ready}, {"directory", &g.directory, s.Directory},
 	} {
 		if *l.on, err = net.Listen("tcp", l.addr); err != nil {
+			g.unlisten()
 			return errors.WithMessage(err, l.name)
 		}
 	}
 	return nil
 }
 
+func (g *Gateway) unlisten() {
+	for _, l := range []net.Listener{g.front, g.ready, g.directory} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
 // Serve runs until ctx ends, then stops gracefully.
 func (g *Gateway) Serve(ctx context.Context) (err error) {
 	traffic, stopTraffic := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/objects"
+	"plumpitch.example/plumpitch/internal/standin/worker"
+	"plumpitch.example/plumpitch/platform"
+)
+
+// bound is the longest that a test waits for a condition.
+const bound = 10 * time.Second
+
+// world is a site on loopback: a store, targets and entries.
+type world struct {
+	c       *qt.C
+	store   *objects.Store
+	server  *httptest.Server
+	workers []*worker.Worker
+	version int
+	last    int
+}
+
+// site is what a world's first configuration holds.
+type site struct {
+	targets  int
+	kind     string // of the route; idempotent if empty
+	timeout  string // default 2s
+	attempts int    // default 3
+}
+
+func newWorld(t *testing.T, s site) *world {
+	w := &world{c: qt.New(t), store: objects.New()}
+	w.server = httptest.NewServer(w.store)
+	t.Cleanup(w.server.CloseClientConnections)
+	for range s.targets {
+		w.target("gowns")
+	}
+	w.configure(s)
+	return w
+}
+
+// configure puts a configuration with one route to the service gowns.
+func (w *world) configure(s site) {
+	if s.kind == "" {
+		s.kind = "idempotent"
+	}
+	if s.timeout == "" {
+		s.timeout = "2s"
+	}
+	if s.attempts == 0 {
+		s.attempts = 3
+	}
+	w.put(map[string]any{"r-a": map[string]any{
+		"host": "veil.example", "pathPrefix": "/a/", "routeType": s.kind, "timeout": s.timeout,
+		"targetLatency": "1s", "priority": 1, "attempts": s.attempts, "service": "gowns",
+	}})
+}
+
+// put writes a newer configuration with these routes.
+func (w *world) put(routes map[string]any) {
+	w.version++
+	w.store.Put("config", "main", map[string]any{
+		"version": fmt.Sprintf("r%d", w.version), "routes": routes,
+		"services": map[string]any{
+			"gowns": map[string]any{"healthPath": "/health", "maxConns": 200},
+			"veils": map[string]any{"healthPath": "/health", "maxConns": 200},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": "15s"},
+	})
+}
+
+// target starts a target and puts it on record.
+func (w *world) target(service string) *worker.Worker {
+	k, err := worker.Start(fmt.Sprintf("i-%d", len(w.workers)))
+	w.c.Assert(err, qt.IsNil)
+	w.c.Cleanup(k.Close)
+	w.workers = append(w.workers, k)
+	w.record(k, service, "ready")
+	return k
+}
+
+// record writes a target's own record.
+func (w *world) record(k *worker.Worker, service, state string) {
+	w.store.Put("servers", k.ID, map[string]any{
+		"address": k.Address(),
+		"info":    map[string]any{"service": service, "version": "v1", "zone": "hall", "concurrency": k.Slots},
+		"status":  map[string]any{"state": state, "sequence": 1, "warmupLeft": "0ms"},
+	})
+}
+
+// entry is one running gateway.
+type entry struct {
+	*Gateway
+	w    *world
+	stop context.CancelFunc
+	done chan error
+}
+
+func (w *world) entry(name string) *entry {
+	bounds, err := platform.ParseSettings([]byte(settingsText))
+	w.c.Assert(err, qt.IsNil)
+	s := platform.Settings{
+		Name: name, Place: "hall", Region: "metro", Address: "127.0.0.1",
+		Front: "127.0.0.1:0", Ready: "127.0.0.1:0", Directory: "127.0.0.1:0",
+		Store: strings.TrimPrefix(w.server.URL, "http://"), Bounds: bounds.Bounds,
+	}
+	g, err := New(Config{Settings: s, Boot: uint64(time.Now().UnixNano()), Log: &log.Logger{Handler: discard.New()}})
+	w.c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &entry{Gateway: g, w: w, stop: cancel, done: make(chan error, 1)}
+	go func() { e.done <- g.Serve(ctx) }()
+	w.c.Cleanup(cancel)
+	return e
+}
+
+const settingsText = `
+nodeName: n
+zone: hall
+region: metro
+ip: 127.0.0.1
+listen: {front: "127.0.0.1:1", ready: "127.0.0.1:2", directory: "127.0.0.1:3"}
+internalPorts: [1, 2]
+platform: {address: "127.0.0.1:4"}
+bounds: ["grace=3s"]
+`
+
+// settled waits until the entry knows a configuration and all targets.
+func (e *entry) settled() *entry {
+	e.w.until("an entry that knows all", func() bool {
+		v := e.view.Load()
+		return v.table != nil && int(v.table.Config.Version) == e.w.version && e.knows("gowns")
+	})
+	return e
+}
+
+func (e *entry) knows(service string) bool {
+	sv := e.view.Load().services[service]
+	return sv != nil && sv.book.Size() > 0
+}
+
+func (w *world) until(what string, ok func() bool) {
+	w.c.Helper()
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	w.c.Fatalf("not within %v: %s", bound, what)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	id     string
+	err    error
+	took   time.Duration
+}
+
+// call makes one attempt as a caller.
+func (e *entry) call(method, path, body string) reply {
+	e.w.last++
+	return e.callWith(context.Background(), fmt.Sprintf("q-%d", e.w.last), method, path, body)
+}
+
+func (e *entry) callWith(ctx context.Context, id, method, path, body string) (out reply) {
+	began := time.Now()
+	defer func() { out.took = time.Since(began) }()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.self.Front+path, strings.NewReader(body))
+	e.w.c.Assert(err, qt.IsNil)
+	r.Host = "veil.example"
+	r.Header.Set("Plumpitch-Request-Id", id)
+	r.Header.Set("Plumpitch-Request-Deadline", "5000")
+	out.id = id
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		out.err = err
+		return out
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	out.status, out.header, out.body, out.err = res.StatusCode, res.Header, string(b), err
+	return out
+}
+
+// runs counts the runs of a request at all targets.
+func (w *world) runs(id string) (n int) {
+	for _, k := range w.workers {
+		for _, r := range k.Runs() {
+			if r.Request == id {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/gateway/knowledge_test.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/objects"
+	"plumpitch.example/plumpitch/pkg/route"
+)
+
+// apply is how long a configuration may take until it is in force, from the
+// store's answer to the operator.
+const apply = 2 * time.Second
+
+func (e *entry) version() route.Version {
+	v := e.view.Load()
+	if v.table == nil {
+		return 0
+	}
+	return v.table.Config.Version
+}
+
+// An entry that has no configuration can't tell a route that doesn't exist from
+// one that it doesn't know yet: it refuses and isn't ready.
+func TestEntryWithoutConfiguration(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	w.store.Fail(func(*http.Request) objects.Fault { return objects.Fault{Down: true} })
+	e := w.entry("a")
+	a := e.call("GET", "/a/x", "")
+	w.c.Assert(a.status, qt.Equals, http.StatusServiceUnavailable)
+	w.c.Assert(a.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	rec := httptest.NewRecorder()
+	e.sideHandler().ServeHTTP(rec, httptest.NewRequest("GET", "/readiness", nil))
+	w.c.Assert(rec.Code, qt.Equals, http.StatusServiceUnavailable)
+	w.store.Fail(nil)
+	e.settled()
+}
+
+// The operator's change is acknowledged and its routes must be served within
+// 2 s. Meanwhile the store's watches hear of no change, and its history is
+// dropped without a word to those that wait.
+func TestDeafWatchMissesNoConfiguration(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	e := w.entry("a").settled()
+	w.store.Deafen(true)
+	w.configure(site{})
+	began := time.Now()
+	w.store.Compact()
+	time.AfterFunc(time.Second, func() { w.store.Deafen(false) })
+	w.until("the change in force", func() bool { return int(e.version()) == w.version })
+	w.c.Assert(time.Since(began) < apply, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
+
+// The store turns one entry away and serves the others. Its callers must get
+// what is in force all the same: the others tell it.
+func TestEntryThatTheStoreTurnsAway(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	a := w.entry("a").settled()
+	b := w.entry("b").settled()
+	w.until("both entries live", func() bool { return len(a.view.Load().live) == 2 && len(b.view.Load().live) == 2 })
+	w.store.Fail(turnAway(b))
+	time.Sleep(300 * time.Millisecond)
+	w.configure(site{})
+	began := time.Now()
+	w.until("the change in force at both", func() bool {
+		return int(a.version()) == w.version && int(b.version()) == w.version
+	})
+	w.c.Assert(time.Since(began) < apply, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	k := w.target("gowns")
+	w.until("the new target at both", func() bool { return a.hasTarget(k.ID) && b.hasTarget(k.ID) })
+}
+
+// turnAway makes the store refuse the calls of one entry, by its connections'
+// local addresses.
+func turnAway(e *entry) func(*http.Request) objects.Fault {
+	return func(r *http.Request) objects.Fault {
+		return objects.Fault{Down: r.Header.Get("User-Agent") == e.self.Name}
+	}
+}
+
+func (e *entry) hasTarget(id string) bool {
+	sv := e.view.Load().services["gowns"]
+	return sv != nil && sv.book.Has(id)
+}
+
+// A target says that it leaves, or its record is removed. 2 s after the store
+// acknowledged that, no request may reach it.
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(w *world)
+	}{
+		{"draining", func(w *world) { w.record(w.workers[0], "gowns", "draining") }},
+		{"removed", func(w *world) { w.store.Delete("servers", w.workers[0].ID) }},
+		{"removed in a gap of the history", func(w *world) {
+			w.store.Delete("servers", w.workers[0].ID)
+			w.store.Compact()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, site{targets: 2})
+			e := w.entry("a").settled()
+			tt.leave(w)
+			left := time.Now()
+			for time.Since(left) < 2500*time.Millisecond {
+				e.call("GET", "/a/x", "")
+			}
+			for _, r := range w.workers[0].Runs() {
+				w.c.Assert(r.At.Sub(left) < 2*time.Second, qt.IsTrue)
+			}
+			w.c.Assert(len(w.workers[1].Runs()) > 0, qt.IsTrue)
+		})
+	}
+}
+
+// The store answers with an older configuration than it did before, as a stale
+// read or a restored store would. The entry stays with the newer one.
+func TestNoWayBack(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	w.configure(site{})
+	e := w.entry("a").settled()
+	w.version -= 2
+	w.configure(site{})
+	w.version++
+	time.Sleep(1500 * time.Millisecond)
+	w.c.Assert(int(e.version()), qt.Equals, 2)
+}
+
+// A list that comes in several pages is a whole list.
+func TestPages(t *testing.T) {
+	w := newWorld(t, site{targets: 7})
+	w.store.Page(3)
+	e := w.entry("a").settled()
+	w.until("all targets", func() bool { return e.view.Load().services["gowns"].book.Size() == 7 })
+}
--- a/internal/gateway/net.go
+++ b/internal/gateway/net.go
@@ -3,14 +3,9 @@
 import (
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 )
 
-func portText(port int) string {
-	return strconv.Itoa(port)
-}
-
 // Connections to the store may go silent without a reset while new ones work.
 // Keep-alive probes then end a waiting watch within storeProbe times
 // storeProbes, and an entry learns of the next change by a new one.
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// An entry is told to stop while a request runs and callers still hold its
+// address. The request is answered, new ones are served until nobody is sent
+// here any more, and the process ends within its grace.
+func TestGracefulStop(t *testing.T) {
+	w := newWorld(t, site{targets: 2, kind: "non_idempotent"})
+	e := w.entry("a").settled()
+	for _, k := range w.workers {
+		k.Work(600 * time.Millisecond)
+	}
+	answered := make(chan reply, 1)
+	go func() { answered <- e.callWith(t.Context(), "running", "POST", "/a/x", "veil") }()
+	w.until("the run", func() bool { return w.runs("running") == 1 })
+	began := time.Now()
+	e.stop()
+	w.until("not ready", func() bool {
+		rec := httptest.NewRecorder()
+		e.sideHandler().ServeHTTP(rec, httptest.NewRequest("GET", "/readiness", nil))
+		return rec.Code == http.StatusServiceUnavailable
+	})
+	w.c.Assert(e.callWith(t.Context(), "late", "POST", "/a/x", "veil").status, qt.Equals, http.StatusOK)
+	w.c.Assert((<-answered).status, qt.Equals, http.StatusOK)
+	w.c.Assert(<-e.done, qt.IsNil)
+	w.c.Assert(time.Since(began) < 3*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	w.c.Assert(w.store.Names("entries"), qt.HasLen, 0)
+}
+
+// The owner of a service dies without a word. Within two seconds callers must
+// be sent to another entry.
+func TestDeadEntryLeavesTheDirectory(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	entries := []*entry{w.entry("a").settled(), w.entry("b").settled()}
+	w.until("both live", func() bool {
+		return len(entries[0].view.Load().live) == 2 && len(entries[1].view.Load().live) == 2
+	})
+	named := entries[0].view.Load().addresses("veil.example", entries[0].self)
+	dead, other := entries[0], entries[1]
+	if named[0] == other.self.Front {
+		dead, other = other, dead
+	}
+	dead.relay.Close()
+	began := time.Now()
+	w.until("another entry is named", func() bool {
+		return other.view.Load().addresses("veil.example", other.self)[0] == other.self.Front
+	})
+	w.c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -96,7 +96,8 @@
 	if r.packets, err = net.ListenPacket("udp", cfg.Address); err != nil {
 		return nil, err
 	}
-	if r.listener, err = net.Listen("tcp", cfg.Address); err != nil {
+	// Datagrams and calls share one port, so that a beat names both.
+	if r.listener, err = net.Listen("tcp", r.Address()); err != nil {
 		r.packets.Close()
 		return nil, err
 	}
@@ -108,12 +109,14 @@
 	return r, nil
 }
 
+// Address is where the other entries find this one.
+func (r *Relay) Address() string {
+	return r.packets.LocalAddr().String()
+}
+
 // Serve answers calls and hears beats until ctx ends.
 func (r *Relay) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() {
-		r.packets.Close()
-		r.server.Close()
-	})
+	stop := context.AfterFunc(ctx, r.Close)
 	defer stop()
 	go r.hear()
 	err := r.server.Serve(r.listener)
@@ -123,6 +126,12 @@
 	return err
 }
 
+// Close ends all traffic with the other entries.
+func (r *Relay) Close() {
+	r.packets.Close()
+	r.server.Close()
+}
+
 func (r *Relay) String() string { return "relay" }
 
 func (r *Relay) hear() {
--- /dev/null
+++ b/internal/standin/objects/objects.go
@@ -0,0 +1,232 @@
+// Package objects is a stand-in for the users' metadata store: objects by kind
+// and name, one revision for all, conditional writes, lists, watches, and the
+// ways in which the store fails.
+package objects
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Object is one stored object.
+type Object struct {
+	Name     string
+	Revision uint64
+	Created  uint64
+	Spec     json.RawMessage
+}
+
+// event is one change of the history.
+type event struct {
+	kind    string
+	object  Object
+	deleted bool
+}
+
+// Fault is what the store does instead of answering. The zero value is a store
+// that is well.
+type Fault struct {
+	Down   bool          // calls get 503
+	Silent bool          // calls get no answer
+	Delay  time.Duration // before each answer
+	Lost   bool          // writes are done, and not answered
+}
+
+// Store is the stand-in. It is an http.Handler.
+type Store struct {
+	mu      sync.Mutex
+	objects map[string]map[string]Object
+	history []event
+	at      uint64
+	first   uint64 // revision from which the history is known
+	moved   chan struct{}
+	fault   func(r *http.Request) Fault
+	calls   int
+	deaf    bool
+	page    int
+}
+
+// pageSize is how many objects a page of a list holds, unless it is set.
+const pageSize = 500
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		objects: make(map[string]map[string]Object), at: 1, first: 1, moved: make(chan struct{}), page: pageSize,
+		fault: func(*http.Request) Fault { return Fault{} },
+	}
+}
+
+// Fail sets the faults for each call; nil ends them.
+func (s *Store) Fail(f func(r *http.Request) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f == nil {
+		f = func(*http.Request) Fault { return Fault{} }
+	}
+	s.fault = f
+}
+
+// Deafen sets whether watches hear of changes. One that waits meanwhile goes on
+// hearing nothing until its time ends, as after a cut that nobody is told of.
+func (s *Store) Deafen(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+}
+
+func (s *Store) isDeaf() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deaf
+}
+
+// Page sets how many objects a page of a list holds.
+func (s *Store) Page(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.page = n
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Compact forgets the history. Watches from before get 410.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.first = nil, s.at
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.moved)
+	s.moved = make(chan struct{})
+}
+
+// Put writes an object, as the operator and the targets do.
+func (s *Store) Put(kind, name string, spec any) uint64 {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(kind, name, data).Revision
+}
+
+func (s *Store) put(kind, name string, spec json.RawMessage) Object {
+	s.at++
+	o := Object{Name: name, Revision: s.at, Created: s.at, Spec: spec}
+	if old, ok := s.objects[kind][name]; ok {
+		o.Created = old.Created
+	}
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]Object)
+	}
+	s.objects[kind][name] = o
+	s.history = append(s.history, event{kind: kind, object: o})
+	s.wake()
+	return o
+}
+
+// Delete removes an object.
+func (s *Store) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+func (s *Store) remove(kind, name string) {
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return
+	}
+	s.at++
+	o.Revision = s.at
+	delete(s.objects[kind], name)
+	s.history = append(s.history, event{kind: kind, object: o, deleted: true})
+	s.wake()
+}
+
+// Names returns the names of a kind's objects.
+func (s *Store) Names(kind string) (names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := range s.objects[kind] {
+		names = append(names, n)
+	}
+	return names
+}
+
+// events returns the changes of a kind after a revision. gone says that they
+// are not known any more.
+func (s *Store) events(kind string, after uint64) (list []event, at uint64, gone bool, moved <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.history {
+		if e.kind == kind && e.object.Revision > after {
+			list = append(list, e)
+		}
+	}
+	return list, s.at, after < s.first, s.moved
+}
+
+func (s *Store) failing(r *http.Request) Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.fault(r)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f := s.failing(r)
+	if f.Silent {
+		<-r.Context().Done()
+		return
+	}
+	time.Sleep(f.Delay)
+	if f.Down {
+		http.Error(w, `{"error":"try later"}`, http.StatusServiceUnavailable)
+		return
+	}
+	if f.Lost && r.Method != http.MethodGet {
+		w = &lost{header: make(http.Header)}
+		defer panic(http.ErrAbortHandler)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects/{kind}", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("watch") {
+			s.watch(w, r)
+			return
+		}
+		s.list(w, r)
+	})
+	mux.HandleFunc("POST /objects/{kind}", s.create)
+	mux.HandleFunc("PUT /objects/{kind}/{name}", s.replace)
+	mux.HandleFunc("DELETE /objects/{kind}/{name}", s.drop)
+	mux.ServeHTTP(w, r)
+}
+
+// lost is an answer that nobody gets.
+type lost struct{ header http.Header }
+
+func (l *lost) Header() http.Header         { return l.header }
+func (l *lost) Write(p []byte) (int, error) { return len(p), nil }
+func (l *lost) WriteHeader(int)             {}
+
+func number(r *http.Request, name string) uint64 {
+	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/internal/standin/worker/worker.go
@@ -0,0 +1,291 @@
+// Package worker is a stand-in for a target as the users' platform has them:
+// it runs requests in a few slots, signs and names its answers, tells its load,
+// and fails in the ways that targets do. It logs each run before the work
+// begins, and so is the witness of the tests.
+package worker
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Fault is how a target answers. The zero value is one that is well.
+type Fault struct {
+	Shed     bool          // refuses, runs nothing
+	Fail     bool          // answers 500 after the run
+	Lose     bool          // runs, then closes the connection without an answer
+	Cut      bool          // closes the connection within the body
+	Extra    bool          // sends its answer twice
+	ExtraIn  time.Duration // how long after the first the second one comes
+	Unsigned bool          // answers without its signature
+	Unframed bool          // the body ends with the connection
+	Crossed  bool          // answers under another request's id
+	Mute     bool          // runs and never answers
+	Early    bool          // answers before it has read the body
+	Plain503 bool          // answers 503 after the run, without word that it didn't run
+	Other    string        // the address belongs to this target now
+}
+
+// Run is one logged run.
+type Run struct {
+	Request  string
+	Path     string
+	Body     string
+	Deadline string
+	At       time.Time
+	Gone     time.Time // when the caller's connection ended during the run
+}
+
+// Worker is the stand-in.
+type Worker struct {
+	ID    string
+	Slots int
+
+	l      net.Listener
+	mu     sync.Mutex
+	work   time.Duration
+	pace   int
+	sick   bool
+	fault  func(*http.Request) Fault
+	runs   []Run
+	now    int
+	asks   int
+	conns  int
+	open   map[net.Conn]bool
+	closed bool
+}
+
+// Start runs a worker on loopback.
+func Start(id string) (w *Worker, err error) {
+	w = &Worker{ID: id, Slots: 2, pace: 100, open: make(map[net.Conn]bool), fault: func(*http.Request) Fault { return Fault{} }}
+	if w.l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	go w.accept()
+	return w, nil
+}
+
+// Address is where it listens.
+func (w *Worker) Address() string { return w.l.Addr().String() }
+
+// Close ends the worker and its connections.
+func (w *Worker) Close() {
+	w.mu.Lock()
+	w.closed = true
+	for c := range w.open {
+		c.Close()
+	}
+	w.mu.Unlock()
+	w.l.Close()
+}
+
+// Work sets how long a request takes at the usual pace.
+func (w *Worker) Work(d time.Duration) { w.set(func() { w.work = d }) }
+
+// Pace sets how long work takes, in percent of the usual.
+func (w *Worker) Pace(percent int) { w.set(func() { w.pace = percent }) }
+
+// Sick sets whether the health endpoint says that it is ill.
+func (w *Worker) Sick(sick bool) { w.set(func() { w.sick = sick }) }
+
+// Fail sets the faults of each request; nil ends them.
+func (w *Worker) Fail(f func(*http.Request) Fault) {
+	w.set(func() {
+		if f == nil {
+			f = func(*http.Request) Fault { return Fault{} }
+		}
+		w.fault = f
+	})
+}
+
+func (w *Worker) set(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+// Runs returns the runs so far.
+func (w *Worker) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Run(nil), w.runs...)
+}
+
+// Asks returns how often it was asked for its load.
+func (w *Worker) Asks() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.asks
+}
+
+// Conns returns how many connections were made to it.
+func (w *Worker) Conns() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.conns
+}
+
+func (w *Worker) accept() {
+	for {
+		c, err := w.l.Accept()
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.conns++
+		w.open[c] = true
+		w.mu.Unlock()
+		go func() {
+			defer func() {
+				w.set(func() { delete(w.open, c) })
+				c.Close()
+			}()
+			w.serve(c)
+		}()
+	}
+}
+
+// conn is a connection of which the end is noticed during a run.
+type conn struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func (w *Worker) serve(c net.Conn) {
+	k := &conn{c, bufio.NewReader(c)}
+	for {
+		r, err := http.ReadRequest(k.br)
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		f := w.fault(r)
+		w.mu.Unlock()
+		if r.Method == http.MethodGet && r.URL.Path == "/health" {
+			w.health(k)
+			continue
+		}
+		if !w.request(k, r, f) {
+			return
+		}
+	}
+}
+
+// load is the load header. The lock is held.
+func (w *Worker) load() string {
+	return fmt.Sprintf("Plumpitch-Server-Load: %d,0,%d,%d\r\n", w.now, w.Slots, w.pace)
+}
+
+func (w *Worker) health(k *conn) {
+	w.mu.Lock()
+	w.asks++
+	status := "200 OK"
+	if w.sick {
+		status = "503 Service Unavailable"
+	}
+	head := "HTTP/1.1 " + status + "\r\nPlumpitch-Instance-Id: " + w.ID + "\r\n" + w.load() + "Content-Length: 0\r\n\r\n"
+	w.mu.Unlock()
+	_, _ = io.WriteString(k, head)
+}
+
+// request serves one request and reports whether the connection goes on.
+func (w *Worker) request(k *conn, r *http.Request, f Fault) bool {
+	id := r.Header.Get("Plumpitch-Request-Id")
+	if f.Early {
+		_, _ = io.WriteString(k, "HTTP/1.1 413 Content Too Large\r\nPlumpitch-Request-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return false
+	}
+	if f.Early {
+		return true
+	}
+	if want := r.Header.Get("Plumpitch-Target-Instance"); want != "" && want != w.ID || f.Other != "" && want != f.Other {
+		_, _ = io.WriteString(k, "HTTP/1.1 421 Misdirected Request\r\nPlumpitch-Instance-Id: "+f.Other+"\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	if f.Shed {
+		_, _ = io.WriteString(k, "HTTP/1.1 503 Service Unavailable\r\nPlumpitch-Not-Executed: 1\r\nPlumpitch-Request-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	w.run(k, r, string(body))
+	return w.answer(k, r, f, string(body))
+}
+
+// run logs a run, works, and notes when the caller left meanwhile.
+func (w *Worker) run(k *conn, r *http.Request, body string) {
+	w.mu.Lock()
+	i := len(w.runs)
+	w.runs = append(w.runs, Run{
+		Request: r.Header.Get("Plumpitch-Request-Id"), Path: r.URL.RequestURI(), Body: body,
+		Deadline: r.Header.Get("Plumpitch-Request-Deadline"), At: time.Now(),
+	})
+	w.now++
+	work := w.work * time.Duration(w.pace) / 100
+	w.mu.Unlock()
+	if work > 0 {
+		_ = k.SetReadDeadline(time.Now().Add(work))
+		if _, err := k.br.Peek(1); err != nil && !isTimeout(err) {
+			w.set(func() { w.runs[i].Gone = time.Now() })
+		} else if rest := time.Until(w.Runs()[i].At.Add(work)); rest > 0 {
+			time.Sleep(rest)
+		}
+		_ = k.SetReadDeadline(time.Time{})
+	}
+	w.set(func() { w.now-- })
+}
+
+func isTimeout(err error) bool {
+	t, ok := err.(net.Error)
+	return ok && t.Timeout()
+}
+
+func (w *Worker) answer(k *conn, r *http.Request, f Fault, body string) bool {
+	text := "ran " + r.URL.Path + " " + body
+	id := r.Header.Get("Plumpitch-Request-Id")
+	if f.Crossed {
+		id = "another"
+	}
+	status, sign := "200 OK", "Plumpitch-Response-Signature: signed-by-"+w.ID+"\r\n"
+	switch {
+	case f.Lose:
+		return false
+	case f.Mute:
+		_, _ = io.Copy(io.Discard, k)
+		return false
+	case f.Plain503:
+		status = "503 Service Unavailable"
+	case f.Fail:
+		status = "500 Internal Server Error"
+	}
+	if f.Unsigned {
+		sign = ""
+	}
+	w.mu.Lock()
+	head := "HTTP/1.1 " + status + "\r\nPlumpitch-Request-Id: " + id + "\r\n" + sign + w.load()
+	w.mu.Unlock()
+	if f.Unframed {
+		_, _ = io.WriteString(k, head+"\r\n"+text)
+		return false
+	}
+	whole := head + "Content-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text
+	if f.Cut {
+		_, _ = io.WriteString(k, whole[:len(whole)-1])
+		return false
+	}
+	_, _ = io.WriteString(k, whole)
+	if f.Extra {
+		if f.ExtraIn > 0 {
+			time.Sleep(f.ExtraIn)
+		}
+		_, _ = io.WriteString(k, whole)
+	}
+	return true
+}
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -201,6 +201,12 @@
 	}
 }
 
+// Size returns the number of targets.
+func (b *Book) Size() int { return len(b.members) }
+
+// Has reports whether there is such a target.
+func (b *Book) Has(id string) bool { return b.members[id] != nil }
+
 // Len returns the number of requests that seek a target and of those in flight.
 func (b *Book) Len() (seeking, inFlight int) {
 	return len(b.seeking), len(b.flights)
