slot: a target that failed gets its trial; tests of the decision packages

Cause: found by TestFailingTargets: candidates that were out came last in the order, so that none of them was ever asked or sent a trial while others had room, and a recovered target stayed out. Change: once its rest is over it is a candidate like any other, one request at a time.

--- /dev/null
+++ b/pkg/route/route_test.go
@@ -0,0 +1,68 @@
+package route
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func one(service string) []Part { return []Part{{Service: service, Weight: 1}} }
+
+func TestFind(t *testing.T) {
+	table := New(Config{Routes: []Route{
+		{Name: "short", Host: "veil.example", Prefix: "/a/", Parts: one("s")},
+		{Name: "long", Host: "veil.example", Prefix: "/a/b/", Parts: one("s")},
+		{Name: "other", Host: "gown.example", Prefix: "/", Parts: one("s")},
+	}}, nil)
+	tests := []struct {
+		name, host, path, want string
+	}{
+		{"longest prefix", "veil.example", "/a/b/c", "long"},
+		{"shorter where the longer ends", "veil.example", "/a/bc", "short"},
+		{"prefix ends with its slash", "veil.example", "/a", ""},
+		{"port and case don't count", "VEIL.example:8080", "/a/x", "short"},
+		{"root of another host", "gown.example", "/a/x", "other"},
+		{"unknown host", "hem.example", "/a/x", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := ""
+			if e := table.Find(tt.host, tt.path); e != nil {
+				got = e.Name
+			}
+			qt.Assert(t, got, qt.Equals, tt.want)
+		})
+	}
+}
+
+// The operator splits a route 9 to 1. After any number of requests each part
+// must be within one request of its share, also on a small sample and across
+// versions that leave the split as it is.
+func TestSplit(t *testing.T) {
+	c := qt.New(t)
+	parts := []Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}
+	cfg := Config{Version: 1, Routes: []Route{{Name: "r", Host: "h", Prefix: "/", Parts: parts}}}
+	table := New(cfg, nil)
+	count := map[string]int{}
+	for i := 1; i <= 500; i++ {
+		if i%7 == 0 {
+			cfg.Version++
+			table = New(cfg, table)
+		}
+		count[table.Find("h", "/x").Split.Next()]++
+		diff := float64(count["a"]) - 0.9*float64(i)
+		c.Assert(diff <= 1 && diff >= -1, qt.IsTrue, qt.Commentf("after %d: %v", i, count))
+	}
+}
+
+func TestHome(t *testing.T) {
+	table := New(Config{Routes: []Route{
+		{Name: "a", Host: "h", Prefix: "/a/", Parts: []Part{{"s1", 1}, {"s2", 3}}},
+		{Name: "b", Host: "h", Prefix: "/b/", Parts: one("s1")},
+		{Name: "c", Host: "g", Prefix: "/", Parts: []Part{{"s2", 1}, {"s1", 1}}},
+	}}, nil)
+	tests := []struct{ host, want string }{{"h", "s1"}, {"g", "s1"}, {"x", ""}}
+	for _, tt := range tests {
+		qt.Assert(t, table.Home(tt.host), qt.Equals, tt.want)
+	}
+}
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -18,6 +18,7 @@
 	queue   []*seeker // waiting, in the order in which they are served
 	usual   usual
 	mean    float64 // pace over all targets
+	scratch []candidate
 }
 
 // seeker is a request without a target.
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -1,7 +1,6 @@
 package slot
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -27,56 +26,60 @@
 	expected time.Duration
 }
 
-// candidates returns the targets that could take s, the most promising first.
-func (b *Book) candidates(now time.Time, s *seeker) []candidate {
-	var list []candidate
-	for _, m := range b.order {
+// candidates returns at most n of the targets that could take s, the most
+// promising first. It looks at each target once, from a random one on, so that
+// equal ones take turns.
+func (b *Book) candidates(now time.Time, s *seeker, n int) []candidate {
+	list := b.scratch[:0]
+	total := len(b.order)
+	if total == 0 || n <= 0 {
+		return nil
+	}
+	from := b.rnd.IntN(total)
+	for i := range total {
+		m := b.order[(from+i)%total]
 		if !b.usable(now, m, s) {
 			continue
 		}
 		pace := m.estimate(now, b.mean, &b.cfg)
-		list = append(list, candidate{m, pace, m.expected(now, b.usual.mean, pace, &b.cfg)})
+		list = b.insert(list, candidate{m, pace, m.expected(now, b.usual.mean, pace, &b.cfg)}, n)
 	}
-	b.rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(x.rank(), y.rank()), cmp.Compare(x.expected, y.expected), b.nearer(x, y))
-	})
+	b.scratch = list
 	return list
 }
 
-// rank puts trial requests of targets that failed last.
-func (c candidate) rank() int {
-	if c.out {
-		return 1
+// insert keeps the n most promising candidates in order.
+func (b *Book) insert(list []candidate, c candidate, n int) []candidate {
+	at := len(list)
+	for at > 0 && b.better(c, list[at-1]) {
+		at--
+	}
+	if at == n {
+		return list
 	}
-	return 0
+	if len(list) == n {
+		list = list[:n-1]
+	}
+	return slices.Insert(list, at, c)
 }
 
-// nearer prefers a target in the entry's own failure domain.
-func (b *Book) nearer(x, y candidate) int {
-	switch {
-	case x.Place == y.Place:
-		return 0
-	case x.Place == b.cfg.Place:
-		return -1
-	case y.Place == b.cfg.Place:
-		return 1
+// better prefers the earlier end, and of equal ones the target in the entry's
+// own failure domain.
+func (b *Book) better(x, y candidate) bool {
+	if x.expected != y.expected {
+		return x.expected < y.expected
 	}
-	return 0
+	return x.Place == b.cfg.Place && y.Place != b.cfg.Place
 }
 
 // ask asks the most promising targets for their load.
 func (b *Book) ask(now time.Time, s *seeker, out []Action) []Action {
-	list := b.candidates(now, s)
+	list := b.candidates(now, s, b.cfg.Ask)
 	if len(list) == 0 {
-		return b.settle(now, s, out)
-	}
-	n := min(b.cfg.Ask, len(list))
-	if n <= 0 {
 		return b.decide(now, s, out)
 	}
 	s.until = now.Add(b.cfg.AskTime)
-	for _, c := range list[:n] {
+	for _, c := range list {
 		if c.loads && now.Sub(c.told) < askFresh {
 			continue
 		}
@@ -109,8 +112,7 @@
 // enough.
 func (b *Book) decide(now time.Time, s *seeker, out []Action) []Action {
 	s.pending = 0
-	list := b.candidates(now, s)
-	for _, c := range list {
+	for _, c := range b.candidates(now, s, choices) {
 		if b.good(now, c, s) {
 			return b.send(now, s, c.member, out)
 		}
@@ -118,6 +120,10 @@
 	return b.settle(now, s, out)
 }
 
+// choices is how many targets are looked at for a good one. The first is nearly
+// always taken; the others are for those to which a second request may not go.
+const choices = 8
+
 // margin is how much longer than expected an answer may take.
 const margin = 1.25
 
@@ -140,7 +146,7 @@
 	if now.Add(b.need()).Before(s.Objective) {
 		return b.wait(now, s, out)
 	}
-	for _, c := range b.candidates(now, s) {
+	for _, c := range b.candidates(now, s, choices) {
 		if c.busy(now, &b.cfg) == 0 && now.Add(time.Duration(float64(c.expected)*margin)).Before(s.Deadline) {
 			return b.send(now, s, c.member, out)
 		}
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -1,9 +1,6 @@
 package slot
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // flight is a request at a target.
 type flight struct {
@@ -46,10 +43,15 @@
 	if !m.loads {
 		return 1
 	}
-	fresh := math.Exp2(-float64(now.Sub(m.told)) / float64(c.Hold))
+	fresh := aged(now.Sub(m.told), c.Hold)
 	return m.pace*fresh + mean*(1-fresh)
 }
 
+// aged is the weight of a word of that age, half of it after half.
+func aged(age, half time.Duration) float64 {
+	return float64(half) / float64(half+max(age, 0))
+}
+
 // others is how many requests of other entries it holds. That word ages too.
 func (m *member) others(now time.Time, c *Config) int {
 	if m.foreign == 0 || now.Sub(m.told) > 2*c.Hold {
@@ -65,9 +67,8 @@
 // slower is how much longer than it says the target takes. A target that is
 // never sent anything would never be seen to have recovered, so this ages.
 func (m *member) slower(now time.Time) float64 {
-	const half = 2 * time.Second
-	aged := math.Exp2(-float64(now.Sub(m.judged)) / float64(half))
-	return 1 + (m.slowness-1)*aged
+	const half = time.Second
+	return 1 + (m.slowness-1)*aged(now.Sub(m.judged), half)
 }
 
 // expected is how long an answer takes that is asked for now.
--- a/pkg/slot/queue.go
+++ b/pkg/slot/queue.go
@@ -66,8 +66,8 @@
 
 // place sends s to a target of which fresh word says that it is good.
 func (b *Book) place(now time.Time, s *seeker, out []Action) (next []Action, sent bool) {
-	for _, c := range b.candidates(now, s) {
-		if !c.out && now.Sub(c.told) < askAgain && b.good(now, c, s) {
+	for _, c := range b.candidates(now, s, choices) {
+		if now.Sub(c.told) < askAgain && b.good(now, c, s) {
 			return b.send(now, s, c.member, out), true
 		}
 	}
--- /dev/null
+++ b/pkg/slot/slot_test.go
@@ -0,0 +1,218 @@
+package slot
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1000, 0)
+
+// desk is a book with a clock and a count of what it did.
+type desk struct {
+	*Book
+	now  time.Time
+	last uint64
+}
+
+func newDesk(targets int) *desk {
+	d := &desk{Book: New(Config{}, rand.New(rand.NewPCG(1, 2))), now: start}
+	var list []Target
+	for i := range targets {
+		list = append(list, Target{ID: fmt.Sprintf("t%d", i), Slots: 2})
+	}
+	d.Targets(d.now, list, nil)
+	return d
+}
+
+func (d *desk) arrive() (id uint64, out []Action) {
+	d.last++
+	return d.last, d.Arrive(d.now, Request{
+		ID: d.last, Arrived: d.now, Objective: d.now.Add(200 * time.Millisecond), Deadline: d.now.Add(800 * time.Millisecond),
+	}, nil)
+}
+
+func (d *desk) says(id string, pace float64, running int) []Action {
+	return d.Replied(d.now, Reply{Target: id, Load: Load{Running: running, Slots: 2, Pace: pace}, Loaded: true, Well: true}, nil)
+}
+
+func pick(out []Action, do Do) (list []Action) {
+	for _, a := range out {
+		if a.Do == do {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// A request asks a few targets and goes to the one that says that it is idle and
+// as fast as usual, without waiting for the others.
+func TestGoesToTheIdealAtOnce(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(4)
+	_, out := d.arrive()
+	c.Assert(pick(out, Ask), qt.HasLen, 4)
+	c.Assert(pick(d.says("t0", 5, 0), Send), qt.HasLen, 0)
+	sent := pick(d.says("t1", 1, 0), Send)
+	c.Assert(sent, qt.HasLen, 1)
+	c.Assert(sent[0].Target.ID, qt.Equals, "t1")
+}
+
+// Two requests at once share one question to each target, and don't both go to
+// the one that is free.
+func TestQuestionsAreShared(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(2)
+	_, first := d.arrive()
+	_, second := d.arrive()
+	c.Assert(pick(first, Ask), qt.HasLen, 2)
+	c.Assert(pick(second, Ask), qt.HasLen, 0)
+	out := append(d.says("t0", 1, 0), d.says("t1", 1, 0)...)
+	sent := pick(out, Send)
+	c.Assert(sent, qt.HasLen, 2)
+	c.Assert(sent[0].Target.ID, qt.Not(qt.Equals), sent[1].Target.ID)
+}
+
+// No answer comes to any question. The request is still sent when the time for
+// answers is over.
+func TestNoAnswer(t *testing.T) {
+	d := newDesk(3)
+	d.arrive()
+	d.now = d.Next()
+	qt.Assert(t, pick(d.Tick(d.now, nil), Send), qt.HasLen, 1)
+}
+
+// All targets are busy and slow. The request waits while it can still meet its
+// objective and is refused after that, well before its deadline.
+func TestRefusedWhenTooLate(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(1)
+	d.arrive()
+	d.says("t0", 1, 0)
+	d.now = d.now.Add(50 * time.Millisecond)
+	began := d.now
+	_, out := d.arrive()
+	out = append(out, d.says("t0", 5, 1)...)
+	c.Assert(pick(out, Send), qt.HasLen, 0)
+	for len(pick(out, Refuse)) == 0 {
+		at := d.Next()
+		c.Assert(at.IsZero(), qt.IsFalse)
+		d.now = at
+		out = d.Tick(d.now, nil)
+		for range pick(out, Ask) {
+			out = append(out, d.says("t0", 5, 1)...)
+		}
+	}
+	c.Assert(d.now.Sub(began) < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", d.now.Sub(began)))
+	c.Assert(pick(out, Refuse)[0].Retry > 0, qt.IsTrue)
+	seeking, _ := d.Len()
+	c.Assert(seeking, qt.Equals, 0)
+}
+
+// A target leaves while requests wait: they go to the others or are refused,
+// and none to it.
+func TestLeavingTarget(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(2)
+	d.Targets(d.now, []Target{{ID: "t0", Slots: 2, Leaving: true}, {ID: "t1", Slots: 2}}, nil)
+	_, out := d.arrive()
+	asks := pick(out, Ask)
+	c.Assert(asks, qt.HasLen, 1)
+	c.Assert(asks[0].Target.ID, qt.Equals, "t1")
+	d.Targets(d.now, nil, nil)
+	_, out = d.arrive()
+	refused := pick(out, Refuse)
+	c.Assert(refused, qt.HasLen, 1)
+	c.Assert(refused[0].Reason, qt.Equals, NoTarget)
+}
+
+// A target that fails what it is sent gets trial requests only, and comes back
+// by one that goes well. Half of the targets stay in whatever they do.
+func TestFailingTargets(t *testing.T) {
+	tests := []struct {
+		name string
+		kind Kind
+	}{
+		{"errors", Failed}, {"lost connections", Lost}, {"hangs", TimedOut}, {"refusals", Shed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDesk(4)
+			got := 0
+			for range 200 {
+				d.now = d.now.Add(10 * time.Millisecond)
+				id, out := d.arrive()
+				for _, a := range pick(out, Ask) {
+					out = append(out, d.says(a.Target.ID, 1, 0)...)
+				}
+				for _, a := range pick(out, Send) {
+					kind := Served
+					if a.Target.ID == "t0" {
+						kind = tt.kind
+						got++
+					}
+					d.Done(d.now, End{ID: id, Kind: kind}, nil)
+				}
+			}
+			c.Assert(got < 20, qt.IsTrue, qt.Commentf("%d of 200 went to the failing one", got))
+			d.now = d.now.Add(10 * time.Second)
+			back := 0
+			for range 200 {
+				d.now = d.now.Add(10 * time.Millisecond)
+				id, out := d.arrive()
+				for _, a := range pick(out, Ask) {
+					out = append(out, d.says(a.Target.ID, 1, 0)...)
+				}
+				for _, a := range pick(out, Send) {
+					if a.Target.ID == "t0" {
+						back++
+					}
+					d.Done(d.now, End{ID: id, Kind: Served}, nil)
+				}
+			}
+			c.Assert(back > 20, qt.IsTrue, qt.Commentf("%d of 200 went to the recovered one", back))
+		})
+	}
+}
+
+func TestHalfStaysIn(t *testing.T) {
+	d := newDesk(4)
+	for range 400 {
+		d.now = d.now.Add(10 * time.Millisecond)
+		id, out := d.arrive()
+		for _, a := range pick(out, Ask) {
+			out = append(out, d.says(a.Target.ID, 1, 0)...)
+		}
+		for range pick(out, Send) {
+			d.Done(d.now, End{ID: id, Kind: Failed}, nil)
+		}
+	}
+	out := 0
+	for _, m := range d.order {
+		if m.out {
+			out++
+		}
+	}
+	qt.Assert(t, out <= 2, qt.IsTrue)
+}
+
+// A decision at 250 targets, with all of them known.
+func BenchmarkArrive(b *testing.B) {
+	d := newDesk(250)
+	for i := range 250 {
+		d.says(fmt.Sprintf("t%d", i), 1, 0)
+	}
+	for b.Loop() {
+		id, out := d.arrive()
+		for _, a := range out {
+			if a.Do == Ask {
+				d.says(a.Target.ID, 1, 0)
+			}
+		}
+		d.Done(d.now, End{ID: id}, nil)
+	}
+}
