--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -105,7 +105,7 @@
 // ideal reports whether m just said that it is idle and as fast as usual: then
 // no other answer can change the choice.
 func (b *Book) ideal(now time.Time, m *member, s *seeker) bool {
-	return b.usable(now, m, s) && !m.out && m.busy(now, &b.cfg) == 0 && m.pace <= 1.1 && m.slower(now) < 1.5 && !now.Before(m.Warm)
+	return b.usable(now, m, s) && m.busy(now, &b.cfg) == 0 && m.pace <= 1.1 && m.slower(now) < 1.5 && !now.Before(m.Warm)
 }
 
 // decide sends s to the target that promises the earliest end, if that is good
