--- a/gateway.go
+++ b/gateway.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
 	"github.com/integrii/flaggy"
 
 	"plumpitch.example/plumpitch/internal/gateway"
+	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/platform"
 )
 
@@ -36,7 +37,12 @@
 	if err != nil {
 		return exitError{exitInvalid, err}
 	}
-	logger := &log.Logger{Handler: json.New(os.Stdout), Level: least}
+	lines := logs.New(os.Stdout)
+	defer lines.Close()
+	logger := &log.Logger{Handler: lines, Level: least}
+	// net/http tells of unsolicited answers and broken connections by itself.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(lines.Writer("net/http"))
 	g, err := gateway.New(gateway.Config{
 		Settings: s, Boot: uint64(time.Now().UnixNano()), Log: logger.WithField("entry", s.Name),
 	})
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/platform"
 )
@@ -91,7 +92,7 @@
 	if q.route != nil {
 		name = q.route.Name
 	}
-	q.gateway.log.WithField("request", q.id).WithField("route", name).WithField("status", status).
+	q.gateway.log.WithField(logs.FieldRequest, q.id).WithField("route", name).WithField("status", status).
 		WithField("ms", time.Since(q.arrived).Milliseconds()).Info("answered " + reason)
 	q.w.Header().Set(call.HeaderReason, reason)
 	q.w.Header().Set("Content-Length", "0")
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -177,7 +177,7 @@
 
 // ownersEach is how many entries the callers of a service are sent to. With one
 // it sees all requests of the service, and so knows what each target holds.
-const ownersEach = 1
+const ownersEach = 2
 
 // beat tells the other entries that this one lives and what it knows.
 func (c *control) beat(now time.Time) {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/route"
 	"plumpitch.example/plumpitch/platform"
 )
@@ -60,7 +61,7 @@
 		q.final(http.StatusRequestEntityTooLarge, "toolong")
 		return
 	case err != nil:
-		g.log.WithError(err).WithField("request", q.id).Info("request not read")
+		g.log.WithError(err).WithField(logs.FieldRequest, q.id).Info("request not read")
 		panic(http.ErrAbortHandler)
 	}
 	q.body = body
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/route"
 	"plumpitch.example/plumpitch/pkg/slot"
@@ -269,7 +270,7 @@
 
 // logFields are the fields of each line about the request.
 func (q *request) logFields() log.Fields {
-	return log.Fields{"request": q.id, "route": q.route.Name, "ms": time.Since(q.arrived).Milliseconds()}
+	return log.Fields{logs.FieldRequest: q.id, "route": q.route.Name, "ms": time.Since(q.arrived).Milliseconds()}
 }
 
 func (q *request) logSend(a slot.Action) {
