call: the objective counts from the caller's first attempt

Cause: under overload a caller that was refused came back with its objective nearly over and was served like a new one: late, and making others late. Change: Patience takes what a caller still waits less than others as the time since its first attempt.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -28,6 +28,9 @@
 	body    []byte
 	route   *route.Entry
 	service *service
+	// objective is until when an answer counts in full, from the caller's first
+	// attempt on.
+	objective time.Time
 
 	call    call.Call
 	tries   [call.MaxTries]try
@@ -73,6 +76,10 @@
 	})
 	q.slots = make(chan slot.Action, 1)
 	q.results = make(chan result, call.MaxTries)
+	q.objective = q.arrived.Add(q.route.Objective)
+	if left, ok := platform.RequestTime(q.r.Header); ok {
+		q.objective = q.objective.Add(-q.route.Patience.Elapsed(now, left))
+	}
 	end := q.end()
 	timer := time.NewTimer(end.Sub(now))
 	defer timer.Stop()
@@ -149,7 +156,7 @@
 func (q *request) seek(hedge bool) {
 	now := time.Now()
 	r := slot.Request{
-		Arrived: q.arrived, Objective: q.arrived.Add(q.route.Objective), Deadline: q.end(),
+		Arrived: q.arrived, Objective: q.objective, Deadline: q.end(),
 		Priority: q.route.Priority, Hedge: hedge,
 	}
 	q.call.Tried(func(target string) { r.Tried = append(r.Tried, target) })
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -4,6 +4,8 @@
 	"net"
 	"sort"
 	"strings"
+
+	"plumpitch.example/plumpitch/pkg/call"
 )
 
 // Table finds routes. It never changes, so any goroutine may read it.
@@ -15,19 +17,24 @@
 // Entry is a route with the state that its split keeps.
 type Entry struct {
 	Route
-	Split *Split
+	Split    *Split
+	Patience *call.Patience
 }
 
-// New builds the table of a configuration. Routes that old has with the same
-// parts go on with its splits: a split that began anew at each version would
-// send the first request after each one to the same part.
+// New builds the table of a configuration. Routes that old has go on with what
+// it learnt, and with its splits where the parts are the same: a split that
+// began anew at each version would send the first request after each one to the
+// same part.
 func New(cfg Config, old *Table) *Table {
 	t := &Table{Config: cfg, hosts: make(map[string][]*Entry)}
-	kept := old.splits()
+	kept := old.routes()
 	for _, r := range cfg.Routes {
-		e := &Entry{Route: r, Split: kept[r.Name]}
-		if e.Split == nil || !e.Split.same(r.Parts) {
-			e.Split = NewSplit(r.Parts)
+		e := &Entry{Route: r, Split: NewSplit(r.Parts), Patience: new(call.Patience)}
+		if before := kept[r.Name]; before != nil {
+			e.Patience = before.Patience
+			if before.Split.same(r.Parts) {
+				e.Split = before.Split
+			}
 		}
 		host := canonical(r.Host)
 		t.hosts[host] = append(t.hosts[host], e)
@@ -38,14 +45,14 @@
 	return t
 }
 
-func (t *Table) splits() map[string]*Split {
-	kept := make(map[string]*Split)
+func (t *Table) routes() map[string]*Entry {
+	kept := make(map[string]*Entry)
 	if t == nil {
 		return kept
 	}
 	for _, list := range t.hosts {
 		for _, e := range list {
-			kept[e.Name] = e.Split
+			kept[e.Name] = e
 		}
 	}
 	return kept
