slot: a request that is late goes to no slow target

Cause: late requests were sent to idle slow targets, which were then busy with them for long after they had become fast again. Change: only to idle targets that aren't slow, else refused.

--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -147,7 +147,7 @@
 		return b.wait(now, s, out)
 	}
 	for _, c := range b.candidates(now, s, choices) {
-		if c.busy(now, &b.cfg) == 0 && now.Add(time.Duration(float64(c.expected)*margin)).Before(s.Deadline) {
+		if c.busy(now, &b.cfg) == 0 && c.pace <= b.cfg.Slow && now.Add(time.Duration(float64(c.expected)*margin)).Before(s.Deadline) {
 			return b.send(now, s, c.member, out)
 		}
 	}
