--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -124,16 +124,13 @@
 // always taken; the others are for those to which a second request may not go.
 const choices = 8
 
-// margin is how much longer than expected an answer may take.
-const margin = 1.25
-
 // good reports whether m should answer s within its objective. A second
 // request at a slow target would hold up both for long.
 func (b *Book) good(now time.Time, c candidate, s *seeker) bool {
 	if c.busy(now, &b.cfg) > 0 && c.pace > b.cfg.Slow {
 		return false
 	}
-	return !now.Add(time.Duration(float64(c.expected) * margin)).After(s.Objective)
+	return !now.Add(c.expected).After(s.Objective)
 }
 
 // settle decides what becomes of a request for which no target is good enough:
@@ -143,18 +140,13 @@
 	if s.Hedge {
 		return b.refuse(s, Full, 0, out)
 	}
-	if now.Add(b.need()).Before(s.Objective) {
+	if now.Add(b.usual.mean).Before(s.Objective) {
 		return b.wait(now, s, out)
 	}
 	for _, c := range b.candidates(now, s, choices) {
-		if c.busy(now, &b.cfg) == 0 && c.pace <= b.cfg.Slow && now.Add(time.Duration(float64(c.expected)*margin)).Before(s.Deadline) {
+		if c.busy(now, &b.cfg) == 0 && c.pace <= b.cfg.Slow && now.Add(c.expected).Before(s.Deadline) {
 			return b.send(now, s, c.member, out)
 		}
 	}
 	return b.refuse(s, Full, b.retry(), out)
 }
-
-// need is the time that an answer takes at best.
-func (b *Book) need() time.Duration {
-	return time.Duration(float64(b.usual.mean) * margin)
-}
--- a/pkg/slot/queue.go
+++ b/pkg/slot/queue.go
@@ -43,7 +43,7 @@
 		}
 	}
 	wait := time.Duration(float64(b.usual.mean) * float64(ahead+1) / float64(max(slots, 1)))
-	return now.Add(wait + b.need()).After(s.Objective)
+	return now.Add(wait + b.usual.mean).After(s.Objective)
 }
 
 // serve sends waiting requests where a target has become good enough by what
@@ -57,7 +57,7 @@
 			out = next
 			continue
 		}
-		if !now.Add(b.need()).Before(s.Objective) {
+		if !now.Add(b.usual.mean).Before(s.Objective) {
 			out = b.settle(now, s, out)
 		}
 	}
@@ -105,7 +105,7 @@
 	}
 	for _, s := range b.queue {
 		soonest(s.again)
-		soonest(s.Objective.Add(-b.need()))
+		soonest(s.Objective.Add(-b.usual.mean))
 	}
 	return at
 }
