gateway: hedges of idempotent requests within the retry budget

A request that an ideal target could still answer within its objective is sent a second time, to such a target or not at all. Kept for targets that hang.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -38,6 +38,7 @@
 	slots   chan slot.Action
 	results chan result
 	flying  int
+	hedge   *time.Timer
 	refused slot.Action // why no target was had
 }
 
@@ -84,8 +85,12 @@
 	timer := time.NewTimer(end.Sub(now))
 	defer timer.Stop()
 	defer q.release()
+	hedge := time.NewTimer(end.Sub(now))
+	defer hedge.Stop()
+	q.hedge = hedge
 	acts := q.call.Arrive(now, call.Arrival{
-		Deadline: end, Idempotent: q.route.Idempotent, Quarantined: q.gateway.suspects.Quarantined(now, print),
+		Deadline: end, Idempotent: q.route.Idempotent, Hedge: q.service.hedge(q.objective.Sub(now)),
+		Quarantined: q.gateway.suspects.Quarantined(now, print),
 	})
 	for !q.do(acts.All()) {
 		select {
@@ -94,6 +99,8 @@
 		case res := <-q.results:
 			q.flying--
 			acts = q.ended(time.Now(), res, print)
+		case <-hedge.C:
+			acts = q.call.Hedge(time.Now())
 		case <-timer.C:
 			acts = q.call.Expire(time.Now())
 		case <-q.r.Context().Done():
@@ -148,6 +155,7 @@
 			q.giveUp()
 			return true
 		case call.DoTimer:
+			q.hedge.Reset(a.After)
 		}
 	}
 	return false
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -56,6 +56,19 @@
 // shared.
 const expectedEntries = 16
 
+// hedgeReserve is how much more time than usual a hedge is given.
+const hedgeReserve = 1.4
+
+// hedge tells after how long without an answer a request with so much time for
+// its objective is sent a second time: as late as a target that is not slow can
+// still answer it by then.
+func (s *service) hedge(left time.Duration) time.Duration {
+	s.mu.Lock()
+	usual := s.book.Usual()
+	s.mu.Unlock()
+	return max(left-time.Duration(hedgeReserve*float64(usual)), usual)
+}
+
 func (s *service) configure(is route.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -202,6 +202,9 @@
 	}
 }
 
+// Usual returns how long work takes at a target that is idle and not slow.
+func (b *Book) Usual() time.Duration { return b.usual.mean }
+
 // Size returns the number of targets.
 func (b *Book) Size() int { return len(b.members) }
 
