--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -63,13 +63,21 @@
 	return slices.Insert(list, at, c)
 }
 
-// better prefers the earlier end, and of equal ones the target in the entry's
-// own failure domain.
+// better prefers the earlier end, where a target in another failure domain has
+// to be earlier by far.
 func (b *Book) better(x, y candidate) bool {
-	if x.expected != y.expected {
-		return x.expected < y.expected
+	return b.cost(x) < b.cost(y)
+}
+
+// farFactor is what a target in another failure domain counts for more: traffic
+// between them costs, and pace is not known to better than a tenth.
+const farFactor = 1.5
+
+func (b *Book) cost(c candidate) float64 {
+	if c.Place == b.cfg.Place {
+		return float64(c.expected)
 	}
-	return x.Place == b.cfg.Place && y.Place != b.cfg.Place
+	return float64(c.expected) * farFactor
 }
 
 // ask asks the most promising targets for their load.
