--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/roster"
 	"plumpitch.example/plumpitch/pkg/route"
@@ -42,8 +44,9 @@
 	// watch and one beat.
 	dutyConfig: {first: 0, step: 300 * time.Millisecond, wait: time.Second},
 	// A leaving target has to be known within 2 s as well. Its watch is
-	// answered at once, so the pause is what bounds the calls.
-	dutyTargets: {first: 550 * time.Millisecond, step: 350 * time.Millisecond, wait: time.Millisecond},
+	// answered at once, so the pause is what bounds the calls: with the steps
+	// below, the third entry is in time where the first two are lost.
+	dutyTargets: {first: 800 * time.Millisecond, step: 350 * time.Millisecond, wait: time.Millisecond},
 }
 
 const (
@@ -80,8 +83,10 @@
 
 // turn is what a reader has to know of the control loop's state.
 type turn struct {
-	due bool
-	at  roster.Revision // up to which the history is known
+	due  bool
+	rank int             // this entry's place in the order
+	age  time.Duration   // of what is known
+	at   roster.Revision // up to which the history is known
 }
 
 // turnAsked is a reader's question.
@@ -96,7 +101,7 @@
 	if c.confirmed[m.duty].IsZero() && rank == 0 {
 		age = time.Hour
 	}
-	t := turn{due: m.duty.due(age, rank), at: c.configAt}
+	t := turn{due: m.duty.due(age, rank), rank: rank, age: age, at: c.configAt}
 	if m.duty == dutyTargets {
 		t.at = c.targets.At()
 	}
@@ -175,6 +180,7 @@
 			continue
 		}
 		err := r.read(ctx, t.at)
+		r.gateway.log.WithFields(log.Fields{"duty": r.String(), "rank": t.rank, "age": t.age.Milliseconds(), "from": uint64(t.at)}).Debug("store read")
 		r.gateway.control.tell(ctx, storeAnswered{err})
 		if err != nil {
 			sleep(ctx, storeRest)
@@ -208,10 +214,16 @@
 	defer cancel()
 	asked := time.Now()
 	changes, upTo, err := r.kind.Watch(ctx, at, wait)
-	if err == nil {
-		r.gateway.control.tell(ctx, r.changed(changes, upTo, asked))
+	if err != nil {
+		return err
 	}
-	return err
+	if len(changes) == 0 && time.Since(asked) >= wait {
+		// The store answers a watch without changes when its time is over, so
+		// that nothing had changed until then.
+		asked = asked.Add(wait)
+	}
+	r.gateway.control.tell(ctx, r.changed(changes, upTo, asked))
+	return nil
 }
 
 // enroller puts this entry on record and learns of the others. It enters before
