owner: as many owners as the load takes; an entry that can't keep up says so

Change: entries say what they are fit for and what they get; owners are added until they carry the load. Entries without a duty beat less often where there are many.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -20,10 +20,16 @@
 
 // Times of the control loop.
 const (
-	// beatPeriod is how often an entry says that it lives. Three lost beats and
-	// a late one make it dead, so callers are sent elsewhere within a second.
+	// beatPeriod is how often an entry says that it lives.
 	beatPeriod = 250 * time.Millisecond
-	deadAfter  = 900 * time.Millisecond
+	// beatEntries is among how many entries all beat that often. Beats go from
+	// each to each, so that beyond that the ones that have no duty beat less
+	// often, in proportion: the beats that an entry hears stay as many.
+	beatEntries = 16
+	// deadBeats is how many of its periods an entry may be silent. Three lost
+	// beats and a late one make it dead, so callers are sent elsewhere within a
+	// second of the death of their owner.
+	deadBeats = 3.6
 )
 
 // message is something that the control loop has to know. The set is closed.
@@ -48,6 +54,9 @@
 	services  map[string]*service
 	shut      bool // the store doesn't serve this entry
 	pulling   bool
+	strain    strain
+	duty      bool      // this entry owns a service or reads the store
+	beaten    time.Time // last beat
 }
 
 // peer is another entry.
@@ -57,6 +66,12 @@
 	beat  relay.Beat
 }
 
+// up reports whether the entry is known to live.
+func (p *peer) up(now time.Time) bool {
+	period := max(p.beat.Period, beatPeriod)
+	return now.Sub(p.heard) < time.Duration(deadBeats*float64(period))
+}
+
 func newControl(g *Gateway) *control {
 	return &control{
 		gateway: g, inbox: make(chan message, maxInbox), started: time.Now(),
@@ -93,14 +108,30 @@
 		case m := <-c.inbox:
 			c.take(m)
 		case <-tick.C:
-			c.publish(time.Now())
-			c.beat(time.Now())
+			c.tick(time.Now())
 		}
 	}
 }
 
 func (c *control) String() string { return "control" }
 
+func (c *control) tick(now time.Time) {
+	c.gateway.rate.tick(now)
+	c.strain.tick(now, beatPeriod)
+	c.publish(now)
+	if now.Sub(c.beaten) >= c.period()-beatPeriod/2 {
+		c.beat(now)
+	}
+}
+
+// period is how often this entry beats.
+func (c *control) period() time.Duration {
+	if c.duty || len(c.peers) < beatEntries {
+		return beatPeriod
+	}
+	return beatPeriod * time.Duration((len(c.peers)+beatEntries)/beatEntries)
+}
+
 // take applies a message and all that wait behind it, then publishes once.
 func (c *control) take(m message) {
 	now := time.Now()
@@ -119,10 +150,10 @@
 func (c *control) live(now time.Time) []owner.Candidate {
 	var list []owner.Candidate
 	if !c.gateway.leaving.Load() {
-		list = append(list, owner.Candidate{Entry: c.gateway.self})
+		list = append(list, owner.Candidate{Entry: c.gateway.self, Strained: c.strain.strained(now)})
 	}
 	for _, p := range c.peers {
-		if now.Sub(p.heard) < deadAfter && !p.beat.Leaving {
+		if p.up(now) && !p.beat.Leaving {
 			list = append(list, owner.Candidate{Entry: p.entry, Strained: p.beat.Strained})
 		}
 	}
@@ -154,7 +185,6 @@
 		}
 		places[t.Service][t.Place]++
 	}
-	var needs []owner.Need
 	for name, s := range c.config.Services {
 		sv := c.services[name]
 		if sv == nil {
@@ -163,24 +193,62 @@
 		}
 		sv.configure(s)
 		sv.take(now, byService[name])
-		needs = append(needs, owner.Need{Service: name, Places: places[name]})
 	}
 	live := c.live(now)
+	owners := owner.Owners(live, c.needs(now, places))
+	c.duty = c.hasDuty(now, owners)
 	services := make(map[string]*service, len(c.services))
 	for name, sv := range c.services {
 		services[name] = sv
 	}
 	c.gateway.view.Store(&view{
-		table: c.table, services: services, live: live, owners: owner.Owners(live, needs, ownersEach),
+		table: c.table, services: services, live: live, owners: owners,
 	})
 }
 
-// ownersEach is how many entries the callers of a service are sent to. With one
-// it sees all requests of the service, and so knows what each target holds.
-const ownersEach = 2
+// needs are the services to whose owners callers are sent, with an equal part
+// of all requests.
+func (c *control) needs(now time.Time, places map[string]map[string]int) (needs []owner.Need) {
+	if c.table == nil {
+		return nil
+	}
+	total := c.gateway.rate.mean
+	for _, p := range c.peers {
+		if p.up(now) {
+			total += p.beat.Rate
+		}
+	}
+	homes := c.table.Homes()
+	for name := range homes {
+		needs = append(needs, owner.Need{Service: name, Load: total / float64(len(homes)), Places: places[name]})
+	}
+	return needs
+}
+
+// hasDuty tells whether others have to know at once when this entry dies.
+func (c *control) hasDuty(now time.Time, owners map[string][]owner.Entry) bool {
+	for _, list := range owners {
+		for _, e := range list {
+			if e.Name == c.gateway.self.Name {
+				return true
+			}
+		}
+	}
+	readers := c.readers(now)
+	for _, name := range dutyNames {
+		if owner.Rank(readers, name, c.gateway.self.Name) < fastReaders {
+			return true
+		}
+	}
+	return false
+}
+
+// fastReaders is how many entries in the order of readers beat at the full rate.
+const fastReaders = 3
 
 // beat tells the other entries that this one lives and what it knows.
 func (c *control) beat(now time.Time) {
+	c.beaten = now
 	var to []owner.Entry
 	for _, p := range c.peers {
 		to = append(to, p.entry)
@@ -188,7 +256,8 @@
 	b := relay.Beat{
 		Entry: c.gateway.self, Config: c.config.Version, Targets: c.targets.Moved(),
 		ConfigAge: now.Sub(c.confirmed[dutyConfig]), TargetsAge: now.Sub(c.confirmed[dutyTargets]),
-		Shut: c.shut, Leaving: c.gateway.leaving.Load(), Suspects: c.gateway.suspects.Export(now, maxSuspects),
+		Shut: c.shut, Leaving: c.gateway.leaving.Load(), Strained: c.strain.strained(now),
+		Rate: c.gateway.rate.mean, Period: c.period(), Suspects: c.gateway.suspects.Export(now, maxSuspects),
 	}
 	if err := c.gateway.relay.Tell(b, to); err != nil {
 		c.gateway.log.WithError(err).Debug("beat not sent to all")
@@ -239,7 +308,7 @@
 	if b.Entry.Name == c.gateway.self.Name || p != nil && p.entry.Boot > b.Entry.Boot {
 		return
 	}
-	if p == nil || p.entry != b.Entry || now.Sub(p.heard) >= deadAfter || p.beat.Leaving != b.Leaving {
+	if p == nil || p.entry != b.Entry || !p.up(now) || p.beat.Leaving != b.Leaving {
 		c.gateway.log.WithFields(log.Fields{
 			"peer": b.Entry.Name, "boot": b.Entry.Boot, "leaving": b.Leaving,
 		}).Info("entry is up")
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -40,6 +40,7 @@
 // serve serves one request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
+	g.rate.add()
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	control  *control
 	suspects *call.Suspects
 	leaving  atomic.Bool
+	rate     rate
 	bounds   atomic.Pointer[platform.Bounds]
 	view     atomic.Pointer[view]
 
@@ -94,11 +95,30 @@
 	}
 	g.self = owner.Entry{
 		Name: s.Name, Boot: cfg.Boot, Front: g.front.Addr().String(), Peer: g.relay.Address(),
-		Place: s.Place, Region: s.Region,
+		Place: s.Place, Region: s.Region, Capacity: capacity(s),
 	}
 	return g, nil
 }
 
+// What an entry is fit for, by what it has.
+const (
+	// coreRate is how many requests a second a core serves with half of it to
+	// spare for a burst: a request with its questions takes 0.6 ms of it.
+	coreRate = 800
+	// linkRate is how many requests a second a Mbit/s carries: up to 5 KB go
+	// each way, twice.
+	linkRate = 10
+)
+
+// capacity is how many requests a second an entry is fit for.
+func capacity(s platform.Settings) float64 {
+	c := s.Cores * coreRate
+	if s.Link > 0 {
+		c = min(c, s.Link*linkRate)
+	}
+	return c
+}
+
 // crashLimit is how many targets in a row a request may crash before it is sent
 // to none any more.
 const crashLimit = 3
--- /dev/null
+++ b/internal/gateway/strain_test.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A slow VM serves its callers late without being dead. Its own timer shows it.
+// One late tick, as a collection causes it, shows nothing.
+func TestStrain(t *testing.T) {
+	const period = beatPeriod
+	tests := []struct {
+		name  string
+		after []time.Duration
+		want  bool
+	}{
+		{"on time", []time.Duration{period, period, period}, false},
+		{"late once", []time.Duration{period, 3 * period, period}, false},
+		{"late twice in a row", []time.Duration{period, 2 * period, 2 * period}, true},
+		{"late twice, then on time", []time.Duration{period, 2 * period, 2 * period, period}, true},
+		{"long ago", []time.Duration{period, 2 * period, 2 * period, period, strainHold}, false},
+	}
+	for _, tt := range tests {
+		var s strain
+		now := time.Unix(9, 0)
+		s.tick(now, period)
+		for _, d := range tt.after {
+			now = now.Add(d)
+			s.tick(now, period)
+		}
+		qt.Assert(t, s.strained(now), qt.Equals, tt.want, qt.Commentf("%s", tt.name))
+	}
+}
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -33,6 +33,7 @@
 		Config: uint64(b.Config), Targets: uint64(b.Targets),
 		ConfigAge: millis(b.ConfigAge), TargetsAge: millis(b.TargetsAge),
 		Shut: b.Shut, Leaving: b.Leaving, Strained: b.Strained,
+		Capacity: float32(b.Entry.Capacity), Rate: float32(b.Rate), Period: millis(b.Period),
 	}
 	for _, s := range b.Suspects[:min(len(b.Suspects), maxSuspects)] {
 		w.Suspects = append(w.Suspects, &wire.Suspect{Print: s.Print, Crashes: uint32(s.Crashes), Age: millis(s.Age)})
@@ -49,7 +50,8 @@
 		return b, errors.New("name, front, peer: found nothing, expected a value")
 	}
 	b = Beat{
-		Entry:  owner.Entry{Name: w.Name, Boot: w.Boot, Front: w.Front, Peer: w.Peer, Place: w.Place, Region: w.Region},
+		Entry: owner.Entry{Name: w.Name, Boot: w.Boot, Front: w.Front, Peer: w.Peer, Place: w.Place, Region: w.Region, Capacity: float64(w.Capacity)},
+		Rate:  float64(w.Rate), Period: span(w.Period),
 		Config: route.Version(w.Config), Targets: roster.Revision(w.Targets),
 		ConfigAge: span(w.ConfigAge), TargetsAge: span(w.TargetsAge),
 		Shut: w.Shut, Leaving: w.Leaving, Strained: w.Strained,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,9 +33,11 @@
 	// that there is nothing newer.
 	ConfigAge  time.Duration
 	TargetsAge time.Duration
-	Shut       bool // the store doesn't serve the sender
-	Leaving    bool // it stops
-	Strained   bool // it can't keep up
+	Shut       bool          // the store doesn't serve the sender
+	Leaving    bool          // it stops
+	Strained   bool          // it can't keep up
+	Rate       float64       // requests a second that it gets
+	Period     time.Duration // until its next beat
 	Suspects   []call.Suspect
 }
 
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -18,6 +18,8 @@
 	Peer   string // host:port for other entries, TCP and UDP
 	Place  string // failure domain
 	Region string
+	// Capacity is how many requests a second it is fit for.
+	Capacity float64
 }
 
 // Same reports whether two records name the same incarnation.
@@ -26,6 +28,7 @@
 // Need is what the owners of one service are chosen by.
 type Need struct {
 	Service string
+	Load    float64        // requests a second
 	Places  map[string]int // targets in each failure domain
 }
 
@@ -35,52 +38,50 @@
 	Strained bool // it says that it can't keep up
 }
 
-// Owners gives each service the entries that its callers are sent to, count of
-// them as far as there are entries.
+// Least is how many owners a service has at the least. With one, all callers
+// would wait for its death to be noticed; and at the rates of a burst one was
+// too busy to refuse what it could not serve.
+const Least = 2
+
+// Owners gives each service the entries that its callers are sent to: at least
+// Least, and as many as its load takes.
 //
 // An entry that sees all requests of a service knows how many each target
-// holds. The services are dealt out over different entries, so that none
-// carries two while another has none. Where it makes no other difference, the
-// failure domain with the most targets is taken: requests then cross to others
-// least.
-func Owners(live []Candidate, needs []Need, count int) map[string][]Entry {
+// holds, so there are no more owners than that. The services are dealt out over
+// different entries, so that none carries two while another has none. Of equal
+// ones, the failure domain with the most targets is taken: requests then cross
+// to others least.
+func Owners(live []Candidate, needs []Need) map[string][]Entry {
 	needs = slices.Clone(needs)
 	slices.SortFunc(needs, func(a, b Need) int { return cmp.Compare(a.Service, b.Service) })
-	load := make(map[string]int)
+	owned := make(map[string]int)
 	owners := make(map[string][]Entry, len(needs))
-	for range count {
-		for _, n := range needs {
-			if e, ok := best(live, n, load, owners[n.Service]); ok {
-				load[e.Name]++
-				owners[n.Service] = append(owners[n.Service], e)
+	for _, n := range needs {
+		order := slices.Clone(live)
+		slices.SortFunc(order, func(a, b Candidate) int { return compare(a, b, n, owned) })
+		capacity := 0.0
+		for _, c := range order {
+			if len(owners[n.Service]) >= Least && capacity >= n.Load {
+				break
 			}
+			capacity += c.Capacity
+			owned[c.Name]++
+			owners[n.Service] = append(owners[n.Service], c.Entry)
 		}
 	}
 	return owners
 }
 
-func best(live []Candidate, n Need, load map[string]int, taken []Entry) (e Entry, ok bool) {
-	var chosen Candidate
-	for _, c := range live {
-		if slices.ContainsFunc(taken, func(t Entry) bool { return t.Name == c.Name }) {
-			continue
-		}
-		if !ok || before(c, chosen, n, load) {
-			chosen, ok = c, true
-		}
-	}
-	return chosen.Entry, ok
-}
-
-// before orders candidates for a service, the better one first.
-func before(a, b Candidate, n Need, load map[string]int) bool {
+// compare orders candidates for a service, the better one first.
+func compare(a, b Candidate, n Need, owned map[string]int) int {
 	return cmp.Or(
 		cmp.Compare(truth(a.Strained), truth(b.Strained)),
-		cmp.Compare(load[a.Name], load[b.Name]),
+		cmp.Compare(owned[a.Name], owned[b.Name]),
+		cmp.Compare(b.Capacity, a.Capacity),
 		cmp.Compare(n.Places[b.Place], n.Places[a.Place]),
 		cmp.Compare(score(b.Name, n.Service), score(a.Name, n.Service)),
 		cmp.Compare(a.Name, b.Name),
-	) < 0
+	)
 }
 
 func truth(b bool) int {
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -26,36 +26,39 @@
 // heard of the others. All must agree: else callers would be sent to several.
 func TestOwnersAgree(t *testing.T) {
 	live := entries(13)
-	want := Owners(live, needs(), 2)
+	want := Owners(live, needs())
 	for i := range live {
 		turned := append(append([]Candidate{}, live[i:]...), live[:i]...)
-		qt.Assert(t, Owners(turned, needs(), 2), qt.DeepEquals, want)
+		qt.Assert(t, Owners(turned, needs()), qt.DeepEquals, want)
 	}
 }
 
 func TestOwners(t *testing.T) {
 	c := qt.New(t)
-	o := Owners(entries(13), needs(), 1)
+	o := Owners(entries(13), needs())
 	c.Assert(o["a"][0].Place, qt.Equals, "p1")
 	c.Assert(o["b"][0].Place, qt.Equals, "p0")
 	c.Assert(o["c"][0].Place, qt.Equals, "p2")
 	names := map[string]bool{}
 	for _, list := range o {
-		names[list[0].Name] = true
+		c.Assert(list, qt.HasLen, Least)
+		for _, e := range list {
+			names[e.Name] = true
+		}
 	}
-	c.Assert(names, qt.HasLen, 3)
-	c.Assert(Owners(entries(1), needs(), 3)["a"], qt.HasLen, 1)
-	c.Assert(Owners(nil, needs(), 3)["a"], qt.HasLen, 0)
+	c.Assert(names, qt.HasLen, 3*Least)
+	c.Assert(Owners(entries(1), needs())["a"], qt.HasLen, 1)
+	c.Assert(Owners(nil, needs())["a"], qt.HasLen, 0)
 }
 
 // An entry that can't keep up owns nothing while another one can.
 func TestStrainedOwnsNothing(t *testing.T) {
 	live := entries(13)
-	first := Owners(live, needs(), 1)["a"][0].Name
+	first := Owners(live, needs())["a"][0].Name
 	for i := range live {
 		live[i].Strained = live[i].Name == first
 	}
-	qt.Assert(t, Owners(live, needs(), 1)["a"][0].Name, qt.Not(qt.Equals), first)
+	qt.Assert(t, Owners(live, needs())["a"][0].Name, qt.Not(qt.Equals), first)
 }
 
 // The ranks of a duty are a permutation, and one that isn't live comes last.
@@ -68,3 +71,22 @@
 	qt.Assert(t, seen, qt.HasLen, 9)
 	qt.Assert(t, Rank(live, "targets", "unknown"), qt.Equals, 9)
 }
+
+// Load grows and shrinks: so many owners as it takes, the strongest first, and
+// no more than there are entries.
+func TestOwnersFollowLoad(t *testing.T) {
+	live := entries(13)
+	for i := range live {
+		live[i].Capacity = 100
+	}
+	live[4].Capacity = 400
+	tests := []struct {
+		load float64
+		want int
+	}{{0, 2}, {450, 2}, {501, 3}, {700, 4}, {1e6, 13}}
+	for _, tt := range tests {
+		o := Owners(live, []Need{{Service: "a", Load: tt.load}})["a"]
+		qt.Assert(t, o, qt.HasLen, tt.want, qt.Commentf("load %v", tt.load))
+		qt.Assert(t, o[0].Name, qt.Equals, "e4")
+	}
+}
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -91,6 +91,15 @@
 	return home
 }
 
+// Homes returns the homes of all hosts.
+func (t *Table) Homes() map[string]bool {
+	homes := make(map[string]bool)
+	for host := range t.hosts {
+		homes[t.Home(host)] = true
+	}
+	return homes
+}
+
 func canonical(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
