roster: records that lapse in an outage of the store are awaited

Change: what vanishes within 2.2 s of the return of a store that was away stays usable that long. TestRecordsThatLapse fails without it.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -47,6 +47,7 @@
 	table   *route.Table
 	raw     []byte // the configuration as the operator wrote it
 	targets *roster.Roster[slot.Target]
+	lapses  *roster.Lapses[slot.Target]
 	// confirmed is when the store was asked for what is known.
 	confirmed [duties]time.Time
 	configAt  roster.Revision // up to which the configuration's history is known
@@ -75,7 +76,7 @@
 func newControl(g *Gateway) *control {
 	return &control{
 		gateway: g, inbox: make(chan message, maxInbox), started: time.Now(),
-		targets: roster.New(slot.Same), peers: make(map[string]*peer), services: make(map[string]*service),
+		targets: roster.New(slot.Same), lapses: roster.NewLapses[slot.Target](), peers: make(map[string]*peer), services: make(map[string]*service),
 	}
 }
 
@@ -177,7 +178,7 @@
 func (c *control) publish(now time.Time) {
 	byService := make(map[string][]slot.Target)
 	places := make(map[string]map[string]int)
-	for _, it := range c.targets.Items() {
+	for _, it := range c.usable(now) {
 		t := it.Value
 		byService[t.Service] = append(byService[t.Service], t)
 		if places[t.Service] == nil {
@@ -206,6 +207,33 @@
 	})
 }
 
+// usable are the targets on record and those whose records are awaited after an
+// outage of the store.
+func (c *control) usable(now time.Time) map[string]roster.Item[slot.Target] {
+	items := c.targets.Items()
+	for name, it := range c.lapses.Kept(now) {
+		if _, ok := items[name]; !ok {
+			items[name] = it
+		}
+	}
+	return items
+}
+
+// change applies a change of the targets and notes what vanished by it.
+func (c *control) change(now time.Time, apply func() (moved bool)) (moved bool) {
+	c.lapses.Heard(now, now.Sub(c.confirmed[dutyTargets]))
+	before := c.targets.Items()
+	if !apply() {
+		return false
+	}
+	for name, it := range before {
+		if _, ok := c.targets.Get(name); !ok && !it.Value.Leaving {
+			c.lapses.Removed(now, it)
+		}
+	}
+	return true
+}
+
 // needs are the services to whose owners callers are sent, with an equal part
 // of all requests.
 func (c *control) needs(now time.Time, places map[string]map[string]int) (needs []owner.Need) {
@@ -363,7 +391,7 @@
 		c.adopt(now, m.news.Config, "entry "+m.from.Name)
 	}
 	if m.news.Listed {
-		c.targets.Replace(m.news.Targets, m.news.At)
+		c.change(now, func() bool { return c.targets.Replace(m.news.Targets, m.news.At) })
 		c.confirm(dutyTargets, now.Add(-m.news.Age))
 	}
 }
@@ -410,7 +438,7 @@
 }
 
 func (m targetsListed) apply(now time.Time, c *control) {
-	moved := c.targets.Replace(m.items, m.at)
+	moved := c.change(now, func() bool { return c.targets.Replace(m.items, m.at) })
 	c.targetsRead(now, moved, m.asked)
 }
 
@@ -422,7 +450,7 @@
 }
 
 func (m targetsChanged) apply(now time.Time, c *control) {
-	moved := c.targets.Apply(m.changes, m.at)
+	moved := c.change(now, func() bool { return c.targets.Apply(m.changes, m.at) })
 	c.targetsRead(now, moved, m.asked)
 }
 
--- a/internal/gateway/knowledge_test.go
+++ b/internal/gateway/knowledge_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"plumpitch.example/plumpitch/internal/standin/objects"
+	"plumpitch.example/plumpitch/pkg/roster"
 	"plumpitch.example/plumpitch/pkg/route"
 )
 
@@ -138,3 +139,25 @@
 	e := w.entry("a").settled()
 	w.until("all targets", func() bool { return e.view.Load().services["gowns"].book.Size() == 7 })
 }
+
+// The store is away for longer than records last, so that its list is empty on
+// its return. Callers must be served all the same until the targets have
+// written their records again; a target that has not by then is gone.
+func TestRecordsThatLapse(t *testing.T) {
+	w := newWorld(t, site{targets: 2})
+	e := w.entry("a").settled()
+	w.store.Fail(func(*http.Request) objects.Fault { return objects.Fault{Down: true} })
+	time.Sleep(roster.OutageAge + 500*time.Millisecond)
+	w.store.Delete("servers", w.workers[0].ID)
+	w.store.Delete("servers", w.workers[1].ID)
+	w.store.Fail(nil)
+	returned := time.Now()
+	for time.Since(returned) < 1500*time.Millisecond {
+		w.c.Assert(e.call("GET", "/a/x", "").status, qt.Equals, http.StatusOK)
+		time.Sleep(20 * time.Millisecond)
+	}
+	w.record(w.workers[1], "gowns", "ready")
+	w.until("the other target gone", func() bool { return !e.hasTarget(w.workers[0].ID) })
+	w.c.Assert(e.call("GET", "/a/x", "").status, qt.Equals, http.StatusOK)
+	w.c.Assert(e.hasTarget(w.workers[1].ID), qt.IsTrue)
+}
--- /dev/null
+++ b/pkg/roster/lapse.go
@@ -0,0 +1,54 @@
+package roster
+
+import "time"
+
+// Times of an outage of the store.
+const (
+	// OutageAge is the age of what is known from which on the store counts as
+	// having been away: more than it gets to when one entry after the other
+	// takes over the reading.
+	OutageAge = 2 * time.Second
+	// ReturnTime is how long after the store's return the records that lapsed
+	// meanwhile are awaited: their owners write them again within about 2 s.
+	ReturnTime = 2200 * time.Millisecond
+)
+
+// Lapses keeps objects that vanished around an outage of the store. Records
+// that aren't renewed lapse, and during an outage none can be: on its return
+// the list may lack objects that are well. Taken at its word, it would leave
+// nothing to send requests to.
+type Lapses[T any] struct {
+	items    map[string]Item[T]
+	returned time.Time
+}
+
+// NewLapses returns an empty keeper.
+func NewLapses[T any]() *Lapses[T] {
+	return &Lapses[T]{items: make(map[string]Item[T])}
+}
+
+// Heard takes that the store answered after what was known had become so old.
+func (l *Lapses[T]) Heard(now time.Time, age time.Duration) {
+	if age >= OutageAge {
+		l.returned = now
+	}
+}
+
+// Removed takes an object that vanished.
+func (l *Lapses[T]) Removed(now time.Time, it Item[T]) {
+	if l.open(now) {
+		l.items[it.Name] = it
+	}
+}
+
+func (l *Lapses[T]) open(now time.Time) bool {
+	return !l.returned.IsZero() && now.Sub(l.returned) < ReturnTime
+}
+
+// Kept returns the vanished objects that are still awaited.
+func (l *Lapses[T]) Kept(now time.Time) map[string]Item[T] {
+	if !l.open(now) {
+		clear(l.items)
+	}
+	return l.items
+}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -77,3 +78,29 @@
 	qt.Assert(t, r.Moved(), qt.Equals, Revision(1))
 	qt.Assert(t, r.At(), qt.Equals, Revision(2))
 }
+
+// The store is away and records lapse meanwhile. On its return they are awaited
+// for as long as their owners may take to write them again, and are gone after
+// that. A record that vanishes at any other time is gone at once.
+func TestLapses(t *testing.T) {
+	start := time.Unix(100, 0)
+	tests := []struct {
+		name    string
+		age     time.Duration // of what was known, when the store answered
+		removed time.Duration // after that
+		asked   time.Duration // after that
+		want    int
+	}{
+		{"no outage", time.Second, 0, 0, 0},
+		{"outage", 4 * time.Second, 0, time.Second, 1},
+		{"vanishes soon after the return", 4 * time.Second, time.Second, time.Second, 1},
+		{"still missing after its time", 4 * time.Second, 0, ReturnTime, 0},
+		{"vanishes later", 4 * time.Second, ReturnTime, ReturnTime, 0},
+	}
+	for _, tt := range tests {
+		l := NewLapses[string]()
+		l.Heard(start, tt.age)
+		l.Removed(start.Add(tt.removed), Item[string]{Name: "a"})
+		qt.Assert(t, l.Kept(start.Add(tt.asked)), qt.HasLen, tt.want, qt.Commentf("%s", tt.name))
+	}
+}
