gateway: fewer calls of a store that is away

Change: the later ones in the order wait longer, and a watch that was refused is followed by no list. Beside it, found by TestLeavingTargetGetsNothing: the first word after a start counted as the end of an outage, so that a target that left just then was kept for 2.2 s.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -221,7 +221,9 @@
 
 // change applies a change of the targets and notes what vanished by it.
 func (c *control) change(now time.Time, apply func() (moved bool)) (moved bool) {
-	c.lapses.Heard(now, now.Sub(c.confirmed[dutyTargets]))
+	if last := c.confirmed[dutyTargets]; !last.IsZero() {
+		c.lapses.Heard(now, now.Sub(last))
+	}
 	before := c.targets.Items()
 	if !apply() {
 		return false
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/roster"
@@ -58,8 +59,9 @@
 	readTime = 400 * time.Millisecond
 	// listTime bounds a list, which may take several pages of a slow store.
 	listTime = 2 * time.Second
-	// storeRest is the pause after a call that failed.
-	storeRest = 300 * time.Millisecond
+	// storeRest is the first entry's pause after a call that failed.
+	storeRest    = 300 * time.Millisecond
+	storeRestMax = 3 * time.Second
 )
 
 // due tells whether an entry with that place in the order reads now.
@@ -96,7 +98,11 @@
 }
 
 func (m turnAsked) apply(now time.Time, c *control) {
-	rank := owner.Rank(c.readers(now), dutyNames[m.duty], c.gateway.self.Name)
+	order := c.readers(now)
+	if c.shut {
+		order = c.live(now)
+	}
+	rank := owner.Rank(order, dutyNames[m.duty], c.gateway.self.Name)
 	age := now.Sub(later(c.confirmed[m.duty], c.started))
 	if c.confirmed[m.duty].IsZero() && rank == 0 {
 		age = time.Hour
@@ -131,6 +137,7 @@
 	gateway *Gateway
 	duty    duty
 	kind    platform.Kind[T]
+	unsure  bool // a watch has failed, so that only a list tells what is
 	listed  func(items []roster.Item[T], at roster.Revision, asked time.Time) message
 	changed func(changes []roster.Change[T], at roster.Revision, asked time.Time) message
 }
@@ -183,26 +190,38 @@
 		r.gateway.log.WithFields(log.Fields{"duty": r.String(), "rank": t.rank, "age": t.age.Milliseconds(), "from": uint64(t.at)}).Debug("store read")
 		r.gateway.control.tell(ctx, storeAnswered{err})
 		if err != nil {
-			sleep(ctx, storeRest)
+			sleep(ctx, rest(t.rank))
 		}
 	}
 	return ctx.Err()
 }
 
+// rest is the pause after a failed call. In an outage all entries would call at
+// once and again and again; so the later ones in the order wait longer, and the
+// first finds out soon that the store is back.
+func rest(rank int) time.Duration {
+	return min(storeRest*time.Duration(1+rank), storeRestMax)
+}
+
 // read watches from revision at, or lists where that is not known or a watch
-// fails: it may have missed a change then.
+// has failed: it may have missed a change then.
 func (r *reader[T]) read(ctx context.Context, at roster.Revision) (err error) {
-	if at > 0 {
-		if err = r.watch(ctx, at); err == nil {
+	if at > 0 && !r.unsure {
+		err = r.watch(ctx, at)
+		if err == nil {
 			return nil
 		}
-		r.gateway.log.WithError(err).Debug("watch ended")
+		r.unsure = true
+		if !errors.Is(err, platform.ErrHistory) && !errors.Is(err, context.DeadlineExceeded) {
+			return err
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTime)
 	defer cancel()
 	asked := time.Now()
 	items, upTo, err := r.kind.List(ctx)
 	if err == nil {
+		r.unsure = false
 		r.gateway.control.tell(ctx, r.listed(items, upTo, asked))
 	}
 	return err
