--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -146,8 +146,28 @@
 }
 
 func (e *entry) knows(service string) bool {
+	return e.size(service) > 0
+}
+
+// size is how many targets the entry knows of a service.
+func (e *entry) size(service string) int {
 	sv := e.view.Load().services[service]
-	return sv != nil && sv.book.Size() > 0
+	if sv == nil {
+		return 0
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.book.Size()
+}
+
+func (e *entry) hasTarget(id string) bool {
+	sv := e.view.Load().services["gowns"]
+	if sv == nil {
+		return false
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.book.Has(id)
 }
 
 func (w *world) until(what string, ok func() bool) {
--- a/internal/gateway/knowledge_test.go
+++ b/internal/gateway/knowledge_test.go
@@ -83,11 +83,6 @@
 	}
 }
 
-func (e *entry) hasTarget(id string) bool {
-	sv := e.view.Load().services["gowns"]
-	return sv != nil && sv.book.Has(id)
-}
-
 // A target says that it leaves, or its record is removed. 2 s after the store
 // acknowledged that, no request may reach it.
 func TestLeavingTargetGetsNothing(t *testing.T) {
@@ -137,7 +132,7 @@
 	w := newWorld(t, site{targets: 7})
 	w.store.Page(3)
 	e := w.entry("a").settled()
-	w.until("all targets", func() bool { return e.view.Load().services["gowns"].book.Size() == 7 })
+	w.until("all targets", func() bool { return e.size("gowns") == 7 })
 }
 
 // The store is away for longer than records last, so that its list is empty on
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -71,7 +71,7 @@
 		return
 	}
 	now := time.Now()
-	print := q.fingerprint()
+	digest := q.fingerprint()
 	q.call = call.New(call.Config{
 		Tries: min(q.route.Attempts, call.MaxTries), Margin: endMargin, Budget: q.service.budget,
 	})
@@ -90,7 +90,7 @@
 	q.hedge = hedge
 	acts := q.call.Arrive(now, call.Arrival{
 		Deadline: end, Idempotent: q.route.Idempotent, Hedge: q.service.hedge(q.objective.Sub(now)),
-		Quarantined: q.gateway.suspects.Quarantined(now, print),
+		Quarantined: q.gateway.suspects.Quarantined(now, digest),
 	})
 	for !q.do(acts.All()) {
 		select {
@@ -98,7 +98,7 @@
 			acts = q.chosen(time.Now(), a)
 		case res := <-q.results:
 			q.flying--
-			acts = q.ended(time.Now(), res, print)
+			acts = q.ended(time.Now(), res, digest)
 		case <-hedge.C:
 			acts = q.call.Hedge(time.Now())
 		case <-timer.C:
@@ -209,7 +209,7 @@
 }
 
 // ended takes the end of a dispatch.
-func (q *request) ended(now time.Time, res result, print uint64) call.Actions {
+func (q *request) ended(now time.Time, res result, digest uint64) call.Actions {
 	t := &q.tries[res.try]
 	e := slot.End{ID: t.id}
 	if res.fail == nil && !q.proper(res.answer) {
@@ -220,7 +220,7 @@
 		e.Kind = kindOf(f.Stage)
 		q.service.done(now, e)
 		q.logFailure(t, f)
-		crash := f.Stage.Crash() && q.gateway.suspects.Crashed(now, print, t.target.ID, t.began)
+		crash := f.Stage.Crash() && q.gateway.suspects.Crashed(now, digest, t.target.ID, t.began)
 		return q.call.Fail(now, call.Failed{Try: res.try, Stage: f.Stage, Ran: f.Ran, Replay: true, Quarantined: crash})
 	}
 	a := res.answer
@@ -235,7 +235,7 @@
 		e.Kind = slot.Failed
 	}
 	q.service.done(now, e)
-	q.gateway.suspects.Answered(now, print)
+	q.gateway.suspects.Answered(now, digest)
 	return q.call.Head(now, call.Head{
 		Try: res.try, Status: a.Status, Shed: shed, Replay: true, Unwell: a.Status >= http.StatusInternalServerError,
 	})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -95,12 +95,7 @@
 		Timeout:   callTime,
 		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTime, DisableCompression: true},
 	}}
-	if r.packets, err = net.ListenPacket("udp", cfg.Address); err != nil {
-		return nil, err
-	}
-	// Datagrams and calls share one port, so that a beat names both.
-	if r.listener, err = net.Listen("tcp", r.Address()); err != nil {
-		r.packets.Close()
+	if err := r.listen(); err != nil {
 		return nil, err
 	}
 	r.server = &http.Server{
@@ -111,6 +106,28 @@
 	return r, nil
 }
 
+// freePorts is how often another port is tried where the system chooses it.
+const freePorts = 20
+
+// listen opens datagrams and calls on one port, so that a beat names both.
+// Where the system chooses the port, the one it gives for datagrams may be taken
+// for calls.
+func (r *Relay) listen() (err error) {
+	for range freePorts {
+		if r.packets, err = net.ListenPacket("udp", r.cfg.Address); err != nil {
+			return err
+		}
+		if r.listener, err = net.Listen("tcp", r.Address()); err == nil {
+			return nil
+		}
+		r.packets.Close()
+		if _, port, _ := net.SplitHostPort(r.cfg.Address); port != "0" {
+			return err
+		}
+	}
+	return err
+}
+
 // Address is where the other entries find this one.
 func (r *Relay) Address() string {
 	return r.packets.LocalAddr().String()
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -66,7 +66,7 @@
 func (b *Book) Arrive(now time.Time, r Request, out []Action) []Action {
 	s := &seeker{Request: r}
 	b.seeking[r.ID] = s
-	if !b.anyOpen(now) {
+	if !b.anyOpen() {
 		return b.refuse(s, NoTarget, b.cfg.PauseMin, out)
 	}
 	if r.Hedge {
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func (b *Book) anyOpen(now time.Time) bool {
+func (b *Book) anyOpen() bool {
 	return slices.ContainsFunc(b.order, func(m *member) bool { return !m.Leaving })
 }
 
--- a/pkg/slot/config.go
+++ b/pkg/slot/config.go
@@ -18,14 +18,14 @@
 // Defaults. The figures are those at which the model and the deployments with
 // two slots a target served most within the objective.
 const (
-	defaultAsk      = 4
-	defaultAskTime  = 20 * time.Millisecond
-	defaultUsual    = 60 * time.Millisecond
-	defaultKnee     = 1.7
-	defaultSlow     = 1.6
-	defaultHold     = 75 * time.Millisecond
-	defaultPauseMin = 500 * time.Millisecond
-	defaultPauseMax = 4 * time.Second
+	defaultAsk     = 4
+	defaultAskTime = 20 * time.Millisecond
+	defaultUsual   = 60 * time.Millisecond
+	defaultKnee    = 1.7
+	defaultSlow    = 1.6
+	defaultHold    = 75 * time.Millisecond
+	defaultPause   = 500 * time.Millisecond
+	defaultLongest = 4 * time.Second
 )
 
 func (c Config) withDefaults() Config {
@@ -48,10 +48,10 @@
 		c.Hold = defaultHold
 	}
 	if c.PauseMin <= 0 {
-		c.PauseMin = defaultPauseMin
+		c.PauseMin = defaultPause
 	}
 	if c.PauseMax <= 0 {
-		c.PauseMax = defaultPauseMax
+		c.PauseMax = defaultLongest
 	}
 	return c
 }
