gateway: metrics, and one line a request with what decided it

A request ends with one line that holds the choice, the age of the word behind it and the outcome; lines about requests that went well are bounded to 20 a second, others to 150, and what is left out is counted.

--- a/gateway.go
+++ b/gateway.go
@@ -17,17 +17,18 @@
 )
 
 func gatewayCommand() *command {
-	level := "info"
+	level, port := "info", 0
 	sub := flaggy.NewSubcommand("gateway")
 	sub.Description = "serve callers on the users' platform until told to stop"
 	sub.String(&level, "l", "level", "least severe log level: debug, info, warn, error")
+	sub.Int(&port, "m", "metrics", "port on which metrics are scraped; 0 takes a free one")
 	sub.AdditionalHelpAppend = "The settings file is named by " + platform.SettingsVariable + "."
 	return &command{sub: sub, run: func(ctx context.Context) error {
-		return runGateway(ctx, level)
+		return runGateway(ctx, level, port)
 	}}
 }
 
-func runGateway(ctx context.Context, level string) (err error) {
+func runGateway(ctx context.Context, level string, port int) (err error) {
 	least, err := log.ParseLevel(level)
 	if err != nil {
 		return exitError{exitUsage, err}
@@ -44,7 +45,7 @@
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(lines.Writer("net/http"))
 	g, err := gateway.New(gateway.Config{
-		Settings: s, Boot: uint64(time.Now().UnixNano()), Log: logger.WithField("entry", s.Name),
+		Settings: s, Boot: uint64(time.Now().UnixNano()), Metrics: port, Log: logger.WithField("entry", s.Name),
 	})
 	if err != nil {
 		return err
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -162,7 +162,7 @@
 	return newService(serviceConfig{
 		Name:    want.Name,
 		Policy:  want.Policy,
-		Metrics: c.entry.metrics.service(want.Name),
+		Metrics: newServiceMetrics(c.entry.metrics, want.Name),
 		Probe:   c.entry.probe,
 		Left:    c.entry.left,
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"plumpitch.example/plumpitch/internal/claims"
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/internal/members"
+	"plumpitch.example/plumpitch/internal/metrics"
 	"plumpitch.example/plumpitch/internal/peer"
 	"plumpitch.example/plumpitch/internal/settings"
 	"plumpitch.example/plumpitch/internal/store"
@@ -57,7 +58,7 @@
 	forward  *forward.Forwarder
 	suspects *call.Suspects
 	prober   *prober
-	metrics  metrics
+	metrics  metrics.Metrics
 	tracing  tracing
 
 	store    *store.Client
@@ -82,7 +83,7 @@
 		cfg:      cfg,
 		log:      cfg.Log.WithField("entry", cfg.File.Name),
 		forward:  forward.New(forward.Config{}),
-		metrics:  newMetrics(cfg.File.Name),
+		metrics:  metrics.New(cfg.File.Name),
 		stop:     make(chan struct{}, 1),
 		prober:   newProber(),
 		suspects: call.NewSuspects(call.SuspectsConfig{}),
@@ -198,7 +199,7 @@
 	e.client.Close()
 	e.forward.Close()
 	e.tracing.close()
-	e.metrics.close()
+	e.metrics.Close()
 }
 
 // errSuperseded says that a later start of this entry's name is up.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -1,49 +1,12 @@
 package entry
 
 import (
-	"net/http"
-	"time"
-
-	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
+	"plumpitch.example/plumpitch/internal/metrics"
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
-// metrics reports by tally, in a form that Prometheus scrapes.
-type metrics struct {
-	scope   tally.Scope
-	handler http.Handler
-	close   func()
-}
-
-// reportPeriod is how often tally hands its values to the reporter.
-const reportPeriod = time.Second
-
-// latencyBuckets cover 0.25 ms to about 8 s, doubling.
-var latencyBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 16)
-
-func newMetrics(entry string) metrics {
-	registry := prom.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{
-		Registerer:       registry,
-		Gatherer:         registry,
-		DefaultTimerType: prometheus.HistogramTimerType,
-	})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "plumpitch",
-		Tags:           map[string]string{"entry": entry},
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
-	}, reportPeriod)
-	return metrics{
-		scope:   scope,
-		handler: reporter.HTTPHandler(),
-		close:   func() { _ = closer.Close() },
-	}
-}
-
 // serviceMetrics are the instruments of one service, made once so that the
 // request path looks nothing up.
 type serviceMetrics struct {
@@ -61,13 +24,13 @@
 	ejected  tally.Gauge
 }
 
-func (m metrics) service(name string) serviceMetrics {
-	s := m.scope.Tagged(map[string]string{"service": name})
+func newServiceMetrics(m metrics.Metrics, name string) serviceMetrics {
+	s := m.Scope.Tagged(map[string]string{"service": name})
 	outcome := func(o string) tally.Counter {
 		return s.Tagged(map[string]string{"outcome": o}).Counter("requests")
 	}
 	return serviceMetrics{
-		latency:  s.Histogram("latency", latencyBuckets),
+		latency:  s.Histogram("latency", metrics.LatencyBuckets),
 		ran:      outcome("ran"),
 		notRun:   outcome("not-run"),
 		unknown:  outcome("unknown"),
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -20,7 +20,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", e.serveReady)
-	mux.Handle("GET /metrics", e.metrics.handler)
+	mux.Handle("GET /metrics", e.metrics.Handler)
 	mux.Handle("/v1/settings/", settings.Handler(e.settings))
 	mux.Handle("GET /v1/status", operation(e.statusEndpoint()))
 	mux.Handle("GET /v1/explain", operation(e.explainEndpoint()))
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -39,7 +39,7 @@
 func (r *reporter) report(now time.Time) {
 	e := r.entry
 	s := e.site.Load()
-	scope := e.metrics.scope
+	scope := e.metrics.Scope
 	scope.Gauge("settings_revision").Update(float64(s.revision))
 	scope.Gauge("ring_revision").Update(float64(e.claims.Ring().Revision))
 	scope.Gauge("entries_live").Update(float64(len(s.live)))
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/forward"
-	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/platform"
 )
@@ -45,6 +44,9 @@
 	t := &q.tries[i]
 	a := t.answer
 	t.answer = nil
+	q.service.counts.answered.Inc(1)
+	q.service.counts.latency.RecordDuration(time.Since(q.arrived))
+	q.logAnswer(t, a.Status)
 	for _, name := range platform.TargetsOnly {
 		a.Header.Del(name)
 	}
@@ -53,7 +55,7 @@
 	}
 	forward.Copy(q.w, a, func(f *forward.Failure) {
 		if f != nil {
-			q.gateway.log.WithFields(q.logFields()).WithError(f.Cause).Info("answer cut")
+			q.gateway.log.WithFields(q.fields()).WithError(f.Cause).Info("answer cut")
 		}
 	})
 }
@@ -88,12 +90,10 @@
 
 // final answers a request that no target answered.
 func (q *request) final(status int, reason string) {
-	name := ""
-	if q.route != nil {
-		name = q.route.Name
+	q.logFinal(status, reason)
+	if q.service != nil {
+		q.service.counts.final(reason).Inc(1)
 	}
-	q.gateway.log.WithField(logs.FieldRequest, q.id).WithField("route", name).WithField("status", status).
-		WithField("ms", time.Since(q.arrived).Milliseconds()).Info("answered " + reason)
 	q.w.Header().Set(call.HeaderReason, reason)
 	q.w.Header().Set("Content-Length", "0")
 	q.w.WriteHeader(status)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -91,6 +91,7 @@
 // heard takes a beat of another entry. One that finds the inbox full is
 // dropped: the next one says the same.
 func (c *control) heard(b relay.Beat) {
+	c.gateway.instruments.beats.Inc(1)
 	select {
 	case c.inbox <- beatHeard{b}:
 	default:
@@ -120,6 +121,7 @@
 	c.gateway.rate.tick(now)
 	c.strain.tick(now, beatPeriod)
 	c.publish(now)
+	c.report(now)
 	if now.Sub(c.beaten) >= c.period()-beatPeriod/2 {
 		c.beat(now)
 	}
@@ -367,6 +369,7 @@
 		return
 	}
 	c.pulling = true
+	c.gateway.instruments.pulls.Inc(1)
 	have := relay.Have{Config: c.config.Version, Targets: c.targets.Moved()}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -50,6 +50,7 @@
 		q.refuse("noconfig", noConfigRetry)
 		return
 	}
+	q.version = v.table.Config.Version
 	q.route = v.table.Find(r.Host, r.URL.EscapedPath())
 	if q.route == nil {
 		q.final(http.StatusNotFound, "noroute")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 type Config struct {
 	Settings platform.Settings
 	Boot     uint64 // incarnation; grows with each start
+	Metrics  int    // port of scrapes; 0 takes a free one
 	Log      log.Interface
 }
 
@@ -47,7 +48,9 @@
 	bounds   atomic.Pointer[platform.Bounds]
 	view     atomic.Pointer[view]
 
-	front, ready, directory net.Listener
+	instruments instruments
+
+	front, ready, directory, scrapes net.Listener
 }
 
 // Limits of connections to targets. The figures are said beside each.
@@ -74,7 +77,8 @@
 		forward: forward.New(forward.Config{
 			Echo: platform.HeaderRequest, Silence: targetSilence, Idle: targetIdle, Whole: wholeAnswer,
 		}),
-		suspects: call.NewSuspects(call.SuspectsConfig{Crashes: crashLimit}),
+		suspects:    call.NewSuspects(call.SuspectsConfig{Crashes: crashLimit}),
+		instruments: newInstruments(cfg.Settings.Name),
 	}
 	if err := g.listen(); err != nil {
 		return nil, err
@@ -124,13 +128,17 @@
 const crashLimit = 3
 
 func (g *Gateway) listen() (err error) {
-	s := g.cfg.Settings
+	cfg := g.cfg
+	s := cfg.Settings
 	for _, l := range []struct {
 		name string
 		on   *net.Listener
 		addr string
 	}{
-		{"front", &g.front, s.Front}, {"ready", &g.ready, s.Ready}, {"directory", &g.directory, s.Directory},
+		{"front", &g.front, s.Front},
+		{"ready", &g.ready, s.Ready},
+		{"directory", &g.directory, s.Directory},
+		{"metrics", &g.scrapes, net.JoinHostPort(s.Address, strconv.Itoa(cfg.Metrics))},
 	} {
 		if *l.on, err = net.Listen("tcp", l.addr); err != nil {
 			g.unlisten()
@@ -141,7 +149,7 @@
 }
 
 func (g *Gateway) unlisten() {
-	for _, l := range []net.Listener{g.front, g.ready, g.directory} {
+	for _, l := range []net.Listener{g.front, g.ready, g.directory, g.scrapes} {
 		if l != nil {
 			l.Close()
 		}
@@ -163,11 +171,16 @@
 	below := s.ServeBackground(traffic)
 	front := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
 	side := &http.Server{Handler: g.sideHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	go func() { failed <- front.Serve(g.front) }()
 	go func() { failed <- side.Serve(g.ready) }()
 	go func() { failed <- side.Serve(g.directory) }()
-	g.log.Info("gateway started")
+	scrape := &http.Server{Handler: g.instruments.Handler, ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
+	go func() { failed <- scrape.Serve(g.scrapes) }()
+	defer g.instruments.Close()
+	g.log.WithFields(log.Fields{
+		"front": g.self.Front, "peer": g.self.Peer, "metrics": g.scrapes.Addr().String(), "capacity": g.self.Capacity,
+	}).Info("gateway started")
 	select {
 	case <-ctx.Done():
 		g.leave(front)
--- /dev/null
+++ b/internal/gateway/instruments.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"plumpitch.example/plumpitch/internal/metrics"
+	"plumpitch.example/plumpitch/pkg/slot"
+)
+
+// instruments are the counters of the whole process, made once so that the
+// request path looks nothing up.
+type instruments struct {
+	metrics.Metrics
+	beats   tally.Counter // heard from other entries
+	pulls   tally.Counter // asked of other entries
+	reads   [duties]tally.Counter
+	failed  [duties]tally.Counter // reads that the store didn't answer
+	config  tally.Gauge           // version in force
+	age     [duties]tally.Gauge   // seconds since the store confirmed what is known
+	live    tally.Gauge           // entries known to be up
+	targets tally.Gauge
+}
+
+func newInstruments(entry string) instruments {
+	m := metrics.New(entry)
+	i := instruments{
+		Metrics: m, beats: m.Scope.Counter("beats"), pulls: m.Scope.Counter("pulls"),
+		config: m.Scope.Gauge("config_version"), live: m.Scope.Gauge("live_entries"), targets: m.Scope.Gauge("targets"),
+	}
+	for d, name := range dutyNames {
+		s := m.Scope.Tagged(map[string]string{"kind": name})
+		i.reads[d], i.failed[d] = s.Counter("store_reads"), s.Counter("store_reads_failed")
+		i.age[d] = s.Gauge("knowledge_age_seconds")
+	}
+	return i
+}
+
+// serviceInstruments are the instruments of one service.
+type serviceInstruments struct {
+	latency  tally.Histogram // of answers that targets gave
+	answered tally.Counter
+	final    func(reason string) tally.Counter // answers in place of a target's
+	refused  map[slot.Reason]tally.Counter     // by the book
+	sent     tally.Counter
+	again    tally.Counter // sent after the first time: retries and hedges
+	asked    tally.Counter
+	failures tally.Counter // dispatches without an answer
+}
+
+func (i instruments) service(name string) serviceInstruments {
+	s := i.Scope.Tagged(map[string]string{"service": name})
+	si := serviceInstruments{
+		latency: s.Histogram("latency", metrics.LatencyBuckets), answered: s.Counter("answered"),
+		sent: s.Counter("dispatches"), again: s.Counter("repeats"), asked: s.Counter("load_questions"),
+		failures: s.Counter("dispatches_failed"), refused: make(map[slot.Reason]tally.Counter),
+	}
+	for _, r := range []slot.Reason{slot.Full, slot.NoTarget, slot.Late} {
+		si.refused[r] = s.Tagged(map[string]string{"reason": r.String()}).Counter("refusals")
+	}
+	si.final = func(reason string) tally.Counter {
+		return s.Tagged(map[string]string{"reason": reason}).Counter("final_answers")
+	}
+	return si
+}
+
+// report sets the gauges of the control loop's state.
+func (c *control) report(now time.Time) {
+	i := &c.gateway.instruments
+	i.config.Update(float64(c.config.Version))
+	i.live.Update(float64(len(c.live(now))))
+	i.targets.Update(float64(len(c.targets.Items())))
+	for d := range duties {
+		i.age[d].Update(now.Sub(later(c.confirmed[d], c.started)).Seconds())
+	}
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -189,7 +189,9 @@
 		err := r.read(ctx, t.at)
 		r.gateway.log.WithFields(log.Fields{"duty": r.String(), "rank": t.rank, "age": t.age.Milliseconds(), "from": uint64(t.at)}).Debug("store read")
 		r.gateway.control.tell(ctx, storeAnswered{err})
+		r.gateway.instruments.reads[r.duty].Inc(1)
 		if err != nil {
+			r.gateway.instruments.failed[r.duty].Inc(1)
 			sleep(ctx, rest(t.rank))
 		}
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,14 +4,11 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
 	"plumpitch.example/plumpitch/internal/forward"
-	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/route"
 	"plumpitch.example/plumpitch/pkg/slot"
@@ -28,6 +25,7 @@
 	body    []byte
 	route   *route.Entry
 	service *service
+	version route.Version // of the configuration that the request is served by
 	// objective is until when an answer counts in full, from the caller's first
 	// attempt on.
 	objective time.Time
@@ -46,6 +44,7 @@
 type try struct {
 	id     uint64 // in the book
 	target slot.Target
+	why    slot.Why // of the choice
 	began  time.Time
 	cancel context.CancelFunc
 	answer *forward.Answer
@@ -179,8 +178,8 @@
 		return q.call.Decline(now, call.Decline{Reason: call.ReasonOverload, Retry: a.Retry})
 	}
 	q.refused = slot.Action{}
-	q.logSend(a)
-	q.tries[min(q.next(), call.MaxTries-1)].target = a.Target
+	t := &q.tries[min(q.next(), call.MaxTries-1)]
+	t.target, t.why = a.Target, a.Why
 	return q.call.Choose(now, call.Choice{Target: a.Target.ID})
 }
 
@@ -197,6 +196,10 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(q.r.Context()))
 	t.cancel = cancel
 	q.flying++
+	q.service.counts.sent.Inc(1)
+	if a.Try > 0 {
+		q.service.counts.again.Inc(1)
+	}
 	left := q.end().Sub(t.began)
 	send := forward.Try{
 		Target: t.target.Address, Request: q.r, Path: q.r.URL.EscapedPath(), Body: q.body,
@@ -219,6 +222,7 @@
 	if f := res.fail; f != nil {
 		e.Kind = kindOf(f.Stage)
 		q.service.done(now, e)
+		q.service.counts.failures.Inc(1)
 		q.logFailure(t, f)
 		crash := f.Stage.Crash() && q.gateway.suspects.Crashed(now, digest, t.target.ID, t.began)
 		return q.call.Fail(now, call.Failed{Try: res.try, Stage: f.Stage, Ran: f.Ran, Replay: true, Quarantined: crash})
@@ -282,22 +286,3 @@
 		q.service.done(time.Now(), e)
 	}
 }
-
-// logFields are the fields of each line about the request.
-func (q *request) logFields() log.Fields {
-	return log.Fields{logs.FieldRequest: q.id, "route": q.route.Name, "ms": time.Since(q.arrived).Milliseconds()}
-}
-
-func (q *request) logSend(a slot.Action) {
-	f := q.logFields()
-	f["target"], f["inflight"], f["asked"] = a.Target.ID, a.Why.InFlight, a.Why.Asked
-	f["pace"], f["age"] = strconv.FormatFloat(a.Why.Pace, 'f', 2, 64), a.Why.Age.Milliseconds()
-	f["expected"] = a.Why.Expected.Milliseconds()
-	q.gateway.log.WithFields(f).Debug("sent")
-}
-
-func (q *request) logFailure(t *try, f *forward.Failure) {
-	fields := q.logFields()
-	fields["target"], fields["stage"], fields["ran"] = t.target.ID, f.Stage.String(), f.Ran == call.DidRun
-	q.gateway.log.WithFields(fields).WithError(f.Cause).Info("dispatch failed")
-}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -17,6 +17,7 @@
 type service struct {
 	gateway *Gateway
 	budget  *call.Budget
+	counts  serviceInstruments
 
 	mu      sync.Mutex
 	is      route.Service
@@ -42,7 +43,7 @@
 func newService(g *Gateway, s route.Service) *service {
 	b := g.bounds.Load()
 	sv := &service{
-		gateway: g, is: s, waiting: make(map[uint64]chan<- slot.Action),
+		gateway: g, is: s, counts: g.instruments.service(s.Name), waiting: make(map[uint64]chan<- slot.Action),
 		book: slot.New(slot.Config{Place: g.self.Place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget: call.NewBudget(call.BudgetConfig{
 			Share: b.RetryShare * retryMargin, Burst: max(b.RetrySlack/(expectedEntries*burstParts), 1),
@@ -113,11 +114,15 @@
 	for _, a := range actions {
 		switch a.Do {
 		case slot.Send, slot.Refuse:
+			if a.Do == slot.Refuse {
+				s.counts.refused[a.Reason].Inc(1)
+			}
 			if c, ok := s.waiting[a.ID]; ok {
 				delete(s.waiting, a.ID)
 				c <- a
 			}
 		case slot.Ask:
+			s.counts.asked.Inc(1)
 			go s.ask(a, s.is.Health)
 		}
 	}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -18,17 +18,21 @@
 type Handler struct {
 	lines   chan *log.Entry
 	out     *json.Handler
-	limit   *rate.Limiter
+	served  *rate.Limiter // lines about requests that went well
+	failed  *rate.Limiter // and about others
 	omitted atomic.Int64
 }
 
 const (
 	// logBuffer is how many lines may wait for an output that isn't read.
 	logBuffer = 1024
-	// requestLines is how many lines about requests are written a second: a
-	// line costs about 20 µs, so that they take a thousandth of a core.
-	requestLines = 40
-	requestBurst = 80
+	// servedLines and failedLines are how many lines a second are written
+	// about requests that went well and about others: a line costs about 20 µs,
+	// so that they take less than a hundredth of a core together.
+	servedLines = 20
+	failedLines = 150
+	// burstSeconds is how many seconds' lines may come at once.
+	burstSeconds = 2
 	// omittedEvery is how often the number of omitted lines is told.
 	omittedEvery = time.Second
 )
@@ -40,7 +44,8 @@
 func New(w io.Writer) *Handler {
 	l := &Handler{
 		lines: make(chan *log.Entry, logBuffer), out: json.New(w),
-		limit: rate.NewLimiter(requestLines, requestBurst),
+		served: rate.NewLimiter(servedLines, burstSeconds*servedLines),
+		failed: rate.NewLimiter(failedLines, burstSeconds*failedLines),
 	}
 	go l.write()
 	return l
@@ -48,7 +53,7 @@
 
 // HandleLog implements log.Handler.
 func (l *Handler) HandleLog(e *log.Entry) error {
-	if _, ok := e.Fields[FieldRequest]; ok && e.Level < log.WarnLevel && !l.limit.AllowN(e.Timestamp, 1) {
+	if _, ok := e.Fields[FieldRequest]; ok && !l.limit(e.Level).Allow() {
 		l.omitted.Add(1)
 		return nil
 	}
@@ -60,6 +65,13 @@
 	return nil
 }
 
+func (l *Handler) limit(level log.Level) *rate.Limiter {
+	if level < log.WarnLevel {
+		return l.served
+	}
+	return l.failed
+}
+
 func (l *Handler) write() {
 	tick := time.NewTicker(omittedEvery)
 	defer tick.Stop()
