gateway: dead entries are forgotten; a caller that has gone is noticed before dispatch

Records of entries silent for two minutes are removed by the first in the order, if they haven't changed.

--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -140,3 +143,29 @@
 	e := w.entry("a").settled()
 	w.c.Assert(e.call("GET", "/b/x", "").status, qt.Equals, http.StatusNotFound)
 }
+
+// A caller closes its connection before its request is looked at. The request
+// must not reach a target.
+func TestCallerGoneBeforeDispatch(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	served, err := l.Accept()
+	c.Assert(err, qt.IsNil)
+	defer served.Close()
+	r := httptest.NewRequest("GET", "/a/x", nil)
+	r = r.WithContext(withConn(r.Context(), served))
+	c.Assert(gone(r), qt.IsFalse)
+	_, err = caller.Write([]byte("GET /a/next"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(gone(r), qt.IsFalse)
+	_, err = io.ReadFull(served, make([]byte, len("GET /a/next")))
+	c.Assert(err, qt.IsNil)
+	caller.Close()
+	for end := time.Now().Add(bound); !gone(r); time.Sleep(time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -62,9 +62,18 @@
 
 // peer is another entry.
 type peer struct {
-	entry owner.Entry
-	heard time.Time
-	beat  relay.Beat
+	entry    owner.Entry
+	heard    time.Time
+	beat     relay.Beat
+	revision roster.Revision // of its record, where this entry has read it
+}
+
+// known is the revision of the record of an entry, zero for one not heard of.
+func (p *peer) known() roster.Revision {
+	if p == nil {
+		return 0
+	}
+	return p.revision
 }
 
 // up reports whether the entry is known to live.
@@ -120,6 +129,7 @@
 func (c *control) tick(now time.Time) {
 	c.gateway.rate.tick(now)
 	c.strain.tick(now, beatPeriod)
+	c.forget(now)
 	c.publish(now)
 	c.report(now)
 	if now.Sub(c.beaten) >= c.period()-beatPeriod/2 {
@@ -345,7 +355,7 @@
 			"peer": b.Entry.Name, "boot": b.Entry.Boot, "leaving": b.Leaving,
 		}).Info("entry is up")
 	}
-	c.peers[b.Entry.Name] = &peer{entry: b.Entry, heard: now, beat: b}
+	c.peers[b.Entry.Name] = &peer{entry: b.Entry, heard: now, beat: b, revision: p.known()}
 	c.gateway.suspects.Merge(now, b.Entry.Name, b.Suspects)
 	if b.Config > c.config.Version || b.Targets > c.targets.Moved() {
 		c.pull(b.Entry)
@@ -474,13 +484,48 @@
 func (m entriesListed) apply(now time.Time, c *control) {
 	for _, it := range m.items {
 		e := it.Value
-		if e.Name != c.gateway.self.Name && c.peers[e.Name] == nil {
+		if e.Name == c.gateway.self.Name {
+			continue
+		}
+		if c.peers[e.Name] == nil {
 			c.peers[e.Name] = &peer{entry: e, heard: now}
 		}
+		c.peers[e.Name].revision = it.Revision
 	}
 	c.beat(now)
 }
 
+// forgetAfter is how long an entry is silent before its record is removed. A VM
+// that is cut off or frozen for a while keeps its record, and is told of what
+// it missed as soon as it is back.
+const forgetAfter = 2 * time.Minute
+
+// forget drops entries that were silent for long. The first in the order
+// removes their records, unless they have changed: an entry that started anew
+// has entered itself again.
+func (c *control) forget(now time.Time) {
+	for name, p := range c.peers {
+		if now.Sub(p.heard) < forgetAfter {
+			continue
+		}
+		delete(c.peers, name)
+		if owner.Rank(c.live(now), dutyNames[dutyTargets], c.gateway.self.Name) != 0 || p.revision == 0 {
+			continue
+		}
+		c.gateway.log.WithFields(log.Fields{"peer": name, "silent": now.Sub(p.heard).String()}).Info("record of a dead entry removed")
+		go c.gateway.remove(name, p.revision)
+	}
+}
+
+// remove removes the record of a dead entry.
+func (g *Gateway) remove(name string, rev roster.Revision) {
+	ctx, cancel := context.WithTimeout(context.Background(), listTime)
+	defer cancel()
+	if err := g.store.Leave(ctx, name, rev); err != nil {
+		g.log.WithError(err).WithField("peer", name).Info("record not removed")
+	}
+}
+
 // storeAnswered tells whether the store serves this entry.
 type storeAnswered struct{ err error }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,7 +169,7 @@
 	s.Add(newConfigReader(g))
 	s.Add(newTargetReader(g))
 	below := s.ServeBackground(traffic)
-	front := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
+	front := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle, ConnContext: withConn}
 	side := &http.Server{Handler: g.sideHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
 	failed := make(chan error, 4)
 	go func() { failed <- front.Serve(g.front) }()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -178,6 +178,9 @@
 		return q.call.Decline(now, call.Decline{Reason: call.ReasonOverload, Retry: a.Retry})
 	}
 	q.refused = slot.Action{}
+	if gone(q.r) {
+		return q.call.Leave(now)
+	}
 	t := &q.tries[min(q.next(), call.MaxTries-1)]
 	t.target, t.why = a.Target, a.Why
 	return q.call.Choose(now, call.Choice{Target: a.Target.ID})
