--- a/main.go
+++ b/main.go
@@ -54,6 +54,7 @@
 		drainCommand(),
 		undrainCommand(),
 		explainCommand(),
+		traceCommand(),
 		readyCommand(),
 		metricsCommand(),
 		loadCommand(),
