--- /dev/null
+++ b/internal/gateway/beliefs.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/apex/log"
+
+	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/roster"
+	"plumpitch.example/plumpitch/pkg/slot"
+)
+
+// beliefs are what was last logged of what the control loop believes.
+type beliefs struct {
+	live    string
+	owners  string
+	targets map[string]roster.Item[slot.Target]
+}
+
+// logBeliefs logs what has changed: which entries live, which own a service,
+// and the targets.
+func (c *control) logBeliefs(live []owner.Candidate, owners map[string][]owner.Entry) {
+	b := &c.believed
+	if text := liveText(live); text != b.live {
+		c.gateway.log.WithFields(log.Fields{"live": text, "before": b.live}).Info("live entries changed")
+		b.live = text
+	}
+	if text := ownersText(owners); text != b.owners {
+		c.gateway.log.WithFields(log.Fields{"owners": text, "before": b.owners}).Info("owners changed")
+		b.owners = text
+	}
+	c.logTargets()
+}
+
+func liveText(live []owner.Candidate) string {
+	var names []string
+	for _, e := range live {
+		name := e.Name
+		if e.Strained {
+			name += "(strained)"
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return strings.Join(names, " ")
+}
+
+func ownersText(owners map[string][]owner.Entry) string {
+	var parts []string
+	for service, list := range owners {
+		text := service + ":"
+		for _, e := range list {
+			text += " " + e.Name
+		}
+		parts = append(parts, text)
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, "; ")
+}
+
+// logTargets logs which targets came, went, and said that they leave.
+func (c *control) logTargets() {
+	before, now := c.believed.targets, c.targets.Items()
+	var came, went, leaving []string
+	for id, it := range now {
+		old, known := before[id]
+		if !known {
+			came = append(came, id)
+		}
+		if it.Value.Leaving && !(known && old.Value.Leaving) {
+			leaving = append(leaving, id)
+		}
+	}
+	for id := range before {
+		if _, ok := now[id]; !ok {
+			went = append(went, id)
+		}
+	}
+	c.believed.targets = now
+	if len(came)+len(went)+len(leaving) == 0 {
+		return
+	}
+	c.gateway.log.WithFields(log.Fields{
+		"revision": uint64(c.targets.Moved()), "targets": len(now),
+		"came": strings.Join(came, " "), "went": strings.Join(went, " "), "leaving": strings.Join(leaving, " "),
+	}).Info("targets changed")
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -56,6 +56,7 @@
 	shut      bool // the store doesn't serve this entry
 	pulling   bool
 	strain    strain
+	believed  beliefs
 	duty      bool      // this entry owns a service or reads the store
 	beaten    time.Time // last beat
 }
@@ -210,6 +211,7 @@
 	live := c.live(now)
 	owners := owner.Owners(live, c.needs(now, places))
 	c.duty = c.hasDuty(now, owners)
+	c.logBeliefs(live, owners)
 	services := make(map[string]*service, len(c.services))
 	for name, sv := range c.services {
 		services[name] = sv
@@ -350,11 +352,6 @@
 	if b.Entry.Name == c.gateway.self.Name || p != nil && p.entry.Boot > b.Entry.Boot {
 		return
 	}
-	if p == nil || p.entry != b.Entry || !p.up(now) || p.beat.Leaving != b.Leaving {
-		c.gateway.log.WithFields(log.Fields{
-			"peer": b.Entry.Name, "boot": b.Entry.Boot, "leaving": b.Leaving,
-		}).Info("entry is up")
-	}
 	c.peers[b.Entry.Name] = &peer{entry: b.Entry, heard: now, beat: b, revision: p.known()}
 	c.gateway.suspects.Merge(now, b.Entry.Name, b.Suspects)
 	if b.Config > c.config.Version || b.Targets > c.targets.Moved() {
@@ -474,7 +471,6 @@
 	if !moved {
 		return
 	}
-	c.gateway.log.WithFields(log.Fields{"revision": uint64(c.targets.Moved()), "targets": len(c.targets.Items())}).Info("targets changed")
 	c.beat(now)
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/route"
 	"plumpitch.example/plumpitch/pkg/slot"
@@ -124,6 +126,10 @@
 		case slot.Ask:
 			s.counts.asked.Inc(1)
 			go s.ask(a, s.is.Health)
+		case slot.Rest:
+			s.gateway.log.WithFields(log.Fields{"service": s.is.Name, "target": a.Target.ID}).Warn("target is out, it fails what it is sent")
+		case slot.Back:
+			s.gateway.log.WithFields(log.Fields{"service": s.is.Name, "target": a.Target.ID}).Info("target is back")
 		}
 	}
 	s.arm(now)
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -139,7 +139,14 @@
 		e.Load.Running = max(e.Load.Running-1, 0)
 		b.tell(now, m, e.Load)
 	}
+	was := m.out
 	b.judge(now, f, e)
+	switch {
+	case m.out && !was:
+		out = append(out, Action{Do: Rest, Target: m.Target})
+	case was && !m.out:
+		out = append(out, Action{Do: Back, Target: m.Target})
+	}
 	return b.serve(now, out)
 }
 
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -51,6 +51,8 @@
 	Ask    Do = iota + 1 // ask Target for its load; a Reply follows in any case
 	Send                 // send request ID to Target
 	Refuse               // request ID gets no target
+	Rest                 // Target is out: it fails what it is sent
+	Back                 // Target gets requests again
 )
 
 // Reason tells why a request was refused.
