slot: how much longer work takes at a crowded target is learnt; targets that tell nothing

Causes: the factor of 1.7 fits one deployment; one with other slots or none would be judged wrongly, and services whose targets don't tell their load would be asked for nothing with each request. gateway: the heap doubles before a collection in place of growing fivefold.

--- a/gateway.go
+++ b/gateway.go
@@ -5,6 +5,7 @@
 	stdlog "log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -28,6 +29,11 @@
 	}}
 }
 
+// gatewayGC lets the heap double before a collection. A gateway's VM is small and
+// its memory counts: against 400 percent it takes 18 in place of 42 MB, for a
+// fifth more processor time (13 gateways, 110 requests a second).
+const gatewayGC = 100
+
 func runGateway(ctx context.Context, level string, port int) (err error) {
 	least, err := log.ParseLevel(level)
 	if err != nil {
@@ -38,6 +44,7 @@
 	if err != nil {
 		return exitError{exitInvalid, err}
 	}
+	debug.SetGCPercent(gatewayGC)
 	lines := logs.New(os.Stdout)
 	defer lines.Close()
 	logger := &log.Logger{Handler: lines, Level: least}
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -18,6 +18,7 @@
 	queue   []*seeker // waiting, in the order in which they are served
 	usual   usual
 	mean    float64 // pace over all targets
+	knee    float64 // how much longer work takes at a crowded target
 	scratch []candidate
 }
 
@@ -35,7 +36,7 @@
 func New(cfg Config, rnd *rand.Rand) *Book {
 	cfg = cfg.withDefaults()
 	return &Book{
-		cfg: cfg, rnd: rnd, mean: 1,
+		cfg: cfg, rnd: rnd, mean: 1, knee: cfg.Knee,
 		members: make(map[string]*member),
 		flights: make(map[uint64]*flight),
 		seeking: make(map[uint64]*seeker),
@@ -107,6 +108,7 @@
 	if r.Loaded {
 		b.tell(now, m, r.Load)
 	}
+	m.mute = r.Well && !r.Loaded
 	if !r.Well {
 		m.closed = later(m.closed, now.Add(shedPause))
 	}
@@ -156,14 +158,7 @@
 	switch e.Kind {
 	case Served:
 		m.praise()
-		plain := float64(b.usual.mean) * f.pace
-		if f.beside > 0 {
-			plain *= b.cfg.Knee
-		}
-		m.measure(now, took, time.Duration(plain))
-		if f.beside == 0 && f.pace <= b.cfg.Slow {
-			b.usual.add(time.Duration(float64(took) / f.pace))
-		}
+		b.measure(now, f, took)
 	case Failed, Lost, TimedOut:
 		m.blame(now, failWeight, &b.cfg)
 	case Shed:
@@ -180,6 +175,29 @@
 	}
 }
 
+// measure learns from how long an answer took. Targets that were slow already
+// when it was sent say little of the others.
+func (b *Book) measure(now time.Time, f *flight, took time.Duration) {
+	const weight = 1.0 / 32
+	crowded := f.member.crowded(f.beside)
+	plain := float64(b.usual.mean) * f.pace
+	switch {
+	case f.pace > b.cfg.Slow:
+	case crowded:
+		ratio := float64(took) / plain
+		b.knee += (min(max(ratio, 1), maxKnee) - b.knee) * weight
+	case f.beside == 0:
+		b.usual.add(time.Duration(float64(took) / f.pace))
+	}
+	if crowded {
+		plain *= b.knee
+	}
+	f.member.measure(now, took, time.Duration(plain))
+}
+
+// maxKnee bounds what one answer may say of a crowded target.
+const maxKnee = 3
+
 // mayEject keeps half of the targets in: a fault that all share would leave
 // nothing to send to.
 func (b *Book) mayEject() bool {
@@ -242,7 +260,7 @@
 	beside := m.busy(now, &b.cfg)
 	why := Why{
 		InFlight: beside, Pace: m.pace, Age: now.Sub(m.told), Asked: s.asked, Waited: now.Sub(s.Arrived),
-		Expected: m.expected(now, b.usual.mean, pace, &b.cfg),
+		Expected: m.expected(now, b.usual.mean, pace, b.knee, &b.cfg),
 	}
 	m.inFlight++
 	b.flights[s.ID] = &flight{member: m, sent: now, beside: beside, pace: pace}
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		pace := m.estimate(now, b.mean, &b.cfg)
-		list = b.insert(list, candidate{m, pace, m.expected(now, b.usual.mean, pace, &b.cfg)}, n)
+		list = b.insert(list, candidate{m, pace, m.expected(now, b.usual.mean, pace, b.knee, &b.cfg)}, n)
 	}
 	b.scratch = list
 	return list
@@ -88,7 +88,7 @@
 	}
 	s.until = now.Add(b.cfg.AskTime)
 	for _, c := range list {
-		if c.loads && now.Sub(c.told) < askFresh {
+		if c.mute || c.loads && now.Sub(c.told) < askFresh {
 			continue
 		}
 		s.pending++
--- a/pkg/slot/config.go
+++ b/pkg/slot/config.go
@@ -8,7 +8,7 @@
 	Ask      int           // targets that one request asks; 0 takes the default, less than 0 none
 	AskTime  time.Duration // longest wait for their answers
 	Usual    time.Duration // time of work before any is measured
-	Knee     float64       // how much longer work takes beside another request
+	Knee     float64       // how much longer work takes at a target that is nearly full, before any is measured
 	Slow     float64       // pace from which a target counts as slow
 	Hold     time.Duration // an old report is half forgotten after it
 	PauseMin time.Duration // a failing target rests at least so long
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -19,6 +19,7 @@
 	foreign  int     // requests of other entries, as last told
 	told     time.Time
 	loads    bool    // it tells its load
+	mute     bool    // it answers questions without telling its load
 	slowness float64 // how much longer it takes than it says, 1 is as said
 	judged   time.Time
 
@@ -72,10 +73,10 @@
 }
 
 // expected is how long an answer takes that is asked for now.
-func (m *member) expected(now time.Time, usual time.Duration, pace float64, c *Config) time.Duration {
+func (m *member) expected(now time.Time, usual time.Duration, pace, knee float64, c *Config) time.Duration {
 	d := float64(usual) * pace * m.slower(now)
-	if m.busy(now, c) > 0 {
-		d *= c.Knee
+	if m.crowded(m.busy(now, c)) {
+		d *= knee
 	}
 	if now.Before(m.Warm) {
 		d *= coldFactor
@@ -83,6 +84,15 @@
 	return time.Duration(d)
 }
 
+// fullShare is the share of its slots from which on work at a target takes
+// longer.
+const fullShare = 0.8
+
+// crowded reports whether work takes longer beside that many other requests.
+func (m *member) crowded(beside int) bool {
+	return beside > 0 && float64(beside+1) > fullShare*float64(m.Slots)
+}
+
 // coldFactor is how much longer work takes on a target that has just started.
 const coldFactor = 2
 
--- a/pkg/slot/slot_test.go
+++ b/pkg/slot/slot_test.go
@@ -200,6 +200,28 @@
 	qt.Assert(t, out <= 2, qt.IsTrue)
 }
 
+// The targets of a service don't tell their load. They are asked once, and
+// requests go by what is at them.
+func TestTargetsThatTellNothing(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(3)
+	asked := 0
+	count := map[string]int{}
+	for range 9 {
+		_, out := d.arrive()
+		for _, a := range pick(out, Ask) {
+			asked++
+			out = append(out, d.Replied(d.now, Reply{Target: a.Target.ID, Well: true}, nil)...)
+		}
+		for _, a := range pick(out, Send) {
+			count[a.Target.ID]++
+		}
+		d.now = d.now.Add(time.Millisecond)
+	}
+	c.Assert(asked, qt.Equals, 3)
+	c.Assert(count, qt.DeepEquals, map[string]int{"t0": 2, "t1": 2, "t2": 2})
+}
+
 // A decision at 250 targets, with all of them known.
 func BenchmarkArrive(b *testing.B) {
 	d := newDesk(250)
