--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -45,6 +45,7 @@
 		{"cuts the answer, may run once", "non_idempotent", worker.Fault{Cut: true}, 502, 1},
 		{"answers without signature, may run once", "non_idempotent", worker.Fault{Unsigned: true}, 502, 1},
 		{"answers another request, may run once", "non_idempotent", worker.Fault{Crossed: true}, 502, 1},
+		{"fails another request, may run once", "non_idempotent", worker.Fault{Crossed: true, Fail: true}, 502, 1},
 		{"says 503 after the run, may run once", "non_idempotent", worker.Fault{Plain503: true}, 502, 1},
 		{"fails, may run once", "non_idempotent", worker.Fault{Fail: true}, 500, 1},
 		{"has the address of another target", "non_idempotent", worker.Fault{Other: "i-other"}, 200, 1},
