slot: a target that leaves a question unanswered gets nothing; shorter connects

Change: a target silent for 60 ms on a question is passed over until the question ends; connections may take 250 ms. TestSilentTarget fails without it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,9 @@
 	// connection has gone silent: several times the round trip and the first
 	// retransmission of a lost packet, and less than the shortest deadline.
 	targetSilence = 500 * time.Millisecond
+	// targetConnect is how long a connection may take: a hundred round trips.
+	// What was not sent for lack of one goes to another target.
+	targetConnect = 250 * time.Millisecond
 	// targetIdle is below the 10 s after which targets close idle connections,
 	// so that a request seldom meets a connection that is just being closed.
 	targetIdle = 8 * time.Second
@@ -75,7 +78,7 @@
 		cfg: cfg,
 		log: cfg.Log,
 		forward: forward.New(forward.Config{
-			Echo: platform.HeaderRequest, Silence: targetSilence, Idle: targetIdle, Whole: wholeAnswer,
+			Echo: platform.HeaderRequest, Silence: targetSilence, Connect: targetConnect, Idle: targetIdle, Whole: wholeAnswer,
 		}),
 		suspects:    call.NewSuspects(call.SuspectsConfig{Crashes: crashLimit}),
 		instruments: newInstruments(cfg.Settings.Name),
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -97,7 +97,7 @@
 		if c.asking {
 			continue
 		}
-		c.asking = true
+		c.asking, c.askedAt = true, now
 		out = append(out, Action{Do: Ask, Target: c.Target})
 	}
 	if s.pending == 0 {
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -23,8 +23,9 @@
 	slowness float64 // how much longer it takes than it says, 1 is as said
 	judged   time.Time
 
-	asking bool      // a question is under way
-	askers []*seeker // requests that wait for its answer
+	asking  bool      // a question is under way
+	askedAt time.Time // when it was asked
+	askers  []*seeker // requests that wait for its answer
 
 	fails  float64 // recent failures, less what went well since
 	out    bool    // it gets trial requests only
@@ -106,7 +107,7 @@
 
 // open reports whether the target may get a request at all now.
 func (m *member) open(now time.Time) bool {
-	if m.Leaving || now.Before(m.closed) {
+	if m.Leaving || now.Before(m.closed) || m.silent(now) {
 		return false
 	}
 	if m.out {
@@ -115,6 +116,15 @@
 	return true
 }
 
+// silentAfter is how long a question may be unanswered until its target counts
+// as silent: many round trips. A request that is sent to a target whose VM is
+// gone is held until its connection is given up, half a second later.
+const silentAfter = 60 * time.Millisecond
+
+func (m *member) silent(now time.Time) bool {
+	return m.asking && now.Sub(m.askedAt) > silentAfter
+}
+
 // Weights of what speaks against a target, and the sum at which it is taken
 // out: two failures in a row, or four refusals. A target that fails half of its
 // requests comes to that within a few of them.
--- a/pkg/slot/slot_test.go
+++ b/pkg/slot/slot_test.go
@@ -85,6 +85,31 @@
 	qt.Assert(t, pick(d.Tick(d.now, nil), Send), qt.HasLen, 1)
 }
 
+// A target's VM is gone, and nothing comes back from it: no answer, no refusal.
+// Only the requests of the first moment are sent there.
+func TestSilentTarget(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(3)
+	sent := 0
+	for range 50 {
+		d.now = d.now.Add(10 * time.Millisecond)
+		id, out := d.arrive()
+		for _, a := range pick(out, Ask) {
+			if a.Target.ID != "t0" {
+				out = append(out, d.says(a.Target.ID, 1, 0)...)
+			}
+		}
+		for _, a := range pick(out, Send) {
+			if a.Target.ID == "t0" {
+				sent++
+				continue
+			}
+			d.Done(d.now, End{ID: id, Kind: Served}, nil)
+		}
+	}
+	c.Assert(sent <= 2, qt.IsTrue, qt.Commentf("%d sent", sent))
+}
+
 // All targets are busy and slow. The request waits while it can still meet its
 // objective and is refused after that, well before its deadline.
 func TestRefusedWhenTooLate(t *testing.T) {
