--- /dev/null
+++ b/internal/gateway/knowledge.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"plumpitch.example/plumpitch/pkg/roster"
+	"plumpitch.example/plumpitch/pkg/route"
+	"plumpitch.example/plumpitch/pkg/slot"
+	"plumpitch.example/plumpitch/platform"
+)
+
+// configRead is what the store has of the configuration, oldest first.
+type configRead struct {
+	raw   [][]byte
+	at    roster.Revision
+	asked time.Time
+}
+
+func (m configRead) apply(now time.Time, c *control) {
+	for _, raw := range m.raw {
+		c.adopt(now, raw, "store")
+	}
+	c.configAt = max(c.configAt, m.at)
+	c.confirm(dutyConfig, m.asked)
+}
+
+// adopt puts a configuration in force that is newer than the one that is.
+func (c *control) adopt(now time.Time, raw []byte, source string) {
+	cfg, err := platform.ParseConfig(raw)
+	if err != nil {
+		c.gateway.log.WithError(err).WithField("source", source).Error("configuration refused")
+		return
+	}
+	if cfg.Version <= c.config.Version {
+		return
+	}
+	c.gateway.log.WithFields(log.Fields{
+		"version": uint64(cfg.Version), "before": uint64(c.config.Version), "source": source, "routes": len(cfg.Routes),
+	}).Info("configuration in force")
+	c.config, c.raw = cfg, raw
+	c.table = route.New(cfg, c.table)
+	c.publish(now)
+	c.beat(now)
+}
+
+// targetsListed is the whole list of targets.
+type targetsListed struct {
+	items []roster.Item[slot.Target]
+	at    roster.Revision
+	asked time.Time
+}
+
+func (m targetsListed) apply(now time.Time, c *control) {
+	moved := c.change(now, func() bool { return c.targets.Replace(m.items, m.at) })
+	c.targetsRead(now, moved, m.asked)
+}
+
+// targetsChanged are changes of targets since the last ones.
+type targetsChanged struct {
+	changes []roster.Change[slot.Target]
+	at      roster.Revision
+	asked   time.Time
+}
+
+func (m targetsChanged) apply(now time.Time, c *control) {
+	moved := c.change(now, func() bool { return c.targets.Apply(m.changes, m.at) })
+	c.targetsRead(now, moved, m.asked)
+}
+
+func (c *control) targetsRead(now time.Time, moved bool, asked time.Time) {
+	c.confirm(dutyTargets, asked)
+	if !moved {
+		return
+	}
+	c.beat(now)
+}
+
+// storeAnswered tells whether the store serves this entry.
+type storeAnswered struct{ err error }
+
+func (m storeAnswered) apply(_ time.Time, c *control) {
+	shut := m.err != nil
+	if shut == c.shut {
+		return
+	}
+	c.shut = shut
+	if shut {
+		c.gateway.log.WithError(m.err).Warn("store lost")
+	} else {
+		c.gateway.log.Info("store regained")
+	}
+}
