gateway: the saved part of the retry budget is cut by the number of entries

Reasoned, not seen: with 113 entries of 5 saved repeats in two buckets each, the slack of 182 could be overrun. TestRetryBudgetOverAllEntries holds all entries together to the share and the slack.

--- /dev/null
+++ b/internal/gateway/budget_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/platform"
+)
+
+// The targets of a service begin to fail at all entries at once, after a time in
+// which each saved up repeats. Over all entries no window may see more repeats
+// than the share of its requests and the slack, though no entry knows what the
+// others spend.
+func TestRetryBudgetOverAllEntries(t *testing.T) {
+	tests := []struct {
+		name    string
+		entries int
+		before  int // requests of the window before, over all entries
+		during  int
+		slack   int
+	}{
+		{"few, busy", 14, 3000, 3000, 56},
+		{"few, idle before", 14, 0, 1000, 56},
+		{"few, idle after", 14, 1000, 0, 56},
+		{"few, hardly a request", 14, 28, 14, 56},
+		{"many, busy", 113, 9000, 9000, 182},
+		{"many, hardly a request", 113, 1500, 113, 182},
+		{"three", 3, 300, 300, 56},
+	}
+	for _, tt := range tests {
+		b := platform.Bounds{RetryShare: 0.2, RetrySlack: tt.slack}
+		spent := 0
+		for range tt.entries {
+			budget := retryBudget(b, tt.entries)
+			for range tt.before / tt.entries {
+				budget.First(0, 0)
+			}
+			for i := range tt.during/tt.entries + 1 {
+				for _, clean := range []bool{true, false} {
+					for range 10 {
+						if _, ok := budget.Take(0, 0, clean); ok {
+							spent++
+						}
+					}
+				}
+				if i < tt.during/tt.entries {
+					budget.First(0, 0)
+				}
+			}
+		}
+		allowed := b.RetryShare*float64(max(tt.before, tt.during)) + float64(tt.slack)
+		qt.Assert(t, float64(spent) <= allowed, qt.IsTrue, qt.Commentf("%s: %d spent of %v", tt.name, spent, allowed))
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -176,7 +176,7 @@
 	for name, s := range c.config.Services {
 		sv := c.services[name]
 		if sv == nil {
-			sv = newService(c.gateway, s)
+			sv = newService(c.gateway, s, len(c.peers)+1)
 			c.services[name] = sv
 		}
 		sv.configure(s)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -42,22 +42,30 @@
 // platform allows: requests at the edge of a window count late.
 const retryMargin = 0.85
 
-func newService(g *Gateway, s route.Service) *service {
+func newService(g *Gateway, s route.Service, entries int) *service {
 	b := g.bounds.Load()
 	sv := &service{
 		gateway: g, is: s, counts: g.instruments.service(s.Name), waiting: make(map[uint64]chan<- slot.Action),
-		book: slot.New(slot.Config{Place: g.self.Place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		budget: call.NewBudget(call.BudgetConfig{
-			Share: b.RetryShare * retryMargin, Burst: max(b.RetrySlack/(expectedEntries*burstParts), 1),
-		}),
+		book:   slot.New(slot.Config{Place: g.self.Place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		budget: retryBudget(*b, entries),
 	}
 	sv.timer = time.AfterFunc(time.Hour, sv.tick)
 	return sv
 }
 
-// expectedEntries is among how many entries the slack of the retry budget is
-// shared.
-const expectedEntries = 16
+// fewestEntries is among how many entries the slack of the retry budget is
+// shared at the least: others may join.
+const fewestEntries = 16
+
+// retryBudget is this entry's part of the budget that all entries share. What
+// it may save up is cut by their number, so that together they keep to the slack
+// though none knows what the others spend.
+func retryBudget(b platform.Bounds, entries int) *call.Budget {
+	parts := burstParts * max(entries, fewestEntries)
+	return call.NewBudget(call.BudgetConfig{
+		Share: b.RetryShare * retryMargin, Burst: max(b.RetrySlack/parts, 1),
+	})
+}
 
 // hedgeReserve is how much more time than usual a hedge is given.
 const hedgeReserve = 1.4
