--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,7 +172,7 @@
 	s.Add(newConfigReader(g))
 	s.Add(newTargetReader(g))
 	below := s.ServeBackground(traffic)
-	front := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle, ConnContext: withConn}
+	front := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTime, ReadTimeout: callerIdle, IdleTimeout: callerIdle, ConnContext: withConn}
 	side := &http.Server{Handler: g.sideHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
 	failed := make(chan error, 4)
 	go func() { failed <- front.Serve(g.front) }()
@@ -207,7 +207,8 @@
 const (
 	// headerTime bounds a request head.
 	headerTime = 10 * time.Second
-	// callerIdle is longer than any idle time that a configuration has named:
+	// callerIdle bounds an idle connection and the reading of a request. It is
+	// longer than any idle time or timeout that a configuration has named:
 	// callers reuse connections up to four fifths of that.
 	callerIdle = 2 * time.Minute
 )
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -23,6 +23,7 @@
 	id      string
 	arrived time.Time
 	body    []byte
+	digest  uint64 // fingerprint
 	route   *route.Entry
 	service *service
 	version route.Version // of the configuration that the request is served by
@@ -63,44 +64,29 @@
 
 // run seeks a target, sends the request there and passes the answer on.
 func (q *request) run(v *view) {
-	name := q.route.Split.Next()
-	q.service = v.services[name]
+	q.service = v.services[q.route.Split.Next()]
 	if q.service == nil {
 		q.refuse("noservice", noConfigRetry)
 		return
 	}
 	now := time.Now()
-	digest := q.fingerprint()
-	q.call = call.New(call.Config{
-		Tries: min(q.route.Attempts, call.MaxTries), Margin: endMargin, Budget: q.service.budget,
-	})
-	q.slots = make(chan slot.Action, 1)
-	q.results = make(chan result, call.MaxTries)
-	q.objective = q.arrived.Add(q.route.Objective)
-	if left, ok := platform.RequestTime(q.r.Header); ok {
-		q.objective = q.objective.Add(-q.route.Patience.Elapsed(now, left))
-	}
 	end := q.end()
-	timer := time.NewTimer(end.Sub(now))
-	defer timer.Stop()
+	expiry := time.NewTimer(end.Sub(now))
+	defer expiry.Stop()
+	q.hedge = time.NewTimer(end.Sub(now)) // until DoTimer sets it
+	defer q.hedge.Stop()
 	defer q.release()
-	hedge := time.NewTimer(end.Sub(now))
-	defer hedge.Stop()
-	q.hedge = hedge
-	acts := q.call.Arrive(now, call.Arrival{
-		Deadline: end, Idempotent: q.route.Idempotent, Hedge: q.service.hedge(q.objective.Sub(now)),
-		Quarantined: q.gateway.suspects.Quarantined(now, digest),
-	})
+	acts := q.arrive(now, end)
 	for !q.do(acts.All()) {
 		select {
 		case a := <-q.slots:
 			acts = q.chosen(time.Now(), a)
 		case res := <-q.results:
 			q.flying--
-			acts = q.ended(time.Now(), res, digest)
-		case <-hedge.C:
+			acts = q.ended(time.Now(), res)
+		case <-q.hedge.C:
 			acts = q.call.Hedge(time.Now())
-		case <-timer.C:
+		case <-expiry.C:
 			acts = q.call.Expire(time.Now())
 		case <-q.r.Context().Done():
 			acts = q.call.Leave(time.Now())
@@ -108,6 +94,24 @@
 	}
 }
 
+// arrive begins the request's life.
+func (q *request) arrive(now, end time.Time) call.Actions {
+	q.slots = make(chan slot.Action, 1)
+	q.results = make(chan result, call.MaxTries)
+	q.digest = q.fingerprint()
+	q.objective = q.arrived.Add(q.route.Objective)
+	if left, ok := platform.RequestTime(q.r.Header); ok {
+		q.objective = q.objective.Add(-q.route.Patience.Elapsed(now, left))
+	}
+	q.call = call.New(call.Config{
+		Tries: min(q.route.Attempts, call.MaxTries), Margin: endMargin, Budget: q.service.budget,
+	})
+	return q.call.Arrive(now, call.Arrival{
+		Deadline: end, Idempotent: q.route.Idempotent, Hedge: q.service.hedge(q.objective.Sub(now)),
+		Quarantined: q.gateway.suspects.Quarantined(now, q.digest),
+	})
+}
+
 // end is when the request gets its final answer at the latest: the caller's
 // deadline, or the route's timeout if that comes first.
 func (q *request) end() time.Time {
@@ -215,7 +219,7 @@
 }
 
 // ended takes the end of a dispatch.
-func (q *request) ended(now time.Time, res result, digest uint64) call.Actions {
+func (q *request) ended(now time.Time, res result) call.Actions {
 	t := &q.tries[res.try]
 	e := slot.End{ID: t.id}
 	if res.fail == nil && !q.proper(res.answer) {
@@ -227,7 +231,7 @@
 		q.service.done(now, e)
 		q.service.counts.failures.Inc(1)
 		q.logFailure(t, f)
-		crash := f.Stage.Crash() && q.gateway.suspects.Crashed(now, digest, t.target.ID, t.began)
+		crash := f.Stage.Crash() && q.gateway.suspects.Crashed(now, q.digest, t.target.ID, t.began)
 		return q.call.Fail(now, call.Failed{Try: res.try, Stage: f.Stage, Ran: f.Ran, Replay: true, Quarantined: crash})
 	}
 	a := res.answer
@@ -242,7 +246,7 @@
 		e.Kind = slot.Failed
 	}
 	q.service.done(now, e)
-	q.gateway.suspects.Answered(now, digest)
+	q.gateway.suspects.Answered(now, q.digest)
 	return q.call.Head(now, call.Head{
 		Try: res.try, Status: a.Status, Shed: shed, Replay: true, Unwell: a.Status >= http.StatusInternalServerError,
 	})
