--- a/dev.go
+++ b/dev.go
@@ -44,13 +44,17 @@
 
 func devCommand() *command {
 	seconds := 0
-	var asJSON bool
+	var asJSON, gateways bool
 	sub := flaggy.NewSubcommand("dev")
 	sub.Description = "run a whole small site in one process on loopback"
 	sub.Int(&seconds, "t", "seconds", "send a mixed load for so long, then stop; 0 serves until interrupted")
 	sub.Bool(&asJSON, "j", "json", "with --seconds: close with one JSON object")
+	sub.Bool(&gateways, "g", "gateway", "gateways on stand-ins of the users' platform")
 	sub.AdditionalHelpAppend = "Example: plumpitch dev --seconds 5 --json"
 	return &command{sub: sub, run: func(ctx context.Context) error {
+		if gateways {
+			return runDevGateways(ctx, time.Duration(seconds)*time.Second)
+		}
 		return runDev(ctx, time.Duration(seconds)*time.Second, asJSON)
 	}}
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -155,9 +155,7 @@
 	if sv == nil {
 		return 0
 	}
-	sv.mu.Lock()
-	defer sv.mu.Unlock()
-	return sv.book.Size()
+	return sv.size()
 }
 
 func (e *entry) hasTarget(id string) bool {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -93,6 +93,13 @@
 	s.act(now, s.book.Targets(now, list, nil))
 }
 
+// size is the number of targets.
+func (s *service) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Size()
+}
+
 // arrive asks for a target. One Send or Refuse comes through answer, which has
 // room for it.
 func (s *service) arrive(now time.Time, r slot.Request, answer chan<- slot.Action) (id uint64) {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -28,3 +28,32 @@
 	}
 	return out
 }
+
+// Addresses are where a gateway listens.
+type Addresses struct {
+	Front     string
+	Directory string
+	Metrics   string
+}
+
+// Addresses returns where the gateway listens, which differs from its settings
+// where those name port 0.
+func (g *Gateway) Addresses() Addresses {
+	return Addresses{g.front.Addr().String(), g.directory.Addr().String(), g.scrapes.Addr().String()}
+}
+
+// Ready reports whether a configuration is in force and each of its services
+// has a target.
+func (g *Gateway) Ready() bool {
+	v := g.view.Load()
+	if v.table == nil {
+		return false
+	}
+	for name := range v.table.Config.Services {
+		sv := v.services[name]
+		if sv == nil || sv.size() == 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/site/gateways.go
@@ -0,0 +1,152 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/gateway"
+	"plumpitch.example/plumpitch/internal/standin/objects"
+	"plumpitch.example/plumpitch/internal/standin/worker"
+	"plumpitch.example/plumpitch/platform"
+)
+
+// Gateways is a running site on stand-ins of the users' platform.
+type Gateways struct {
+	Store    *objects.Store
+	Gateways []*gateway.Gateway
+	Targets  []*worker.Worker
+
+	stop   context.CancelFunc
+	served sync.WaitGroup
+	server *http.Server
+}
+
+// Host is the host name that the site's routes serve, and Prefix the path of a
+// service's route.
+const Host = "studio.example"
+
+// Prefix returns the path prefix of a service's route.
+func Prefix(service string) string { return "/" + service + "/" }
+
+// Times of the site's configuration.
+const (
+	siteTimeout   = "2s"
+	siteObjective = "200ms"
+	siteGrace     = 3 * time.Second
+)
+
+// StartGateways starts the stand-ins, puts a configuration with a route for each
+// service, and starts the gateways.
+func StartGateways(cfg Config) (s *Gateways, err error) {
+	defer func() { err = errors.WithMessage(err, "site of gateways") }()
+	ctx, cancel := context.WithCancel(context.Background())
+	s = &Gateways{Store: objects.New(), stop: cancel}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s.server = &http.Server{Handler: s.Store, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.server.Serve(l) }()
+	if err := s.startTargets(cfg); err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.configure(cfg)
+	for i := range cfg.Entries {
+		if err := s.startGateway(ctx, cfg, i, l.Addr().String()); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Gateways) startTargets(cfg Config) error {
+	for _, sv := range cfg.Services {
+		for i := range sv.Targets {
+			t, err := worker.Start(fmt.Sprintf("%s-%d", sv.Name, i+1))
+			if err != nil {
+				return err
+			}
+			t.Work(sv.Mean)
+			s.Targets = append(s.Targets, t)
+			s.Store.Put("servers", t.ID, map[string]any{
+				"address": t.Address(),
+				"info": map[string]any{
+					"service": sv.Name, "version": "v1", "zone": cfg.Places[i%len(cfg.Places)], "concurrency": sv.Slots,
+				},
+				"status": map[string]any{"state": "ready", "sequence": 1, "warmupLeft": "0ms"},
+			})
+		}
+	}
+	return nil
+}
+
+func (s *Gateways) configure(cfg Config) {
+	routes, services := map[string]any{}, map[string]any{}
+	for _, sv := range cfg.Services {
+		services[sv.Name] = map[string]any{"healthPath": "/health", "maxConns": 200}
+		routes["r-"+sv.Name] = map[string]any{
+			"host": Host, "pathPrefix": Prefix(sv.Name), "routeType": "idempotent", "timeout": siteTimeout,
+			"targetLatency": siteObjective, "priority": 1, "attempts": 2, "service": sv.Name,
+		}
+	}
+	s.Store.Put("config", "main", map[string]any{
+		"version": "r1", "routes": routes, "services": services,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": "15s"},
+	})
+}
+
+func (s *Gateways) startGateway(ctx context.Context, cfg Config, i int, store string) error {
+	const anyPort = "127.0.0.1:0"
+	g, err := gateway.New(gateway.Config{
+		Settings: platform.Settings{
+			Name: fmt.Sprintf("gateway-%d", i+1), Place: cfg.Places[i%len(cfg.Places)], Region: cfg.Region,
+			Front: anyPort, Ready: anyPort, Directory: anyPort, Address: "127.0.0.1", Store: store, Cores: 1,
+			Bounds: platform.Bounds{Grace: siteGrace, MaxTTL: time.Second, RetryShare: 0.2, RetrySlack: 50},
+		},
+		Boot: uint64(time.Now().UnixNano()), Log: cfg.Log,
+	})
+	if err != nil {
+		return err
+	}
+	s.Gateways = append(s.Gateways, g)
+	s.served.Add(1)
+	go func() {
+		defer s.served.Done()
+		if err := g.Serve(ctx); err != nil {
+			cfg.Log.WithError(err).Error("gateway ended")
+		}
+	}()
+	return nil
+}
+
+// Ready waits until all gateways know the configuration and targets.
+func (s *Gateways) Ready(ctx context.Context) error {
+	for _, g := range s.Gateways {
+		for !g.Ready() {
+			select {
+			case <-ctx.Done():
+				return errors.WithMessage(ctx.Err(), "gateways not ready")
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// Close stops the gateways gracefully, then the stand-ins.
+func (s *Gateways) Close() {
+	s.stop()
+	s.served.Wait()
+	for _, t := range s.Targets {
+		t.Close()
+	}
+	s.server.Close()
+}
