standin: records of the users' platform are written in one place

internal/site built them with the platform's names. Beside it: named thresholds in pkg/slot, a reason that nobody gave is gone. No change of behaviour.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -51,34 +51,19 @@
 	return w
 }
 
-// configure puts a configuration with one route to the service gowns.
+// configure puts a newer configuration with one route to the service gowns.
 func (w *world) configure(s site) {
-	if s.kind == "" {
-		s.kind = "idempotent"
-	}
 	if s.timeout == "" {
 		s.timeout = "2s"
 	}
 	if s.attempts == 0 {
 		s.attempts = 3
 	}
-	w.put(map[string]any{"r-a": map[string]any{
-		"host": "veil.example", "pathPrefix": "/a/", "routeType": s.kind, "timeout": s.timeout,
-		"targetLatency": "1s", "priority": 1, "attempts": s.attempts, "service": "gowns",
-	}})
-}
-
-// put writes a newer configuration with these routes.
-func (w *world) put(routes map[string]any) {
 	w.version++
-	w.store.Put("config", "main", map[string]any{
-		"version": fmt.Sprintf("r%d", w.version), "routes": routes,
-		"services": map[string]any{
-			"gowns": map[string]any{"healthPath": "/health", "maxConns": 200},
-			"veils": map[string]any{"healthPath": "/health", "maxConns": 200},
-		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": "15s"},
-	})
+	w.store.PutConfig(w.version, []objects.Route{{
+		Name: "r-a", Host: "veil.example", Prefix: "/a/", Once: s.kind == "non_idempotent", Timeout: s.timeout,
+		Goal: "1s", Attempts: s.attempts, Service: "gowns",
+	}}, []string{"gowns", "veils"})
 }
 
 // target starts a target and puts it on record.
@@ -93,10 +78,8 @@
 
 // record writes a target's own record.
 func (w *world) record(k *worker.Worker, service, state string) {
-	w.store.Put("servers", k.ID, map[string]any{
-		"address": k.Address(),
-		"info":    map[string]any{"service": service, "version": "v1", "zone": "hall", "concurrency": k.Slots},
-		"status":  map[string]any{"state": state, "sequence": 1, "warmupLeft": "0ms"},
+	w.store.PutTarget(objects.Target{
+		ID: k.ID, Address: k.Address(), Service: service, Place: "hall", Slots: k.Slots, Leaving: state == "draining",
 	})
 }
 
--- a/internal/site/gateways.go
+++ b/internal/site/gateways.go
@@ -34,11 +34,12 @@
 // Prefix returns the path prefix of a service's route.
 func Prefix(service string) string { return "/" + service + "/" }
 
-// Times of the site's configuration.
+// The site's configuration and bounds.
 const (
 	siteTimeout   = "2s"
 	siteObjective = "200ms"
 	siteGrace     = 3 * time.Second
+	siteAttempts  = 2
 )
 
 // StartGateways starts the stand-ins, puts a configuration with a route for each
@@ -76,12 +77,8 @@
 			}
 			t.Work(sv.Mean)
 			s.Targets = append(s.Targets, t)
-			s.Store.Put("servers", t.ID, map[string]any{
-				"address": t.Address(),
-				"info": map[string]any{
-					"service": sv.Name, "version": "v1", "zone": cfg.Places[i%len(cfg.Places)], "concurrency": sv.Slots,
-				},
-				"status": map[string]any{"state": "ready", "sequence": 1, "warmupLeft": "0ms"},
+			s.Store.PutTarget(objects.Target{
+				ID: t.ID, Address: t.Address(), Service: sv.Name, Place: cfg.Places[i%len(cfg.Places)], Slots: sv.Slots,
 			})
 		}
 	}
@@ -89,18 +86,16 @@
 }
 
 func (s *Gateways) configure(cfg Config) {
-	routes, services := map[string]any{}, map[string]any{}
+	var routes []objects.Route
+	var services []string
 	for _, sv := range cfg.Services {
-		services[sv.Name] = map[string]any{"healthPath": "/health", "maxConns": 200}
-		routes["r-"+sv.Name] = map[string]any{
-			"host": Host, "pathPrefix": Prefix(sv.Name), "routeType": "idempotent", "timeout": siteTimeout,
-			"targetLatency": siteObjective, "priority": 1, "attempts": 2, "service": sv.Name,
-		}
+		services = append(services, sv.Name)
+		routes = append(routes, objects.Route{
+			Name: "r-" + sv.Name, Host: Host, Prefix: Prefix(sv.Name), Timeout: siteTimeout, Goal: siteObjective,
+			Attempts: siteAttempts, Service: sv.Name,
+		})
 	}
-	s.Store.Put("config", "main", map[string]any{
-		"version": "r1", "routes": routes, "services": services,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": "15s"},
-	})
+	s.Store.PutConfig(1, routes, services)
 }
 
 func (s *Gateways) startGateway(ctx context.Context, cfg Config, i int, store string) error {
--- /dev/null
+++ b/internal/standin/objects/records.go
@@ -0,0 +1,62 @@
+package objects
+
+import "strconv"
+
+// The records that the users' targets and operators write, in their own words.
+
+// Target is what a target writes of itself.
+type Target struct {
+	ID      string
+	Address string
+	Service string
+	Place   string
+	Slots   int
+	Leaving bool
+}
+
+// PutTarget writes a target's record.
+func (s *Store) PutTarget(t Target) {
+	state := "ready"
+	if t.Leaving {
+		state = "draining"
+	}
+	s.Put("servers", t.ID, map[string]any{
+		"address": t.Address,
+		"info":    map[string]any{"service": t.Service, "version": "v1", "zone": t.Place, "concurrency": t.Slots},
+		"status":  map[string]any{"state": state, "sequence": 1, "warmupLeft": "0ms"},
+	})
+}
+
+// Route is a route of a configuration.
+type Route struct {
+	Name     string
+	Host     string
+	Prefix   string
+	Once     bool // a second run does harm
+	Timeout  string
+	Goal     string // time within which an answer counts in full
+	Attempts int
+	Service  string
+}
+
+// PutConfig writes a configuration with these routes and services.
+func (s *Store) PutConfig(version int, routes []Route, services []string) {
+	named, served := map[string]any{}, map[string]any{}
+	for _, r := range routes {
+		kind := "idempotent"
+		if r.Once {
+			kind = "non_idempotent"
+		}
+		named[r.Name] = map[string]any{
+			"host": r.Host, "pathPrefix": r.Prefix, "routeType": kind, "timeout": r.Timeout,
+			"targetLatency": r.Goal, "priority": 1, "attempts": r.Attempts, "service": r.Service,
+		}
+	}
+	for _, name := range services {
+		served[name] = map[string]any{"healthPath": "/health", "maxConns": 200}
+	}
+	s.Put("config", "main", map[string]any{
+		"version": "r" + strconv.Itoa(version), "routes": named, "services": served,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": "15s"},
+	})
+}
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -123,10 +123,18 @@
 // is a fifteenth of the time in which the pace changes.
 const askFresh = 10 * time.Millisecond
 
+// What counts as ideal: a pace as usual, and answers that took no longer than
+// that says. Both are within what one answer differs from the next.
+const (
+	idealPace = 1.1
+	idealSlow = 1.5
+)
+
 // ideal reports whether m just said that it is idle and as fast as usual: then
 // no other answer can change the choice.
 func (b *Book) ideal(now time.Time, m *member, s *seeker) bool {
-	return b.usable(now, m, s) && m.busy(now, &b.cfg) == 0 && m.pace <= 1.1 && m.slower(now) < 1.5 && !now.Before(m.Warm)
+	idle := b.usable(now, m, s) && m.busy(now, &b.cfg) == 0
+	return idle && m.pace <= idealPace && m.slower(now) < idealSlow && !now.Before(m.Warm)
 }
 
 // decide sends s to the target that promises the earliest end, if that is good
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -63,10 +63,9 @@
 	NoReason Reason = iota
 	Full            // no target could answer it in time
 	NoTarget        // no target may get work
-	Late            // its time was up while it waited
 )
 
-var reasons = [...]string{"none", "full", "notarget", "late"}
+var reasons = [...]string{"none", "full", "notarget"}
 
 // String returns the one-word name of a reason.
 func (r Reason) String() string {
