gateway: brief beats, changes of targets in place of lists, one reader at a start

Change: a beat names the run and leaves out what never changes in it; entries pull changes since their revision, and configurations compressed; an entry that knows nothing greets the others first and reads in order; untold targets count as the mean; an address that another target answered at stays out until the record changes; services are supplied only when something moved; deletions are forgotten. Seeds are greeted while the store names nobody.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -16,6 +16,7 @@
 	live    string
 	owners  string
 	targets map[string]roster.Item[slot.Target]
+	at      roster.Revision // of targets
 }
 
 // logBeliefs logs what has changed: which entries live, which own a service,
@@ -61,6 +62,10 @@
 
 // logTargets logs which targets came, went, and said that they leave.
 func (c *control) logTargets() {
+	if c.believed.at == c.targets.Moved() {
+		return
+	}
+	c.believed.at = c.targets.Moved()
 	before, now := c.believed.targets, c.targets.Items()
 	var came, went, leaving []string
 	for id, it := range now {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -48,19 +48,26 @@
 	confirmed [duties]time.Time
 	configAt  roster.Revision // up to which the configuration's history is known
 	peers     map[string]*peer
+	runs      map[uint64]*peer // the same, by the run that a brief beat names
+	enrolled  time.Time        // when the store named the other entries
 	services  map[string]*service
-	shut      bool // the store doesn't serve this entry
+	places    map[string]map[string]int // targets of a service in each failure domain
+	dirty     bool                      // services lag behind what is known
+	shut      bool                      // the store doesn't serve this entry
 	pulling   bool
 	strain    strain
 	believed  beliefs
 	duty      bool      // this entry owns a service or reads the store
 	beaten    time.Time // last beat
+	beats     int       // sent
+	introduce int       // beats to come that are whole
 }
 
 func newControl(g *Gateway) *control {
 	return &control{
 		gateway: g, inbox: make(chan message, maxInbox), started: time.Now(),
-		targets: roster.New(slot.Same), lapses: roster.NewLapses[slot.Target](), peers: make(map[string]*peer), services: make(map[string]*service),
+		targets: roster.New(slot.Same), lapses: roster.NewLapses[slot.Target](),
+		peers: make(map[string]*peer), runs: make(map[uint64]*peer),
 	}
 }
 
@@ -163,36 +170,42 @@
 
 // publish brings the services in line with what is known and replaces the view.
 func (c *control) publish(now time.Time) {
+	if c.dirty || c.lapses.Awaiting(now) {
+		c.dirty = c.lapses.Awaiting(now)
+		c.supply(now)
+	}
+	live := c.live(now)
+	owners := owner.Owners(live, c.needs(now))
+	c.duty = c.hasDuty(now, owners)
+	c.logBeliefs(live, owners)
+	c.gateway.view.Store(&view{
+		table: c.table, services: c.services, live: live, owners: owners,
+	})
+}
+
+// supply gives each service of the configuration its targets.
+func (c *control) supply(now time.Time) {
 	byService := make(map[string][]slot.Target)
-	places := make(map[string]map[string]int)
+	c.places = make(map[string]map[string]int)
 	for _, it := range c.usable(now) {
 		t := it.Value
 		byService[t.Service] = append(byService[t.Service], t)
-		if places[t.Service] == nil {
-			places[t.Service] = make(map[string]int)
+		if c.places[t.Service] == nil {
+			c.places[t.Service] = make(map[string]int)
 		}
-		places[t.Service][t.Place]++
+		c.places[t.Service][t.Place]++
 	}
+	services := make(map[string]*service, len(c.config.Services))
 	for name, s := range c.config.Services {
 		sv := c.services[name]
 		if sv == nil {
 			sv = newService(c.gateway, s, len(c.peers)+1)
-			c.services[name] = sv
 		}
 		sv.configure(s)
 		sv.take(now, byService[name])
-	}
-	live := c.live(now)
-	owners := owner.Owners(live, c.needs(now, places))
-	c.duty = c.hasDuty(now, owners)
-	c.logBeliefs(live, owners)
-	services := make(map[string]*service, len(c.services))
-	for name, sv := range c.services {
 		services[name] = sv
 	}
-	c.gateway.view.Store(&view{
-		table: c.table, services: services, live: live, owners: owners,
-	})
+	c.services = services
 }
 
 // usable are the targets on record and those whose records are awaited after an
@@ -216,6 +229,8 @@
 	if !apply() {
 		return false
 	}
+	c.dirty = true
+	c.targets.Forget()
 	for name, it := range before {
 		if _, ok := c.targets.Get(name); !ok && !it.Value.Leaving {
 			c.lapses.Removed(now, it)
@@ -226,7 +241,7 @@
 
 // needs are the services to whose owners callers are sent, with an equal part
 // of all requests.
-func (c *control) needs(now time.Time, places map[string]map[string]int) (needs []owner.Need) {
+func (c *control) needs(now time.Time) (needs []owner.Need) {
 	if c.table == nil {
 		return nil
 	}
@@ -238,7 +253,7 @@
 	}
 	homes := c.table.Homes()
 	for name := range homes {
-		needs = append(needs, owner.Need{Service: name, Load: total / float64(len(homes)), Places: places[name]})
+		needs = append(needs, owner.Need{Service: name, Load: total / float64(len(homes)), Places: c.places[name]})
 	}
 	return needs
 }
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -25,10 +25,13 @@
 }
 
 // choice adds by what a target was chosen: requests there, its pace and the age
-// of that word in ms, how long the answer should take, how many were asked.
+// of that word in ms where it has told any, how long the answer should take, how
+// many were asked.
 func choice(f log.Fields, t *try) {
 	f["target"], f["inflight"], f["asked"] = t.target.ID, t.why.InFlight, t.why.Asked
-	f["pace"], f["age"] = math.Round(100*t.why.Pace)/100, t.why.Age.Milliseconds()
+	if t.why.Told {
+		f["pace"], f["age"] = math.Round(100*t.why.Pace)/100, t.why.Age.Milliseconds()
+	}
 	f["waited"], f["expected"] = t.why.Waited.Milliseconds(), t.why.Expected.Milliseconds()
 }
 
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -70,7 +70,7 @@
 	i := &c.gateway.instruments
 	i.config.Update(float64(c.config.Version))
 	i.live.Update(float64(len(c.live(now))))
-	i.targets.Update(float64(len(c.targets.Items())))
+	i.targets.Update(float64(c.targets.Len()))
 	for d := range duties {
 		i.age[d].Update(now.Sub(later(c.confirmed[d], c.started)).Seconds())
 	}
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -41,6 +41,7 @@
 	}).Info("configuration in force")
 	c.config, c.raw = cfg, raw
 	c.table = route.New(cfg, c.table)
+	c.dirty = true
 	c.publish(now)
 	c.beat(now)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,17 +16,10 @@
 	entry    owner.Entry
 	heard    time.Time
 	beat     relay.Beat
+	briefly  bool            // it understands brief beats
 	revision roster.Revision // of its record, where this entry has read it
 }
 
-// known is the revision of the record of an entry, zero for one not heard of.
-func (p *peer) known() roster.Revision {
-	if p == nil {
-		return 0
-	}
-	return p.revision
-}
-
 // up reports whether the entry is known to live.
 func (p *peer) up(now time.Time) bool {
 	period := max(p.beat.Period, beatPeriod)
@@ -42,14 +35,32 @@
 		if e.Name == c.gateway.self.Name {
 			continue
 		}
-		if c.peers[e.Name] == nil {
-			c.peers[e.Name] = &peer{entry: e, heard: now}
+		if p := c.peers[e.Name]; p == nil || p.entry.Boot < e.Boot {
+			c.meet(&peer{entry: e, heard: now})
 		}
 		c.peers[e.Name].revision = it.Revision
 	}
+	c.enrolled = now
 	c.beat(now)
 }
 
+// meet takes an entry, or a new start of one, to the others that are known.
+func (c *control) meet(p *peer) {
+	if old := c.peers[p.entry.Name]; old != nil {
+		p.revision = old.revision
+		delete(c.runs, old.entry.ID())
+	}
+	c.peers[p.entry.Name] = p
+	c.runs[p.entry.ID()] = p
+	c.introduce = introductions
+}
+
+// part drops an entry.
+func (c *control) part(p *peer) {
+	delete(c.peers, p.entry.Name)
+	delete(c.runs, p.entry.ID())
+}
+
 // forgetAfter is how long an entry is silent before its record is removed. A VM
 // that is cut off or frozen for a while keeps its record, and is told of what
 // it missed as soon as it is back.
@@ -63,7 +74,7 @@
 		if now.Sub(p.heard) < forgetAfter {
 			continue
 		}
-		delete(c.peers, name)
+		c.part(p)
 		if owner.Rank(c.live(now), dutyNames[dutyTargets], c.gateway.self.Name) != 0 || p.revision == 0 {
 			continue
 		}
@@ -81,22 +92,56 @@
 	}
 }
 
+// Beats are whole where the hearer may not know the sender's run: to seeds, after
+// an entry was met, and now and then in case that such a beat was lost.
+const (
+	// introductions is how many beats in a row are whole then.
+	introductions = 2
+	// wholeEvery is how often one is, in beats. An entry that has missed the
+	// introduction takes this one for dead until then.
+	wholeEvery = 8
+)
+
 // beat tells the other entries that this one lives and what it knows.
 func (c *control) beat(now time.Time) {
 	c.beaten = now
-	var to []owner.Entry
+	c.beats++
+	all := c.introduce > 0 || c.beats%wholeEvery == 0
+	c.introduce = max(c.introduce-1, 0)
+	var brief, whole []owner.Entry
 	for _, p := range c.peers {
-		to = append(to, p.entry)
+		if all || !p.briefly {
+			whole = append(whole, p.entry)
+		} else {
+			brief = append(brief, p.entry)
+		}
 	}
-	b := relay.Beat{
+	if len(c.peers) == 0 {
+		whole = c.seeds()
+	}
+	if err := c.gateway.relay.Tell(c.says(now), brief, whole); err != nil {
+		c.gateway.log.WithError(err).Debug("beat not sent to all")
+	}
+}
+
+// seeds are the entries to ask while the store names none.
+func (c *control) seeds() (list []owner.Entry) {
+	for _, address := range c.gateway.cfg.Settings.Seeds {
+		if address != c.gateway.self.Peer {
+			list = append(list, owner.Entry{Peer: address})
+		}
+	}
+	return list
+}
+
+// says is what this entry's beat holds.
+func (c *control) says(now time.Time) relay.Beat {
+	return relay.Beat{
 		Entry: c.gateway.self, Config: c.config.Version, Targets: c.targets.Moved(),
 		ConfigAge: now.Sub(c.confirmed[dutyConfig]), TargetsAge: now.Sub(c.confirmed[dutyTargets]),
 		Shut: c.shut, Leaving: c.gateway.leaving.Load(), Strained: c.strain.strained(now),
 		Rate: c.gateway.rate.mean, Period: c.period(), Suspects: c.gateway.suspects.Export(now, maxSuspects),
 	}
-	if err := c.gateway.relay.Tell(b, to); err != nil {
-		c.gateway.log.WithError(err).Debug("beat not sent to all")
-	}
 }
 
 // maxSuspects is how many suspects a beat carries.
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -8,6 +8,8 @@
 
 	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/roster"
+	"plumpitch.example/plumpitch/pkg/slot"
 )
 
 var _ relay.Source = (*control)(nil)
@@ -36,24 +38,36 @@
 		n.Config = c.raw
 	}
 	if m.have.Targets < c.targets.Moved() {
-		n.Listed, n.At, n.Age = true, c.targets.At(), now.Sub(c.confirmed[dutyTargets])
-		for _, it := range c.targets.Items() {
-			n.Targets = append(n.Targets, it)
-		}
+		n.At, n.Moved, n.Age = c.targets.At(), c.targets.Moved(), now.Sub(c.confirmed[dutyTargets])
+		n.Targets, n.Changes = c.targetsSince(m.have.Targets)
 	}
 	m.answer <- n
 }
 
+// targetsSince gives the changes of targets since a revision, or the whole list
+// where they don't reach back so far.
+func (c *control) targetsSince(since roster.Revision) (e relay.Extent, changes []roster.Change[slot.Target]) {
+	changes, ok := c.targets.Since(since)
+	if ok {
+		return relay.Changed, changes
+	}
+	for _, it := range c.targets.Items() {
+		changes = append(changes, roster.Change[slot.Target]{Item: it})
+	}
+	return relay.Listed, changes
+}
+
 // beatHeard is a beat of another entry.
 type beatHeard struct{ beat relay.Beat }
 
 func (m beatHeard) apply(now time.Time, c *control) {
 	b := m.beat
-	p := c.peers[b.Entry.Name]
-	if b.Entry.Name == c.gateway.self.Name || p != nil && p.entry.Boot > b.Entry.Boot {
+	p := c.sender(now, b)
+	if p == nil {
 		return
 	}
-	c.peers[b.Entry.Name] = &peer{entry: b.Entry, heard: now, beat: b, revision: p.known()}
+	b.Entry = p.entry
+	p.heard, p.beat = now, b
 	c.gateway.suspects.Merge(now, b.Entry.Name, b.Suspects)
 	if b.Config > c.config.Version || b.Targets > c.targets.Moved() {
 		c.pull(b.Entry)
@@ -66,6 +80,33 @@
 	}
 }
 
+// sender is the entry that a beat is from. It is nil for a brief beat of one
+// that this entry doesn't know, which will send a whole one, and for one from an
+// earlier start.
+func (c *control) sender(now time.Time, b relay.Beat) (p *peer) {
+	if b.Brief {
+		return c.runs[b.ID]
+	}
+	p = c.peers[b.Entry.Name]
+	if b.Entry.Name == c.gateway.self.Name || p != nil && p.entry.Boot > b.Entry.Boot {
+		return nil
+	}
+	if p == nil || p.entry != b.Entry {
+		p = &peer{entry: b.Entry, heard: now}
+		c.meet(p)
+		c.greet(now, p)
+	}
+	p.briefly = b.Briefly
+	return p
+}
+
+// greet answers the first beat of an entry, which may know nothing yet.
+func (c *control) greet(now time.Time, p *peer) {
+	if err := c.gateway.relay.Tell(c.says(now), nil, []owner.Entry{p.entry}); err != nil {
+		c.gateway.log.WithError(err).WithField("peer", p.entry.Name).Debug("greeting not sent")
+	}
+}
+
 // confirm notes that the store said at that time that nothing is newer.
 func (c *control) confirm(d duty, at time.Time) {
 	c.confirmed[d] = later(c.confirmed[d], at)
@@ -103,8 +144,23 @@
 	if len(m.news.Config) > 0 {
 		c.adopt(now, m.news.Config, "entry "+m.from.Name)
 	}
-	if m.news.Listed {
-		c.change(now, func() bool { return c.targets.Replace(m.news.Targets, m.news.At) })
+	if m.news.Targets != relay.Nothing {
+		c.change(now, func() bool { return c.pulled(m.news) })
 		c.confirm(dutyTargets, now.Add(-m.news.Age))
 	}
 }
+
+// pulled applies what another entry knows of the targets.
+func (c *control) pulled(n relay.News) (moved bool) {
+	if n.Targets == relay.Changed {
+		moved = c.targets.Apply(n.Changes, n.At)
+	} else {
+		list := make([]roster.Item[slot.Target], 0, len(n.Changes))
+		for _, change := range n.Changes {
+			list = append(list, change.Item)
+		}
+		moved = c.targets.Replace(list, n.At)
+	}
+	c.targets.Reached(n.Moved)
+	return moved
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -72,6 +72,28 @@
 	return age >= p.first+p.wait+beatPeriod+time.Duration(rank)*p.step
 }
 
+// Times of a start. An entry that knows nothing yet asks the store only when the
+// others can't tell: all machines start together, and on a quiet day two calls
+// of each were a sixth of all.
+const (
+	// enrollTime is how long an entry waits for the names of the others. The
+	// store answers within 4 ms.
+	enrollTime = 50 * time.Millisecond
+	// beginStep is how much later each further one in the order begins. A
+	// greeting, its answer and a pull take less.
+	beginStep = 20 * time.Millisecond
+	// beginMax bounds the wait behind entries that may all be dead.
+	beginMax = 200 * time.Millisecond
+)
+
+// begins tells whether an entry that knows nothing yet reads now.
+func (c *control) begins(now time.Time, rank int) bool {
+	if c.enrolled.IsZero() {
+		return now.Sub(c.started) >= enrollTime
+	}
+	return now.Sub(c.enrolled) >= min(time.Duration(rank)*beginStep, beginMax)
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -88,6 +110,16 @@
 	rank int             // this entry's place in the order
 	age  time.Duration   // of what is known
 	at   roster.Revision // up to which the history is known
+	// fresh says that nothing is known yet.
+	fresh bool
+}
+
+// pause is how long a reader waits before it asks again.
+func (t turn) pause() time.Duration {
+	if t.fresh {
+		return beginStep / 2
+	}
+	return readerTick
 }
 
 // turnAsked is a reader's question.
@@ -103,10 +135,10 @@
 	}
 	rank := owner.Rank(order, dutyNames[m.duty], c.gateway.self.Name)
 	age := now.Sub(later(c.confirmed[m.duty], c.started))
-	if c.confirmed[m.duty].IsZero() && rank == 0 {
-		age = time.Hour
-	}
 	t := turn{due: m.duty.due(age, rank), rank: rank, age: age, at: c.configAt}
+	if c.confirmed[m.duty].IsZero() {
+		t.due, t.fresh = c.begins(now, rank), true
+	}
 	if m.duty == dutyTargets {
 		t.at = c.targets.At()
 	}
@@ -182,7 +214,7 @@
 	for ctx.Err() == nil {
 		t := r.gateway.control.turn(ctx, r.duty)
 		if !t.due {
-			sleep(ctx, readerTick)
+			sleep(ctx, t.pause())
 			continue
 		}
 		err := r.read(ctx, t.at)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -26,7 +27,10 @@
 
 // Beat is what an entry says of itself.
 type Beat struct {
-	Entry   owner.Entry
+	ID      uint64          // of the entry's run; Tell takes it from Entry
+	Brief   bool            // heard without Entry, which an earlier beat has told
+	Briefly bool            // the sender understands brief beats
+	Entry   owner.Entry     // of the sender
 	Config  route.Version   // in force
 	Targets roster.Revision // of the last change of targets
 	// ConfigAge and TargetsAge are the times since the store last confirmed
@@ -44,16 +48,27 @@
 // Have is what the caller of Pull knows already.
 type Have struct {
 	Config  route.Version
-	Targets roster.Revision
+	Targets roster.Revision // of the last change; 0 asks for a list
 }
 
+// Extent tells how much of the targets News holds.
+type Extent uint8
+
+// Extents.
+const (
+	Nothing Extent = iota // there is nothing newer
+	Listed                // all targets
+	Changed               // the changes since those that the caller has
+)
+
 // News is what it lacks.
 type News struct {
 	Config  []byte // as the operator wrote it; empty where there is nothing newer
-	Listed  bool   // whether Targets is a list
-	At      roster.Revision
-	Age     time.Duration // since the store confirmed the list
-	Targets []roster.Item[slot.Target]
+	Targets Extent
+	Changes []roster.Change[slot.Target]
+	At      roster.Revision // up to which the targets are known
+	Moved   roster.Revision // of the last change of targets that matters
+	Age     time.Duration   // since the store confirmed the targets
 }
 
 // Source gives what this entry knows.
@@ -99,7 +114,7 @@
 		return nil, err
 	}
 	r.server = &http.Server{
-		Handler:           wire.NewRelayServer(&server{cfg.Source}),
+		Handler:           wire.NewRelayServer(&server{source: cfg.Source}),
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       2 * idleTime,
 	}
@@ -173,10 +188,17 @@
 	}
 }
 
-// Tell sends a beat to the given entries. A beat that is lost is made up for by
-// the next one.
-func (r *Relay) Tell(b Beat, to []owner.Entry) (err error) {
-	data, err := encodeBeat(b)
+// Tell sends a beat to the given entries, a brief one to those that know the
+// sender. A beat that is lost is made up for by the next one.
+func (r *Relay) Tell(b Beat, brief, whole []owner.Entry) (err error) {
+	return errors.WithMessage(cmp.Or(r.tell(b, true, brief), r.tell(b, false, whole)), "beat")
+}
+
+func (r *Relay) tell(b Beat, brief bool, to []owner.Entry) (err error) {
+	if len(to) == 0 {
+		return nil
+	}
+	data, err := encodeBeat(b, brief)
 	if err != nil {
 		return err
 	}
@@ -190,30 +212,43 @@
 			err = failed
 		}
 	}
-	return errors.WithMessage(err, "beat")
+	return err
 }
 
 // Pull asks an entry for what is newer than have.
 func (r *Relay) Pull(ctx context.Context, from owner.Entry, have Have) (n News, err error) {
 	defer func() { err = errors.WithMessage(err, "pull from "+from.Name) }()
 	c := wire.NewRelayProtobufClient("http://"+from.Peer, r.client)
-	reply, err := c.Pull(ctx, &wire.PullRequest{Config: uint64(have.Config), Targets: uint64(have.Targets)})
+	reply, err := c.Pull(ctx, &wire.PullRequest{Config: uint64(have.Config), Targets: uint64(have.Targets), Format: formatBrief})
 	if err != nil {
 		return n, err
 	}
-	return decodeNews(time.Now(), reply), nil
+	return decodeNews(time.Now(), reply)
 }
 
 // server answers calls of other entries.
 type server struct {
 	source Source
+	packer packer
 }
 
 // Pull implements wire.Relay.
 func (s *server) Pull(ctx context.Context, r *wire.PullRequest) (*wire.PullReply, error) {
-	n, err := s.source.News(ctx, Have{Config: route.Version(r.Config), Targets: roster.Revision(r.Targets)})
+	have := Have{Config: route.Version(r.Config), Targets: roster.Revision(r.Targets)}
+	n, err := s.source.News(ctx, have)
 	if err != nil {
 		return nil, err
 	}
-	return encodeNews(time.Now(), n), nil
+	if n.Targets == Changed && r.Format < formatBrief {
+		have.Targets = 0
+		if n, err = s.source.News(ctx, have); err != nil {
+			return nil, err
+		}
+	}
+	w := encodeNews(time.Now(), n)
+	if r.Format >= formatBrief && len(n.Config) >= packFrom {
+		w.Config = nil
+		w.Packed, err = s.packer.pack(n.Config)
+	}
+	return w, err
 }
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -22,6 +23,11 @@
 	Capacity float64
 }
 
+// ID names the incarnation where its name and boot time would take more room.
+func (e Entry) ID() uint64 {
+	return score(e.Name, strconv.FormatUint(e.Boot, 10))
+}
+
 // Same reports whether two records name the same incarnation.
 func Same(a, b Entry) bool { return a == b }
 
--- a/pkg/roster/lapse.go
+++ b/pkg/roster/lapse.go
@@ -45,6 +45,11 @@
 	return !l.returned.IsZero() && now.Sub(l.returned) < ReturnTime
 }
 
+// Awaiting reports whether objects that vanished are still awaited.
+func (l *Lapses[T]) Awaiting(now time.Time) bool {
+	return len(l.items) > 0 && l.open(now)
+}
+
 // Kept returns the vanished objects that are still awaited.
 func (l *Lapses[T]) Kept(now time.Time) map[string]Item[T] {
 	if !l.open(now) {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -3,7 +3,10 @@
 // order. It does no I/O.
 package roster
 
-import "maps"
+import (
+	"maps"
+	"slices"
+)
 
 // Revision is a position in the history of the store that all objects share.
 type Revision uint64
@@ -25,15 +28,22 @@
 type Roster[T any] struct {
 	same  func(a, b T) bool
 	items map[string]Item[T]
+	told  map[string]Revision // of the last change of each item that matters
 	gone  map[string]Revision // deletions, so that late word revives nothing
 	at    Revision
 	moved Revision // of the last change that matters
+	// floor is the newest deletion that was forgotten. What came after it can
+	// be told as changes.
+	floor Revision
 }
 
 // New returns an empty roster. same tells which changes don't matter, such as
 // a heartbeat's counter.
 func New[T any](same func(a, b T) bool) *Roster[T] {
-	return &Roster[T]{same: same, items: make(map[string]Item[T]), gone: make(map[string]Revision)}
+	return &Roster[T]{
+		same: same, items: make(map[string]Item[T]),
+		told: make(map[string]Revision), gone: make(map[string]Revision),
+	}
 }
 
 // At returns the revision up to which the history is known.
@@ -45,6 +55,33 @@
 // Items returns the objects by name. The map is the caller's.
 func (r *Roster[T]) Items() map[string]Item[T] { return maps.Clone(r.items) }
 
+// Reached notes that all changes that matter are known up to a revision. One
+// keeper may have seen a change of an object only by a later word than another
+// one; without this, each would hold the other for newer for ever.
+func (r *Roster[T]) Reached(moved Revision) { r.moved = max(r.moved, moved) }
+
+// Len returns the number of objects.
+func (r *Roster[T]) Len() int { return len(r.items) }
+
+// Since returns the changes that matter and came after revision since. ok is
+// false where that reaches back too far, and only the whole list tells.
+func (r *Roster[T]) Since(since Revision) (changes []Change[T], ok bool) {
+	if since == 0 || since < r.floor {
+		return nil, false
+	}
+	for name, rev := range r.told {
+		if rev > since {
+			changes = append(changes, Change[T]{Item: r.items[name]})
+		}
+	}
+	for name, rev := range r.gone {
+		if rev > since {
+			changes = append(changes, Change[T]{Item: Item[T]{Name: name, Revision: rev}, Deleted: true})
+		}
+	}
+	return changes, true
+}
+
 // Get returns the object of that name.
 func (r *Roster[T]) Get(name string) (it Item[T], ok bool) {
 	it, ok = r.items[name]
@@ -70,6 +107,7 @@
 	}
 	if c.Deleted {
 		delete(r.items, c.Name)
+		delete(r.told, c.Name)
 		r.gone[c.Name] = c.Revision
 		moved = known
 	} else {
@@ -77,10 +115,14 @@
 		r.items[c.Name] = c.Item
 		moved = !known || !r.same(old.Value, c.Value)
 	}
-	if moved {
-		r.moved = max(r.moved, c.Revision)
+	if !moved {
+		return false
 	}
-	return moved
+	r.moved = max(r.moved, c.Revision)
+	if !c.Deleted {
+		r.told[c.Name] = c.Revision
+	}
+	return true
 }
 
 // Replace takes the whole list as of revision at, and tells whether anything
@@ -103,14 +145,18 @@
 	return r.Apply(changes, at)
 }
 
-// keptGone bounds the deletions that are remembered.
-const keptGone = 4096
+// keptGone is how many deletions are remembered: as many as a day of a site
+// with some hundred objects brings.
+const keptGone = 1024
 
-// Forget drops deletions older than before once there are many: late word of
-// them can't come any more.
-func (r *Roster[T]) Forget(before Revision) {
-	if len(r.gone) < keptGone {
+// Forget drops the older half of the deletions once there are too many. Word of
+// an object that comes so late would revive it until the next list, which a
+// reader asks for whenever it is unsure.
+func (r *Roster[T]) Forget() {
+	if len(r.gone) <= keptGone {
 		return
 	}
-	maps.DeleteFunc(r.gone, func(_ string, rev Revision) bool { return rev < before })
+	revisions := slices.Sorted(maps.Values(r.gone))
+	r.floor = revisions[len(revisions)/2]
+	maps.DeleteFunc(r.gone, func(_ string, rev Revision) bool { return rev <= r.floor })
 }
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -1,7 +1,10 @@
 package roster
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -79,6 +82,65 @@
 	qt.Assert(t, r.At(), qt.Equals, Revision(2))
 }
 
+// An entry that lacks changes is told just these. Whatever its state was, it
+// then knows what the teller knows; heartbeats are not among them, and what
+// reaches back before forgotten deletions is told as a whole list.
+func TestSince(t *testing.T) {
+	same := func(a, b string) bool { return a[0] == b[0] }
+	rnd := rand.New(rand.NewPCG(2, 2))
+	for range 200 {
+		teller, hearer := New(same), New(same)
+		for rev := Revision(1); rev < 60; rev++ {
+			c := set(string(rune('a'+rnd.IntN(8))), rev, string(rune('x'+rnd.IntN(2)))+"beat")
+			c.Deleted = rnd.IntN(4) == 0
+			teller.Apply([]Change[string]{c}, rev)
+			if rnd.IntN(10) > 0 {
+				continue
+			}
+			changes, ok := teller.Since(hearer.Moved())
+			qt.Assert(t, ok, qt.Equals, hearer.Moved() > 0)
+			if !ok {
+				hearer.Replace(slices.Collect(maps.Values(teller.Items())), teller.At())
+				continue
+			}
+			hearer.Apply(changes, teller.At())
+			qt.Assert(t, values(hearer), qt.DeepEquals, values(teller))
+		}
+	}
+}
+
+func values(r *Roster[string]) map[string]byte {
+	out := make(map[string]byte)
+	for name, it := range r.Items() {
+		out[name] = it.Value[0]
+	}
+	return out
+}
+
+func TestSinceLeavesHeartbeatsOut(t *testing.T) {
+	r := New(func(a, b string) bool { return a[0] == b[0] })
+	r.Apply([]Change[string]{set("a", 1, "r1"), set("b", 2, "r1"), set("a", 3, "r2")}, 3)
+	changes, ok := r.Since(1)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, changes, qt.DeepEquals, []Change[string]{set("b", 2, "r1")})
+}
+
+// Targets come and go for as long as an entry runs. Its memory of those that
+// went stays bounded, and it doesn't pretend to know what it has forgotten.
+func TestForget(t *testing.T) {
+	r := New(same)
+	for rev := Revision(1); rev <= 10*keptGone; rev += 2 {
+		name := fmt.Sprint(rev)
+		r.Apply([]Change[string]{set(name, rev, "x"), del(name, rev+1)}, rev+1)
+		r.Forget()
+	}
+	qt.Assert(t, len(r.gone) <= keptGone, qt.IsTrue)
+	_, ok := r.Since(1)
+	qt.Assert(t, ok, qt.IsFalse)
+	_, ok = r.Since(r.At() - 10)
+	qt.Assert(t, ok, qt.IsTrue)
+}
+
 // The store is away and records lapse meanwhile. On its return they are awaited
 // for as long as their owners may take to write them again, and are gone after
 // that. A record that vanishes at any other time is gone at once.
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -18,6 +18,7 @@
 	queue   []*seeker // waiting, in the order in which they are served
 	usual   usual
 	mean    float64 // pace over all targets
+	words   int     // that the mean is taken over
 	knee    float64 // how much longer work takes at a crowded target
 	scratch []candidate
 }
@@ -55,7 +56,7 @@
 		if m == nil {
 			m = newMember(t)
 		}
-		m.Target = t
+		m.record(t)
 		b.members[t.ID] = m
 		b.order = append(b.order, m)
 	}
@@ -114,10 +115,14 @@
 	}
 }
 
+// meanWords is how many words on load the mean pace is taken over: those of
+// some tenths of a second, in which half of the targets change theirs.
+const meanWords = 64
+
 func (b *Book) tell(now time.Time, m *member, l Load) {
-	const weight = 1.0 / 64
 	m.tell(now, l)
-	b.mean += (l.Pace - b.mean) * weight
+	b.words = min(b.words+1, meanWords)
+	b.mean += (l.Pace - b.mean) / float64(b.words)
 }
 
 func later(a, b time.Time) time.Time {
@@ -168,7 +173,7 @@
 	case Cancelled:
 	}
 	if e.Moved {
-		m.Leaving = true
+		m.moved = true
 	}
 	if !m.out && m.fails >= failsOut && b.mayEject() {
 		m.eject(now, &b.cfg)
@@ -220,13 +225,6 @@
 	return out
 }
 
-// Leave takes word that a target wants no new work.
-func (b *Book) Leave(id string) {
-	if m := b.members[id]; m != nil {
-		m.Leaving = true
-	}
-}
-
 // Usual returns how long work takes at a target that is idle and not slow.
 func (b *Book) Usual() time.Duration { return b.usual.mean }
 
@@ -259,7 +257,7 @@
 	pace := m.estimate(now, b.mean, &b.cfg)
 	beside := m.busy(now, &b.cfg)
 	why := Why{
-		InFlight: beside, Pace: m.pace, Age: now.Sub(m.told), Asked: s.asked, Waited: now.Sub(s.Arrived),
+		InFlight: beside, Told: m.loads, Pace: m.pace, Age: now.Sub(m.told), Asked: s.asked, Waited: now.Sub(s.Arrived),
 		Expected: m.expected(now, b.usual.mean, pace, b.knee, &b.cfg),
 	}
 	m.inFlight++
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -6,7 +6,7 @@
 )
 
 func (b *Book) anyOpen() bool {
-	return slices.ContainsFunc(b.order, func(m *member) bool { return !m.Leaving })
+	return slices.ContainsFunc(b.order, func(m *member) bool { return !m.leaves() })
 }
 
 // usable reports whether s may be sent to m, as far as is known.
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -88,6 +88,7 @@
 // Why is what a choice was made by, for the log.
 type Why struct {
 	InFlight int           // requests at the target, this one excluded
+	Told     bool          // whether the target has told its load
 	Pace     float64       // as it was last told
 	Age      time.Duration // of that word
 	Expected time.Duration // until the answer
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -33,6 +33,7 @@
 	pause  time.Duration
 	sheds  int // in a row
 	closed time.Time
+	moved  bool // another target answered at its address
 }
 
 func newMember(t Target) *member {
@@ -40,10 +41,12 @@
 }
 
 // estimate is the pace that is to be expected now: the last word, which goes
-// by halves towards the mean of all as it ages.
+// by halves towards the mean of all as it ages. A target that has said nothing
+// is taken for the mean: were it taken for one as fast as usual, it would be
+// preferred to those that were asked and said that they are.
 func (m *member) estimate(now time.Time, mean float64, c *Config) float64 {
 	if !m.loads {
-		return 1
+		return mean
 	}
 	fresh := aged(now.Sub(m.told), c.Hold)
 	return m.pace*fresh + mean*(1-fresh)
@@ -105,9 +108,21 @@
 	m.told = now
 }
 
+// record takes the target's record. What a request has shown of its address
+// counts until the record changes.
+func (m *member) record(t Target) {
+	if !Same(m.Target, t) {
+		m.moved = false
+	}
+	m.Target = t
+}
+
+// leaves reports whether the target wants no new work, or is no longer there.
+func (m *member) leaves() bool { return m.Leaving || m.moved }
+
 // open reports whether the target may get a request at all now.
 func (m *member) open(now time.Time) bool {
-	if m.Leaving || now.Before(m.closed) {
+	if m.leaves() || now.Before(m.closed) {
 		return false
 	}
 	if m.out {
--- a/pkg/slot/slot_test.go
+++ b/pkg/slot/slot_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -177,6 +178,53 @@
 	c.Assert(refused[0].Reason, qt.Equals, NoTarget)
 }
 
+// Another target answers at an address. The list that still has the old one
+// there comes several times a second, for other targets' sake; none of them may
+// bring requests back to that address. A record that says something new does.
+func TestMovedTarget(t *testing.T) {
+	list := func(address string) []Target {
+		return []Target{{ID: "t0", Slots: 2, Address: address}, {ID: "t1", Slots: 2}}
+	}
+	tests := []struct {
+		name string
+		list []Target
+		want bool // t0 gets requests
+	}{
+		{"same record", list("10.0.0.1:1"), false},
+		{"new address", list("10.0.0.2:1"), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDesk(0)
+			d.Targets(d.now, list("10.0.0.1:1"), nil)
+			id, _ := d.arrive()
+			sent := pick(d.says("t0", 1, 0), Send)
+			qt.Assert(t, sent, qt.HasLen, 1)
+			d.Done(d.now, End{ID: id, Kind: Shed, Moved: true}, nil)
+			d.now = d.now.Add(time.Second)
+			d.Targets(d.now, tt.list, nil)
+			_, out := d.arrive()
+			asked := slices.ContainsFunc(pick(out, Ask), func(a Action) bool { return a.Target.ID == "t0" })
+			qt.Assert(t, asked, qt.Equals, tt.want)
+		})
+	}
+}
+
+// An entry has just started, and a third of the targets is slow. Those that were
+// asked and say that they are idle and fast go before those that have said
+// nothing: a request that was sent to one of these took five times as long.
+func TestToldBeforeUntold(t *testing.T) {
+	d := newDesk(12)
+	_, out := d.arrive()
+	asks := pick(out, Ask)
+	for i, a := range asks {
+		out = append(out, d.says(a.Target.ID, []float64{5, 1.2, 5, 1.3}[i], 0)...)
+	}
+	sent := pick(out, Send)
+	qt.Assert(t, sent, qt.HasLen, 1)
+	qt.Assert(t, sent[0].Target.ID, qt.Equals, asks[1].Target.ID)
+}
+
 // A target that fails what it is sent gets trial requests only, and comes back
 // by one that goes well. Half of the targets stay in whatever they do.
 func TestFailingTargets(t *testing.T) {
