gateway: entries that know nothing don't confirm each other's nothing; seeds

Change: an age of never is no confirmation; TestStartTogether bounds the time and the calls of a start and failed at 0.83 s before.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -91,7 +91,7 @@
 	done chan error
 }
 
-func (w *world) entry(name string) *entry {
+func (w *world) entry(name string, seeds ...*entry) *entry {
 	bounds, err := platform.ParseSettings([]byte(settingsText))
 	w.c.Assert(err, qt.IsNil)
 	s := platform.Settings{
@@ -99,6 +99,9 @@
 		Front: "127.0.0.1:0", Ready: "127.0.0.1:0", Directory: "127.0.0.1:0",
 		Store: strings.TrimPrefix(w.server.URL, "http://"), Bounds: bounds.Bounds,
 	}
+	for _, e := range seeds {
+		s.Seeds = append(s.Seeds, e.self.Peer)
+	}
 	g, err := New(Config{Settings: s, Boot: uint64(time.Now().UnixNano()), Log: &log.Logger{Handler: discard.New()}})
 	w.c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/knowledge_test.go
+++ b/internal/gateway/knowledge_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -8,7 +9,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/internal/standin/objects"
+	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/roster"
 	"plumpitch.example/plumpitch/pkg/route"
 )
@@ -56,6 +59,55 @@
 	w.c.Assert(time.Since(began) < apply, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 }
 
+// A VM starts while the store is away. Its callers must not be refused until
+// the store returns: it greets the seeds, and is told what is in force.
+func TestStartDuringAnOutage(t *testing.T) {
+	w := newWorld(t, site{targets: 2})
+	a := w.entry("a").settled()
+	w.store.Fail(func(*http.Request) objects.Fault { return objects.Fault{Down: true} })
+	b := w.entry("b", a).settled()
+	w.c.Assert(b.call("GET", "/a/x", "").status, qt.Equals, http.StatusOK)
+	w.until("both live", func() bool { return len(a.view.Load().live) == 2 && len(b.view.Load().live) == 2 })
+}
+
+// All entries start at once. One of them reads the store, and the others are
+// told. Callers are served within half a second, and after a loss of all power
+// the store isn't called by all at once.
+func TestStartTogether(t *testing.T) {
+	w := newWorld(t, site{targets: 2})
+	began := time.Now()
+	var entries []*entry
+	for i := range 8 {
+		entries = append(entries, w.entry(fmt.Sprint("e", i)))
+	}
+	for _, e := range entries {
+		e.settled()
+	}
+	w.c.Assert(time.Since(began) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	// Each enters itself and asks for the others: two calls. Beyond that there
+	// are the first reads, and those of the first in the order.
+	w.c.Assert(w.store.Calls() <= 2*len(entries)+8, qt.IsTrue, qt.Commentf("%d calls", w.store.Calls()))
+}
+
+// A beat is lost that names a new start of an entry, so that its brief ones say
+// nothing. The next whole one brings it back.
+func TestBriefBeatOfAnUnknownStart(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	a := w.entry("a").settled()
+	stranger := owner.Entry{Name: "b", Boot: 7, Front: "127.0.0.1:8", Peer: "127.0.0.1:9"}
+	live := func() int { return len(a.view.Load().live) }
+	a.control.heard(relay.Beat{Brief: true, ID: stranger.ID()})
+	time.Sleep(50 * time.Millisecond)
+	w.c.Assert(live(), qt.Equals, 1)
+	a.control.heard(relay.Beat{Entry: stranger, ID: stranger.ID(), Briefly: true})
+	w.until("the entry known", func() bool { return live() == 2 })
+	for range 6 {
+		time.Sleep(beatPeriod)
+		a.control.heard(relay.Beat{Brief: true, ID: stranger.ID()})
+	}
+	w.c.Assert(live(), qt.Equals, 2)
+}
+
 // The store turns one entry away and serves the others. Its callers must get
 // what is in force all the same: the others tell it.
 func TestEntryThatTheStoreTurnsAway(t *testing.T) {
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -73,10 +73,10 @@
 		c.pull(b.Entry)
 	}
 	if b.Config == c.config.Version {
-		c.confirm(dutyConfig, now.Add(-b.ConfigAge))
+		c.vouched(now, dutyConfig, b.ConfigAge)
 	}
 	if b.Targets == c.targets.Moved() {
-		c.confirm(dutyTargets, now.Add(-b.TargetsAge))
+		c.vouched(now, dutyTargets, b.TargetsAge)
 	}
 }
 
@@ -112,6 +112,19 @@
 	c.confirmed[d] = later(c.confirmed[d], at)
 }
 
+// neverAge is the age from which on what another entry knows counts as never
+// confirmed: longer than any outage, shorter than any clock's zero.
+const neverAge = 24 * time.Hour
+
+// vouched takes another entry's word that the store confirmed what both know.
+// Entries that have just started both know nothing, and none has asked: taken
+// for a confirmation, that keeps all of them from asking.
+func (c *control) vouched(now time.Time, d duty, age time.Duration) {
+	if age < neverAge {
+		c.confirm(d, now.Add(-age))
+	}
+}
+
 // pull asks another entry for what it has and this one lacks.
 func (c *control) pull(from owner.Entry) {
 	if c.pulling {
