--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -1,221 +1,184 @@
-// Package claims drives pkg/claim and pkg/ring in an entry: it runs keyed
-// requests at most once, answers the claims of other entries, and takes part in
-// changes of the ring.
+// Package claims runs keyed requests at most once. The record of a key lies in
+// the platform's store and is created before the request is sent to a target:
+// of all attempts through all entries one creates it, whichever entries are
+// killed, paused or cut off meanwhile.
+//
+// While the store is away no key can be claimed. Keyed requests are then
+// answered at once as unknown, with a time to come back.
 package claims
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/claim"
-	"plumpitch.example/plumpitch/pkg/ring"
 )
 
-// Peers reaches other entries. Each call has a bound of its own besides ctx.
-type Peers interface {
-	Claim(ctx context.Context, to ring.Member, a claim.Ask) (claim.Reply, error)
-	Settle(ctx context.Context, to ring.Member, s claim.Settlement) (known bool, err error)
-	// Records gives the ring revision in force at the receiver.
-	Records(ctx context.Context, to ring.Member, b Batch) (revision uint64, err error)
-	// Ring gives the receiver's ring document when its revision is above have,
-	// and nothing otherwise.
-	Ring(ctx context.Context, to ring.Member, have uint64) (document []byte, err error)
-}
-
-// Store holds the ring document.
+// Store holds the records. Put and Delete make one attempt.
 type Store interface {
-	// Get gives version 0 when there is no document.
-	Get(ctx context.Context) (document []byte, version uint64, err error)
-	// Put writes when the version is still the given one.
-	Put(ctx context.Context, document []byte, version uint64) error
+	Get(ctx context.Context, kind, name string) (store.Object, error)
+	List(ctx context.Context, kind string) (objects []store.Object, version uint64, err error)
+	Put(ctx context.Context, kind, name string, expected uint64, value []byte) (version uint64, err error)
+	Delete(ctx context.Context, kind, name string, expected uint64) error
 }
 
-// Batch is a part of the records on their way to another replica.
-type Batch struct {
-	To      ring.Ident
-	From    ring.Ident
-	Ring    uint64
-	Records []claim.Record
-	Last    bool // nothing more to copy for this ring
-}
-
-// Config is what Claims is built from. Zero durations take the defaults.
+// Config is what Claims is built from.
 type Config struct {
-	Self     ring.Member
-	Table    claim.Config
-	Bounds   ring.Config
-	Peers    Peers
-	Store    Store
-	View     func() ring.View // what membership knows, this entry included; Since is filled in
-	Now      func() time.Time
-	Log      func(message string, err error)
-	Every    time.Duration // between two looks at the ring
-	Turn     time.Duration // lead of one proposer over the next
-	Poll     time.Duration // between two reads of the ring in the store
-	Patience time.Duration // longest wait of a request for its replicas
-	Again    time.Duration // between two tries at a silent replica
+	Entry string // name of this entry
+	Boot  uint64 // its incarnation
+	Store Store
+	Log   log.Interface
+	// Sweeps tells whether this entry removes records that have expired. One
+	// of all should.
+	Sweeps func() bool
+	Now    func() time.Time // time.Now when nil
+	// Late is how long after its call a write may still be done whose answer
+	// was lost; 15 s when 0, several times what the platform says.
+	Late time.Duration
 }
 
+const defaultLate = 15 * time.Second
+
 // Claims is the part of an entry that keeps requests from running twice. It is
 // safe for concurrent use.
 type Claims struct {
-	cfg     Config
-	attempt atomic.Uint64
-	life    context.Context // of settlements on their way
-	end     context.CancelFunc
-	telling sync.WaitGroup
-	kick    chan ring.Ident // entries that asked under a newer ring
+	cfg      Config
+	attempts atomic.Uint64
+	life     context.Context // of outcomes on their way to the store
+	end      context.CancelFunc
+	settling sync.WaitGroup
 
 	mu      sync.Mutex // guards what follows
-	table   *claim.Table
-	ring    ring.Ring
-	since   time.Time
-	changed chan struct{} // closed when the ring changes
-	contact ring.Contact
-	synced  uint64 // revision for which this entry has copied its records
 	flights map[flightKey]*flight
 }
 
-// New builds Claims. Nothing runs before Serve has found a ring.
+// New builds Claims.
 func New(cfg Config) *Claims {
-	cfg = defaults(cfg)
-	life, end := context.WithCancel(context.Background())
-	return &Claims{
-		cfg:     cfg,
-		life:    life,
-		end:     end,
-		table:   claim.New(cfg.Table),
-		since:   cfg.Now(),
-		changed: make(chan struct{}),
-		kick:    make(chan ring.Ident, 1),
-		flights: make(map[flightKey]*flight),
-	}
-}
-
-// Close gives up the settlements that are still on their way. An entry that
-// stops waits for Clear first.
-func (c *Claims) Close() {
-	c.end()
-	c.telling.Wait()
-}
-
-func defaults(cfg Config) Config {
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	if cfg.Log == nil {
-		cfg.Log = func(string, error) {}
-	}
-	if cfg.Bounds == (ring.Config{}) {
-		cfg.Bounds = ring.Default()
-	}
-	if cfg.Table.Keys == 0 {
-		cfg.Table = claim.Default(cfg.Self.Ident, cfg.Now())
-	}
-	orElse(&cfg.Every, time.Second)
-	orElse(&cfg.Turn, 500*time.Millisecond)
-	orElse(&cfg.Poll, 30*time.Second)
-	orElse(&cfg.Patience, time.Second)
-	orElse(&cfg.Again, 20*time.Millisecond)
-	return cfg
-}
-
-func orElse(d *time.Duration, standard time.Duration) {
-	if *d == 0 {
-		*d = standard
-	}
-}
-
-// Claim answers the claim of another entry.
-func (c *Claims) Claim(a claim.Ask) claim.Reply {
-	reply := c.decide(a)
-	if reply.Verdict == claim.WrongRing && a.Ring > reply.Ring {
-		select {
-		case c.kick <- a.By:
-		default:
-		}
+	if cfg.Late <= 0 {
+		cfg.Late = defaultLate
 	}
-	return reply
+	life, end := context.WithCancel(context.Background())
+	return &Claims{cfg: cfg, life: life, end: end, flights: make(map[flightKey]*flight)}
 }
 
-func (c *Claims) decide(a claim.Ask) claim.Reply {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.cfg.Now()
-	if !c.cfg.Bounds.InContact(now, c.ring, c.cfg.Self.Ident, &c.contact) {
-		return c.table.Recall(now, a)
+// Close gives up the outcomes that are still on their way. An entry that stops
+// calls Flush first.
+func (c *Claims) Close() {
+	c.end()
+	c.settling.Wait()
+}
+
+// Flush waits until the store has every outcome, or ctx ends.
+func (c *Claims) Flush(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		c.settling.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return c.table.Claim(now, a)
 }
 
-// Settle takes the withdrawal or the outcome of a claim, and tells whether the
-// claim was known.
-func (c *Claims) Settle(s claim.Settlement) (known bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.table.Settle(c.cfg.Now(), s)
+// Request is what is to run at most once.
+type Request struct {
+	Service  string
+	Key      string
+	Print    uint64    // fingerprint of method, path and body
+	Deadline time.Time // after it nothing is dispatched
 }
 
-// Take adds the records of another replica, and gives the ring revision in
-// force here and whether this is the incarnation that was meant.
-func (c *Claims) Take(b Batch) (revision uint64, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if b.To != c.cfg.Self.Ident {
-		return c.ring.Revision, false
-	}
-	c.table.Take(c.cfg.Now(), b.Records)
-	return c.ring.Revision, true
-}
+// Run dispatches the request and tells its outcome. It ends with ctx.
+type Run func(ctx context.Context) claim.Ended
 
-// Ring gives the ring in force. Its revision is 0 while there is none.
-func (c *Claims) Ring() ring.Ring {
-	r, _ := c.current()
-	return r
+type flightKey struct {
+	service string
+	key     string
+	print   uint64
 }
 
-// Synced gives the ring revision for which this entry has copied its records.
-// Membership spreads it.
-func (c *Claims) Synced() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.synced
+// flight is an attempt of this entry that is not over.
+type flight struct {
+	done   chan struct{}
+	result claim.Result // once done is closed
 }
 
-// Clear tells whether this entry may stop: no ring counts on its records. An
-// entry that is not yet in a ring is clear too.
-func (c *Claims) Clear() bool {
-	return !c.Ring().Has(c.cfg.Self.Ident)
+// Do runs the request unless its key has run or may be running, and gives what
+// its caller is told. A resend that meets its first try here waits for it.
+func (c *Claims) Do(ctx context.Context, r Request, run Run) claim.Result {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	key := flightKey{r.Service, r.Key, r.Print}
+	for {
+		f, first := c.join(key)
+		if first {
+			defer c.part(key, f)
+			f.result = c.fly(ctx, r, run)
+			return f.result
+		}
+		select {
+		case <-ctx.Done():
+			return claim.Result{Kind: claim.Uncertain, Reason: claim.ReasonInProgress, RetryAfter: claim.RetrySoon}
+		case <-f.done:
+		}
+		if f.result.Kind == claim.Fresh {
+			return claim.Result{Kind: claim.Replay, Answer: f.result.Answer}
+		}
+	}
 }
 
-// Keys gives the number of remembered keys, and the bytes of kept answers.
-func (c *Claims) Keys() (keys, bytes int) {
+func (c *Claims) join(key flightKey) (f *flight, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Len(), c.table.Bytes()
+	if f, ok := c.flights[key]; ok {
+		return f, false
+	}
+	f = &flight{done: make(chan struct{})}
+	c.flights[key] = f
+	return f, true
 }
 
-func (c *Claims) current() (r ring.Ring, changed <-chan struct{}) {
+func (c *Claims) part(key flightKey, f *flight) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ring, c.changed
+	delete(c.flights, key)
+	c.mu.Unlock()
+	close(f.done)
+}
+
+// fly claims the key, runs the request and settles the claim.
+func (c *Claims) fly(ctx context.Context, r Request, run Run) claim.Result {
+	h := hold{claims: c, name: recordName(r.Service, r.Key), record: claim.Record{
+		Print: r.Print, ID: fmt.Sprintf("%s#%x.%x", c.cfg.Entry, c.cfg.Boot, c.attempts.Add(1)),
+		At: c.cfg.Now(), Until: r.Deadline,
+	}}
+	if met, granted := h.take(ctx); !granted {
+		return met
+	}
+	ended := claim.Ended{Outcome: call.NotRun, Reason: claim.ReasonDeadline, RetryAfter: claim.RetrySoon}
+	if ctx.Err() == nil {
+		ended = run(ctx)
+	}
+	result, kept := claim.Finish(ended)
+	h.settle(kept)
+	return result
 }
 
-// adopt puts a newer ring in force. From then on the table refuses claims under
-// the former one.
-func (c *Claims) adopt(r ring.Ring) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !r.Newer(c.ring) {
-		return false
-	}
-	c.ring = r
-	c.since = c.cfg.Now()
-	c.table.Adopt(r.Revision)
-	c.contact.Keep(r)
-	close(c.changed)
-	c.changed = make(chan struct{})
-	return true
+// recordName is the name of a key's record: keys hold characters that names of
+// objects may not.
+func recordName(service, key string) string {
+	return fmt.Sprintf("%s-%016x%016x", service, xxhash.Sum64String(key), xxhash.Sum64String(service+"\x00"+key))
 }
--- /dev/null
+++ b/internal/claims/codec.go
@@ -0,0 +1,78 @@
+package claims
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/claim"
+)
+
+// recordJSON is a record as the store holds it.
+type recordJSON struct {
+	Print  string      `json:"print"` // hexadecimal: JSON numbers are no 64-bit integers
+	ID     string      `json:"id"`
+	At     int64       `json:"at"`    // milliseconds since 1970
+	Until  int64       `json:"until"` // the same
+	Answer *answerJSON `json:"answer,omitempty"`
+}
+
+type answerJSON struct {
+	Ran    bool        `json:"ran"` // false where the outcome is unknown
+	Status int         `json:"status"`
+	Header [][2]string `json:"header"`
+	Body   []byte      `json:"body"`
+	Whole  bool        `json:"whole"`
+}
+
+// maxKept bounds the answer that a record keeps, in bytes. The store holds
+// values of at most a megabyte, and JSON makes a third more of a body.
+const maxKept = 512 << 10
+
+func encode(r claim.Record) []byte {
+	j := recordJSON{
+		Print: strconv.FormatUint(r.Print, 16), ID: r.ID, At: r.At.UnixMilli(), Until: r.Until.UnixMilli(),
+	}
+	if a := r.Answer; a != nil {
+		j.Answer = &answerJSON{Ran: a.Outcome == call.Ran, Status: a.Status, Whole: a.Whole && len(a.Body) <= maxKept}
+		for _, f := range a.Header {
+			j.Answer.Header = append(j.Answer.Header, [2]string{f.Name, f.Value})
+		}
+		if j.Answer.Whole {
+			j.Answer.Body = a.Body
+		}
+	}
+	b, err := json.Marshal(j)
+	if err != nil {
+		panic(err) // strings, numbers and bytes always have a JSON form
+	}
+	return b
+}
+
+func decode(b []byte) (r claim.Record, err error) {
+	defer func() { err = errors.WithMessage(err, "claim record") }()
+	var j recordJSON
+	if err := json.Unmarshal(b, &j); err != nil {
+		return r, err
+	}
+	if r.Print, err = strconv.ParseUint(j.Print, 16, 64); err != nil {
+		return r, errors.Errorf("print: found %q, expected a hexadecimal number", j.Print)
+	}
+	if j.ID == "" {
+		return r, errors.New("id: found nothing, expected a value")
+	}
+	r.ID, r.At, r.Until = j.ID, time.UnixMilli(j.At), time.UnixMilli(j.Until)
+	if a := j.Answer; a != nil {
+		r.Answer = &claim.Answer{Outcome: call.Unknown, Status: a.Status, Body: a.Body, Whole: a.Whole}
+		if a.Ran {
+			r.Answer.Outcome = call.Ran
+		}
+		for _, f := range a.Header {
+			r.Answer.Header = append(r.Answer.Header, claim.Field{Name: f[0], Value: f[1]})
+		}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/claims/fake_test.go
@@ -0,0 +1,215 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/claim"
+)
+
+// fault is what becomes of one call of the store.
+type fault uint8
+
+const (
+	none  fault = iota
+	down        // refused, not done
+	lost        // done, its answer lost
+	late        // done after a while, its answer lost
+	timed       // not done, no answer
+	later       // done after the attempt has given up, its answer lost
+)
+
+// lateness is how long after its call a late write is done.
+const lateness = 80 * time.Millisecond
+
+// laterness is more than an attempt waits for the store, and less than lateBound,
+// for which it looks for its own record.
+const (
+	laterness = claimTime + 300*time.Millisecond
+	lateBound = 2 * time.Second
+)
+
+// fakeStore holds records in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	objects map[string]store.Object
+	last    uint64
+	fault   func(op string) fault
+}
+
+var errAway = errors.New("away")
+
+func (s *fakeStore) hit(op string) fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fault == nil {
+		return none
+	}
+	return s.fault(op)
+}
+
+// do makes one call under its fault.
+func (s *fakeStore) do(op string, f func() error) error {
+	switch s.hit(op) {
+	case down:
+		return &store.Unavailable{Cause: errAway, Untouched: true}
+	case timed:
+		return &store.Unavailable{Cause: errAway}
+	case lost:
+		_ = s.locked(f)
+		return &store.Unavailable{Cause: errAway}
+	case later:
+		time.AfterFunc(laterness, func() { _ = s.locked(f) })
+		return &store.Unavailable{Cause: errAway}
+	case late:
+		time.AfterFunc(lateness, func() { _ = s.locked(f) })
+		return &store.Unavailable{Cause: errAway}
+	}
+	return s.locked(f)
+}
+
+func (s *fakeStore) locked(f func() error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return f()
+}
+
+func (s *fakeStore) Get(_ context.Context, _, name string) (store.Object, error) {
+	var found store.Object
+	err := s.do("get", func() error {
+		var ok bool
+		if found, ok = s.objects[name]; !ok {
+			return store.ErrNotFound
+		}
+		return nil
+	})
+	if err != nil {
+		return store.Object{}, err
+	}
+	return found, nil
+}
+
+func (s *fakeStore) List(context.Context, string) (list []store.Object, version uint64, err error) {
+	err = s.do("list", func() error {
+		for _, o := range s.objects {
+			list = append(list, o)
+		}
+		return nil
+	})
+	return list, s.last, err
+}
+
+func (s *fakeStore) Put(_ context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
+	var version uint64
+	err := s.do("put", func() error {
+		if o := s.objects[name]; o.Version != expected {
+			return &store.ErrConflict{Expected: expected, Current: o.Version}
+		}
+		s.last++
+		version = s.last
+		s.objects[name] = store.Object{Kind: kind, Name: name, Version: version, Value: value}
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return version, nil
+}
+
+func (s *fakeStore) Delete(_ context.Context, _, name string, expected uint64) error {
+	return s.do("delete", func() error {
+		o, ok := s.objects[name]
+		if !ok {
+			return store.ErrNotFound
+		}
+		if o.Version != expected {
+			return &store.ErrConflict{Expected: expected, Current: o.Version}
+		}
+		delete(s.objects, name)
+		return nil
+	})
+}
+
+// fail sets what becomes of calls: the nth of an operation, from 0.
+func (s *fakeStore) fail(f func(op string, n int) fault) {
+	counts := map[string]int{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = nil
+	if f != nil {
+		s.fault = func(op string) fault {
+			counts[op]++
+			return f(op, counts[op]-1)
+		}
+	}
+}
+
+// site is two entries over one store.
+type site struct {
+	c       *qt.C
+	store   *fakeStore
+	entries [2]*Claims
+	now     func() time.Time
+	mu      sync.Mutex
+	runs    map[string]int
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{c: qt.New(t), store: &fakeStore{objects: map[string]store.Object{}}, runs: map[string]int{}}
+	for i, name := range []string{"a", "b"} {
+		s.entries[i] = New(Config{
+			Entry: name, Boot: 1, Store: s.store, Log: &log.Logger{Handler: discard.New()},
+			Sweeps: func() bool { return true }, Now: s.clock, Late: lateBound,
+		})
+		t.Cleanup(s.entries[i].Close)
+	}
+	return s
+}
+
+func (s *site) clock() time.Time {
+	if s.now != nil {
+		return s.now()
+	}
+	return time.Now()
+}
+
+// run counts a run of a key and answers.
+func (s *site) run(key string) Run {
+	return func(context.Context) claim.Ended {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.runs[key]++
+		return claim.Ended{Outcome: call.Ran, Answer: claim.Answer{Status: 200, Body: []byte(key), Whole: true}}
+	}
+}
+
+func (s *site) count(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key]
+}
+
+// do sends the key through an entry.
+func (s *site) do(entry int, key string, run Run) claim.Result {
+	return s.entries[entry].Do(context.Background(), Request{
+		Service: "deposit-ledger", Key: key, Print: 1, Deadline: time.Now().Add(3 * time.Second),
+	}, run)
+}
+
+// settled waits until no outcome is on its way.
+func (s *site) settled() {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for _, e := range s.entries {
+		s.c.Assert(e.Flush(ctx), qt.IsNil)
+	}
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -9,9 +9,9 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/pool"
 	"plumpitch.example/plumpitch/pkg/probe"
-	"plumpitch.example/plumpitch/pkg/ring"
 	"plumpitch.example/plumpitch/pkg/tree"
 )
 
@@ -31,7 +31,8 @@
 	site     *atomic.Pointer[site]
 	document tree.Document
 	vms      []store.VM
-	live     []ring.Member
+	listed   bool // vms is known
+	live     []member.Entry
 	drained  map[string]uint64 // target to the incarnation that operators drain
 	services map[string]*service
 	leaving  bool // this entry stops: locate no longer names it
@@ -43,7 +44,7 @@
 		inbox:    make(chan message, maxInbox),
 		site:     &e.site,
 		document: tree.New(),
-		live:     []ring.Member{e.self()},
+		live:     []member.Entry{e.self()},
 		drained:  make(map[string]uint64),
 	}
 }
@@ -108,30 +109,28 @@
 		}
 	}
 	c.services = services
-	c.site.Store(&site{revision: c.document.Revision, services: services, live: c.named()})
+	c.site.Store(&site{revision: c.document.Revision, services: services, live: c.named(), listed: c.listed})
 	return nil
 }
 
 // share is this entry's part among the home entries of a service. An entry that
 // serves it only by a stale locate answer probes nothing.
 func (c *control) share(want tree.Service) probe.Share {
-	homes := ring.Homes(c.named(), want.Name, want.Policy.Entries)
+	homes := member.Homes(c.named(), want.Name, want.Policy.Entries)
 	for rank, m := range homes {
-		if m.Name == c.entry.cfg.File.Name {
+		if m.ID.Name == c.entry.cfg.File.Name {
 			return probe.Share{Rank: rank, Of: len(homes)}
 		}
 	}
 	return probe.Share{}
 }
 
-// named are the entries that locate may name: those of the ring, while one of
-// them is live. An entry that boots while the platform is down knows no target
-// and would refuse every caller that is sent to it. It can't enter the ring
-// before the store is back, and the VM list comes back with it.
-func (c *control) named() (named []ring.Member) {
-	agreed := c.entry.claims.Ring()
+// named are the entries that locate may name: those that are ready, while one
+// of them is live. An entry that boots while the platform is down knows no target
+// and would refuse every caller that is sent to it.
+func (c *control) named() (named []member.Entry) {
 	for _, m := range c.others() {
-		if agreed.Has(m.Ident) {
+		if m.Ready {
 			named = append(named, m)
 		}
 	}
@@ -142,13 +141,13 @@
 }
 
 // others are the live entries, but for this one when it is leaving.
-func (c *control) others() []ring.Member {
+func (c *control) others() []member.Entry {
 	if !c.leaving {
 		return c.live
 	}
-	var others []ring.Member
+	var others []member.Entry
 	for _, m := range c.live {
-		if m.Name != c.entry.cfg.File.Name {
+		if m.ID.Name != c.entry.cfg.File.Name {
 			others = append(others, m)
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,7 +26,7 @@
 	"plumpitch.example/plumpitch/internal/settings"
 	"plumpitch.example/plumpitch/internal/store"
 	"plumpitch.example/plumpitch/pkg/call"
-	"plumpitch.example/plumpitch/pkg/ring"
+	"plumpitch.example/plumpitch/pkg/member"
 )
 
 // Rates at which one entry may read the store.
@@ -70,6 +70,8 @@
 	claims   *claims.Claims
 	relay    *relay
 
+	claimRate *rate.Limiter // of this entry's part of claimWrites
+
 	callers   net.Listener
 	peers     net.Listener
 	operators net.Listener
@@ -135,10 +137,10 @@
 	}
 }
 
-// Ready tells whether settings are in force and a ring is known, without which
-// keyed requests can't run.
+// Ready tells whether settings are in force and targets are known.
 func (e *Entry) Ready() bool {
-	return e.site.Load().revision > 0 && e.claims.Ring().Revision > 0
+	s := e.site.Load()
+	return s.revision > 0 && s.listed
 }
 
 // Addresses are where the entry listens, which differs from its file where
@@ -155,10 +157,10 @@
 }
 
 // self is this incarnation as other entries know it.
-func (e *Entry) self() ring.Member {
+func (e *Entry) self() member.Entry {
 	f := e.cfg.File
-	return ring.Member{
-		Ident:  ring.Ident{Name: f.Name, Boot: e.cfg.Boot},
+	return member.Entry{
+		ID:     member.ID{Name: f.Name, Boot: e.cfg.Boot},
 		Caller: e.callers.Addr().String(), Peer: e.peers.Addr().String(), Place: f.Place, Region: f.Region,
 	}
 }
@@ -166,7 +168,7 @@
 // Serve runs the entry until ctx ends, then takes it out of locate, lets every
 // answer that named it expire, and stops between requests.
 //
-// Traffic ends before control: a request in flight still needs the peers that
+// Traffic ends before control: a request in flight still needs claims, which
 // record its outcome.
 func (e *Entry) Serve(ctx context.Context) (err error) {
 	defer e.close()
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"plumpitch.example/plumpitch/internal/claims"
 	"plumpitch.example/plumpitch/internal/forward"
@@ -144,25 +143,3 @@
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
-
-// claimWait is the pause between looks at whether the ring counts on this
-// entry's records.
-const claimWait = 100 * time.Millisecond
-
-// handOver waits until no ring counts on this entry's records, or no other
-// entry is left that could take them.
-func (e *Entry) handOver() {
-	ctx, cancel := context.WithTimeout(context.Background(), graceTime)
-	defer cancel()
-	for !e.claims.Clear() {
-		if _, ok := e.anyPeer(); !ok {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			e.log.Warn("stopped before the ring let this entry go")
-			return
-		case <-time.After(claimWait):
-		}
-	}
-}
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"plumpitch.example/plumpitch/internal/store"
-	"plumpitch.example/plumpitch/pkg/ring"
+	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/tree"
 )
 
@@ -21,7 +23,7 @@
 // vmsListed brings the platform's list of VMs.
 type vmsListed struct{ list []store.VM }
 
-func (m vmsListed) apply(_ time.Time, c *control) { c.vms = m.list }
+func (m vmsListed) apply(_ time.Time, c *control) { c.vms, c.listed = m.list, true }
 
 // drainsListed brings the targets that operators drain, with their incarnation.
 type drainsListed struct{ targets map[string]uint64 }
@@ -29,9 +31,12 @@
 func (m drainsListed) apply(_ time.Time, c *control) { c.drained = m.targets }
 
 // membersChanged brings the entries that are live, this one included.
-type membersChanged struct{ live []ring.Member }
+type membersChanged struct{ live []member.Entry }
 
-func (m membersChanged) apply(_ time.Time, c *control) { c.live = m.live }
+func (m membersChanged) apply(_ time.Time, c *control) {
+	c.live = m.live
+	c.entry.claimRate.SetLimit(claimWrites / rate.Limit(max(len(m.live), 1)))
+}
 
 // targetLeaves says that an incarnation of a target is leaving. It may name a
 // target that no list has shown yet.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,27 +6,21 @@
 
 	"github.com/pkg/errors"
 
-	"plumpitch.example/plumpitch/internal/claims"
 	"plumpitch.example/plumpitch/internal/peer"
 	"plumpitch.example/plumpitch/internal/settings"
-	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/tree"
 )
 
-// documents answers and asks for the two documents that peers hand on: the
-// settings and the ring.
+// documents answers and asks for what peers hand on: the settings.
 type documents struct {
 	settings *settings.Settings
-	claims   *claims.Claims
 	client   *peer.Client
 }
 
 // Since gives what a peer lacks.
-func (d documents) Since(_ context.Context, have member.Marks) (ch peer.Change, err error) {
-	s := d.settings.Since(have.Settings)
-	ch = peer.Change{Revision: s.Revision, Document: s.Document, Edits: s.Edits}
-	ch.Ring, err = d.claims.Newer(have.Ring)
-	return ch, err
+func (d documents) Since(_ context.Context, revision uint64) (ch peer.Change, err error) {
+	s := d.settings.Since(revision)
+	return peer.Change{Revision: s.Revision, Document: s.Document, Edits: s.Edits}, nil
 }
 
 // fetchTime bounds the fetch of what this entry lacks.
@@ -38,24 +32,17 @@
 	defer func() { err = errors.WithMessagef(err, "fetch from %s", address) }()
 	ctx, cancel := context.WithTimeout(ctx, fetchTime)
 	defer cancel()
-	have := member.Marks{Settings: d.settings.Document().Revision, Ring: d.claims.Ring().Revision}
-	err = d.fetchSince(ctx, address, have)
+	err = d.fetchSince(ctx, address, d.settings.Document().Revision)
 	if errors.Is(err, tree.ErrGap) {
-		have.Settings = 0
-		err = d.fetchSince(ctx, address, have)
+		err = d.fetchSince(ctx, address, 0)
 	}
 	return err
 }
 
-func (d documents) fetchSince(ctx context.Context, address string, have member.Marks) error {
-	ch, err := d.client.Settings(ctx, address, have)
+func (d documents) fetchSince(ctx context.Context, address string, revision uint64) error {
+	ch, err := d.client.Settings(ctx, address, revision)
 	if err != nil {
 		return err
 	}
-	if len(ch.Ring) > 0 {
-		if err := d.claims.Offer(ch.Ring); err != nil {
-			return err
-		}
-	}
 	return d.settings.Offer(ctx, settings.Change{Revision: ch.Revision, Document: ch.Document, Edits: ch.Edits})
 }
--- a/internal/entry/plane.go
+++ b/internal/entry/plane.go
@@ -5,18 +5,19 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"plumpitch.example/plumpitch/internal/claims"
 	"plumpitch.example/plumpitch/internal/members"
 	"plumpitch.example/plumpitch/internal/peer"
 	"plumpitch.example/plumpitch/internal/settings"
+	"plumpitch.example/plumpitch/internal/store"
 	"plumpitch.example/plumpitch/pkg/call"
-	"plumpitch.example/plumpitch/pkg/claim"
 	"plumpitch.example/plumpitch/pkg/member"
-	"plumpitch.example/plumpitch/pkg/ring"
 )
 
-// build makes the parts that entries share state by: membership, settings and
-// claims, over one client of peers.
+// build makes the parts that entries share state by: membership and settings,
+// over one client of peers, and claims in the store.
 func (e *Entry) build() {
 	f := e.cfg.File
 	e.counters = &peer.Counters{}
@@ -24,10 +25,7 @@
 	e.settings = settings.New(settings.Config{Store: e.store, Peers: firstPeer{e}, Log: e.log})
 	e.members = members.New(members.Config{
 		Member: member.Config{
-			Self: member.Entry{
-				ID: member.ID(e.self().Ident), Caller: e.self().Caller, Peer: e.self().Peer,
-				Place: f.Place, Region: f.Region,
-			},
+			Self:  e.self(),
 			Seeds: f.Seeds,
 			Rand:  rand.New(rand.NewPCG(e.cfg.Boot, 0)),
 		},
@@ -37,40 +35,39 @@
 		Superseded: func(member.ID) { e.superseded() },
 	})
 	e.claims = claims.New(claims.Config{
-		Self:   e.self(),
-		Table:  keyTable(e.self().Ident),
-		Bounds: ringBounds(),
-		Peers:  tracedPeers{claims.Remote{Client: e.client}, &e.tracing},
-		Store:  claims.Platform{Client: e.store},
-		View:   func() ring.View { return e.members.Ring(time.Now(), e.claims.Ring().Revision) },
-		Log:    func(message string, err error) { e.log.WithError(err).Warn(message) },
+		Entry: f.Name, Boot: e.cfg.Boot, Log: e.log,
+		Store: tracedClaims{e.claimStore(), &e.tracing}, Sweeps: e.sweeps,
 	})
 	e.relay = newRelay(e)
 }
 
-// What an entry remembers of keys. A record takes 310 bytes besides its answer,
-// so that both bounds together stay under 150 MB.
-const (
-	keyRetention = time.Hour
-	maxKeys      = 250_000
-	maxKept      = 64 << 20 // bytes of answers
-)
+// claimWrites is how many writes a second all entries together may spend on
+// claims: a keyed request takes two, and the platform takes several hundred.
+const claimWrites = 300
 
-func keyTable(self ring.Ident) claim.Config {
-	c := claim.Default(self, time.Now())
-	c.Retention, c.Keys, c.Bytes = keyRetention, maxKeys, maxKept
-	return c
+// claimStore is a client of its own: claims must not wait behind other calls,
+// nor hold them up.
+func (e *Entry) claimStore() *store.Client {
+	e.claimRate = rate.NewLimiter(claimWrites, claimWrites/10)
+	return store.New(store.Config{
+		Addr: e.cfg.File.Platform, HTTP: e.storeCalls(), Writes: e.claimRate, Reads: rate.NewLimiter(claimWrites, claimWrites/10),
+	})
 }
 
-func ringBounds() ring.Config {
-	c := ring.Default()
-	c.Retention = keyRetention
-	return c
+// sweeps tells whether this entry removes expired claims: the first of all by
+// name does.
+func (e *Entry) sweeps() bool {
+	for _, m := range e.members.Serving() {
+		if m.ID.Name < e.cfg.File.Name {
+			return false
+		}
+	}
+	return true
 }
 
-// documents are the two documents that peers hand on.
+// documents are what peers hand on.
 func (e *Entry) documents() documents {
-	return documents{settings: e.settings, claims: e.claims, client: e.client}
+	return documents{settings: e.settings, client: e.client}
 }
 
 // peerServer answers other entries.
@@ -79,10 +76,9 @@
 		name: "peers",
 		on:   e.counters.Listener(e.peers),
 		http: peer.NewServer(peer.ServerConfig{
-			Self:     member.ID(e.self().Ident),
+			Self:     e.self().ID,
 			Members:  e.members,
 			Settings: e.documents(),
-			Claims:   claims.Local{Claims: e.claims},
 			Counters: e.counters,
 		}),
 	}
@@ -137,18 +133,15 @@
 	if !ok {
 		return c, errNoPeer
 	}
-	ch, err := p.entry.client.Settings(ctx, address, member.Marks{Settings: since, Ring: noRing})
+	ch, err := p.entry.client.Settings(ctx, address, since)
 	return settings.Change{Revision: ch.Revision, Document: ch.Document, Edits: ch.Edits}, err
 }
 
-// noRing asks for the settings only: no ring is newer.
-const noRing = 1<<64 - 1
-
 // anyPeer picks a live entry other than this one.
 func (e *Entry) anyPeer() (address string, ok bool) {
 	var others []string
 	for _, m := range e.members.Serving() {
-		if m.Name != e.cfg.File.Name {
+		if m.ID.Name != e.cfg.File.Name {
 			others = append(others, m.Peer)
 		}
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -18,11 +18,11 @@
 	entry *Entry
 	fetch chan string // peers with newer documents
 	marks member.Marks
-	sync  uint64
+	ready bool // which membership has been told
 }
 
-// marksPeriod is how often the ring's revision is looked at.
-const marksPeriod = 200 * time.Millisecond
+// readyPeriod is how often the entry looks whether it is ready.
+const readyPeriod = 200 * time.Millisecond
 
 func newRelay(e *Entry) *relay { return &relay{entry: e, fetch: make(chan string, 1)} }
 
@@ -40,7 +40,7 @@
 // Serve runs until ctx ends.
 func (r *relay) Serve(ctx context.Context) error {
 	e := r.entry
-	tick := time.NewTicker(marksPeriod)
+	tick := time.NewTicker(readyPeriod)
 	defer tick.Stop()
 	r.document(ctx)
 	r.membership(ctx)
@@ -70,17 +70,15 @@
 	r.entry.control.tell(ctx, membersChanged{r.entry.members.Serving()})
 }
 
-// revised tells membership of new revisions, so that others hear of them in
-// its rounds.
+// revised tells membership of what is new of this entry, so that others hear of
+// it in its rounds.
 func (r *relay) revised(ctx context.Context) {
 	e := r.entry
-	marks := member.Marks{Settings: e.settings.Document().Revision, Ring: e.claims.Ring().Revision}
+	marks := member.Marks{Settings: e.settings.Document().Revision}
 	if marks != r.marks && e.members.Revised(ctx, marks) == nil {
 		r.marks = marks
-		// locate names entries of the ring, so a new ring changes what it says.
-		r.membership(ctx)
 	}
-	if synced := e.claims.Synced(); synced != r.sync && e.members.Synced(ctx, synced) == nil {
-		r.sync = synced
+	if !r.ready && e.Ready() && e.members.Ready(ctx) == nil {
+		r.ready = true
 	}
 }
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -41,11 +41,7 @@
 	s := e.site.Load()
 	scope := e.metrics.Scope
 	scope.Gauge("settings_revision").Update(float64(s.revision))
-	scope.Gauge("ring_revision").Update(float64(e.claims.Ring().Revision))
 	scope.Gauge("entries_live").Update(float64(len(s.live)))
-	keys, bytes := e.claims.Keys()
-	scope.Gauge("claim_keys").Update(float64(keys))
-	scope.Gauge("claim_bytes").Update(float64(bytes))
 	scope.Gauge("probe_ms").Update(float64(e.prober.spent.Load()) / float64(time.Millisecond))
 	for _, sv := range s.services {
 		sv.gauges(now)
@@ -94,8 +90,7 @@
 	r.store = now
 }
 
-// peerBytes sets what peers have said and heard since the start. Claims carry
-// requests, the other kinds are control.
+// peerBytes sets what peers have said and heard since the start.
 func (r *reporter) peerBytes(scope tally.Scope) {
 	c := r.entry.counters
 	for _, k := range c.Counts() {
--- a/internal/entry/site.go
+++ b/internal/entry/site.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"plumpitch.example/plumpitch/pkg/ring"
+	"plumpitch.example/plumpitch/pkg/member"
 )
 
 // site is what the traffic side knows of the whole system: one immutable
@@ -11,7 +11,8 @@
 type site struct {
 	revision uint64 // of the settings in force
 	services map[string]*service
-	live     []ring.Member // entries that callers may be sent to
+	live     []member.Entry // entries that callers may be sent to
+	listed   bool           // whether the VM list is known
 }
 
 // locate names the addresses at which callers reach a service, the preferred
@@ -22,7 +23,7 @@
 		return nil, 0, false
 	}
 	p := sv.policy.Load()
-	for _, m := range ring.Homes(s.live, name, p.Entries) {
+	for _, m := range member.Homes(s.live, name, p.Entries) {
 		addrs = append(addrs, m.Caller)
 	}
 	return addrs, p.LocateTTL, true
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -11,9 +11,6 @@
 type statusJSON struct {
 	Entry    string          `json:"entry"`
 	Settings uint64          `json:"settings"`
-	Ring     uint64          `json:"ring"`
-	Members  int             `json:"members"` // of the ring
-	Joint    bool            `json:"joint"`   // the ring is changing
 	Leaving  bool            `json:"leaving"`
 	Entries  []statusEntry   `json:"entries"`
 	Services []statusService `json:"services"`
@@ -26,6 +23,7 @@
 	Callers  string `json:"callers"`
 	Settings uint64 `json:"settings"`
 	Live     bool   `json:"live"`
+	Ready    bool   `json:"ready"`
 	State    string `json:"state"`
 }
 
@@ -40,9 +38,8 @@
 func (e *Entry) statusEndpoint() endpoint.Endpoint {
 	return func(context.Context, any) (any, error) {
 		s := e.site.Load()
-		r := e.claims.Ring()
 		out := statusJSON{
-			Entry: e.cfg.File.Name, Settings: s.revision, Ring: r.Revision, Members: len(r.Members), Joint: r.Joint(),
+			Entry: e.cfg.File.Name, Settings: s.revision,
 			Leaving: e.stopping.Load(), Entries: e.statusEntries(), Services: []statusService{},
 		}
 		for name, sv := range s.services {
@@ -59,7 +56,7 @@
 	for _, m := range e.members.View().Entries {
 		list = append(list, statusEntry{
 			Name: m.ID.Name, Boot: m.ID.Boot, Place: m.Place, Callers: m.Caller,
-			Settings: m.Marks.Settings, Live: m.Serves(), State: m.State.String(),
+			Settings: m.Marks.Settings, Live: m.Serves(), Ready: m.Ready, State: m.State.String(),
 		})
 	}
 	return list
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -27,12 +27,14 @@
 	}
 }
 
-// depart ends what other entries count on: the ring lets this one go once its
-// records are copied, then membership is told that it is gone.
+// depart ends what others count on: the store gets the outcomes that are still
+// on their way, then membership is told that this entry is gone.
 func (e *Entry) depart() {
-	e.handOver()
 	ctx, cancel := context.WithTimeout(context.Background(), graceTime)
 	defer cancel()
+	if err := e.claims.Flush(ctx); err != nil {
+		e.log.WithError(err).Warn("stopped before the store had all outcomes")
+	}
 	if err := e.members.Depart(ctx); err != nil {
 		e.log.WithError(err).Warn("departure not announced")
 	}
--- a/internal/entry/trace.go
+++ b/internal/entry/trace.go
@@ -14,8 +14,6 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"plumpitch.example/plumpitch/internal/claims"
-	"plumpitch.example/plumpitch/pkg/claim"
-	"plumpitch.example/plumpitch/pkg/ring"
 )
 
 // Exporters that the settings file may name.
@@ -103,18 +101,17 @@
 	return err.Error()
 }
 
-// tracedPeers makes a span of each claim that a peer is asked for.
-type tracedPeers struct {
-	claims.Peers
+// tracedClaims makes a span of each claim that the store is asked for.
+type tracedClaims struct {
+	claims.Store
 	tracing *tracing
 }
 
-// Claim asks a peer.
-func (p tracedPeers) Claim(ctx context.Context, to ring.Member, a claim.Ask) (r claim.Reply, err error) {
-	ctx, span := p.tracing.start(ctx, "peer claim")
+// Put writes a record.
+func (t tracedClaims) Put(ctx context.Context, kind, name string, expected uint64, value []byte) (version uint64, err error) {
+	ctx, span := t.tracing.start(ctx, "claim write")
 	defer func() { ended(span, problem(err)) }()
-	span.SetAttributes(attribute.String("peer", to.Name))
-	return p.Peers.Claim(ctx, to, a)
+	return t.Store.Put(ctx, kind, name, expected, value)
 }
 
 func newTracing(exporter string, w io.Writer) (t tracing, err error) {
--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -213,5 +213,5 @@
 }
 
 func higher(a, b member.Marks) member.Marks {
-	return member.Marks{Settings: max(a.Settings, b.Settings), Ring: max(a.Ring, b.Ring)}
+	return member.Marks{Settings: max(a.Settings, b.Settings)}
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -31,6 +31,7 @@
 	Requests int      // sent in all; 0 means as many as Length allows
 	Length   time.Duration
 	Writes   float64 // share of requests that are non-idempotent, 0 to 1
+	Keyless  bool    // whether these go without idempotency keys
 	Timeout  time.Duration
 	Seed     uint64
 }
@@ -129,11 +130,11 @@
 // one sends a request and files its answer.
 func (r *runner) one(service, id string, write bool) {
 	key := ""
-	if write {
+	if write && !r.cfg.Keyless {
 		key = uuid.Must(uuid.NewV7()).String()
 	}
 	began := time.Now()
-	v := r.try(service, id, key)
+	v := r.try(service, id, write, key)
 	r.file(v, key, time.Since(began))
 }
 
@@ -154,14 +155,14 @@
 	lost
 )
 
-func (r *runner) try(service, id, key string) verdict {
+func (r *runner) try(service, id string, write bool, key string) verdict {
 	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.Timeout)
 	defer cancel()
 	addr, path, err := r.address(ctx, service)
 	if err != nil {
 		return verdict{lost, "locate: " + err.Error()}
 	}
-	req, err := newRequest(ctx, addr+path, id, key)
+	req, err := newRequest(ctx, addr+path, id, write, key)
 	if err != nil {
 		return verdict{lost, err.Error()}
 	}
@@ -186,9 +187,9 @@
 	return addr, "/v1/call/" + service + "/hello", err
 }
 
-func newRequest(ctx context.Context, url, id, key string) (req *http.Request, err error) {
+func newRequest(ctx context.Context, url, id string, write bool, key string) (req *http.Request, err error) {
 	method := http.MethodGet
-	if key != "" {
+	if write {
 		method = http.MethodPost
 	}
 	req, err = http.NewRequestWithContext(ctx, method, "http://"+url, nil)
@@ -198,8 +199,10 @@
 	req.Header.Set("X-Request-Id", id)
 	if key != "" {
 		req.Header.Set(call.HeaderKey, key)
+	}
+	if write {
 		// Without a body that can't be replayed the client's transport would
-		// resend a keyed request by itself.
+		// resend it by itself.
 		req.Body = io.NopCloser(strings.NewReader("x"))
 		req.ContentLength = 1
 	}
--- a/internal/members/calls.go
+++ b/internal/members/calls.go
@@ -38,10 +38,9 @@
 	return m.tell(ctx, member.Revised{Marks: marks})
 }
 
-// Synced tells the others that the claim records for a ring revision are
-// copied.
-func (m *Members) Synced(ctx context.Context, ring uint64) (err error) {
-	return m.tell(ctx, member.Synced{Ring: ring})
+// Ready tells the others that callers may be sent to this entry.
+func (m *Members) Ready(ctx context.Context) (err error) {
+	return m.tell(ctx, member.Ready{})
 }
 
 // Tell starts rumours.
@@ -49,8 +48,7 @@
 	return m.tell(ctx, member.Tell{Rumours: r})
 }
 
-// Seeds replaces the addresses that are tried for a first contact, such as
-// those of the ring in the store.
+// Seeds replaces the addresses that are tried for a first contact.
 func (m *Members) Seeds(ctx context.Context, addresses []string) (err error) {
 	return m.tell(ctx, member.Seeds{Addresses: addresses})
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -30,7 +30,6 @@
 	cfg     Config
 	table   *member.Table // owned by Serve
 	view    atomic.Pointer[member.View]
-	first   atomic.Pointer[firsts]
 	changes chan struct{}
 	posts   chan post
 	sends   sync.WaitGroup
@@ -67,6 +66,9 @@
 // View gives what this entry knows at present. It must not be changed.
 func (m *Members) View() *member.View { return m.view.Load() }
 
+// Serving gives the entries that requests may be sent to.
+func (m *Members) Serving() []member.Entry { return m.View().Serving() }
+
 // Changes gets a value after the view has changed; several changes may share
 // one.
 func (m *Members) Changes() <-chan struct{} { return m.changes }
@@ -126,7 +128,6 @@
 
 func (m *Members) publish() {
 	v := m.table.View()
-	m.first.Store(m.first.Load().with(m.cfg.Now(), v)) // before the view, whose entries are looked up in it
 	m.view.Store(&v)
 	select {
 	case m.changes <- struct{}{}:
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -177,50 +177,14 @@
 	return decodeID(reply.GetIdent()), nil
 }
 
-// Settings fetches what lacks since the revisions in have.
-func (c *Client) Settings(ctx context.Context, address string, have member.Marks) (ch Change, err error) {
+// Settings fetches what lacks since a revision.
+func (c *Client) Settings(ctx context.Context, address string, since uint64) (ch Change, err error) {
 	defer func() { err = errors.WithMessage(err, "settings from "+address) }()
 	ctx, cancel := c.deadline(ctx)
 	defer cancel()
-	req := &wire.SettingsRequest{Version: Version, Since: have.Settings, Ring: have.Ring}
-	reply, err := c.peer(address).Settings(ctx, req)
+	reply, err := c.peer(address).Settings(ctx, &wire.SettingsRequest{Version: Version, Since: since})
 	if err != nil {
 		return ch, err
 	}
-	return Change{
-		Revision: reply.GetRevision(),
-		Document: reply.GetDocument(),
-		Edits:    reply.GetEdits(),
-		Ring:     reply.GetRing(),
-	}, nil
-}
-
-// Claim asks a replica to accept a claim.
-func (c *Client) Claim(ctx context.Context, address string, ask ClaimAsk) (r ClaimResult, err error) {
-	defer func() { err = errors.WithMessage(err, "claim at "+address) }()
-	ctx, cancel := c.deadline(ctx)
-	defer cancel()
-	reply, err := c.peer(address).Claim(ctx, encodeAsk(ask))
-	if err != nil {
-		return r, err
-	}
-	return decodeResult(reply)
-}
-
-// Settle withdraws a claim or records its outcome at a replica.
-func (c *Client) Settle(ctx context.Context, address string, s Settlement) (known bool, err error) {
-	defer func() { err = errors.WithMessage(err, "settle at "+address) }()
-	ctx, cancel := c.deadline(ctx)
-	defer cancel()
-	reply, err := c.peer(address).Settle(ctx, encodeSettlement(s))
-	return reply.GetKnown(), err
-}
-
-// Records copies records to a replica, which answers with its ring revision.
-func (c *Client) Records(ctx context.Context, address string, b Batch) (ring uint64, err error) {
-	defer func() { err = errors.WithMessage(err, "records to "+address) }()
-	ctx, cancel := c.deadline(ctx)
-	defer cancel()
-	reply, err := c.peer(address).Records(ctx, encodeBatch(b))
-	return reply.GetRing(), err
+	return Change{Revision: reply.GetRevision(), Document: reply.GetDocument(), Edits: reply.GetEdits()}, nil
 }
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -17,14 +17,11 @@
 	Ping
 	Reach
 	Settings
-	Claim
-	Settle
-	Records
 	Other
 	kinds
 )
 
-var kindNames = [kinds]string{"Gossip", "Ping", "Reach", "Settings", "Claim", "Settle", "Records", "Other"}
+var kindNames = [kinds]string{"Gossip", "Ping", "Reach", "Settings", "Other"}
 
 // String gives the name of the call.
 func (k Kind) String() string { return kindNames[k] }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -51,3 +51,17 @@
 func invalid(err error) error {
 	return twirp.NewError(twirp.InvalidArgument, err.Error())
 }
+
+type field struct {
+	name  string
+	value string
+}
+
+func require(fields ...field) error {
+	for _, f := range fields {
+		if f.value == "" {
+			return &FieldError{Field: f.name, Found: "nothing", Expected: "a value"}
+		}
+	}
+	return nil
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,17 +21,16 @@
 	Ping(ctx context.Context, address string) (member.ID, error)
 }
 
-// Change is what a peer lacks of the settings and of the ring.
+// Change is what a peer lacks of the settings.
 type Change struct {
 	Revision uint64
 	Document []byte   // whole, when the edits do not reach back
 	Edits    [][]byte // oldest first
-	Ring     []byte   // document of the ring, when newer than the peer's
 }
 
-// SettingsSource gives what a peer lacks since the revisions that it has.
+// SettingsSource gives what a peer lacks since the revision that it has.
 type SettingsSource interface {
-	Since(ctx context.Context, have member.Marks) (Change, error)
+	Since(ctx context.Context, revision uint64) (Change, error)
 }
 
 // ServerConfig builds the handler of the peers' listener.
@@ -39,7 +38,6 @@
 	Self     member.ID
 	Members  Members
 	Settings SettingsSource
-	Claims   Claims
 	Counters *Counters
 }
 
@@ -53,8 +51,8 @@
 	maxHeaderBytes    = 8 << 10
 )
 
-// NewServer gives the HTTP server for the peers' listener. A nil Settings or
-// Claims answers its calls with "unimplemented".
+// NewServer gives the HTTP server for the peers' listener. A nil Settings
+// answers its calls with "unimplemented".
 func NewServer(cfg ServerConfig) *http.Server {
 	if cfg.Counters == nil {
 		cfg.Counters = &Counters{}
@@ -140,66 +138,11 @@
 	if s.cfg.Settings == nil {
 		return nil, unimplemented(Settings)
 	}
-	c, err := s.cfg.Settings.Since(ctx, member.Marks{Settings: w.GetSince(), Ring: w.GetRing()})
+	c, err := s.cfg.Settings.Since(ctx, w.GetSince())
 	if err != nil {
 		return nil, err
 	}
-	return &wire.SettingsReply{Revision: c.Revision, Document: c.Document, Edits: c.Edits, Ring: c.Ring}, nil
-}
-
-func (s *server) Claim(ctx context.Context, w *wire.ClaimRequest) (*wire.ClaimReply, error) {
-	if err := s.checkClaims(w.GetVersion(), Claim); err != nil {
-		return nil, err
-	}
-	ask, err := decodeAsk(w)
-	if err != nil {
-		return nil, invalid(err)
-	}
-	r, err := s.cfg.Claims.Claim(ctx, ask)
-	if err != nil {
-		return nil, err
-	}
-	return encodeResult(r), nil
-}
-
-func (s *server) Settle(ctx context.Context, w *wire.SettleRequest) (*wire.SettleReply, error) {
-	if err := s.checkClaims(w.GetVersion(), Settle); err != nil {
-		return nil, err
-	}
-	st, err := decodeSettlement(w)
-	if err != nil {
-		return nil, invalid(err)
-	}
-	known, err := s.cfg.Claims.Settle(ctx, st)
-	if err != nil {
-		return nil, err
-	}
-	return &wire.SettleReply{Known: known}, nil
-}
-
-func (s *server) Records(ctx context.Context, w *wire.RecordsRequest) (*wire.RecordsReply, error) {
-	if err := s.checkClaims(w.GetVersion(), Records); err != nil {
-		return nil, err
-	}
-	b, err := decodeBatch(w)
-	if err != nil {
-		return nil, invalid(err)
-	}
-	ring, err := s.cfg.Claims.Take(ctx, b)
-	if err != nil {
-		return nil, err
-	}
-	return &wire.RecordsReply{Ring: ring}, nil
-}
-
-func (s *server) checkClaims(version uint32, k Kind) error {
-	if err := checkVersion(version); err != nil {
-		return err
-	}
-	if s.cfg.Claims == nil {
-		return unimplemented(k)
-	}
-	return nil
+	return &wire.SettingsReply{Revision: c.Revision, Document: c.Document, Edits: c.Edits}, nil
 }
 
 func unimplemented(k Kind) error {
--- a/join_proof_test.go
+++ b/join_proof_test.go
@@ -6,10 +6,10 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// A third entry joins a site of two. It is known to be live seconds before the
-// ring takes it in, and nothing else changes after that. Each entry must name
-// it once it is in the ring: locate answers that don't would keep callers away
-// from it until something else changed.
+// A third entry joins a site of two. It is known to be live before it knows
+// settings and targets, and nothing else changes after that. Each entry must name
+// it once it is ready: locate answers that don't would keep callers away from it
+// until something else changed.
 func TestJoinedEntryIsNamed(t *testing.T) {
 	t.Parallel()
 	s := newCluster(t, 1, 2, 0)
--- a/load.go
+++ b/load.go
@@ -28,6 +28,7 @@
 	sub.Int(&cfg.Requests, "n", "requests", "requests to send; 0 for as many as the seconds allow")
 	sub.Int(&seconds, "t", "seconds", "seconds to send for")
 	sub.Float64(&cfg.Writes, "w", "writes", "share of non-idempotent requests, 0 to 1")
+	sub.Bool(&cfg.Keyless, "", "keyless", "send non-idempotent requests without idempotency keys")
 	sub.Duration(&cfg.Timeout, "", "timeout", "longest wait for one answer")
 	sub.UInt64(&cfg.Seed, "", "seed", "seed of the arrivals")
 	sub.Bool(&asJSON, "j", "json", "print one JSON object")
--- a/metrics.go
+++ b/metrics.go
@@ -9,7 +9,7 @@
 func readyCommand() *command {
 	var at string
 	sub := flaggy.NewSubcommand("ready")
-	sub.Description = "succeed when an entry has settings and a ring and isn't leaving"
+	sub.Description = "succeed when an entry has settings and targets and isn't leaving"
 	sub.String(&at, "e", "entry", "host:port of an entry's operators' listener")
 	sub.AdditionalHelpAppend = "Example: plumpitch ready --entry 127.0.0.1:8003"
 	return &command{sub: sub, run: func(ctx context.Context) error {
--- a/pkg/member/entry.go
+++ b/pkg/member/entry.go
@@ -43,7 +43,7 @@
 	ID       ID
 	Sequence uint64 // raised by the incarnation itself only
 	State    State
-	Synced   uint64    // ring revision for which its claim records are copied
+	Ready    bool      // knows settings and targets, so that callers may be sent to it
 	Since    time.Time // when the state was declared
 	Caller   string    // host:port of the callers' listener
 	Peer     string    // host:port of the peers' listener
--- a/pkg/member/event.go
+++ b/pkg/member/event.go
@@ -33,8 +33,8 @@
 	// Revised gives the revisions that are now in force here.
 	Revised struct{ Marks Marks }
 
-	// Synced tells that the claim records for a ring revision are copied.
-	Synced struct{ Ring uint64 }
+	// Ready tells that the entry knows settings and targets.
+	Ready struct{}
 
 	// Tell starts rumours.
 	Tell struct{ Rumours Rumours }
@@ -53,7 +53,7 @@
 func (Reached) event()  {}
 func (Seeds) event()    {}
 func (Revised) event()  {}
-func (Synced) event()   {}
+func (Ready) event()    {}
 func (Tell) event()     {}
 func (Leave) event()    {}
 func (Depart) event()   {}
--- a/pkg/member/exchange.go
+++ b/pkg/member/exchange.go
@@ -103,7 +103,7 @@
 		return
 	}
 	t.hearMarks(r, m.Marks)
-	if m.Marks.Settings > t.marks.Settings || m.Marks.Ring > t.marks.Ring {
+	if m.Marks.Settings > t.marks.Settings {
 		t.act(Behind{Peer: r.ref(), Marks: m.Marks})
 	}
 }
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -13,7 +13,6 @@
 // Marks are the revisions in force at an entry.
 type Marks struct {
 	Settings uint64
-	Ring     uint64
 }
 
 // PlaceDigest is the digest over the entries of one place.
--- a/pkg/member/records.go
+++ b/pkg/member/records.go
@@ -35,11 +35,17 @@
 	b = append(b, e.ID.Name...)
 	b = binary.BigEndian.AppendUint64(b, e.ID.Boot)
 	b = binary.BigEndian.AppendUint64(b, e.Sequence)
-	b = binary.BigEndian.AppendUint64(b, e.Synced)
-	b = append(b, byte(e.State))
+	b = append(b, byte(e.State), ready(e))
 	return xxhash.Sum64(b)
 }
 
+func ready(e Entry) byte {
+	if e.Ready {
+		return 1
+	}
+	return 0
+}
+
 func (t *Table) digests() []PlaceDigest {
 	all := make([]PlaceDigest, 0, len(t.sums.places))
 	for p, d := range t.sums.places {
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -117,8 +117,8 @@
 		t.seeds = ev.Addresses
 	case Revised:
 		t.revised(ev.Marks)
-	case Synced:
-		t.revise(now, func(e *Entry) { e.Synced = ev.Ring })
+	case Ready:
+		t.revise(now, func(e *Entry) { e.Ready = true })
 	case Tell:
 		t.tell(now, ev.Rumours)
 	case Leave:
--- a/status.go
+++ b/status.go
@@ -15,13 +15,13 @@
 type statusView struct {
 	Entry    string `json:"entry"`
 	Settings uint64 `json:"settings"`
-	Ring     uint64 `json:"ring"`
 	Entries  []struct {
 		Name     string `json:"name"`
 		Place    string `json:"place"`
 		Callers  string `json:"callers"`
 		Settings uint64 `json:"settings"`
 		State    string `json:"state"`
+		Ready    bool   `json:"ready"`
 	} `json:"entries"`
 	Services []struct {
 		Name     string   `json:"name"`
@@ -57,10 +57,10 @@
 	if err := json.Unmarshal(body, &v); err != nil {
 		return err
 	}
-	fmt.Printf("entry %s, settings %d, ring %d\n\n", v.Entry, v.Settings, v.Ring)
-	t := newTable("ENTRY", "STATE", "PLACE", "SETTINGS", "CALLERS")
+	fmt.Printf("entry %s, settings %d\n\n", v.Entry, v.Settings)
+	t := newTable("ENTRY", "STATE", "READY", "PLACE", "SETTINGS", "CALLERS")
 	for _, e := range v.Entries {
-		t.Append([]string{e.Name, e.State, e.Place, fmt.Sprint(e.Settings), e.Callers})
+		t.Append([]string{e.Name, e.State, fmt.Sprint(e.Ready), e.Place, fmt.Sprint(e.Settings), e.Callers})
 	}
 	t.Render()
 	fmt.Println()
