--- a/check.go
+++ b/check.go
@@ -3,26 +3,35 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/pkg/tree"
+	"plumpitch.example/plumpitch/platform"
 )
 
 func checkCommand() *command {
 	var file string
 	var asJSON bool
+	as := kindSettings
 	sub := flaggy.NewSubcommand("check")
-	sub.Description = "check a settings file without an entry"
-	sub.AddPositionalValue(&file, "FILE", 1, true, "settings file, JSON with comments")
-	sub.Bool(&asJSON, "j", "json", "print JSON")
-	sub.AdditionalHelpAppend = "Example: plumpitch check examples/swanbourne.json"
+	sub.Description = "check a file without an entry"
+	sub.AddPositionalValue(&file, "FILE", 1, true, "file to check")
+	sub.String(&as, "", "as", "what the file is: settings (of the own interface, JSON with comments), boot (a gateway's settings file) or config (a configuration as the users' operators write it)")
+	sub.Bool(&asJSON, "j", "json", "print JSON, of settings only")
+	sub.AdditionalHelpAppend = "Examples: plumpitch check examples/swanbourne.json\n" +
+		"          plumpitch check /etc/plumpitch/boot.yaml --as boot"
 	return &command{sub: sub, run: func(context.Context) error {
 		text, err := os.ReadFile(file)
 		if err != nil {
 			return err
 		}
+		if as != kindSettings {
+			return checkPlatform(os.Stdout, as, file, text)
+		}
 		d, err := tree.Parse(file, text)
 		if asJSON {
 			if err := printJSON(newCheckView(d, err)); err != nil {
@@ -39,6 +48,39 @@
 	}}
 }
 
+// What a file to check may be.
+const (
+	kindSettings = "settings"
+	kindBoot     = "boot"
+	kindConfig   = "config"
+)
+
+// checkPlatform checks what a gateway takes from the users' platform.
+func checkPlatform(out io.Writer, as, file string, text []byte) (err error) {
+	defer func() {
+		if err != nil {
+			err = exitError{exitInvalid, errors.WithMessage(err, file)}
+		}
+	}()
+	switch as {
+	case kindBoot:
+		s, err := platform.ParseSettings(text)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s: gateway %s in %s, store %s, no fault\n", file, s.Name, s.Place, s.Store)
+	case kindConfig:
+		c, err := platform.ParseConfig(text)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s: version %d, %d routes, %d services, no fault\n", file, c.Version, len(c.Routes), len(c.Services))
+	default:
+		return errors.Errorf("--as: found %q, expected %s, %s or %s", as, kindSettings, kindBoot, kindConfig)
+	}
+	return nil
+}
+
 type checkView struct {
 	Services int           `json:"services"`
 	Places   int           `json:"places"`
--- /dev/null
+++ b/gateway_proof_test.go
@@ -0,0 +1,341 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/objects"
+	"plumpitch.example/plumpitch/internal/standin/worker"
+	"plumpitch.example/plumpitch/platform"
+)
+
+// studio is a site of gateway processes on stand-ins of the users' platform.
+type studio struct {
+	q        *qt.C
+	t        *testing.T
+	store    *objects.Store
+	url      string
+	workers  []*worker.Worker
+	gateways []*gatewayProcess
+	version  int
+}
+
+// gatewayProcess is one gateway, with its log in a file.
+type gatewayProcess struct {
+	name  string
+	ip    string
+	boot  string // path of its settings
+	log   string // path of its log
+	cmd   *exec.Cmd
+	ended chan error
+}
+
+// lastHost gives each gateway of all tests a loopback address of its own, so that
+// the ports of the settings can be fixed.
+var lastHost atomic.Int64
+
+func newStudio(t *testing.T, targets int) *studio {
+	t.Helper()
+	s := &studio{q: qt.New(t), t: t, store: objects.New()}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.CloseClientConnections)
+	s.url = strings.TrimPrefix(server.URL, "http://")
+	for i := range targets {
+		w, err := worker.Start(fmt.Sprint("i-", i))
+		s.q.Assert(err, qt.IsNil)
+		t.Cleanup(w.Close)
+		s.workers = append(s.workers, w)
+		s.store.PutTarget(objects.Target{ID: w.ID, Address: w.Address(), Service: "gowns", Place: "hall", Slots: w.Slots})
+	}
+	s.configure()
+	return s
+}
+
+func (s *studio) configure() {
+	s.version++
+	s.store.PutConfig(s.version, []objects.Route{{
+		Name: "r-a", Host: "veil.example", Prefix: "/a/", Once: true, Timeout: "2s", Goal: "200ms", Attempts: 2, Service: "gowns",
+	}}, []string{"gowns"})
+}
+
+const studioBoot = `
+nodeName: "%s"
+zone: hall
+region: metro
+ip: "%s"
+listen: {front: "%[2]s:8548", ready: "%[2]s:8542", directory: "%[2]s:8546"}
+internalPorts: [7540, 7555]
+limits: {cpuShare: 1}
+bounds: ["grace=%s"]
+platform: {address: "%s"}
+`
+
+// start starts a gateway by a program, and waits until it is ready.
+func (s *studio) start(program string) *gatewayProcess {
+	s.t.Helper()
+	n := lastHost.Add(1)
+	g := &gatewayProcess{
+		name: fmt.Sprint("gateway-", len(s.gateways)), ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, n/250, 1+n%250),
+		ended: make(chan error, 1),
+	}
+	dir := s.t.TempDir()
+	g.boot, g.log = filepath.Join(dir, "boot.yaml"), filepath.Join(dir, "log")
+	s.settings(g, "3s")
+	out, err := os.Create(g.log)
+	s.q.Assert(err, qt.IsNil)
+	s.run(g, program, out)
+	s.gateways = append(s.gateways, g)
+	eventually(s.t, g.name+" ready", func() bool { return g.ready() })
+	return g
+}
+
+func (s *studio) settings(g *gatewayProcess, grace string) {
+	text := fmt.Sprintf(studioBoot, g.name, g.ip, grace, s.url)
+	s.q.Assert(os.WriteFile(g.boot, []byte(text), 0o600), qt.IsNil)
+}
+
+func (s *studio) run(g *gatewayProcess, program string, out *os.File) {
+	g.cmd = exec.Command(program, "gateway", "--metrics", "9464")
+	g.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.boot)
+	g.cmd.Stdout, g.cmd.Stderr = out, out
+	s.q.Assert(g.cmd.Start(), qt.IsNil)
+	out.Close()
+	go func() { g.ended <- g.cmd.Wait() }()
+	s.t.Cleanup(func() {
+		_ = g.cmd.Process.Kill()
+		if s.t.Failed() {
+			text, _ := os.ReadFile(g.log)
+			s.t.Logf("%s: %s", g.name, tail(string(text)))
+		}
+	})
+}
+
+func (g *gatewayProcess) ready() bool {
+	res, err := http.Get("http://" + g.ip + ":8542/readiness")
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+func (g *gatewayProcess) signal(s syscall.Signal) { _ = g.cmd.Process.Signal(s) }
+
+// text is the gateway's log so far.
+func (g *gatewayProcess) text() string {
+	b, _ := os.ReadFile(g.log)
+	return string(b)
+}
+
+// send makes one attempt; status 0 means that there was no answer.
+func (g *gatewayProcess) send(id string) (status int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.ip+":8548/a/book", strings.NewReader("veil"))
+	if err != nil {
+		return 0
+	}
+	r.Host = "veil.example"
+	r.Header.Set(platform.HeaderRequest, id)
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return 0
+	}
+	return res.StatusCode
+}
+
+// explain runs the command over the logs of all gateways.
+func (s *studio) explain(id string) (out string, err error) {
+	args := []string{"explain", id}
+	for _, g := range s.gateways {
+		args = append(args, g.log)
+	}
+	text, err := exec.Command(program(s.t), args...).CombinedOutput()
+	return string(text), err
+}
+
+// A caller complains that it was refused. More came than the targets could
+// answer in time, so that the gateway refused some at once; the command says
+// why, and when the caller was told to come back.
+func TestExplainRefusal(t *testing.T) {
+	t.Parallel()
+	s := newStudio(t, 1)
+	g := s.start(program(t))
+	s.workers[0].Work(150 * time.Millisecond)
+	for n := range 3 {
+		g.send(fmt.Sprint("warm-", n))
+	}
+	var refused atomic.Pointer[string]
+	var all sync.WaitGroup
+	for n := range 12 {
+		all.Go(func() {
+			id := fmt.Sprint("many-", n)
+			if g.send(id) == http.StatusServiceUnavailable {
+				refused.Store(&id)
+			}
+		})
+	}
+	all.Wait()
+	s.q.Assert(refused.Load(), qt.IsNotNil)
+	eventually(t, "the command tells why", func() bool {
+		out, err := s.explain(*refused.Load())
+		return err == nil && strings.Contains(out, "answered in place of a target") && strings.Contains(out, "reason=full") && strings.Contains(out, "retry=")
+	})
+}
+
+// A caller complains of a failed booking. Its target broke the connection; it
+// may have run, so that nobody sent it again. The command names the target, how
+// far the request came, and by what the target was chosen.
+func TestExplainFailedTarget(t *testing.T) {
+	t.Parallel()
+	s := newStudio(t, 2)
+	g := s.start(program(t))
+	for _, w := range s.workers {
+		w.Fail(func(r *http.Request) worker.Fault {
+			return worker.Fault{Lose: r.Header.Get(platform.HeaderRequest) == "booking"}
+		})
+	}
+	s.q.Assert(g.send("booking"), qt.Equals, http.StatusBadGateway)
+	eventually(t, "the command names the target", func() bool {
+		out, err := s.explain("booking")
+		return err == nil && strings.Contains(out, "dispatch failed") && strings.Contains(out, "ran=maybe") &&
+			strings.Contains(out, "target=i-") && strings.Contains(out, "asked=2")
+	})
+}
+
+// A caller complains that its request got no answer. Its gateway was killed while
+// the target worked. No log has a line of the request; the command names the
+// gateway that was lost, when, and who missed it, and leaves out the one that
+// was told to stop.
+func TestExplainLostGateway(t *testing.T) {
+	t.Parallel()
+	s := newStudio(t, 2)
+	a, b, c := s.start(program(t)), s.start(program(t)), s.start(program(t))
+	eventually(t, "all know each other", func() bool {
+		return strings.Contains(a.text(), "gateway-0 gateway-1 gateway-2") && strings.Contains(c.text(), "gateway-0 gateway-1 gateway-2")
+	})
+	c.signal(syscall.SIGTERM)
+	s.q.Assert(<-c.ended, qt.IsNil)
+	for _, w := range s.workers {
+		w.Work(time.Second)
+	}
+	status := make(chan int, 1)
+	go func() { status <- b.send("lost") }()
+	eventually(t, "the run", func() bool { return len(s.workers[0].Runs())+len(s.workers[1].Runs()) == 1 })
+	b.signal(syscall.SIGKILL)
+	s.q.Assert(<-status, qt.Equals, 0)
+	eventually(t, "the command names the gateway", func() bool {
+		out, err := s.explain("lost")
+		return err != nil && strings.Contains(out, "gateway-1 was lost without a stop") && strings.Contains(out, "gateway-0 missed it first") &&
+			!strings.Contains(out, "gateway-2 was lost")
+	})
+}
+
+// The settings file changes and SIGHUP comes, good and bad in turn, while callers
+// send. No request is hurt, the process stays, good settings come into force
+// and bad ones are told in the log.
+func TestHangup(t *testing.T) {
+	t.Parallel()
+	s := newStudio(t, 2)
+	g := s.start(program(t))
+	for n := range 6 {
+		if n%2 == 0 {
+			s.settings(g, fmt.Sprint(4+n, "s"))
+		} else {
+			s.q.Assert(os.WriteFile(g.boot, []byte("nodeName: 7\nip: x"), 0o600), qt.IsNil)
+		}
+		g.signal(syscall.SIGHUP)
+		for i := range 5 {
+			s.q.Assert(g.send(fmt.Sprint(n, "-", i)), qt.Equals, http.StatusOK)
+		}
+	}
+	eventually(t, "both told", func() bool {
+		text := g.text()
+		return strings.Contains(text, "settings reloaded") && strings.Contains(text, `"grace":"8s"`) && strings.Contains(text, "those in force stay")
+	})
+	s.settings(g, "3s")
+	g.signal(syscall.SIGTERM)
+	s.q.Assert(<-g.ended, qt.IsNil)
+}
+
+// Nobody reads a gateway's standard output, and the pipe is full. Requests are
+// answered as before, however many lines they would write.
+func TestOutputThatIsNotRead(t *testing.T) {
+	t.Parallel()
+	s := newStudio(t, 2)
+	g := s.start(program(t))
+	g.signal(syscall.SIGKILL)
+	<-g.ended
+	unread, out, err := os.Pipe()
+	s.q.Assert(err, qt.IsNil)
+	defer unread.Close()
+	s.run(g, program(t), out)
+	eventually(t, "ready again", g.ready)
+	for _, w := range s.workers {
+		w.Fail(func(r *http.Request) worker.Fault {
+			return worker.Fault{Lose: strings.HasPrefix(r.Header.Get(platform.HeaderRequest), "lose")}
+		})
+	}
+	began := time.Now()
+	const requests = 1500
+	for n := range requests {
+		id := fmt.Sprint("lose-", n)
+		if n%3 == 0 {
+			id = fmt.Sprint("serve-", n)
+		}
+		s.q.Assert(g.send(id) != 0, qt.IsTrue)
+	}
+	s.q.Assert(time.Since(began) < bound, qt.IsTrue)
+	res, err := http.Get("http://" + g.ip + ":9464/metrics")
+	s.q.Assert(err, qt.IsNil)
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	s.q.Assert(err, qt.IsNil)
+	s.q.Assert(bytes.Contains(text, []byte("plumpitch_dispatches_failed")), qt.IsTrue)
+}
+
+// The status and check commands speak of a gateway's site.
+func TestGatewayCommands(t *testing.T) {
+	t.Parallel()
+	s := newStudio(t, 1)
+	g := s.start(program(t))
+	config := filepath.Join(t.TempDir(), "config.json")
+	s.q.Assert(os.WriteFile(config, []byte(`{"version":"x"}`), 0o600), qt.IsNil)
+	tests := []struct {
+		name string
+		args []string
+		want string
+		fail bool
+	}{
+		{"status", []string{"status", "--gateway", g.ip + ":9464"}, "gowns: owners gateway-0", false},
+		{"status in JSON", []string{"status", "--gateway", g.ip + ":9464", "--json"}, `"state":"open"`, false},
+		{"good settings", []string{"check", g.boot, "--as", "boot"}, "gateway gateway-0 in hall", false},
+		{"bad configuration", []string{"check", config, "--as", "config"}, `version: found "x"`, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			out, err := exec.Command(program(t), tt.args...).CombinedOutput()
+			qt.Assert(t, err != nil, qt.Equals, tt.fail, qt.Commentf("%s", out))
+			qt.Assert(t, string(out), qt.Contains, tt.want)
+		})
+	}
+}
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/standin/worker"
 )
@@ -170,3 +172,56 @@
 		c.Assert(time.Now().Before(end), qt.IsTrue)
 	}
 }
+
+// A caller sends more header than the configuration allows. It is told so; the
+// request reaches no target.
+func TestLongHeader(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	e := w.entry("a").settled()
+	r, err := http.NewRequest("GET", "http://"+e.self.Front+"/a/x", nil)
+	w.c.Assert(err, qt.IsNil)
+	r.Host = "veil.example"
+	r.Header.Set("X-Long", strings.Repeat("x", e.view.Load().table.Config.Limits.HeaderBytes))
+	res, err := http.DefaultClient.Do(r)
+	w.c.Assert(err, qt.IsNil)
+	res.Body.Close()
+	w.c.Assert(res.StatusCode, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	w.c.Assert(w.workers[0].Runs(), qt.HasLen, 0)
+}
+
+// A caller's connection stays idle. It is closed at the configuration's limit,
+// no sooner, and never while a request is served on it.
+func TestIdleConnection(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	tests := []struct {
+		name   string
+		states []http.ConnState
+		closed bool
+	}{
+		{"never used", []http.ConnState{http.StateNew}, true},
+		{"idle after a request", []http.ConnState{http.StateNew, http.StateActive, http.StateIdle}, true},
+		{"serving", []http.ConnState{http.StateNew, http.StateActive}, false},
+		{"used again", []http.ConnState{http.StateNew, http.StateActive, http.StateIdle, http.StateActive}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			near, far := net.Pipe()
+			defer far.Close()
+			defer near.Close()
+			i := newIdlers()
+			for _, s := range tt.states {
+				i.track(near, s, limit)
+			}
+			early := make(chan error, 1)
+			qt.Assert(t, far.SetReadDeadline(time.Now().Add(5*limit)), qt.IsNil)
+			began := time.Now()
+			go func() {
+				_, err := far.Read(make([]byte, 1))
+				early <- err
+			}()
+			err := <-early
+			qt.Assert(t, errors.Is(err, io.EOF), qt.Equals, tt.closed, qt.Commentf("%v", err))
+			qt.Assert(t, time.Since(began) >= limit*9/10, qt.IsTrue)
+		})
+	}
+}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/roster"
 	"plumpitch.example/plumpitch/pkg/slot"
@@ -24,7 +25,7 @@
 func (c *control) logBeliefs(live []owner.Candidate, owners map[string][]owner.Entry) {
 	b := &c.believed
 	if text := liveText(live); text != b.live {
-		c.gateway.log.WithFields(log.Fields{"live": text, "before": b.live}).Info("live entries changed")
+		c.gateway.log.WithFields(log.Fields{"live": text, "before": b.live}).Info(logs.MessageLive)
 		b.live = text
 	}
 	if text := ownersText(owners); text != b.owners {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -57,6 +57,10 @@
 		return
 	}
 	limits := v.table.Config.Limits
+	if headerBytes(r) > limits.HeaderBytes {
+		q.final(http.StatusRequestHeaderFieldsTooLarge, "longheader")
+		return
+	}
 	body, err := readBody(r, limits)
 	switch {
 	case errors.Is(err, errLong):
@@ -74,6 +78,17 @@
 // it reads one within that time unless the store is away.
 const noConfigRetry = 200 * time.Millisecond
 
+// headerBytes is the size of a request's header lines.
+func headerBytes(r *http.Request) (n int) {
+	const colonAndBreak = 4
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + colonAndBreak
+		}
+	}
+	return n
+}
+
 var errLong = errors.New("request body is too long")
 
 // readBody reads a whole body. Only then may its request be sent to a target
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/owner"
@@ -172,18 +173,18 @@
 	s.Add(newConfigReader(g))
 	s.Add(newTargetReader(g))
 	below := s.ServeBackground(traffic)
-	front := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTime, ReadTimeout: callerIdle, IdleTimeout: callerIdle, ConnContext: withConn}
+	front := g.frontServer()
 	side := &http.Server{Handler: g.sideHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
 	failed := make(chan error, 4)
 	go func() { failed <- front.Serve(g.front) }()
 	go func() { failed <- side.Serve(g.ready) }()
 	go func() { failed <- side.Serve(g.directory) }()
-	scrape := &http.Server{Handler: g.instruments.Handler, ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
+	scrape := &http.Server{Handler: g.operatorHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
 	go func() { failed <- scrape.Serve(g.scrapes) }()
 	defer g.instruments.Close()
 	g.log.WithFields(log.Fields{
 		"front": g.self.Front, "peer": g.self.Peer, "metrics": g.scrapes.Addr().String(), "capacity": g.self.Capacity,
-	}).Info("gateway started")
+	}).Info(logs.MessageStarted)
 	select {
 	case <-ctx.Done():
 		g.leave(front)
@@ -196,6 +197,15 @@
 	return err
 }
 
+// frontServer serves callers' requests.
+func (g *Gateway) frontServer() *http.Server {
+	idle := newIdlers()
+	return &http.Server{
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTime, ReadTimeout: callerIdle, IdleTimeout: callerIdle,
+		ConnContext: withConn, ConnState: func(c net.Conn, s http.ConnState) { idle.track(c, s, g.idleLimit()) },
+	}
+}
+
 func cause(err error) string {
 	if err == nil {
 		return "asked to stop"
@@ -207,8 +217,7 @@
 const (
 	// headerTime bounds a request head.
 	headerTime = 10 * time.Second
-	// callerIdle bounds an idle connection and the reading of a request. It is
-	// longer than any idle time or timeout that a configuration has named:
-	// callers reuse connections up to four fifths of that.
+	// callerIdle bounds an idle connection and the reading of a request while no
+	// configuration says less.
 	callerIdle = 2 * time.Minute
 )
--- /dev/null
+++ b/internal/gateway/several_test.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/standin/objects"
+	"plumpitch.example/plumpitch/internal/standin/worker"
+	"plumpitch.example/plumpitch/pkg/owner"
+)
+
+// several starts entries and waits until each knows all.
+func several(w *world, n int) (entries []*entry) {
+	for i := range n {
+		entries = append(entries, w.entry(fmt.Sprint("e", i)))
+	}
+	for _, e := range entries {
+		e.settled()
+		w.until("all live", func() bool { return len(e.view.Load().live) == n })
+	}
+	return entries
+}
+
+// Two of three entries are told to stop at the same time, each with callers
+// that have its address and go on sending. Until an entry's port is closed every
+// request is answered by a target; after that callers are refused a connection
+// and have another address. No request is cut.
+func TestSeveralStopAtOnce(t *testing.T) {
+	w := newWorld(t, site{targets: 3, kind: "non_idempotent"})
+	entries := several(w, 3)
+	for _, k := range w.workers {
+		k.Slots = 8
+		w.record(k, "gowns", "ready")
+	}
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var bad []string
+	sent := 0
+	stop := make(chan struct{})
+	for i, e := range entries {
+		all.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(15 * time.Millisecond):
+				}
+				a := e.callWith(t.Context(), fmt.Sprint(i, "-", n), "POST", "/a/x", "veil")
+				var op *net.OpError
+				if a.err != nil && errors.As(a.err, &op) && op.Op == "dial" {
+					return
+				}
+				mu.Lock()
+				sent++
+				if a.err != nil || a.status != http.StatusOK {
+					bad = append(bad, fmt.Sprint(i, " ", a.status, " ", a.err))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	entries[0].stop()
+	entries[1].stop()
+	for _, e := range entries[:2] {
+		w.c.Assert(<-e.done, qt.IsNil)
+	}
+	close(stop)
+	all.Wait()
+	w.c.Assert(bad, qt.HasLen, 0)
+	w.c.Assert(sent > 100, qt.IsTrue, qt.Commentf("%d", sent))
+}
+
+// The first two in the order of those that read targets for all are lost without
+// a word. A target begins to leave right then. The others still stop sending to
+// it within 2 s of the store's word.
+func TestFirstReadersLost(t *testing.T) {
+	w := newWorld(t, site{targets: 2})
+	entries := several(w, 5)
+	var live []owner.Candidate
+	for _, e := range entries {
+		live = append(live, owner.Candidate{Entry: e.self})
+	}
+	lost := make(map[string]bool)
+	var rest []*entry
+	for _, e := range entries {
+		if owner.Rank(live, dutyNames[dutyTargets], e.self.Name) < 2 {
+			lost[e.self.Name] = true
+			e.relay.Close()
+			continue
+		}
+		rest = append(rest, e)
+	}
+	w.store.Fail(func(r *http.Request) objects.Fault { return objects.Fault{Down: lost[r.Header.Get("User-Agent")]} })
+	w.record(w.workers[0], "gowns", "draining")
+	left := time.Now()
+	for time.Since(left) < 2500*time.Millisecond {
+		for _, e := range rest {
+			e.call("GET", "/a/x", "")
+		}
+	}
+	for _, r := range w.workers[0].Runs() {
+		w.c.Assert(r.At.Sub(left) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", r.At.Sub(left)))
+	}
+	w.c.Assert(len(w.workers[1].Runs()) > 0, qt.IsTrue)
+}
+
+// A request crashes one target at each of three entries, which its caller tries
+// in turn. None of them has seen more than one crash; together they have seen
+// enough, and a fourth entry sends it to no target.
+func TestCrashesAtSeveralEntries(t *testing.T) {
+	w := newWorld(t, site{targets: 8, attempts: 1})
+	entries := several(w, 4)
+	for _, k := range w.workers {
+		k.Fail(func(r *http.Request) worker.Fault { return worker.Fault{Lose: r.URL.Path == "/a/poison"} })
+	}
+	for _, e := range entries[:crashLimit] {
+		e.call("GET", "/a/poison", "same")
+		time.Sleep(2 * beatPeriod)
+	}
+	last := entries[crashLimit]
+	w.until("the fourth entry refuses it", func() bool {
+		return last.call("GET", "/a/poison", "same").status == http.StatusServiceUnavailable
+	})
+	runs := 0
+	for _, k := range w.workers {
+		for _, r := range k.Runs() {
+			if r.Path == "/a/poison" {
+				runs++
+			}
+		}
+	}
+	w.c.Assert(runs <= crashLimit+1, qt.IsTrue, qt.Commentf("%d runs", runs))
+}
+
+// What a gateway tells operators is what it works by.
+func TestStatus(t *testing.T) {
+	w := newWorld(t, site{targets: 2})
+	entries := several(w, 2)
+	a := entries[0]
+	a.call("GET", "/a/x", "")
+	w.record(w.workers[1], "gowns", "draining")
+	var s Status
+	w.until("the leaving target in the status", func() bool {
+		var err error
+		s, err = a.Status(t.Context())
+		w.c.Assert(err, qt.IsNil)
+		return s.Services[0].Targets[1].State == "leaving"
+	})
+	w.c.Assert(s.Entry, qt.Equals, "e0")
+	w.c.Assert(s.Version, qt.Equals, uint64(1))
+	w.c.Assert(s.Age < 5 && s.Fresh < 5, qt.IsTrue)
+	w.c.Assert(s.Entries, qt.HasLen, 1)
+	w.c.Assert(s.Entries[0].Live, qt.IsTrue)
+	w.c.Assert(s.Services[0].Name, qt.Equals, "gowns")
+	w.c.Assert(s.Services[0].Owners, qt.HasLen, 2)
+	w.c.Assert(s.Services[0].Targets[0].State, qt.Equals, "open")
+}
--- /dev/null
+++ b/internal/gateway/status.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/slot"
+)
+
+// PathStatus is where a gateway tells operators what it believes, on the
+// listener of its metrics.
+const PathStatus = "/status"
+
+// Status is what a gateway believes.
+type Status struct {
+	Entry    string          `json:"entry"`
+	Boot     uint64          `json:"boot"`
+	Version  uint64          `json:"version"` // of the configuration in force, 0 for none
+	Age      float64         `json:"age"`     // seconds since the store confirmed that version
+	Revision uint64          `json:"revision"`
+	Fresh    float64         `json:"fresh"` // seconds since the store confirmed the targets
+	Shut     bool            `json:"shut"`  // the store doesn't serve this entry
+	Leaving  bool            `json:"leaving"`
+	Strained bool            `json:"strained"`
+	Entries  []EntryStatus   `json:"entries"`
+	Services []ServiceStatus `json:"services"`
+}
+
+// EntryStatus is another entry.
+type EntryStatus struct {
+	Name     string  `json:"name"`
+	Place    string  `json:"place"`
+	Front    string  `json:"front"`
+	Live     bool    `json:"live"`
+	Heard    float64 `json:"heard"` // seconds ago
+	Version  uint64  `json:"version"`
+	Revision uint64  `json:"revision"`
+	Leaving  bool    `json:"leaving"`
+	Strained bool    `json:"strained"`
+	Shut     bool    `json:"shut"`
+	Rate     float64 `json:"rate"` // requests a second that it gets
+}
+
+// ServiceStatus is a service with its owners and targets.
+type ServiceStatus struct {
+	Name    string         `json:"name"`
+	Owners  []string       `json:"owners"`
+	Seeking int            `json:"seeking"` // requests without a target
+	Flying  int            `json:"flying"`  // requests at targets
+	Targets []TargetStatus `json:"targets"`
+}
+
+// TargetStatus is a target as this entry judges it.
+type TargetStatus struct {
+	ID       string  `json:"id"`
+	Address  string  `json:"address"`
+	Place    string  `json:"place"`
+	State    string  `json:"state"`
+	Until    float64 `json:"until"` // seconds that the state lasts at least
+	InFlight int     `json:"inflight"`
+	Foreign  int     `json:"foreign"` // requests of other entries, as last told
+	Pace     float64 `json:"pace"`    // 0 where it has told none
+	Age      float64 `json:"age"`     // seconds of that word
+}
+
+// statusAsked asks the control loop for what it believes.
+type statusAsked struct{ answer chan Status }
+
+func (m statusAsked) apply(now time.Time, c *control) { m.answer <- c.status(now) }
+
+func (c *control) status(now time.Time) Status {
+	s := Status{
+		Entry: c.gateway.self.Name, Boot: c.gateway.self.Boot,
+		Version: uint64(c.config.Version), Age: c.age(now, dutyConfig),
+		Revision: uint64(c.targets.Moved()), Fresh: c.age(now, dutyTargets),
+		Shut: c.shut, Leaving: c.gateway.leaving.Load(), Strained: c.strain.strained(now),
+		Entries: []EntryStatus{}, Services: []ServiceStatus{},
+	}
+	for _, p := range c.peers {
+		s.Entries = append(s.Entries, p.status(now))
+	}
+	slices.SortFunc(s.Entries, func(a, b EntryStatus) int { return cmp.Compare(a.Name, b.Name) })
+	owners := c.gateway.view.Load().owners
+	for name, sv := range c.services {
+		s.Services = append(s.Services, sv.status(now, name, owners[name]))
+	}
+	slices.SortFunc(s.Services, func(a, b ServiceStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
+
+// age is for how many seconds the store hasn't confirmed what is known.
+func (c *control) age(now time.Time, d duty) float64 {
+	return now.Sub(later(c.confirmed[d], c.started)).Seconds()
+}
+
+func (p *peer) status(now time.Time) EntryStatus {
+	return EntryStatus{
+		Name: p.entry.Name, Place: p.entry.Place, Front: p.entry.Front, Live: p.up(now), Heard: now.Sub(p.heard).Seconds(),
+		Version: uint64(p.beat.Config), Revision: uint64(p.beat.Targets),
+		Leaving: p.beat.Leaving, Strained: p.beat.Strained, Shut: p.beat.Shut, Rate: p.beat.Rate,
+	}
+}
+
+func (s *service) status(now time.Time, name string, owners []owner.Entry) ServiceStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := ServiceStatus{Name: name, Owners: []string{}, Targets: []TargetStatus{}}
+	out.Seeking, out.Flying = s.book.Len()
+	for _, e := range owners {
+		out.Owners = append(out.Owners, e.Name)
+	}
+	for _, r := range s.book.Explain(now) {
+		out.Targets = append(out.Targets, targetStatus(now, r))
+	}
+	return out
+}
+
+func targetStatus(now time.Time, r slot.Row) TargetStatus {
+	t := TargetStatus{
+		ID: r.ID, Address: r.Address, Place: r.Place, State: string(r.State), InFlight: r.InFlight, Foreign: r.Foreign,
+	}
+	if !r.Until.IsZero() {
+		t.Until = max(r.Until.Sub(now).Seconds(), 0)
+	}
+	if r.Told {
+		t.Pace, t.Age = r.Pace, r.Age.Seconds()
+	}
+	return t
+}
+
+// Status returns what this gateway believes.
+func (g *Gateway) Status(ctx context.Context) (s Status, err error) {
+	q := statusAsked{answer: make(chan Status, 1)}
+	g.control.tell(ctx, q)
+	select {
+	case s = <-q.answer:
+		return s, nil
+	case <-ctx.Done():
+		return s, errors.WithMessage(ctx.Err(), "control")
+	}
+}
+
+// operatorHandler serves metrics and status.
+func (g *Gateway) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", g.instruments.Handler)
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, r *http.Request) {
+		s, err := g.Status(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(s); err != nil {
+			g.log.WithError(err).Debug("status not written")
+		}
+	})
+	return mux
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"plumpitch.example/plumpitch/internal/logs"
 )
 
 // Times of a graceful stop.
@@ -21,7 +23,7 @@
 	grace := g.bounds.Load().Grace
 	deadline := time.Now().Add(grace - stopReserve)
 	g.leaving.Store(true)
-	g.log.Info("gateway stops")
+	g.log.Info(logs.MessageStops)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	go func() {
--- /dev/null
+++ b/internal/logs/lost_test.go
@@ -0,0 +1,30 @@
+package logs
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Logs of three gateways: one is told to stop, one is killed and starts again,
+// one stays. Only the kill is a loss, told once, with the first that missed it.
+func TestLost(t *testing.T) {
+	line := func(at, entry, message, more string) string {
+		return `{"timestamp":"2026-01-02T03:04:` + at + `Z","level":"info","message":"` + message + `","fields":{"entry":"` + entry + `"` + more + `}}`
+	}
+	live := func(at, entry, before, now string) string {
+		return line(at, entry, MessageLive, `,"before":"`+before+`","live":"`+now+`"`)
+	}
+	text := strings.Join([]string{
+		line("00", "a", MessageStarted, ""), line("00", "b", MessageStarted, ""), line("00", "c", MessageStarted, ""),
+		line("01", "c", MessageStops, ""), live("01.5", "a", "a b c", "a b"),
+		line("02", "b", "answered by its target", ""), live("03", "a", "a b(strained)", "a"),
+		line("04", "b", MessageStarted, ""), live("04.5", "a", "a", "a b"),
+	}, "\n")
+	losses, err := Lost(strings.NewReader("collector: " + text))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, losses, qt.HasLen, 1)
+	l := losses[0]
+	qt.Assert(t, l.Entry+" "+l.By+" "+l.Last.Format("05")+" "+l.Noticed.Format("05"), qt.Equals, "b a 02 03")
+}
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -36,15 +36,13 @@
 
 // Service is a group of interchangeable targets.
 type Service struct {
-	Name     string
-	Health   string // path of the health endpoint
-	MaxConns int    // connections that one target accepts from all entries
+	Name   string
+	Health string // path of the health endpoint
 }
 
 // Limits bound what a caller may send and how long it may take.
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	HeaderTime  time.Duration
 	IdleTime    time.Duration // callers reuse connections up to four fifths of it
 }
--- a/status.go
+++ b/status.go
@@ -9,6 +9,8 @@
 
 	"github.com/integrii/flaggy"
 	"github.com/olekukonko/tablewriter"
+
+	"plumpitch.example/plumpitch/internal/gateway"
 )
 
 // statusView is what people see of an entry's status.
@@ -33,15 +35,21 @@
 }
 
 func statusCommand() *command {
-	var at string
+	var at, gatewayAt string
 	var asJSON bool
 	sub := flaggy.NewSubcommand("status")
 	sub.Description = "show entries, services and who has which settings"
 	sub.String(&at, "e", "entry", "host:port of an entry's operators' listener")
+	sub.String(&gatewayAt, "g", "gateway", "host:port of a gateway's metrics, in place of an entry")
 	sub.Bool(&asJSON, "j", "json", "print the entry's JSON as it came")
 	sub.AdditionalHelpAppend = "Example: plumpitch status --entry 127.0.0.1:8003"
 	return &command{sub: sub, run: func(ctx context.Context) error {
-		if asJSON {
+		switch {
+		case gatewayAt != "" && asJSON:
+			return printAnswer(ctx, gatewayAt, gateway.PathStatus)
+		case gatewayAt != "":
+			return showGateway(ctx, gatewayAt)
+		case asJSON:
 			return printAnswer(ctx, at, "/v1/status")
 		}
 		return showStatus(ctx, at)
--- /dev/null
+++ b/status_gateway.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"plumpitch.example/plumpitch/internal/gateway"
+)
+
+// showGateway prints what a gateway believes: of itself, the others, and the
+// targets.
+func showGateway(ctx context.Context, at string) (err error) {
+	body, err := ask(ctx, http.MethodGet, at, gateway.PathStatus)
+	if err != nil {
+		return err
+	}
+	var s gateway.Status
+	if err := json.Unmarshal(body, &s); err != nil {
+		return err
+	}
+	fmt.Printf("gateway %s, configuration %d confirmed %.1f s ago, targets %d confirmed %.1f s ago%s\n\n",
+		s.Entry, s.Version, s.Age, s.Revision, s.Fresh, marks(s.Leaving, s.Strained, s.Shut))
+	t := newTable("ENTRY", "LIVE", "PLACE", "HEARD S", "CONFIG", "TARGETS", "RATE", "MARKS")
+	for _, e := range s.Entries {
+		t.Append([]string{
+			e.Name, fmt.Sprint(e.Live), e.Place, fmt.Sprintf("%.1f", e.Heard), fmt.Sprint(e.Version), fmt.Sprint(e.Revision),
+			fmt.Sprintf("%.0f", e.Rate), strings.TrimPrefix(marks(e.Leaving, e.Strained, e.Shut), ", "),
+		})
+	}
+	t.Render()
+	for _, sv := range s.Services {
+		fmt.Printf("\n%s: owners %s; %d seek a target, %d at targets\n", sv.Name, strings.Join(sv.Owners, " "), sv.Seeking, sv.Flying)
+		t := newTable("TARGET", "STATE", "FOR S", "PLACE", "IN FLIGHT", "OTHERS'", "PACE", "AGE S")
+		for _, r := range sv.Targets {
+			t.Append([]string{
+				r.ID, r.State, fmt.Sprintf("%.1f", r.Until), r.Place, fmt.Sprint(r.InFlight), fmt.Sprint(r.Foreign),
+				fmt.Sprintf("%.2f", r.Pace), fmt.Sprintf("%.2f", r.Age),
+			})
+		}
+		t.Render()
+	}
+	return nil
+}
+
+// marks names what is out of the ordinary.
+func marks(leaving, strained, shut bool) (text string) {
+	for _, m := range []struct {
+		on   bool
+		name string
+	}{{leaving, "leaving"}, {strained, "strained"}, {shut, "store lost"}} {
+		if m.on {
+			text += ", " + m.name
+		}
+	}
+	return text
+}
--- a/trace.go
+++ b/trace.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -14,33 +15,78 @@
 )
 
 func traceCommand() *command {
-	var id, path string
+	var id string
 	sub := flaggy.NewSubcommand("trace")
 	sub.Description = "tell from collected logs what became of a request, and why"
 	sub.AddPositionalValue(&id, "ID", 1, true, "id of the request")
-	sub.AddPositionalValue(&path, "FILE", 2, false, "log of one or several gateways; standard input without it")
+	files := fileValues(sub, 2)
 	sub.AdditionalHelpAppend = "Example: cat gateway-*.log | plumpitch trace 9c41d07be2a35f68"
 	return &command{sub: sub, run: func(context.Context) error {
-		return traceRequest(os.Stdout, id, path)
+		return traceRequest(os.Stdout, id, files())
 	}}
 }
 
-func traceRequest(out io.Writer, id, path string) (err error) {
-	var in io.Reader = os.Stdin
-	if path != "" {
+// maxFiles is how many logs one command takes.
+const maxFiles = 64
+
+// fileValues adds optional logs as values from a position on, and returns how to
+// read those that were given.
+func fileValues(sub *flaggy.Subcommand, from int) (given func() []string) {
+	values := make([]string, maxFiles)
+	for i := range values {
+		sub.AddPositionalValue(&values[i], fmt.Sprintf("FILE%d", i+1), from+i, false, "log of one or several gateways; standard input without any")
+		sub.PositionalFlags[len(sub.PositionalFlags)-1].Hidden = i > 0
+	}
+	return func() (list []string) {
+		for _, v := range values {
+			if v != "" {
+				list = append(list, v)
+			}
+		}
+		return list
+	}
+}
+
+// openLogs opens logs to be read one after the other.
+func openLogs(paths []string) (in io.Reader, closeAll func(), err error) {
+	var readers []io.Reader
+	var open []*os.File
+	closeAll = func() {
+		for _, f := range open {
+			f.Close()
+		}
+	}
+	if len(paths) == 0 {
+		return os.Stdin, closeAll, nil
+	}
+	for _, path := range paths {
 		f, err := os.Open(path)
 		if err != nil {
-			return err
+			closeAll()
+			return nil, nil, err
 		}
-		defer f.Close()
-		in = f
+		open = append(open, f)
+		readers = append(readers, f, strings.NewReader("\n"))
+	}
+	return io.MultiReader(readers...), closeAll, nil
+}
+
+func traceRequest(out io.Writer, id string, paths []string) (err error) {
+	in, closeAll, err := openLogs(paths)
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	text, err := io.ReadAll(in)
+	if err != nil {
+		return err
 	}
-	lines, err := logs.Find(in, id)
+	lines, err := logs.Find(bytes.NewReader(text), id)
 	if err != nil {
 		return err
 	}
 	if len(lines) == 0 {
-		return errors.Errorf("request %s: found no line; lines under load are a sample, see \"log lines omitted\"", id)
+		return traceLost(out, id, text)
 	}
 	for _, l := range lines {
 		var fields []string
@@ -55,3 +101,20 @@
 	}
 	return nil
 }
+
+// traceLost tells what may have become of a request of which there is no line:
+// a gateway that is killed takes its requests along.
+func traceLost(out io.Writer, id string, text []byte) (err error) {
+	lost, err := logs.Lost(bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	for _, l := range lost {
+		fmt.Fprintf(out, "! %s %s was lost without a stop; its last line is of %s, %s missed it first\n",
+			l.Noticed.Format("15:04:05.000"), l.Entry, l.Last.Format("15:04:05.000"), l.By)
+	}
+	if len(lost) > 0 {
+		return errors.Errorf("request %s: found no line; a request that a lost gateway had leaves none", id)
+	}
+	return errors.Errorf("request %s: found no line; lines under load are a sample, see \"log lines omitted\"", id)
+}
