--- a/gateway_proof_test.go
+++ b/gateway_proof_test.go
@@ -245,6 +245,7 @@
 	s.q.Assert(<-status, qt.Equals, 0)
 	eventually(t, "the command names the gateway", func() bool {
 		out, err := s.explain("lost")
+		t.Log(out)
 		return err != nil && strings.Contains(out, "gateway-1 was lost without a stop") && strings.Contains(out, "gateway-0 missed it first") &&
 			!strings.Contains(out, "gateway-2 was lost")
 	})
