--- a/experiment.go
+++ b/experiment.go
@@ -9,13 +9,14 @@
 	"plumpitch.example/plumpitch/internal/lab/capacity"
 	"plumpitch.example/plumpitch/internal/lab/hop"
 	"plumpitch.example/plumpitch/internal/lab/order"
+	"plumpitch.example/plumpitch/internal/lab/pace"
 	lab "plumpitch.example/plumpitch/internal/lab/tail"
 )
 
 func experimentCommand() *command {
 	sub := flaggy.NewSubcommand("experiment")
 	sub.Description = "measure a decision or a cost and print a table"
-	subs := []*command{experimentHop(), experimentCapacity(), experimentOrder()}
+	subs := []*command{experimentHop(), experimentCapacity(), experimentOrder(), experimentPace()}
 	for _, name := range lab.Names() {
 		subs = append(subs, experimentTail(name))
 	}
@@ -53,6 +54,22 @@
 	}}
 }
 
+// experimentPace drives the gateway's decisions in virtual time.
+func experimentPace() *command {
+	var cfg pace.Config
+	sub := flaggy.NewSubcommand("pace")
+	sub.Description = "ways to choose among targets whose pace changes all the time, in virtual time"
+	sub.Int(&cfg.Seeds, "", "seeds", "runs of each row; default 5")
+	sub.UInt64(&cfg.Seed, "", "seed", "the first seed; default 1")
+	sub.Duration(&cfg.Length, "", "length", "of the arrivals; default 32s")
+	sub.Bool(&cfg.JSON, "j", "json", "print JSON lines")
+	sub.String(&cfg.Plot, "", "plot", "path of an SVG to write")
+	sub.AdditionalHelpAppend = "Example: plumpitch experiment pace --seeds 5"
+	return &command{sub: sub, run: func(context.Context) error {
+		return pace.Run(cfg, os.Stdout)
+	}}
+}
+
 func experimentCapacity() *command {
 	var cfg capacity.Config
 	sub := flaggy.NewSubcommand("capacity")
--- /dev/null
+++ b/internal/lab/pace/run.go
@@ -0,0 +1,160 @@
+package pace
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/olekukonko/tablewriter"
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgsvg" // the SVG format of Save
+)
+
+// Config says what to measure. Zero fields take the defaults.
+type Config struct {
+	Seeds  int           // runs of each row; 5
+	Seed   uint64        // the first seed; 1
+	Length time.Duration // of arrivals, in virtual time; 32 s
+	JSON   bool          // JSON lines in place of a table
+	Plot   string        // path of an SVG to write, or empty
+}
+
+const (
+	defaultSeeds  = 5
+	defaultLength = 32 * time.Second
+)
+
+// loads are the shares of the capacity at which each way is measured: a quiet
+// day, a busy one, and more than the targets can do.
+var loads = []float64{0.25, 0.6, 1.3}
+
+// polling is the period of the way that asks all targets all the time.
+const polling = 40 * time.Millisecond
+
+func ways(s Shape) []way {
+	const many = 10 // slots of a book that sets no limit
+	return []way{
+		{name: "random, at all entries", meets: atAny, build: random},
+		{name: "least in flight x pace, at all entries", meets: atAny, build: least},
+		{name: "the same, one entry a place", meets: atPlace, build: least},
+		{name: "the same, all targets asked each 40 ms", meets: atPlace, build: least, poll: polling},
+		{name: "asks 4, one entry a place, no limit", meets: atPlace, build: asking(many)},
+		{name: "asks 4, one entry, no limit", meets: atOne, build: asking(many)},
+		{name: "asks 4, one entry, at most 1 at a target", meets: atOne, build: asking(1)},
+		{name: "asks 4, one entry a place, at most its slots", meets: atPlace, build: asking(s.Slots)},
+		{name: "asks 4, one entry, at most its slots", meets: atOne, build: asking(s.Slots)},
+		{name: "asks 4, two entries, at most its slots", meets: atTwo, build: asking(s.Slots)},
+	}
+}
+
+// row is a way with its worth at each load.
+type row struct {
+	Way       string    `json:"way"`
+	Worth     []float64 `json:"worth"`     // at each load
+	Questions []float64 `json:"questions"` // a request
+}
+
+// Run measures all ways and prints them.
+func Run(cfg Config, w io.Writer) (err error) {
+	defer func() { err = errors.WithMessage(err, "experiment pace") }()
+	if cfg.Seeds <= 0 {
+		cfg.Seeds = defaultSeeds
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = 1
+	}
+	if cfg.Length <= 0 {
+		cfg.Length = defaultLength
+	}
+	rows := measure(Standard(), cfg)
+	if cfg.Plot != "" {
+		if err := draw(rows, cfg.Plot); err != nil {
+			return err
+		}
+	}
+	if cfg.JSON {
+		enc := json.NewEncoder(w)
+		for _, r := range rows {
+			if err := enc.Encode(r); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	print(w, rows)
+	return nil
+}
+
+func measure(s Shape, cfg Config) (rows []row) {
+	for _, w := range ways(s) {
+		r := row{Way: w.name}
+		for _, load := range loads {
+			worth, questions := 0.0, 0.0
+			for i := range cfg.Seeds {
+				st := run(s, w, load, cfg.Length, cfg.Seed+uint64(i))
+				worth += st.worth(s) / float64(cfg.Seeds)
+				questions += float64(st.questions) / float64(max(st.attempts, 1)) / float64(cfg.Seeds)
+			}
+			r.Worth, r.Questions = append(r.Worth, worth), append(r.Questions, questions)
+		}
+		rows = append(rows, r)
+	}
+	return rows
+}
+
+func print(w io.Writer, rows []row) {
+	t := tablewriter.NewWriter(w)
+	head := []string{"way"}
+	for _, l := range loads {
+		head = append(head, fmt.Sprintf("worth at %.0f %%", 100*l))
+	}
+	t.SetHeader(append(head, "questions a request, quiet"))
+	t.SetAutoFormatHeaders(false)
+	t.SetAutoWrapText(false)
+	t.SetBorders(tablewriter.Border{Left: true, Right: true})
+	t.SetCenterSeparator("|")
+	for _, r := range rows {
+		line := []string{r.Way}
+		for _, v := range r.Worth {
+			line = append(line, fmt.Sprintf("%.3f", v))
+		}
+		t.Append(append(line, fmt.Sprintf("%.1f", r.Questions[0])))
+	}
+	t.Render()
+}
+
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 6 * vg.Inch
+)
+
+// draw shows the worth of each way against the load.
+func draw(rows []row, path string) (err error) {
+	defer func() { err = errors.WithMessage(err, "plot") }()
+	p := plot.New()
+	p.Title.Text = "plumpitch experiment pace"
+	p.X.Label.Text = "load, share of the capacity"
+	p.Y.Label.Text = "worth"
+	p.Legend.Top = false
+	p.Legend.Left = true
+	for i, r := range rows {
+		var xy plotter.XYs
+		for n, v := range r.Worth {
+			xy = append(xy, plotter.XY{X: loads[n], Y: v})
+		}
+		line, dots, err := plotter.NewLinePoints(xy)
+		if err != nil {
+			return err
+		}
+		line.Color, dots.Color = plotutil.Color(i), plotutil.Color(i)
+		line.Dashes, dots.Shape = plotutil.Dashes(i), plotutil.Shape(i)
+		p.Add(line, dots)
+		p.Legend.Add(r.Way, line, dots)
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
--- a/pkg/slot/queue.go
+++ b/pkg/slot/queue.go
@@ -81,11 +81,20 @@
 			out = b.decide(now, s, out)
 		}
 	}
-	out = b.serve(now, out)
+	return b.askQueue(now, b.serve(now, out))
+}
+
+// askQueue has those ask that have waited long enough. They wait anew also where
+// no target has room: else the timer would be due at once, and again, until one
+// has, and keep the processor busy in an overload.
+func (b *Book) askQueue(now time.Time, out []Action) []Action {
 	for _, s := range slices.Clone(b.queue) {
-		if s.pending == 0 && !now.Before(s.again) && b.room(now, s) {
-			s.again = now.Add(askAgain)
-			return b.ask(now, s, out)
+		if !s.waiting || s.pending > 0 || now.Before(s.again) {
+			continue
+		}
+		s.again = now.Add(askAgain)
+		if b.room(now, s) {
+			out = b.ask(now, s, out)
 		}
 	}
 	return out
@@ -104,6 +113,9 @@
 		}
 	}
 	for _, s := range b.queue {
+		if s.pending > 0 {
+			continue // its answers, or the end of the wait for them, come first
+		}
 		soonest(s.again)
 		soonest(s.Objective.Add(-b.usual.mean))
 	}
--- a/pkg/slot/slot_test.go
+++ b/pkg/slot/slot_test.go
@@ -338,3 +338,38 @@
 		d.Done(d.now, End{ID: id}, nil)
 	}
 }
+
+// Requests wait while all targets are full, or for answers to their questions.
+// Whatever the state, the timer that the book asks for lies ahead: one that is
+// due at once, again and again, would keep the processor busy just when it is
+// needed for refusals.
+func TestTimerLiesAhead(t *testing.T) {
+	for seed := range uint64(200) {
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		d := newDesk(1 + rnd.IntN(3))
+		var flying []uint64
+		note := func(out []Action) {
+			for _, a := range pick(out, Send) {
+				flying = append(flying, a.ID)
+			}
+		}
+		for range 60 {
+			switch rnd.IntN(4) {
+			case 0, 1:
+				_, out := d.arrive()
+				note(out)
+			case 2:
+				note(d.says(fmt.Sprintf("t%d", rnd.IntN(3)), []float64{1, 5}[rnd.IntN(2)], rnd.IntN(3)))
+			case 3:
+				if len(flying) > 0 {
+					note(d.Done(d.now, End{ID: flying[0]}, nil))
+					flying = flying[1:]
+				}
+			}
+			d.now = d.now.Add(time.Duration(rnd.IntN(30)) * time.Millisecond)
+			note(d.Tick(d.now, nil))
+			next := d.Next()
+			qt.Assert(t, next.IsZero() || next.After(d.now), qt.IsTrue, qt.Commentf("seed %d: %v", seed, next.Sub(d.now)))
+		}
+	}
+}
