--- a/internal/lab/pace/run.go
+++ b/internal/lab/pace/run.go
@@ -37,18 +37,18 @@
 const polling = 40 * time.Millisecond
 
 func ways(s Shape) []way {
-	const many = 10 // slots of a book that sets no limit
 	return []way{
 		{name: "random, at all entries", meets: atAny, build: random},
 		{name: "least in flight x pace, at all entries", meets: atAny, build: least},
 		{name: "the same, one entry a place", meets: atPlace, build: least},
 		{name: "the same, all targets asked each 40 ms", meets: atPlace, build: least, poll: polling},
-		{name: "asks 4, one entry a place, no limit", meets: atPlace, build: asking(many)},
-		{name: "asks 4, one entry, no limit", meets: atOne, build: asking(many)},
-		{name: "asks 4, one entry, at most 1 at a target", meets: atOne, build: asking(1)},
-		{name: "asks 4, one entry a place, at most its slots", meets: atPlace, build: asking(s.Slots)},
-		{name: "asks 4, one entry, at most its slots", meets: atOne, build: asking(s.Slots)},
-		{name: "asks 4, two entries, at most its slots", meets: atTwo, build: asking(s.Slots)},
+		{name: "asks none, two entries, at most its slots", meets: atTwo, build: asking(s.Slots, -1)},
+		{name: "asks 2, two entries, at most its slots", meets: atTwo, build: asking(s.Slots, 2)},
+		{name: "asks 4, all entries, at most its slots", meets: atAny, build: asking(s.Slots, 4)},
+		{name: "asks 4, one entry a place, at most its slots", meets: atPlace, build: asking(s.Slots, 4)},
+		{name: "asks 4, two entries, at most its slots", meets: atTwo, build: asking(s.Slots, 4)},
+		{name: "asks 4, one entry, at most its slots", meets: atOne, build: asking(s.Slots, 4)},
+		{name: "asks 4, one entry, at most 1 at a target", meets: atOne, build: asking(1, 4)},
 	}
 }
 
--- a/internal/lab/pace/way.go
+++ b/internal/lab/pace/way.go
@@ -87,10 +87,10 @@
 func (g *guess) tick() {}
 
 // asking builds entries that drive a slot.Book, which believes that targets have
-// so many slots.
-func asking(slots int) func(m *site, entry int, rnd *rand.Rand) chooser {
+// so many slots and asks so many of them; less than 0 asks none.
+func asking(slots, ask int) func(m *site, entry int, rnd *rand.Rand) chooser {
 	return func(m *site, entry int, rnd *rand.Rand) chooser {
-		d := &desk{m: m, entry: entry, book: slot.New(slot.Config{Place: strconv.Itoa(entry % m.shape.Places)}, rnd)}
+		d := &desk{m: m, entry: entry, book: slot.New(slot.Config{Place: strconv.Itoa(entry % m.shape.Places), Ask: ask}, rnd)}
 		var list []slot.Target
 		for i, t := range m.targets {
 			list = append(list, slot.Target{ID: strconv.Itoa(i), Place: strconv.Itoa(t.place), Slots: slots})
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -77,7 +77,8 @@
 
 // crowdFactor is what a crowded target counts for more, beside the time that its
 // answer takes: the request that is there already takes longer as well, by the
-// rest of its time on average.
+// rest of its time on average. Worth over eight days of two sites: 5.40 without,
+// 5.49 at 1.3, 5.50 at 1.8, 5.44 at 3.
 const crowdFactor = 1.3
 
 // unsureFactor is what a target counts for more that leaves a question without
