--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -72,6 +72,6 @@
 	i.live.Update(float64(len(c.live(now))))
 	i.targets.Update(float64(c.targets.Len()))
 	for d := range duties {
-		i.age[d].Update(c.age(now, d))
+		i.age[d].Update(c.age(now, d).Seconds())
 	}
 }
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -109,7 +109,18 @@
 
 // confirm notes that the store said at that time that nothing is newer.
 func (c *control) confirm(d duty, at time.Time) {
-	c.confirmed[d] = later(c.confirmed[d], at)
+	if at.After(c.confirmed[d]) {
+		c.confirmed[d] = at
+	}
+}
+
+// age is for how long the store hasn't confirmed what is known, from the start on
+// at most.
+func (c *control) age(now time.Time, d duty) time.Duration {
+	if c.confirmed[d].After(c.started) {
+		return now.Sub(c.confirmed[d])
+	}
+	return now.Sub(c.started)
 }
 
 // neverAge is the age from which on what another entry knows counts as never
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -134,7 +134,7 @@
 		order = c.live(now)
 	}
 	rank := owner.Rank(order, dutyNames[m.duty], c.gateway.self.Name)
-	age := now.Sub(later(c.confirmed[m.duty], c.started))
+	age := c.age(now, m.duty)
 	t := turn{due: m.duty.due(age, rank), rank: rank, age: age, at: c.configAt}
 	if c.confirmed[m.duty].IsZero() {
 		t.due, t.fresh = c.begins(now, rank), true
@@ -145,13 +145,6 @@
 	m.answer <- t
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // turn asks the control loop.
 func (c *control) turn(ctx context.Context, d duty) (t turn) {
 	q := turnAsked{duty: d, answer: make(chan turn, 1)}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -78,8 +78,8 @@
 func (c *control) status(now time.Time) Status {
 	s := Status{
 		Entry: c.gateway.self.Name, Boot: c.gateway.self.Boot,
-		Version: uint64(c.config.Version), Age: c.age(now, dutyConfig),
-		Revision: uint64(c.targets.Moved()), Fresh: c.age(now, dutyTargets),
+		Version: uint64(c.config.Version), Age: c.age(now, dutyConfig).Seconds(),
+		Revision: uint64(c.targets.Moved()), Fresh: c.age(now, dutyTargets).Seconds(),
 		Shut: c.shut, Leaving: c.gateway.leaving.Load(), Strained: c.strain.strained(now),
 		Entries: []EntryStatus{}, Services: []ServiceStatus{},
 	}
@@ -95,11 +95,6 @@
 	return s
 }
 
-// age is for how many seconds the store hasn't confirmed what is known.
-func (c *control) age(now time.Time, d duty) float64 {
-	return now.Sub(later(c.confirmed[d], c.started)).Seconds()
-}
-
 func (p *peer) status(now time.Time) EntryStatus {
 	return EntryStatus{
 		Name: p.entry.Name, Place: p.entry.Place, Front: p.entry.Front, Live: p.up(now), Heard: now.Sub(p.heard).Seconds(),
--- a/internal/lab/pace/run.go
+++ b/internal/lab/pace/run.go
@@ -86,7 +86,7 @@
 		}
 		return nil
 	}
-	print(w, rows)
+	writeTable(w, rows)
 	return nil
 }
 
@@ -107,7 +107,7 @@
 	return rows
 }
 
-func print(w io.Writer, rows []row) {
+func writeTable(w io.Writer, rows []row) {
 	t := tablewriter.NewWriter(w)
 	head := []string{"way"}
 	for _, l := range loads {
--- a/pkg/claim/decide.go
+++ b/pkg/claim/decide.go
@@ -6,12 +6,12 @@
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
-// Meet decides what the caller of a request is told whose key has a record of
-// another attempt. It never lets the request run: the record's attempt may have
+// Meet decides what the caller of a request with that fingerprint is told whose
+// key has a record of another attempt. It never lets the request run: the record's attempt may have
 // run it, or may still, whoever made it and however old it is.
-func Meet(now time.Time, found Record, print uint64) Result {
+func Meet(now time.Time, found Record, mark uint64) Result {
 	switch {
-	case found.Print != print:
+	case found.Print != mark:
 		return Result{Kind: Conflict, Reason: ReasonKeyReused}
 	case found.Answer != nil && found.Answer.Outcome == call.Ran:
 		return replay(*found.Answer)
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -29,8 +29,8 @@
 	asked   int
 	near    [choices]*member // the most promising targets when it asked
 	pending int              // answers still to come
-	until   time.Time // end of the wait for them
-	again   time.Time // earliest next question while it waits
+	until   time.Time        // end of the wait for them
+	again   time.Time        // earliest next question while it waits
 	waiting bool
 }
 
