claims: an answer stays known here until the store has it

Cause: a resend through the same entry, between the answer and its record in the store, met the record of the run and was told in-progress. Ruled out: load alone (TestResendBeforeTheOutcomeIsStored fails every time on the code before). Change: a flight with an answer is forgotten when the store has the outcome.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -111,10 +111,12 @@
 	print   uint64
 }
 
-// flight is an attempt of this entry that is not over.
+// flight is an attempt of this entry that is not over, or whose answer the store
+// doesn't have yet.
 type flight struct {
-	done   chan struct{}
-	result claim.Result // once done is closed
+	done    chan struct{}
+	result  claim.Result    // once done is closed
+	settled <-chan struct{} // closed once the store has the outcome; nil where there is none
 }
 
 // Do runs the request unless its key has run or may be running, and gives what
@@ -127,7 +129,7 @@
 		f, first := c.join(key)
 		if first {
 			defer c.part(key, f)
-			f.result = c.fly(ctx, r, run)
+			f.result, f.settled = c.fly(ctx, r, run)
 			return f.result
 		}
 		select {
@@ -152,29 +154,42 @@
 	return f, true
 }
 
+// part ends a flight. One that has an answer stays known until the store has it:
+// a resend that came in between would be told that the key may be running.
 func (c *Claims) part(key flightKey, f *flight) {
+	if f.result.Kind != claim.Fresh || f.settled == nil {
+		c.forget(key)
+		close(f.done)
+		return
+	}
+	close(f.done)
+	c.settling.Go(func() {
+		<-f.settled
+		c.forget(key)
+	})
+}
+
+func (c *Claims) forget(key flightKey) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.flights, key)
-	c.mu.Unlock()
-	close(f.done)
 }
 
 // fly claims the key, runs the request and settles the claim.
-func (c *Claims) fly(ctx context.Context, r Request, run Run) claim.Result {
+func (c *Claims) fly(ctx context.Context, r Request, run Run) (result claim.Result, settled <-chan struct{}) {
 	h := hold{claims: c, name: recordName(r.Service, r.Key), record: claim.Record{
 		Print: r.Print, ID: fmt.Sprintf("%s#%x.%x", c.cfg.Entry, c.cfg.Boot, c.attempts.Add(1)),
 		At: c.cfg.Now(), Until: r.Deadline,
 	}}
 	if met, granted := h.take(ctx); !granted {
-		return met
+		return met, nil
 	}
 	ended := claim.Ended{Outcome: call.NotRun, Reason: claim.ReasonDeadline, RetryAfter: claim.RetrySoon}
 	if ctx.Err() == nil {
 		ended = run(ctx)
 	}
 	result, kept := claim.Finish(ended)
-	h.settle(kept)
-	return result
+	return result, h.settle(kept)
 }
 
 // recordName is the name of a key's record: keys hold characters that names of
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -193,6 +193,26 @@
 	s.c.Assert(s.count("k"), qt.Equals, 1)
 }
 
+// A caller sends its key again through the same entry right after the answer,
+// before the store has it. It gets the recorded answer all the same.
+func TestResendBeforeTheOutcomeIsStored(t *testing.T) {
+	s := newSite(t)
+	s.store.fail(func(op string, n int) fault {
+		if op == "put" && n > 0 && n < 4 {
+			return down
+		}
+		return none
+	})
+	s.c.Assert(s.do(0, "k", s.run("k")).Kind, qt.Equals, claim.Fresh)
+	for range 3 {
+		s.c.Assert(s.do(0, "k", s.run("k")).Kind, qt.Equals, claim.Replay)
+	}
+	s.settled()
+	s.c.Assert(s.entries[0].flights, qt.HasLen, 0)
+	s.c.Assert(s.do(1, "k", s.run("k")).Kind, qt.Equals, claim.Replay)
+	s.c.Assert(s.count("k"), qt.Equals, 1)
+}
+
 // An entry is killed between its claim and the outcome. Long after, the same key
 // is told that its outcome is unknown, and isn't run; a claim may not lapse.
 func TestKilledHolder(t *testing.T) {
--- a/internal/claims/hold.go
+++ b/internal/claims/hold.go
@@ -105,20 +105,21 @@
 
 // settle records the outcome of the run, or frees the key where kept is nil. It
 // goes on by itself while the store is away; only a withdrawal is waited for a
-// moment.
-func (h *hold) settle(kept *claim.Answer) {
+// moment. settled is closed when it has ended.
+func (h *hold) settle(kept *claim.Answer) (settled <-chan struct{}) {
 	done := make(chan struct{})
 	h.claims.settling.Go(func() {
 		defer close(done)
 		h.deliver(kept)
 	})
 	if kept != nil {
-		return
+		return done
 	}
 	select {
 	case <-done:
 	case <-time.After(withdrawTime):
 	}
+	return done
 }
 
 // Pauses between tries to settle. Until one succeeds, resends of the key are
