--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -94,8 +94,8 @@
 			}
 			return none
 		}, claim.Fresh, 1},
-		{"outcome's answer lost", only("put", 1, lost), claim.Fresh, 1},
-		{"outcome done late", only("put", 1, late), claim.Fresh, 1},
+		{"outcome's answer lost", only("update", 0, lost), claim.Fresh, 1},
+		{"outcome done late", only("update", 0, late), claim.Fresh, 1},
 		{"claim done after it was given up", func(op string, n int) fault {
 			if op == "put" && n == 0 {
 				return later
@@ -198,7 +198,7 @@
 func TestResendBeforeTheOutcomeIsStored(t *testing.T) {
 	s := newSite(t)
 	s.store.fail(func(op string, n int) fault {
-		if op == "put" && n > 0 && n < 4 {
+		if op == "update" && n < 2 {
 			return down
 		}
 		return none
@@ -218,7 +218,7 @@
 func TestKilledHolder(t *testing.T) {
 	s := newSite(t)
 	s.store.fail(func(op string, n int) fault {
-		if op == "put" && n > 0 {
+		if op == "update" {
 			return down
 		}
 		return none
--- a/internal/claims/fake_test.go
+++ b/internal/claims/fake_test.go
@@ -110,7 +110,11 @@
 
 func (s *fakeStore) Put(_ context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
 	var version uint64
-	err := s.do("put", func() error {
+	op := "put"
+	if expected > 0 {
+		op = "update"
+	}
+	err := s.do(op, func() error {
 		if o := s.objects[name]; o.Version != expected {
 			return &store.ErrConflict{Expected: expected, Current: o.Version}
 		}
