--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -217,7 +217,7 @@
 // is told that its outcome is unknown, and isn't run; a claim may not lapse.
 func TestKilledHolder(t *testing.T) {
 	s := newSite(t)
-	s.store.fail(func(op string, n int) fault {
+	s.store.fail(func(op string, _ int) fault {
 		if op == "update" {
 			return down
 		}
