house: one alarm for both drivers, owners scored once, what nothing calls is gone

Found in a last reading: the timers of the gateway's and the entry's services were written twice (internal/alarm serves both); owners hashed each candidate's name anew at every comparison of a sort, at each publish; the two ways in which targets are read ended in the same lines; owner.Same and four methods of the stand-in worker had no caller; two proofs had the same table of outages. Behaviour is unchanged; no assertion differs.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"plumpitch.example/plumpitch/internal/alarm"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/pool"
 	"plumpitch.example/plumpitch/pkg/probe"
@@ -32,9 +33,8 @@
 	waiting map[uint64]chan pool.Action
 	list    []pool.Target
 	scratch []pool.Action
-	last    uint64 // id of the last arrival
-	timer   *time.Timer
-	due     time.Time // when timer fires; zero when it is not set
+	last    uint64       // id of the last arrival
+	alarm   *alarm.Alarm // for the timers of the pools
 	closed  bool
 }
 
@@ -62,8 +62,7 @@
 	s.budget.Store(newBudget(cfg.Policy))
 	s.probes = probe.New(probe.Config{})
 	s.chooser, err = newChooser(cfg.Policy, s.probes)
-	s.timer = time.AfterFunc(time.Hour, s.tick)
-	s.timer.Stop()
+	s.alarm = alarm.New(s.tick)
 	return s, err
 }
 
@@ -195,21 +194,16 @@
 	s.arm(now)
 }
 
-// arm sets the timer to the pool's next wish.
+// arm sets the alarm to the pools' next wish.
 func (s *service) arm(now time.Time) {
 	next := s.chooser.Next()
 	if len(s.retired) > 0 {
 		next = now.Add(retiredTick)
 	}
-	if next.Equal(s.due) || s.closed {
-		return
-	}
-	s.due = next
-	if next.IsZero() {
-		s.timer.Stop()
+	if s.closed {
 		return
 	}
-	s.timer.Reset(max(next.Sub(now), 0))
+	s.alarm.Set(now, next)
 }
 
 func (s *service) tick() {
@@ -219,7 +213,7 @@
 	if s.closed {
 		return
 	}
-	s.due = time.Time{}
+	s.alarm.Rang()
 	s.act(now, s.chooser.Tick(now, s.scratch[:0]))
 	s.tickRetired(now)
 }
@@ -247,5 +241,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	s.timer.Stop()
+	s.alarm.Stop()
 }
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -54,8 +54,7 @@
 }
 
 func (m targetsListed) apply(now time.Time, c *control) {
-	moved := c.change(now, func() bool { return c.targets.Replace(m.items, m.at) })
-	c.targetsRead(now, moved, m.asked)
+	c.targetsRead(now, m.asked, func() bool { return c.targets.Replace(m.items, m.at) })
 }
 
 // targetsChanged are changes of targets since the last ones.
@@ -66,16 +65,17 @@
 }
 
 func (m targetsChanged) apply(now time.Time, c *control) {
-	moved := c.change(now, func() bool { return c.targets.Apply(m.changes, m.at) })
-	c.targetsRead(now, moved, m.asked)
+	c.targetsRead(now, m.asked, func() bool { return c.targets.Apply(m.changes, m.at) })
 }
 
-func (c *control) targetsRead(now time.Time, moved bool, asked time.Time) {
+// targetsRead applies what the store said of the targets, and tells the others
+// at once where that matters.
+func (c *control) targetsRead(now, asked time.Time, apply func() (moved bool)) {
+	moved := c.change(now, apply)
 	c.confirm(dutyTargets, asked)
-	if !moved {
-		return
+	if moved {
+		c.beat(now)
 	}
-	c.beat(now)
 }
 
 // storeAnswered tells whether the store serves this entry.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"plumpitch.example/plumpitch/internal/alarm"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/route"
 	"plumpitch.example/plumpitch/pkg/slot"
@@ -26,8 +27,7 @@
 	book    *slot.Book
 	waiting map[uint64]chan<- slot.Action
 	last    uint64
-	timer   *time.Timer
-	due     time.Time
+	alarm   *alarm.Alarm // for the book's timer
 }
 
 // askGrace is how long an answer to a question may take. A choice doesn't wait
@@ -49,7 +49,7 @@
 		book:   slot.New(slot.Config{Place: g.self.Place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget: retryBudget(*b, entries),
 	}
-	sv.timer = time.AfterFunc(time.Hour, sv.tick)
+	sv.alarm = alarm.New(sv.tick)
 	return sv
 }
 
@@ -147,27 +147,14 @@
 			s.gateway.log.WithFields(log.Fields{"service": s.is.Name, "target": a.Target.ID}).Info("target is back")
 		}
 	}
-	s.arm(now)
-}
-
-func (s *service) arm(now time.Time) {
-	next := s.book.Next()
-	if next.Equal(s.due) {
-		return
-	}
-	s.due = next
-	if next.IsZero() {
-		s.timer.Stop()
-		return
-	}
-	s.timer.Reset(max(next.Sub(now), 0))
+	s.alarm.Set(now, s.book.Next())
 }
 
 func (s *service) tick() {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.due = time.Time{}
+	s.alarm.Rang()
 	s.act(now, s.book.Tick(now, nil))
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -50,20 +50,16 @@
 	l      net.Listener
 	mu     sync.Mutex
 	work   time.Duration
-	pace   int
-	sick   bool
 	fault  func(*http.Request) Fault
 	runs   []Run
 	now    int
-	asks   int
-	conns  int
 	open   map[net.Conn]bool
 	closed bool
 }
 
 // Start runs a worker on loopback.
 func Start(id string) (w *Worker, err error) {
-	w = &Worker{ID: id, Slots: 2, pace: 100, open: make(map[net.Conn]bool), fault: func(*http.Request) Fault { return Fault{} }}
+	w = &Worker{ID: id, Slots: 2, open: make(map[net.Conn]bool), fault: func(*http.Request) Fault { return Fault{} }}
 	if w.l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
@@ -85,15 +81,9 @@
 	w.l.Close()
 }
 
-// Work sets how long a request takes at the usual pace.
+// Work sets how long a request takes.
 func (w *Worker) Work(d time.Duration) { w.set(func() { w.work = d }) }
 
-// Pace sets how long work takes, in percent of the usual.
-func (w *Worker) Pace(percent int) { w.set(func() { w.pace = percent }) }
-
-// Sick sets whether the health endpoint says that it is ill.
-func (w *Worker) Sick(sick bool) { w.set(func() { w.sick = sick }) }
-
 // Fail sets the faults of each request; nil ends them.
 func (w *Worker) Fail(f func(*http.Request) Fault) {
 	w.set(func() {
@@ -117,20 +107,6 @@
 	return append([]Run(nil), w.runs...)
 }
 
-// Asks returns how often it was asked for its load.
-func (w *Worker) Asks() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.asks
-}
-
-// Conns returns how many connections were made to it.
-func (w *Worker) Conns() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.conns
-}
-
 func (w *Worker) accept() {
 	for {
 		c, err := w.l.Accept()
@@ -138,7 +114,6 @@
 			return
 		}
 		w.mu.Lock()
-		w.conns++
 		w.open[c] = true
 		w.mu.Unlock()
 		go func() {
@@ -179,17 +154,12 @@
 
 // load is the load header. The lock is held.
 func (w *Worker) load() string {
-	return fmt.Sprintf("Plumpitch-Server-Load: %d,0,%d,%d\r\n", w.now, w.Slots, w.pace)
+	return fmt.Sprintf("Plumpitch-Server-Load: %d,0,%d,100\r\n", w.now, w.Slots)
 }
 
 func (w *Worker) health(k *conn) {
 	w.mu.Lock()
-	w.asks++
-	status := "200 OK"
-	if w.sick {
-		status = "503 Service Unavailable"
-	}
-	head := "HTTP/1.1 " + status + "\r\nPlumpitch-Instance-Id: " + w.ID + "\r\n" + w.load() + "Content-Length: 0\r\n\r\n"
+	head := "HTTP/1.1 200 OK\r\nPlumpitch-Instance-Id: " + w.ID + "\r\n" + w.load() + "Content-Length: 0\r\n\r\n"
 	w.mu.Unlock()
 	_, _ = io.WriteString(k, head)
 }
@@ -228,7 +198,7 @@
 		Deadline: r.Header.Get("Plumpitch-Request-Deadline"), At: time.Now(),
 	})
 	w.now++
-	work := w.work * time.Duration(w.pace) / 100
+	work := w.work
 	w.mu.Unlock()
 	if work > 0 {
 		_ = k.SetReadDeadline(time.Now().Add(work))
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -28,9 +28,6 @@
 	return score(e.Name, strconv.FormatUint(e.Boot, 10))
 }
 
-// Same reports whether two records name the same incarnation.
-func Same(a, b Entry) bool { return a == b }
-
 // Need is what the owners of one service are chosen by.
 type Need struct {
 	Service string
@@ -63,8 +60,8 @@
 	owned := make(map[string]int)
 	owners := make(map[string][]Entry, len(needs))
 	for _, n := range needs {
-		order := slices.Clone(live)
-		slices.SortFunc(order, func(a, b Candidate) int { return compare(a, b, n, owned) })
+		order := ranked(live, n.Service)
+		slices.SortFunc(order, func(a, b scored) int { return compare(a, b, n, owned) })
 		capacity := 0.0
 		for _, c := range order {
 			if len(owners[n.Service]) >= Least && capacity >= n.Load {
@@ -78,14 +75,28 @@
 	return owners
 }
 
+// scored is a candidate with its score for one service.
+type scored struct {
+	Candidate
+	score uint64
+}
+
+func ranked(live []Candidate, service string) []scored {
+	list := make([]scored, len(live))
+	for i, c := range live {
+		list[i] = scored{c, score(c.Name, service)}
+	}
+	return list
+}
+
 // compare orders candidates for a service, the better one first.
-func compare(a, b Candidate, n Need, owned map[string]int) int {
+func compare(a, b scored, n Need, owned map[string]int) int {
 	return cmp.Or(
 		cmp.Compare(truth(a.Strained), truth(b.Strained)),
 		cmp.Compare(owned[a.Name], owned[b.Name]),
 		cmp.Compare(b.Capacity, a.Capacity),
 		cmp.Compare(n.Places[b.Place], n.Places[a.Place]),
-		cmp.Compare(score(b.Name, n.Service), score(a.Name, n.Service)),
+		cmp.Compare(b.score, a.score),
 		cmp.Compare(a.Name, b.Name),
 	)
 }
--- a/proof_test.go
+++ b/proof_test.go
@@ -76,15 +76,18 @@
 	return n
 }
 
+// outages are the ways in which the store is away for the whole of a test.
+var outages = []struct{ name, faults string }{
+	{"down", `{"down":true}`},
+	{"slow", `{"delay":"3s"}`},
+}
+
 // The store is down for the whole time. Callers browse and send requests that
 // must not run twice, without keys; none of them notices, since settings and
 // targets stay as they were.
 func TestStoreOutageHurtsNoCaller(t *testing.T) {
 	t.Parallel()
-	for _, c := range []struct{ name, faults string }{
-		{"down", `{"down":true}`},
-		{"slow", `{"delay":"3s"}`},
-	} {
+	for _, c := range outages {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			q := qt.New(t)
@@ -108,10 +111,7 @@
 // return the same keys are answered, each by one run.
 func TestKeysDuringAStoreOutage(t *testing.T) {
 	t.Parallel()
-	for _, c := range []struct{ name, faults string }{
-		{"down", `{"down":true}`},
-		{"slow", `{"delay":"3s"}`},
-	} {
+	for _, c := range outages {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			q := qt.New(t)
