platform: one route or record that can't be read costs no other

Ruled out: refusing such a route (its requests are proper, a 404 or 503 for them costs callers more than one run does). Change: routes, services and objects are decoded one by one. An unknown route type is served as strictly as any, at most once; a route without a service or its times is refused, not unknown. A record with a field missing or unknown names no target; one that is written over is as if removed. born tells incarnations apart in the book, between entries and for crashes. Tests seen to fail without their cause mended: TestTargetStartsAgainUnderItsID, TestCrashesOfOneTargetThatStartsAgain.

--- a/check.go
+++ b/check.go
@@ -70,10 +70,13 @@
 		}
 		fmt.Fprintf(out, "%s: gateway %s in %s, store %s, no fault\n", file, s.Name, s.Place, s.Store)
 	case kindConfig:
-		c, err := platform.ParseConfig(text)
+		c, faults, err := platform.ParseConfig(text)
 		if err != nil {
 			return err
 		}
+		if len(faults) > 0 {
+			return faults
+		}
 		fmt.Fprintf(out, "%s: version %d, %d routes, %d services, no fault\n", file, c.Version, len(c.Routes), len(c.Services))
 	default:
 		return errors.Errorf("--as: found %q, expected %s, %s or %s", as, kindSettings, kindBoot, kindConfig)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,9 +89,10 @@
 	}
 	g.view.Store(&view{})
 	g.bounds.Store(&s.Bounds)
+	refused := newRefusals(g.log)
 	g.store = platform.NewStore(platform.StoreConfig{
 		Address: s.Store, Name: s.Name, HTTP: storeClient(),
-		Refused: func(err error) { g.log.WithError(err).Warn("store: object not understood") },
+		Refused: func(kind, name string, err error) { refused.note(time.Now(), kind, name, err) },
 	})
 	g.control = newControl(g)
 	if g.relay, err = relay.New(relay.Config{
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -30,6 +30,7 @@
 	workers []*worker.Worker
 	version int
 	last    int
+	born    int64 // of the targets that are put on record
 }
 
 // site is what a world's first configuration holds.
@@ -61,7 +62,7 @@
 	}
 	w.version++
 	w.store.PutConfig(w.version, []objects.Route{{
-		Name: "r-a", Host: "veil.example", Prefix: "/a/", Once: s.kind == "non_idempotent", Timeout: s.timeout,
+		Name: "r-a", Host: "veil.example", Prefix: "/a/", Kind: s.kind, Timeout: s.timeout,
 		Goal: "1s", Attempts: s.attempts, Service: "gowns",
 	}}, []string{"gowns", "veils"})
 }
@@ -79,7 +80,7 @@
 // record writes a target's own record.
 func (w *world) record(k *worker.Worker, service, state string) {
 	w.store.PutTarget(objects.Target{
-		ID: k.ID, Address: k.Address(), Service: service, Place: "hall", Slots: k.Slots, Leaving: state == "draining",
+		ID: k.ID, Address: k.Address(), Service: service, Place: "hall", Slots: k.Slots, Leaving: state == "draining", Born: w.born,
 	})
 }
 
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -28,7 +28,7 @@
 
 // adopt puts a configuration in force that is newer than the one that is.
 func (c *control) adopt(now time.Time, raw []byte, source string) {
-	cfg, err := platform.ParseConfig(raw)
+	cfg, faults, err := platform.ParseConfig(raw)
 	if err != nil {
 		c.gateway.log.WithError(err).WithField("source", source).Error("configuration refused")
 		return
@@ -39,6 +39,7 @@
 	c.gateway.log.WithFields(log.Fields{
 		"version": uint64(cfg.Version), "before": uint64(c.config.Version), "source": source, "routes": len(cfg.Routes),
 	}).Info("configuration in force")
+	c.logFaults(cfg.Version, faults)
 	c.config, c.raw = cfg, raw
 	c.table = route.New(cfg, c.table)
 	c.dirty = true
@@ -46,6 +47,18 @@
 	c.beat(now)
 }
 
+// maxFaults bounds the lines about the faults of one configuration.
+const maxFaults = 20
+
+func (c *control) logFaults(v route.Version, faults platform.Faults) {
+	for _, err := range faults[:min(len(faults), maxFaults)] {
+		c.gateway.log.WithError(err).WithField("version", uint64(v)).Warn("part of the configuration not understood")
+	}
+	if more := len(faults) - maxFaults; more > 0 {
+		c.gateway.log.WithFields(log.Fields{"version": uint64(v), "more": more}).Warn("further parts of the configuration not understood")
+	}
+}
+
 // targetsListed is the whole list of targets.
 type targetsListed struct {
 	items []roster.Item[slot.Target]
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -231,7 +231,7 @@
 		q.service.done(now, e)
 		q.service.counts.failures.Inc(1)
 		q.logFailure(t, f)
-		crash := f.Stage.Crash() && q.gateway.suspects.Crashed(now, q.digest, t.target.ID, t.began)
+		crash := f.Stage.Crash() && q.gateway.suspects.Crashed(now, q.digest, t.target.Run(), t.began)
 		return q.call.Fail(now, call.Failed{Try: res.try, Stage: f.Stage, Ran: f.Ran, Replay: true, Quarantined: crash})
 	}
 	a := res.answer
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -100,6 +100,7 @@
 		w.Targets = append(w.Targets, &wire.Target{
 			Id: c.Name, Revision: uint64(c.Revision), Address: t.Address, Service: t.Service, Place: t.Place,
 			Slots: uint32(t.Slots), Leaving: t.Leaving, Warm: millis(t.Warm.Sub(now)), Deleted: c.Deleted,
+			Born: t.Born,
 		})
 	}
 	return w
@@ -121,7 +122,7 @@
 	for _, t := range w.Targets {
 		v := slot.Target{
 			ID: t.Id, Address: t.Address, Service: t.Service, Place: t.Place,
-			Slots: int(t.Slots), Leaving: t.Leaving,
+			Slots: int(t.Slots), Leaving: t.Leaving, Born: t.Born,
 		}
 		if t.Warm > 0 {
 			v.Warm = now.Add(span(t.Warm))
--- a/internal/standin/objects/records.go
+++ b/internal/standin/objects/records.go
@@ -12,6 +12,7 @@
 	Place   string
 	Slots   int
 	Leaving bool
+	Born    int64 // Unix ms of its start
 }
 
 // PutTarget writes a target's record.
@@ -21,9 +22,9 @@
 		state = "draining"
 	}
 	s.Put("servers", t.ID, map[string]any{
-		"address": t.Address,
-		"info":    map[string]any{"service": t.Service, "version": "v1", "zone": t.Place, "concurrency": t.Slots},
-		"status":  map[string]any{"state": state, "sequence": 1, "warmupLeft": "0ms"},
+		"address": t.Address, "born": t.Born,
+		"info":   map[string]any{"service": t.Service, "version": "v1", "zone": t.Place, "concurrency": t.Slots},
+		"status": map[string]any{"state": state, "sequence": 1, "warmupLeft": "0ms"},
 	})
 }
 
@@ -37,6 +38,7 @@
 	Goal     string // time within which an answer counts in full
 	Attempts int
 	Service  string
+	Kind     string // as written; empty goes by Once
 }
 
 // PutConfig writes a configuration with these routes and services.
@@ -44,7 +46,10 @@
 	named, served := map[string]any{}, map[string]any{}
 	for _, r := range routes {
 		kind := "idempotent"
-		if r.Once {
+		switch {
+		case r.Kind != "":
+			kind = r.Kind
+		case r.Once:
 			kind = "non_idempotent"
 		}
 		named[r.Name] = map[string]any{
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -25,7 +25,7 @@
 	Objective  time.Duration // an answer within it is worth its full credit
 	Priority   int           // rank among the routes of a service, 0 first
 	Attempts   int           // targets that may be sent one request
-	Parts      []Part        // at least one
+	Parts      []Part        // none where it isn't known which service may run it
 }
 
 // Part is a service's share of a route.
--- a/pkg/route/split.go
+++ b/pkg/route/split.go
@@ -29,9 +29,13 @@
 	return slices.Equal(s.parts, parts)
 }
 
-// Next returns the service of the next request.
+// Next returns the service of the next request; it is empty where there are no
+// parts.
 func (s *Split) Next() string {
-	if len(s.parts) == 1 {
+	switch len(s.parts) {
+	case 0:
+		return ""
+	case 1:
 		return s.parts[0].Service
 	}
 	s.mu.Lock()
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -47,14 +47,17 @@
 }
 
 // Targets takes the whole list of targets. One that is missing gets no new
-// work; its requests in flight go on.
+// work; its requests in flight go on. One that has started again under its old
+// id is a new one: what was known of it (requests in flight, load, failures,
+// that another target had its address) is not the new one's. Kept, requests that
+// ended with the old one would fill its slots, and a crash would keep it out.
 func (b *Book) Targets(now time.Time, list []Target, out []Action) []Action {
 	old := b.members
 	b.members = make(map[string]*member, len(list))
 	b.order = b.order[:0]
 	for _, t := range list {
 		m := old[t.ID]
-		if m == nil {
+		if m == nil || m.Born != t.Born {
 			m = newMember(t)
 		}
 		m.record(t)
--- a/pkg/slot/doc.go
+++ b/pkg/slot/doc.go
@@ -9,7 +9,10 @@
 // than it should: the second one slows down both, and nothing queues there.
 package slot
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Target is one incarnation of a target.
 type Target struct {
@@ -20,6 +23,14 @@
 	Slots   int       // requests that it runs at once
 	Leaving bool      // it wants no new work
 	Warm    time.Time // until then its work takes longer
+	// Born is the start of this incarnation in Unix milliseconds, 0 if unknown.
+	// A target may start again under its old id.
+	Born int64
+}
+
+// Run names the incarnation.
+func (t Target) Run() string {
+	return t.ID + "@" + strconv.FormatInt(t.Born, 10)
 }
 
 // Same reports whether two records differ in nothing that a decision needs. The
