call: patience goes by deadlines that many callers share

Cause: the longest deadline seen on a route was taken for everyone's. Where deadlines differ from caller to caller (page-read 2.1 to 2.9 s) the median first attempt counted as 200 to 300 ms old with an objective of 300 ms, and was refused as too late with 15 % of the slots taken. Change: only a time that one in eight callers has to the millisecond counts as one that callers begin with.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -101,7 +101,7 @@
 	q.digest = q.fingerprint()
 	q.objective = q.arrived.Add(q.route.Objective)
 	if left, ok := platform.RequestTime(q.r.Header); ok {
-		q.objective = q.objective.Add(-q.route.Patience.Elapsed(now, left))
+		q.objective = q.objective.Add(-q.route.Patience.Elapsed(left))
 	}
 	q.call = call.New(call.Config{
 		Tries: min(q.route.Attempts, call.MaxTries), Margin: endMargin, Budget: q.service.budget,
