call: what entries may save up for repeats goes by their part of all requests

Cause: an entry reckoned its part of the slack when it first knew a service, by the entries it knew of then: with 123 that start together, 16, so that together they could save up seven times the slack; and later, with the slack in 32 parts, one token a bucket, most of them at entries that get no requests. Change: each lets its buckets save up a quarter of slack x its part of all requests as beats tell it, at most half; what is beyond that is lost when callers go elsewhere. TestRetryBudgetOverAllEntries has more rows, its bound is the same.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -69,10 +69,14 @@
 		panic(http.ErrAbortHandler)
 	case f.Outcome == call.NotRun:
 		reason := string(f.Reason)
-		if q.refused.Do != 0 {
+		retry := f.Retry
+		switch {
+		case q.refused.Do != 0:
 			reason = q.refused.Reason.String()
+		case f.Reason == call.ReasonShed:
+			retry = q.service.back(time.Now())
 		}
-		q.refuse(reason, f.Retry)
+		q.refuse(reason, retry)
 	case f.Reason == call.ReasonTimeout || f.Reason == call.ReasonDeadline:
 		q.final(http.StatusGatewayTimeout, string(f.Reason))
 	default:
--- /dev/null
+++ b/internal/gateway/budget.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"time"
+
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/platform"
+)
+
+const (
+	// retryMargin keeps the entries together below the share of repeats that the
+	// platform allows: requests at the edge of a window count late.
+	retryMargin = 0.85
+	// burstParts is in how many parts an entry's part of the slack is cut: the
+	// budget keeps two buckets, and half is left for entries that hear nothing of
+	// each other and for those whose requests have just gone to others.
+	burstParts = 4
+	// burstShare is the largest part of all requests that an entry reckons with.
+	// One that is cut off from all others would take all for its own.
+	burstShare = 0.5
+	// retryWindow is for how long the requests of an entry that isn't heard any
+	// more count: the span over which the platform counts repeats.
+	retryWindow = 10 * time.Second
+)
+
+// retryBudget is this entry's part of the budget that all entries share.
+// Repeats come out of its own requests; shareRetries tells what it may save up.
+func retryBudget(b platform.Bounds) *call.Budget {
+	return call.NewBudget(call.BudgetConfig{Share: b.RetryShare * retryMargin, Burst: 1})
+}
+
+// retryBurst is what an entry with such a part of all requests may save up in
+// each bucket, so that together they keep to the slack though none knows what
+// the others spend. Cut by the number of entries instead, it lies at
+// entries that callers aren't sent to, and one that knows of few others takes
+// too much: with 123 that start together, seven times the slack.
+func retryBurst(b platform.Bounds, share float64) int {
+	return int(float64(b.RetrySlack) * min(share, burstShare) / burstParts)
+}
+
+// shareRetries lets the budgets of all services save up by this entry's part of
+// all requests.
+func (c *control) shareRetries(now time.Time) {
+	own := c.hosts.rate()
+	all := own
+	for _, p := range c.peers {
+		if now.Sub(p.heard) < retryWindow {
+			all += p.beat.Rate
+		}
+	}
+	share := 0.0
+	if all > 0 {
+		share = own / all
+	}
+	burst := retryBurst(*c.gateway.bounds.Load(), share)
+	for _, s := range c.services {
+		s.budget.SetBurst(burst)
+	}
+}
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -27,12 +27,17 @@
 		{"many, busy", 113, 9000, 9000, 182},
 		{"many, hardly a request", 113, 1500, 113, 182},
 		{"three", 3, 300, 300, 56},
+		{"two owners", 2, 3000, 3000, 56},
+		{"two owners, idle after", 2, 3000, 0, 56},
+		{"two owners, hardly a request", 2, 700, 20, 56},
+		{"one that hears of no other", 1, 3000, 10, 56},
 	}
 	for _, tt := range tests {
 		b := platform.Bounds{RetryShare: 0.2, RetrySlack: tt.slack}
 		spent := 0
 		for range tt.entries {
-			budget := retryBudget(b, tt.entries)
+			budget := retryBudget(b)
+			budget.SetBurst(retryBurst(b, 1/float64(tt.entries)))
 			for range tt.before / tt.entries {
 				budget.First(0, 0)
 			}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -196,6 +196,7 @@
 	c.hosts.configure(c.table)
 	owners := owner.Owners(live, c.counts(now, live))
 	c.published = c.mark(now)
+	c.shareRetries(now)
 	c.duty = c.hasDuty(now, owners)
 	c.logBeliefs(live, owners)
 	c.gateway.view.Store(&view{
@@ -214,7 +215,7 @@
 	for name, s := range c.config.Services {
 		sv := c.services[name]
 		if sv == nil {
-			sv = newService(c.gateway, s, len(c.peers)+1)
+			sv = newService(c.gateway, s)
 		}
 		sv.configure(s)
 		sv.take(now, byService[name])
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -34,39 +34,16 @@
 // for it that long; cutting it off sooner would cost its connection.
 const askGrace = time.Second
 
-// burstParts is in how many parts the slack of the retry budget is cut for
-// each entry: the budget keeps two buckets.
-const burstParts = 2
-
-// retryMargin keeps the entries together below the share of repeats that the
-// platform allows: requests at the edge of a window count late.
-const retryMargin = 0.85
-
-func newService(g *Gateway, s route.Service, entries int) *service {
-	b := g.bounds.Load()
+func newService(g *Gateway, s route.Service) *service {
 	sv := &service{
 		gateway: g, is: s, counts: g.instruments.service(s.Name), waiting: make(map[uint64]chan<- slot.Action),
 		book:   slot.New(slot.Config{Place: g.self.Place}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		budget: retryBudget(*b, entries),
+		budget: retryBudget(*g.bounds.Load()),
 	}
 	sv.alarm = alarm.New(sv.tick)
 	return sv
 }
 
-// fewestEntries is among how many entries the slack of the retry budget is
-// shared at the least: others may join.
-const fewestEntries = 16
-
-// retryBudget is this entry's part of the budget that all entries share. What
-// it may save up is cut by their number, so that together they keep to the slack
-// though none knows what the others spend.
-func retryBudget(b platform.Bounds, entries int) *call.Budget {
-	parts := burstParts * max(entries, fewestEntries)
-	return call.NewBudget(call.BudgetConfig{
-		Share: b.RetryShare * retryMargin, Burst: max(b.RetrySlack/parts, 1),
-	})
-}
-
 // hedgeReserve is how much more time than usual a hedge is given.
 const hedgeReserve = 1.4
 
@@ -80,6 +57,13 @@
 	return max(left-time.Duration(hedgeReserve*float64(usual)), usual)
 }
 
+// back tells when a request may come back that its targets refused.
+func (s *service) back(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Back(now)
+}
+
 func (s *service) configure(is route.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/call/budget.go
+++ b/pkg/call/budget.go
@@ -33,7 +33,7 @@
 	levels   []atomic.Int64
 	addClean int64
 	addRerun int64
-	most     int64
+	most     atomic.Int64
 }
 
 // Token is leave for one second dispatch.
@@ -58,11 +58,34 @@
 		cfg.Burst = defaultBurst
 	}
 	rerun := cfg.Share * min(cfg.Rerun, 1)
-	return &Budget{
+	b := &Budget{
 		levels:   make([]atomic.Int64, cfg.Levels),
 		addClean: int64((cfg.Share - rerun) * tokenUnit),
 		addRerun: int64(rerun / float64(cfg.Levels) * tokenUnit),
-		most:     int64(cfg.Burst) * tokenUnit,
+	}
+	b.most.Store(int64(cfg.Burst) * tokenUnit)
+	return b
+}
+
+// SetBurst changes how many second dispatches can be saved up, per bucket. What
+// was saved beyond that is lost.
+func (b *Budget) SetBurst(n int) {
+	most := int64(max(n, 1)) * tokenUnit
+	if b.most.Swap(most) <= most {
+		return
+	}
+	trim(&b.clean, most)
+	for i := range b.levels {
+		trim(&b.levels[i], most)
+	}
+}
+
+func trim(bucket *atomic.Int64, most int64) {
+	for {
+		old := bucket.Load()
+		if old <= most || bucket.CompareAndSwap(old, most) {
+			return
+		}
 	}
 }
 
@@ -101,12 +124,13 @@
 }
 
 func (b *Budget) fill(bucket *atomic.Int64, n int64) {
+	most := b.most.Load()
 	for {
 		old := bucket.Load()
-		if old >= b.most {
+		if old >= most {
 			return
 		}
-		if bucket.CompareAndSwap(old, min(old+n, b.most)) {
+		if bucket.CompareAndSwap(old, min(old+n, most)) {
 			return
 		}
 	}
--- a/pkg/call/budget_test.go
+++ b/pkg/call/budget_test.go
@@ -181,3 +181,29 @@
 		suspects.Answered(start, fp)
 	}
 }
+
+// What may be saved up shrinks while all of it is saved: the rest is lost, so
+// that an entry whose callers went to another one can't spend for both.
+func TestBurstShrinks(t *testing.T) {
+	b := NewBudget(BudgetConfig{Share: 1, Burst: 10})
+	for range 100 {
+		b.First(0, 0)
+	}
+	b.SetBurst(3)
+	n := 0
+	for {
+		if _, ok := b.Take(0, 0, false); !ok {
+			break
+		}
+		n++
+	}
+	qt.Assert(t, n, qt.Equals, 3)
+	b.SetBurst(5)
+	for range 100 {
+		b.First(0, 0)
+	}
+	for range 5 {
+		_, ok := b.Take(0, 0, true)
+		qt.Assert(t, ok, qt.IsTrue)
+	}
+}
--- a/pkg/slot/queue.go
+++ b/pkg/slot/queue.go
@@ -130,6 +130,26 @@
 	return base/2 + time.Duration(b.rnd.Int64N(int64(base)+1))
 }
 
+// soon is when a request may come back that a target refused though it has room:
+// its caller comes by a new connection, which takes longer than that.
+const soon = 5 * time.Millisecond
+
+// Back is when a request is likely to find room that was refused by the targets
+// it was sent to. Where most targets are open and have room, they refuse by
+// fault and not for load, and a pause would only make the request late.
+func (b *Book) Back(now time.Time) time.Duration {
+	room := 0
+	for _, m := range b.order {
+		if !m.leaves() && !m.crowded(m.busy(now, &b.cfg)) {
+			room++
+		}
+	}
+	if 2*room > len(b.order) && len(b.queue) == 0 {
+		return soon
+	}
+	return b.retry()
+}
+
 // usual is the time that work takes at a target that is idle and not slow.
 type usual struct {
 	mean  time.Duration
