slot: usual times by route; when to come back goes by room

When to come back: hypothesis: where all targets refuse a part of what they are sent (a fault of theirs, they have room), a fixed pause of 100 ms makes the caller late. Usual times: hypothesis: requests of 2 ms on rarely used routes draw the usual time of a service to 1 ms (seen in the log: expected 1 for one that took 215), so that any target seems good enough. Change: a time a route, samples from all targets that are not crowded. Stays for what TestClassesOfWork shows.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -107,7 +107,7 @@
 		Tries: min(q.route.Attempts, call.MaxTries), Margin: endMargin, Budget: q.service.budget,
 	})
 	return q.call.Arrive(now, call.Arrival{
-		Deadline: end, Idempotent: q.route.Idempotent, Hedge: q.service.hedge(q.objective.Sub(now)),
+		Deadline: end, Idempotent: q.route.Idempotent, Hedge: q.service.hedge(q.route.Name, q.objective.Sub(now)),
 		Quarantined: q.gateway.suspects.Quarantined(now, q.digest),
 	})
 }
@@ -168,7 +168,7 @@
 	now := time.Now()
 	r := slot.Request{
 		Arrived: q.arrived, Objective: q.objective, Deadline: q.end(),
-		Priority: q.route.Priority, Hedge: hedge,
+		Priority: q.route.Priority, Hedge: hedge, Class: q.route.Name,
 	}
 	q.call.Tried(func(target string) { r.Tried = append(r.Tried, target) })
 	q.sought = q.service.arrive(now, r, q.slots)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -50,9 +50,9 @@
 // hedge tells after how long without an answer a request with so much time for
 // its objective is sent a second time: as late as a target that is not slow can
 // still answer it by then.
-func (s *service) hedge(left time.Duration) time.Duration {
+func (s *service) hedge(class string, left time.Duration) time.Duration {
 	s.mu.Lock()
-	usual := s.book.Usual()
+	usual := s.book.Usual(class)
 	s.mu.Unlock()
 	return max(left-time.Duration(hedgeReserve*float64(usual)), usual)
 }
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -16,7 +16,7 @@
 	flights map[uint64]*flight
 	seeking map[uint64]*seeker
 	queue   []*seeker // waiting, in the order in which they are served
-	usual   usual
+	usual   usuals
 	mean    float64 // pace over all targets
 	words   int     // that the mean is taken over
 	knee    float64 // how much longer work takes at a crowded target
@@ -26,6 +26,7 @@
 // seeker is a request without a target.
 type seeker struct {
 	Request
+	usual   time.Duration // time of its work at a target that is idle and not slow
 	asked   int
 	near    [choices]*member // the most promising targets when it asked
 	pending int              // answers still to come
@@ -42,7 +43,7 @@
 		members: make(map[string]*member),
 		flights: make(map[uint64]*flight),
 		seeking: make(map[uint64]*seeker),
-		usual:   usual{mean: cfg.Usual},
+		usual:   newUsuals(cfg.Usual),
 	}
 }
 
@@ -70,7 +71,7 @@
 
 // Arrive takes a request.
 func (b *Book) Arrive(now time.Time, r Request, out []Action) []Action {
-	s := &seeker{Request: r}
+	s := &seeker{Request: r, usual: b.usual.of(r.Class)}
 	b.seeking[r.ID] = s
 	if !b.anyOpen() {
 		return b.refuse(s, NoTarget, b.cfg.PauseMin, out)
@@ -79,7 +80,7 @@
 		return b.ask(now, s, out)
 	}
 	if len(b.queue) > 0 && b.crowded(now, s) {
-		return b.refuse(s, Full, b.retry(), out)
+		return b.refuse(s, Full, b.retry(s.usual), out)
 	}
 	if len(b.queue) > 0 || !b.room(now, s) {
 		return b.wait(now, s, out)
@@ -189,14 +190,14 @@
 func (b *Book) measure(now time.Time, f *flight, took time.Duration) {
 	const weight = 1.0 / 32
 	crowded := f.member.crowded(f.beside)
-	plain := float64(b.usual.mean) * f.pace
+	plain := float64(f.usual) * f.pace
 	switch {
 	case f.pace > b.cfg.Slow:
 	case crowded:
 		ratio := float64(took) / plain
 		b.knee += (min(max(ratio, 1), maxKnee) - b.knee) * weight
-	case f.beside == 0:
-		b.usual.add(time.Duration(float64(took) / f.pace))
+	default:
+		b.usual.add(f.class, time.Duration(float64(took)/f.pace))
 	}
 	if crowded {
 		plain *= b.knee
@@ -229,8 +230,9 @@
 	return out
 }
 
-// Usual returns how long work takes at a target that is idle and not slow.
-func (b *Book) Usual() time.Duration { return b.usual.mean }
+// Usual returns how long work of a class takes at a target that is idle and not
+// slow.
+func (b *Book) Usual(class string) time.Duration { return b.usual.of(class) }
 
 // Size returns the number of targets.
 func (b *Book) Size() int { return len(b.members) }
@@ -262,9 +264,9 @@
 	beside := m.busy(now, &b.cfg)
 	why := Why{
 		InFlight: beside, Told: m.loads, Pace: m.pace, Age: now.Sub(m.told), Asked: s.asked, Waited: now.Sub(s.Arrived),
-		Expected: m.expected(now, b.usual.mean, pace, b.knee, &b.cfg),
+		Expected: m.expected(now, s.usual, pace, b.knee, &b.cfg),
 	}
 	m.inFlight++
-	b.flights[s.ID] = &flight{member: m, sent: now, beside: beside, pace: pace}
+	b.flights[s.ID] = &flight{member: m, sent: now, beside: beside, pace: pace, class: s.Class, usual: s.usual}
 	return append(out, Action{Do: Send, ID: s.ID, Target: m.Target, Why: why})
 }
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -42,15 +42,15 @@
 		if !b.usable(now, m, s) {
 			continue
 		}
-		list = insert(list, b.candidate(now, m), n)
+		list = insert(list, b.candidate(now, m, s), n)
 	}
 	b.scratch = list
 	return list
 }
 
-func (b *Book) candidate(now time.Time, m *member) candidate {
+func (b *Book) candidate(now time.Time, m *member, s *seeker) candidate {
 	pace := m.estimate(now, b.mean, &b.cfg)
-	c := candidate{member: m, pace: pace, expected: m.expected(now, b.usual.mean, pace, b.knee, &b.cfg)}
+	c := candidate{member: m, pace: pace, expected: m.expected(now, s.usual, pace, b.knee, &b.cfg)}
 	c.cost = b.cost(now, c)
 	return c
 }
@@ -183,7 +183,7 @@
 	list := b.scratch[:0]
 	for _, m := range s.near {
 		if m != nil && b.members[m.ID] == m && b.usable(now, m, s) {
-			list = insert(list, b.candidate(now, m), choices)
+			list = insert(list, b.candidate(now, m, s), choices)
 		}
 	}
 	b.scratch = list
@@ -210,7 +210,7 @@
 	if s.Hedge {
 		return b.refuse(s, Full, 0, out)
 	}
-	if now.Add(b.usual.mean).Before(s.Objective) {
+	if now.Add(s.usual).Before(s.Objective) {
 		return b.wait(now, s, out)
 	}
 	for _, c := range b.candidates(now, s, choices) {
@@ -218,5 +218,5 @@
 			return b.send(now, s, c.member, out)
 		}
 	}
-	return b.refuse(s, Full, b.retry(), out)
+	return b.refuse(s, Full, b.retry(s.usual), out)
 }
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -11,6 +11,7 @@
 	Priority  int       // 0 goes first
 	Tried     []string  // targets that failed it, which it isn't sent to again
 	Hedge     bool      // it is sent at once, or not at all
+	Class     string    // requests of one class take about as long as each other
 }
 
 // Kind is how a request ended at its target.
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -8,6 +8,8 @@
 	sent   time.Time
 	beside int     // requests there when it was sent
 	pace   float64 // when it was sent
+	class  string
+	usual  time.Duration // of its class, when it was sent
 }
 
 // member is a target with what is known of it.
--- a/pkg/slot/queue.go
+++ b/pkg/slot/queue.go
@@ -42,8 +42,8 @@
 			slots++
 		}
 	}
-	wait := time.Duration(float64(b.usual.mean) * float64(ahead+1) / float64(max(slots, 1)))
-	return now.Add(wait + b.usual.mean).After(s.Objective)
+	wait := time.Duration(float64(b.usual.all.mean) * float64(ahead+1) / float64(max(slots, 1)))
+	return now.Add(wait + s.usual).After(s.Objective)
 }
 
 // serve sends waiting requests where a target has become good enough by what
@@ -57,7 +57,7 @@
 			out = next
 			continue
 		}
-		if !now.Add(b.usual.mean).Before(s.Objective) {
+		if !now.Add(s.usual).Before(s.Objective) {
 			out = b.settle(now, s, out)
 		}
 	}
@@ -117,7 +117,7 @@
 			continue // its answers, or the end of the wait for them, come first
 		}
 		soonest(s.again)
-		soonest(s.Objective.Add(-b.usual.mean))
+		soonest(s.Objective.Add(-s.usual))
 	}
 	return at
 }
@@ -125,8 +125,7 @@
 // retry is when a refused request is likely to find room: about as long as the
 // queue takes to empty, spread so that those refused together don't come back
 // together.
-func (b *Book) retry() time.Duration {
-	base := b.usual.mean
+func (b *Book) retry(base time.Duration) time.Duration {
 	return base/2 + time.Duration(b.rnd.Int64N(int64(base)+1))
 }
 
@@ -147,18 +146,5 @@
 	if 2*room > len(b.order) && len(b.queue) == 0 {
 		return soon
 	}
-	return b.retry()
-}
-
-// usual is the time that work takes at a target that is idle and not slow.
-type usual struct {
-	mean  time.Duration
-	count int
-}
-
-// add takes one answer. The first ones weigh as much as their number says.
-func (u *usual) add(took time.Duration) {
-	const most = 64
-	u.count = min(u.count+1, most)
-	u.mean += (took - u.mean) / time.Duration(u.count)
+	return b.retry(b.usual.all.mean)
 }
--- a/pkg/slot/slot_test.go
+++ b/pkg/slot/slot_test.go
@@ -417,3 +417,64 @@
 		}
 	}
 }
+
+// The targets of a service refuse what they are sent. Where they have room, that
+// is a fault of theirs, and the caller is best back at once; where they are full
+// or others wait, it finds room about when work ends.
+func TestWhenToComeBack(t *testing.T) {
+	tests := []struct {
+		name    string
+		held    int // requests at each of the four targets of two slots
+		waiting int
+		soon    bool
+	}{
+		{"idle targets", 0, 0, true},
+		{"one more would crowd them", 1, 0, false},
+		{"full targets", 2, 0, false},
+		{"full targets, others wait", 2, 3, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDesk(4)
+			for i := range 4 {
+				d.says(fmt.Sprintf("t%d", i), 1, tt.held)
+			}
+			for range tt.waiting {
+				d.arrive()
+			}
+			qt.Assert(t, d.Back(d.now) < 10*time.Millisecond, qt.Equals, tt.soon, qt.Commentf("%v", d.Back(d.now)))
+		})
+	}
+}
+
+// Most requests of a service take 100 ms, and some of a rarely used route 2 ms.
+// Each class is expected to take what it takes: a target of which 250 ms are to
+// be expected isn't good enough for an objective of 200.
+func TestClassesOfWork(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(1)
+	serve := func(class string, took time.Duration) (sent bool) {
+		d.last++
+		out := d.Arrive(d.now, Request{
+			ID: d.last, Class: class, Arrived: d.now, Objective: d.now.Add(200 * time.Millisecond), Deadline: d.now.Add(800 * time.Millisecond),
+		}, nil)
+		out = append(out, d.says("t0", 1, 0)...)
+		sent = len(pick(out, Send)) == 1
+		d.now = d.now.Add(took)
+		d.Done(d.now, End{ID: d.last, Kind: Served}, nil)
+		d.now = d.now.Add(100 * time.Millisecond)
+		return sent
+	}
+	for i := range 200 {
+		if i%2 == 0 {
+			serve("rare", 2*time.Millisecond)
+		}
+		c.Assert(serve("page", 100*time.Millisecond), qt.IsTrue)
+	}
+	c.Assert(d.Usual("rare") < 5*time.Millisecond, qt.IsTrue, qt.Commentf("%v", d.Usual("rare")))
+	c.Assert(d.Usual("page") > 95*time.Millisecond, qt.IsTrue, qt.Commentf("%v", d.Usual("page")))
+	d.last++
+	out := d.Arrive(d.now, Request{ID: d.last, Class: "page", Arrived: d.now, Objective: d.now.Add(200 * time.Millisecond), Deadline: d.now.Add(time.Second)}, nil)
+	out = append(out, d.says("t0", 2.5, 0)...)
+	c.Assert(pick(out, Send), qt.HasLen, 0)
+}
