--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -50,6 +50,8 @@
 	peers     map[string]*peer
 	runs      map[uint64]*peer // the same, by the run that a brief beat names
 	enrolled  time.Time        // when the store named the other entries
+	enrolling time.Duration    // how long that took
+	ahead     int              // entries that enrolled before, at a start of all
 	services  map[string]*service
 	hosts     hosts
 	published uint64 // mark of the live entries at the last view
--- a/internal/gateway/enroller.go
+++ b/internal/gateway/enroller.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // enroller puts this entry on record and learns of the others. It enters before
 // it lists: of two entries that start together, the later one to enter then
@@ -26,6 +29,7 @@
 func (e *enroller) enroll(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, listTime)
 	defer cancel()
+	began := time.Now()
 	if err := e.gateway.store.Enter(ctx, e.gateway.self); err != nil {
 		return err
 	}
@@ -33,6 +37,6 @@
 	if err != nil {
 		return err
 	}
-	e.gateway.control.tell(ctx, entriesListed{items})
+	e.gateway.control.tell(ctx, entriesListed{items, time.Since(began)})
 	return nil
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -36,7 +36,10 @@
 }
 
 // entriesListed are the entries that the store has on record.
-type entriesListed struct{ items []roster.Item[owner.Entry] }
+type entriesListed struct {
+	items []roster.Item[owner.Entry]
+	took  time.Duration // from the start of the enrolment
+}
 
 func (m entriesListed) apply(now time.Time, c *control) {
 	for _, it := range m.items {
@@ -49,7 +52,7 @@
 		}
 		c.peers[e.Name].revision = it.Revision
 	}
-	c.enrolled = now
+	c.enrolled, c.enrolling, c.ahead = now, m.took, ahead(c.gateway.self, m.items)
 	c.beat(now)
 }
 
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -76,22 +77,51 @@
 // others can't tell: all machines start together, and on a quiet day two calls
 // of each were a sixth of all.
 const (
-	// enrollTime is how long an entry waits for the names of the others. The
-	// store answers within 4 ms.
-	enrollTime = 50 * time.Millisecond
-	// beginStep is how much later each further one in the order begins. A
-	// greeting, its answer and a pull take less.
+	// enrollTime is how long an entry waits for its enrolment, two calls of 4 ms.
+	// One that was lost is made again after longer than that.
+	enrollTime = 150 * time.Millisecond
+	// beginStep is how much later the next one begins. A read, a greeting, its
+	// answer and a pull take less.
 	beginStep = 20 * time.Millisecond
-	// beginMax bounds the wait behind entries that may all be dead.
-	beginMax = 200 * time.Millisecond
+	// beginStepMax bounds the step where the enrolment took long.
+	beginStepMax = 100 * time.Millisecond
+	// beginSteps bounds the wait behind entries that may have died since.
+	beginSteps = 10
+	// startSpan is within which time entries count as started together. Their
+	// clocks may differ by some seconds.
+	startSpan = 5 * time.Second
 )
 
-// begins tells whether an entry that knows nothing yet reads now.
-func (c *control) begins(now time.Time, rank int) bool {
+// begins tells whether an entry that knows nothing yet reads now. The first one
+// to enrol does so at once and tells the others, so that these wait in the order
+// of their enrolment. By a fixed order of their names, the first one might start
+// last, and each that enrolled before it would read. A step is as long as this
+// entry's own enrolment took, which is two calls: on a busy machine, entries
+// would else read before the first one can have told them (53 of 72 starts).
+func (c *control) begins(now time.Time) bool {
 	if c.enrolled.IsZero() {
 		return now.Sub(c.started) >= enrollTime
 	}
-	return now.Sub(c.enrolled) >= min(time.Duration(rank)*beginStep, beginMax)
+	step := min(max(c.enrolling, beginStep), beginStepMax)
+	return now.Sub(c.enrolled) >= time.Duration(min(c.ahead, beginSteps))*step
+}
+
+// ahead counts the entries that have started together with self and enrolled
+// before it.
+func ahead(self owner.Entry, items []roster.Item[owner.Entry]) (n int) {
+	own := roster.Revision(math.MaxUint64)
+	for _, it := range items {
+		if it.Name == self.Name {
+			own = it.Revision
+		}
+	}
+	for _, it := range items {
+		together := time.Duration(max(it.Value.Boot, self.Boot)-min(it.Value.Boot, self.Boot)) < startSpan
+		if it.Revision < own && together {
+			n++
+		}
+	}
+	return n
 }
 
 // sleep waits for d or until ctx ends.
@@ -137,7 +167,7 @@
 	age := c.age(now, m.duty)
 	t := turn{due: m.duty.due(age, rank), rank: rank, age: age, at: c.configAt}
 	if c.confirmed[m.duty].IsZero() {
-		t.due, t.fresh = c.begins(now, rank), true
+		t.due, t.fresh = c.begins(now), true
 	}
 	if m.duty == dutyTargets {
 		t.at = c.targets.At()
--- /dev/null
+++ b/internal/gateway/reader_test.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/roster"
+)
+
+// Entries start together and enrol one after the other. Each waits for those
+// that enrolled before it, and for none of an earlier start, whose VM may be
+// gone.
+func TestOrderOfAStart(t *testing.T) {
+	const second = uint64(time.Second)
+	item := func(name string, rev roster.Revision, boot uint64) roster.Item[owner.Entry] {
+		return roster.Item[owner.Entry]{Name: name, Revision: rev, Value: owner.Entry{Name: name, Boot: boot}}
+	}
+	self := owner.Entry{Name: "self", Boot: 100 * second}
+	tests := []struct {
+		name  string
+		items []roster.Item[owner.Entry]
+		want  int
+	}{
+		{"alone", []roster.Item[owner.Entry]{item("self", 9, self.Boot)}, 0},
+		{"the first", []roster.Item[owner.Entry]{item("self", 9, self.Boot), item("b", 10, self.Boot)}, 0},
+		{"the third", []roster.Item[owner.Entry]{item("a", 7, self.Boot), item("b", 8, 102*second), item("self", 9, self.Boot)}, 2},
+		{"others of an earlier start", []roster.Item[owner.Entry]{item("a", 3, 20*second), item("b", 4, 20*second), item("self", 9, self.Boot)}, 0},
+		{"own record not listed", []roster.Item[owner.Entry]{item("a", 7, self.Boot)}, 1},
+	}
+	for _, tt := range tests {
+		qt.Check(t, ahead(self, tt.items), qt.Equals, tt.want, qt.Commentf("%s", tt.name))
+	}
+}
