--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -30,14 +30,22 @@
 		{"two owners", 2, 3000, 3000, 56},
 		{"two owners, idle after", 2, 3000, 0, 56},
 		{"two owners, hardly a request", 2, 700, 20, 56},
+		{"two owners, busy long ago only", 2, 0, 20, 56},
+		{"few, busy long ago only", 14, 0, 14, 56},
 		{"one that hears of no other", 1, 3000, 10, 56},
 	}
+	// longAgo is how many requests have filled the budgets before any window that
+	// counts.
+	const longAgo = 20000
 	for _, tt := range tests {
 		b := platform.Bounds{RetryShare: 0.2, RetrySlack: tt.slack}
 		spent := 0
 		for range tt.entries {
 			budget := retryBudget(b)
 			budget.SetBurst(retryBurst(b, 1/float64(tt.entries)))
+			for range longAgo / tt.entries {
+				budget.First(0, 0)
+			}
 			for range tt.before / tt.entries {
 				budget.First(0, 0)
 			}
