owner: callers choose with equal chance, so the weakest owner has to be fit for its part

Change: the number of owners is enough where the weakest of them is fit for an equal part; the bound of 250 a second of any entry goes; strong entries own several hosts before weak ones own any.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,10 +116,6 @@
 	// hosts really get, mean of five days: 0.747, 0.700 and 0.626 on three sites at
 	// 800, and 0.752, 0.691 and 0.609 at 300.
 	coreRate = 800
-	// mostRate is how many requests a second an entry is fit for whatever it has.
-	// Hosts of 700 a second at entries of 0.16 and 0.8 cores: 96 in 100 in time in
-	// calm seconds.
-	mostRate = 250
 	// linkRate is how many requests a second a Mbit/s carries: up to 5 KB go
 	// each way, twice.
 	linkRate = 10
@@ -127,7 +123,7 @@
 
 // capacity is how many requests a second an entry is fit for.
 func capacity(s platform.Settings) float64 {
-	c := min(s.Cores*coreRate, mostRate)
+	c := s.Cores * coreRate
 	if s.Link > 0 {
 		c = min(c, s.Link*linkRate)
 	}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -90,16 +90,25 @@
 	return counts
 }
 
-// fit is what each entry is fit for, in the order in which they become owners of
-// a host.
+// fit is what each entry is fit for of a host, in the order in which they become
+// its owners.
 func fit(live []owner.Candidate, host string, counts map[string]int) (list []float64) {
 	all := make(map[string]int, len(counts))
 	for h := range counts {
 		all[h] = owner.Least
 	}
 	all[host] = len(live)
-	for _, e := range owner.Owners(live, all)[host] {
-		list = append(list, e.Capacity)
+	owners := owner.Owners(live, all)
+	others := make(map[string]int)
+	for h, entries := range owners {
+		for _, e := range entries[:min(len(entries), owner.Least)] {
+			if h != host {
+				others[e.Name]++
+			}
+		}
+	}
+	for _, e := range owners[host] {
+		list = append(list, e.Capacity/float64(others[e.Name]+1))
 	}
 	return list
 }
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -114,14 +114,19 @@
 func compare(a, b scored, owned, places map[string]int) int {
 	return cmp.Or(
 		cmp.Compare(truth(a.Strained), truth(b.Strained)),
+		cmp.Compare(spare(b, owned), spare(a, owned)),
 		cmp.Compare(owned[a.Name], owned[b.Name]),
-		cmp.Compare(b.Capacity, a.Capacity),
 		cmp.Compare(places[a.Place], places[b.Place]),
 		cmp.Compare(b.score, a.score),
 		cmp.Compare(a.Name, b.Name),
 	)
 }
 
+// spare is what an entry is fit for of one host more.
+func spare(c scored, owned map[string]int) float64 {
+	return c.Capacity / float64(owned[c.Name]+1)
+}
+
 func truth(b bool) int {
 	if b {
 		return 1
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -82,6 +82,23 @@
 	qt.Assert(t, Rank(live, "targets", "unknown"), qt.Equals, 9)
 }
 
+// A strong entry owns two hosts before a weak one owns any.
+func TestStrongOnesOwnSeveral(t *testing.T) {
+	live := entries(13)
+	for i := range live {
+		live[i].Capacity = 100
+		if i < 4 {
+			live[i].Capacity = 640
+		}
+	}
+	owners := Owners(live, counts())
+	for host, list := range owners {
+		for _, e := range list[:Least] {
+			qt.Assert(t, e.Capacity, qt.Equals, 640.0, qt.Commentf("%s: %s", host, e.Name))
+		}
+	}
+}
+
 // The strongest entries own a host first, and no more than there are.
 func TestStrongestOwnFirst(t *testing.T) {
 	live := entries(13)
--- a/pkg/owner/size.go
+++ b/pkg/owner/size.go
@@ -1,6 +1,9 @@
 package owner
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Size is how many owners a host has. The host's first owner decides it and
 // tells the others, who take its word: each working it out from rates that it
@@ -22,7 +25,8 @@
 )
 
 // Decide gives the number for a load of so many requests a second. fit is what
-// each entry is fit for, in the order in which they become owners.
+// each entry is fit for, in the order in which they become owners. Where no number
+// is enough, it is the one that is fit for most.
 func (s *Size) Decide(now time.Time, load float64, fit []float64) int {
 	s.count = max(s.count, Least)
 	need := enough(load, fit)
@@ -49,14 +53,25 @@
 	return s.count
 }
 
-// enough is how many of the entries are fit for a load together.
+// enough is how many of the entries are fit for a load together. Callers choose
+// among them with equal chance, so that each gets an equal part, and the weakest
+// one has to be fit for it: five entries of which two were strong served 65 in
+// 100 requests in time, and the two alone 99, of 950 a second.
 func enough(load float64, fit []float64) int {
-	sum := 0.0
+	best, most := Least, 0.0
+	weakest := math.Inf(1)
 	for i, f := range fit {
-		if i >= Least && sum >= load {
-			return i
+		weakest = min(weakest, f)
+		n := i + 1
+		if n < Least {
+			continue
+		}
+		if sum := weakest * float64(n); sum > most {
+			best, most = n, sum
+		}
+		if most >= load {
+			break
 		}
-		sum += f
 	}
-	return max(len(fit), Least)
+	return best
 }
