slot: no factor for crowded targets beyond their knee

Cause: ablation. With the knee in the time that is expected of a crowded target, a further factor for the request that is there already changes nothing. Conclusion: the factor and its constant are gone.

--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -75,12 +75,6 @@
 // 5.41 at 2; at 3 a quiet day loses in late answers what it gains in bytes.
 const farFactor = 2
 
-// crowdFactor is what a crowded target counts for more, beside the time that its
-// answer takes: the request that is there already takes longer as well, by the
-// rest of its time on average. Worth over eight days of two sites: 5.40 without,
-// 5.49 at 1.3, 5.50 at 1.8, 5.44 at 3.
-const crowdFactor = 1.3
-
 // unsureFactor is what a target counts for more that leaves a question without
 // an answer for unsureAfter, several round trips: its VM may be gone. What is
 // sent there is held until its connection is given up, half a second later, and
@@ -95,9 +89,6 @@
 	if c.Place != b.cfg.Place {
 		cost *= farFactor
 	}
-	if c.crowded(c.busy(now, &b.cfg)) {
-		cost *= crowdFactor
-	}
 	if c.asking && now.Sub(c.askedAt) >= unsureAfter {
 		cost *= unsureFactor
 	}
