--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -83,7 +83,8 @@
 	// knows a configuration and targets. Where all started together they know
 	// them within 0.1 s; refused, their callers came back 0.2 s later.
 	startTime = 250 * time.Millisecond
-	// startWait bounds the wait of one request, half of the shortest objective.
+	// startWait bounds the wait of one request: less than the shortest objective,
+	// 150 ms.
 	startWait = 100 * time.Millisecond
 )
 
