roster: changes are told only from the last list on

An entry that starts lists the targets and has never heard of what was removed before; asked for the changes since an older revision it told the rest as if that were all, and whoever asked took itself for up to date, until the next change of that target, which never comes. The same after a gap in what was followed. Ruled out: readers late (all others knew within 45 ms), the store's unrest. Change: a list raises the revision from which on changes can be told; older ones get the whole list. Test: TestChangesAcrossAList, seen to fail before in both rows.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -32,8 +32,8 @@
 	gone  map[string]Revision // deletions, so that late word revives nothing
 	at    Revision
 	moved Revision // of the last change that matters
-	// floor is the newest deletion that was forgotten. What came after it can
-	// be told as changes.
+	// floor is the newest revision up to which deletions may have been forgotten,
+	// or never heard of. What came after it can be told as changes.
 	floor Revision
 }
 
@@ -127,7 +127,9 @@
 
 // Replace takes the whole list as of revision at, and tells whether anything
 // that matters differs. A list older than what is known is no ground to go back:
-// of it only the items that are newer than known count.
+// of it only the items that are newer than known count. Of what came and went
+// before a newer one this roster may not have heard, so that it can't tell the
+// changes from before it to others.
 func (r *Roster[T]) Replace(list []Item[T], at Revision) (moved bool) {
 	changes := make([]Change[T], 0, len(list))
 	listed := make(map[string]bool, len(list))
@@ -135,6 +137,9 @@
 		listed[it.Name] = true
 		changes = append(changes, Change[T]{Item: it})
 	}
+	if at > r.at {
+		r.floor = max(r.floor, at)
+	}
 	if at >= r.at {
 		for name, it := range r.items {
 			if !listed[name] && it.Revision <= at {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -166,3 +166,45 @@
 		qt.Assert(t, l.Kept(start.Add(tt.asked)), qt.HasLen, tt.want, qt.Commentf("%s", tt.name))
 	}
 }
+
+// A target is removed, and an entry that starts after that lists what is left.
+// Another one, which still has the target, asks it for the changes since its own
+// revision. The one that has just listed has never heard of the removal: told
+// that nothing else has changed, the other would send to the target for seconds.
+// It is the same after a gap in what an entry has followed.
+func TestChangesAcrossAList(t *testing.T) {
+	tests := []struct {
+		name  string
+		knows []Item[string] // before the list
+		at    Revision
+	}{
+		{"first list", nil, 0},
+		{"list after a gap", []Item[string]{{"a", 1, "ready"}}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			lister, other := New(same), New(same)
+			if tt.at > 0 {
+				lister.Replace(tt.knows, tt.at)
+			}
+			other.Apply([]Change[string]{set("a", 1, "ready"), set("gone", 3, "ready")}, 4)
+			// gone is removed at 5, b comes at 6.
+			list := []Item[string]{{"a", 1, "ready"}, {"b", 6, "ready"}}
+			lister.Replace(list, 7)
+			changes, ok := lister.Since(other.Moved())
+			if ok {
+				other.Apply(changes, lister.At())
+			} else {
+				other.Replace(slices.Collect(maps.Values(lister.Items())), lister.At())
+			}
+			_, known := other.Get("gone")
+			c.Assert(known, qt.IsFalse)
+			_, known = other.Get("b")
+			c.Assert(known, qt.IsTrue)
+			lister.Apply([]Change[string]{set("c", 8, "ready")}, 8)
+			_, ok = lister.Since(7)
+			c.Assert(ok, qt.IsTrue)
+		})
+	}
+}
