--- a/status_gateway.go
+++ b/status_gateway.go
@@ -32,9 +32,9 @@
 	}
 	t.Render()
 	fmt.Println()
-	hosts := newTable("HOST", "RATE", "OWNERS")
+	hosts := newTable("HOST", "OWNERS", "RATE")
 	for _, h := range s.Hosts {
-		hosts.Append([]string{h.Name, fmt.Sprintf("%.0f", h.Rate), strings.Join(h.Owners, " ")})
+		hosts.Append([]string{h.Name, strings.Join(h.Owners, " "), fmt.Sprintf("%.0f", h.Rate)})
 	}
 	hosts.Render()
 	for _, sv := range s.Services {
