gateway: one lookup of a host's load, one check each of a peer that serves and of newer knowledge

Read again: the scan of a beat's loads, the condition for an entry that callers may be sent to, and the one for knowledge newer than one's own each stood twice in this change.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -157,7 +157,7 @@
 		list = append(list, owner.Candidate{Entry: c.gateway.self, Strained: c.strain.strained(now)})
 	}
 	for _, p := range c.peers {
-		if p.up(now) && !p.beat.Leaving {
+		if p.serves(now) {
 			list = append(list, owner.Candidate{Entry: p.entry, Strained: p.beat.Strained})
 		}
 	}
@@ -167,7 +167,7 @@
 // mark tells apart sets of live entries, by what owners are chosen by.
 func (c *control) mark(now time.Time) (mark uint64) {
 	for _, p := range c.peers {
-		if p.up(now) && !p.beat.Leaving {
+		if p.serves(now) {
 			mark ^= p.mark()
 		}
 	}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -119,13 +119,7 @@
 	if p == nil {
 		return 0
 	}
-	id := owner.HostID(host)
-	for _, l := range p.beat.Loads {
-		if l.Host == id {
-			return l.Owners
-		}
-	}
-	return 0
+	return p.load(owner.HostID(host)).Owners
 }
 
 // load is how many requests a second a host gets at all entries.
@@ -133,13 +127,8 @@
 	id := owner.HostID(host)
 	sum = c.hosts.rates[host].mean
 	for _, p := range c.peers {
-		if !p.up(now) {
-			continue
-		}
-		for _, l := range p.beat.Loads {
-			if l.Host == id {
-				sum += l.Rate
-			}
+		if p.up(now) {
+			sum += p.load(id).Rate
 		}
 	}
 	return sum
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -26,6 +26,21 @@
 	return now.Sub(p.heard) < time.Duration(deadBeats*float64(period))
 }
 
+// serves reports whether callers may be sent to the entry.
+func (p *peer) serves(now time.Time) bool {
+	return p.up(now) && !p.beat.Leaving
+}
+
+// load is what the entry has told of a host; zero where it has told nothing.
+func (p *peer) load(host uint32) relay.Load {
+	for _, l := range p.beat.Loads {
+		if l.Host == host {
+			return l
+		}
+	}
+	return relay.Load{}
+}
+
 // mark tells apart what owners are chosen by of an entry.
 func (p *peer) mark() uint64 {
 	mark := p.entry.ID()
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -69,7 +69,7 @@
 	b.Entry = p.entry
 	p.heard, p.beat = now, b
 	c.gateway.suspects.Merge(now, b.Entry.Name, b.Suspects)
-	if b.Config > c.config.Version || b.Targets > c.targets.Moved() {
+	if c.lacks(b) {
 		c.pull(b.Entry)
 	}
 	if b.Config == c.config.Version {
@@ -175,13 +175,18 @@
 	c.pullMore()
 }
 
+// lacks reports whether the sender of a beat knows something newer.
+func (c *control) lacks(b relay.Beat) bool {
+	return b.Config > c.config.Version || b.Targets > c.targets.Moved()
+}
+
 // pullMore pulls again where a beat that came during a pull told of something
 // newer. At a start the configuration and the targets are read apart, and whoever
 // pulled the one would lack the other until the next beat, a quarter of a second
 // later.
 func (c *control) pullMore() {
 	for _, p := range c.peers {
-		if p.beat.Config > c.config.Version || p.beat.Targets > c.targets.Moved() {
+		if c.lacks(p.beat) {
 			c.pull(p.entry)
 			return
 		}
