owner: owners are worked out anew only when the live entries change

Cause: at 472 entries each one scored every entry by hash for each host at each tick and each change, twice (1.9 ms), and the first owner of a host went over all pairs of entries for the number (20 ms). Ruled out: the choice itself; the same owners come out. Change: a Deal keeps scores and first owners for one list of live entries; further owners are looked for one by one, and no more than the load takes. A tick in which nothing changed works out nothing.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"plumpitch.example/plumpitch/internal/relay"
@@ -55,9 +56,14 @@
 	services  map[string]*service
 	hosts     hosts
 	published uint64 // mark of the live entries at the last view
-	told      bool   // requests that were held for the first view go on
-	dirty     bool   // services lag behind what is known
-	shut      bool   // the store doesn't serve this entry
+	deal      *owner.Deal
+	dealt     *route.Table // whose hosts deal has
+	owners    map[string][]owner.Entry
+	ownedBy   *owner.Deal // by which owners were worked out
+	counted   map[string]int
+	told      bool // requests that were held for the first view go on
+	dirty     bool // services lag behind what is known
+	shut      bool // the store doesn't serve this entry
 	pulling   bool
 	strain    strain
 	believed  beliefs
@@ -174,6 +180,9 @@
 	if c.strain.strained(now) {
 		mark++
 	}
+	if c.gateway.leaving.Load() {
+		mark ^= c.gateway.self.ID()
+	}
 	return mark
 }
 
@@ -198,8 +207,14 @@
 	}
 	live := c.live(now)
 	c.hosts.configure(c.table)
-	owners := owner.Owners(live, c.counts(now, live))
-	c.published = c.mark(now)
+	mark := c.mark(now)
+	deal := c.dealing(live, mark)
+	counts := c.counts(now, deal)
+	if deal != c.ownedBy || !maps.Equal(counts, c.counted) {
+		c.owners, c.ownedBy, c.counted = deal.Owners(counts), deal, counts
+	}
+	owners := c.owners
+	c.published = mark
 	c.shareRetries(now)
 	c.duty = c.hasDuty(now, owners)
 	c.logBeliefs(live, owners)
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -66,53 +67,36 @@
 	return list
 }
 
+// dealing deals out hosts among the live entries, anew only where either has
+// changed: at 472 entries it takes 0.1 ms, and each tick asks for it.
+func (c *control) dealing(live []owner.Candidate, mark uint64) *owner.Deal {
+	if c.deal == nil || mark != c.published || c.dealt != c.hosts.table {
+		c.deal, c.dealt = owner.New(live, slices.Collect(maps.Keys(c.hosts.sizes))), c.hosts.table
+	}
+	return c.deal
+}
+
 // counts gives the number of owners of each host: as this entry decides where it
 // is the first of them, else as the first one has told.
-func (c *control) counts(now time.Time, live []owner.Candidate) map[string]int {
+func (c *control) counts(now time.Time, deal *owner.Deal) map[string]int {
 	counts := make(map[string]int, len(c.hosts.sizes))
-	for host := range c.hosts.sizes {
-		counts[host] = owner.Least
-	}
-	first := owner.Owners(live, counts)
 	c.hosts.decided = make(map[string]int)
 	for host, size := range c.hosts.sizes {
-		if len(first[host]) == 0 {
+		counts[host] = owner.Least
+		first, ok := deal.First(host)
+		if !ok {
 			continue
 		}
-		name := first[host][0].Name
-		if name == c.gateway.self.Name {
-			counts[host] = size.Decide(now, c.load(now, host), fit(live, host, counts))
+		if first.Name == c.gateway.self.Name {
+			counts[host] = size.Decide(now, c.load(now, host), deal.Fit(host))
 			c.hosts.decided[host] = counts[host]
 			continue
 		}
-		counts[host] = size.Hear(told(c.peers[name], host))
+		counts[host] = size.Hear(told(c.peers[first.Name], host))
 	}
 	return counts
 }
 
-// fit is what each entry is fit for of a host, in the order in which they become
-// its owners.
-func fit(live []owner.Candidate, host string, counts map[string]int) (list []float64) {
-	all := make(map[string]int, len(counts))
-	for h := range counts {
-		all[h] = owner.Least
-	}
-	all[host] = len(live)
-	owners := owner.Owners(live, all)
-	others := make(map[string]int)
-	for h, entries := range owners {
-		for _, e := range entries[:min(len(entries), owner.Least)] {
-			if h != host {
-				others[e.Name]++
-			}
-		}
-	}
-	for _, e := range owners[host] {
-		list = append(list, e.Capacity/float64(others[e.Name]+1))
-	}
-	return list
-}
-
 // told is the number of owners that an entry has told of a host; 0 where it has
 // not yet, as it has just become the first.
 func told(p *peer, host string) int {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,6 +14,7 @@
 // peer is another entry.
 type peer struct {
 	entry    owner.Entry
+	id       uint64 // of entry
 	heard    time.Time
 	beat     relay.Beat
 	briefly  bool            // it understands brief beats
@@ -43,7 +44,7 @@
 
 // mark tells apart what owners are chosen by of an entry.
 func (p *peer) mark() uint64 {
-	mark := p.entry.ID()
+	mark := p.id
 	if p.beat.Strained {
 		mark = ^mark
 	}
@@ -75,17 +76,18 @@
 func (c *control) meet(p *peer) {
 	if old := c.peers[p.entry.Name]; old != nil {
 		p.revision = old.revision
-		delete(c.runs, old.entry.ID())
+		delete(c.runs, old.id)
 	}
+	p.id = p.entry.ID()
 	c.peers[p.entry.Name] = p
-	c.runs[p.entry.ID()] = p
+	c.runs[p.id] = p
 	c.introduce = introductions
 }
 
 // part drops an entry.
 func (c *control) part(p *peer) {
 	delete(c.peers, p.entry.Name)
-	delete(c.runs, p.entry.ID())
+	delete(c.runs, p.id)
 }
 
 // forgetAfter is how long an entry is silent before its record is removed. A VM
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -4,8 +4,6 @@
 package owner
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,89 +42,6 @@
 // too busy to refuse what it could not serve.
 const Least = 2
 
-// Owners gives each host the entries that its callers are sent to, the first of
-// which decides their number: counts has it for each host, Least where it is
-// lower or missing.
-//
-// An entry that sees all requests of a service knows how many each target
-// holds, so there are no more owners than the load takes. Hosts are told apart
-// by name only: routes come and go with each version of a configuration, and
-// were the owners to follow them, callers would be sent back and forth, to
-// entries that have learnt nothing. The first ones are dealt out over different
-// entries before any host gets further ones, so that they depend on no count.
-func Owners(live []Candidate, counts map[string]int) map[string][]Entry {
-	hosts := make([]string, 0, len(counts))
-	for h := range counts {
-		hosts = append(hosts, h)
-	}
-	slices.Sort(hosts)
-	owned := make(map[string]int)
-	owners := make(map[string][]Entry, len(hosts))
-	for _, host := range hosts {
-		deal(live, host, Least, owned, owners)
-	}
-	for _, host := range hosts {
-		deal(live, host, counts[host], owned, owners)
-	}
-	return owners
-}
-
-// deal gives a host owners until it has so many.
-func deal(live []Candidate, host string, count int, owned map[string]int, owners map[string][]Entry) {
-	list := owners[host]
-	if len(list) >= count {
-		return
-	}
-	places := make(map[string]int)
-	for _, e := range list {
-		places[e.Place]++
-	}
-	var left []scored
-	for _, c := range live {
-		if !slices.ContainsFunc(list, func(e Entry) bool { return e.Name == c.Name }) {
-			left = append(left, scored{c, score(c.Name, host)})
-		}
-	}
-	for len(list) < count && len(left) > 0 {
-		best := 0
-		for i := range left {
-			if compare(left[i], left[best], owned, places) < 0 {
-				best = i
-			}
-		}
-		e := left[best].Entry
-		left = slices.Delete(left, best, best+1)
-		owned[e.Name]++
-		places[e.Place]++
-		list = append(list, e)
-	}
-	owners[host] = list
-}
-
-// scored is a candidate with its score for one host.
-type scored struct {
-	Candidate
-	score uint64
-}
-
-// compare orders candidates for a host, the better one first. Owners in
-// different failure domains prefer different targets, those near them.
-func compare(a, b scored, owned, places map[string]int) int {
-	return cmp.Or(
-		cmp.Compare(truth(a.Strained), truth(b.Strained)),
-		cmp.Compare(spare(b, owned), spare(a, owned)),
-		cmp.Compare(owned[a.Name], owned[b.Name]),
-		cmp.Compare(places[a.Place], places[b.Place]),
-		cmp.Compare(b.score, a.score),
-		cmp.Compare(a.Name, b.Name),
-	)
-}
-
-// spare is what an entry is fit for of one host more.
-func spare(c scored, owned map[string]int) float64 {
-	return c.Capacity / float64(owned[c.Name]+1)
-}
-
 func truth(b bool) int {
 	if b {
 		return 1
--- a/pkg/owner/size.go
+++ b/pkg/owner/size.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"iter"
 	"math"
 	"time"
 )
@@ -27,7 +28,7 @@
 // Decide gives the number for a load of so many requests a second. fit is what
 // each entry is fit for, in the order in which they become owners. Where no number
 // is enough, it is the one that is fit for most.
-func (s *Size) Decide(now time.Time, load float64, fit []float64) int {
+func (s *Size) Decide(now time.Time, load float64, fit iter.Seq[float64]) int {
 	s.count = max(s.count, Least)
 	need := enough(load, fit)
 	switch {
@@ -57,12 +58,15 @@
 // among them with equal chance, so that each gets an equal part, and the weakest
 // one has to be fit for it: five entries of which two were strong served 65 in
 // 100 requests in time, and the two alone 99, of 950 a second.
-func enough(load float64, fit []float64) int {
-	best, most := Least, 0.0
+//
+// Entries beyond those that are enough are not looked at: their order is worked
+// out one by one, and with 2,000 of them in full it took 340 ms.
+func enough(load float64, fit iter.Seq[float64]) int {
+	best, most, n := Least, 0.0, 0
 	weakest := math.Inf(1)
-	for i, f := range fit {
+	for f := range fit {
 		weakest = min(weakest, f)
-		n := i + 1
+		n++
 		if n < Least {
 			continue
 		}
--- a/pkg/owner/size_test.go
+++ b/pkg/owner/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 // Load grows and shrinks: so many owners as it takes at once, fewer only when
 // that has held for a while, one at a time.
 func TestSize(t *testing.T) {
-	fit := []float64{400, 300, 200, 200, 200, 200, 50}
+	fit := slices.Values([]float64{400, 300, 200, 200, 200, 200, 50})
 	tests := []struct {
 		at   time.Duration
 		load float64
@@ -43,7 +44,7 @@
 // measured varies by a tenth. Each change of the number sends callers to entries
 // that know nothing of the targets: there is at most one.
 func TestSizeOfASteadyLoad(t *testing.T) {
-	fit := []float64{96, 96, 96, 96}
+	fit := slices.Values([]float64{96, 96, 96, 96})
 	for seed := range uint64(20) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		var s Size
@@ -64,7 +65,7 @@
 	now := time.Unix(1000, 0)
 	qt.Assert(t, s.Hear(4), qt.Equals, 4)
 	qt.Assert(t, s.Hear(0), qt.Equals, 4, qt.Commentf("one that has just become the first has told nothing"))
-	fit := []float64{100, 100, 100, 100, 100}
+	fit := slices.Values([]float64{100, 100, 100, 100, 100})
 	qt.Assert(t, s.Decide(now, 150, fit), qt.Equals, 4)
 	qt.Assert(t, s.Decide(now.Add(lowTime), 150, fit), qt.Equals, 3)
 }
