--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -14,7 +14,7 @@
 
 // beliefs are what was last logged of what the control loop believes.
 type beliefs struct {
-	live    string
+	live    map[string]bool // names, marked where strained
 	owners  string
 	targets map[string]roster.Item[slot.Target]
 	at      roster.Revision // of targets
@@ -23,11 +23,8 @@
 // logBeliefs logs what has changed: which entries live, which own a service,
 // and the targets.
 func (c *control) logBeliefs(live []owner.Candidate, owners map[string][]owner.Entry) {
+	c.logLive(live)
 	b := &c.believed
-	if text := liveText(live); text != b.live {
-		c.gateway.log.WithFields(log.Fields{"live": text, "before": b.live}).Info(logs.MessageLive)
-		b.live = text
-	}
 	if text := ownersText(owners); text != b.owners {
 		c.gateway.log.WithFields(log.Fields{"owners": text, "before": b.owners}).Info("owners changed")
 		b.owners = text
@@ -35,17 +32,35 @@
 	c.logTargets()
 }
 
-func liveText(live []owner.Candidate) string {
-	var names []string
+// logLive logs which entries came and went. All that live would be ten kilobytes
+// a line among hundreds.
+func (c *control) logLive(live []owner.Candidate) {
+	now := make(map[string]bool, len(live))
+	var came, went []string
 	for _, e := range live {
 		name := e.Name
 		if e.Strained {
 			name += "(strained)"
 		}
-		names = append(names, name)
+		now[name] = true
+		if !c.believed.live[name] {
+			came = append(came, name)
+		}
+	}
+	for name := range c.believed.live {
+		if !now[name] {
+			went = append(went, name)
+		}
 	}
-	slices.Sort(names)
-	return strings.Join(names, " ")
+	c.believed.live = now
+	if len(came)+len(went) == 0 {
+		return
+	}
+	slices.Sort(came)
+	slices.Sort(went)
+	c.gateway.log.WithFields(log.Fields{
+		"live": len(now), "came": strings.Join(came, " "), "went": strings.Join(went, " "),
+	}).Info(logs.MessageLive)
 }
 
 func ownersText(owners map[string][]owner.Entry) string {
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -1,9 +1,8 @@
 package gateway
 
 import (
-	"time"
-
 	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/platform"
 )
 
@@ -18,9 +17,6 @@
 	// burstShare is the largest part of all requests that an entry reckons with.
 	// One that is cut off from all others would take all for its own.
 	burstShare = 0.5
-	// retryWindow is for how long the requests of an entry that isn't heard any
-	// more count: the span over which the platform counts repeats.
-	retryWindow = 10 * time.Second
 )
 
 // retryBudget is this entry's part of the budget that all entries share.
@@ -40,20 +36,27 @@
 
 // shareRetries lets the budgets of all services save up by this entry's part of
 // all requests.
-func (c *control) shareRetries(now time.Time) {
-	own := c.hosts.rate()
-	all := own
-	for _, p := range c.peers {
-		if now.Sub(p.heard) < retryWindow {
-			all += p.beat.Rate
-		}
-	}
-	share := 0.0
-	if all > 0 {
-		share = own / all
-	}
-	burst := retryBurst(*c.gateway.bounds.Load(), share)
+func (c *control) shareRetries() {
+	burst := retryBurst(*c.gateway.bounds.Load(), c.share())
 	for _, s := range c.services {
 		s.budget.SetBurst(burst)
 	}
 }
+
+// share is this entry's part of all requests. Of a host on which there is no word
+// yet, all entries are taken to get as many.
+func (c *control) share() float64 {
+	var own, all float64
+	for host, r := range c.hosts.rates {
+		own += r.mean
+		if n, told := c.numbers[owner.HostID(host)]; told {
+			all += max(n.Rate, r.mean)
+		} else {
+			all += r.mean * float64(len(c.live()))
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return own / all
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"plumpitch.example/plumpitch/internal/relay"
+	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/roster"
 	"plumpitch.example/plumpitch/pkg/route"
@@ -15,19 +16,8 @@
 // maxInbox bounds the messages that wait for the control loop.
 const maxInbox = 256
 
-// Times of the control loop.
-const (
-	// beatPeriod is how often an entry says that it lives.
-	beatPeriod = 250 * time.Millisecond
-	// beatEntries is among how many entries all beat that often. Beats go from
-	// each to each, so that beyond that the ones that have no duty beat less
-	// often, in proportion: the beats that an entry hears stay as many.
-	beatEntries = 16
-	// deadBeats is how many of its periods an entry may be silent. Three lost
-	// beats and a late one make it dead, so callers are sent elsewhere within a
-	// second of the death of their owner.
-	deadBeats = 3.6
-)
+// tickPeriod is how often the control loop brings rates and owners up to date.
+const tickPeriod = 250 * time.Millisecond
 
 // message is something that the control loop has to know. The set is closed.
 type message interface {
@@ -48,36 +38,49 @@
 	// confirmed is when the store was asked for what is known.
 	confirmed [duties]time.Time
 	configAt  roster.Revision // up to which the configuration's history is known
-	peers     map[string]*peer
-	runs      map[uint64]*peer // the same, by the run that a brief beat names
-	enrolled  time.Time        // when the store named the other entries
-	enrolling time.Duration    // how long that took
-	ahead     int              // entries that enrolled before, at a start of all
+
+	members  *member.Table
+	awaits   []awaited       // exchanges of the table
+	newest   relay.Knowledge // that another entry told of last and this one lacked
+	newestAt string          // the address of that entry
+	waiting  map[string]bool // addresses of entries that wait for a first configuration
+	pulling  bool            // what another entry has in force
+	fetching bool            // the entries that another one knows
+	suspects map[uint64]int  // crashes of each suspect that the others were told of
+	said     uint64          // words on suspects
+
+	// What follows from which entries live; roll is nil when they have changed.
+	roll  []owner.Candidate
+	order [duties][]owner.Entry // those next to read the store
+	rank  [duties]int           // of this entry among the readers
+
+	numbers owner.Numbers         // of owners, by host
+	loads   map[string]loadsHeard // what other entries get of each host, by entry
+	recount bool                  // a number of owners has changed
+	deal    *owner.Deal           // nil when live entries have changed
+	dealt   *route.Table          // whose hosts deal has
+	owners  map[string][]owner.Entry
+	ownedBy *owner.Deal // by which owners were worked out
+	counted map[string]int
+
+	enrolled  time.Time     // when the store named the other entries
+	enrolling time.Duration // how long that took
+	ahead     int           // entries that enrolled before, at a start of all
 	services  map[string]*service
 	hosts     hosts
-	published uint64 // mark of the live entries at the last view
-	deal      *owner.Deal
-	dealt     *route.Table // whose hosts deal has
-	owners    map[string][]owner.Entry
-	ownedBy   *owner.Deal // by which owners were worked out
-	counted   map[string]int
 	told      bool // requests that were held for the first view go on
 	dirty     bool // services lag behind what is known
 	shut      bool // the store doesn't serve this entry
-	pulling   bool
 	strain    strain
 	believed  beliefs
-	duty      bool      // this entry owns a service or reads the store
-	beaten    time.Time // last beat
-	beats     int       // sent
-	introduce int       // beats to come that are whole
 }
 
 func newControl(g *Gateway) *control {
 	return &control{
-		gateway: g, inbox: make(chan message, maxInbox), started: time.Now(),
+		gateway: g, inbox: make(chan message, maxInbox), started: g.started,
 		targets: roster.New(slot.Same), lapses: roster.NewLapses[slot.Target](),
-		peers: make(map[string]*peer), runs: make(map[uint64]*peer),
+		waiting: make(map[string]bool), suspects: make(map[uint64]int),
+		numbers: make(owner.Numbers), loads: make(map[string]loadsHeard),
 	}
 }
 
@@ -89,21 +92,23 @@
 	}
 }
 
-// heard takes a beat of another entry. One that finds the inbox full is
+// heard takes a packet of another entry. One that finds the inbox full is
 // dropped: the next one says the same.
-func (c *control) heard(b relay.Beat) {
-	c.gateway.instruments.beats.Inc(1)
+func (c *control) heard(p relay.Packet, from string) {
+	c.gateway.instruments.packets.Inc(1)
 	select {
-	case c.inbox <- beatHeard{b}:
+	case c.inbox <- packetHeard{p, from}:
 	default:
-		c.gateway.log.WithField("from", b.Entry.Name).Warn("control: inbox full, beat dropped")
+		c.gateway.log.WithField("from", from).Warn("control: inbox full, packet dropped")
 	}
 }
 
 // Serve runs until ctx ends. Its state outlives a restart by the supervisor.
 func (c *control) Serve(ctx context.Context) error {
-	tick := time.NewTicker(beatPeriod)
+	tick := time.NewTicker(tickPeriod)
 	defer tick.Stop()
+	round := time.NewTimer(0)
+	defer round.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -112,7 +117,11 @@
 			c.take(m)
 		case <-tick.C:
 			c.tick(time.Now())
+		case <-round.C:
+			c.rounds(time.Now())
+			c.refresh(time.Now())
 		}
+		round.Reset(time.Until(c.next()))
 	}
 }
 
@@ -120,27 +129,16 @@
 
 func (c *control) tick(now time.Time) {
 	c.hosts.tick(now)
-	c.strain.tick(now, beatPeriod)
-	c.forget(now)
+	c.strain.tick(now, tickPeriod)
+	c.feel(now)
+	c.tellSuspects(now)
 	c.publish(now)
+	c.tellLoads(now)
 	c.report(now)
-	if now.Sub(c.beaten) >= c.period()-beatPeriod/2 {
-		c.beat(now)
-	}
-}
-
-// period is how often this entry beats.
-func (c *control) period() time.Duration {
-	if c.duty || len(c.peers) < beatEntries {
-		return beatPeriod
-	}
-	return beatPeriod * time.Duration((len(c.peers)+beatEntries)/beatEntries)
 }
 
 // take applies a message and all that wait behind it, then publishes once if
-// they made a difference. Most are beats that say that nothing has changed. Among
-// 123 entries, each spent 0.051 cores on all of its work with a view made anew for
-// each beat, and 0.025 with this and fewer changes of owners.
+// they made a difference. Most are packets that say that nothing has changed.
 func (c *control) take(m message) {
 	now := time.Now()
 	for {
@@ -148,55 +146,17 @@
 		select {
 		case m = <-c.inbox:
 		default:
-			if c.dirty || c.mark(now) != c.published {
-				c.publish(now)
-			}
+			c.refresh(now)
 			return
 		}
 	}
 }
 
-// live are the entries that are known to be up, this one among them.
-func (c *control) live(now time.Time) []owner.Candidate {
-	var list []owner.Candidate
-	if !c.gateway.leaving.Load() {
-		list = append(list, owner.Candidate{Entry: c.gateway.self, Strained: c.strain.strained(now)})
+// refresh publishes where anything that traffic goes by has changed.
+func (c *control) refresh(now time.Time) {
+	if c.dirty || c.recount || c.roll == nil {
+		c.publish(now)
 	}
-	for _, p := range c.peers {
-		if p.serves(now) {
-			list = append(list, owner.Candidate{Entry: p.entry, Strained: p.beat.Strained})
-		}
-	}
-	return list
-}
-
-// mark tells apart sets of live entries, by what owners are chosen by.
-func (c *control) mark(now time.Time) (mark uint64) {
-	for _, p := range c.peers {
-		if p.serves(now) {
-			mark ^= p.mark()
-		}
-	}
-	if c.strain.strained(now) {
-		mark++
-	}
-	if c.gateway.leaving.Load() {
-		mark ^= c.gateway.self.ID()
-	}
-	return mark
-}
-
-// readers are the entries that the store serves, as far as is known.
-func (c *control) readers(now time.Time) []owner.Candidate {
-	var list []owner.Candidate
-	for _, e := range c.live(now) {
-		p := c.peers[e.Name]
-		if p != nil && p.beat.Shut || p == nil && c.shut {
-			continue
-		}
-		list = append(list, e)
-	}
-	return list
 }
 
 // publish brings the services in line with what is known and replaces the view.
@@ -205,18 +165,16 @@
 		c.dirty = c.lapses.Awaiting(now)
 		c.supply(now)
 	}
-	live := c.live(now)
+	live := c.live()
 	c.hosts.configure(c.table)
-	mark := c.mark(now)
-	deal := c.dealing(live, mark)
+	deal := c.dealing(live)
 	counts := c.counts(now, deal)
 	if deal != c.ownedBy || !maps.Equal(counts, c.counted) {
 		c.owners, c.ownedBy, c.counted = deal.Owners(counts), deal, counts
 	}
 	owners := c.owners
-	c.published = mark
-	c.shareRetries(now)
-	c.duty = c.hasDuty(now, owners)
+	c.recount = false
+	c.shareRetries()
 	c.logBeliefs(live, owners)
 	targets := c.table != nil && !c.confirmed[dutyTargets].IsZero()
 	c.gateway.view.Store(&view{
@@ -278,24 +236,3 @@
 	}
 	return true
 }
-
-// hasDuty tells whether others have to know at once when this entry dies.
-func (c *control) hasDuty(now time.Time, owners map[string][]owner.Entry) bool {
-	for _, list := range owners {
-		for _, e := range list {
-			if e.Name == c.gateway.self.Name {
-				return true
-			}
-		}
-	}
-	readers := c.readers(now)
-	for _, name := range dutyNames {
-		if owner.Rank(readers, name, c.gateway.self.Name) < fastReaders {
-			return true
-		}
-	}
-	return false
-}
-
-// fastReaders is how many entries in the order of readers beat at the full rate.
-const fastReaders = 3
--- a/internal/gateway/enroller.go
+++ b/internal/gateway/enroller.go
@@ -3,40 +3,207 @@
 import (
 	"context"
 	"time"
+
+	"github.com/apex/log"
+
+	"plumpitch.example/plumpitch/pkg/member"
+	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/roster"
 )
 
-// enroller puts this entry on record and learns of the others. It enters before
-// it lists: of two entries that start together, the later one to enter then
-// finds the other, and its beats tell the other of it.
-type enroller struct{ gateway *Gateway }
+// The store keeps the records of a few entries, by which the others are found
+// where no seed of the settings answers. Most never call it for that: with a
+// record of each and a list for each, 472 entries made 1,400 calls at a start.
+const (
+	// seedTime is how long an entry waits for a seed before it asks the store: a few
+	// rounds.
+	seedTime = 3 * roundPeriod
+	// recorded is how many entries keep a record: as many as the settings have seeds.
+	recorded = 3
+	// recordCheck is how often an entry looks whether it has to have a record.
+	recordCheck = time.Second
+	// recordAfter is how long the entries on record have to be the same before one
+	// more enters itself: in a start they change all the time.
+	recordAfter = 3 * time.Second
+	// cleanEvery is how often the records are looked through for dead ones, and for
+	// entries that this part of the network has never met.
+	cleanEvery = forgetAfter
+)
+
+// enroller keeps the records of entries in the store.
+type enroller struct {
+	gateway  *Gateway
+	since    time.Time // since when this entry has to have a record
+	onRecord bool
+	cleaned  time.Time
+	silent   map[string]roster.Revision // records whose entry wasn't live when they were last looked through
+}
 
 func (e *enroller) String() string { return "enroller" }
 
 // Serve runs until ctx ends.
 func (e *enroller) Serve(ctx context.Context) error {
+	e.cleaned = time.Now()
+	if e.unmet(ctx) {
+		e.enroll(ctx)
+	}
 	for ctx.Err() == nil {
-		err := e.enroll(ctx)
+		sleep(ctx, recordCheck)
+		e.check(ctx, time.Now())
+	}
+	return ctx.Err()
+}
+
+// unmet tells whether no seed has answered in time.
+func (e *enroller) unmet(ctx context.Context) bool {
+	if len(e.gateway.otherSeeds()) == 0 {
+		return true
+	}
+	for end := time.Now().Add(seedTime); time.Now().Before(end); sleep(ctx, readerTick) {
+		if e.gateway.control.standing(ctx).met {
+			return false
+		}
+	}
+	return true
+}
+
+// enroll puts this entry on record and learns of the others, until the store
+// answers. It enters before it lists: of two entries that start together, the
+// later one to enter then finds the other, and tells it of itself.
+func (e *enroller) enroll(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := e.enter(ctx)
+		if err == nil {
+			err = e.list(ctx, began)
+		}
 		if err == nil {
-			break
+			return
 		}
 		e.gateway.log.WithError(err).Warn("not on record")
 		sleep(ctx, storeRest)
 	}
-	<-ctx.Done()
-	return ctx.Err()
 }
 
-func (e *enroller) enroll(ctx context.Context) (err error) {
+func (e *enroller) enter(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, listTime)
 	defer cancel()
-	began := time.Now()
-	if err := e.gateway.store.Enter(ctx, e.gateway.self); err != nil {
-		return err
+	if err = e.gateway.store.Enter(ctx, e.gateway.self); err == nil {
+		e.onRecord = true
+		e.gateway.recorded.Store(true)
 	}
+	return err
+}
+
+func (e *enroller) list(ctx context.Context, began time.Time) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
 	items, _, err := e.gateway.store.Entries().List(ctx)
+	if err == nil {
+		e.gateway.control.tell(ctx, entriesListed{items, time.Since(began)})
+	}
+	return err
+}
+
+// check enters this entry where it has to have a record, and looks through the
+// records where that is its part.
+func (e *enroller) check(ctx context.Context, now time.Time) {
+	s := e.gateway.control.standing(ctx)
+	switch {
+	case s.rank >= recorded || e.gateway.leaving.Load():
+		e.since = time.Time{}
+	case e.since.IsZero():
+		e.since = now
+	case !e.onRecord && now.Sub(e.since) >= recordAfter:
+		if err := e.enter(ctx); err != nil {
+			e.gateway.log.WithError(err).Info("not on record")
+		}
+	}
+	if s.rank == 0 && now.Sub(e.cleaned) >= cleanEvery {
+		e.cleaned = now
+		e.clean(ctx)
+	}
+}
+
+// clean removes the records of entries that were not live at two looks in a row,
+// unless they have changed: one that started anew has entered itself again. Those
+// of others that live are told to the table, which greets whom it doesn't know.
+func (e *enroller) clean(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	items, _, err := e.gateway.store.Entries().List(limited)
 	if err != nil {
-		return err
+		e.gateway.log.WithError(err).Info("records not looked through")
+		return
+	}
+	e.gateway.control.tell(ctx, entriesListed{items: items})
+	live := e.gateway.control.standing(ctx).live
+	silent := make(map[string]roster.Revision)
+	for _, it := range items {
+		if live[it.Name] {
+			continue
+		}
+		if rev, before := e.silent[it.Name]; !before || rev != it.Revision {
+			silent[it.Name] = it.Revision
+			continue
+		}
+		e.gateway.log.WithFields(log.Fields{"peer": it.Name, "revision": uint64(it.Revision)}).Info("record of a dead entry removed")
+		if err := e.gateway.store.Leave(limited, it.Name, it.Revision); err != nil {
+			e.gateway.log.WithError(err).WithField("peer", it.Name).Info("record not removed")
+		}
+	}
+	e.silent = silent
+}
+
+// standing is what the enroller has to know of the control loop's state.
+type standing struct {
+	met  bool            // another entry is known
+	rank int             // this entry's place in the order of those with a record
+	live map[string]bool // names
+}
+
+// dutyRecord names the order of entries that have a record.
+const dutyRecord = "record"
+
+// standingAsked is the enroller's question.
+type standingAsked struct{ answer chan standing }
+
+func (m standingAsked) apply(_ time.Time, c *control) {
+	live := c.live()
+	s := standing{met: len(live) > 1, live: make(map[string]bool, len(live))}
+	s.rank = owner.Rank(live, dutyRecord, c.gateway.self.Name)
+	for _, e := range live {
+		s.live[e.Name] = true
+	}
+	m.answer <- s
+}
+
+// standing asks the control loop.
+func (c *control) standing(ctx context.Context) (s standing) {
+	q := standingAsked{answer: make(chan standing, 1)}
+	c.tell(ctx, q)
+	select {
+	case s = <-q.answer:
+	case <-ctx.Done():
+	}
+	return s
+}
+
+// entriesListed are the entries that the store has on record.
+type entriesListed struct {
+	items []roster.Item[owner.Entry]
+	took  time.Duration // from the start of the enrolment; 0 where this is none
+}
+
+func (m entriesListed) apply(now time.Time, c *control) {
+	seeds := c.gateway.otherSeeds()
+	for _, it := range m.items {
+		if it.Name != c.gateway.self.Name {
+			seeds = append(seeds, it.Value.Peer)
+		}
+	}
+	if m.took > 0 {
+		c.enrolled, c.enrolling, c.ahead = now, m.took, ahead(c.gateway.self, m.items)
 	}
-	e.gateway.control.tell(ctx, entriesListed{items, time.Since(began)})
-	return nil
+	c.drive(now, member.Seeds{Addresses: seeds}, "", 0)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/platform"
 )
@@ -45,6 +46,7 @@
 	control  *control
 	suspects *call.Suspects
 	leaving  atomic.Bool
+	recorded atomic.Bool // this entry has a record in the store
 	started  time.Time
 	known    chan struct{} // closed once a configuration and targets are known
 	bounds   atomic.Pointer[platform.Bounds]
@@ -98,6 +100,8 @@
 	if g.relay, err = relay.New(relay.Config{
 		Address: net.JoinHostPort(s.Address, strconv.Itoa(s.Ports[0])),
 		Source:  g.control, Heard: g.control.heard, Log: g.log,
+		Self: func() member.ID { return member.ID{Name: g.self.Name, Boot: g.self.Boot} },
+		Sent: func(bytes int) { g.instruments.sent.Inc(int64(bytes)) },
 	}); err != nil {
 		g.unlisten()
 		return nil, err
@@ -106,6 +110,7 @@
 		Name: s.Name, Boot: cfg.Boot, Front: g.front.Addr().String(), Peer: g.relay.Address(),
 		Place: s.Place, Region: s.Region, Capacity: capacity(s),
 	}
+	g.control.members = member.New(g.memberConfig())
 	return g, nil
 }
 
@@ -173,7 +178,7 @@
 	}})
 	s.Add(g.control)
 	s.Add(g.relay)
-	s.Add(&enroller{g})
+	s.Add(&enroller{gateway: g})
 	s.Add(newConfigReader(g))
 	s.Add(newTargetReader(g))
 	below := s.ServeBackground(traffic)
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -1,22 +1,21 @@
 package gateway
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"plumpitch.example/plumpitch/internal/relay"
+	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/route"
 )
 
 // hosts is what the control loop knows of the requests of each host.
 type hosts struct {
-	table   *route.Table
-	rates   map[string]*rate // of this entry; never changed once it was published
-	sizes   map[string]*owner.Size
-	decided map[string]int // numbers of owners that this entry decides
+	table *route.Table
+	rates map[string]*rate // of this entry; never changed once it was published
+	sizes map[string]*owner.Size
 }
 
 // configure takes the hosts of a configuration. What is known of those that
@@ -49,28 +48,45 @@
 	return sum
 }
 
-// leastRate is the rate in requests a second from which on a host is told of in
-// beats.
+// leastRate is the rate in requests a second from which on a host's first owners
+// are told of it.
 const leastRate = 0.5
 
-// loads is what this entry tells the others of each host.
-func (h *hosts) loads() (list []relay.Load) {
-	for host, r := range h.rates {
-		l := relay.Load{Host: owner.HostID(host), Rate: r.mean, Owners: h.decided[host]}
-		if l.Rate >= leastRate || l.Owners > 0 {
-			list = append(list, l)
+// loadsHeard is what another entry told of the requests that it gets.
+type loadsHeard struct {
+	at   time.Time
+	list []relay.Load
+}
+
+// loadsHold is how long such word counts: several ticks, as datagrams are lost.
+const loadsHold = 4 * tickPeriod
+
+// tellLoads tells the first owners of each host what this entry gets of it: the
+// first decides the host's number of owners by the sum, and the next may have to.
+func (c *control) tellLoads(now time.Time) {
+	reports := make(map[string][]relay.Load)
+	for host, r := range c.hosts.rates {
+		if r.mean < leastRate || c.deal == nil {
+			continue
+		}
+		for _, e := range c.deal.FirstOwners(host) {
+			if e.Name != c.gateway.self.Name {
+				reports[e.Peer] = append(reports[e.Peer], relay.Load{Host: owner.HostID(host), Rate: r.mean})
+			}
 		}
 	}
-	slices.SortFunc(list, func(a, b relay.Load) int {
-		return cmp.Or(cmp.Compare(b.Owners, a.Owners), cmp.Compare(b.Rate, a.Rate))
-	})
-	return list
+	for address, list := range reports {
+		c.send(address, relay.Packet{
+			Kind: relay.Loads, Loads: list, ID: member.ID{Name: c.gateway.self.Name, Boot: c.gateway.self.Boot},
+		})
+	}
+	maps.DeleteFunc(c.loads, func(_ string, l loadsHeard) bool { return now.Sub(l.at) > loadsHold })
 }
 
 // dealing deals out hosts among the live entries, anew only where either has
 // changed: at 472 entries it takes 0.1 ms, and each tick asks for it.
-func (c *control) dealing(live []owner.Candidate, mark uint64) *owner.Deal {
-	if c.deal == nil || mark != c.published || c.dealt != c.hosts.table {
+func (c *control) dealing(live []owner.Candidate) *owner.Deal {
+	if c.deal == nil || c.dealt != c.hosts.table {
 		c.deal, c.dealt = owner.New(live, slices.Collect(maps.Keys(c.hosts.sizes))), c.hosts.table
 	}
 	return c.deal
@@ -80,39 +96,36 @@
 // is the first of them, else as the first one has told.
 func (c *control) counts(now time.Time, deal *owner.Deal) map[string]int {
 	counts := make(map[string]int, len(c.hosts.sizes))
-	c.hosts.decided = make(map[string]int)
 	for host, size := range c.hosts.sizes {
 		counts[host] = owner.Least
-		first, ok := deal.First(host)
-		if !ok {
+		first := deal.FirstOwners(host)
+		if len(first) == 0 {
 			continue
 		}
-		if first.Name == c.gateway.self.Name {
-			counts[host] = size.Decide(now, c.load(now, host), deal.Fit(host))
-			c.hosts.decided[host] = counts[host]
+		id := owner.HostID(host)
+		if first[0].Name != c.gateway.self.Name {
+			counts[host] = size.Hear(c.numbers[id].Owners)
 			continue
 		}
-		counts[host] = size.Hear(told(c.peers[first.Name], host))
+		load := c.load(host)
+		counts[host] = size.Decide(now, load, deal.Fit(host))
+		if c.numbers.Say(id, counts[host], load) {
+			c.drive(now, member.News{}, "", 0)
+		}
 	}
 	return counts
 }
 
-// told is the number of owners that an entry has told of a host; 0 where it has
-// not yet, as it has just become the first.
-func told(p *peer, host string) int {
-	if p == nil {
-		return 0
-	}
-	return p.load(owner.HostID(host)).Owners
-}
-
-// load is how many requests a second a host gets at all entries.
-func (c *control) load(now time.Time, host string) (sum float64) {
+// load is how many requests a second a host gets at all entries, as its first
+// owners are told.
+func (c *control) load(host string) (sum float64) {
 	id := owner.HostID(host)
 	sum = c.hosts.rates[host].mean
-	for _, p := range c.peers {
-		if p.up(now) {
-			sum += p.load(id).Rate
+	for _, l := range c.loads {
+		for _, of := range l.list {
+			if of.Host == id {
+				sum += of.Rate
+			}
 		}
 	}
 	return sum
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -13,7 +13,8 @@
 // request path looks nothing up.
 type instruments struct {
 	metrics.Metrics
-	beats   tally.Counter // heard from other entries
+	packets tally.Counter // heard from other entries
+	sent    tally.Counter // bytes of packets to other entries
 	pulls   tally.Counter // asked of other entries
 	reads   [duties]tally.Counter
 	failed  [duties]tally.Counter // reads that the store didn't answer
@@ -26,7 +27,7 @@
 func newInstruments(entry string) instruments {
 	m := metrics.New(entry)
 	i := instruments{
-		Metrics: m, beats: m.Scope.Counter("beats"), pulls: m.Scope.Counter("pulls"),
+		Metrics: m, packets: m.Scope.Counter("packets"), sent: m.Scope.Counter("packet_bytes"), pulls: m.Scope.Counter("pulls"),
 		config: m.Scope.Gauge("config_version"), live: m.Scope.Gauge("live_entries"), targets: m.Scope.Gauge("targets"),
 	}
 	for d, name := range dutyNames {
@@ -69,7 +70,7 @@
 func (c *control) report(now time.Time) {
 	i := &c.gateway.instruments
 	i.config.Update(float64(c.config.Version))
-	i.live.Update(float64(len(c.live(now))))
+	i.live.Update(float64(len(c.live())))
 	i.targets.Update(float64(c.targets.Len()))
 	for d := range duties {
 		i.age[d].Update(c.age(now, d).Seconds())
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -24,6 +24,7 @@
 	}
 	c.configAt = max(c.configAt, m.at)
 	c.confirm(dutyConfig, m.asked)
+	c.vouch(now, dutyConfig)
 }
 
 // adopt puts a configuration in force that is newer than the one that is.
@@ -44,7 +45,7 @@
 	c.table = route.New(cfg, c.table)
 	c.dirty = true
 	c.publish(now)
-	c.beat(now)
+	c.spread(now)
 }
 
 // maxFaults bounds the lines about the faults of one configuration.
@@ -86,20 +87,22 @@
 func (c *control) targetsRead(now, asked time.Time, apply func() (moved bool)) {
 	moved := c.change(now, apply)
 	c.confirm(dutyTargets, asked)
+	c.vouch(now, dutyTargets)
 	if moved {
-		c.beat(now)
+		c.spread(now)
 	}
 }
 
 // storeAnswered tells whether the store serves this entry.
 type storeAnswered struct{ err error }
 
-func (m storeAnswered) apply(_ time.Time, c *control) {
+func (m storeAnswered) apply(now time.Time, c *control) {
 	shut := m.err != nil
 	if shut == c.shut {
 		return
 	}
 	c.shut = shut
+	c.feel(now)
 	if shut {
 		c.gateway.log.WithError(m.err).Warn("store lost")
 	} else {
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/relay"
-	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/roster"
 	"plumpitch.example/plumpitch/pkg/slot"
 )
@@ -41,6 +41,9 @@
 		n.At, n.Moved, n.Age = c.targets.At(), c.targets.Moved(), now.Sub(c.confirmed[dutyTargets])
 		n.Targets, n.Changes = c.targetsSince(m.have.Targets)
 	}
+	if m.have.Entries {
+		n.Entries = c.members.All()
+	}
 	m.answer <- n
 }
 
@@ -57,56 +60,6 @@
 	return relay.Listed, changes
 }
 
-// beatHeard is a beat of another entry.
-type beatHeard struct{ beat relay.Beat }
-
-func (m beatHeard) apply(now time.Time, c *control) {
-	b := m.beat
-	p := c.sender(now, b)
-	if p == nil {
-		return
-	}
-	b.Entry = p.entry
-	p.heard, p.beat = now, b
-	c.gateway.suspects.Merge(now, b.Entry.Name, b.Suspects)
-	if c.lacks(b) {
-		c.pull(b.Entry)
-	}
-	if b.Config == c.config.Version {
-		c.vouched(now, dutyConfig, b.ConfigAge)
-	}
-	if b.Targets == c.targets.Moved() {
-		c.vouched(now, dutyTargets, b.TargetsAge)
-	}
-}
-
-// sender is the entry that a beat is from. It is nil for a brief beat of one
-// that this entry doesn't know, which will send a whole one, and for one from an
-// earlier start.
-func (c *control) sender(now time.Time, b relay.Beat) (p *peer) {
-	if b.Brief {
-		return c.runs[b.ID]
-	}
-	p = c.peers[b.Entry.Name]
-	if b.Entry.Name == c.gateway.self.Name || p != nil && p.entry.Boot > b.Entry.Boot {
-		return nil
-	}
-	if p == nil || p.entry != b.Entry {
-		p = &peer{entry: b.Entry, heard: now}
-		c.meet(p)
-		c.greet(now, p)
-	}
-	p.briefly = b.Briefly
-	return p
-}
-
-// greet answers the first beat of an entry, which may know nothing yet.
-func (c *control) greet(now time.Time, p *peer) {
-	if err := c.gateway.relay.Tell(c.says(now), nil, []owner.Entry{p.entry}); err != nil {
-		c.gateway.log.WithError(err).WithField("peer", p.entry.Name).Debug("greeting not sent")
-	}
-}
-
 // confirm notes that the store said at that time that nothing is newer.
 func (c *control) confirm(d duty, at time.Time) {
 	if at.After(c.confirmed[d]) {
@@ -137,7 +90,7 @@
 }
 
 // pull asks another entry for what it has and this one lacks.
-func (c *control) pull(from owner.Entry) {
+func (c *control) pull(from string) {
 	if c.pulling {
 		return
 	}
@@ -154,42 +107,71 @@
 
 // newsPulled is the answer to a pull.
 type newsPulled struct {
-	from owner.Entry
+	from string // address
 	news relay.News
 	err  error
 }
 
 func (m newsPulled) apply(now time.Time, c *control) {
 	c.pulling = false
+	m.learn(now, c)
+}
+
+func (m newsPulled) learn(now time.Time, c *control) {
 	if m.err != nil {
 		c.gateway.log.WithError(m.err).Warn("nothing pulled")
 		return
 	}
 	if len(m.news.Config) > 0 {
-		c.adopt(now, m.news.Config, "entry "+m.from.Name)
+		c.adopt(now, m.news.Config, "entry "+m.from)
 	}
 	if m.news.Targets != relay.Nothing {
-		c.change(now, func() bool { return c.pulled(m.news) })
+		moved := c.change(now, func() bool { return c.pulled(m.news) })
 		c.confirm(dutyTargets, now.Add(-m.news.Age))
+		if moved {
+			c.spread(now)
+		}
 	}
 	c.pullMore()
 }
 
-// lacks reports whether the sender of a beat knows something newer.
-func (c *control) lacks(b relay.Beat) bool {
-	return b.Config > c.config.Version || b.Targets > c.targets.Moved()
+// lacks reports whether another entry has something newer.
+func (c *control) lacks(k relay.Knowledge) bool {
+	return k.Config > c.config.Version || k.Targets > c.targets.Moved()
 }
 
-// pullMore pulls again where a beat that came during a pull told of something
-// newer. At a start the configuration and the targets are read apart, and whoever
-// pulled the one would lack the other until the next beat, a quarter of a second
-// later.
+// pullMore pulls again where word that came during a pull told of something newer.
+// At a start the configuration and the targets are read apart, and whoever pulled
+// the one would lack the other until the next round.
 func (c *control) pullMore() {
-	for _, p := range c.peers {
-		if c.lacks(p.beat) {
-			c.pull(p.entry)
-			return
-		}
+	if c.lacks(c.newest) {
+		c.pull(c.newestAt)
+	}
+}
+
+// fetch asks another entry for all entries that it knows.
+func (c *control) fetch(from string) {
+	if c.fetching {
+		return
+	}
+	c.fetching = true
+	have := relay.Have{Config: c.config.Version, Targets: c.targets.Moved(), Entries: true}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		n, err := c.gateway.relay.Pull(ctx, from, have)
+		c.tell(context.Background(), entriesFetched{newsPulled{from: from, news: n, err: err}})
+	}()
+}
+
+// entriesFetched is the answer to a fetch.
+type entriesFetched struct{ newsPulled }
+
+func (m entriesFetched) apply(now time.Time, c *control) {
+	c.fetching = false
+	m.learn(now, c)
+	if m.err == nil {
+		c.drive(now, member.Fetched{Entries: m.news.Entries}, "", 0)
 	}
 }
 
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -53,6 +53,11 @@
 const (
 	// readerTick is how often an entry looks whether it is its turn.
 	readerTick = 50 * time.Millisecond
+	// distantTick is the same for one that many others read before.
+	distantTick = 5 * readerTick
+	// fastReaders is how many of the first in the order are told at once of each
+	// answer of the store. The others hear of it within their rounds.
+	fastReaders = 4
 	// readTime bounds a call beside the time for which its watch stays open:
 	// the store answers within 4 ms, and is taken for lost when it doesn't
 	// within a hundred times that.
@@ -70,7 +75,7 @@
 	if rank == 0 {
 		return age >= p.first
 	}
-	return age >= p.first+p.wait+beatPeriod+time.Duration(rank)*p.step
+	return age >= p.first+p.wait+tickPeriod+time.Duration(rank)*p.step
 }
 
 // Times of a start. An entry that knows nothing yet asks the store only when the
@@ -80,6 +85,10 @@
 	// enrollTime is how long an entry waits for its enrolment, two calls of 4 ms.
 	// One that was lost is made again after longer than that.
 	enrollTime = 150 * time.Millisecond
+	// seedsReadTime is how long an entry that has met others waits for what the
+	// seeds have read, and beginRank how much longer for each that reads before it.
+	seedsReadTime = time.Second
+	beginRank     = 300 * time.Millisecond
 	// beginStep is how much later the next one begins. A read, a greeting, its
 	// answer and a pull take less.
 	beginStep = 20 * time.Millisecond
@@ -106,12 +115,23 @@
 // last, and each that enrolled before it would read. A step is as long as this
 // entry's own enrolment took, which is two calls: on a busy machine, entries
 // would else read before the first one can have told them (53 of 72 starts).
-func (c *control) begins(now time.Time) bool {
+//
+// Where the settings name seeds, these read at once and the others turn to them.
+func (c *control) begins(now time.Time, rank int) bool {
+	if c.gateway.seed() {
+		return true
+	}
+	if c.enrolled.IsZero() && len(c.live()) > 1 {
+		return now.Sub(c.started) >= seedsReadTime+time.Duration(rank)*beginRank
+	}
+	if c.enrolled.IsZero() && len(c.gateway.otherSeeds()) > 0 {
+		return false
+	}
 	if c.enrolled.IsZero() {
 		return now.Sub(c.started) >= enrollTime
 	}
 	step := min(max(c.enrolling, beginStep), beginStepMax)
-	readers := min(max((len(c.peers)+1)/readersOf, fewestReaders), mostReaders)
+	readers := min(max(len(c.live())/readersOf, fewestReaders), mostReaders)
 	steps := min(max(c.ahead+1-readers, 0), beginSteps)
 	return now.Sub(c.enrolled) >= time.Duration(steps)*step
 }
@@ -152,6 +172,8 @@
 	at   roster.Revision // up to which the history is known
 	// fresh says that nothing is known yet.
 	fresh bool
+	// distant says that many others read before this entry.
+	distant bool
 }
 
 // pause is how long a reader waits before it asks again.
@@ -159,6 +181,9 @@
 	if t.fresh {
 		return beginStep / 2
 	}
+	if t.distant {
+		return distantTick
+	}
 	return readerTick
 }
 
@@ -169,15 +194,15 @@
 }
 
 func (m turnAsked) apply(now time.Time, c *control) {
-	order := c.readers(now)
-	if c.shut {
-		order = c.live(now)
+	c.live()
+	rank := c.rank[m.duty]
+	if c.alone(now) {
+		rank = 0
 	}
-	rank := owner.Rank(order, dutyNames[m.duty], c.gateway.self.Name)
 	age := c.age(now, m.duty)
-	t := turn{due: m.duty.due(age, rank), rank: rank, age: age, at: c.configAt}
+	t := turn{due: m.duty.due(age, rank), rank: rank, age: age, at: c.configAt, distant: rank > fastReaders}
 	if c.confirmed[m.duty].IsZero() {
-		t.due, t.fresh = c.begins(now), true
+		t.due, t.fresh = c.begins(now, rank), true
 	}
 	if m.duty == dutyTargets {
 		t.at = c.targets.At()
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/pkg/member"
+	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/slot"
 )
 
@@ -46,13 +48,13 @@
 	Place    string  `json:"place"`
 	Front    string  `json:"front"`
 	Live     bool    `json:"live"`
-	Heard    float64 `json:"heard"` // seconds ago
-	Version  uint64  `json:"version"`
-	Revision uint64  `json:"revision"`
-	Leaving  bool    `json:"leaving"`
+	State    string  `json:"state"`
+	Since    float64 `json:"since"`    // seconds ago that the state was told
+	Version  uint64  `json:"version"`  // as it last said itself to this entry, 0 if never
+	Revision uint64  `json:"revision"` // the same
 	Strained bool    `json:"strained"`
 	Shut     bool    `json:"shut"`
-	Rate     float64 `json:"rate"` // requests a second that it gets
+	Rate     float64 `json:"rate"` // requests a second, where this entry is told of them
 }
 
 // ServiceStatus is a service with its targets.
@@ -89,12 +91,13 @@
 		Shut: c.shut, Leaving: c.gateway.leaving.Load(), Strained: c.strain.strained(now),
 		Entries: []EntryStatus{}, Hosts: []HostStatus{}, Services: []ServiceStatus{},
 	}
-	for _, p := range c.peers {
-		s.Entries = append(s.Entries, p.status(now))
+	for e := range c.members.Entries() {
+		if e.ID.Name != s.Entry {
+			s.Entries = append(s.Entries, c.entryStatus(now, e))
+		}
 	}
-	slices.SortFunc(s.Entries, func(a, b EntryStatus) int { return cmp.Compare(a.Name, b.Name) })
 	for host, owners := range c.gateway.view.Load().owners {
-		h := HostStatus{Name: host, Owners: []string{}, Rate: c.load(now, host)}
+		h := HostStatus{Name: host, Owners: []string{}, Rate: c.numbers[owner.HostID(host)].Rate}
 		for _, e := range owners {
 			h.Owners = append(h.Owners, e.Name)
 		}
@@ -108,12 +111,15 @@
 	return s
 }
 
-func (p *peer) status(now time.Time) EntryStatus {
-	return EntryStatus{
-		Name: p.entry.Name, Place: p.entry.Place, Front: p.entry.Front, Live: p.up(now), Heard: now.Sub(p.heard).Seconds(),
-		Version: uint64(p.beat.Config), Revision: uint64(p.beat.Targets),
-		Leaving: p.beat.Leaving, Strained: p.beat.Strained, Shut: p.beat.Shut, Rate: p.beat.Rate,
+func (c *control) entryStatus(now time.Time, e member.Entry) EntryStatus {
+	s := EntryStatus{
+		Name: e.ID.Name, Place: e.Place, Front: e.Caller, Live: e.State == member.Alive, State: e.State.String(),
+		Since: now.Sub(e.Since).Seconds(), Version: e.Marks.Settings, Revision: e.Marks.Targets, Strained: e.Strained, Shut: e.Shut,
 	}
+	for _, l := range c.loads[s.Name].list {
+		s.Rate += l.Rate
+	}
+	return s
 }
 
 func (s *service) status(now time.Time, name string) ServiceStatus {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -28,10 +28,14 @@
 	grace := g.bounds.Load().Grace
 	deadline := time.Now().Add(grace - stopReserve)
 	g.leaving.Store(true)
+	g.control.tell(context.Background(), leaves{})
 	g.log.Info(logs.MessageStops)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	go func() {
+		if !g.recorded.Load() {
+			return
+		}
 		if err := g.store.Leave(ctx, g.self.Name, 0); err != nil {
 			g.log.WithError(err).Warn("still on record")
 		}
@@ -42,4 +46,5 @@
 	if err := front.Shutdown(ctx); err != nil {
 		g.log.WithError(err).Warn("requests cut by the stop")
 	}
+	g.control.tell(ctx, departs{})
 }
--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -66,7 +66,7 @@
 	case member.Learned:
 		n.Learned.Stopping = append(n.Learned.Stopping, a.Rumours.Stopping...)
 		n.Learned.Crashers = append(n.Learned.Crashers, a.Rumours.Crashers...)
-	case member.Changed:
+	case member.Changed, member.Marked:
 		n.View = n.Table.View()
 	case member.Superseded:
 		n.Superseded++
--- a/internal/logs/lost.go
+++ b/internal/logs/lost.go
@@ -52,9 +52,9 @@
 
 // missed are the entries that are no longer live.
 func missed(l Line) (names []string) {
-	live := liveNames(l.Fields["live"])
-	for _, name := range liveNames(l.Fields["before"]) {
-		if !slices.Contains(live, name) {
+	came := liveNames(l.Fields["came"])
+	for _, name := range liveNames(l.Fields["went"]) {
+		if !slices.Contains(came, name) {
 			names = append(names, name)
 		}
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -109,7 +109,7 @@
 		m.sends.Go(func() { m.send(ctx, a) })
 	case member.Reach:
 		m.sends.Go(func() { m.reach(ctx, a) })
-	case member.Changed:
+	case member.Changed, member.Marked:
 		m.publish()
 	case member.Behind:
 		if m.cfg.Behind != nil {
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -38,7 +38,8 @@
 	return now.Add(-time.Duration(ms) * time.Millisecond)
 }
 
-func encodeEntry(now time.Time, e member.Entry) *wire.Entry {
+// EncodeEntry maps an entry to its wire type.
+func EncodeEntry(now time.Time, e member.Entry) *wire.Entry {
 	return &wire.Entry{
 		Ident:    encodeID(e.ID),
 		Sequence: e.Sequence,
@@ -49,10 +50,14 @@
 		Peer:     e.Peer,
 		Place:    e.Place,
 		Region:   e.Region,
+		Capacity: float32(e.Capacity),
+		Strained: e.Strained,
+		Shut:     e.Shut,
 	}
 }
 
-func decodeEntry(now time.Time, field string, w *wire.Entry) (e member.Entry, err error) {
+// DecodeEntry maps a wire entry to its domain type; field names it in an error.
+func DecodeEntry(now time.Time, field string, w *wire.Entry) (e member.Entry, err error) {
 	id, err := requireID(field+".ident", w.GetIdent())
 	if err != nil {
 		return e, err
@@ -70,6 +75,11 @@
 		Peer:     w.GetPeer(),
 		Place:    w.GetPlace(),
 		Region:   w.GetRegion(),
+		Capacity: float64(w.GetCapacity()),
+		Condition: member.Condition{
+			Strained: w.GetStrained(),
+			Shut:     w.GetShut(),
+		},
 	}, nil
 }
 
@@ -79,21 +89,20 @@
 		From:     encodeID(m.From),
 		Digest:   m.Digest,
 		Settings: m.Marks.Settings,
+		Targets:  m.Marks.Targets,
 		Join:     m.Join,
+		Sums:     m.Sums,
 		Ask:      m.Ask,
 		Want:     m.Want,
 	}
 	for _, e := range m.Entries {
-		w.Entries = append(w.Entries, encodeEntry(now, e))
-	}
-	for _, p := range m.Places {
-		w.Places = append(w.Places, &wire.PlaceDigest{Place: p.Place, Digest: p.Digest})
+		w.Entries = append(w.Entries, EncodeEntry(now, e))
 	}
 	for _, s := range m.Rumours.Stopping {
 		w.Leaving = append(w.Leaving, &wire.Leaving{Target: s.Target, Boot: s.Boot, Ago: encodeAgo(now, s.At)})
 	}
 	for _, c := range m.Rumours.Crashers {
-		w.Suspects = append(w.Suspects, &wire.Suspect{Print: c.Print, Crashes: c.Crashes, Ago: encodeAgo(now, c.At)})
+		w.Suspects = append(w.Suspects, &wire.Suspect{Print: c.Print, Crashes: c.Crashes, Ago: encodeAgo(now, c.At), By: c.By, Sequence: c.Sequence})
 	}
 	return w
 }
@@ -106,8 +115,9 @@
 	}
 	m = member.Message{
 		Digest: w.GetDigest(),
-		Marks:  member.Marks{Settings: w.GetSettings()},
+		Marks:  member.Marks{Settings: w.GetSettings(), Targets: w.GetTargets()},
 		Join:   w.GetJoin(),
+		Sums:   w.GetSums(),
 		Ask:    w.GetAsk(),
 		Want:   w.GetWant(),
 	}
@@ -115,15 +125,12 @@
 		return m, err
 	}
 	for i, e := range w.GetEntries() {
-		d, err := decodeEntry(now, fmt.Sprintf("entries[%d]", i), e)
+		d, err := DecodeEntry(now, fmt.Sprintf("entries[%d]", i), e)
 		if err != nil {
 			return m, err
 		}
 		m.Entries = append(m.Entries, d)
 	}
-	for _, p := range w.GetPlaces() {
-		m.Places = append(m.Places, member.PlaceDigest{Place: p.GetPlace(), Digest: p.GetDigest()})
-	}
 	m.Rumours = decodeRumours(now, w)
 	return m, nil
 }
@@ -133,7 +140,7 @@
 		r.Stopping = append(r.Stopping, member.Stopping{Target: s.GetTarget(), Boot: s.GetBoot(), At: decodeAgo(now, s.GetAgo())})
 	}
 	for _, c := range w.GetSuspects() {
-		r.Crashers = append(r.Crashers, member.Crasher{Print: c.GetPrint(), Crashes: c.GetCrashes(), At: decodeAgo(now, c.GetAgo())})
+		r.Crashers = append(r.Crashers, member.Crasher{Print: c.GetPrint(), Crashes: c.GetCrashes(), At: decodeAgo(now, c.GetAgo()), By: c.GetBy(), Sequence: c.GetSequence()})
 	}
 	return r
 }
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -3,18 +3,16 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"fmt"
 	"io"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
+	"plumpitch.example/plumpitch/internal/peer"
 	"plumpitch.example/plumpitch/internal/relay/wire"
-	"plumpitch.example/plumpitch/pkg/call"
-	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/roster"
-	"plumpitch.example/plumpitch/pkg/route"
 	"plumpitch.example/plumpitch/pkg/slot"
 )
 
@@ -27,75 +25,14 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// maxSuspects and maxLoads keep a beat within one packet.
-const (
-	maxSuspects = 32
-	maxLoads    = 32
-)
-
 // Formats of what entries say to each other.
 const (
-	// formatWhole is that of entries that name no format: each beat is whole,
-	// and news are whole lists.
+	// formatWhole is that of entries that name no format: news are whole lists.
 	formatWhole = 0
-	// formatBrief has brief beats, changes in place of lists, and compressed
-	// configurations.
+	// formatBrief has changes in place of lists, and compressed configurations.
 	formatBrief = 1
 )
 
-// encodeBeat writes a beat, a brief one without what never changes in one run:
-// that is two thirds of it.
-func encodeBeat(b Beat, brief bool) ([]byte, error) {
-	w := &wire.Beat{
-		Id: b.Entry.ID(), Config: uint64(b.Config), Targets: uint64(b.Targets),
-		ConfigAge: millis(b.ConfigAge), TargetsAge: millis(b.TargetsAge),
-		Shut: b.Shut, Leaving: b.Leaving, Strained: b.Strained,
-		Rate: float32(b.Rate), Period: millis(b.Period),
-	}
-	if !brief {
-		w.Name, w.Boot, w.Front, w.Peer = b.Entry.Name, b.Entry.Boot, b.Entry.Front, b.Entry.Peer
-		w.Place, w.Region, w.Capacity = b.Entry.Place, b.Entry.Region, float32(b.Entry.Capacity)
-		w.Format = formatBrief
-	}
-	for _, s := range b.Suspects[:min(len(b.Suspects), maxSuspects)] {
-		w.Suspects = append(w.Suspects, &wire.Suspect{Print: s.Print, Crashes: uint32(s.Crashes), Age: millis(s.Age)})
-	}
-	for _, l := range b.Loads[:min(len(b.Loads), maxLoads)] {
-		w.Loads = append(w.Loads, &wire.Load{Host: l.Host, Rate: float32(l.Rate), Owners: uint32(max(l.Owners, 0))})
-	}
-	return proto.Marshal(w)
-}
-
-func decodeBeat(data []byte) (b Beat, err error) {
-	var w wire.Beat
-	if err := proto.Unmarshal(data, &w); err != nil {
-		return b, err
-	}
-	b = Beat{
-		ID: w.Id, Rate: float64(w.Rate), Period: span(w.Period),
-		Config: route.Version(w.Config), Targets: roster.Revision(w.Targets),
-		ConfigAge: span(w.ConfigAge), TargetsAge: span(w.TargetsAge),
-		Shut: w.Shut, Leaving: w.Leaving, Strained: w.Strained,
-	}
-	for _, s := range w.Suspects {
-		b.Suspects = append(b.Suspects, call.Suspect{Print: s.Print, Crashes: int(s.Crashes), Age: span(s.Age)})
-	}
-	for _, l := range w.Loads {
-		b.Loads = append(b.Loads, Load{Host: l.Host, Rate: float64(l.Rate), Owners: int(l.Owners)})
-	}
-	if w.Name == "" && w.Id != 0 {
-		b.Brief = true
-		return b, nil
-	}
-	if w.Name == "" || w.Front == "" || w.Peer == "" {
-		return b, errors.New("name, front, peer: found nothing, expected a value")
-	}
-	b.Entry = owner.Entry{Name: w.Name, Boot: w.Boot, Front: w.Front, Peer: w.Peer, Place: w.Place, Region: w.Region, Capacity: float64(w.Capacity)}
-	b.ID = b.Entry.ID()
-	b.Briefly = w.Format >= formatBrief
-	return b, nil
-}
-
 // packFrom is the size in bytes from which a configuration is compressed.
 const packFrom = 1 << 10
 
@@ -112,6 +49,9 @@
 			Born: t.Born,
 		})
 	}
+	for _, e := range n.Entries {
+		w.Entries = append(w.Entries, peer.EncodeEntry(now, e))
+	}
 	return w
 }
 
@@ -140,6 +80,13 @@
 			Item: roster.Item[slot.Target]{Name: t.Id, Revision: roster.Revision(t.Revision), Value: v}, Deleted: t.Deleted,
 		})
 	}
+	for i, w := range w.Entries {
+		e, err := peer.DecodeEntry(now, fmt.Sprintf("entries[%d]", i), w)
+		if err != nil {
+			return n, err
+		}
+		n.Entries = append(n.Entries, e)
+	}
 	return n, nil
 }
 
--- /dev/null
+++ b/internal/relay/packet.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"plumpitch.example/plumpitch/internal/peer"
+	peerwire "plumpitch.example/plumpitch/internal/peer/wire"
+	"plumpitch.example/plumpitch/internal/relay/wire"
+	"plumpitch.example/plumpitch/pkg/member"
+	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/roster"
+	"plumpitch.example/plumpitch/pkg/route"
+)
+
+// Kind tells what a packet is for.
+type Kind uint8
+
+// The kinds. Ping and Pong pass between relays alone.
+const (
+	Ask     Kind = iota + 1 // of membership; an Answer follows
+	Answer                  // to an Ask, with its number
+	Reach                   // asks to ping Target; Reached follows
+	ping                    // for the entry at Target
+	pong                    // the same, back
+	Reached                 // Target of a Reach has answered
+	Tell                    // knowledge alone
+	Loads                   // what the sender gets of each host
+)
+
+// Knowledge is what an entry has in force, and how old that is.
+type Knowledge struct {
+	Config  route.Version   // in force
+	Targets roster.Revision // of the last change of targets
+	// ConfigAge and TargetsAge are the times since the store last confirmed
+	// that there is nothing newer.
+	ConfigAge  time.Duration
+	TargetsAge time.Duration
+}
+
+// Load is what an entry gets of one host's requests.
+type Load struct {
+	Host uint32  // of owner.HostID
+	Rate float64 // requests a second
+}
+
+// Packet is what one entry says to another at a time.
+type Packet struct {
+	Kind      Kind
+	Exchange  uint64         // number that an answer repeats
+	Message   member.Message // of Ask and Answer
+	Knowledge Knowledge      // of Ask, Answer and Tell
+	Numbers   []owner.Number // of Ask and Answer
+	Loads     []Load         // of Loads
+	ID        member.ID      // who answered a ping, or who reports its load
+	Target    string         // whom to ping, or whom to tell of it
+}
+
+// maxLoads keeps a packet within maxPacket.
+const maxLoads = 32
+
+// encodePacket leaves out entries of a message that doesn't fit into one packet:
+// the digests find them again. Rumours and names that a message asks for have no
+// bound of their own in bytes.
+func encodePacket(now time.Time, p Packet) (data []byte, err error) {
+	for {
+		data, err = marshal(now, p)
+		n := len(p.Message.Entries)
+		if err != nil || len(data) <= maxPacket || n == 0 {
+			return data, err
+		}
+		if p.Message.Ask != 0 {
+			// Half a list would be taken for the lack of the rest.
+			p.Message.Ask, n = 0, 0
+		}
+		p.Message.Entries = p.Message.Entries[:n/2]
+	}
+}
+
+func marshal(now time.Time, p Packet) ([]byte, error) {
+	w := &wire.Datagram{Kind: wire.Kind(p.Kind), Exchange: p.Exchange, Address: p.Target}
+	if p.Kind == Ask || p.Kind == Answer {
+		w.Gossip = peer.EncodeGossip(now, p.Message)
+	}
+	if p.Kind == Ask || p.Kind == Answer || p.Kind == Tell {
+		w.Knowledge = &wire.Knowledge{
+			Config: uint64(p.Knowledge.Config), Targets: uint64(p.Knowledge.Targets),
+			ConfigAge: millis(p.Knowledge.ConfigAge), TargetsAge: millis(p.Knowledge.TargetsAge),
+		}
+	}
+	if p.ID != (member.ID{}) {
+		w.Ident = &peerwire.Ident{Name: p.ID.Name, Boot: p.ID.Boot}
+	}
+	for _, n := range p.Numbers[:min(len(p.Numbers), maxLoads)] {
+		w.Numbers = append(w.Numbers, &wire.Number{Host: n.Host, Owners: uint32(n.Owners), Rate: float32(n.Rate), Sequence: n.Sequence})
+	}
+	for _, l := range p.Loads[:min(len(p.Loads), maxLoads)] {
+		w.Loads = append(w.Loads, &wire.Load{Host: l.Host, Rate: float32(l.Rate)})
+	}
+	return proto.Marshal(w)
+}
+
+func decodePacket(now time.Time, data []byte) (p Packet, err error) {
+	var w wire.Datagram
+	if err := proto.Unmarshal(data, &w); err != nil {
+		return p, err
+	}
+	if w.Kind <= 0 || Kind(w.Kind) > Loads {
+		return p, errors.Errorf("kind: found %d, expected 1 to %d", w.Kind, Loads)
+	}
+	p = Packet{
+		Kind: Kind(w.Kind), Exchange: w.Exchange, Target: w.Address,
+		ID: member.ID{Name: w.GetIdent().GetName(), Boot: w.GetIdent().GetBoot()},
+		Knowledge: Knowledge{
+			Config: route.Version(w.GetKnowledge().GetConfig()), Targets: roster.Revision(w.GetKnowledge().GetTargets()),
+			ConfigAge: span(w.GetKnowledge().GetConfigAge()), TargetsAge: span(w.GetKnowledge().GetTargetsAge()),
+		},
+	}
+	if w.Gossip != nil {
+		if p.Message, err = peer.DecodeGossip(now, w.Gossip); err != nil {
+			return p, errors.WithMessage(err, "gossip")
+		}
+	}
+	for _, n := range w.Numbers {
+		p.Numbers = append(p.Numbers, owner.Number{Host: n.Host, Owners: int(n.Owners), Rate: float64(n.Rate), Sequence: n.Sequence})
+	}
+	for _, l := range w.Loads {
+		p.Loads = append(p.Loads, Load{Host: l.Host, Rate: float64(l.Rate)})
+	}
+	return p, nil
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,62 +1,33 @@
-// Package relay carries between entries that they live, what they have in
-// force, and what one of them has read from the store for the others.
+// Package relay carries between entries what they know of each other, what they
+// have in force, and what one of them has read from the store for the others.
 //
-// A beat is a small datagram to each other entry. It says how new the sender's
-// knowledge is; an entry that lacks something pulls it from the sender. Word
-// that comes twice, late or in the wrong order does no harm, since everything
-// in it is told by version or revision.
+// Membership and how new one's knowledge is go in datagrams; an entry that lacks
+// something pulls it from the sender. Word that comes twice, late or in the wrong
+// order does no harm, since everything in it is told by version or revision.
 package relay
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/relay/wire"
-	"plumpitch.example/plumpitch/pkg/call"
-	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/roster"
 	"plumpitch.example/plumpitch/pkg/route"
 	"plumpitch.example/plumpitch/pkg/slot"
 )
 
-// Beat is what an entry says of itself.
-type Beat struct {
-	ID      uint64          // of the entry's run; Tell takes it from Entry
-	Brief   bool            // heard without Entry, which an earlier beat has told
-	Briefly bool            // the sender understands brief beats
-	Entry   owner.Entry     // of the sender
-	Config  route.Version   // in force
-	Targets roster.Revision // of the last change of targets
-	// ConfigAge and TargetsAge are the times since the store last confirmed
-	// that there is nothing newer.
-	ConfigAge  time.Duration
-	TargetsAge time.Duration
-	Shut       bool          // the store doesn't serve the sender
-	Leaving    bool          // it stops
-	Strained   bool          // it can't keep up
-	Rate       float64       // requests a second that it gets
-	Loads      []Load        // the same by host, the highest first
-	Period     time.Duration // until its next beat
-	Suspects   []call.Suspect
-}
-
-// Load is what an entry gets of one host's requests.
-type Load struct {
-	Host   uint32  // of owner.HostID
-	Rate   float64 // requests a second
-	Owners int     // as the sender decides as the host's first owner; 0 where it isn't
-}
-
 // Have is what the caller of Pull knows already.
 type Have struct {
 	Config  route.Version
 	Targets roster.Revision // of the last change; 0 asks for a list
+	Entries bool            // all entries are wanted too
 }
 
 // Extent tells how much of the targets News holds.
@@ -77,6 +48,7 @@
 	At      roster.Revision // up to which the targets are known
 	Moved   roster.Revision // of the last change of targets that matters
 	Age     time.Duration   // since the store confirmed the targets
+	Entries []member.Entry  // where they were asked for
 }
 
 // Source gives what this entry knows.
@@ -88,14 +60,16 @@
 type Config struct {
 	Address string // host:port, for datagrams and calls
 	Source  Source
-	Heard   func(Beat) // called for each beat, by one goroutine
+	Self    func() member.ID            // of this entry, told to those that ping it
+	Heard   func(p Packet, from string) // called for each packet, by one goroutine
+	Sent    func(bytes int)             // called for each packet that was sent
 	Log     log.Interface
 }
 
 // Relay speaks with the other entries. It is safe for concurrent use.
 type Relay struct {
 	cfg      Config
-	packets  net.PacketConn
+	packets  *net.UDPConn
 	listener net.Listener
 	server   *http.Server
 	client   *http.Client
@@ -108,8 +82,8 @@
 	headerTime = 2 * time.Second
 )
 
-// maxBeat bounds a datagram: it has to fit into one packet.
-const maxBeat = 1400
+// maxPacket bounds a datagram in bytes: it has to fit into one packet of 1,500.
+const maxPacket = 1472
 
 // New opens the sockets, so that a taken port is told before anything starts.
 func New(cfg Config) (r *Relay, err error) {
@@ -132,12 +106,16 @@
 // freePorts is how often another port is tried where the system chooses it.
 const freePorts = 20
 
-// listen opens datagrams and calls on one port, so that a beat names both.
+// listen opens datagrams and calls on one port, so that one address names both.
 // Where the system chooses the port, the one it gives for datagrams may be taken
 // for calls.
 func (r *Relay) listen() (err error) {
 	for range freePorts {
-		if r.packets, err = net.ListenPacket("udp", r.cfg.Address); err != nil {
+		var addr *net.UDPAddr
+		if addr, err = net.ResolveUDPAddr("udp4", r.cfg.Address); err != nil {
+			return err
+		}
+		if r.packets, err = net.ListenUDP("udp4", addr); err != nil {
 			return err
 		}
 		if r.listener, err = net.Listen("tcp", r.Address()); err == nil {
@@ -156,7 +134,7 @@
 	return r.packets.LocalAddr().String()
 }
 
-// Serve answers calls and hears beats until ctx ends.
+// Serve answers calls and hears packets until ctx ends.
 func (r *Relay) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, r.Close)
 	defer stop()
@@ -177,7 +155,7 @@
 func (r *Relay) String() string { return "relay" }
 
 func (r *Relay) hear() {
-	buf := make([]byte, maxBeat)
+	buf := make([]byte, maxPacket)
 	for {
 		n, from, err := r.packets.ReadFrom(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -187,47 +165,56 @@
 			r.cfg.Log.WithError(err).Warn("relay: no datagram read")
 			continue
 		}
-		b, err := decodeBeat(buf[:n])
+		p, err := decodePacket(time.Now(), buf[:n])
 		if err != nil {
-			r.cfg.Log.WithError(err).WithField("from", from.String()).Warn("relay: beat not understood")
+			r.cfg.Log.WithError(err).WithField("from", from.String()).Warn("relay: packet not understood")
 			continue
 		}
-		r.cfg.Heard(b)
+		r.heard(p, from.String())
 	}
 }
 
-// Tell sends a beat to the given entries, a brief one to those that know the
-// sender. A beat that is lost is made up for by the next one.
-func (r *Relay) Tell(b Beat, brief, whole []owner.Entry) (err error) {
-	return errors.WithMessage(cmp.Or(r.tell(b, true, brief), r.tell(b, false, whole)), "beat")
+// heard answers pings and passes them on; the rest is for the control loop.
+func (r *Relay) heard(p Packet, from string) {
+	var err error
+	switch p.Kind {
+	case Reach:
+		err = r.Send(p.Target, Packet{Kind: ping, Exchange: p.Exchange, Target: from})
+	case ping:
+		err = r.Send(from, Packet{Kind: pong, Exchange: p.Exchange, Target: p.Target, ID: r.cfg.Self()})
+	case pong:
+		err = r.Send(p.Target, Packet{Kind: Reached, Exchange: p.Exchange, ID: p.ID})
+	default:
+		r.cfg.Heard(p, from)
+	}
+	if err != nil {
+		r.cfg.Log.WithError(err).WithField("from", from).Debug("relay: ping not passed on")
+	}
 }
 
-func (r *Relay) tell(b Beat, brief bool, to []owner.Entry) (err error) {
-	if len(to) == 0 {
-		return nil
-	}
-	data, err := encodeBeat(b, brief)
+// Send sends a packet to an address. One that is lost is made up for by the next.
+func (r *Relay) Send(to string, p Packet) (err error) {
+	defer func() { err = errors.WithMessage(err, "packet to "+to) }()
+	data, err := encodePacket(time.Now(), p)
 	if err != nil {
 		return err
 	}
-	for _, e := range to {
-		addr, resolved := net.ResolveUDPAddr("udp", e.Peer)
-		if resolved != nil {
-			err = resolved
-			continue
-		}
-		if _, failed := r.packets.WriteTo(data, addr); failed != nil {
-			err = failed
-		}
+	addr, err := netip.ParseAddrPort(to)
+	if err != nil {
+		return err
 	}
+	n, err := r.packets.WriteToUDPAddrPort(data, addr)
+	r.cfg.Sent(n)
 	return err
 }
 
-// Pull asks an entry for what is newer than have.
-func (r *Relay) Pull(ctx context.Context, from owner.Entry, have Have) (n News, err error) {
-	defer func() { err = errors.WithMessage(err, "pull from "+from.Name) }()
-	c := wire.NewRelayProtobufClient("http://"+from.Peer, r.client)
-	reply, err := c.Pull(ctx, &wire.PullRequest{Config: uint64(have.Config), Targets: uint64(have.Targets), Format: formatBrief})
+// Pull asks the entry at an address for what is newer than have.
+func (r *Relay) Pull(ctx context.Context, from string, have Have) (n News, err error) {
+	defer func() { err = errors.WithMessage(err, "pull from "+from) }()
+	c := wire.NewRelayProtobufClient("http://"+from, r.client)
+	reply, err := c.Pull(ctx, &wire.PullRequest{
+		Config: uint64(have.Config), Targets: uint64(have.Targets), Format: formatBrief, Entries: have.Entries,
+	})
 	if err != nil {
 		return n, err
 	}
@@ -242,7 +229,7 @@
 
 // Pull implements wire.Relay.
 func (s *server) Pull(ctx context.Context, r *wire.PullRequest) (*wire.PullReply, error) {
-	have := Have{Config: route.Version(r.Config), Targets: roster.Revision(r.Targets)}
+	have := Have{Config: route.Version(r.Config), Targets: roster.Revision(r.Targets), Entries: r.Entries}
 	n, err := s.source.News(ctx, have)
 	if err != nil {
 		return nil, err
--- a/pkg/member/entry.go
+++ b/pkg/member/entry.go
@@ -49,7 +49,15 @@
 	Peer     string    // host:port of the peers' listener
 	Place    string
 	Region   string
-	Marks    Marks // as it last said itself to this entry; not passed on
+	Capacity float64 // requests a second that it is fit for
+	Condition
+	Marks Marks // as it last said itself to this entry; not passed on
+}
+
+// Condition is what an entry says of how well it works.
+type Condition struct {
+	Strained bool // it can't keep up
+	Shut     bool // the store doesn't serve it
 }
 
 // Brief tells whether the addresses are left out.
@@ -69,7 +77,7 @@
 func (e Entry) ref() Ref { return Ref{ID: e.ID, Address: e.Peer} }
 
 func (e Entry) brief() Entry {
-	e.Caller, e.Peer, e.Place, e.Region = "", "", "", ""
+	e.Caller, e.Peer, e.Place, e.Region, e.Capacity = "", "", "", "", 0
 	return e
 }
 
--- a/pkg/member/event.go
+++ b/pkg/member/event.go
@@ -36,6 +36,16 @@
 	// Ready tells that the entry knows settings and targets.
 	Ready struct{}
 
+	// Feel tells how well the entry works.
+	Feel struct{ Condition Condition }
+
+	// Fetched brings all that a peer knows, after a Fetch.
+	Fetched struct{ Entries []Entry }
+
+	// News tells that the driver has something in its messages that others should
+	// hear at once.
+	News struct{}
+
 	// Tell starts rumours.
 	Tell struct{ Rumours Rumours }
 
@@ -54,6 +64,9 @@
 func (Seeds) event()    {}
 func (Revised) event()  {}
 func (Ready) event()    {}
+func (Feel) event()     {}
+func (Fetched) event()  {}
+func (News) event()     {}
 func (Tell) event()     {}
 func (Leave) event()    {}
 func (Depart) event()   {}
@@ -81,9 +94,16 @@
 	// Reply answers the Request that was handled.
 	Reply struct{ Message Message }
 
+	// Fetch asks a peer for all that it knows: there is more to tell than
+	// messages have room for. A Fetched may follow.
+	Fetch struct{ From Ref }
+
 	// Changed tells that View has changed.
 	Changed struct{}
 
+	// Marked tells that View has changed in the marks of an entry only.
+	Marked struct{}
+
 	// Behind tells that a peer has newer revisions than this entry.
 	Behind struct {
 		Peer  Ref
@@ -101,7 +121,9 @@
 func (Send) action()       {}
 func (Reach) action()      {}
 func (Reply) action()      {}
+func (Fetch) action()      {}
 func (Changed) action()    {}
+func (Marked) action()     {}
 func (Behind) action()     {}
 func (Learned) action()    {}
 func (Superseded) action() {}
--- a/pkg/member/exchange.go
+++ b/pkg/member/exchange.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"slices"
 	"time"
 )
 
@@ -67,17 +66,17 @@
 	switch {
 	case m.Join:
 		reply.Entries = t.everything()
-	case len(m.Ask) > 0:
+	case m.Ask != 0:
 		reply.Entries = t.lacking(m)
 	case m.Digest != t.sums.all:
 		reply.Entries = t.withVerdict(m.From.Name, t.changes())
-		reply.Places = t.digests()
+		reply.Sums = t.digests()
 	}
 	if t.self.Sequence != before && !m.Join {
 		reply.Entries = append([]Entry{t.self.Entry}, reply.Entries...)
 	}
 	reply.Digest = t.sums.all
-	reply.Want = t.wants
+	reply.Want = t.wants[:min(len(t.wants), maxWants)]
 	t.act(Reply{Message: reply})
 }
 
@@ -98,17 +97,26 @@
 		t.learn(now, e, all)
 	}
 	t.hear(now, m.Rumours)
+	t.heard = now
 	r, ok := t.records[m.From.Name]
 	if !ok || r.ID != m.From || r == t.self {
 		return
 	}
 	t.hearMarks(r, m.Marks)
-	if m.Marks.Settings > t.marks.Settings {
+	if t.marks.behind(m.Marks) {
 		t.act(Behind{Peer: r.ref(), Marks: m.Marks})
 	}
 }
 
 func (t *Table) everything() []Entry {
+	if t.cfg.Bulk > 0 {
+		return []Entry{t.self.Entry} // the digest makes the sender fetch the rest
+	}
+	return t.All()
+}
+
+// All gives the entries that another one is told at its start.
+func (t *Table) All() []Entry {
 	var all []Entry
 	for _, r := range t.byName() {
 		if r.State != Left && len(all) < MaxJoin {
@@ -118,24 +126,32 @@
 	return all
 }
 
-// lacking gives what the sender of a message lacks of the places in its Ask.
+// lacking gives what the sender of a message lacks of the buckets in its Ask.
 func (t *Table) lacking(m Message) []Entry {
 	has := make(map[string]Entry, len(m.Entries))
 	for _, e := range m.Entries {
 		has[e.ID.Name] = e
 	}
 	var entries []Entry
+	room := t.room()
 	for _, r := range t.byName() {
-		if !slices.Contains(m.Ask, r.Place) || len(entries) == MaxEntries {
+		if m.Ask&(1<<r.bucket) == 0 || len(entries) == MaxEntries {
 			continue
 		}
+		var told Entry
 		e, ok := has[r.ID.Name]
 		switch {
 		case !ok && !r.State.Gone(), ok && r.ID.Boot > e.ID.Boot:
-			entries = append(entries, r.Entry)
+			told = r.Entry
 		case ok && r.newer(e):
-			entries = append(entries, r.brief())
+			told = r.brief()
+		default:
+			continue
+		}
+		if !room.take(told) {
+			break
 		}
+		entries = append(entries, told)
 	}
 	return entries
 }
@@ -161,8 +177,8 @@
 			t.news = true
 		}
 	}
-	if !ex.follow && !t.followed && len(m.Places) > 0 && m.Digest != t.sums.all {
-		t.follow(now, Ref{ID: m.From, Address: ex.to.Address}, m.Places)
+	if !ex.follow && !t.followed && len(m.Sums) == Buckets && m.Digest != t.sums.all {
+		t.follow(now, Ref{ID: m.From, Address: ex.to.Address}, m.Sums)
 	}
 }
 
@@ -174,42 +190,55 @@
 	}
 }
 
-// follow sends in brief the entries of the places whose digests differ.
-func (t *Table) follow(now time.Time, to Ref, theirs []PlaceDigest) {
+// follow sends in brief the entries of the buckets whose digests differ, of as
+// many as the message has room for.
+func (t *Table) follow(now time.Time, to Ref, theirs []uint32) {
 	t.followed = true
-	places := t.differing(theirs)
+	differing := t.differing(theirs)
+	if t.cfg.Bulk > 0 && len(differing) >= t.cfg.Bulk {
+		t.act(Fetch{From: to})
+		return
+	}
 	m := t.message(now, "")
-	m.Ask = places
-	m.Entries = t.listing(places)
+	m.Ask, m.Entries = t.listing(differing)
 	t.send(to, m, exchange{follow: true})
 }
 
-func (t *Table) differing(theirs []PlaceDigest) []string {
-	var places []string
-	seen := make(map[string]bool, len(theirs))
-	for _, p := range theirs {
-		seen[p.Place] = true
-		if t.sums.places[p.Place] != p.Digest {
-			places = append(places, p.Place)
+func (t *Table) differing(theirs []uint32) (buckets []int) {
+	for i, sum := range t.digests() {
+		if theirs[i] != sum {
+			buckets = append(buckets, i)
 		}
 	}
-	for _, p := range t.digests() {
-		if !seen[p.Place] {
-			places = append(places, p.Place)
+	return buckets
+}
+
+// listing gives the entries of buckets in brief, and a bit for each bucket that
+// is whole. It starts anywhere, so that what there is no room for has its turn
+// another time.
+func (t *Table) listing(buckets []int) (ask uint64, entries []Entry) {
+	room := t.room()
+	start := t.rand.IntN(len(buckets))
+	for i := range buckets {
+		bucket := buckets[(start+i)%len(buckets)]
+		part := t.bucket(bucket)
+		if len(entries) > 0 && len(entries)+len(part) > MaxEntries {
+			break
 		}
+		for _, e := range part {
+			if !room.take(e) && len(entries) > 0 {
+				return ask, entries
+			}
+		}
+		ask |= 1 << bucket
+		entries = append(entries, part...)
 	}
-	return places
+	return ask, entries
 }
 
-// listing gives the entries of places in brief. It starts anywhere, so that
-// what goes beyond the bound has its turn another time.
-func (t *Table) listing(places []string) []Entry {
-	var entries []Entry
-	all := t.byName()
-	start := t.rand.IntN(len(all))
-	for i := range all {
-		r := all[(start+i)%len(all)]
-		if slices.Contains(places, r.Place) && len(entries) < MaxEntries {
+func (t *Table) bucket(bucket int) (entries []Entry) {
+	for _, r := range t.byName() {
+		if r.bucket == bucket {
 			entries = append(entries, r.brief())
 		}
 	}
--- a/pkg/member/learn.go
+++ b/pkg/member/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -55,7 +56,7 @@
 // sequence number, which overrides it everywhere.
 func (t *Table) learnSelf(now time.Time, e Entry) {
 	if e.ID.Boot > t.self.ID.Boot {
-		t.supersede(e.ID)
+		t.supersede(now, e.ID)
 		return
 	}
 	if e.ID.Boot < t.self.ID.Boot || !e.newer(t.self.Entry) || t.self.State == Left {
@@ -64,7 +65,12 @@
 	t.revise(now, func(s *Entry) { s.Sequence = e.Sequence })
 }
 
-func (t *Table) supersede(by ID) {
+func (t *Table) supersede(now time.Time, by ID) {
+	if t.cfg.Sole {
+		t.revise(now, func(s *Entry) { s.ID.Boot = by.Boot + 1 })
+		t.carry(t.self, true)
+		return
+	}
 	if t.superseded {
 		return
 	}
@@ -102,7 +108,7 @@
 
 // update takes a newer statement about a known incarnation. Its addresses stay.
 func (t *Table) update(now time.Time, r *record, e Entry) {
-	e.Caller, e.Peer, e.Place, e.Region, e.Marks = r.Caller, r.Peer, r.Place, r.Region, r.Marks
+	e.Caller, e.Peer, e.Place, e.Region, e.Capacity, e.Marks = r.Caller, r.Peer, r.Place, r.Region, r.Capacity, r.Marks
 	if e.State == Suspect && (r.State != Suspect || e.Sequence != r.Sequence) {
 		r.deadline = now.Add(t.suspicion())
 	}
@@ -122,7 +128,9 @@
 // Config.Suspicion holds as it is.
 const suspicionRounds = 4
 
-// suspect declares that an incarnation did not answer. One that had announced
+// suspect declares that an incarnation did not answer, and asks the one behind it
+// in the order at once: where many are lost together, it may be too, and whoever
+// watched it. One that had announced
 // its stop is held for dead at once, since a suspect would be located again; it
 // is not held for one that left, since it may still run what it took.
 func (t *Table) suspect(now time.Time, r *record) {
@@ -136,7 +144,13 @@
 	default:
 		return
 	}
+	before := t.peers().watched
 	t.update(now, r, e)
+	for _, next := range t.peers().watched {
+		if !slices.Contains(before, next) {
+			t.gossip(now, next)
+		}
+	}
 }
 
 // expire declares the suspects dead whose time is over, and forgets those that
--- a/pkg/member/records.go
+++ b/pkg/member/records.go
@@ -9,24 +9,26 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Buckets is into how many parts entries are dealt out by their names, so that
+// a difference between two tables is found by comparing a few of them. Of 2,000
+// entries 31 are in each.
+const Buckets = 64
+
 // sums holds the digests: the exclusive or over the entries that are not gone,
 // so that a change costs the same for any number of entries. Entries that are
 // gone are left out, since each table forgets them at a time of its own.
 type sums struct {
-	all    uint64
-	places map[string]uint64
+	all     uint64
+	buckets [Buckets]uint64
 }
 
-func newSums() sums { return sums{places: make(map[string]uint64)} }
-
-func (s *sums) mix(place string, sum uint64) {
+func (s *sums) mix(bucket int, sum uint64) {
 	s.all ^= sum
-	s.places[place] ^= sum
-	if s.places[place] == 0 {
-		delete(s.places, place)
-	}
+	s.buckets[bucket] ^= sum
 }
 
+func bucketOf(name string) int { return int(xxhash.Sum64String(name) % Buckets) }
+
 func sumOf(e Entry) uint64 {
 	if e.State.Gone() {
 		return 0
@@ -35,32 +37,33 @@
 	b = append(b, e.ID.Name...)
 	b = binary.BigEndian.AppendUint64(b, e.ID.Boot)
 	b = binary.BigEndian.AppendUint64(b, e.Sequence)
-	b = append(b, byte(e.State), ready(e))
+	b = append(b, byte(e.State), bit(e.Ready)|bit(e.Strained)<<1|bit(e.Shut)<<2)
 	return xxhash.Sum64(b)
 }
 
-func ready(e Entry) byte {
-	if e.Ready {
+func bit(is bool) byte {
+	if is {
 		return 1
 	}
 	return 0
 }
 
-func (t *Table) digests() []PlaceDigest {
-	all := make([]PlaceDigest, 0, len(t.sums.places))
-	for p, d := range t.sums.places {
-		all = append(all, PlaceDigest{Place: p, Digest: d})
+// digests gives the digest of each bucket, cut to what tells two apart.
+func (t *Table) digests() []uint32 {
+	all := make([]uint32, Buckets)
+	for i, sum := range t.sums.buckets {
+		all[i] = uint32(sum)
 	}
-	slices.SortFunc(all, func(a, b PlaceDigest) int { return cmp.Compare(a.Place, b.Place) })
 	return all
 }
 
 // add puts an incarnation in the place of an earlier one of its name, if any.
 func (t *Table) add(e Entry) *record {
 	if old, ok := t.records[e.ID.Name]; ok {
-		t.sums.mix(old.Place, old.sum)
+		t.sums.mix(old.bucket, old.sum)
+		old.sends = 0
 	}
-	r := &record{}
+	r := &record{bucket: bucketOf(e.ID.Name)}
 	t.records[e.ID.Name] = r
 	t.sorted = nil
 	t.put(r, e)
@@ -69,22 +72,17 @@
 
 // put replaces what is said of an incarnation.
 func (t *Table) put(r *record, e Entry) {
-	if r.sum != 0 {
-		t.sums.mix(r.Place, r.sum)
-	}
+	t.sums.mix(r.bucket, r.sum)
 	r.Entry = e
 	r.sum = sumOf(e)
-	if r.sum != 0 {
-		t.sums.mix(r.Place, r.sum)
-	}
+	t.sums.mix(r.bucket, r.sum)
 	t.groups = nil
 	t.changed = true
 }
 
 func (t *Table) remove(r *record) {
-	if r.sum != 0 {
-		t.sums.mix(r.Place, r.sum)
-	}
+	t.sums.mix(r.bucket, r.sum)
+	r.sends = 0
 	delete(t.records, r.ID.Name)
 	t.sorted = nil
 	t.groups = nil
@@ -111,30 +109,65 @@
 // carry lets as many messages carry a record as make it likely that everyone
 // hears of it; the digests find whoever did not.
 func (t *Table) carry(r *record, full bool) {
+	if !r.hot && len(t.hot) >= maxHot && r != t.self {
+		return
+	}
 	r.sends = t.spread()
-	r.full = full
+	r.full = r.full && r.hot || full
+	if !r.hot {
+		r.hot = true
+		t.hot = append(t.hot, r)
+	}
+}
+
+// cool drops the changes that have been carried often enough.
+func (t *Table) cool() {
+	t.hot = slices.DeleteFunc(t.hot, func(r *record) bool {
+		r.hot = r.sends > 0
+		return !r.hot
+	})
 }
 
 func (t *Table) spread() int { return bits.Len(uint(len(t.records))) + 1 }
 
 // changes takes the records which had the fewest messages so far.
 func (t *Table) changes() []Entry {
-	var hot []*record
-	for _, r := range t.byName() {
-		if r.sends > 0 {
-			hot = append(hot, r)
-		}
-	}
-	slices.SortStableFunc(hot, func(a, b *record) int { return cmp.Compare(b.sends, a.sends) })
-	hot = hot[:min(len(hot), maxChanges)]
+	t.cool()
+	slices.SortStableFunc(t.hot, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(b.sends, a.sends), cmp.Compare(a.ID.Name, b.ID.Name))
+	})
+	room := t.room()
 	var entries []Entry
-	for _, r := range hot {
+	for _, r := range t.hot[:min(len(t.hot), maxChanges)] {
+		e := r.said()
+		if !room.take(e) {
+			break
+		}
 		r.sends--
-		entries = append(entries, r.said())
+		entries = append(entries, e)
 	}
 	return entries
 }
 
+// room is what is left of a message's bytes for entries.
+type room struct {
+	left  int
+	bound bool
+}
+
+func (t *Table) room() room { return room{left: t.cfg.Room, bound: t.cfg.Room > 0} }
+
+// entryBytes is what an entry takes beside its texts: numbers, state and tags.
+const entryBytes = 46
+
+func (r *room) take(e Entry) bool {
+	if !r.bound {
+		return true
+	}
+	r.left -= entryBytes + len(e.ID.Name) + len(e.Caller) + len(e.Peer) + len(e.Place) + len(e.Region)
+	return r.left >= 0
+}
+
 // settle counts a peer with the same digest as having heard of every change.
 // Without it a start of hundreds of entries at once would fill the messages for
 // most of a minute with what everyone knows.
@@ -142,7 +175,7 @@
 	if digest != t.sums.all {
 		return
 	}
-	for _, r := range t.byName() {
+	for _, r := range t.hot {
 		r.sends = max(r.sends-1, 0)
 	}
 }
--- a/pkg/member/round.go
+++ b/pkg/member/round.go
@@ -225,8 +225,7 @@
 // Pushes: news go out at once and not with the next round, but no more often
 // than a budget allows.
 const (
-	pushBurst  = 3
-	pushFanOut = 2
+	pushBurst = 3
 )
 
 type budget struct {
@@ -253,7 +252,7 @@
 	}
 	t.news = false
 	var asked []*record
-	for range pushFanOut {
+	for range t.cfg.FanOut {
 		if r := t.pick(asked); r != nil {
 			asked = append(asked, r)
 			t.gossip(now, r)
--- a/pkg/member/rumour.go
+++ b/pkg/member/rumour.go
@@ -39,11 +39,18 @@
 	}
 }
 
-func newCrashers() *rumours[uint64, Crasher] {
-	return &rumours[uint64, Crasher]{
-		key:   func(c Crasher) uint64 { return c.Print },
-		at:    func(c Crasher) time.Time { return c.At },
-		newer: func(c, old Crasher) bool { return c.Crashes > old.Crashes },
+type crasherKey struct {
+	print uint64
+	by    string
+}
+
+func newCrashers() *rumours[crasherKey, Crasher] {
+	return &rumours[crasherKey, Crasher]{
+		key: func(c Crasher) crasherKey { return crasherKey{c.Print, c.By} },
+		at:  func(c Crasher) time.Time { return c.At },
+		newer: func(c, old Crasher) bool {
+			return c.Sequence > old.Sequence || c.Sequence == old.Sequence && c.Crashes > old.Crashes
+		},
 	}
 }
 
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"iter"
 	"math/rand/v2"
 	"time"
 )
@@ -13,6 +14,7 @@
 	self    *record
 	records map[string]*record
 	sorted  []*record // by name; nil after a change of the names
+	hot     []*record // whose spread goes on
 	groups  *groups   // nil after a change of who can be asked
 	sums    sums
 	seeds   []string
@@ -25,7 +27,7 @@
 	wants     []string
 
 	stopping *rumours[stoppingKey, Stopping]
-	crashers *rumours[uint64, Crasher]
+	crashers *rumours[crasherKey, Crasher]
 
 	handled    time.Time // time of the last event
 	round      time.Time // time of the next round
@@ -37,15 +39,19 @@
 	push       budget
 	news       bool // something to push
 	changed    bool
+	marked     bool
+	heard      time.Time // time of the last message
 	actions    []Action
 }
 
 // record is an entry with the state of its spread.
 type record struct {
 	Entry
-	sum      uint64    // its part in the digests
+	sum      uint64 // its part in the digests
+	bucket   int
 	sends    int       // messages that will still carry it
-	full     bool      // they carry its addresses too
+	hot      bool      // it is among those whose spread goes on
+	full     bool      // messages carry its addresses too
 	deadline time.Time // of a suspicion
 }
 
@@ -63,7 +69,6 @@
 		cfg:       cfg,
 		rand:      cfg.Rand,
 		records:   make(map[string]*record),
-		sums:      newSums(),
 		seeds:     cfg.Seeds,
 		exchanges: make(map[uint64]exchange),
 		checks:    make(map[ID]*check),
@@ -90,17 +95,33 @@
 // Handle takes an event and gives the actions that follow from it.
 func (t *Table) Handle(now time.Time, ev Event) []Action {
 	t.actions = nil
-	t.changed = false
+	t.changed, t.marked = false, false
 	t.wants = nil
 	t.resume(now)
 	t.dispatch(now, ev)
 	t.pushNews(now)
 	if t.changed {
 		t.act(Changed{})
+	} else if t.marked {
+		t.act(Marked{})
 	}
 	return t.actions
 }
 
+// Entries gives what is known of each entry, by name, this one among them.
+func (t *Table) Entries() iter.Seq[Entry] {
+	return func(yield func(Entry) bool) {
+		for _, r := range t.byName() {
+			if !yield(r.Entry) {
+				return
+			}
+		}
+	}
+}
+
+// Heard is when the last message came from any other entry.
+func (t *Table) Heard() time.Time { return t.heard }
+
 func (t *Table) dispatch(now time.Time, ev Event) {
 	switch ev := ev.(type) {
 	case Tick:
@@ -115,10 +136,21 @@
 		t.reached(now, ev)
 	case Seeds:
 		t.seeds = ev.Addresses
+		t.round = now
 	case Revised:
 		t.revised(ev.Marks)
 	case Ready:
 		t.revise(now, func(e *Entry) { e.Ready = true })
+	case Feel:
+		if ev.Condition != t.self.Condition {
+			t.revise(now, func(e *Entry) { e.Condition = ev.Condition })
+		}
+	case Fetched:
+		for _, e := range ev.Entries {
+			t.learn(now, e, true)
+		}
+	case News:
+		t.news = true
 	case Tell:
 		t.tell(now, ev.Rumours)
 	case Leave:
@@ -173,7 +205,7 @@
 }
 
 func (t *Table) hearMarks(from *record, m Marks) {
-	t.changed = t.changed || m != from.Marks
+	t.marked = t.marked || m != from.Marks
 	from.Marks = m
 }
 
--- a/pkg/owner/deal.go
+++ b/pkg/owner/deal.go
@@ -52,15 +52,9 @@
 	return d
 }
 
-// First is the entry that decides how many owners a host has; ok is false where
-// none lives.
-func (d *Deal) First(host string) (e Entry, ok bool) {
-	list := d.first[host]
-	if len(list) == 0 {
-		return e, false
-	}
-	return d.live[list[0]].Entry, true
-}
+// FirstOwners are the owners of a host that no count changes. The first one
+// decides how many there are.
+func (d *Deal) FirstOwners(host string) []Entry { return d.entries(d.first[host]) }
 
 // Owners gives each host the entries that its callers are sent to, the first of
 // which decides their number: counts has it for each host, Least where it is
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -4,6 +4,7 @@
 package owner
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +43,26 @@
 // too busy to refuse what it could not serve.
 const Least = 2
 
+// Order gives the first so many entries in the order of Rank.
+func Order(live []Candidate, duty string, most int) (first []Entry) {
+	var scores []uint64
+	for _, c := range live {
+		s := score(c.Name, duty)
+		at := len(first)
+		for at > 0 && (s > scores[at-1] || s == scores[at-1] && c.Name < first[at-1].Name) {
+			at--
+		}
+		if at == most {
+			continue
+		}
+		if len(first) == most {
+			first, scores = first[:most-1], scores[:most-1]
+		}
+		first, scores = slices.Insert(first, at, c.Entry), slices.Insert(scores, at, s)
+	}
+	return first
+}
+
 func truth(b bool) int {
 	if b {
 		return 1
--- a/status_gateway.go
+++ b/status_gateway.go
@@ -23,11 +23,11 @@
 	}
 	fmt.Printf("gateway %s, configuration %d confirmed %.1f s ago, targets %d confirmed %.1f s ago%s\n\n",
 		s.Entry, s.Version, s.Age, s.Revision, s.Fresh, marks(s.Leaving, s.Strained, s.Shut))
-	t := newTable("ENTRY", "LIVE", "PLACE", "HEARD S", "CONFIG", "TARGETS", "RATE", "MARKS")
+	t := newTable("ENTRY", "STATE", "PLACE", "SINCE S", "CONFIG", "TARGETS", "RATE", "MARKS")
 	for _, e := range s.Entries {
 		t.Append([]string{
-			e.Name, fmt.Sprint(e.Live), e.Place, fmt.Sprintf("%.1f", e.Heard), fmt.Sprint(e.Version), fmt.Sprint(e.Revision),
-			fmt.Sprintf("%.0f", e.Rate), strings.TrimPrefix(marks(e.Leaving, e.Strained, e.Shut), ", "),
+			e.Name, e.State, e.Place, fmt.Sprintf("%.1f", e.Since), fmt.Sprint(e.Version), fmt.Sprint(e.Revision),
+			fmt.Sprintf("%.0f", e.Rate), strings.TrimPrefix(marks(false, e.Strained, e.Shut), ", "),
 		})
 	}
 	t.Render()
