--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -114,10 +115,6 @@
 
 func (m newsPulled) apply(now time.Time, c *control) {
 	c.pulling = false
-	m.learn(now, c)
-}
-
-func (m newsPulled) learn(now time.Time, c *control) {
 	if m.err != nil {
 		c.gateway.log.WithError(m.err).Warn("nothing pulled")
 		return
@@ -153,29 +150,34 @@
 // differ from each other all the time; each fetch brings what came since.
 const fetchPause = 2 * roundPeriod
 
-// fetch asks another entry for the entries that this one lacks.
+// fetch asks another entry for the entries that this one lacks, and for nothing
+// else, which a pull may be bringing.
 func (c *control) fetch(now time.Time, from string) {
 	if c.fetching || now.Sub(c.fetched) < fetchPause {
 		return
 	}
 	c.fetching, c.fetched = true, now
-	have := relay.Have{Config: c.config.Version, Targets: c.targets.Moved(), Entries: true, Known: c.members.Known()}
+	have := relay.Have{Config: math.MaxUint64, Targets: math.MaxUint64, Entries: true, Known: c.members.Known()}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		n, err := c.gateway.relay.Pull(ctx, from, have)
-		c.tell(context.Background(), entriesFetched{newsPulled{from: from, news: n, err: err}})
+		c.tell(context.Background(), entriesFetched{n.Entries, err})
 	}()
 }
 
 // entriesFetched is the answer to a fetch.
-type entriesFetched struct{ newsPulled }
+type entriesFetched struct {
+	entries []member.Entry
+	err     error
+}
 
 func (m entriesFetched) apply(now time.Time, c *control) {
 	c.fetching = false
-	m.learn(now, c)
-	if m.err == nil {
-		c.drive(now, member.Fetched{Entries: m.news.Entries}, "", 0)
+	if m.err != nil {
+		c.gateway.log.WithError(m.err).Warn("no entries fetched")
+	} else {
+		c.drive(now, member.Fetched{Entries: m.entries}, "", 0)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -227,10 +227,25 @@
 type server struct {
 	source Source
 	packer packer
+	whole  recent
 }
 
 // Pull implements wire.Relay.
-func (s *server) Pull(ctx context.Context, r *wire.PullRequest) (*wire.PullReply, error) {
+func (s *server) Pull(ctx context.Context, r *wire.PullRequest) (w *wire.PullReply, err error) {
+	if r.Config > 0 || r.Targets > 0 || r.Entries {
+		return s.answer(ctx, r)
+	}
+	if w = s.whole.get(time.Now(), r.Format); w != nil {
+		return w, nil
+	}
+	if w, err = s.answer(ctx, r); err != nil {
+		return nil, err
+	}
+	s.whole.put(time.Now(), r.Format, w)
+	return w, nil
+}
+
+func (s *server) answer(ctx context.Context, r *wire.PullRequest) (*wire.PullReply, error) {
 	have := Have{Config: route.Version(r.Config), Targets: roster.Revision(r.Targets), Entries: r.Entries, Known: r.Known}
 	n, err := s.source.News(ctx, have)
 	if err != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -183,6 +183,32 @@
 	qt.Assert(t, w.Listed && !w.Changed, qt.IsTrue)
 }
 
+// Hundreds of entries start at once and ask for all that there is. The answer is
+// made once for all that ask within a moment, and not kept for longer; one that
+// says only a part is not kept.
+func TestStartOfMany(t *testing.T) {
+	now := time.Unix(1000, 0)
+	whole := &wire.PullReply{Listed: true, Packed: []byte("x")}
+	tests := []struct {
+		name  string
+		reply *wire.PullReply
+		after time.Duration
+		kept  bool
+	}{
+		{"at once", whole, 0, true},
+		{"within the moment", whole, recentTime, true},
+		{"later", whole, recentTime + 1, false},
+		{"targets alone", &wire.PullReply{Listed: true}, 0, false},
+		{"configuration alone", &wire.PullReply{Config: []byte("x")}, 0, false},
+	}
+	for _, tt := range tests {
+		var r recent
+		r.put(now, formatPacked, tt.reply)
+		qt.Assert(t, r.get(now.Add(tt.after), formatPacked) != nil, qt.Equals, tt.kept, qt.Commentf(tt.name))
+		qt.Assert(t, r.get(now.Add(tt.after), formatBrief), qt.IsNil)
+	}
+}
+
 // since gives a list to those that have nothing, and changes to others.
 type since struct{ config []byte }
 
