--- a/internal/gateway/rate.go
+++ b/internal/gateway/rate.go
@@ -15,7 +15,7 @@
 }
 
 // rateHalf is the time in which the mean goes half of the way to a new rate:
-// within a burst of a few seconds, and well over a beat.
+// within a burst of a few seconds, and well over a tick.
 const rateHalf = 700 * time.Millisecond
 
 func (r *rate) add() { r.count.Add(1) }
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -42,7 +42,7 @@
 }{
 	// A configuration has 2 s until it is in force everywhere. The first entry
 	// always watches, and what the others know is then at most as old as one
-	// watch and one beat.
+	// watch and the time in which word spreads.
 	dutyConfig: {first: 0, step: 300 * time.Millisecond, wait: time.Second},
 	// A leaving target has to be known within 2 s as well. Its watch is
 	// answered at once, so the pause is what bounds the calls: with the steps
