--- a/internal/gateway/enroller.go
+++ b/internal/gateway/enroller.go
@@ -205,5 +205,5 @@
 	if m.took > 0 {
 		c.enrolled, c.enrolling, c.ahead = now, m.took, ahead(c.gateway.self, m.items)
 	}
-	c.drive(now, member.Seeds{Addresses: seeds}, "", 0)
+	c.drive(now, member.Seeds{Addresses: seeds})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,8 @@
 	control  *control
 	suspects *call.Suspects
 	leaving  atomic.Bool
-	recorded atomic.Bool // this entry has a record in the store
+	run      atomic.Pointer[member.ID] // this process, as the others know it
+	recorded atomic.Bool               // this entry has a record in the store
 	started  time.Time
 	known    chan struct{} // closed once a configuration and targets are known
 	bounds   atomic.Pointer[platform.Bounds]
@@ -100,7 +101,7 @@
 	if g.relay, err = relay.New(relay.Config{
 		Address: net.JoinHostPort(s.Address, strconv.Itoa(s.Ports[0])),
 		Source:  g.control, Heard: g.control.heard, Log: g.log,
-		Self: func() member.ID { return member.ID{Name: g.self.Name, Boot: g.self.Boot} },
+		Self: func() member.ID { return *g.run.Load() },
 		Sent: func(bytes int) { g.instruments.sent.Inc(int64(bytes)) },
 	}); err != nil {
 		g.unlisten()
@@ -111,6 +112,7 @@
 		Place: s.Place, Region: s.Region, Capacity: capacity(s),
 	}
 	g.control.members = member.New(g.memberConfig())
+	g.control.named()
 	return g, nil
 }
 
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -77,7 +77,7 @@
 	}
 	for address, list := range reports {
 		c.send(address, relay.Packet{
-			Kind: relay.Loads, Loads: list, ID: c.id(),
+			Kind: relay.Loads, Loads: list, ID: c.members.Self(),
 		})
 	}
 	maps.DeleteFunc(c.loads, func(_ string, l loadsHeard) bool { return now.Sub(l.at) > loadsHold })
@@ -111,7 +111,7 @@
 		load := c.load(host)
 		counts[host] = size.Decide(now, load, deal.Fit(host))
 		if c.numbers.Say(id, counts[host], load) {
-			c.drive(now, member.News{}, "", 0)
+			c.drive(now, member.News{})
 		}
 	}
 	return counts
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -177,7 +177,7 @@
 	if m.err != nil {
 		c.gateway.log.WithError(m.err).Warn("no entries fetched")
 	} else {
-		c.drive(now, member.Fetched{Entries: m.entries}, "", 0)
+		c.drive(now, member.Fetched{Entries: m.entries})
 	}
 }
 
--- a/internal/gateway/several_test.go
+++ b/internal/gateway/several_test.go
@@ -206,3 +206,33 @@
 	w.c.Assert(s.Hosts[0].Owners, qt.HasLen, 2)
 	w.c.Assert(s.Services[0].Targets[0].State, qt.Equals, "open")
 }
+
+// The store turns the entry away that reads it for all, for a while, and the next
+// one takes over. The first finds out by itself that it is served again: else one
+// entry after the other would be lost for reading.
+func TestReaderIsServedAgain(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	entries := several(w, 3)
+	var live []owner.Candidate
+	for _, e := range entries {
+		live = append(live, owner.Candidate{Entry: e.self})
+	}
+	var first *entry
+	for _, e := range entries {
+		if owner.Rank(live, dutyNames[dutyTargets], e.self.Name) == 0 {
+			first = e
+		}
+	}
+	shut := func() bool {
+		s, err := first.Status(t.Context())
+		w.c.Assert(err, qt.IsNil)
+		return s.Shut
+	}
+	w.store.Fail(turnAway(first))
+	w.until("the reader is turned away", shut)
+	time.Sleep(time.Second)
+	w.store.Fail(nil)
+	began := time.Now()
+	w.until("the reader is served again", func() bool { return !shut() })
+	w.c.Assert(time.Since(began) < 2*storeRestMax, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -156,7 +156,7 @@
 func (r *Relay) String() string { return "relay" }
 
 func (r *Relay) hear() {
-	buf := make([]byte, maxPacket)
+	buf := make([]byte, 2*maxPacket) // one that is too long is not to be cut short
 	for {
 		n, from, err := r.packets.ReadFrom(buf)
 		if errors.Is(err, net.ErrClosed) {
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -8,8 +8,10 @@
 	MaxJoin    = 4096 // entries in the answer to a join
 	maxChanges = 16   // recent changes that one message carries
 	maxRumours = 16   // rumours of each kind that one message carries
-	maxWants   = 8    // names whose addresses one message asks for
-	maxAccused = 96   // accusations by digest that one message carries
+	// packetRumours is the same where a message has to fit into a packet.
+	packetRumours = 8
+	maxWants      = 8  // names whose addresses one message asks for
+	maxAccused    = 96 // accusations by digest that one message carries
 	// maxHot is how many changes wait to be carried. Where there are more, as at a
 	// start of hundreds, the digests find what is missing with fewer bytes.
 	maxHot = 64
--- a/pkg/member/rumour.go
+++ b/pkg/member/rumour.go
@@ -73,8 +73,8 @@
 	return true
 }
 
-// take gives the rumours that had the fewest messages so far.
-func (rs *rumours[K, V]) take(now time.Time) []V {
+// take gives at most so many rumours, those that had the fewest messages so far.
+func (rs *rumours[K, V]) take(now time.Time, most int) []V {
 	rs.items = slices.DeleteFunc(rs.items, func(r *rumour[V]) bool { return now.Sub(rs.at(r.value)) > rumourAge })
 	var hot []*rumour[V]
 	for _, r := range rs.items {
@@ -84,7 +84,7 @@
 	}
 	slices.SortStableFunc(hot, func(a, b *rumour[V]) int { return cmp.Compare(b.sends, a.sends) })
 	var values []V
-	for _, r := range hot[:min(len(hot), maxRumours)] {
+	for _, r := range hot[:min(len(hot), most)] {
 		r.sends--
 		values = append(values, r.value)
 	}
@@ -92,7 +92,11 @@
 }
 
 func (t *Table) takeRumours(now time.Time) Rumours {
-	return Rumours{Stopping: t.stopping.take(now), Crashers: t.crashers.take(now)}
+	most := maxRumours
+	if t.cfg.Room > 0 {
+		most = packetRumours
+	}
+	return Rumours{Stopping: t.stopping.take(now, most), Crashers: t.crashers.take(now, most)}
 }
 
 // tell starts rumours here.
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -114,6 +114,9 @@
 	return t.actions
 }
 
+// Self gives this entry's incarnation.
+func (t *Table) Self() ID { return t.self.ID }
+
 // Entries gives what is known of each entry, by name, this one among them.
 func (t *Table) Entries() iter.Seq[Entry] {
 	return func(yield func(Entry) bool) {
