gateway: the enroller goes by the view; one copy each of what the change wrote twice

Found on reading the change again; behaviour stays. The enroller asked the control loop each second for what the published view says, with a map of all names; whether there is a record stood in two places. A record left the sums by two copies of the same steps (discount). The fleet in virtual time encoded each message a second time to count it at the receiver. Entry.ID served brief beats, which are gone, and nothing calls it; the later of two times is one condition. Tests: one list of candidates for two tests, assertions as they were.

--- a/internal/gateway/enroller.go
+++ b/internal/gateway/enroller.go
@@ -32,11 +32,10 @@
 
 // enroller keeps the records of entries in the store.
 type enroller struct {
-	gateway  *Gateway
-	since    time.Time // since when this entry has to have a record
-	onRecord bool
-	cleaned  time.Time
-	silent   map[string]roster.Revision // records whose entry wasn't live when they were last looked through
+	gateway *Gateway
+	since   time.Time // since when this entry has to have a record
+	cleaned time.Time
+	silent  map[string]roster.Revision // records whose entry wasn't live when they were last looked through
 }
 
 func (e *enroller) String() string { return "enroller" }
@@ -60,7 +59,7 @@
 		return true
 	}
 	for end := time.Now().Add(seedTime); time.Now().Before(end); sleep(ctx, readerTick) {
-		if e.gateway.control.standing(ctx).met {
+		if len(e.gateway.view.Load().live) > 1 {
 			return false
 		}
 	}
@@ -89,7 +88,6 @@
 	ctx, cancel := context.WithTimeout(ctx, listTime)
 	defer cancel()
 	if err = e.gateway.store.Enter(ctx, e.gateway.self); err == nil {
-		e.onRecord = true
 		e.gateway.recorded.Store(true)
 	}
 	return err
@@ -108,18 +106,18 @@
 // check enters this entry where it has to have a record, and looks through the
 // records where that is its part.
 func (e *enroller) check(ctx context.Context, now time.Time) {
-	s := e.gateway.control.standing(ctx)
+	rank := owner.Rank(e.gateway.view.Load().live, dutyRecord, e.gateway.self.Name)
 	switch {
-	case s.rank >= recorded || e.gateway.leaving.Load():
+	case rank >= recorded || e.gateway.leaving.Load():
 		e.since = time.Time{}
 	case e.since.IsZero():
 		e.since = now
-	case !e.onRecord && now.Sub(e.since) >= recordAfter:
+	case !e.gateway.recorded.Load() && now.Sub(e.since) >= recordAfter:
 		if err := e.enter(ctx); err != nil {
 			e.gateway.log.WithError(err).Info("not on record")
 		}
 	}
-	if s.rank == 0 && now.Sub(e.cleaned) >= cleanEvery {
+	if rank == 0 && now.Sub(e.cleaned) >= cleanEvery {
 		e.cleaned = now
 		e.clean(ctx)
 	}
@@ -137,7 +135,10 @@
 		return
 	}
 	e.gateway.control.tell(ctx, entriesListed{items: items})
-	live := e.gateway.control.standing(ctx).live
+	live := make(map[string]bool)
+	for _, c := range e.gateway.view.Load().live {
+		live[c.Name] = true
+	}
 	silent := make(map[string]roster.Revision)
 	for _, it := range items {
 		if live[it.Name] {
@@ -155,40 +156,9 @@
 	e.silent = silent
 }
 
-// standing is what the enroller has to know of the control loop's state.
-type standing struct {
-	met  bool            // another entry is known
-	rank int             // this entry's place in the order of those with a record
-	live map[string]bool // names
-}
-
 // dutyRecord names the order of entries that have a record.
 const dutyRecord = "record"
 
-// standingAsked is the enroller's question.
-type standingAsked struct{ answer chan standing }
-
-func (m standingAsked) apply(_ time.Time, c *control) {
-	live := c.live()
-	s := standing{met: len(live) > 1, live: make(map[string]bool, len(live))}
-	s.rank = owner.Rank(live, dutyRecord, c.gateway.self.Name)
-	for _, e := range live {
-		s.live[e.Name] = true
-	}
-	m.answer <- s
-}
-
-// standing asks the control loop.
-func (c *control) standing(ctx context.Context) (s standing) {
-	q := standingAsked{answer: make(chan standing, 1)}
-	c.tell(ctx, q)
-	select {
-	case s = <-q.answer:
-	case <-ctx.Done():
-	}
-	return s
-}
-
 // entriesListed are the entries that the store has on record.
 type entriesListed struct {
 	items []roster.Item[owner.Entry]
--- a/internal/gateway/roll.go
+++ b/internal/gateway/roll.go
@@ -52,12 +52,6 @@
 // alone tells whether no other entry has been heard for long, though there are
 // some: then this one is cut off, and does all by itself.
 func (c *control) alone(now time.Time) bool {
-	return len(c.live()) > 1 && now.Sub(later(c.members.Heard(), c.started)) > aloneAfter
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	silent := now.Sub(c.started) > aloneAfter && now.Sub(c.members.Heard()) > aloneAfter
+	return silent && len(c.live()) > 1
 }
--- a/internal/gateway/several_test.go
+++ b/internal/gateway/several_test.go
@@ -31,6 +31,14 @@
 	return entries
 }
 
+// candidates are the entries as each of them knows the others.
+func candidates(entries []*entry) (live []owner.Candidate) {
+	for _, e := range entries {
+		live = append(live, owner.Candidate{Entry: e.self})
+	}
+	return live
+}
+
 // Two of three entries are told to stop at the same time, each with callers
 // that have its address and go on sending. Until an entry's port is closed every
 // request is answered by a target; after that callers are refused a connection
@@ -125,10 +133,7 @@
 func TestFirstReadersLost(t *testing.T) {
 	w := newWorld(t, site{targets: 2})
 	entries := several(w, 5)
-	var live []owner.Candidate
-	for _, e := range entries {
-		live = append(live, owner.Candidate{Entry: e.self})
-	}
+	live := candidates(entries)
 	lost := make(map[string]bool)
 	var rest []*entry
 	for _, e := range entries {
@@ -213,10 +218,7 @@
 func TestReaderIsServedAgain(t *testing.T) {
 	w := newWorld(t, site{targets: 1})
 	entries := several(w, 3)
-	var live []owner.Candidate
-	for _, e := range entries {
-		live = append(live, owner.Candidate{Entry: e.self})
-	}
+	live := candidates(entries)
 	var first *entry
 	for _, e := range entries {
 		if owner.Rank(live, dutyNames[dutyTargets], e.self.Name) == 0 {
--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -105,24 +105,24 @@
 	}
 	f.at(f.now.Add(s.Timeout), func() { back(member.NoAnswer{Exchange: s.Exchange}) })
 	to := f.find(s.To.Address)
-	m := f.pass(n, s.Message)
+	m, size := f.pass(n, s.Message)
 	f.carry(n, to, func() {
 		if !to.up || to.paused {
 			f.handle(to, member.Request{Message: m}) // waits, its answer is lost
 			return
 		}
-		f.received(to, m)
+		f.received(to, size)
 		reply := f.handle(to, member.Request{Message: m})
-		answer := f.pass(to, *reply)
+		answer, size := f.pass(to, *reply)
 		f.carry(to, n, func() {
-			f.received(n, answer)
+			f.received(n, size)
 			back(member.Answer{Exchange: s.Exchange, Message: answer})
 		})
 	})
 }
 
 // pass encodes and decodes a message and counts its bytes at the sender.
-func (f *Fleet) pass(n *Node, m member.Message) member.Message {
+func (f *Fleet) pass(n *Node, m member.Message) (passed member.Message, body int) {
 	start := time.Now()
 	raw, err := proto.Marshal(&wire.GossipRequest{Version: peer.Version, Gossip: peer.EncodeGossip(f.now, m)})
 	if err != nil {
@@ -132,13 +132,13 @@
 	if err := proto.Unmarshal(raw, &w); err != nil {
 		panic(err)
 	}
-	decoded, err := peer.DecodeGossip(f.now, w.GetGossip())
+	passed, err = peer.DecodeGossip(f.now, w.GetGossip())
 	if err != nil {
 		panic(err)
 	}
 	n.Traffic.Busy += time.Since(start)
 	f.count(n, len(raw))
-	return decoded
+	return passed, len(raw)
 }
 
 func (f *Fleet) count(n *Node, body int) {
@@ -147,8 +147,7 @@
 	n.Traffic.Largest = max(n.Traffic.Largest, body)
 }
 
-func (f *Fleet) received(n *Node, m member.Message) {
-	body := proto.Size(&wire.GossipRequest{Version: peer.Version, Gossip: peer.EncodeGossip(f.now, m)})
+func (f *Fleet) received(n *Node, body int) {
 	n.Traffic.In += int64(body + f.cfg.Overhead)
 }
 
@@ -191,9 +190,9 @@
 		if !from.up || from.paused {
 			return
 		}
-		m := f.pass(from, member.Message{From: from.Entry.ID, Entries: from.Table.Lacking(known)})
+		m, size := f.pass(from, member.Message{From: from.Entry.ID, Entries: from.Table.Lacking(known)})
 		f.carry(from, n, func() {
-			f.received(n, m)
+			f.received(n, size)
 			if n.Entry.ID.Boot == boot {
 				f.handle(n, member.Fetched{Entries: m.Entries})
 			}
--- a/pkg/member/records.go
+++ b/pkg/member/records.go
@@ -58,10 +58,7 @@
 // add puts an incarnation in the place of an earlier one of its name, if any.
 func (t *Table) add(e Entry) *record {
 	if old, ok := t.records[e.ID.Name]; ok {
-		t.sums.mix(old.bucket, old.sum)
-		t.suspects -= int(bit(old.State == Suspect))
-		t.unindex(old)
-		old.sends = 0
+		t.discount(old)
 	}
 	hash := xxhash.Sum64String(e.ID.Name)
 	r := &record{hash: hash, bucket: int(hash % Buckets)}
@@ -91,11 +88,16 @@
 	}
 }
 
-func (t *Table) remove(r *record) {
+// discount takes a record out of all that is worked out over the records.
+func (t *Table) discount(r *record) {
 	t.unindex(r)
 	t.sums.mix(r.bucket, r.sum)
 	t.suspects -= int(bit(r.State == Suspect))
 	r.sends = 0
+}
+
+func (t *Table) remove(r *record) {
+	t.discount(r)
 	delete(t.records, r.ID.Name)
 	t.sorted = nil
 	t.groups = nil
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -5,7 +5,6 @@
 
 import (
 	"slices"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -22,11 +21,6 @@
 	Capacity float64
 }
 
-// ID names the incarnation where its name and boot time would take more room.
-func (e Entry) ID() uint64 {
-	return score(e.Name, strconv.FormatUint(e.Boot, 10))
-}
-
 // HostID names a host where its name would take more room.
 func HostID(host string) uint32 {
 	return uint32(score(host, "host"))
