--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/apex/log"
 
@@ -22,14 +23,14 @@
 
 // logBeliefs logs what has changed: which entries live, which own a service,
 // and the targets.
-func (c *control) logBeliefs(live []owner.Candidate, owners map[string][]owner.Entry) {
+func (c *control) logBeliefs(now time.Time, live []owner.Candidate, owners map[string][]owner.Entry) {
 	c.logLive(live)
 	b := &c.believed
 	if text := ownersText(owners); text != b.owners {
 		c.gateway.log.WithFields(log.Fields{"owners": text, "before": b.owners}).Info("owners changed")
 		b.owners = text
 	}
-	c.logTargets()
+	c.logTargets(now)
 }
 
 // logLive logs which entries came and went. All that live would be ten kilobytes
@@ -76,15 +77,16 @@
 	return strings.Join(parts, "; ")
 }
 
-// logTargets logs which targets came, went, and said that they leave.
-func (c *control) logTargets() {
+// logTargets logs which targets came, went, and said that they leave, and how old
+// the store's word of that is.
+func (c *control) logTargets(now time.Time) {
 	if c.believed.at == c.targets.Moved() {
 		return
 	}
 	c.believed.at = c.targets.Moved()
-	before, now := c.believed.targets, c.targets.Items()
+	before, items := c.believed.targets, c.targets.Items()
 	var came, went, leaving []string
-	for id, it := range now {
+	for id, it := range items {
 		old, known := before[id]
 		if !known {
 			came = append(came, id)
@@ -94,16 +96,16 @@
 		}
 	}
 	for id := range before {
-		if _, ok := now[id]; !ok {
+		if _, ok := items[id]; !ok {
 			went = append(went, id)
 		}
 	}
-	c.believed.targets = now
+	c.believed.targets = items
 	if len(came)+len(went)+len(leaving) == 0 {
 		return
 	}
 	c.gateway.log.WithFields(log.Fields{
-		"revision": uint64(c.targets.Moved()), "targets": len(now),
+		"revision": uint64(c.targets.Moved()), "targets": len(items), "age": c.age(now, dutyTargets).Milliseconds(),
 		"came": strings.Join(came, " "), "went": strings.Join(went, " "), "leaving": strings.Join(leaving, " "),
 	}).Info("targets changed")
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -5,6 +5,8 @@
 	"maps"
 	"time"
 
+	"github.com/apex/log"
+
 	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/owner"
@@ -176,7 +178,7 @@
 	owners := c.owners
 	c.recount = false
 	c.shareRetries()
-	c.logBeliefs(live, owners)
+	c.logBeliefs(now, live, owners)
 	targets := c.table != nil && !c.confirmed[dutyTargets].IsZero()
 	c.gateway.view.Store(&view{
 		table: c.table, targets: targets, services: c.services, live: live, owners: owners, rates: c.hosts.rates,
@@ -222,7 +224,7 @@
 // change applies a change of the targets and notes what vanished by it.
 func (c *control) change(now time.Time, apply func() (moved bool)) (moved bool) {
 	if last := c.confirmed[dutyTargets]; !last.IsZero() {
-		c.lapses.Heard(now, now.Sub(last))
+		c.outage(now, now.Sub(last))
 	}
 	before := c.targets.Items()
 	if !apply() {
@@ -232,8 +234,22 @@
 	c.targets.Forget()
 	for name, it := range before {
 		if _, ok := c.targets.Get(name); !ok && !it.Value.Leaving {
-			c.lapses.Removed(now, it)
+			c.lapse(now, it)
 		}
 	}
 	return true
 }
+
+// outage notes that the store answered after what was known had become so old.
+func (c *control) outage(now time.Time, age time.Duration) {
+	if c.lapses.Heard(now, age) {
+		c.gateway.log.WithField("age", age.Milliseconds()).Warn("store was away, records that vanish are awaited")
+	}
+}
+
+// lapse notes that a target's record vanished.
+func (c *control) lapse(now time.Time, it roster.Item[slot.Target]) {
+	if c.lapses.Removed(now, it) {
+		c.gateway.log.WithFields(log.Fields{"target": it.Name, "service": it.Value.Service}).Info("target kept, its record is awaited")
+	}
+}
--- a/pkg/roster/lapse.go
+++ b/pkg/roster/lapse.go
@@ -27,18 +27,23 @@
 	return &Lapses[T]{items: make(map[string]Item[T])}
 }
 
-// Heard takes that the store answered after what was known had become so old.
-func (l *Lapses[T]) Heard(now time.Time, age time.Duration) {
-	if age >= OutageAge {
-		l.returned = now
+// Heard takes that the store answered after what was known had become so old,
+// and tells whether it counts as having been away.
+func (l *Lapses[T]) Heard(now time.Time, age time.Duration) (away bool) {
+	if age < OutageAge {
+		return false
 	}
+	l.returned = now
+	return true
 }
 
-// Removed takes an object that vanished.
-func (l *Lapses[T]) Removed(now time.Time, it Item[T]) {
-	if l.open(now) {
-		l.items[it.Name] = it
+// Removed takes an object that vanished, and tells whether it is kept.
+func (l *Lapses[T]) Removed(now time.Time, it Item[T]) (kept bool) {
+	if !l.open(now) {
+		return false
 	}
+	l.items[it.Name] = it
+	return true
 }
 
 func (l *Lapses[T]) open(now time.Time) bool {
