gateway: failing tests of requests at a target that has left

Callers see nothing wrong at first: their requests are served by a target after it said that it is gone, up to seconds later, and break off when it ends.

Pulls carry when they were asked, and roster.Told is Apply: nothing decides otherwise than before.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -98,6 +98,16 @@
 
 // entryAt starts an entry with a number for its start.
 func (w *world) entryAt(name string, boot uint64, seeds ...*entry) *entry {
+	g := w.gateway(name, boot, seeds...)
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &entry{Gateway: g, w: w, stop: cancel, done: make(chan error, 1)}
+	go func() { e.done <- g.Serve(ctx) }()
+	w.c.Cleanup(cancel)
+	return e
+}
+
+// gateway makes an entry whose loops don't run yet.
+func (w *world) gateway(name string, boot uint64, seeds ...*entry) *Gateway {
 	bounds, err := platform.ParseSettings([]byte(settingsText))
 	w.c.Assert(err, qt.IsNil)
 	s := platform.Settings{
@@ -110,11 +120,7 @@
 	}
 	g, err := New(Config{Settings: s, Boot: boot, Log: &log.Logger{Handler: discard.New()}})
 	w.c.Assert(err, qt.IsNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	e := &entry{Gateway: g, w: w, stop: cancel, done: make(chan error, 1)}
-	go func() { e.done <- g.Serve(ctx) }()
-	w.c.Cleanup(cancel)
-	return e
+	return g
 }
 
 const settingsText = `
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -108,9 +108,10 @@
 
 // newsPulled is the answer to a pull.
 type newsPulled struct {
-	from string // address
-	news relay.News
-	err  error
+	asked time.Time
+	from  string // address
+	news  relay.News
+	err   error
 }
 
 func (m newsPulled) apply(now time.Time, c *control) {
@@ -184,7 +185,7 @@
 // pulled applies what another entry knows of the targets.
 func (c *control) pulled(n relay.News) (moved bool) {
 	if n.Targets == relay.Changed {
-		moved = c.targets.Apply(n.Changes, n.At)
+		moved = c.targets.Told(n.Changes, n.At)
 	} else {
 		list := make([]roster.Item[slot.Target], 0, len(n.Changes))
 		for _, change := range n.Changes {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -165,3 +165,8 @@
 	r.floor = revisions[len(revisions)/2]
 	maps.DeleteFunc(r.gone, func(_ string, rev Revision) bool { return rev <= r.floor })
 }
+
+// Told takes changes that another keeper knows.
+func (r *Roster[T]) Told(changes []Change[T], at Revision) (moved bool) {
+	return r.Apply(changes, at)
+}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -208,3 +208,53 @@
 		})
 	}
 }
+
+// A target comes and is removed within a second. One entry has heard of its coming
+// only; another one has missed both and lists what is left after that. When the
+// first tells it what it knows, as changes or as a list, the target must not come
+// back: it would stay until the next list, since its removal is in the past.
+func TestRemovedInAGapStaysRemoved(t *testing.T) {
+	tests := []struct {
+		name  string
+		knows []Item[string] // the second entry, before its list
+	}{
+		{"first list", nil},
+		{"list after a gap", []Item[string]{{"a", 1, "ready"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first := New(same)
+			first.Apply([]Change[string]{set("a", 1, "ready"), set("brief", 3, "ready")}, 4)
+			// brief is removed at 5, and b comes at 6.
+			for _, whole := range []bool{false, true} {
+				second := New(same)
+				if tt.knows != nil {
+					second.Replace(tt.knows, 2)
+				}
+				second.Replace([]Item[string]{{"a", 1, "ready"}, {"b", 6, "ready"}}, 7)
+				if changes, ok := first.Since(1); ok && !whole {
+					second.Told(changes, first.At())
+				} else {
+					second.Replace(slices.Collect(maps.Values(first.Items())), first.At())
+				}
+				_, back := second.Get("brief")
+				qt.Check(t, back, qt.IsFalse, qt.Commentf("whole list: %v", whole))
+				_, known := second.Get("b")
+				qt.Check(t, known, qt.IsTrue)
+			}
+		})
+	}
+}
+
+// Another entry's word counts where it is newer than what is known: a target that
+// comes, one that changes, and one that is removed.
+func TestTold(t *testing.T) {
+	r := New(same)
+	r.Apply([]Change[string]{set("a", 1, "ready"), set("b", 2, "ready")}, 4)
+	qt.Assert(t, r.Told([]Change[string]{set("a", 5, "draining"), del("b", 6), set("c", 7, "ready")}, 8), qt.IsTrue)
+	qt.Assert(t, r.Items(), qt.DeepEquals, map[string]Item[string]{"a": {"a", 5, "draining"}, "c": {"c", 7, "ready"}})
+	qt.Assert(t, r.At(), qt.Equals, Revision(8))
+	qt.Assert(t, r.Told([]Change[string]{del("a", 3)}, 4), qt.IsFalse)
+	// Its removal is older than what is known up to, yet was not heard of.
+	qt.Assert(t, r.Told([]Change[string]{del("c", 8)}, 8), qt.IsTrue)
+}
