roster: of an older list only what is newer than known counts

What callers saw: requests went to a target up to 2.67 s after its record was removed, 2.5 s allowed, from one gateway of 113 while gateways were restarted one after the other.

Cause: a gateway that has just started asks another one for the targets and lists the store itself. Where its own list comes first, the other one's older answer follows, with targets whose removal it has never heard of. Replace took these for new ones. Its revision was that of its own list, so that it told everybody the longer list as the newest; whoever pulled it held it for as new as a right one and asked no further until the next change.

Change: an object that is unknown and older than the history that is known has ended within it, also in a watch's answer that was overtaken. Why it holds: a roster knows the whole history up to its revision, so what it doesn't have at that point is not there.

--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -79,7 +79,7 @@
 }
 
 func (m targetsChanged) apply(now time.Time, c *control) {
-	c.targetsRead(now, m.asked, func() bool { return c.targets.Apply(m.changes, m.at) })
+	c.targetsRead(now, m.asked, func() bool { return c.targets.Told(m.changes, m.at) })
 }
 
 // targetsRead applies what the store said of the targets, and tells the others
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -287,3 +287,27 @@
 		w.c.Assert(<-e.done, qt.IsNil)
 	}
 }
+
+// An entry that has just started asks another one for the targets and reads the
+// store itself. The answer of the other one comes later and is older: a target in
+// it that the store doesn't list any more must not come back, here or at those that
+// are told by this entry.
+func TestOlderAnswerAfterTheFirstRead(t *testing.T) {
+	older := []roster.Change[slot.Target]{{Item: item("gone", 9)}, {Item: item("stays", 10)}}
+	tests := []struct {
+		name string
+		late message
+	}{
+		{"a list", newsPulled{news: relay.News{Targets: relay.Listed, Changes: older, At: 12, Moved: 10}}},
+		{"changes", newsPulled{news: relay.News{Targets: relay.Changed, Changes: older, At: 12, Moved: 10}}},
+		{"a watch that was asked before", targetsChanged{changes: older, at: 12}},
+	}
+	for _, tt := range tests {
+		c := parked(t)
+		now := c.started.Add(100 * time.Millisecond)
+		targetsListed{items: []roster.Item[slot.Target]{item("stays", 20)}, at: 21, asked: now}.apply(now, c)
+		tt.late.apply(now.Add(time.Millisecond), c)
+		_, back := c.usable(now.Add(2 * time.Millisecond))["gone"]
+		qt.Check(t, back, qt.IsFalse, qt.Commentf("%s", tt.name))
+	}
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -88,8 +88,29 @@
 	return it, ok
 }
 
-// Apply takes changes that lead up to revision at, and tells whether one of
-// them mattered. Older word than is known of an object changes nothing.
+// Told takes the changes that lead up to revision at from somebody who knows all
+// that came before, and tells whether one of them mattered. Where this roster knows
+// the history further than that, an object that it doesn't have is gone.
+func (r *Roster[T]) Told(changes []Change[T], at Revision) (moved bool) {
+	if at >= r.at {
+		return r.Apply(changes, at)
+	}
+	return r.Apply(slices.DeleteFunc(slices.Clone(changes), r.ended), at)
+}
+
+// ended reports whether a change is of an object that came to its end since, within
+// the history that is known. The end itself may never have been heard of: whoever
+// takes a whole list misses what came and went before it. Taken for a new one, a
+// removed target got requests until the next whole list, 2.5 s and more after its
+// removal, at every entry that was told so.
+func (r *Roster[T]) ended(c Change[T]) bool {
+	_, known := r.items[c.Name]
+	return !known && !c.Deleted && c.Revision <= r.at
+}
+
+// Apply takes single changes in any order, with the history known up to revision
+// at, and tells whether one of them mattered. Older word than is known of an object
+// changes nothing.
 func (r *Roster[T]) Apply(changes []Change[T], at Revision) (moved bool) {
 	for _, c := range changes {
 		if r.apply(c) {
@@ -126,8 +147,8 @@
 }
 
 // Replace takes the whole list as of revision at, and tells whether anything
-// that matters differs. A list older than what is known is no ground to go back:
-// of it only the items that are newer than known count. Of what came and went
+// that matters differs. A list older than what is known is no ground to go back: of
+// it only the items count that are newer than known. Of what came and went
 // before a newer one this roster may not have heard, so that it can't tell the
 // changes from before it to others.
 func (r *Roster[T]) Replace(list []Item[T], at Revision) (moved bool) {
@@ -147,7 +168,7 @@
 			}
 		}
 	}
-	return r.Apply(changes, at)
+	return r.Told(changes, at)
 }
 
 // keptGone is how many deletions are remembered: as many as a day of a site
@@ -165,8 +186,3 @@
 	r.floor = revisions[len(revisions)/2]
 	maps.DeleteFunc(r.gone, func(_ string, rev Revision) bool { return rev <= r.floor })
 }
-
-// Told takes changes that another keeper knows.
-func (r *Roster[T]) Told(changes []Change[T], at Revision) (moved bool) {
-	return r.Apply(changes, at)
-}
