gateway: targets that come back under an old revision are logged as well

The line went by the revision of the last change. Where an older list brought removed targets back, that stayed the same, so that the log of the gateway that sent requests to them showed nothing.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -18,7 +18,7 @@
 	live    map[string]bool // names, marked where strained
 	owners  string
 	targets map[string]roster.Item[slot.Target]
-	at      roster.Revision // of targets
+	newer   bool // the targets have changed since
 }
 
 // logBeliefs logs what has changed: which entries live, which own a service,
@@ -80,10 +80,10 @@
 // logTargets logs which targets came, went, and said that they leave, and how old
 // the store's word of that is.
 func (c *control) logTargets(now time.Time) {
-	if c.believed.at == c.targets.Moved() {
+	if !c.believed.newer {
 		return
 	}
-	c.believed.at = c.targets.Moved()
+	c.believed.newer = false
 	before, items := c.believed.targets, c.targets.Items()
 	var came, went, leaving []string
 	for id, it := range items {
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -67,7 +67,7 @@
 	if !apply() {
 		return false
 	}
-	c.dirty = true
+	c.dirty, c.believed.newer = true, true
 	c.targets.Forget()
 	for name, it := range before {
 		if _, ok := c.targets.Get(name); !ok && !it.Value.Leaving {
