gateway: what an entry was told at its start is as old as the teller says

What callers saw: nothing yet; requests could reach a target for seconds after its leaving at an entry that had just started among entries that the store turned away. Cause: an age longer than since the entry's own start was cut to that, so that it read the store itself only when that became old. Now the word counts as old as it is. TestAgeAtAStartIsThatOfTheWord failed before: 0.1 s for a word of 3 s.

--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -71,13 +71,13 @@
 	}
 }
 
-// age is for how long the store hasn't confirmed what is known, from the start on
-// at most.
+// age is for how long the store hasn't confirmed what is known. Where nothing is
+// known yet, it is that of the start.
 func (c *control) age(now time.Time, d duty) time.Duration {
-	if c.confirmed[d].After(c.started) {
-		return now.Sub(c.confirmed[d])
+	if c.confirmed[d].IsZero() {
+		return now.Sub(c.started)
 	}
-	return now.Sub(c.started)
+	return now.Sub(c.confirmed[d])
 }
 
 // neverAge is the age from which on what another entry knows counts as never
