gateway: the age of a pulled list counts from the question

What callers saw: nothing yet; a list whose answer was held up on its way counted as up to 0.5 s younger than it is, which the bound on a leaving target then lacks. Cause: the age was taken off the time of arrival. Now it is taken off the time of the question: the answer was given later than that, so that the age is never too low.

--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -84,17 +84,17 @@
 // confirmed: longer than any outage, shorter than any clock's zero.
 const neverAge = 24 * time.Hour
 
-// vouched takes another entry's word that the store confirmed what both know.
-// Entries that have just started both know nothing, and none has asked: taken
-// for a confirmation, that keeps all of them from asking.
-func (c *control) vouched(now time.Time, d duty, age time.Duration) {
+// vouched takes another entry's word, given at that time or later, that the store
+// confirmed what both know. Entries that have just started both know nothing, and
+// none has asked: taken for a confirmation, that keeps all of them from asking.
+func (c *control) vouched(given time.Time, d duty, age time.Duration) {
 	if age < neverAge {
-		c.confirm(d, now.Add(-age))
+		c.confirm(d, given.Add(-age))
 	}
 }
 
 // pull asks another entry for what it has and this one lacks.
-func (c *control) pull(from string) {
+func (c *control) pull(now time.Time, from string) {
 	if c.pulling {
 		return
 	}
@@ -105,7 +105,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		n, err := c.gateway.relay.Pull(ctx, from, have)
-		c.tell(context.Background(), newsPulled{from: from, news: n, err: err})
+		c.tell(context.Background(), newsPulled{asked: now, from: from, news: n, err: err})
 	}()
 }
 
@@ -128,12 +128,15 @@
 	}
 	if m.news.Targets != relay.Nothing {
 		moved := c.change(now, func() bool { return c.pulled(m.news) })
-		c.confirm(dutyTargets, now.Add(-m.news.Age))
+		// The answer was given between the question and now, and may have been on its
+		// way for half a second. Counted from the question, a list is never taken for
+		// younger than it is.
+		c.vouched(m.asked, dutyTargets, m.news.Age)
 		if moved {
 			c.spread(now)
 		}
 	}
-	c.pullMore()
+	c.pullMore(now)
 }
 
 // lacks reports whether another entry has something newer.
@@ -144,9 +147,9 @@
 // pullMore pulls again where word that came during a pull told of something newer.
 // At a start the configuration and the targets are read apart, and whoever pulled
 // the one would lack the other until the next round.
-func (c *control) pullMore() {
+func (c *control) pullMore(now time.Time) {
 	if c.lacks(c.newest) {
-		c.pull(c.newestAt)
+		c.pull(now, c.newestAt)
 	}
 }
 
--- a/internal/gateway/spread.go
+++ b/internal/gateway/spread.go
@@ -11,7 +11,7 @@
 func (c *control) knows(now time.Time, from string, k relay.Knowledge) {
 	if c.lacks(k) {
 		c.newest, c.newestAt = k, from
-		c.pull(from)
+		c.pull(now, from)
 	}
 	if k.Config == c.config.Version {
 		c.vouched(now, dutyConfig, k.ConfigAge)
