gateway: an entry with callers reads the store before its targets are too old to choose by

What callers saw: requests at a target up to 2.9 s after its record was removed, 2 s allowed, at an entry whose own way to the store was free. Cause: no decision used the bound on a leaving target. An entry waited for those before it in the order of readers, 0.35 s for each, though they were cut off from the store, stopping or dead, and chose by a list of any age. Entries without callers leave the store to the others. Why it holds: the age at each choice is below the bound by what a read, a connection and a packet's way take, as long as the store answers; in an outage nothing waits.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -151,6 +151,7 @@
 		case m = <-c.inbox:
 		default:
 			c.refresh(now)
+			c.gateway.freshness.set(c.confirmed[dutyTargets], c.shut || !c.doubted.IsZero())
 			return
 		}
 	}
--- /dev/null
+++ b/internal/gateway/fresh_test.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The targets that an entry knows get old while nobody tells it of newer ones. A
+// request that comes then waits for the store, but not in vain: not while the store
+// doesn't answer, and not before anything is known.
+func TestWhoWaitsForNewerTargets(t *testing.T) {
+	const stale = 1500 * time.Millisecond
+	at := time.Unix(100, 0)
+	tests := []struct {
+		name      string
+		confirmed time.Time
+		away      bool
+		want      bool
+	}{
+		{"young", at.Add(-stale + time.Millisecond), false, false},
+		{"old", at.Add(-stale), false, true},
+		{"old, the store doesn't answer", at.Add(-stale), true, false},
+		{"nothing known yet", time.Time{}, false, false},
+	}
+	for _, tt := range tests {
+		f := newFreshness()
+		f.set(tt.confirmed, tt.away)
+		wait, _ := f.use(at, stale)
+		qt.Check(t, wait, qt.Equals, tt.want, qt.Commentf("%s", tt.name))
+	}
+}
+
+// Many others read before an entry, and it hears nothing of what they read. With
+// callers it reads for itself in time to stop sending to a leaving target within the
+// bound; without any it leaves the store to the others.
+func TestTurnOfAServingEntry(t *testing.T) {
+	tests := []struct {
+		name  string
+		used  time.Duration // before now, that the last request came; 0 for none
+		drain time.Duration
+		age   time.Duration
+		due   bool
+	}{
+		{"no callers", 0, 2 * time.Second, 1900 * time.Millisecond, false},
+		{"callers, young", 100 * time.Millisecond, 2 * time.Second, 1400 * time.Millisecond, false},
+		{"callers, old", 100 * time.Millisecond, 2 * time.Second, 1500 * time.Millisecond, true},
+		{"callers, a longer bound", 100 * time.Millisecond, 3 * time.Second, 2400 * time.Millisecond, false},
+		{"callers, old by a longer bound", 100 * time.Millisecond, 3 * time.Second, 2500 * time.Millisecond, true},
+		{"callers long ago", 2 * servingTime, 2 * time.Second, 1900 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := parked(t)
+			b := *c.gateway.bounds.Load()
+			b.Drain = tt.drain
+			c.gateway.bounds.Store(&b)
+			var names []string
+			for i := range 40 {
+				names = append(names, fmt.Sprint("e", i))
+			}
+			c.others(c.started, names...)
+			targetsListed{at: 1, asked: c.started}.apply(c.started, c)
+			now := c.started.Add(tt.age)
+			c.members.Handle(now, heardFrom("e0"))
+			if tt.used > 0 {
+				c.gateway.freshness.use(now.Add(-tt.used), tt.drain)
+			}
+			q := turnAsked{duty: dutyTargets, answer: make(chan turn, 1)}
+			q.apply(now, c)
+			turn := <-q.answer
+			qt.Assert(t, turn.rank > fastReaders, qt.IsTrue, qt.Commentf("rank %d", turn.rank))
+			qt.Assert(t, turn.due, qt.Equals, tt.due)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,8 @@
 	bounds   atomic.Pointer[platform.Bounds]
 	view     atomic.Pointer[view]
 
+	freshness *freshness
+
 	instruments instruments
 
 	front, ready, directory, scrapes net.Listener
@@ -86,6 +88,7 @@
 		}),
 		suspects:    call.NewSuspects(call.SuspectsConfig{Crashes: crashLimit}),
 		instruments: newInstruments(cfg.Settings.Name),
+		freshness:   newFreshness(),
 	}
 	if err := g.listen(); err != nil {
 		return nil, err
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -48,6 +48,11 @@
 	}
 }
 
+// heardFrom is a message of an entry that lives.
+func heardFrom(name string) member.Event {
+	return member.Request{Message: member.Message{From: member.ID{Name: name, Boot: 1}}}
+}
+
 func item(name string, rev roster.Revision) roster.Item[slot.Target] {
 	return roster.Item[slot.Target]{Name: name, Revision: rev, Value: slot.Target{ID: name, Service: "gowns", Slots: 2}}
 }
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -94,7 +94,8 @@
 	at   roster.Revision // up to which the history is known
 	// fresh says that nothing is known yet.
 	fresh bool
-	// distant says that many others read before this entry.
+	// distant says that many others read before this entry, and that it has no
+	// callers.
 	distant bool
 }
 
@@ -122,12 +123,14 @@
 		rank = 0
 	}
 	age := c.age(now, m.duty)
-	t := turn{due: m.duty.due(age, rank), rank: rank, age: age, at: c.configAt, distant: rank > fastReaders}
+	serving := c.gateway.freshness.serving(now)
+	t := turn{due: m.duty.due(age, rank), rank: rank, age: age, at: c.configAt, distant: rank > fastReaders && !serving}
 	if c.confirmed[m.duty].IsZero() {
 		t.due, t.fresh = c.begins(now, rank), true
 	}
 	if m.duty == dutyTargets {
 		t.at = c.targets.At()
+		t.due = t.due || serving && !t.fresh && age >= c.gateway.staleAge()
 	}
 	m.answer <- t
 }
@@ -194,7 +197,7 @@
 	for ctx.Err() == nil {
 		t := r.gateway.control.turn(ctx, r.duty)
 		if !t.due {
-			sleep(ctx, t.pause())
+			r.idle(ctx, t.pause())
 			continue
 		}
 		err := r.read(ctx, t.at)
@@ -209,6 +212,21 @@
 	return ctx.Err()
 }
 
+// idle waits for d, until a request wants newer targets, or until ctx ends.
+func (r *reader[T]) idle(ctx context.Context, d time.Duration) {
+	if r.duty != dutyTargets {
+		sleep(ctx, d)
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.gateway.freshness.wanted:
+	case <-ctx.Done():
+	}
+}
+
 // rest is the pause after a failed call. In an outage all entries would call at
 // once and again and again; so the later ones in the order wait longer, and the
 // first finds out soon that the store is back.
