gateway: an outage shows in the gap between the store's answers, and to those that are told as well

Cause: on the store's return they were told first that nothing had changed. The gap was looked at only with the next change, 0.2 s later, when there was none any more. It is looked at with each confirmation now, before it counts.

--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -23,7 +23,7 @@
 		c.adopt(now, raw, "store")
 	}
 	c.configAt = max(c.configAt, m.at)
-	c.confirm(dutyConfig, m.asked)
+	c.confirm(now, dutyConfig, m.asked)
 	c.vouch(now, dutyConfig)
 }
 
@@ -85,8 +85,8 @@
 // targetsRead applies what the store said of the targets, and tells the others
 // at once where that matters.
 func (c *control) targetsRead(now, asked time.Time, apply func() (moved bool)) {
+	c.confirm(now, dutyTargets, asked)
 	moved := c.change(now, apply)
-	c.confirm(dutyTargets, asked)
 	c.vouch(now, dutyTargets)
 	if moved {
 		c.spread(now)
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -70,14 +70,18 @@
 	const late = roster.OutageAge + 500*time.Millisecond
 	const back = late - 100*time.Millisecond // others are heard again after a cut
 	failed := storeAnswered{errors.New("no answer")}
-	read := targetsChanged{changes: []roster.Change[slot.Target]{removed("gone", 20)}, at: 20}
-	told := newsPulled{news: relay.News{
-		Targets: relay.Changed, Changes: []roster.Change[slot.Target]{removed("gone", 20)}, At: 20, Moved: 20,
-	}}
+	read := func(asked time.Time) message {
+		return targetsChanged{changes: []roster.Change[slot.Target]{removed("gone", 20)}, at: 20, asked: asked}
+	}
+	told := func(asked time.Time) message {
+		return newsPulled{asked: asked, news: relay.News{
+			Targets: relay.Changed, Changes: []roster.Change[slot.Target]{removed("gone", 20)}, At: 20, Moved: 20,
+		}}
+	}
 	tests := []struct {
 		name  string
 		since func(c *control, from time.Time) // what happens until the word comes
-		word  message
+		word  func(asked time.Time) message
 		kept  bool
 	}{
 		{"read late, the store is up", nil, read, false},
@@ -98,12 +102,24 @@
 			failed.apply(from.Add(100*time.Millisecond), c)
 			c.knows(from.Add(300*time.Millisecond), "127.0.0.1:2", relay.Knowledge{Targets: 10})
 		}, read, false},
+		{"own calls failed, and at first nothing has changed on the store's return", func(c *control, from time.Time) {
+			failed.apply(from.Add(time.Second), c)
+			c.knows(from.Add(late-200*time.Millisecond), "127.0.0.1:2", relay.Knowledge{Targets: 10})
+		}, read, true},
 		{"cut off from the store and from all others", func(c *control, from time.Time) {
 			c.others(from, "unheard")
 			failed.apply(from.Add(400*time.Millisecond), c)
 			c.tick(from.Add(aloneAfter + tickPeriod))
 			failed.apply(from.Add(2*time.Second), c)
 		}, told, false},
+		{"cut off until all others count as dead", func(c *control, from time.Time) {
+			c.others(from, "unheard")
+			for at := from; at.Before(from.Add(late)); at = at.Add(roundPeriod) {
+				c.rounds(at)
+				c.tick(at)
+			}
+			failed.apply(from.Add(late-doubtTime), c)
+		}, told, false},
 		{"cut off, a call from then fails when others are heard again", func(c *control, from time.Time) {
 			c.others(from, "unheard")
 			c.tick(from.Add(aloneAfter + tickPeriod))
@@ -128,7 +144,7 @@
 				tt.since(c, from)
 			}
 			heard := from.Add(late)
-			tt.word.apply(heard, c)
+			tt.word(heard).apply(heard, c)
 			_, kept := c.usable(heard.Add(time.Millisecond))["gone"]
 			qt.Assert(t, kept, qt.Equals, tt.kept)
 		})
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -1,10 +1,9 @@
 package gateway
 
 import (
+	"strings"
 	"time"
 
-	"github.com/apex/log"
-
 	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/roster"
 	"plumpitch.example/plumpitch/pkg/slot"
@@ -16,10 +15,10 @@
 //
 // That this entry knows nothing newer is no sign of an outage: those that read for
 // it may have died or lost their way to the store. Taken for one, a target whose
-// record had been removed got requests for 2.2 s more, 2.6 s after the store's word
-// where 2.5 s are allowed. Only calls that failed since the store last confirmed
-// the targets count: this entry's own, or those that others tell of. One that hears
-// nobody has lost its own network, and its calls say nothing of the store.
+// record has been removed gets requests for 2.2 s more. Only calls that failed since
+// the store last confirmed the targets count: this entry's own, or those that others
+// tell of. One that hears nobody has lost its own network, and its calls say nothing
+// of the store.
 
 // doubtTime is for how long the store has to have failed. An entry that was cut off
 // hears of failed calls just when it is back, its own or those of others that were cut
@@ -30,14 +29,21 @@
 
 // doubt notes that the store fails an entry.
 func (c *control) doubt(now time.Time) {
-	if c.doubted.IsZero() && !c.alone(now) {
+	if c.doubted.IsZero() && !c.isolated(now) {
 		c.doubted = now
 	}
 }
 
+// believe drops a doubt of a store that has answered since.
+func (c *control) believe(at time.Time) {
+	if at.After(c.doubted) {
+		c.doubted = time.Time{}
+	}
+}
+
 // trust drops a doubt that this entry's own network explains.
 func (c *control) trust(now time.Time) {
-	if !c.doubted.IsZero() && c.alone(now) {
+	if !c.doubted.IsZero() && c.isolated(now) {
 		c.doubted = time.Time{}
 	}
 }
@@ -69,35 +75,32 @@
 
 // change applies a change of the targets and notes what vanished by it.
 func (c *control) change(now time.Time, apply func() (moved bool)) (moved bool) {
-	c.outage(now)
 	before := c.targets.Items()
 	if !apply() {
 		return false
 	}
 	c.dirty, c.believed.newer = true, true
 	c.targets.Forget()
+	var kept []string
 	for name, it := range before {
-		if _, ok := c.targets.Get(name); !ok && !it.Value.Leaving {
-			c.lapse(now, it)
+		if _, ok := c.targets.Get(name); !ok && !it.Value.Leaving && c.lapses.Removed(now, it) {
+			kept = append(kept, name)
 		}
 	}
+	if len(kept) > 0 {
+		c.gateway.log.WithField("targets", strings.Join(kept, " ")).Info("targets kept, their records are awaited")
+	}
 	return true
 }
 
-// outage notes that the store answers again, where it was away.
-func (c *control) outage(now time.Time) {
+// returned notes that the store answered again at that time, where it was away. Its
+// first answers may tell of no change: records lapse some tenths of a second later.
+func (c *control) returned(now, at time.Time) {
 	if c.doubted.IsZero() || now.Sub(c.doubted) < doubtTime || c.confirmed[dutyTargets].IsZero() {
 		return
 	}
-	age := now.Sub(c.confirmed[dutyTargets])
-	if c.lapses.Heard(now, age) {
-		c.gateway.log.WithField("age", age.Milliseconds()).Warn("store was away, records that vanish are awaited")
-	}
-}
-
-// lapse notes that a target's record vanished.
-func (c *control) lapse(now time.Time, it roster.Item[slot.Target]) {
-	if c.lapses.Removed(now, it) {
-		c.gateway.log.WithFields(log.Fields{"target": it.Name, "service": it.Value.Service}).Info("target kept, its record is awaited")
+	gap := at.Sub(c.confirmed[dutyTargets])
+	if c.lapses.Heard(now, gap) {
+		c.gateway.log.WithField("gap", gap.Milliseconds()).Warn("store was away, records that vanish are awaited")
 	}
 }
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -62,13 +62,15 @@
 }
 
 // confirm notes that the store said at that time that nothing is newer.
-func (c *control) confirm(d duty, at time.Time) {
-	if at.After(c.confirmed[d]) {
-		c.confirmed[d] = at
+func (c *control) confirm(now time.Time, d duty, at time.Time) {
+	if !at.After(c.confirmed[d]) {
+		return
 	}
-	if d == dutyTargets && at.After(c.doubted) {
-		c.doubted = time.Time{}
+	if d == dutyTargets {
+		c.returned(now, at)
+		c.believe(at)
 	}
+	c.confirmed[d] = at
 }
 
 // age is for how long the store hasn't confirmed what is known. Where nothing is
@@ -87,9 +89,9 @@
 // vouched takes another entry's word, given at that time or later, that the store
 // confirmed what both know. Entries that have just started both know nothing, and
 // none has asked: taken for a confirmation, that keeps all of them from asking.
-func (c *control) vouched(given time.Time, d duty, age time.Duration) {
+func (c *control) vouched(now, given time.Time, d duty, age time.Duration) {
 	if age < neverAge {
-		c.confirm(d, given.Add(-age))
+		c.confirm(now, d, given.Add(-age))
 	}
 }
 
@@ -138,11 +140,11 @@
 		c.adopt(now, m.news.Config, "entry "+m.from)
 	}
 	if m.news.Targets != relay.Nothing {
-		moved := c.change(now, func() bool { return c.pulled(m.news) })
 		// The answer was given between the question and now, and may have been on its
 		// way for half a second. Counted from the question, a list is never taken for
 		// younger than it is.
-		c.vouched(m.asked, dutyTargets, m.news.Age)
+		c.vouched(now, m.asked, dutyTargets, m.news.Age)
+		moved := c.change(now, func() bool { return c.pulled(m.news) })
 		if moved {
 			c.spread(now)
 		}
--- a/internal/gateway/roll.go
+++ b/internal/gateway/roll.go
@@ -52,6 +52,24 @@
 // alone tells whether no other entry has been heard for long, though there are
 // some: then this one is cut off, and does all by itself.
 func (c *control) alone(now time.Time) bool {
-	silent := now.Sub(c.started) > aloneAfter && now.Sub(c.members.Heard()) > aloneAfter
-	return silent && len(c.live()) > 1
+	return c.deaf(now) && len(c.live()) > 1
+}
+
+// deaf tells whether no other entry has been heard for long.
+func (c *control) deaf(now time.Time) bool {
+	return now.Sub(c.started) > aloneAfter && now.Sub(c.members.Heard()) > aloneAfter
+}
+
+// isolated tells whether this entry hears no other one though it has known some. To
+// one that is cut off for over a second, all of them seem to have died.
+func (c *control) isolated(now time.Time) bool {
+	if !c.deaf(now) {
+		return false
+	}
+	for e := range c.members.Entries() {
+		if e.State != member.Left && e.ID.Name != c.gateway.self.Name {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/gateway/spread.go
+++ b/internal/gateway/spread.go
@@ -14,10 +14,10 @@
 		c.pull(now, from)
 	}
 	if k.Config == c.config.Version {
-		c.vouched(now, dutyConfig, k.ConfigAge)
+		c.vouched(now, now, dutyConfig, k.ConfigAge)
 	}
 	if k.Targets == c.targets.Moved() {
-		c.vouched(now, dutyTargets, k.TargetsAge)
+		c.vouched(now, now, dutyTargets, k.TargetsAge)
 	}
 }
 
