gateway: requests of a service that a configuration drops hear of leaving targets

What callers saw: nothing yet; a request that waited while a configuration dropped its service could be sent to a target that had left since, up to its route's timeout after the last list. Cause: the book of a dropped service got no more lists. It gets them now until no request of it seeks a target or is at one. TestLeavingTargetOfADroppedService failed before.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"time"
@@ -69,6 +70,7 @@
 	enrolling time.Duration // how long that took
 	ahead     int           // entries that enrolled before, at a start of all
 	services  map[string]*service
+	dropped   map[string]*service // that the configuration has no more, with requests
 	hosts     hosts
 	told      bool      // requests that were held for the first view go on
 	dirty     bool      // services lag behind what is known
@@ -82,7 +84,7 @@
 	return &control{
 		gateway: g, inbox: make(chan message, maxInbox), started: g.started,
 		targets: roster.New(slot.Same), lapses: roster.NewLapses[slot.Target](),
-		waiting: make(map[string]bool), suspects: make(map[uint64]int),
+		dropped: make(map[string]*service), waiting: make(map[string]bool), suspects: make(map[uint64]int),
 		numbers: owner.NewNumbers(), loads: make(map[string]loadsHeard),
 	}
 }
@@ -191,7 +193,9 @@
 	}
 }
 
-// supply gives each service of the configuration its targets.
+// supply gives each service of the configuration its targets, and those that it has
+// dropped for as long as requests of them seek one: with the list of that time, they
+// would be sent to targets that have left since.
 func (c *control) supply(now time.Time) {
 	byService := make(map[string][]slot.Target)
 	for _, it := range c.usable(now) {
@@ -200,7 +204,7 @@
 	}
 	services := make(map[string]*service, len(c.config.Services))
 	for name, s := range c.config.Services {
-		sv := c.services[name]
+		sv := cmp.Or(c.services[name], c.dropped[name])
 		if sv == nil {
 			sv = newService(c.gateway, s)
 		}
@@ -208,5 +212,10 @@
 		sv.take(now, byService[name])
 		services[name] = sv
 	}
+	maps.Copy(c.dropped, c.services)
+	maps.DeleteFunc(c.dropped, func(name string, sv *service) bool { return services[name] == sv || !sv.busy() })
+	for name, sv := range c.dropped {
+		sv.take(now, byService[name])
+	}
 	c.services = services
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -77,6 +77,14 @@
 	s.act(now, s.book.Targets(now, list, nil))
 }
 
+// busy tells whether requests seek a target or are at one, and may seek another.
+func (s *service) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seeking, flying := s.book.Len()
+	return seeking+flying > 0
+}
+
 // size is the number of targets.
 func (s *service) size() int {
 	s.mu.Lock()
