--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -347,3 +347,23 @@
 		qt.Check(t, back, qt.IsFalse, qt.Commentf("%s", tt.name))
 	}
 }
+
+// A target says that it leaves, then the store is away, and its record is gone on the
+// store's return. Its word counts all the while: it gets nothing during the outage, and
+// isn't awaited after it as those are whose records only lapsed.
+func TestLeavingTargetIsNotAwaited(t *testing.T) {
+	c := parked(t)
+	from := c.started
+	leaving := item("leaving", 9)
+	leaving.Value.Leaving = true
+	targetsListed{items: []roster.Item[slot.Target]{leaving, item("lapses", 8), item("stays", 10)}, at: 10, asked: from}.apply(from, c)
+	storeAnswered{errors.New("no answer")}.apply(from.Add(time.Second), c)
+	qt.Assert(t, c.usable(from.Add(2 * time.Second))["leaving"].Value.Leaving, qt.IsTrue)
+	back := from.Add(4 * time.Second)
+	targetsListed{items: []roster.Item[slot.Target]{item("stays", 10)}, at: 20, asked: back}.apply(back, c)
+	usable := c.usable(back.Add(time.Millisecond))
+	_, lapsed := usable["lapses"]
+	qt.Assert(t, lapsed, qt.IsTrue)
+	_, left := usable["leaving"]
+	qt.Assert(t, left, qt.IsFalse)
+}
