--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -102,6 +102,14 @@
 			failed.apply(from.Add(100*time.Millisecond), c)
 			c.knows(from.Add(300*time.Millisecond), "127.0.0.1:2", relay.Knowledge{Targets: 10})
 		}, read, false},
+		{"own calls failed, and all pass on the store's last word", func(c *control, from time.Time) {
+			failed.apply(from.Add(50*time.Millisecond), c)
+			for at := from.Add(roundPeriod); at.Before(from.Add(late)); at = at.Add(roundPeriod / 2) {
+				// It takes 10 ms to the next entry, which counts them as nothing.
+				age := at.Sub(c.confirmed[dutyTargets]) - 10*time.Millisecond
+				c.knows(at, "127.0.0.1:2", relay.Knowledge{Targets: 10, TargetsAge: age})
+			}
+		}, read, true},
 		{"own calls failed, and at first nothing has changed on the store's return", func(c *control, from time.Time) {
 			failed.apply(from.Add(time.Second), c)
 			c.knows(from.Add(late-200*time.Millisecond), "127.0.0.1:2", relay.Knowledge{Targets: 10})
--- a/internal/gateway/spread.go
+++ b/internal/gateway/spread.go
@@ -7,17 +7,24 @@
 	"plumpitch.example/plumpitch/pkg/member"
 )
 
+// wayTime is what a packet counts as having been on its way: a few milliseconds, and
+// what a VM with a sixth of a core takes to get to it. Counted as nothing, the age of
+// what the store said last shrinks at each entry that passes it on: in an outage of 4 s
+// 17 gateways of 113 took that for a later answer of the store.
+const wayTime = 20 * time.Millisecond
+
 // knows takes what another entry has in force.
 func (c *control) knows(now time.Time, from string, k relay.Knowledge) {
 	if c.lacks(k) {
 		c.newest, c.newestAt = k, from
 		c.pull(now, from)
 	}
+	given := now.Add(-wayTime)
 	if k.Config == c.config.Version {
-		c.vouched(now, now, dutyConfig, k.ConfigAge)
+		c.vouched(now, given, dutyConfig, k.ConfigAge)
 	}
 	if k.Targets == c.targets.Moved() {
-		c.vouched(now, now, dutyTargets, k.TargetsAge)
+		c.vouched(now, given, dutyTargets, k.TargetsAge)
 	}
 }
 
