--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -75,7 +75,7 @@
 	told      bool      // requests that were held for the first view go on
 	dirty     bool      // services lag behind what is known
 	shut      bool      // the store doesn't serve this entry
-	doubted   time.Time // when the store was first seen to fail since it last confirmed the targets
+	failing   time.Time // when the store was first seen to fail since it last confirmed the targets
 	strain    strain
 	believed  beliefs
 }
@@ -135,7 +135,7 @@
 func (c *control) tick(now time.Time) {
 	c.hosts.tick(now)
 	c.strain.tick(now, tickPeriod)
-	c.trust(now)
+	c.excuse(now)
 	c.feel(now)
 	c.tellSuspects(now)
 	c.publish(now)
@@ -153,7 +153,7 @@
 		case m = <-c.inbox:
 		default:
 			c.refresh(now)
-			c.gateway.freshness.set(c.confirmed[dutyTargets], c.shut || !c.doubted.IsZero())
+			c.gateway.freshness.set(c.confirmed[dutyTargets], c.shut || !c.failing.IsZero())
 			return
 		}
 	}
--- a/internal/gateway/fresh.go
+++ b/internal/gateway/fresh.go
@@ -13,16 +13,17 @@
 // A leaving target may get requests for as long as the platform's bound allows, 2 s
 // and more after the store's word. Entries learn of it from the few that read the
 // store for all. Where these are dead, stopping, or cut off from the store alone, the
-// next in the order read later and later: the last of ten sent requests to a removed
-// target until 2.9 s after the store's word. So an entry that has callers doesn't
-// rely on the others beyond a certain age of what it knows: it reads for itself, and
-// a request that comes first after a pause waits for that read. The age of a list at
-// each choice then stays within the bound, for as long as the store answers.
+// next in the order read later and later: the last of ten, with the nine others cut
+// off, sent requests to a removed target until 5.9 s after the store's word. So an
+// entry that has callers doesn't rely on the others beyond a certain age of what it
+// knows: it reads for itself, and a request that comes first after a pause waits for
+// that read. The age of a list at each choice then stays within the bound, for as long
+// as the store answers.
 const (
 	// dispatchReserve is kept of the bound for what comes after the last moment at
 	// which a list is young enough: a reader's tick of 50 ms, its call of up to 20 ms,
-	// a new connection to the target of up to 250 ms, and a packet's way, by which the
-	// age that another entry told is too low.
+	// a new connection to the target of up to 250 ms, and packets that take longer than
+	// the age they tell accounts for.
 	dispatchReserve = 500 * time.Millisecond
 	// servingTime is how long after a request an entry counts as having callers.
 	servingTime = time.Second
@@ -41,7 +42,7 @@
 type freshness struct {
 	mu        sync.Mutex
 	confirmed time.Time     // when the store confirmed the targets in force
-	away      bool          // the store doesn't answer, so that waiting for it is vain
+	away      bool          // the store doesn't answer, so that nothing waits for it
 	moved     chan struct{} // closed when either changes
 	used      time.Time     // when the last request came
 	wanted    chan struct{} // wakes the reader
@@ -80,9 +81,9 @@
 	return !f.used.IsZero() && now.Sub(f.used) < servingTime
 }
 
-// fresh lets a request wait until the targets are young enough to be chosen by, for
+// awaitTargets lets a request wait until the targets are young enough to be chosen by, for
 // as long as the store may be expected to answer.
-func (g *Gateway) fresh(ctx context.Context, arrived time.Time, id string) {
+func (g *Gateway) awaitTargets(ctx context.Context, arrived time.Time, id string) {
 	stale := g.staleAge()
 	wait, moved := g.freshness.use(arrived, stale)
 	if !wait {
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -99,7 +99,7 @@
 func (m storeAnswered) apply(now time.Time, c *control) {
 	shut := m.err != nil
 	if shut {
-		c.doubt(now)
+		c.fails(now)
 	}
 	if shut == c.shut {
 		return
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -126,7 +126,7 @@
 				c.rounds(at)
 				c.tick(at)
 			}
-			failed.apply(from.Add(late-doubtTime), c)
+			failed.apply(from.Add(late-failTime), c)
 		}, told, false},
 		{"cut off, a call from then fails when others are heard again", func(c *control, from time.Time) {
 			c.others(from, "unheard")
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -20,42 +20,41 @@
 // tell of. One that hears nobody has lost its own network, and its calls say nothing
 // of the store.
 
-// doubtTime is for how long the store has to have failed. An entry that was cut off
+// failTime is for how long the store has to have failed. An entry that was cut off
 // hears of failed calls just when it is back, its own or those of others that were cut
-// off with it, and gets the news 0.02 to 0.3 s after that: 11 of 113 took that for an
-// outage. In a real one the first failed call is known everywhere after 2 s, and no
-// record lapses before 3 s.
-const doubtTime = 500 * time.Millisecond
+// off as well, and gets the news within 0.3 s of that. In a real outage the first failed
+// call is known everywhere after 2 s, and no record lapses before 3 s.
+const failTime = 500 * time.Millisecond
 
-// doubt notes that the store fails an entry.
-func (c *control) doubt(now time.Time) {
-	if c.doubted.IsZero() && !c.isolated(now) {
-		c.doubted = now
+// fails notes that a call of this entry or of another one got no good answer.
+func (c *control) fails(now time.Time) {
+	if c.failing.IsZero() && !c.isolated(now) {
+		c.failing = now
 	}
 }
 
-// believe drops a doubt of a store that has answered since.
-func (c *control) believe(at time.Time) {
-	if at.After(c.doubted) {
-		c.doubted = time.Time{}
+// answers notes that the store answered at that time.
+func (c *control) answers(at time.Time) {
+	if at.After(c.failing) {
+		c.failing = time.Time{}
 	}
 }
 
-// trust drops a doubt that this entry's own network explains.
-func (c *control) trust(now time.Time) {
-	if !c.doubted.IsZero() && c.isolated(now) {
-		c.doubted = time.Time{}
+// excuse drops failures that this entry's own network explains.
+func (c *control) excuse(now time.Time) {
+	if !c.failing.IsZero() && c.isolated(now) {
+		c.failing = time.Time{}
 	}
 }
 
-// hearShut doubts the store where another entry says that it fails it.
+// hearShut notes where another entry says that the store fails it.
 func (c *control) hearShut(now time.Time) {
-	if !c.doubted.IsZero() {
+	if !c.failing.IsZero() {
 		return
 	}
 	for e := range c.members.Entries() {
 		if e.Shut && e.State == member.Alive && e.ID.Name != c.gateway.self.Name {
-			c.doubt(now)
+			c.fails(now)
 			return
 		}
 	}
@@ -96,7 +95,7 @@
 // returned notes that the store answered again at that time, where it was away. Its
 // first answers may tell of no change: records lapse some tenths of a second later.
 func (c *control) returned(now, at time.Time) {
-	if c.doubted.IsZero() || now.Sub(c.doubted) < doubtTime || c.confirmed[dutyTargets].IsZero() {
+	if c.failing.IsZero() || now.Sub(c.failing) < failTime || c.confirmed[dutyTargets].IsZero() {
 		return
 	}
 	gap := at.Sub(c.confirmed[dutyTargets])
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -68,7 +68,7 @@
 	}
 	if d == dutyTargets {
 		c.returned(now, at)
-		c.believe(at)
+		c.answers(at)
 	}
 	c.confirmed[d] = at
 }
