claims: a resend is told what became of a request while the store takes the outcome

What callers saw: a keyed request whose run ended without an outcome, sent again at once through the same entry, was told that it may be in progress and to come back in a second (TestPanicEndsOneRequestOnly, once, beside other work). Cause, as presumed: the outcome is written to the record after the caller's answer, and only an attempt with an answer stayed known to its entry until the store had it; any other one's resend read the record from before. Change: each attempt with an outcome stays known, and the resend is told what the record will say. Why it holds: the flight is forgotten only once the store has the outcome. TestResendWhileTheOutcomeIsRecorded, with a store that doesn't take it, failed before.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -114,9 +114,11 @@
 // flight is an attempt of this entry that is not over, or whose answer the store
 // doesn't have yet.
 type flight struct {
-	done    chan struct{}
-	result  claim.Result    // once done is closed
-	settled <-chan struct{} // closed once the store has the outcome; nil where there is none
+	done chan struct{}
+	// again is what a resend is told; nil where it has to ask the store. It is there
+	// once done is closed.
+	again   *claim.Result
+	settled <-chan struct{} // closed once the store has the outcome
 }
 
 // Do runs the request unless its key has run or may be running, and gives what
@@ -129,16 +131,15 @@
 		f, first := c.join(key)
 		if first {
 			defer c.part(key, f)
-			f.result, f.settled = c.fly(ctx, r, run)
-			return f.result
+			return c.fly(ctx, r, run, f)
 		}
 		select {
 		case <-ctx.Done():
 			return claim.Result{Kind: claim.Uncertain, Reason: claim.ReasonInProgress, RetryAfter: claim.RetrySoon}
 		case <-f.done:
 		}
-		if f.result.Kind == claim.Fresh {
-			return claim.Result{Kind: claim.Replay, Answer: f.result.Answer}
+		if f.again != nil {
+			return *f.again
 		}
 	}
 }
@@ -154,10 +155,10 @@
 	return f, true
 }
 
-// part ends a flight. One that has an answer stays known until the store has it:
+// part ends a flight. One that has an outcome stays known until the store has it:
 // a resend that came in between would be told that the key may be running.
 func (c *Claims) part(key flightKey, f *flight) {
-	if f.result.Kind != claim.Fresh || f.settled == nil {
+	if f.again == nil {
 		c.forget(key)
 		close(f.done)
 		return
@@ -176,20 +177,25 @@
 }
 
 // fly claims the key, runs the request and settles the claim.
-func (c *Claims) fly(ctx context.Context, r Request, run Run) (result claim.Result, settled <-chan struct{}) {
+func (c *Claims) fly(ctx context.Context, r Request, run Run, f *flight) (result claim.Result) {
 	h := hold{claims: c, name: recordName(r.Service, r.Key), record: claim.Record{
 		Print: r.Print, ID: fmt.Sprintf("%s#%x.%x", c.cfg.Entry, c.cfg.Boot, c.attempts.Add(1)),
 		At: c.cfg.Now(), Until: r.Deadline,
 	}}
 	if met, granted := h.take(ctx); !granted {
-		return met, nil
+		return met
 	}
 	ended := claim.Ended{Outcome: call.NotRun, Reason: claim.ReasonDeadline, RetryAfter: claim.RetrySoon}
 	if ctx.Err() == nil {
 		ended = run(ctx)
 	}
 	result, kept := claim.Finish(ended)
-	return result, h.settle(kept)
+	f.settled = h.settle(kept)
+	if kept != nil {
+		again := claim.Meet(c.cfg.Now(), claim.Record{Print: r.Print, Answer: kept}, r.Print)
+		f.again = &again
+	}
+	return result
 }
 
 // recordName is the name of a key's record: keys hold characters that names of
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -259,3 +259,38 @@
 		})
 	}
 }
+
+// A caller's request ends without an outcome, and it sends it again at once, through
+// the same entry. The store hasn't taken the outcome yet. The caller must be told what
+// became of the request, not that it may be running: that would have it come back for
+// nothing, for as long as the store is away.
+func TestResendWhileTheOutcomeIsRecorded(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		ended claim.Ended
+		want  claim.Result
+	}{
+		{"outcome unknown", claim.Ended{Reason: "panic"}, claim.Result{Reason: claim.ReasonRanUnknown}},
+		{
+			"it ran",
+			claim.Ended{Outcome: call.Ran, Answer: claim.Answer{Status: 201, Whole: true}},
+			claim.Result{Kind: claim.Replay, Answer: claim.Answer{Outcome: call.Ran, Status: 201, Whole: true}},
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSite(t)
+			s.store.fail(func(op string, _ int) fault {
+				if op == "update" {
+					return down
+				}
+				return none
+			})
+			s.do(0, "k", func(context.Context) claim.Ended { return tt.ended })
+			s.c.Assert(s.do(0, "k", s.run("k")), qt.DeepEquals, tt.want)
+			s.c.Assert(s.count("k"), qt.Equals, 0)
+			s.store.fail(nil)
+			s.settled()
+			s.c.Assert(s.do(1, "k", s.run("k")).Kind, qt.Equals, tt.want.Kind)
+		})
+	}
+}
