gateway: an entry with callers reads the configuration in time as well

What callers would have seen: requests served by the old configuration later than 2 s after the store's word, at an entry whose own way to the store is free. Cause: that of leaving targets, found by looking for it elsewhere: an entry waits for those before it in the order of readers, which may all be cut off. Change: the age from which an entry with callers reads by itself, and a first request waits, goes by kind, with the bound of each. A watch of what is old already doesn't wait for a change: it would confirm nothing for a second, in which requests wait.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -153,7 +153,7 @@
 		case m = <-c.inbox:
 		default:
 			c.refresh(now)
-			c.gateway.freshness.set(c.confirmed[dutyTargets], c.shut || !c.failing.IsZero())
+			c.gateway.freshness.set(c.confirmed, c.shut || !c.failing.IsZero())
 			return
 		}
 	}
--- a/internal/gateway/fresh.go
+++ b/internal/gateway/fresh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,20 +12,20 @@
 )
 
 // A leaving target may get requests for as long as the platform's bound allows, 2 s
-// and more after the store's word. Entries learn of it from the few that read the
-// store for all. Where these are dead, stopping, or cut off from the store alone, the
-// next in the order read later and later: the last of ten, with the nine others cut
-// off, sent requests to a removed target until 5.9 s after the store's word. So an
-// entry that has callers doesn't rely on the others beyond a certain age of what it
-// knows: it reads for itself, and a request that comes first after a pause waits for
-// that read. The age of a list at each choice then stays within the bound, for as long
-// as the store answers.
+// and more after the store's word, and a configuration has as long until it is in
+// force. Entries learn of both from the few that read the store for all. Where these
+// are dead, stopping, or cut off from the store alone, the next in the order read later
+// and later: the last of ten, with the nine others cut off, sent requests to a removed
+// target until 5.9 s after the store's word. So an entry that has callers doesn't rely
+// on the others beyond a certain age of what it knows: it reads for itself, and a
+// request that comes first after a pause waits for that read. The age of what each
+// request goes by then stays within the bounds, for as long as the store answers.
 const (
-	// dispatchReserve is kept of the bound for what comes after the last moment at
-	// which a list is young enough: a reader's tick of 50 ms, its call of up to 20 ms,
-	// a new connection to the target of up to 250 ms, and packets that take longer than
+	// staleReserve is kept of a bound for what comes after the last moment at which
+	// knowledge is young enough: a reader's tick of 50 ms, its call of up to 20 ms, a
+	// new connection to the target of up to 250 ms, and packets that take longer than
 	// the age they tell accounts for.
-	dispatchReserve = 500 * time.Millisecond
+	staleReserve = 500 * time.Millisecond
 	// servingTime is how long after a request an entry counts as having callers.
 	servingTime = time.Second
 	// refreshWait bounds a request's wait for the store, whose answer takes 4 ms. A
@@ -32,31 +33,40 @@
 	refreshWait = 100 * time.Millisecond
 )
 
-// staleAge is the age from which on the targets are too old to be chosen by.
-func (g *Gateway) staleAge() time.Duration {
-	drain := g.bounds.Load().Drain
-	return max(drain-dispatchReserve, drain/2)
+// ages is an age for each kind of knowledge.
+type ages [duties]time.Duration
+
+// stale are the ages from which on knowledge is too old to serve requests by.
+func (g *Gateway) stale() ages {
+	b := g.bounds.Load()
+	return ages{dutyConfig: staleAt(b.Apply), dutyTargets: staleAt(b.Drain)}
 }
 
-// freshness is what traffic and the reader of targets have to know of each other.
+func staleAt(bound time.Duration) time.Duration { return max(bound-staleReserve, bound/2) }
+
+// freshness is what traffic and the readers have to know of each other.
 type freshness struct {
 	mu        sync.Mutex
-	confirmed time.Time     // when the store confirmed the targets in force
-	away      bool          // the store doesn't answer, so that nothing waits for it
-	moved     chan struct{} // closed when either changes
-	used      time.Time     // when the last request came
-	wanted    chan struct{} // wakes the reader
+	confirmed [duties]time.Time     // when the store confirmed what is in force
+	away      bool                  // the store doesn't answer, so that nothing waits for it
+	moved     chan struct{}         // closed when any of these changes
+	used      time.Time             // when the last request came
+	wanted    [duties]chan struct{} // wake the readers
 }
 
 func newFreshness() *freshness {
-	return &freshness{moved: make(chan struct{}), wanted: make(chan struct{}, 1)}
+	f := &freshness{moved: make(chan struct{})}
+	for d := range f.wanted {
+		f.wanted[d] = make(chan struct{}, 1)
+	}
+	return f
 }
 
 // set tells traffic what the control loop knows.
-func (f *freshness) set(confirmed time.Time, away bool) {
+func (f *freshness) set(confirmed [duties]time.Time, away bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.confirmed.Equal(confirmed) && f.away == away {
+	if f.confirmed == confirmed && f.away == away {
 		return
 	}
 	f.confirmed, f.away = confirmed, away
@@ -64,13 +74,17 @@
 	f.moved = make(chan struct{})
 }
 
-// use notes a request, and tells whether it should wait for a newer list, and by what
-// channel it hears of one.
-func (f *freshness) use(now time.Time, stale time.Duration) (wait bool, moved <-chan struct{}) {
+// use notes a request, and tells what newer word of the store it should wait for, and by
+// what channel it hears of one.
+func (f *freshness) use(now time.Time, stale ages) (wait []duty, moved <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.used = now
-	wait = !f.away && !f.confirmed.IsZero() && now.Sub(f.confirmed) >= stale
+	for d, at := range f.confirmed {
+		if !f.away && !at.IsZero() && now.Sub(at) >= stale[d] {
+			wait = append(wait, duty(d))
+		}
+	}
 	return wait, f.moved
 }
 
@@ -81,27 +95,35 @@
 	return !f.used.IsZero() && now.Sub(f.used) < servingTime
 }
 
-// awaitTargets lets a request wait until the targets are young enough to be chosen by, for
-// as long as the store may be expected to answer.
-func (g *Gateway) awaitTargets(ctx context.Context, arrived time.Time, id string) {
-	stale := g.staleAge()
+// wake has the readers of these read now.
+func (f *freshness) wake(ds []duty) {
+	for _, d := range ds {
+		select {
+		case f.wanted[d] <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// await lets a request wait until what is known is young enough to serve it by, for as
+// long as the store may be expected to answer.
+func (g *Gateway) await(ctx context.Context, arrived time.Time, id string) {
+	stale := g.stale()
 	wait, moved := g.freshness.use(arrived, stale)
-	if !wait {
+	if len(wait) == 0 {
 		return
 	}
 	g.instruments.waits.Inc(1)
+	first := wait
 	defer func() {
 		g.log.WithFields(log.Fields{
-			logs.FieldRequest: id, "stale": stale.Milliseconds(), "ms": time.Since(arrived).Milliseconds(), "newer": !wait,
-		}).Info("request waited for newer targets")
+			logs.FieldRequest: id, "for": dutiesText(first), "ms": time.Since(arrived).Milliseconds(), "newer": len(wait) == 0,
+		}).Info("request waited for newer knowledge")
 	}()
 	t := time.NewTimer(refreshWait)
 	defer t.Stop()
-	for wait {
-		select {
-		case g.freshness.wanted <- struct{}{}:
-		default:
-		}
+	for len(wait) > 0 {
+		g.freshness.wake(wait)
 		select {
 		case <-moved:
 		case <-t.C:
@@ -112,3 +134,11 @@
 		wait, moved = g.freshness.use(time.Now(), stale)
 	}
 }
+
+func dutiesText(ds []duty) string {
+	var names []string
+	for _, d := range ds {
+		names = append(names, dutyNames[d])
+	}
+	return strings.Join(names, " ")
+}
--- a/internal/gateway/fresh_test.go
+++ b/internal/gateway/fresh_test.go
@@ -8,28 +8,28 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// The targets that an entry knows get old while nobody tells it of newer ones. A
-// request that comes then waits for the store, but not in vain: not while the store
-// doesn't answer, and not before anything is known.
-func TestWhoWaitsForNewerTargets(t *testing.T) {
+// What an entry knows gets old while nobody tells it of anything newer. A request that
+// comes then waits for the store, but not in vain: not while the store doesn't answer,
+// and not before anything is known.
+func TestWhoWaitsForNewerKnowledge(t *testing.T) {
 	const stale = 1500 * time.Millisecond
 	at := time.Unix(100, 0)
 	tests := []struct {
 		name      string
 		confirmed time.Time
 		away      bool
-		want      bool
+		want      []duty
 	}{
-		{"young", at.Add(-stale + time.Millisecond), false, false},
-		{"old", at.Add(-stale), false, true},
-		{"old, the store doesn't answer", at.Add(-stale), true, false},
-		{"nothing known yet", time.Time{}, false, false},
+		{"young", at.Add(-stale + time.Millisecond), false, nil},
+		{"old", at.Add(-stale), false, []duty{dutyTargets}},
+		{"old, the store doesn't answer", at.Add(-stale), true, nil},
+		{"nothing known yet", time.Time{}, false, nil},
 	}
 	for _, tt := range tests {
 		f := newFreshness()
-		f.set(tt.confirmed, tt.away)
-		wait, _ := f.use(at, stale)
-		qt.Check(t, wait, qt.Equals, tt.want, qt.Commentf("%s", tt.name))
+		f.set([duties]time.Time{dutyConfig: at, dutyTargets: tt.confirmed}, tt.away)
+		wait, _ := f.use(at, ages{stale, stale})
+		qt.Check(t, wait, qt.DeepEquals, tt.want, qt.Commentf("%s", tt.name))
 	}
 }
 
@@ -66,7 +66,7 @@
 			now := c.started.Add(tt.age)
 			c.members.Handle(now, heardFrom("e0"))
 			if tt.used > 0 {
-				c.gateway.freshness.use(now.Add(-tt.used), tt.drain)
+				c.gateway.freshness.use(now.Add(-tt.used), c.gateway.stale())
 			}
 			q := turnAsked{duty: dutyTargets, answer: make(chan turn, 1)}
 			q.apply(now, c)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -45,7 +45,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{gateway: g, w: w, r: r, arrived: now, id: platform.RequestID(r.Header)}
-	g.awaitTargets(r.Context(), now, q.id)
+	g.await(r.Context(), now, q.id)
 	v := g.settled(r.Context(), now)
 	if v.table == nil {
 		q.refuse("noconfig", noConfigRetry)
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -16,7 +16,7 @@
 	packets tally.Counter // heard from other entries
 	sent    tally.Counter // bytes of packets to other entries
 	pulls   tally.Counter // asked of other entries
-	waits   tally.Counter // requests that waited for newer targets
+	waits   tally.Counter // requests that waited for newer knowledge
 	reads   [duties]tally.Counter
 	failed  [duties]tally.Counter // reads that the store didn't answer
 	config  tally.Gauge           // version in force
@@ -29,7 +29,7 @@
 	m := metrics.New(entry)
 	i := instruments{
 		Metrics: m, packets: m.Scope.Counter("packets"), sent: m.Scope.Counter("packet_bytes"), pulls: m.Scope.Counter("pulls"),
-		waits:  m.Scope.Counter("waits_for_targets"),
+		waits:  m.Scope.Counter("waits_for_knowledge"),
 		config: m.Scope.Gauge("config_version"), live: m.Scope.Gauge("live_entries"), targets: m.Scope.Gauge("targets"),
 	}
 	for d, name := range dutyNames {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -32,18 +32,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			w := newWorld(t, site{targets: 2})
-			entries := several(w, 10)
-			live := candidates(entries)
-			cut := make(map[string]bool)
-			var last *entry
-			for _, e := range entries {
-				if owner.Rank(live, dutyNames[dutyTargets], e.self.Name) == len(entries)-1 {
-					last = e
-				} else {
-					cut[e.self.Name] = true
-				}
-			}
-			w.store.Fail(func(r *http.Request) objects.Fault { return objects.Fault{Silent: cut[r.Header.Get("User-Agent")]} })
+			last := w.lastReader(several(w, 10), dutyTargets)
 			w.store.Delete("servers", w.workers[0].ID)
 			left := time.Now()
 			time.Sleep(tt.idle)
@@ -116,3 +105,34 @@
 		w.c.Assert(<-e.done, qt.IsNil)
 	}
 }
+
+// lastReader cuts all of the entries off from the store, without a word, but the one
+// that comes last in the order of those that read for the others. It returns that one.
+func (w *world) lastReader(entries []*entry, d duty) (last *entry) {
+	live := candidates(entries)
+	cut := make(map[string]bool)
+	for _, e := range entries {
+		if owner.Rank(live, dutyNames[d], e.self.Name) == len(entries)-1 {
+			last = e
+		} else {
+			cut[e.self.Name] = true
+		}
+	}
+	w.store.Fail(func(r *http.Request) objects.Fault { return objects.Fault{Silent: cut[r.Header.Get("User-Agent")]} })
+	return last
+}
+
+// Nine of ten entries lose the store without a word while a configuration comes that
+// moves a route. The tenth, which has callers, must serve them by the new one within
+// the bound: its own way to the store is free.
+func TestServingEntryHasTheConfigurationInTime(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	last := w.lastReader(several(w, 10), dutyConfig)
+	time.Sleep(patience[dutyConfig].wait) // until no watch is open any more
+	w.configure(site{})
+	acknowledged := time.Now()
+	for int(last.version()) != w.version {
+		w.c.Assert(time.Since(acknowledged) < apply, qt.IsTrue, qt.Commentf("%v", time.Since(acknowledged)))
+		w.c.Assert(last.call("GET", "/a/x", "").status, qt.Equals, http.StatusOK)
+	}
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -45,7 +45,7 @@
 	// A leaving target has to be known within 2 s as well. Its watch is
 	// answered at once, so the pause is what bounds the calls: with the steps
 	// below, the third entry is in time where the first two are lost.
-	dutyTargets: {first: 800 * time.Millisecond, step: 350 * time.Millisecond, wait: time.Millisecond},
+	dutyTargets: {first: 800 * time.Millisecond, step: 350 * time.Millisecond, wait: briefWait},
 }
 
 const (
@@ -97,6 +97,8 @@
 	// distant says that many others read before this entry, and that it has no
 	// callers.
 	distant bool
+	// brief says that a watch is not to wait for changes.
+	brief bool
 }
 
 // pause is how long a reader waits before it asks again.
@@ -130,8 +132,11 @@
 	}
 	if m.duty == dutyTargets {
 		t.at = c.targets.At()
-		t.due = t.due || serving && !t.fresh && age >= c.gateway.staleAge()
 	}
+	t.due = t.due || serving && !t.fresh && age >= c.gateway.stale()[m.duty]
+	// A watch that hears of no change confirms what is known only at its end. Where
+	// that is old already, requests would wait for it.
+	t.brief = serving && age >= patience[m.duty].wait+tickPeriod
 	m.answer <- t
 }
 
@@ -200,7 +205,7 @@
 			r.idle(ctx, t.pause())
 			continue
 		}
-		err := r.read(ctx, t.at)
+		err := r.read(ctx, t)
 		r.gateway.log.WithFields(log.Fields{"duty": r.String(), "rank": t.rank, "age": t.age.Milliseconds(), "from": uint64(t.at)}).Debug("store read")
 		r.gateway.control.tell(ctx, storeAnswered{err})
 		r.gateway.instruments.reads[r.duty].Inc(1)
@@ -212,17 +217,13 @@
 	return ctx.Err()
 }
 
-// idle waits for d, until a request wants newer targets, or until ctx ends.
+// idle waits for d, until a request wants newer knowledge, or until ctx ends.
 func (r *reader[T]) idle(ctx context.Context, d time.Duration) {
-	if r.duty != dutyTargets {
-		sleep(ctx, d)
-		return
-	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-r.gateway.freshness.wanted:
+	case <-r.gateway.freshness.wanted[r.duty]:
 	case <-ctx.Done():
 	}
 }
@@ -234,11 +235,11 @@
 	return min(storeRest*time.Duration(1+rank), storeRestMax)
 }
 
-// read watches from revision at, or lists where that is not known or a watch
+// read watches from the revision that is known, or lists where none is or a watch
 // has failed: it may have missed a change then.
-func (r *reader[T]) read(ctx context.Context, at roster.Revision) (err error) {
-	if at > 0 && !r.unsure {
-		err = r.watch(ctx, at)
+func (r *reader[T]) read(ctx context.Context, t turn) (err error) {
+	if t.at > 0 && !r.unsure {
+		err = r.watch(ctx, t)
 		if err == nil {
 			return nil
 		}
@@ -258,12 +259,18 @@
 	return err
 }
 
-func (r *reader[T]) watch(ctx context.Context, at roster.Revision) (err error) {
+// briefWait is how long a watch stays open that only asks what has changed.
+const briefWait = time.Millisecond
+
+func (r *reader[T]) watch(ctx context.Context, t turn) (err error) {
 	wait := patience[r.duty].wait
+	if t.brief {
+		wait = briefWait
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+readTime)
 	defer cancel()
 	asked := time.Now()
-	changes, upTo, err := r.kind.Watch(ctx, at, wait)
+	changes, upTo, err := r.kind.Watch(ctx, t.at, wait)
 	if err != nil {
 		return err
 	}
