gateway: the first call that gets no answer counts as a failure of the store

What callers would have seen: after an outage of 3 to 3.7 s in which the store is silent and records lapse, refusals for up to 2 s, as targets that are well are dropped. Cause: an outage needs calls that failed for 0.5 s. A read that times out asks for a list next, with 2 s more, and only both together counted: 3.2 s after the store fell silent. Change: the first one counts, 1.2 s after. TestSilentStoreIsSeenToFail failed before at 3.21 s, bound 2 s.

--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -93,6 +93,13 @@
 	}
 }
 
+// callFailed tells of a call without an answer, after which the store is asked in
+// another way. That takes up to 2 s where it is silent, and the outage may be over by
+// the time that both have failed.
+type callFailed struct{}
+
+func (callFailed) apply(now time.Time, c *control) { c.fails(now) }
+
 // storeAnswered tells whether the store serves this entry.
 type storeAnswered struct{ err error }
 
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/relay"
+	"plumpitch.example/plumpitch/internal/standin/objects"
 	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/roster"
 	"plumpitch.example/plumpitch/pkg/slot"
@@ -131,3 +133,20 @@
 	_, left := usable["leaving"]
 	qt.Assert(t, left, qt.IsFalse)
 }
+
+// The store falls silent, for just as long as records need to lapse. On its return its
+// list lacks targets that are well, and callers are refused if these are dropped. An
+// entry has seen it fail by then: its first call that got no answer counts, not only the
+// last one of several.
+func TestSilentStoreIsSeenToFail(t *testing.T) {
+	w := newWorld(t, site{targets: 1})
+	e := w.entry("a").settled()
+	w.store.Fail(func(*http.Request) objects.Fault { return objects.Fault{Silent: true} })
+	began := time.Now()
+	w.until("a store that fails", func() bool {
+		e.freshness.mu.Lock()
+		defer e.freshness.mu.Unlock()
+		return e.freshness.away
+	})
+	w.c.Assert(time.Since(began) < roster.OutageAge, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -244,7 +244,9 @@
 			return nil
 		}
 		r.unsure = true
-		if !errors.Is(err, platform.ErrHistory) && !errors.Is(err, context.DeadlineExceeded) {
+		if errors.Is(err, context.DeadlineExceeded) {
+			r.gateway.control.tell(ctx, callFailed{})
+		} else if !errors.Is(err, platform.ErrHistory) {
 			return err
 		}
 	}
