gateway: one sleep for readers, one order of readers for tests

A reader's idle wait was sleep written again with a channel more, and three tests worked out the order of readers each for itself.

--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -9,7 +9,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"plumpitch.example/plumpitch/internal/standin/objects"
-	"plumpitch.example/plumpitch/pkg/owner"
 )
 
 // drain is how long after the store's word a request may still reach a target
@@ -109,14 +108,11 @@
 // lastReader cuts all of the entries off from the store, without a word, but the one
 // that comes last in the order of those that read for the others. It returns that one.
 func (w *world) lastReader(entries []*entry, d duty) (last *entry) {
-	live := candidates(entries)
+	readers := ranked(entries, d)
+	last = readers[len(readers)-1]
 	cut := make(map[string]bool)
-	for _, e := range entries {
-		if owner.Rank(live, dutyNames[d], e.self.Name) == len(entries)-1 {
-			last = e
-		} else {
-			cut[e.self.Name] = true
-		}
+	for _, e := range readers[:len(readers)-1] {
+		cut[e.self.Name] = true
 	}
 	w.store.Fail(func(r *http.Request) objects.Fault { return objects.Fault{Silent: cut[r.Header.Get("User-Agent")]} })
 	return last
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -56,6 +56,8 @@
 	// fastReaders is how many of the first in the order are told at once of each
 	// answer of the store. The others hear of it within their rounds.
 	fastReaders = 4
+	// briefWait is how long a watch stays open that only asks what has changed.
+	briefWait = time.Millisecond
 	// readTime bounds a call beside the time for which its watch stays open:
 	// the store answers within 4 ms, and is taken for lost when it doesn't
 	// within a hundred times that.
@@ -77,11 +79,15 @@
 }
 
 // sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) { doze(ctx, d, nil) }
+
+// doze is sleep that a message on wake ends as well; on a nil channel none comes.
+func doze(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
+	case <-wake:
 	case <-ctx.Done():
 	}
 }
@@ -202,7 +208,7 @@
 	for ctx.Err() == nil {
 		t := r.gateway.control.turn(ctx, r.duty)
 		if !t.due {
-			r.idle(ctx, t.pause())
+			doze(ctx, t.pause(), r.gateway.freshness.wanted[r.duty])
 			continue
 		}
 		err := r.read(ctx, t)
@@ -217,17 +223,6 @@
 	return ctx.Err()
 }
 
-// idle waits for d, until a request wants newer knowledge, or until ctx ends.
-func (r *reader[T]) idle(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-r.gateway.freshness.wanted[r.duty]:
-	case <-ctx.Done():
-	}
-}
-
 // rest is the pause after a failed call. In an outage all entries would call at
 // once and again and again; so the later ones in the order wait longer, and the
 // first finds out soon that the store is back.
@@ -261,9 +256,6 @@
 	return err
 }
 
-// briefWait is how long a watch stays open that only asks what has changed.
-const briefWait = time.Millisecond
-
 func (r *reader[T]) watch(ctx context.Context, t turn) (err error) {
 	wait := patience[r.duty].wait
 	if t.brief {
--- a/internal/gateway/several_test.go
+++ b/internal/gateway/several_test.go
@@ -31,12 +31,17 @@
 	return entries
 }
 
-// candidates are the entries as each of them knows the others.
-func candidates(entries []*entry) (live []owner.Candidate) {
+// ranked are the entries in the order in which they read for the others.
+func ranked(entries []*entry, d duty) (readers []*entry) {
+	var live []owner.Candidate
 	for _, e := range entries {
 		live = append(live, owner.Candidate{Entry: e.self})
 	}
-	return live
+	readers = make([]*entry, len(entries))
+	for _, e := range entries {
+		readers[owner.Rank(live, dutyNames[d], e.self.Name)] = e
+	}
+	return readers
 }
 
 // Two of three entries are told to stop at the same time, each with callers
@@ -133,17 +138,13 @@
 func TestFirstReadersLost(t *testing.T) {
 	w := newWorld(t, site{targets: 2})
 	entries := several(w, 5)
-	live := candidates(entries)
+	readers := ranked(entries, dutyTargets)
 	lost := make(map[string]bool)
-	var rest []*entry
-	for _, e := range entries {
-		if owner.Rank(live, dutyNames[dutyTargets], e.self.Name) < 2 {
-			lost[e.self.Name] = true
-			e.relay.Close()
-			continue
-		}
-		rest = append(rest, e)
+	for _, e := range readers[:2] {
+		lost[e.self.Name] = true
+		e.relay.Close()
 	}
+	rest := readers[2:]
 	w.store.Fail(func(r *http.Request) objects.Fault { return objects.Fault{Down: lost[r.Header.Get("User-Agent")]} })
 	w.record(w.workers[0], "gowns", "draining")
 	left := time.Now()
@@ -218,13 +219,7 @@
 func TestReaderIsServedAgain(t *testing.T) {
 	w := newWorld(t, site{targets: 1})
 	entries := several(w, 3)
-	live := candidates(entries)
-	var first *entry
-	for _, e := range entries {
-		if owner.Rank(live, dutyNames[dutyTargets], e.self.Name) == 0 {
-			first = e
-		}
-	}
+	first := ranked(entries, dutyTargets)[0]
 	shut := func() bool {
 		s, err := first.Status(t.Context())
 		w.c.Assert(err, qt.IsNil)
