gateway: an evacuated failure domain gets no requests

Cause: nothing read the marks of the operator.

Change: a third kind of knowledge, by the way of the two others: the first entry in the order watches the marks, tells the others by gossip, they pull; their age is bounded where a target is chosen (the bound of the settings less 0.5 s), and an entry that starts serves nobody before it knows them. A target of an evacuated domain counts like one that leaves: nothing queued, asked, hedged or retried goes there, what runs ends, and what was learnt of it is kept. Requests that wait when no domain is left are refused at once. Half of the targets that may get work stay in, in place of half of all. Where the settings name no bound, no evacuation is asked for and nothing is read.

Ruled out: a watch of the marks by each entry, 112 calls in place of one each 2 s, each of them priced.

Why it holds: a mark holds until its removal is known, also while the store is away; word of an entry that knows nothing of marks confirms nothing.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -36,6 +36,9 @@
 	raw     []byte // the configuration as the operator wrote it
 	targets *roster.Roster[slot.Target]
 	lapses  *roster.Lapses[slot.Target]
+	// evacuations are the marks on failure domains, which get no requests.
+	evacuations *roster.Roster[slot.Evacuation]
+	evacuatedAt map[string]time.Time // when this entry heard of each mark
 	// confirmed is when the store was asked for what is known.
 	confirmed [duties]time.Time
 	configAt  roster.Revision // up to which the configuration's history is known
@@ -83,7 +86,7 @@
 func newControl(g *Gateway) *control {
 	return &control{
 		gateway: g, inbox: make(chan message, maxInbox), started: g.started,
-		targets: roster.New(slot.Same), lapses: roster.NewLapses[slot.Target](),
+		targets: roster.New(slot.Same), lapses: roster.NewLapses[slot.Target](), evacuations: roster.New(slot.SameEvacuation),
 		dropped: make(map[string]*service), waiting: make(map[string]bool), suspects: make(map[uint64]int),
 		numbers: owner.NewNumbers(), loads: make(map[string]loadsHeard),
 	}
@@ -183,7 +186,7 @@
 	c.recount = false
 	c.shareRetries()
 	c.logBeliefs(now, live, owners)
-	targets := c.table != nil && !c.confirmed[dutyTargets].IsZero()
+	targets := c.table != nil && c.complete()
 	c.gateway.view.Store(&view{
 		table: c.table, targets: targets, services: c.services, live: live, owners: owners, rates: c.hosts.rates,
 	})
@@ -196,11 +199,13 @@
 // supply gives each service of the configuration its targets, and those that it has
 // dropped for as long as requests of them seek one: with the list of that time, they
 // would be sent to targets that have left since.
+//
+// Before it is known which failure domains are evacuated no service gets any: an entry
+// that starts would send requests to a domain that the others have left.
 func (c *control) supply(now time.Time) {
 	byService := make(map[string][]slot.Target)
-	for _, it := range c.usable(now) {
-		t := it.Value
-		byService[t.Service] = append(byService[t.Service], t)
+	if c.complete() {
+		byService = c.byService(now)
 	}
 	services := make(map[string]*service, len(c.config.Services))
 	for name, s := range c.config.Services {
@@ -219,3 +224,25 @@
 	}
 	c.services = services
 }
+
+// complete tells whether all is known that targets are chosen by.
+func (c *control) complete() bool {
+	for _, d := range []duty{dutyTargets, dutyEvacuations} {
+		if c.gateway.needs(d) && c.confirmed[d].IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// byService gives the targets of each service, marked where their failure domain is
+// evacuated.
+func (c *control) byService(now time.Time) map[string][]slot.Target {
+	byService := make(map[string][]slot.Target)
+	for _, it := range c.usable(now) {
+		t := it.Value
+		_, t.Evacuated = c.evacuations.Get(t.Place)
+		byService[t.Service] = append(byService[t.Service], t)
+	}
+	return byService
+}
--- a/internal/gateway/fresh.go
+++ b/internal/gateway/fresh.go
@@ -43,7 +43,7 @@
 // stale are the ages from which on knowledge is too old to serve requests by.
 func (g *Gateway) stale() ages {
 	b := g.bounds.Load()
-	return ages{dutyConfig: staleAt(b.Apply), dutyTargets: staleAt(b.Drain)}
+	return ages{dutyConfig: staleAt(b.Apply), dutyTargets: staleAt(b.Drain), dutyEvacuations: staleAt(b.Evacuate)}
 }
 
 // staleAt is the age that leaves the reserve of a bound; of a short one, half of it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,6 +186,7 @@
 	s.Add(&enroller{gateway: g})
 	s.Add(newConfigReader(g))
 	s.Add(newTargetReader(g))
+	s.Add(newEvacuationReader(g))
 	below := s.ServeBackground(traffic)
 	front := g.frontServer()
 	side := &http.Server{Handler: g.sideHandler(), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -31,6 +31,8 @@
 	version int
 	last    int
 	born    int64 // of the targets that are put on record
+	// evacuate is the bound on evacuations that entries are told; 0 for none.
+	evacuate time.Duration
 }
 
 // site is what a world's first configuration holds.
@@ -115,6 +117,7 @@
 		Front: "127.0.0.1:0", Ready: "127.0.0.1:0", Directory: "127.0.0.1:0",
 		Store: strings.TrimPrefix(w.server.URL, "http://"), Bounds: bounds.Bounds,
 	}
+	s.Bounds.Evacuate = w.evacuate
 	for _, e := range seeds {
 		s.Seeds = append(s.Seeds, e.self.Peer)
 	}
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -23,6 +23,7 @@
 	age     [duties]tally.Gauge   // seconds since the store confirmed what is known
 	live    tally.Gauge           // entries known to be up
 	targets tally.Gauge
+	marks   tally.Gauge // evacuated failure domains
 }
 
 func newInstruments(entry string) instruments {
@@ -31,6 +32,7 @@
 		Metrics: m, packets: m.Scope.Counter("packets"), sent: m.Scope.Counter("packet_bytes"), pulls: m.Scope.Counter("pulls"),
 		waits:  m.Scope.Counter("waits_for_knowledge"),
 		config: m.Scope.Gauge("config_version"), live: m.Scope.Gauge("live_entries"), targets: m.Scope.Gauge("targets"),
+		marks: m.Scope.Gauge("evacuated_places"),
 	}
 	for d, name := range dutyNames {
 		s := m.Scope.Tagged(map[string]string{"kind": name})
@@ -74,6 +76,7 @@
 	i.config.Update(float64(c.config.Version))
 	i.live.Update(float64(len(c.live())))
 	i.targets.Update(float64(c.targets.Len()))
+	i.marks.Update(float64(c.evacuations.Len()))
 	for d := range duties {
 		i.age[d].Update(c.age(now, d).Seconds())
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -130,8 +130,9 @@
 // knowledge is what this entry tells of what it has in force.
 func (c *control) knowledge(now time.Time) relay.Knowledge {
 	return relay.Knowledge{
-		Config: c.config.Version, Targets: c.targets.Moved(),
+		Config: c.config.Version, Targets: c.targets.Moved(), Evacuations: c.evacuations.Moved(),
 		ConfigAge: now.Sub(c.confirmed[dutyConfig]), TargetsAge: now.Sub(c.confirmed[dutyTargets]),
+		EvacuationsAge: now.Sub(c.confirmed[dutyEvacuations]),
 	}
 }
 
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +44,12 @@
 		n.At, n.Moved, n.Age = c.targets.At(), c.targets.Moved(), now.Sub(c.confirmed[dutyTargets])
 		n.Targets, n.Changes = c.targetsSince(m.have.Targets)
 	}
+	if m.have.Evacuations < c.evacuations.Moved() {
+		n.Evacuations = &relay.Evacuations{
+			List: slices.Collect(maps.Values(c.evacuations.Items())), At: c.evacuations.At(), Moved: c.evacuations.Moved(),
+			Age: now.Sub(c.confirmed[dutyEvacuations]),
+		}
+	}
 	if m.have.Entries {
 		n.Entries = c.members.Lacking(m.have.Known)
 	}
@@ -70,6 +78,9 @@
 		c.returned(now, at)
 		c.answers(at)
 	}
+	if c.confirmed[d].IsZero() {
+		c.dirty = true
+	}
 	c.confirmed[d] = at
 }
 
@@ -108,7 +119,7 @@
 	}
 	c.pulling, c.pullAt = from, now
 	c.gateway.instruments.pulls.Inc(1)
-	have := relay.Have{Config: c.config.Version, Targets: c.targets.Moved()}
+	have := relay.Have{Config: c.config.Version, Targets: c.targets.Moved(), Evacuations: c.evacuations.Moved()}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -139,6 +150,12 @@
 	if len(m.news.Config) > 0 {
 		c.adopt(now, m.news.Config, "entry "+m.from)
 	}
+	if e := m.news.Evacuations; e != nil {
+		c.vouched(now, m.asked, dutyEvacuations, e.Age)
+		if c.evacuate(now, func() bool { return c.evacuated(*e) }, "entry "+m.from) {
+			c.drive(now, member.News{})
+		}
+	}
 	if m.news.Targets != relay.Nothing {
 		// The answer was given between the question and now, and may have been on its
 		// way for half a second. Counted from the question, a list is never taken for
@@ -154,7 +171,7 @@
 
 // lacks reports whether another entry has something newer.
 func (c *control) lacks(k relay.Knowledge) bool {
-	return k.Config > c.config.Version || k.Targets > c.targets.Moved()
+	return k.Config > c.config.Version || k.Targets > c.targets.Moved() || k.Evacuations > c.evacuations.Moved()
 }
 
 // pullMore pulls again where word that came during a pull told of something newer,
@@ -178,7 +195,9 @@
 		return
 	}
 	c.fetching, c.fetched = true, now
-	have := relay.Have{Config: math.MaxUint64, Targets: math.MaxUint64, Entries: true, Known: c.members.Known()}
+	have := relay.Have{
+		Config: math.MaxUint64, Targets: math.MaxUint64, Evacuations: math.MaxUint64, Entries: true, Known: c.members.Known(),
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -18,10 +18,11 @@
 const (
 	dutyConfig duty = iota
 	dutyTargets
+	dutyEvacuations
 	duties
 )
 
-var dutyNames = [duties]string{"configuration", "targets"}
+var dutyNames = [duties]string{"configuration", "targets", "evacuations"}
 
 // The store counts each call, and targets write their heartbeats to it all the
 // time, so that a watch of them is answered at once. A watch by each entry
@@ -46,6 +47,10 @@
 	// answered at once, so the pause is what bounds the calls: with the steps
 	// below, the third entry is in time where the first two are lost.
 	dutyTargets: {first: 800 * time.Millisecond, step: 350 * time.Millisecond, wait: briefWait},
+	// An evacuation has 5 s until its domain gets no more requests, and comes
+	// seldom: the first entry always watches, as for the configuration. With the
+	// first two lost without a word, the third one reads within 3.3 s.
+	dutyEvacuations: {first: 0, step: 400 * time.Millisecond, wait: 2 * time.Second},
 }
 
 const (
@@ -132,20 +137,37 @@
 	}
 	age := c.age(now, m.duty)
 	serving := c.gateway.freshness.serving(now)
-	t := turn{due: m.duty.due(age, rank), rank: rank, age: age, at: c.configAt, distant: rank > fastReaders && !serving}
+	t := turn{due: m.duty.due(age, rank), rank: rank, age: age, at: c.at(m.duty), distant: rank > fastReaders && !serving}
 	if c.confirmed[m.duty].IsZero() {
 		t.due, t.fresh = c.begins(now, rank), true
 	}
-	if m.duty == dutyTargets {
-		t.at = c.targets.At()
-	}
 	t.due = t.due || serving && !t.fresh && age >= c.gateway.stale()[m.duty]
+	if !c.gateway.needs(m.duty) {
+		t.due, t.fresh, t.distant = false, false, true
+	}
 	// A watch that hears of no change confirms what is known only at its end. Where
 	// that is old already, requests would wait for it.
 	t.brief = serving && age >= patience[m.duty].wait+tickPeriod
 	m.answer <- t
 }
 
+// at is the revision up to which the history of a kind is known.
+func (c *control) at(d duty) roster.Revision {
+	switch d {
+	case dutyTargets:
+		return c.targets.At()
+	case dutyEvacuations:
+		return c.evacuations.At()
+	}
+	return c.configAt
+}
+
+// needs tells whether requests are served by a kind of knowledge. Where the settings
+// name no bound for evacuations, none is asked for, and nothing is read of them.
+func (g *Gateway) needs(d duty) bool {
+	return d != dutyEvacuations || g.bounds.Load().Evacuate > 0
+}
+
 // turn asks the control loop.
 func (c *control) turn(ctx context.Context, d duty) (t turn) {
 	q := turnAsked{duty: d, answer: make(chan turn, 1)}
@@ -179,6 +201,18 @@
 	}
 }
 
+func newEvacuationReader(g *Gateway) *reader[slot.Evacuation] {
+	return &reader[slot.Evacuation]{
+		gateway: g, duty: dutyEvacuations, kind: g.store.Evacuations(),
+		listed: func(items []roster.Item[slot.Evacuation], at roster.Revision, asked time.Time) message {
+			return evacuationsListed{items, at, asked}
+		},
+		changed: func(changes []roster.Change[slot.Evacuation], at roster.Revision, asked time.Time) message {
+			return evacuationsChanged{changes, at, asked}
+		},
+	}
+}
+
 func newConfigReader(g *Gateway) *reader[[]byte] {
 	return &reader[[]byte]{
 		gateway: g, duty: dutyConfig, kind: g.store.Configs(),
--- a/internal/gateway/spread.go
+++ b/internal/gateway/spread.go
@@ -26,6 +26,9 @@
 	if k.Targets == c.targets.Moved() {
 		c.vouched(now, given, dutyTargets, k.TargetsAge)
 	}
+	if k.Evacuations == c.evacuations.Moved() {
+		c.vouched(now, given, dutyEvacuations, k.EvacuationsAge)
+	}
 }
 
 // mostWaiting is how many entries that asked while this one knew nothing are told
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -26,13 +26,25 @@
 	Version  uint64          `json:"version"` // of the configuration in force, 0 for none
 	Age      float64         `json:"age"`     // seconds since the store confirmed that version
 	Revision uint64          `json:"revision"`
-	Fresh    float64         `json:"fresh"` // seconds since the store confirmed the targets
-	Shut     bool            `json:"shut"`  // the store doesn't serve this entry
+	Fresh    float64         `json:"fresh"`  // seconds since the store confirmed the targets
+	Marked   float64         `json:"marked"` // seconds since the store confirmed the evacuations
+	Shut     bool            `json:"shut"`   // the store doesn't serve this entry
 	Leaving  bool            `json:"leaving"`
 	Strained bool            `json:"strained"`
 	Entries  []EntryStatus   `json:"entries"`
 	Hosts    []HostStatus    `json:"hosts"`
 	Services []ServiceStatus `json:"services"`
+	// Evacuations are the failure domains that get no requests.
+	Evacuations []EvacuationStatus `json:"evacuations"`
+}
+
+// EvacuationStatus is a failure domain that gets no requests.
+type EvacuationStatus struct {
+	Place    string  `json:"place"`
+	Revision uint64  `json:"revision"` // of the mark
+	Since    float64 `json:"since"`    // seconds that this entry has known of it
+	Targets  int     `json:"targets"`  // in the domain
+	Flying   int     `json:"flying"`   // requests of this entry that still run there
 }
 
 // HostStatus is a host with the entries that its callers are sent to.
@@ -88,6 +100,7 @@
 		Entry: c.gateway.self.Name, Boot: c.gateway.self.Boot,
 		Version: uint64(c.config.Version), Age: c.age(now, dutyConfig).Seconds(),
 		Revision: uint64(c.targets.Moved()), Fresh: c.age(now, dutyTargets).Seconds(),
+		Marked: c.age(now, dutyEvacuations).Seconds(), Evacuations: []EvacuationStatus{},
 		Shut: c.shut, Leaving: c.gateway.leaving.Load(), Strained: c.strain.strained(now),
 		Entries: []EntryStatus{}, Hosts: []HostStatus{}, Services: []ServiceStatus{},
 	}
@@ -109,9 +122,28 @@
 		s.Services = append(s.Services, sv.status(now, name))
 	}
 	slices.SortFunc(s.Services, func(a, b ServiceStatus) int { return cmp.Compare(a.Name, b.Name) })
+	for place, it := range c.evacuations.Items() {
+		s.Evacuations = append(s.Evacuations, evacuationStatus(s.Services, EvacuationStatus{
+			Place: place, Revision: uint64(it.Revision), Since: now.Sub(c.evacuatedAt[place]).Seconds(),
+		}))
+	}
+	slices.SortFunc(s.Evacuations, func(a, b EvacuationStatus) int { return cmp.Compare(a.Place, b.Place) })
 	return s
 }
 
+// evacuationStatus adds what the services tell of an evacuated failure domain.
+func evacuationStatus(services []ServiceStatus, e EvacuationStatus) EvacuationStatus {
+	for _, s := range services {
+		for _, t := range s.Targets {
+			if t.Place == e.Place {
+				e.Targets++
+				e.Flying += t.InFlight
+			}
+		}
+	}
+	return e
+}
+
 func (c *control) entryStatus(now time.Time, e member.Entry) EntryStatus {
 	s := EntryStatus{
 		Name: e.ID.Name, Place: e.Place, Front: e.Caller, Live: e.State == member.Alive, State: e.State.String(),
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"fmt"
 	"io"
+	"math"
 	"sync"
 	"time"
 
@@ -26,6 +27,16 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// known reads an age that is told with one added. An entry of a release that knows
+// nothing of a kind doesn't tell its age: taken for 0, it would confirm that there is
+// nothing.
+func known(ms uint32) time.Duration {
+	if ms == 0 {
+		return math.MaxInt64
+	}
+	return span(ms - 1)
+}
+
 // Formats of what entries say to each other.
 const (
 	// formatWhole is that of entries that name no format: news are whole lists.
@@ -87,6 +98,12 @@
 	for _, e := range n.Entries {
 		w.Entries = append(w.Entries, peer.EncodeEntry(now, e))
 	}
+	if e := n.Evacuations; e != nil {
+		w.Evacuations = &wire.Evacuations{At: uint64(e.At), Moved: uint64(e.Moved), Age: millis(e.Age)}
+		for _, it := range e.List {
+			w.Evacuations.List = append(w.Evacuations.List, &wire.Evacuation{Place: it.Name, Revision: uint64(it.Revision)})
+		}
+	}
 	return w
 }
 
@@ -118,6 +135,12 @@
 			Item: roster.Item[slot.Target]{Name: t.Id, Revision: roster.Revision(t.Revision), Value: v}, Deleted: t.Deleted,
 		})
 	}
+	if e := w.Evacuations; e != nil {
+		n.Evacuations = &Evacuations{At: roster.Revision(e.At), Moved: roster.Revision(e.Moved), Age: span(e.Age)}
+		for _, it := range e.List {
+			n.Evacuations.List = append(n.Evacuations.List, roster.Item[slot.Evacuation]{Name: it.Place, Revision: roster.Revision(it.Revision)})
+		}
+	}
 	for i, w := range w.Entries {
 		e, err := peer.DecodeEntry(now, fmt.Sprintf("entries[%d]", i), w)
 		if err != nil {
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -36,10 +36,13 @@
 type Knowledge struct {
 	Config  route.Version   // in force
 	Targets roster.Revision // of the last change of targets
-	// ConfigAge and TargetsAge are the times since the store last confirmed
-	// that there is nothing newer.
-	ConfigAge  time.Duration
-	TargetsAge time.Duration
+	// Evacuations is the revision of the last change of evacuations.
+	Evacuations roster.Revision
+	// The ages are the times since the store last confirmed that there is nothing
+	// newer.
+	ConfigAge      time.Duration
+	TargetsAge     time.Duration
+	EvacuationsAge time.Duration
 }
 
 // Load is what an entry gets of one host's requests.
@@ -91,10 +94,7 @@
 		w.Gossip = peer.EncodeGossip(now, p.Message)
 	}
 	if p.Kind == Ask || p.Kind == Answer || p.Kind == Tell {
-		w.Knowledge = &wire.Knowledge{
-			Config: uint64(p.Knowledge.Config), Targets: uint64(p.Knowledge.Targets),
-			ConfigAge: millis(p.Knowledge.ConfigAge), TargetsAge: millis(p.Knowledge.TargetsAge),
-		}
+		w.Knowledge = encodeKnowledge(p.Knowledge)
 	}
 	if p.ID != (member.ID{}) {
 		w.Ident = &peerwire.Ident{Name: p.ID.Name, Boot: p.ID.Boot}
@@ -111,6 +111,22 @@
 	return proto.Marshal(w)
 }
 
+func encodeKnowledge(k Knowledge) *wire.Knowledge {
+	return &wire.Knowledge{
+		Config: uint64(k.Config), ConfigAge: millis(k.ConfigAge),
+		Targets: uint64(k.Targets), TargetsAge: millis(k.TargetsAge),
+		Evacuations: uint64(k.Evacuations), EvacuationsKnown: 1 + millis(k.EvacuationsAge),
+	}
+}
+
+func decodeKnowledge(w *wire.Knowledge) Knowledge {
+	return Knowledge{
+		Config: route.Version(w.Config), ConfigAge: span(w.ConfigAge),
+		Targets: roster.Revision(w.Targets), TargetsAge: span(w.TargetsAge),
+		Evacuations: roster.Revision(w.Evacuations), EvacuationsAge: known(w.EvacuationsKnown),
+	}
+}
+
 func decodePacket(now time.Time, data []byte) (p Packet, err error) {
 	var w wire.Datagram
 	if err := proto.Unmarshal(data, &w); err != nil {
@@ -122,10 +138,9 @@
 	p = Packet{
 		Kind: Kind(w.Kind), Exchange: w.Exchange, Target: w.Address,
 		ID: member.ID{Name: w.GetIdent().GetName(), Boot: w.GetIdent().GetBoot()},
-		Knowledge: Knowledge{
-			Config: route.Version(w.GetKnowledge().GetConfig()), Targets: roster.Revision(w.GetKnowledge().GetTargets()),
-			ConfigAge: span(w.GetKnowledge().GetConfigAge()), TargetsAge: span(w.GetKnowledge().GetTargetsAge()),
-		},
+	}
+	if w.Knowledge != nil {
+		p.Knowledge = decodeKnowledge(w.Knowledge)
 	}
 	if w.Gossip != nil {
 		if p.Message, err = peer.DecodeGossip(now, w.Gossip); err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,8 +27,10 @@
 type Have struct {
 	Config  route.Version
 	Targets roster.Revision // of the last change; 0 asks for a list
-	Entries bool            // the entries that the caller lacks are wanted too
-	Known   []uint32        // digests of those that it knows
+	// Evacuations is the revision of the last change of evacuations.
+	Evacuations roster.Revision
+	Entries     bool     // the entries that the caller lacks are wanted too
+	Known       []uint32 // digests of those that it knows
 }
 
 // Extent tells how much of the targets News holds.
@@ -50,6 +52,16 @@
 	Moved   roster.Revision // of the last change of targets that matters
 	Age     time.Duration   // since the store confirmed the targets
 	Entries []member.Entry  // where they were asked for
+	// Evacuations are all that there are; nil where the caller knows them.
+	Evacuations *Evacuations
+}
+
+// Evacuations are the marks on failure domains that are to get no requests.
+type Evacuations struct {
+	List  []roster.Item[slot.Evacuation]
+	At    roster.Revision // up to which they are known
+	Moved roster.Revision // of the last change
+	Age   time.Duration   // since the store confirmed them
 }
 
 // Source gives what this entry knows.
@@ -215,7 +227,7 @@
 	c := wire.NewRelayProtobufClient("http://"+from, r.client)
 	reply, err := c.Pull(ctx, &wire.PullRequest{
 		Config: uint64(have.Config), Targets: uint64(have.Targets), Format: formatPacked,
-		Entries: have.Entries, Known: have.Known,
+		Entries: have.Entries, Known: have.Known, Evacuations: uint64(have.Evacuations),
 	})
 	if err != nil {
 		return n, err
@@ -232,7 +244,7 @@
 
 // Pull implements wire.Relay.
 func (s *server) Pull(ctx context.Context, r *wire.PullRequest) (w *wire.PullReply, err error) {
-	if r.Config > 0 || r.Targets > 0 || r.Entries {
+	if r.Config > 0 || r.Targets > 0 || r.Evacuations > 0 || r.Entries {
 		return s.answer(ctx, r)
 	}
 	if w = s.whole.get(time.Now(), r.Format); w != nil {
@@ -246,7 +258,10 @@
 }
 
 func (s *server) answer(ctx context.Context, r *wire.PullRequest) (*wire.PullReply, error) {
-	have := Have{Config: route.Version(r.Config), Targets: roster.Revision(r.Targets), Entries: r.Entries, Known: r.Known}
+	have := Have{
+		Config: route.Version(r.Config), Targets: roster.Revision(r.Targets), Evacuations: roster.Revision(r.Evacuations),
+		Entries: r.Entries, Known: r.Known,
+	}
 	n, err := s.source.News(ctx, have)
 	if err != nil {
 		return nil, err
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -155,6 +155,10 @@
 		{"entries", News{Entries: []member.Entry{{
 			ID: member.ID{Name: "a", Boot: 7}, Sequence: 3, State: member.Leaving, Caller: "c", Peer: "p", Place: "hall", Region: "metro", Capacity: 128,
 		}}}},
+		{"evacuations", News{Evacuations: &Evacuations{
+			List: []roster.Item[slot.Evacuation]{{Name: "hall", Revision: 4}}, At: 12, Moved: 9, Age: 30 * time.Millisecond,
+		}}},
+		{"no evacuations any more", News{Evacuations: &Evacuations{At: 12, Moved: 9}}},
 		{"long configuration", News{Config: bytes.Repeat([]byte(`{"route":1}`), 20000)}},
 	}
 	for _, tt := range tests {
@@ -248,3 +252,14 @@
 		qt.Assert(t, err, qt.IsNotNil)
 	}
 }
+
+// An entry of a release that knows nothing of evacuations tells what it has in force.
+// Its silence is no word on them: taken for the word that there are none, it would keep
+// requests in a failure domain that is evacuated.
+func TestSilenceOnEvacuationsIsNoWord(t *testing.T) {
+	c := qt.New(t)
+	k := decodeKnowledge(&wire.Knowledge{Config: 3, Targets: 9})
+	c.Assert(k.EvacuationsAge > 24*time.Hour, qt.IsTrue, qt.Commentf("%v", k.EvacuationsAge))
+	told := Knowledge{Config: 3, Targets: 9, Evacuations: 4, EvacuationsAge: 20 * time.Millisecond}
+	c.Assert(decodeKnowledge(encodeKnowledge(told)), qt.Equals, told)
+}
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -208,16 +208,20 @@
 // maxKnee bounds what one answer may say of a crowded target.
 const maxKnee = 3
 
-// mayEject keeps half of the targets in: a fault that all share would leave
-// nothing to send to.
+// mayEject keeps half of the targets in that may get work at all: a fault that all
+// share would leave nothing to send to.
 func (b *Book) mayEject() bool {
-	out := 0
+	out, all := 0, 0
 	for _, m := range b.order {
+		if m.leaves() {
+			continue
+		}
+		all++
 		if m.out {
 			out++
 		}
 	}
-	return 2*(out+1) <= len(b.order)
+	return 2*(out+1) <= all
 }
 
 // Cancel takes back a request that seeks a target.
--- a/pkg/slot/doc.go
+++ b/pkg/slot/doc.go
@@ -19,10 +19,13 @@
 	ID      string
 	Address string // host:port
 	Service string
-	Place   string    // failure domain
-	Slots   int       // requests that it runs at once
-	Leaving bool      // it wants no new work
-	Warm    time.Time // until then its work takes longer
+	Place   string // failure domain
+	Slots   int    // requests that it runs at once
+	Leaving bool   // it wants no new work
+	// Evacuated says that the operator wants no requests in its failure domain. It
+	// is no part of the target's own record.
+	Evacuated bool
+	Warm      time.Time // until then its work takes longer
 	// Born is the start of this incarnation in Unix milliseconds, 0 if unknown.
 	// A target may start again under its old id.
 	Born int64
@@ -33,10 +36,18 @@
 	return t.ID + "@" + strconv.FormatInt(t.Born, 10)
 }
 
+// Evacuation is the operator's mark on a failure domain that is to get no requests,
+// under the domain's name. It holds until it is removed.
+type Evacuation struct{}
+
+// SameEvacuation reports whether two marks differ in nothing that a decision needs.
+func SameEvacuation(Evacuation, Evacuation) bool { return true }
+
 // Same reports whether two records differ in nothing that a decision needs. The
 // end of the warm-up moves by the delay of each report.
 func Same(a, b Target) bool {
 	a.Warm, b.Warm = time.Time{}, time.Time{}
+	a.Evacuated, b.Evacuated = false, false
 	return a == b
 }
 
--- a/pkg/slot/explain.go
+++ b/pkg/slot/explain.go
@@ -19,12 +19,13 @@
 
 // The states.
 const (
-	Open    State = "open"    // gets requests
-	Busy    State = "busy"    // all slots are taken
-	Resting State = "resting" // refused or was unwell a moment ago
-	Out     State = "out"     // fails what it is sent, gets trials only
-	Left    State = "leaving" // wants no new work
-	Moved   State = "moved"   // another target answered at its address
+	Open    State = "open"      // gets requests
+	Busy    State = "busy"      // all slots are taken
+	Resting State = "resting"   // refused or was unwell a moment ago
+	Out     State = "out"       // fails what it is sent, gets trials only
+	Left    State = "leaving"   // wants no new work
+	Vacated State = "evacuated" // its failure domain is to get no requests
+	Moved   State = "moved"     // another target answered at its address
 )
 
 // Explain tells of each target, by id, whether it gets requests and why not.
@@ -55,6 +56,8 @@
 		return Moved
 	case m.Leaving:
 		return Left
+	case m.Evacuated:
+		return Vacated
 	case m.out:
 		return Out
 	case now.Before(m.closed):
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -122,8 +122,8 @@
 	m.Target = t
 }
 
-// leaves reports whether the target wants no new work, or is no longer there.
-func (m *member) leaves() bool { return m.Leaving || m.moved }
+// leaves reports whether the target is to get no new work, or is no longer there.
+func (m *member) leaves() bool { return m.Leaving || m.Evacuated || m.moved }
 
 // open reports whether the target may get a request at all now.
 func (m *member) open(now time.Time) bool {
--- a/pkg/slot/queue.go
+++ b/pkg/slot/queue.go
@@ -38,7 +38,7 @@
 	}
 	slots := 0
 	for _, m := range b.order {
-		if m.open(now) || m.inFlight > 0 {
+		if m.open(now) || m.inFlight > 0 && !m.leaves() {
 			slots++
 		}
 	}
@@ -49,6 +49,9 @@
 // serve sends waiting requests where a target has become good enough by what
 // was just told, and ends the wait of those whose time is up.
 func (b *Book) serve(now time.Time, out []Action) []Action {
+	if len(b.queue) > 0 && !b.anyOpen() {
+		return b.turnAway(out)
+	}
 	for _, s := range slices.Clone(b.queue) {
 		if s.pending > 0 {
 			continue
@@ -64,6 +67,15 @@
 	return out
 }
 
+// turnAway refuses all that wait, where no target is left that may get work: they
+// would wait in vain until their objective is over.
+func (b *Book) turnAway(out []Action) []Action {
+	for _, s := range slices.Clone(b.queue) {
+		out = b.refuse(s, NoTarget, b.cfg.PauseMin, out)
+	}
+	return out
+}
+
 // place sends s to a target of which fresh word says that it is good.
 func (b *Book) place(now time.Time, s *seeker, out []Action) (next []Action, sent bool) {
 	for _, c := range b.candidates(now, s, choices) {
--- a/pkg/slot/targets_test.go
+++ b/pkg/slot/targets_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// A target leaves, or its record is removed, while requests are on their way to it in
+// A target leaves, its record is removed, or its failure domain is evacuated, while requests are on their way to it in
 // one way or another. From then on it gets none of them: they go to the other one, or
 // their callers are told to come back.
 func TestLeavingTargetGetsNothingThatWaits(t *testing.T) {
@@ -63,6 +63,7 @@
 	}{
 		{"leaves", []Target{{ID: "left", Slots: 2, Leaving: true}, other}},
 		{"removed", []Target{other}},
+		{"evacuated", []Target{{ID: "left", Slots: 2, Evacuated: true}, other}},
 	}
 	tests := []struct {
 		name  string
