slot, warmup: cold targets get no more than they bear, over all entries

Cause: a cold target only counted as slower.

Change: pkg/warmup deals each cold target to a few of the entries that send to its service, by rendezvous hashing, and each holder may send it a fixed number within 1.25 s: the second of the bound and the time in which a request waits for a connection. The shares of one view of the owners sum to half of the bound, so that two views at once keep it; a share counts once it was held for 1.25 s; an entry that hears none of the others, or owns none of the service's hosts, sends nothing to cold targets. Cold is what the record says, the answer to a question, and any target of a domain that was taken back after an evacuation until it says otherwise; a record that becomes cold again now counts as changed. Where all targets are cold and have had their share, requests that can't wait for the next are refused at once with the time of it.

Untold: a target that turns cold while it runs says so in the answer to the next question, which every request asks unless the target spoke within 10 ms; what it was sent before counts against its share.

Ruled out: an equal part for each sender: with more senders than the bound has requests none may send one a second, and by turns of a clock that they don't share.

--- a/dev_gateway.go
+++ b/dev_gateway.go
@@ -55,8 +55,13 @@
   curl -H 'Host: %[2]s' -H '%s: q1' http://%s%sgowns
   curl http://%s/metrics
 
+evacuate a failure domain, watch it, take it back:
+  curl -X POST -d '{"metadata":{"name":"subiaco-hall"},"spec":{}}' http://%s/objects/evacuations
+  curl http://%[6]s/status
+  curl -X DELETE http://%[7]s/objects/evacuations/subiaco-hall
+
 interrupt to stop
-`, a.Directory, site.Host, platform.HeaderRequest, a.Front, site.Prefix("gown-catalogue"), a.Metrics)
+`, a.Directory, site.Host, platform.HeaderRequest, a.Front, site.Prefix("gown-catalogue"), a.Metrics, s.Address)
 }
 
 // tryGateways sends requests to the gateways in turn and fails if one isn't
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -68,6 +68,9 @@
 	owners  map[string][]owner.Entry
 	ownedBy *owner.Deal // by which owners were worked out
 	counted map[string]int
+	// unshared says that services don't know yet which entries send to them, and apart
+	// that they go by this entry being cut off from the others.
+	unshared, apart bool
 
 	enrolled  time.Time     // when the store named the other entries
 	enrolling time.Duration // how long that took
@@ -181,9 +184,14 @@
 	counts := c.counts(now, deal)
 	if deal != c.ownedBy || !maps.Equal(counts, c.counted) {
 		c.owners, c.ownedBy, c.counted = deal.Owners(counts), deal, counts
+		c.unshared = true
 	}
 	owners := c.owners
 	c.recount = false
+	if alone := c.isolated(now); alone != c.apart || c.unshared {
+		c.apart, c.unshared = alone, false
+		c.shareCold(now, owners)
+	}
 	c.shareRetries()
 	c.logBeliefs(now, live, owners)
 	targets := c.table != nil && c.complete()
@@ -213,7 +221,7 @@
 		if sv == nil {
 			sv = newService(c.gateway, s)
 		}
-		sv.configure(s)
+		sv.configure(now, s)
 		sv.take(now, byService[name])
 		services[name] = sv
 	}
@@ -222,7 +230,7 @@
 	for name, sv := range c.dropped {
 		sv.take(now, byService[name])
 	}
-	c.services = services
+	c.services, c.unshared = services, true
 }
 
 // complete tells whether all is known that targets are chosen by.
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -29,9 +29,6 @@
 	return w
 }
 
-func (w *world) mark(place string)   { w.store.Put("evacuations", place, struct{}{}) }
-func (w *world) unmark(place string) { w.store.Delete("evacuations", place) }
-
 // after are the runs of a target that began later than that.
 func (w *world) after(target int, at time.Time) (n int) {
 	for _, r := range w.workers[target].Runs() {
@@ -59,20 +56,20 @@
 	w := halls(t, "hall", "annex")
 	entries := several(w, 3)
 	w.store.Put("evacuations", "nowhere", []int{1})
-	w.mark("hall")
+	w.store.Evacuate("hall")
 	at := time.Now()
 	busyFor(evacuateBound+time.Second, http.StatusOK, entries...)
 	w.c.Assert(w.after(0, at.Add(evacuateBound)), qt.Equals, 0)
-	w.unmark("hall")
+	w.store.TakeBack("hall")
 	w.until("the domain in use again", func() bool {
 		for _, e := range entries {
 			e.call("GET", "/a/x", "")
 		}
 		return w.after(0, at.Add(evacuateBound)) > 0
 	})
-	w.mark("hall")
-	w.unmark("hall")
-	w.mark("hall")
+	w.store.Evacuate("hall")
+	w.store.TakeBack("hall")
+	w.store.Evacuate("hall")
 	at = time.Now()
 	busyFor(evacuateBound+500*time.Millisecond, http.StatusOK, entries...)
 	w.c.Assert(w.after(0, at.Add(evacuateBound)), qt.Equals, 0)
@@ -87,8 +84,8 @@
 func TestEvacuationOfAll(t *testing.T) {
 	w := halls(t, "hall", "annex")
 	e := several(w, 1)[0]
-	w.mark("hall")
-	w.mark("annex")
+	w.store.Evacuate("hall")
+	w.store.Evacuate("annex")
 	w.until("a refusal", func() bool { return e.call("GET", "/a/x", "").status == http.StatusServiceUnavailable })
 	a := e.call("GET", "/a/x", "")
 	w.c.Assert(a.status, qt.Equals, http.StatusServiceUnavailable)
@@ -101,7 +98,7 @@
 func TestEntryThatStartsDuringAnEvacuation(t *testing.T) {
 	w := halls(t, "hall", "annex")
 	first := several(w, 1)[0]
-	w.mark("hall")
+	w.store.Evacuate("hall")
 	w.until("the mark in force", func() bool {
 		s, err := first.Status(t.Context())
 		return err == nil && len(s.Evacuations) == 1
@@ -156,12 +153,12 @@
 func TestEvacuationOutlastsAnOutage(t *testing.T) {
 	w := halls(t, "hall", "annex")
 	entries := several(w, 2)
-	w.mark("hall")
+	w.store.Evacuate("hall")
 	at := time.Now()
 	busyFor(evacuateBound, http.StatusOK, entries...)
 	w.store.Fail(func(*http.Request) objects.Fault { return objects.Fault{Down: true} })
 	busyFor(patience[dutyEvacuations].wait+100*time.Millisecond, http.StatusOK, entries...) // until no watch is open any more
-	w.unmark("hall")
+	w.store.TakeBack("hall")
 	busyFor(evacuateBound, http.StatusOK, entries...)
 	w.c.Assert(w.after(0, at.Add(evacuateBound)), qt.Equals, 0)
 	w.store.Fail(nil)
@@ -178,7 +175,7 @@
 	w := halls(t, "hall", "annex")
 	last := w.lastReader(several(w, 10), dutyEvacuations)
 	busyFor(patience[dutyEvacuations].wait, http.StatusOK, last) // until no watch is open any more
-	w.mark("hall")
+	w.store.Evacuate("hall")
 	at := time.Now()
 	busyFor(evacuateBound+time.Second, http.StatusOK, last)
 	w.c.Assert(w.after(0, at.Add(evacuateBound)), qt.Equals, 0)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -134,7 +134,7 @@
 listen: {front: "127.0.0.1:1", ready: "127.0.0.1:2", directory: "127.0.0.1:3"}
 internalPorts: [1, 2]
 platform: {address: "127.0.0.1:4"}
-bounds: ["grace=3s"]
+bounds: ["grace=3s", "warmupFactor=1.5", "warmupSlack=8"]
 `
 
 // settled waits until the entry knows a configuration and all targets.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -13,6 +13,7 @@
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/route"
 	"plumpitch.example/plumpitch/pkg/slot"
+	"plumpitch.example/plumpitch/pkg/warmup"
 	"plumpitch.example/plumpitch/platform"
 )
 
@@ -27,6 +28,7 @@
 	book    *slot.Book
 	waiting map[uint64]chan<- slot.Action
 	last    uint64
+	senders []string     // names of the entries that send to it
 	alarm   *alarm.Alarm // for the book's timer
 }
 
@@ -64,10 +66,12 @@
 	return s.book.Back(now)
 }
 
-func (s *service) configure(is route.Service) {
+func (s *service) configure(now time.Time, is route.Service) {
+	b := s.gateway.bounds.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.is = is
+	s.book.Warmup(now, slot.Warmup{Bound: warmup.NewBound(is.WarmRate, b.WarmFactor, b.WarmSlack), Time: is.Warmup})
 }
 
 // take takes the whole list of targets.
@@ -159,6 +163,7 @@
 	if err == nil && platform.Instance(h) == a.Target.ID {
 		r.Well = status == http.StatusOK
 		r.Load, r.Loaded = platform.Load(h)
+		r.Cold, r.Warmth = platform.Cold(h)
 	}
 	now := time.Now()
 	s.mu.Lock()
--- a/internal/site/gateways.go
+++ b/internal/site/gateways.go
@@ -21,6 +21,7 @@
 	Store    *objects.Store
 	Gateways []*gateway.Gateway
 	Targets  []*worker.Worker
+	Address  string // of the store, host:port
 
 	stop   context.CancelFunc
 	served sync.WaitGroup
@@ -40,6 +41,10 @@
 	siteObjective = "200ms"
 	siteGrace     = 3 * time.Second
 	siteAttempts  = 2
+
+	siteEvacuate   = 5 * time.Second
+	siteWarmFactor = 1.5
+	siteWarmSlack  = 8
 )
 
 // StartGateways starts the stand-ins, puts a configuration with a route for each
@@ -52,6 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.Address = l.Addr().String()
 	s.server = &http.Server{Handler: s.Store, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	if err := s.startTargets(cfg); err != nil {
@@ -104,7 +110,10 @@
 		Settings: platform.Settings{
 			Name: fmt.Sprintf("gateway-%d", i+1), Place: cfg.Places[i%len(cfg.Places)], Region: cfg.Region,
 			Front: anyPort, Ready: anyPort, Directory: anyPort, Address: "127.0.0.1", Store: store, Cores: 1,
-			Bounds: platform.Bounds{Grace: siteGrace, MaxTTL: time.Second, RetryShare: 0.2, RetrySlack: 50},
+			Bounds: platform.Bounds{
+				Grace: siteGrace, MaxTTL: time.Second, RetryShare: 0.2, RetrySlack: 50,
+				Evacuate: siteEvacuate, WarmFactor: siteWarmFactor, WarmSlack: siteWarmSlack,
+			},
 		},
 		Boot: uint64(time.Now().UnixNano()), Log: cfg.Log,
 	})
--- a/internal/standin/objects/records.go
+++ b/internal/standin/objects/records.go
@@ -1,6 +1,9 @@
 package objects
 
-import "strconv"
+import (
+	"strconv"
+	"time"
+)
 
 // The records that the users' targets and operators write, in their own words.
 
@@ -12,9 +15,16 @@
 	Place   string
 	Slots   int
 	Leaving bool
-	Born    int64 // Unix ms of its start
+	Born    int64         // Unix ms of its start
+	Warmup  time.Duration // for how much longer it is cold
 }
 
+// What each target of a configuration needs after its start.
+const (
+	Warmup     = 3 * time.Second
+	WarmupRate = 3.4 // requests a second
+)
+
 // PutTarget writes a target's record.
 func (s *Store) PutTarget(t Target) {
 	state := "ready"
@@ -24,7 +34,7 @@
 	s.Put("servers", t.ID, map[string]any{
 		"address": t.Address, "born": t.Born,
 		"info":   map[string]any{"service": t.Service, "version": "v1", "zone": t.Place, "concurrency": t.Slots},
-		"status": map[string]any{"state": state, "sequence": 1, "warmupLeft": "0ms"},
+		"status": map[string]any{"state": state, "sequence": 1, "warmupLeft": strconv.FormatInt(t.Warmup.Milliseconds(), 10) + "ms"},
 	})
 }
 
@@ -41,6 +51,12 @@
 	Kind     string // as written; empty goes by Once
 }
 
+// Evacuate marks a failure domain, as the operator does, and TakeBack removes the mark.
+func (s *Store) Evacuate(place string) { s.Put("evacuations", place, struct{}{}) }
+
+// TakeBack removes the mark of a failure domain.
+func (s *Store) TakeBack(place string) { s.Delete("evacuations", place) }
+
 // PutConfig writes a configuration with these routes and services.
 func (s *Store) PutConfig(version int, routes []Route, services []string) {
 	named, served := map[string]any{}, map[string]any{}
@@ -58,7 +74,9 @@
 		}
 	}
 	for _, name := range services {
-		served[name] = map[string]any{"healthPath": "/health", "maxConns": 200}
+		served[name] = map[string]any{
+			"healthPath": "/health", "maxConns": 200, "warmup": Warmup.String(), "warmupPerS": WarmupRate,
+		}
 	}
 	s.Put("config", "main", map[string]any{
 		"version": "r" + strconv.Itoa(version), "routes": named, "services": served,
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -55,6 +55,10 @@
 	now    int
 	open   map[net.Conn]bool
 	closed bool
+	cold   time.Time // until then it bears few requests
+	bears  int       // requests in any second while it is cold
+	tells  bool      // it says so when it is asked
+	falls  int       // how often it crashed since it got more
 }
 
 // Start runs a worker on loopback.
@@ -94,6 +98,37 @@
 	})
 }
 
+// Chill makes it cold for so long, in which it bears that many requests in any second.
+// Above that it crashes: all that runs there is lost. Whether it tells of it is up to
+// tells.
+func (w *Worker) Chill(d time.Duration, bears int, tells bool) {
+	w.set(func() { w.cold, w.bears, w.tells = time.Now().Add(d), bears, tells })
+}
+
+// Falls returns how often it crashed since it got more than it bears.
+func (w *Worker) Falls() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.falls
+}
+
+// overdone reports whether a cold worker got more in the last second than it bears. The
+// lock is held.
+func (w *Worker) overdone(now time.Time) bool {
+	if !now.Before(w.cold) || len(w.runs) <= w.bears {
+		return false
+	}
+	return now.Sub(w.runs[len(w.runs)-1-w.bears].At) < time.Second
+}
+
+// crash ends all connections. The lock is held.
+func (w *Worker) crash() {
+	w.falls++
+	for c := range w.open {
+		c.Close()
+	}
+}
+
 func (w *Worker) set(f func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -159,7 +194,11 @@
 
 func (w *Worker) health(k *conn) {
 	w.mu.Lock()
-	head := "HTTP/1.1 200 OK\r\nPlumpitch-Instance-Id: " + w.ID + "\r\n" + w.load() + "Content-Length: 0\r\n\r\n"
+	head := "HTTP/1.1 200 OK\r\nPlumpitch-Instance-Id: " + w.ID + "\r\n" + w.load()
+	if left := time.Until(w.cold); w.tells && left > 0 {
+		head += "Plumpitch-Warmup-Remaining: " + strconv.FormatInt(left.Milliseconds(), 10) + "\r\n"
+	}
+	head += "Content-Length: 0\r\n\r\n"
 	w.mu.Unlock()
 	_, _ = io.WriteString(k, head)
 }
@@ -198,6 +237,9 @@
 		Deadline: r.Header.Get("Plumpitch-Request-Deadline"), At: time.Now(),
 	})
 	w.now++
+	if w.overdone(time.Now()) {
+		w.crash()
+	}
 	work := w.work
 	w.mu.Unlock()
 	if work > 0 {
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -38,6 +38,10 @@
 type Service struct {
 	Name   string
 	Health string // path of the health endpoint
+	// Warmup is for how long a target is cold after its start, and WarmRate how many
+	// requests a second it bears then; 0 says nothing.
+	Warmup   time.Duration
+	WarmRate float64
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"plumpitch.example/plumpitch/pkg/warmup"
 )
 
 // Book holds the targets of one service and the requests that want one.
@@ -20,6 +22,9 @@
 	mean    float64 // pace over all targets
 	words   int     // that the mean is taken over
 	knee    float64 // how much longer work takes at a crowded target
+	warmup  Warmup
+	senders warmup.Senders
+	share   warmup.Share // of each holder of a cold target
 	scratch []candidate
 }
 
@@ -60,6 +65,10 @@
 		m := old[t.ID]
 		if m == nil || m.Born != t.Born {
 			m = newMember(t)
+			m.ration.Deal(now, b.senders, b.share)
+		}
+		if m.Evacuated && !t.Evacuated {
+			b.returns(now, m)
 		}
 		m.record(t)
 		b.members[t.ID] = m
@@ -76,6 +85,9 @@
 	if !b.anyOpen() {
 		return b.refuse(s, NoTarget, b.cfg.PauseMin, out)
 	}
+	if retry, ok := b.frozen(now, s); ok {
+		return b.refuse(s, Cold, retry, out)
+	}
 	if r.Hedge {
 		return b.ask(now, s, out)
 	}
@@ -115,6 +127,9 @@
 		b.tell(now, m, r.Load)
 	}
 	m.mute = r.Well && !r.Loaded
+	if r.Warmth {
+		m.cold = now.Add(r.Cold)
+	}
 	if !r.Well {
 		m.closed = later(m.closed, now.Add(shedPause))
 	}
@@ -271,6 +286,7 @@
 		Expected: m.expected(now, s.usual, pace, b.knee, &b.cfg),
 	}
 	m.inFlight++
+	m.ration.Sent(now)
 	b.flights[s.ID] = &flight{member: m, sent: now, beside: beside, pace: pace, class: s.Class, usual: s.usual}
 	return append(out, Action{Do: Send, ID: s.ID, Target: m.Target, Why: why})
 }
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -11,7 +11,7 @@
 
 // usable reports whether s may be sent to m, as far as is known.
 func (b *Book) usable(now time.Time, m *member, s *seeker) bool {
-	return m.open(now) && m.busy(now, &b.cfg) < m.Slots && !slices.Contains(s.Tried, m.ID)
+	return m.open(now) && m.busy(now, &b.cfg) < m.Slots && b.admits(now, m) && !slices.Contains(s.Tried, m.ID)
 }
 
 // room reports whether any target could take s.
@@ -140,7 +140,7 @@
 // no other answer can change the choice.
 func (b *Book) ideal(now time.Time, m *member, s *seeker) bool {
 	idle := b.usable(now, m, s) && m.busy(now, &b.cfg) == 0
-	return idle && m.pace <= idealPace && m.slower(now) < idealSlow && !now.Before(m.Warm)
+	return idle && m.pace <= idealPace && m.slower(now) < idealSlow && !m.isCold(now)
 }
 
 // decide sends s to the target that promises the earliest end, if that is good
@@ -209,5 +209,8 @@
 			return b.send(now, s, c.member, out)
 		}
 	}
+	if retry, ok := b.frozen(now, s); ok {
+		return b.refuse(s, Cold, retry, out)
+	}
 	return b.refuse(s, Full, b.retry(s.usual), out)
 }
--- a/pkg/slot/doc.go
+++ b/pkg/slot/doc.go
@@ -43,12 +43,18 @@
 // SameEvacuation reports whether two marks differ in nothing that a decision needs.
 func SameEvacuation(Evacuation, Evacuation) bool { return true }
 
-// Same reports whether two records differ in nothing that a decision needs. The
-// end of the warm-up moves by the delay of each report.
+// warmNoise is by how much the end of one warm-up differs from report to report, as
+// each counts from the time at which it was read.
+const warmNoise = 1500 * time.Millisecond
+
+// Same reports whether the record b, which follows a, differs in nothing that a
+// decision needs. A warm-up that has begun anew matters: a target may become cold
+// again while it runs.
 func Same(a, b Target) bool {
+	cold := b.Warm.Sub(a.Warm) > warmNoise
 	a.Warm, b.Warm = time.Time{}, time.Time{}
 	a.Evacuated, b.Evacuated = false, false
-	return a == b
+	return a == b && !cold
 }
 
 // Load is what a target says of itself.
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -41,7 +41,9 @@
 	Target string
 	Load   Load
 	Loaded bool
-	Well   bool // it answered, and says that it is well
+	Well   bool          // it answered, and says that it is well
+	Cold   time.Duration // for how much longer it is cold
+	Warmth bool          // whether Cold was given
 }
 
 // Do is what the driver has to do.
@@ -64,9 +66,10 @@
 	NoReason Reason = iota
 	Full            // no target could answer it in time
 	NoTarget        // no target may get work
+	Cold            // all targets have just started and have had what they bear
 )
 
-var reasons = [...]string{"none", "full", "notarget"}
+var reasons = [...]string{"none", "full", "notarget", "cold"}
 
 // String returns the one-word name of a reason.
 func (r Reason) String() string {
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -1,6 +1,10 @@
 package slot
 
-import "time"
+import (
+	"time"
+
+	"plumpitch.example/plumpitch/pkg/warmup"
+)
 
 // flight is a request at a target.
 type flight struct {
@@ -36,10 +40,13 @@
 	sheds  int // in a row
 	closed time.Time
 	moved  bool // another target answered at its address
+
+	cold   time.Time // it has just started and is cold until then
+	ration warmup.Ration
 }
 
 func newMember(t Target) *member {
-	return &member{Target: t, pace: 1, slowness: 1}
+	return &member{Target: t, pace: 1, slowness: 1, cold: t.Warm, ration: warmup.NewRation(t.ID)}
 }
 
 // estimate is the pace that is to be expected now: the last word, which goes
@@ -87,7 +94,7 @@
 	if m.crowded(m.busy(now, c)) {
 		d *= knee
 	}
-	if now.Before(m.Warm) {
+	if m.isCold(now) {
 		d *= coldFactor
 	}
 	return time.Duration(d)
@@ -119,6 +126,9 @@
 	if !Same(m.Target, t) {
 		m.moved = false
 	}
+	if t.Warm.After(m.Warm) {
+		m.cold = later(m.cold, t.Warm)
+	}
 	m.Target = t
 }
 
--- a/pkg/slot/slot_test.go
+++ b/pkg/slot/slot_test.go
@@ -17,6 +17,7 @@
 	*Book
 	now  time.Time
 	last uint64
+	work time.Duration
 }
 
 func newDesk(targets int) *desk {
--- /dev/null
+++ b/pkg/warmup/warmup_test.go
@@ -0,0 +1,161 @@
+package warmup
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// What all holders of one view may send a target within any second is at most half of
+// its bound, so that two views at once keep it.
+func TestSharesOfTwoViewsKeepTheBound(t *testing.T) {
+	for most := 2; most <= 400; most++ {
+		for senders := 1; senders <= 130; senders++ {
+			s := NewShare(Bound{Limited: true, Most: most}, senders)
+			sum := s.Holders * s.Each
+			qt.Assert(t, sum > 0 && views*sum <= most, qt.IsTrue, qt.Commentf("bound %d, %d senders: %v", most, senders, s))
+		}
+	}
+}
+
+func TestBound(t *testing.T) {
+	tests := []struct {
+		name                string
+		rate, factor, slack float64
+		want                Bound
+	}{
+		{"no limit is known", 0, 1.5, 8, Bound{}},
+		{"whole requests", 3.4, 1.5, 8, Bound{Limited: true, Most: 13}},
+		{"less than one", 0.1, 1, 0, Bound{Limited: true, Most: 1}},
+	}
+	for _, tt := range tests {
+		qt.Check(t, NewBound(tt.rate, tt.factor, tt.slack), qt.Equals, tt.want, qt.Commentf("%s", tt.name))
+	}
+}
+
+// Each entry works out alone which targets it holds. With the same view each target is
+// held by as many as the share says, and an entry that doesn't send holds none.
+func TestHoldersOfOneView(t *testing.T) {
+	var names []string
+	for i := range 20 {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	for target := range 200 {
+		holders := 0
+		for _, n := range names {
+			if NewSenders(names, n).Holds(Hash(fmt.Sprint("t", target)), 3) {
+				holders++
+			}
+		}
+		qt.Assert(t, holders, qt.Equals, 3)
+		qt.Assert(t, NewSenders(names, "other").Holds(Hash(fmt.Sprint("t", target)), 3), qt.IsFalse)
+	}
+}
+
+// Requests come at random. What is counted is never less than what was sent within the
+// span, and once free says so there is room.
+func TestRecentCountsTheWholeSpan(t *testing.T) {
+	for seed := range uint64(200) {
+		rnd := rand.New(rand.NewPCG(seed, 5))
+		var r recent
+		var sent []time.Time
+		now := time.Unix(50, 0)
+		for range 300 {
+			now = now.Add(time.Duration(rnd.IntN(1+1<<rnd.IntN(11))) * time.Millisecond)
+			within := 0
+			for _, at := range sent {
+				if now.Sub(at) < Span {
+					within++
+				}
+			}
+			n := r.count(now)
+			qt.Assert(t, n >= within, qt.IsTrue, qt.Commentf("seed %d: %d of %d", seed, n, within))
+			const most = 5
+			free := r.free(now, most)
+			qt.Assert(t, free.Sub(now) <= Span+partTime, qt.IsTrue)
+			later := r
+			qt.Assert(t, later.count(free) < most, qt.IsTrue, qt.Commentf("seed %d", seed))
+			r.add(now)
+			sent = append(sent, now)
+		}
+	}
+}
+
+// sender is an entry with its view of which entries send.
+type sender struct {
+	name  string
+	share Share
+	Ration
+}
+
+func (s *sender) sees(now time.Time, b Bound, names []string) {
+	view := NewSenders(names, s.name)
+	s.share = NewShare(b, view.Len())
+	s.Deal(now, view, s.share)
+}
+
+// A cold target's owners change, entries start, stop and hear of each other late, and
+// half of them are cut off from the rest for seconds, while more requests come at each
+// than it may send. The target counts what arrives in each second, from whomever:
+// above its bound it crashes, and callers lose what it was at work on.
+func TestColdTargetUnderChangingViews(t *testing.T) {
+	const seeds, entries, late = 300, 24, 900 * time.Millisecond
+	b := NewBound(3.4, 1.5, 8)
+	for seed := range uint64(seeds) {
+		rnd := rand.New(rand.NewPCG(seed, 11))
+		now := time.Unix(9, 0)
+		all := make([]*sender, entries)
+		next := func() (names []string) {
+			for i := range entries {
+				if rnd.IntN(3) > 0 {
+					names = append(names, fmt.Sprint("e", i))
+				}
+			}
+			return names
+		}
+		halves := [2][]string{next(), next()}
+		for i := range all {
+			all[i] = &sender{name: fmt.Sprint("e", i), Ration: NewRation("target")}
+			all[i].sees(now, b, halves[0])
+		}
+		pending := make(map[int]time.Time) // when an entry hears of the present view
+		half := func(int) int { return 0 }
+		changed := now
+		var arrivals []time.Time
+		for range 4000 {
+			now = now.Add(5 * time.Millisecond)
+			// Owners change seldom; what each hears of it comes within the time of gossip.
+			if now.Sub(changed) > 2*Span+late && rnd.IntN(100) == 0 {
+				changed = now
+				halves = [2][]string{next(), next()}
+				half = func(int) int { return 0 }
+				if rnd.IntN(2) == 0 {
+					halves[0] = halves[0][:len(halves[0])/2]
+					half = func(i int) int { return i % 2 }
+				}
+				for i := range all {
+					pending[i] = now.Add(time.Duration(rnd.Int64N(int64(late))))
+				}
+			}
+			for i, at := range pending {
+				if !now.Before(at) {
+					all[i].sees(now, b, halves[half(i)])
+					delete(pending, i)
+				}
+			}
+			for _, s := range all {
+				if s.Admits(now, s.share) && rnd.IntN(2) == 0 {
+					s.Sent(now)
+					arrivals = append(arrivals, now)
+				}
+			}
+			for len(arrivals) > 0 && now.Sub(arrivals[0]) >= time.Second {
+				arrivals = arrivals[1:]
+			}
+			qt.Assert(t, len(arrivals) <= b.Most, qt.IsTrue, qt.Commentf("seed %d: %d in a second", seed, len(arrivals)))
+		}
+	}
+}
