route, slot, platform: routes with homes keep their requests there

What callers saw: `allowedRegions` of a route was passed over without a word, so its requests could run in any region, and the directory sent its callers anywhere.

Cause: nothing read the field.

Requests with homes go to targets of these regions only (the settings say which region a failure domain is in; a target in an unknown one is nowhere), wait only behind those with the same homes, and are refused at once where no target is at home. The directory names owners in the homes or the caller's region, or live entries there where all owners are elsewhere. Bodies pass between no two entries, as before.

Not done: homes of a tenant; owners are not chosen by homes.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -250,6 +250,7 @@
 	for _, it := range c.usable(now) {
 		t := it.Value
 		_, t.Evacuated = c.evacuations.Get(t.Place)
+		t.Region = c.gateway.cfg.Settings.Regions[t.Place]
 		byService[t.Service] = append(byService[t.Service], t)
 	}
 	return byService
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -26,7 +26,8 @@
 		}
 	})
 	mux.HandleFunc(platform.PathResolve, func(w http.ResponseWriter, r *http.Request) {
-		list := g.view.Load().addresses(platform.ReadQuestion(r).Host, g.self)
+		q := platform.ReadQuestion(r)
+		list := g.view.Load().addresses(q.Host, q.Region, g.self)
 		if len(list) == 0 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/internal/gateway/hosts_test.go
+++ b/internal/gateway/hosts_test.go
@@ -66,7 +66,7 @@
 	var before [][]string
 	addresses := func(e *entry) (list [][]string) {
 		for _, h := range hosts {
-			list = append(list, e.view.Load().addresses(h, e.self))
+			list = append(list, e.view.Load().addresses(h, "metro", e.self))
 		}
 		return list
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -168,7 +168,7 @@
 	now := time.Now()
 	r := slot.Request{
 		Arrived: q.arrived, Objective: q.objective, Deadline: q.end(),
-		Priority: q.route.Priority, Hedge: hedge, Class: q.route.Name,
+		Priority: q.route.Priority, Hedge: hedge, Class: q.route.Name, Homes: q.route.Homes,
 	}
 	q.call.Tried(func(target string) { r.Tried = append(r.Tried, target) })
 	q.sought = q.service.arrive(now, r, q.slots)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -43,7 +43,7 @@
 	w.until("both live", func() bool {
 		return len(entries[0].view.Load().live) == 2 && len(entries[1].view.Load().live) == 2
 	})
-	named := entries[0].view.Load().addresses("veil.example", entries[0].self)
+	named := entries[0].view.Load().addresses("veil.example", "metro", entries[0].self)
 	dead, other := entries[0], entries[1]
 	if named[0] == other.self.Front {
 		dead, other = other, dead
@@ -51,7 +51,7 @@
 	dead.relay.Close()
 	began := time.Now()
 	w.until("another entry is named", func() bool {
-		return other.view.Load().addresses("veil.example", other.self)[0] == other.self.Front
+		return other.view.Load().addresses("veil.example", "metro", other.self)[0] == other.self.Front
 	})
 	w.c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/route"
 )
@@ -15,13 +17,16 @@
 	rates    map[string]*rate         // by host
 }
 
-// addresses are where the callers of a host are sent.
-func (v *view) addresses(host string, self owner.Entry) []string {
+// addresses are where the callers of a host are sent that are in a region.
+func (v *view) addresses(host, region string, self owner.Entry) []string {
 	if v.table == nil {
 		return nil
 	}
 	name, _ := v.table.Host(host)
 	list := v.owners[name]
+	if homes := v.table.Homes(name); len(homes) > 0 {
+		list = v.near(list, append(homes, region))
+	}
 	if len(list) == 0 {
 		return []string{self.Front}
 	}
@@ -32,6 +37,29 @@
 	return out
 }
 
+// maxNear bounds the entries that callers are sent to in place of owners elsewhere.
+const maxNear = 4
+
+// near gives the owners in these regions or, where all are elsewhere, some of the live
+// entries there: requests with homes may be sent to no entry of another region but the
+// caller's own.
+func (v *view) near(owners []owner.Entry, regions []string) (list []owner.Entry) {
+	for _, e := range owners {
+		if slices.Contains(regions, e.Region) {
+			list = append(list, e)
+		}
+	}
+	if len(list) > 0 {
+		return list
+	}
+	for _, c := range v.live {
+		if len(list) < maxNear && slices.Contains(regions, c.Region) {
+			list = append(list, c.Entry)
+		}
+	}
+	return list
+}
+
 // Addresses are where a gateway listens.
 type Addresses struct {
 	Front     string
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -25,6 +25,7 @@
 	Objective  time.Duration // an answer within it is worth its full credit
 	Priority   int           // rank among the routes of a service, 0 first
 	Attempts   int           // targets that may be sent one request
+	Homes      []string      // regions whose targets may run it; empty for all
 	Parts      []Part        // none where it isn't known which service may run it
 }
 
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -70,6 +70,29 @@
 	return nil
 }
 
+// Homes returns the regions in which all routes of a host that have homes may be served,
+// none where no route has any. Where no region is home to all, those of any route count:
+// callers ask for a host, not for a route.
+func (t *Table) Homes(host string) []string {
+	var common, all []string
+	first := true
+	for _, e := range t.hosts[host] {
+		if len(e.Homes) == 0 {
+			continue
+		}
+		all = append(all, e.Homes...)
+		if first {
+			common, first = slices.Clone(e.Homes), false
+			continue
+		}
+		common = slices.DeleteFunc(common, func(r string) bool { return !slices.Contains(e.Homes, r) })
+	}
+	if len(common) > 0 {
+		return common
+	}
+	return all
+}
+
 // Hosts returns the names of all hosts, without case and port.
 func (t *Table) Hosts() []string {
 	return slices.Collect(maps.Keys(t.hosts))
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -82,7 +82,7 @@
 func (b *Book) Arrive(now time.Time, r Request, out []Action) []Action {
 	s := &seeker{Request: r, usual: b.usual.of(r.Class)}
 	b.seeking[r.ID] = s
-	if !b.anyOpen() {
+	if !b.anyOpen() || !b.housed(r.Homes) {
 		return b.refuse(s, NoTarget, b.cfg.PauseMin, out)
 	}
 	if retry, ok := b.frozen(now, s); ok {
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -9,9 +9,20 @@
 	return slices.ContainsFunc(b.order, func(m *member) bool { return !m.leaves() })
 }
 
+// atHome reports whether requests with these homes may be sent to m. A target of which
+// the region isn't known may be anywhere.
+func (m *member) atHome(homes []string) bool {
+	return len(homes) == 0 || slices.Contains(homes, m.Region)
+}
+
+// housed reports whether any target may get requests with these homes.
+func (b *Book) housed(homes []string) bool {
+	return len(homes) == 0 || slices.ContainsFunc(b.order, func(m *member) bool { return !m.leaves() && m.atHome(homes) })
+}
+
 // usable reports whether s may be sent to m, as far as is known.
 func (b *Book) usable(now time.Time, m *member, s *seeker) bool {
-	return m.open(now) && m.busy(now, &b.cfg) < m.Slots && b.admits(now, m) && !slices.Contains(s.Tried, m.ID)
+	return m.open(now) && m.busy(now, &b.cfg) < m.Slots && b.admits(now, m) && m.atHome(s.Homes) && !slices.Contains(s.Tried, m.ID)
 }
 
 // room reports whether any target could take s.
--- a/pkg/slot/doc.go
+++ b/pkg/slot/doc.go
@@ -22,6 +22,9 @@
 	Place   string // failure domain
 	Slots   int    // requests that it runs at once
 	Leaving bool   // it wants no new work
+	// Region is that of its failure domain, empty if unknown. It is no part of the
+	// target's own record.
+	Region string
 	// Evacuated says that the operator wants no requests in its failure domain. It
 	// is no part of the target's own record.
 	Evacuated bool
@@ -54,6 +57,7 @@
 	cold := b.Warm.Sub(a.Warm) > warmNoise
 	a.Warm, b.Warm = time.Time{}, time.Time{}
 	a.Evacuated, b.Evacuated = false, false
+	a.Region, b.Region = "", ""
 	return a == b && !cold
 }
 
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -9,6 +9,7 @@
 	Objective time.Time // an answer is worth its full credit until then
 	Deadline  time.Time // no answer is of use after it
 	Priority  int       // 0 goes first
+	Homes     []string  // regions whose targets may get it; empty for all
 	Tried     []string  // targets that failed it, which it isn't sent to again
 	Hedge     bool      // it is sent at once, or not at all
 	Class     string    // requests of one class take about as long as each other
--- a/pkg/slot/queue.go
+++ b/pkg/slot/queue.go
@@ -28,17 +28,17 @@
 }
 
 // crowded reports whether so many requests would be served before s that it
-// could not meet its objective.
+// could not meet its objective. Those with other homes wait for other targets.
 func (b *Book) crowded(now time.Time, s *seeker) bool {
 	ahead := 0
 	for _, q := range b.queue {
-		if before(q, s) < 0 {
+		if before(q, s) < 0 && slices.Equal(q.Homes, s.Homes) {
 			ahead++
 		}
 	}
 	slots := 0
 	for _, m := range b.order {
-		if m.open(now) || m.inFlight > 0 && !m.leaves() {
+		if (m.open(now) || m.inFlight > 0 && !m.leaves()) && m.atHome(s.Homes) {
 			slots++
 		}
 	}
