slot: idle targets elsewhere before crowded ones nearby, where little is known

Cause: an entry prefers targets of its own failure domain by a factor of 2, which a second request at one of them (1.7 times as long) doesn't outweigh. At 14 targets each has told its load within the time that a pace lasts, so that a second request is a known cost. At hundreds nearly none has: it may hold another entry's request too, and of four that are asked often none is idle.

Change: with each look at the targets an entry counts how many hold a request and of how many nothing is known (survey). A target that one more request would crowd counts for up to 3 times as much the less is known; in another failure domain for 2 down to 1 the more there is to do; and up to 16 more are asked of those that nothing is known of. Nothing hangs on a number of targets.

A choice among 300 targets: 17 us, 3 allocations, as before.

--- a/experiment.go
+++ b/experiment.go
@@ -64,6 +64,7 @@
 	sub.Duration(&cfg.Length, "", "length", "of the arrivals; default 32s")
 	sub.Bool(&cfg.JSON, "j", "json", "print JSON lines")
 	sub.String(&cfg.Plot, "", "plot", "path of an SVG to write")
+	sub.String(&cfg.Shape, "", "shape", "of the service: standard, or booking with longer work at hundreds of targets")
 	sub.AdditionalHelpAppend = "Example: plumpitch experiment pace --seeds 5"
 	return &command{sub: sub, run: func(context.Context) error {
 		return pace.Run(cfg, os.Stdout)
--- a/internal/lab/pace/pace.go
+++ b/internal/lab/pace/pace.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// Booking is the shape of a service whose work takes longer than a pace lasts, at
+// targets in hundreds.
+func Booking() Shape {
+	s := Standard()
+	s.Targets, s.Work, s.Slow = 169, 210*time.Millisecond, 0.3
+	s.Objective, s.Deadline = 500*time.Millisecond, 2500*time.Millisecond
+	return s
+}
+
+// shapes are those that can be asked for, by name.
+var shapes = map[string]func() Shape{"standard": Standard, "booking": Booking}
+
 // capacity is how many requests a second the targets can answer at most.
 func (s Shape) capacity() float64 {
 	pace := 1 - s.Slow + s.Slow/s.SlowPace
--- a/internal/lab/pace/run.go
+++ b/internal/lab/pace/run.go
@@ -1,9 +1,12 @@
 package pace
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/olekukonko/tablewriter"
@@ -22,6 +25,7 @@
 	Length time.Duration // of arrivals, in virtual time; 32 s
 	JSON   bool          // JSON lines in place of a table
 	Plot   string        // path of an SVG to write, or empty
+	Shape  string        // name of the service's shape; standard
 }
 
 const (
@@ -71,7 +75,11 @@
 	if cfg.Length <= 0 {
 		cfg.Length = defaultLength
 	}
-	rows := measure(Standard(), cfg)
+	shape, ok := shapes[cmp.Or(cfg.Shape, "standard")]
+	if !ok {
+		return errors.Errorf("shape: found %q, expected one of %v", cfg.Shape, slices.Sorted(maps.Keys(shapes)))
+	}
+	rows := measure(shape(), cfg)
 	if cfg.Plot != "" {
 		if err := draw(rows, cfg.Plot); err != nil {
 			return err
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -22,6 +22,7 @@
 	mean    float64 // pace over all targets
 	words   int     // that the mean is taken over
 	knee    float64 // how much longer work takes at a crowded target
+	view    survey  // of the targets, when they were last looked at
 	warmup  Warmup
 	senders warmup.Senders
 	share   warmup.Share // of each holder of a cold target
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -48,14 +48,17 @@
 		return nil
 	}
 	from := b.rnd.IntN(total)
+	var view survey
 	for i := range total {
 		m := b.order[(from+i)%total]
+		view.add(now, m, &b.cfg)
 		if !b.usable(now, m, s) {
 			continue
 		}
 		list = insert(list, b.candidate(now, m, s), n)
 	}
 	b.scratch = list
+	b.view = view
 	return list
 }
 
@@ -81,11 +84,6 @@
 	return slices.Insert(list, at, c)
 }
 
-// farFactor is what a target in another failure domain counts for more: traffic
-// between them costs. Worth over eight days of two sites: 5.36 and 5.38 at 1.5,
-// 5.41 at 2; at 3 a quiet day loses in late answers what it gains in bytes.
-const farFactor = 2
-
 // unsureFactor is what a target counts for more that leaves a question without
 // an answer for unsureAfter, several round trips: its VM may be gone. What is
 // sent there is held until its connection is given up, half a second later, and
@@ -98,7 +96,10 @@
 func (b *Book) cost(now time.Time, c candidate) float64 {
 	cost := float64(c.expected)
 	if c.Place != b.cfg.Place {
-		cost *= farFactor
+		cost *= b.view.far()
+	}
+	if c.crowded(c.busy(now, &b.cfg)) {
+		cost *= b.view.crowd()
 	}
 	if c.asking && now.Sub(c.askedAt) >= unsureAfter {
 		cost *= unsureFactor
@@ -117,7 +118,11 @@
 		s.near[i] = c.member
 	}
 	s.until = now.Add(b.cfg.AskTime)
-	for _, c := range list[:min(len(list), max(b.cfg.Ask, 0))] {
+	more := b.more()
+	for i, c := range list[:min(len(list), max(b.cfg.Ask, 0)+more)] {
+		if i >= b.cfg.Ask && !c.unknown(now, &b.cfg) {
+			continue
+		}
 		if c.mute || c.loads && now.Sub(c.told) < askFresh {
 			continue
 		}
@@ -193,8 +198,9 @@
 }
 
 // choices is how many targets are looked at for a good one. The first is nearly
-// always taken; the others are for those to which a second request may not go.
-const choices = 8
+// always taken; the others are for those to which a second request may not go, and to
+// be asked where little is known.
+const choices = 12
 
 // good reports whether m should answer s within its objective. A second
 // request at a slow target would hold up both for long.
