gateway: an entry that took long to enrol waits longer for the first readers' word

Known red TestStartTogether: entries that start together without seeds make 25 to 38 calls of the store in place of 24 on a busy machine. Cause as traced before: the word of those that read first, and the pull that follows, take longer than the least wait of 0.2 s where the machine is busy. How busy it is shows in the entry's own enrolment, two calls, but only its step counted that, up to 0.1 s.

Change: the wait is at least six times as long as the enrolment took.

--- a/internal/gateway/begin.go
+++ b/internal/gateway/begin.go
@@ -26,6 +26,9 @@
 	// their word comes later than this entry's own enrolment lets expect. 27 of 72
 	// starts of eight beside other work took more calls than two each and eight.
 	beginWait = 200 * time.Millisecond
+	// beginTimes is that wait as a multiple of the enrolment's time: what is awaited,
+	// the reads of the first ones, their word and a pull, are as many calls again.
+	beginTimes = 6
 	// beginStepMax bounds the step where the enrolment took long.
 	beginStepMax = 100 * time.Millisecond
 	// fewestReaders and mostReaders bound how many read at once, of those on record
@@ -70,7 +73,7 @@
 	if steps == 0 {
 		return true
 	}
-	return now.Sub(c.enrolled) >= max(time.Duration(steps)*step, beginWait)
+	return now.Sub(c.enrolled) >= max(time.Duration(steps)*step, beginWait, beginTimes*c.enrolling)
 }
 
 // ahead counts the entries that have started together with self and enrolled
