--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -220,6 +220,7 @@
 		sv := cmp.Or(c.services[name], c.dropped[name])
 		if sv == nil {
 			sv = newService(c.gateway, s)
+			c.unshared = true
 		}
 		sv.configure(now, s)
 		sv.take(now, byService[name])
@@ -230,7 +231,7 @@
 	for name, sv := range c.dropped {
 		sv.take(now, byService[name])
 	}
-	c.services, c.unshared = services, true
+	c.services = services
 }
 
 // complete tells whether all is known that targets are chosen by.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,9 +1,3 @@
-// Package gateway is the process that serves callers on the users' platform.
-//
-// One control loop owns what is known of the configuration, the targets and
-// the other entries; it publishes snapshots that traffic reads. Each service
-// has a book of slots behind a lock of its own. The store is read by one or two
-// entries for all; see reader.go.
 package gateway
 
 import (
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -43,7 +43,7 @@
 	c.logFaults(cfg.Version, faults)
 	c.config, c.raw = cfg, raw
 	c.table = route.New(cfg, c.table)
-	c.dirty = true
+	c.dirty, c.unshared = true, true
 	c.publish(now)
 	c.spread(now)
 }
