gateway: a busy store is asked for the marks last

Cause: each entry with callers asks for each kind by itself once what it knows is old, and goes on each 3 s; a third kind is a third more.

Change: an entry that the store turns away doesn't ask for the marks while it is its turn to ask for the targets, whose answer says that the store is back.

Ruled out: the same for the configuration: a list of targets takes several pages, so that it may fail at a slow store that would answer for the configuration.

--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -197,3 +197,35 @@
 	w.c.Assert(e.call("GET", "/a/x", "").status, qt.Equals, http.StatusOK)
 	w.c.Assert(asked, qt.HasLen, 0)
 }
+
+// The store turns an entry away, which asks it for the targets again and again. It doesn't
+// ask for the marks as well: with all entries doing so, a busy store gets a third more
+// calls than it would have to refuse. Where nothing else asks, the marks are asked for.
+func TestBusyStoreIsAskedForMarksLast(t *testing.T) {
+	tests := []struct {
+		name    string
+		shut    bool
+		targets time.Duration // age of what is known
+		due     bool
+	}{
+		{"the store is well", false, time.Second, true},
+		{"turned away, the targets are asked for", true, 10 * time.Second, false},
+		{"turned away, others tell the targets", true, 100 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := parked(t)
+			b := *c.gateway.bounds.Load()
+			b.Evacuate = 5 * time.Second
+			c.gateway.bounds.Store(&b)
+			now := c.started.Add(time.Minute)
+			c.confirm(now, dutyTargets, now.Add(-tt.targets))
+			c.confirm(now, dutyEvacuations, now.Add(-6*time.Second))
+			_, _ = c.gateway.freshness.use(now, c.gateway.stale())
+			c.shut = tt.shut
+			q := turnAsked{duty: dutyEvacuations, answer: make(chan turn, 1)}
+			q.apply(now, c)
+			qt.Assert(t, (<-q.answer).due, qt.Equals, tt.due)
+		})
+	}
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -130,27 +130,39 @@
 }
 
 func (m turnAsked) apply(now time.Time, c *control) {
-	c.live()
-	rank := c.rank[m.duty]
-	if c.alone(now) {
-		rank = 0
-	}
-	age := c.age(now, m.duty)
-	serving := c.gateway.freshness.serving(now)
-	t := turn{due: m.duty.due(age, rank), rank: rank, age: age, at: c.at(m.duty), distant: rank > fastReaders && !serving}
-	if c.confirmed[m.duty].IsZero() {
-		t.due, t.fresh = c.begins(now, rank), true
+	t := c.turnOf(now, m.duty)
+	if m.duty == dutyEvacuations && c.shut && c.turnOf(now, dutyTargets).due {
+		// The store fails this entry, which goes on asking it for the targets and so
+		// finds out when it is back. Asked for the marks as well by all entries, a busy
+		// store would get a third more calls, each of them priced.
+		t.due = false
 	}
-	t.due = t.due || serving && !t.fresh && age >= c.gateway.stale()[m.duty]
 	if !c.gateway.needs(m.duty) {
 		t.due, t.fresh, t.distant = false, false, true
 	}
 	// A watch that hears of no change confirms what is known only at its end. Where
 	// that is old already, requests would wait for it.
-	t.brief = serving && age >= patience[m.duty].wait+tickPeriod
+	t.brief = c.gateway.freshness.serving(now) && t.age >= patience[m.duty].wait+tickPeriod
 	m.answer <- t
 }
 
+// turnOf tells whether it is this entry's turn to read a kind.
+func (c *control) turnOf(now time.Time, d duty) turn {
+	c.live()
+	rank := c.rank[d]
+	if c.alone(now) {
+		rank = 0
+	}
+	age := c.age(now, d)
+	serving := c.gateway.freshness.serving(now)
+	t := turn{due: d.due(age, rank), rank: rank, age: age, at: c.at(d), distant: rank > fastReaders && !serving}
+	if c.confirmed[d].IsZero() {
+		t.due, t.fresh = c.begins(now, rank), true
+	}
+	t.due = t.due || serving && !t.fresh && age >= c.gateway.stale()[d]
+	return t
+}
+
 // at is the revision up to which the history of a kind is known.
 func (c *control) at(d duty) roster.Revision {
 	switch d {
