--- a/pkg/slot/cold.go
+++ b/pkg/slot/cold.go
@@ -51,11 +51,11 @@
 	m.cold = later(m.cold, now.Add(b.warmup.Time))
 }
 
-// thaw tells whether all targets that may get work are cold and have had their share,
-// and when one of them may get a request again.
-func (b *Book) thaw(now time.Time) (at time.Time, all bool) {
+// thaw tells whether all targets that may get requests with these homes are cold and have
+// had their share, and when one of them may get a request again.
+func (b *Book) thaw(now time.Time, homes []string) (at time.Time, all bool) {
 	for _, m := range b.order {
-		if m.leaves() {
+		if m.leaves() || !m.atHome(homes) {
 			continue
 		}
 		if b.admits(now, m) {
@@ -80,7 +80,7 @@
 // frozen reports whether s can't be served in time since all targets are cold and have
 // had what they bear, and after how long it is best back.
 func (b *Book) frozen(now time.Time, s *seeker) (retry time.Duration, ok bool) {
-	at, all := b.thaw(now)
+	at, all := b.thaw(now, s.Homes)
 	if !all || !at.Add(coldFactor*s.usual).After(s.Objective) {
 		return 0, false
 	}
--- a/pkg/slot/survey.go
+++ b/pkg/slot/survey.go
@@ -56,7 +56,8 @@
 // crowd is what a target counts for more now that one more request would crowd.
 func (v survey) crowd() float64 { return 1 + crowdFactor*v.blind() }
 
-// mostMore is how many targets more are asked at the greatest strain.
+// mostMore is how many targets more would be asked at the greatest strain. All in all no
+// more than choices are.
 const mostMore = 16
 
 // more is how many targets more a request asks, of those that nothing is known of.
