entry: a place is evacuated by one order

What operators had to do: drain the targets of a failure domain one by one, and again each that came later.

Change: `plumpitch evacuate PLACE` and `restore PLACE`, an object beside the drains, which are read by one call. A target in an evacuated place counts as leaving for as long as that holds, without the minute for which a target's own word of leaving outweighs the list: a restored place would else stay idle so long. An entry that starts reads the orders before the VM list; else it would send to the place meanwhile. A place without targets is refused with its name.

TestEvacuatedPlaceGetsNoNewWork (processes; an entry that starts meanwhile) fails without `Evacuated`, and did with the hold: "not within 40s: the target works again".

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -33,7 +33,7 @@
 	vms      []store.VM
 	listed   bool // vms is known
 	live     []member.Entry
-	drained  map[string]uint64 // target to the incarnation that operators drain
+	drained  drained // by operators
 	services map[string]*service
 	leaving  bool // this entry stops: locate no longer names it
 }
@@ -45,7 +45,6 @@
 		site:     &e.site,
 		document: tree.New(),
 		live:     []member.Entry{e.self()},
-		drained:  make(map[string]uint64),
 	}
 }
 
@@ -173,8 +172,8 @@
 		if vm.Service != want.Name || !inPlaces(want.Policy.Places, vm.Place) {
 			continue
 		}
-		t := pool.Target{ID: vm.ID, Boot: vm.Boot, Addr: vm.Addr, Place: vm.Place, Slots: vm.Slots}
-		if boot, ok := c.drained[vm.ID]; vm.State == store.Leaving || ok && boot == vm.Boot {
+		t := pool.Target{ID: vm.ID, Boot: vm.Boot, Addr: vm.Addr, Place: vm.Place, Slots: vm.Slots, Evacuated: c.drained.places[vm.Place]}
+		if vm.State == store.Leaving || c.drained.has(vm) {
 			t.State = pool.Leaving
 		}
 		list = append(list, t)
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -25,10 +25,10 @@
 
 func (m vmsListed) apply(_ time.Time, c *control) { c.vms, c.listed = m.list, true }
 
-// drainsListed brings the targets that operators drain, with their incarnation.
-type drainsListed struct{ targets map[string]uint64 }
+// drainsListed brings what operators drain.
+type drainsListed struct{ drains drained }
 
-func (m drainsListed) apply(_ time.Time, c *control) { c.drained = m.targets }
+func (m drainsListed) apply(_ time.Time, c *control) { c.drained = m.drains }
 
 // membersChanged brings the entries that are live, this one included.
 type membersChanged struct{ live []member.Entry }
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
@@ -26,6 +25,8 @@
 	mux.Handle("GET /v1/explain", operation(e.explainEndpoint()))
 	mux.Handle("POST /v1/drain", operation(e.drainEndpoint(e.drain)))
 	mux.Handle("POST /v1/undrain", operation(e.drainEndpoint(e.undrain)))
+	mux.Handle("POST /v1/evacuate", operation(e.placeEndpoint(e.evacuate)))
+	mux.Handle("POST /v1/restore", operation(e.placeEndpoint(e.restore)))
 	return mux
 }
 
@@ -105,28 +106,6 @@
 	return rows
 }
 
-// drainAnswer confirms a drain or its end.
-type drainAnswer struct {
-	Target  string `json:"target"`
-	Boot    uint64 `json:"boot"`
-	Drained bool   `json:"drained"`
-}
-
-func (e *Entry) drainEndpoint(do func(ctx context.Context, vm store.VM) error) endpoint.Endpoint {
-	return func(ctx context.Context, request any) (any, error) {
-		name := request.(string)
-		vm, err := e.findVM(ctx, name)
-		if err != nil {
-			return nil, err
-		}
-		if err := do(ctx, vm); err != nil {
-			return nil, err
-		}
-		_, err = e.store.Get(ctx, drainKind, name)
-		return drainAnswer{name, vm.Boot, err == nil}, nil
-	}
-}
-
 func (e *Entry) findVM(ctx context.Context, name string) (vm store.VM, err error) {
 	list, err := e.store.VMs(ctx)
 	if err != nil {
@@ -139,34 +118,3 @@
 	}
 	return vm, operatorError{http.StatusNotFound, errors.Errorf("name: found %q, expected a target of the VM list", name)}
 }
-
-// drain records in the store that operators drain a target, and takes it out
-// here at once. The incarnation is written, so that a restarted target is not
-// drained by an old order.
-func (e *Entry) drain(ctx context.Context, vm store.VM) (err error) {
-	defer func() { err = errors.WithMessage(err, "drain "+vm.ID) }()
-	want := strconv.FormatUint(vm.Boot, 10)
-	o, err := e.store.Get(ctx, drainKind, vm.ID)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return err
-	}
-	if string(o.Value) != want {
-		if _, err := e.store.Put(ctx, drainKind, vm.ID, o.Version, []byte(want)); err != nil {
-			return err
-		}
-	}
-	e.left(vm.ID, vm.Boot)
-	return nil
-}
-
-func (e *Entry) undrain(ctx context.Context, vm store.VM) (err error) {
-	defer func() { err = errors.WithMessage(err, "undrain "+vm.ID) }()
-	o, err := e.store.Get(ctx, drainKind, vm.ID)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	return e.store.Delete(ctx, drainKind, vm.ID, o.Version)
-}
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"plumpitch.example/plumpitch/internal/store"
@@ -14,17 +12,14 @@
 // two reads a second 300 entries stay at 600 of the store's 2,000.
 const platformPeriod = time.Second
 
-// drainKind is the kind of the store's objects that drain a target: the name
-// is the target's, the value its incarnation in decimal.
-const drainKind = "drain"
-
 // platformWorker reads the platform's lists and tells the control loop. While
 // the platform is down the last lists stay in force.
 type platformWorker struct {
 	store   *store.Client
 	control *control
 	vms     []store.VM
-	drained map[string]uint64
+	drained drained
+	known   bool // drained has been read
 }
 
 // Serve runs until ctx ends.
@@ -46,27 +41,21 @@
 func (p *platformWorker) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, 2*platformPeriod)
 	defer cancel()
-	if list, err := p.store.VMs(ctx); err == nil && !slices.Equal(list, p.vms) && p.control.tell(ctx, vmsListed{list}) {
-		p.vms = list
-	}
 	if objects, _, err := p.store.List(ctx, drainKind); err == nil {
 		p.readDrains(ctx, drains(objects))
 	}
-}
-
-func (p *platformWorker) readDrains(ctx context.Context, targets map[string]uint64) {
-	if !maps.Equal(targets, p.drained) && p.control.tell(ctx, drainsListed{targets}) {
-		p.drained = targets
+	if !p.known {
+		// An entry that starts must not send to a place that the others have left.
+		return
+	}
+	if list, err := p.store.VMs(ctx); err == nil && !slices.Equal(list, p.vms) && p.control.tell(ctx, vmsListed{list}) {
+		p.vms = list
 	}
 }
 
-// drains decodes the drain objects; one that can't be read drains nothing.
-func drains(objects []store.Object) map[string]uint64 {
-	targets := make(map[string]uint64, len(objects))
-	for _, o := range objects {
-		if boot, err := strconv.ParseUint(string(o.Value), 10, 64); err == nil {
-			targets[o.Name] = boot
-		}
+func (p *platformWorker) readDrains(ctx context.Context, d drained) {
+	p.known = true
+	if !d.equal(p.drained) && p.control.tell(ctx, drainsListed{d}) {
+		p.drained = d
 	}
-	return targets
 }
--- a/internal/entry/trust_test.go
+++ b/internal/entry/trust_test.go
@@ -22,7 +22,7 @@
 	w := start(t, served{name: "plain", targets: []string{counted(t, new(atomic.Int64))}})
 	for _, path := range []string{
 		"/healthz", "/readyz", "/metrics", "/v1/status", "/v1/explain?name=plain", "/v1/drain?name=plain",
-		"/v1/undrain?name=plain", "/v1/settings/tree", "/v1/settings/edit", "/twirp/plumpitch.peer.Peer/Gossip",
+		"/v1/undrain?name=plain", "/v1/evacuate?name=hall", "/v1/restore?name=hall", "/v1/settings/tree", "/v1/settings/edit", "/twirp/plumpitch.peer.Peer/Gossip",
 		"/twirp/plumpitch.peer.Peer/Settings", "/twirp/plumpitch.peer.Peer/Claim", "/v1/call/../status", "/debug/pprof/",
 	} {
 		for _, method := range []string{"GET", "POST", "PUT", "DELETE"} {
--- a/leaving_proof_test.go
+++ b/leaving_proof_test.go
@@ -96,6 +96,35 @@
 	}
 }
 
+// A place is evacuated by an order to one entry. No entry sends its target anything new
+// two seconds later, also none that starts meanwhile, and nothing is cut off; once the
+// place is restored its target works again. A place that nobody knows is refused.
+func TestEvacuatedPlaceGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	q := qt.New(t)
+	s := newCluster(t, 3, 3, 2*time.Millisecond)
+	first := s.flood(0, 1, 2)
+	eventually(t, "the target works", func() bool { return targetRuns(t, s, 0) > 100 })
+	code, out := s.operate(t, 0, "evacuate", "nowhere")
+	q.Assert(code, qt.Equals, exitFailed, qt.Commentf("%s", out))
+	code, out = s.operate(t, 0, "evacuate", provedPlaces[0])
+	q.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+	time.Sleep(2 * time.Second)
+	before := targetRuns(t, s, 0)
+	n := s.startEntry(t)
+	eventually(t, "the late entry serves", func() bool {
+		return s.serving(n) == len(s.entries) && s.get(n, newKey(), time.Second).status == http.StatusOK
+	})
+	late := s.flood(n)
+	eventually(t, "the other targets work for all entries", func() bool { return late.sent.Load() > 200 && first.sent.Load() > 500 })
+	q.Check(targetRuns(t, s, 0), qt.Equals, before)
+	code, out = s.operate(t, 1, "restore", provedPlaces[0])
+	q.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+	eventually(t, "the target works again", func() bool { return targetRuns(t, s, 0) > before })
+	q.Check(first.end(), qt.HasLen, 0)
+	q.Check(late.end(), qt.HasLen, 0)
+}
+
 func sayLeaving(t *testing.T, s *cluster) {
 	t.Helper()
 	res, err := http.Post("http://"+s.targets[0].addrs[0]+"/-/drain", "", nil)
--- a/main.go
+++ b/main.go
@@ -53,6 +53,8 @@
 		statusCommand(),
 		drainCommand(),
 		undrainCommand(),
+		evacuateCommand(),
+		restoreCommand(),
 		explainCommand(),
 		traceCommand(),
 		readyCommand(),
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -20,6 +20,9 @@
 	Place string
 	Slots int // requests that it runs at once; zero means Config.Slots
 	State State
+	// Evacuated says that its place is to get no new work. It is no word of the target's:
+	// work goes there again as soon as that ends.
+	Evacuated bool
 }
 
 // Arrival is a request that wants a target.
--- a/pkg/pool/explain.go
+++ b/pkg/pool/explain.go
@@ -39,6 +39,9 @@
 	switch {
 	case m.left:
 		r.Why, r.Until = "leaving", p.epoch.Add(m.leftUntil)
+		if m.Evacuated {
+			r.Why, r.Until = "evacuated", time.Time{}
+		}
 	case m.out && m.fail > failReturn:
 		r.Why, r.Until = "ejected: fails more than the others", p.epoch.Add(m.trialAt)
 	case m.out:
--- a/pkg/pool/targets.go
+++ b/pkg/pool/targets.go
@@ -52,7 +52,7 @@
 		p.hold(t.ID, t.Boot)
 	}
 	h, ok := p.holds[t.ID]
-	m.left = ok && h.boot == t.Boot && p.now < h.until
+	m.left = t.Evacuated || ok && h.boot == t.Boot && p.now < h.until
 	m.leftUntil = h.until
 	return m
 }
