--- a/status_gateway.go
+++ b/status_gateway.go
@@ -23,6 +23,7 @@
 	}
 	fmt.Printf("gateway %s, configuration %d confirmed %.1f s ago, targets %d confirmed %.1f s ago%s\n\n",
 		s.Entry, s.Version, s.Age, s.Revision, s.Fresh, marks(s.Leaving, s.Strained, s.Shut))
+	showEvacuations(s)
 	t := newTable("ENTRY", "STATE", "PLACE", "SINCE S", "CONFIG", "TARGETS", "RATE", "MARKS")
 	for _, e := range s.Entries {
 		t.Append([]string{
@@ -51,6 +52,19 @@
 	return nil
 }
 
+// showEvacuations prints which failure domains get no requests, where there are any.
+func showEvacuations(s gateway.Status) {
+	if len(s.Evacuations) == 0 {
+		return
+	}
+	t := newTable("EVACUATED", "KNOWN S", "TARGETS", "IN FLIGHT")
+	for _, e := range s.Evacuations {
+		t.Append([]string{e.Place, fmt.Sprintf("%.1f", e.Since), fmt.Sprint(e.Targets), fmt.Sprint(e.Flying)})
+	}
+	t.Render()
+	fmt.Printf("confirmed %.1f s ago\n\n", s.Marked)
+}
+
 // marks names what is out of the ordinary.
 func marks(leaving, strained, shut bool) (text string) {
 	for _, m := range []struct {
