gateway: what a target reports in a response is read in one place

Load was read where a dispatch ended with a response, and apart for questions. The loser of a hedge, a response that was cut and one that is not passed on said nothing. platform.Report reads all of them, names a header that can't be read, and there is one log line a minute and target about it.

No choice goes by anything new, but for the load on responses that were dropped.

--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -40,16 +40,16 @@
 	}
 	req, err := d.request(d.watch.attach(d.ctx))
 	if err != nil {
-		return nil, d.fail(0, err)
+		return nil, d.fail(nil, err)
 	}
 	resp, err := d.roundTrip(f.transport, req)
 	if err != nil {
-		return nil, d.fail(0, err)
+		return nil, d.fail(nil, err)
 	}
 	a, err := d.answer(resp, f)
 	if err != nil {
 		resp.Body.Close()
-		return nil, d.fail(resp.StatusCode, err)
+		return nil, d.fail(resp, err)
 	}
 	return a, nil
 }
@@ -80,16 +80,19 @@
 	return t.RoundTrip(req)
 }
 
-// fail ends the dispatch and says how far it came.
-func (d *dispatch) fail(status int, err error) *Failure {
+// fail ends the dispatch and says how far it came. resp is nil where no head came.
+func (d *dispatch) fail(resp *http.Response, err error) *Failure {
 	if d.watch.stale.Load() {
-		status, err = 0, errStale
+		resp, err = nil, errStale
 	}
-	f := &Failure{Target: d.try.Target, Status: status, Cause: err}
-	f.Stage = d.stage(status, err)
+	f := &Failure{Target: d.try.Target, Cause: err}
+	if resp != nil {
+		f.Status, f.Header = resp.StatusCode, resp.Header
+	}
+	f.Stage = d.stage(f.Status, err)
 	f.Ran = d.watch.ran()
 	f.Replay = !d.body.used()
-	if success(status) {
+	if success(f.Status) {
 		f.Ran = call.DidRun
 	}
 	d.end(err)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -143,8 +143,9 @@
 	Target string
 	Stage  call.Stage
 	Ran    call.Execution
-	Status int  // of the answer head, when one came
-	Replay bool // the body can be sent again
+	Status int         // of the answer head, when one came
+	Header http.Header // the same
+	Replay bool        // the body can be sent again
 	Cause  error
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	relay    *relay.Relay
 	control  *control
 	suspects *call.Suspects
+	refused  *refusals
 	leaving  atomic.Bool
 	run      atomic.Pointer[member.ID] // this process, as the others know it
 	recorded atomic.Bool               // this entry has a record in the store
@@ -81,6 +82,7 @@
 			Echo: platform.HeaderRequest, Silence: targetSilence, Connect: targetConnect, Idle: targetIdle, Whole: wholeAnswer,
 		}),
 		suspects:    call.NewSuspects(call.SuspectsConfig{Crashes: crashLimit}),
+		refused:     newRefusals(cfg.Log),
 		instruments: newInstruments(cfg.Settings.Name),
 		freshness:   newFreshness(),
 	}
@@ -89,10 +91,9 @@
 	}
 	g.view.Store(&view{})
 	g.bounds.Store(&s.Bounds)
-	refused := newRefusals(g.log)
 	g.store = platform.NewStore(platform.StoreConfig{
 		Address: s.Store, Name: s.Name, HTTP: storeClient(),
-		Refused: func(kind, name string, err error) { refused.note(time.Now(), kind, name, err) },
+		Refused: func(kind, name string, err error) { g.refused.note(time.Now(), kind, name, err) },
 	})
 	g.control = newControl(g)
 	if g.relay, err = relay.New(relay.Config{
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -221,7 +221,7 @@
 // ended takes the end of a dispatch.
 func (q *request) ended(now time.Time, res result) call.Actions {
 	t := &q.tries[res.try]
-	e := slot.End{ID: t.id}
+	e := slot.End{ID: t.id, Report: q.gateway.reported(t.target.ID, res)}
 	if res.fail == nil && !q.proper(res.answer) {
 		res.fail = &forward.Failure{Target: t.target.Address, Stage: call.StageInvalid, Status: res.answer.Status, Cause: errImproper, Replay: true}
 		res.answer.Close()
@@ -237,7 +237,6 @@
 	a := res.answer
 	t.answer = a
 	shed := platform.NotRun(a.Status, a.Header)
-	e.Load, e.Loaded = platform.Load(a.Header)
 	e.Moved = platform.Misdirected(a.Status)
 	switch {
 	case shed:
@@ -283,7 +282,7 @@
 	for ; q.flying > 0; q.flying-- {
 		res := <-q.results
 		t := &q.tries[res.try]
-		e := slot.End{ID: t.id, Kind: slot.Cancelled}
+		e := slot.End{ID: t.id, Kind: slot.Cancelled, Report: q.gateway.reported(t.target.ID, res)}
 		if res.answer != nil {
 			res.answer.Close()
 		}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -162,7 +162,7 @@
 	r := slot.Reply{Target: a.Target.ID}
 	if err == nil && platform.Instance(h) == a.Target.ID {
 		r.Well = status == http.StatusOK
-		r.Load, r.Loaded = platform.Load(h)
+		r.Report = s.gateway.report(a.Target.ID, status, h)
 		r.Cold, r.Warmth = platform.Cold(h)
 	}
 	now := time.Now()
--- a/internal/lab/pace/way.go
+++ b/internal/lab/pace/way.go
@@ -117,13 +117,13 @@
 }
 
 func (d *desk) replied(t int, l told) {
-	d.act(d.book.Replied(d.m.time(), slot.Reply{Target: strconv.Itoa(t), Load: load(l, d.m.shape), Loaded: true, Well: true}, nil))
+	d.act(d.book.Replied(d.m.time(), slot.Reply{Target: strconv.Itoa(t), Report: slot.Report{Load: load(l, d.m.shape), Loaded: true}, Well: true}, nil))
 }
 
 func (d *desk) done(id, _ int, l told, shed bool) {
-	e := slot.End{ID: uint64(id + 1), Load: load(l, d.m.shape), Loaded: true}
+	e := slot.End{ID: uint64(id + 1), Report: slot.Report{Load: load(l, d.m.shape), Loaded: true}}
 	// A book takes an answer's own request off what it tells.
-	e.Load.Running++
+	e.Report.Load.Running++
 	if shed {
 		e.Kind = slot.Shed
 		d.m.refuse(id, d.m.shape.Work/2)
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		s.pending--
-		if s.pending == 0 || r.Loaded && b.ideal(now, m, s) {
+		if s.pending == 0 || r.Report.Loaded && b.ideal(now, m, s) {
 			out = b.decide(now, s, out)
 		}
 	}
@@ -124,10 +124,10 @@
 }
 
 func (b *Book) learn(now time.Time, m *member, r Reply) {
-	if r.Loaded {
-		b.tell(now, m, r.Load)
+	if r.Report.Loaded {
+		b.tell(now, m, r.Report.Load)
 	}
-	m.mute = r.Well && !r.Loaded
+	m.mute = r.Well && !r.Report.Loaded
 	if r.Warmth {
 		m.cold = now.Add(r.Cold)
 	}
@@ -162,10 +162,11 @@
 	delete(b.flights, e.ID)
 	m := f.member
 	m.inFlight--
-	if e.Loaded {
+	if e.Report.Loaded {
+		load := e.Report.Load
 		// Its own request may still be counted in its word.
-		e.Load.Running = max(e.Load.Running-1, 0)
-		b.tell(now, m, e.Load)
+		load.Running = max(load.Running-1, 0)
+		b.tell(now, m, load)
 	}
 	was := m.out
 	b.judge(now, f, e)
--- a/pkg/slot/cold_test.go
+++ b/pkg/slot/cold_test.go
@@ -30,7 +30,7 @@
 	var out []Action
 	for id, f := range d.flights {
 		if d.now.Sub(f.sent) >= d.work {
-			out = d.Done(d.now, End{ID: id, Load: Load{Running: f.member.inFlight, Slots: 2, Pace: 1}, Loaded: true}, out)
+			out = d.Done(d.now, End{ID: id, Report: Report{Load: Load{Running: f.member.inFlight, Slots: 2, Pace: 1}, Loaded: true}}, out)
 		}
 	}
 	out = d.Tick(d.now, out)
@@ -39,7 +39,7 @@
 	for _, a := range pick(out, Ask) {
 		left := cold(a.Target.ID)
 		out = append(out, d.Replied(d.now, Reply{
-			Target: a.Target.ID, Load: Load{Running: d.members[a.Target.ID].inFlight, Slots: 2, Pace: 1}, Loaded: true,
+			Target: a.Target.ID, Report: Report{Load: Load{Running: d.members[a.Target.ID].inFlight, Slots: 2, Pace: 1}, Loaded: true},
 			Well: true, Cold: left, Warmth: left >= 0,
 		}, nil)...)
 	}
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -32,16 +32,14 @@
 type End struct {
 	ID     uint64
 	Kind   Kind
-	Load   Load
-	Loaded bool // whether Load was given
+	Report Report
 	Moved  bool // another target has its address now
 }
 
 // Reply is the end of a question to a target for its load.
 type Reply struct {
 	Target string
-	Load   Load
-	Loaded bool
+	Report Report
 	Well   bool          // it answered, and says that it is well
 	Cold   time.Duration // for how much longer it is cold
 	Warmth bool          // whether Cold was given
--- a/pkg/slot/slot_test.go
+++ b/pkg/slot/slot_test.go
@@ -38,7 +38,7 @@
 }
 
 func (d *desk) says(id string, pace float64, running int) []Action {
-	return d.Replied(d.now, Reply{Target: id, Load: Load{Running: running, Slots: 2, Pace: pace}, Loaded: true, Well: true}, nil)
+	return d.Replied(d.now, Reply{Target: id, Report: Report{Load: Load{Running: running, Slots: 2, Pace: pace}, Loaded: true}, Well: true}, nil)
 }
 
 func pick(out []Action, do Do) (list []Action) {
