gateway: the limit that a target names is logged and shown

The header is read from every response, a change is a log line, the status has the limit and since when it is known. No choice goes by it yet.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -141,11 +141,22 @@
 			s.gateway.log.WithFields(log.Fields{"service": s.is.Name, "target": a.Target.ID}).Warn("target is out, it fails what it is sent")
 		case slot.Back:
 			s.gateway.log.WithFields(log.Fields{"service": s.is.Name, "target": a.Target.ID}).Info("target is back")
+		case slot.Limit:
+			s.logLimit(a)
 		}
 	}
 	s.alarm.Set(now, s.book.Next())
 }
 
+func (s *service) logLimit(a slot.Action) {
+	l := s.gateway.log.WithFields(log.Fields{"service": s.is.Name, "target": a.Target.ID})
+	if !a.Named {
+		l.Info("target names no limit any more")
+		return
+	}
+	l.WithField("rate", a.Rate).Info("target names a limit")
+}
+
 func (s *service) tick() {
 	now := time.Now()
 	s.mu.Lock()
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -88,6 +88,15 @@
 	Foreign  int     `json:"foreign"` // requests of other entries, as last told
 	Pace     float64 `json:"pace"`    // 0 where it has told none
 	Age      float64 `json:"age"`     // seconds of that word
+	// Limit is how many requests a second the target says that it takes from all
+	// entries; missing where it names no limit.
+	Limit *LimitStatus `json:"limit,omitempty"`
+}
+
+// LimitStatus is the limit that a target names.
+type LimitStatus struct {
+	Rate  float64 `json:"rate"`  // requests a second, from all entries
+	Since float64 `json:"since"` // seconds that this entry has known of one
 }
 
 // statusAsked asks the control loop for what it believes.
@@ -173,6 +182,9 @@
 	if !r.Until.IsZero() {
 		t.Until = max(r.Until.Sub(now).Seconds(), 0)
 	}
+	if r.Limited {
+		t.Limit = &LimitStatus{Rate: r.Limit, Since: now.Sub(r.Since).Seconds()}
+	}
 	if r.Told {
 		t.Pace, t.Age = r.Pace, r.Age.Seconds()
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -59,6 +59,8 @@
 	bears  int       // requests in any second while it is cold
 	tells  bool      // it says so when it is asked
 	falls  int       // how often it crashed since it got more
+	limit  string    // that it names in its answers
+	silent bool      // it doesn't name it in answers to questions
 }
 
 // Start runs a worker on loopback.
@@ -105,6 +107,12 @@
 	w.set(func() { w.cold, w.bears, w.tells = time.Now().Add(d), bears, tells })
 }
 
+// Limit has it name a limit in its answers, as the text of the header; empty ends that.
+func (w *Worker) Limit(text string) { w.set(func() { w.limit = text }) }
+
+// KeepSilent has it name no limit in answers to questions.
+func (w *Worker) KeepSilent() { w.set(func() { w.silent = true }) }
+
 // Falls returns how often it crashed since it got more than it bears.
 func (w *Worker) Falls() int {
 	w.mu.Lock()
@@ -187,14 +195,18 @@
 	}
 }
 
-// load is the load header. The lock is held.
-func (w *Worker) load() string {
-	return fmt.Sprintf("Plumpitch-Server-Load: %d,0,%d,100\r\n", w.now, w.Slots)
+// load are the headers in which it reports its load and its limit. The lock is held.
+func (w *Worker) load(question bool) string {
+	limit := ""
+	if w.limit != "" && !(question && w.silent) {
+		limit = "Server-Limit: " + w.limit + "\r\n"
+	}
+	return limit + fmt.Sprintf("Plumpitch-Server-Load: %d,0,%d,100\r\n", w.now, w.Slots)
 }
 
 func (w *Worker) health(k *conn) {
 	w.mu.Lock()
-	head := "HTTP/1.1 200 OK\r\nPlumpitch-Instance-Id: " + w.ID + "\r\n" + w.load()
+	head := "HTTP/1.1 200 OK\r\nPlumpitch-Instance-Id: " + w.ID + "\r\n" + w.load(true)
 	if left := time.Until(w.cold); w.tells && left > 0 {
 		head += "Plumpitch-Warmup-Remaining: " + strconv.FormatInt(left.Milliseconds(), 10) + "\r\n"
 	}
@@ -281,7 +293,7 @@
 		sign = ""
 	}
 	w.mu.Lock()
-	head := "HTTP/1.1 " + status + "\r\nPlumpitch-Request-Id: " + id + "\r\n" + sign + w.load()
+	head := "HTTP/1.1 " + status + "\r\nPlumpitch-Request-Id: " + id + "\r\n" + sign + w.load(false)
 	w.mu.Unlock()
 	if f.Unframed {
 		_, _ = io.WriteString(k, head+"\r\n"+text)
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -109,6 +109,7 @@
 	}
 	m.asking = false
 	b.learn(now, m, r)
+	out = b.reported(now, m.askedAt, m, r.Report, true, out)
 	askers := m.askers
 	m.askers = nil
 	for _, s := range askers {
@@ -136,6 +137,15 @@
 	}
 }
 
+// reported takes what a target has reported of itself in the response to a request or a
+// question that was sent at that time.
+func (b *Book) reported(now, sent time.Time, m *member, r Report, question bool, out []Action) []Action {
+	if m.limit.take(now, sent, r, question) {
+		out = append(out, Action{Do: Limit, Target: m.Target, Rate: m.limit.rate, Named: m.limit.named})
+	}
+	return out
+}
+
 // meanWords is how many words on load the mean pace is taken over: those of
 // some tenths of a second, in which half of the targets change theirs.
 const meanWords = 64
@@ -168,6 +178,7 @@
 		load.Running = max(load.Running-1, 0)
 		b.tell(now, m, load)
 	}
+	out = b.reported(now, f.sent, m, e.Report, false, out)
 	was := m.out
 	b.judge(now, f, e)
 	switch {
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -55,6 +55,7 @@
 	Refuse               // request ID gets no target
 	Rest                 // Target is out: it fails what it is sent
 	Back                 // Target gets requests again
+	Limit                // Target has named a limit, another one than before, or none any more
 )
 
 // Reason tells why a request was refused.
@@ -86,6 +87,8 @@
 	Reason Reason        // of Refuse
 	Retry  time.Duration // of Refuse: when room is likely
 	Why    Why           // of Send
+	Rate   float64       // of Limit: requests a second
+	Named  bool          // of Limit: whether there is one
 }
 
 // Why is what a choice was made by, for the log.
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -41,6 +41,7 @@
 	closed time.Time
 	moved  bool // another target answered at its address
 
+	limit  limit
 	cold   time.Time // it has just started and is cold until then
 	ration warmup.Ration
 }
