gateway: failing test, a target that names a limit gets a multiple of it

One of three targets names 2 requests a second and gets 776 in 4 s from six entries (allowed 17), 939 of 2.6 from twelve, 887 of 0.5; each of three that name 2 gets 869 and more.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -226,3 +226,39 @@
 	}
 	return n
 }
+
+// densest is the greatest number of runs within any such span after from.
+func densest(runs []worker.Run, from time.Time, span time.Duration) (most int) {
+	var at []time.Time
+	for _, r := range runs {
+		if r.At.Before(from) {
+			continue
+		}
+		at = append(at, r.At)
+		for r.At.Sub(at[0]) > span {
+			at = at[1:]
+		}
+		most = max(most, len(at))
+	}
+	return most
+}
+
+// runsSince counts the runs after a time.
+func runsSince(runs []worker.Run, from time.Time) (n int) {
+	for _, r := range runs {
+		if r.At.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// refusals503 counts the replies that say that the request has not run.
+func refusals503(replies []reply) (n int) {
+	for _, a := range replies {
+		if a.status == http.StatusServiceUnavailable {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/gateway/limit_test.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// limitTold is how long after a target has named a limit it binds all that send to it.
+	limitTold = 500 * time.Millisecond
+	limitSpan = 4 * time.Second
+)
+
+// mostOfLimit is how many requests may reach a target within limitSpan.
+func mostOfLimit(rate float64) int { return int(1.5*rate*limitSpan.Seconds() + 5) }
+
+// A target that names a limit gets a multiple of it, from several entries together.
+func TestLimitHoldsOverAllEntries(t *testing.T) {
+	const load = 9 * time.Second
+	tests := []struct {
+		name    string
+		limit   string
+		rate    float64
+		limited int // of three targets
+		entries int
+	}{
+		{"one of three", "2", 2, 1, 6},
+		{"one of three, twelve entries", "2.6", 2.6, 1, 12},
+		{"less than one a second", "0.5", 0.5, 1, 6},
+		{"all", "2", 2, 3, 5},
+		{"many a second", "20", 20, 1, 6},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, site{targets: 3})
+			for _, k := range w.workers {
+				k.Work(5 * time.Millisecond)
+				k.Slots = 8
+				w.record(k, "gowns", "ready")
+			}
+			entries := several(w, tt.entries)
+			stop := w.press(t.Context(), entries, 2)
+			time.Sleep(time.Second)
+			named := time.Now()
+			for _, k := range w.workers[:tt.limited] {
+				k.Limit(tt.limit)
+			}
+			time.Sleep(load)
+			replies := stop()
+			for i, k := range w.workers[:tt.limited] {
+				n := densest(k.Runs(), named.Add(limitTold), limitSpan)
+				w.c.Check(n <= mostOfLimit(tt.rate), qt.IsTrue, qt.Commentf("target %d got %d in %v, allowed %d", i, n, limitSpan, mostOfLimit(tt.rate)))
+				used := runsSince(k.Runs(), named)
+				w.c.Check(float64(used) >= tt.rate*load.Seconds()/4, qt.IsTrue, qt.Commentf("target %d got %d in %v", i, used, load))
+			}
+			for _, a := range replies {
+				w.c.Assert(a.err, qt.IsNil)
+				if a.status != http.StatusOK {
+					w.c.Assert(a.status, qt.Equals, http.StatusServiceUnavailable)
+					w.c.Assert(a.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+				}
+			}
+			if tt.limited < len(w.workers) {
+				w.c.Check(refusals503(replies), qt.Equals, 0)
+			}
+		})
+	}
+}
+
+// press has so many callers at each entry send without a pause until stop is called,
+// which returns what they got.
+func (w *world) press(ctx context.Context, entries []*entry, callers int) (stop func() []reply) {
+	ctx, cancel := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var replies []reply
+	for i, e := range entries {
+		for caller := range callers {
+			all.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					a := e.callWith(context.Background(), fmt.Sprint(i, "-", caller, "-", n), "GET", "/a/x", "")
+					mu.Lock()
+					replies = append(replies, a)
+					mu.Unlock()
+					time.Sleep(2 * time.Millisecond)
+				}
+			})
+		}
+	}
+	return func() []reply {
+		cancel()
+		all.Wait()
+		return replies
+	}
+}
