--- a/internal/gateway/senders.go
+++ b/internal/gateway/senders.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"plumpitch.example/plumpitch/pkg/owner"
-	"plumpitch.example/plumpitch/pkg/warmup"
+	"plumpitch.example/plumpitch/pkg/quota"
 )
 
 // shareCold tells each service which entries send to it: what a cold target bears is
@@ -52,5 +52,5 @@
 		return
 	}
 	s.senders = names
-	s.book.Senders(now, warmup.NewSenders(names, self))
+	s.book.Senders(now, quota.NewSenders(names, self))
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -11,9 +11,9 @@
 
 	"plumpitch.example/plumpitch/internal/alarm"
 	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/quota"
 	"plumpitch.example/plumpitch/pkg/route"
 	"plumpitch.example/plumpitch/pkg/slot"
-	"plumpitch.example/plumpitch/pkg/warmup"
 	"plumpitch.example/plumpitch/platform"
 )
 
@@ -71,7 +71,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.is = is
-	s.book.Warmup(now, slot.Warmup{Bound: warmup.NewBound(is.WarmRate, b.WarmFactor, b.WarmSlack), Time: is.Warmup})
+	s.book.Warmup(now, slot.Warmup{Bound: quota.NewColdBound(is.WarmRate, b.WarmFactor, b.WarmSlack), Time: is.Warmup})
 }
 
 // take takes the whole list of targets.
--- a/pkg/warmup/warmup_test.go
+++ b/pkg/quota/quota_test.go
@@ -1,4 +1,4 @@
-package warmup
+package quota
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 func TestSharesOfTwoViewsKeepTheBound(t *testing.T) {
 	for most := 2; most <= 400; most++ {
 		for senders := 1; senders <= 130; senders++ {
-			s := NewShare(Bound{Limited: true, Most: most}, senders)
+			s := NewColdShare(ColdBound{Limited: true, Most: most}, senders)
 			sum := s.Holders * s.Each
 			qt.Assert(t, sum > 0 && views*sum <= most, qt.IsTrue, qt.Commentf("bound %d, %d senders: %v", most, senders, s))
 		}
@@ -25,14 +25,14 @@
 	tests := []struct {
 		name                string
 		rate, factor, slack float64
-		want                Bound
+		want                ColdBound
 	}{
-		{"no limit is known", 0, 1.5, 8, Bound{}},
-		{"whole requests", 3.4, 1.5, 8, Bound{Limited: true, Most: 13}},
-		{"less than one", 0.1, 1, 0, Bound{Limited: true, Most: 1}},
+		{"no limit is known", 0, 1.5, 8, ColdBound{}},
+		{"whole requests", 3.4, 1.5, 8, ColdBound{Limited: true, Most: 13}},
+		{"less than one", 0.1, 1, 0, ColdBound{Limited: true, Most: 1}},
 	}
 	for _, tt := range tests {
-		qt.Check(t, NewBound(tt.rate, tt.factor, tt.slack), qt.Equals, tt.want, qt.Commentf("%s", tt.name))
+		qt.Check(t, NewColdBound(tt.rate, tt.factor, tt.slack), qt.Equals, tt.want, qt.Commentf("%s", tt.name))
 	}
 }
 
@@ -60,14 +60,14 @@
 func TestRecentCountsTheWholeSpan(t *testing.T) {
 	for seed := range uint64(200) {
 		rnd := rand.New(rand.NewPCG(seed, 5))
-		var r recent
+		r := newRecent(ColdSpan)
 		var sent []time.Time
 		now := time.Unix(50, 0)
 		for range 300 {
 			now = now.Add(time.Duration(rnd.IntN(1+1<<rnd.IntN(11))) * time.Millisecond)
 			within := 0
 			for _, at := range sent {
-				if now.Sub(at) < Span {
+				if now.Sub(at) < ColdSpan {
 					within++
 				}
 			}
@@ -75,7 +75,7 @@
 			qt.Assert(t, n >= within, qt.IsTrue, qt.Commentf("seed %d: %d of %d", seed, n, within))
 			const most = 5
 			free := r.free(now, most)
-			qt.Assert(t, free.Sub(now) <= Span+partTime, qt.IsTrue)
+			qt.Assert(t, free.Sub(now) <= ColdSpan+r.part, qt.IsTrue)
 			later := r
 			qt.Assert(t, later.count(free) < most, qt.IsTrue, qt.Commentf("seed %d", seed))
 			r.add(now)
@@ -91,9 +91,9 @@
 	Ration
 }
 
-func (s *sender) sees(now time.Time, b Bound, names []string) {
+func (s *sender) sees(now time.Time, b ColdBound, names []string) {
 	view := NewSenders(names, s.name)
-	s.share = NewShare(b, view.Len())
+	s.share = NewColdShare(b, view.Len())
 	s.Deal(now, view, s.share)
 }
 
@@ -103,7 +103,7 @@
 // above its bound it crashes, and callers lose what it was at work on.
 func TestColdTargetUnderChangingViews(t *testing.T) {
 	const seeds, entries, late = 300, 24, 900 * time.Millisecond
-	b := NewBound(3.4, 1.5, 8)
+	b := NewColdBound(3.4, 1.5, 8)
 	for seed := range uint64(seeds) {
 		rnd := rand.New(rand.NewPCG(seed, 11))
 		now := time.Unix(9, 0)
@@ -118,7 +118,7 @@
 		}
 		halves := [2][]string{next(), next()}
 		for i := range all {
-			all[i] = &sender{name: fmt.Sprint("e", i), Ration: NewRation("target")}
+			all[i] = &sender{name: fmt.Sprint("e", i), Ration: NewRation("target", ColdSpan)}
 			all[i].sees(now, b, halves[0])
 		}
 		pending := make(map[int]time.Time) // when an entry hears of the present view
@@ -128,7 +128,7 @@
 		for range 4000 {
 			now = now.Add(5 * time.Millisecond)
 			// Owners change seldom; what each hears of it comes within the time of gossip.
-			if now.Sub(changed) > 2*Span+late && rnd.IntN(100) == 0 {
+			if now.Sub(changed) > 2*ColdSpan+late && rnd.IntN(100) == 0 {
 				changed = now
 				halves = [2][]string{next(), next()}
 				half = func(int) int { return 0 }
--- a/pkg/warmup/recent.go
+++ b/pkg/quota/recent.go
@@ -1,21 +1,23 @@
-package warmup
+package quota
 
 import "time"
 
-// recent counts what was sent to a target within Span. The zero value has counted
-// nothing.
+// recent counts what was sent to a target within a span.
 type recent struct {
+	part   time.Duration
 	counts [parts + 1]uint16
 	epoch  time.Time // beginning of part 0
 	last   int64     // newest part that counts holds
 }
 
-const (
-	parts = 10
-	// partTime is the length of the parts that are counted together. A part counts
-	// whole for as long as any of it lies within Span.
-	partTime = Span / parts
-)
+// parts is how many parts of a span are counted together. A part counts whole for as
+// long as any of it lies within the span.
+const parts = 10
+
+func newRecent(span time.Duration) recent { return recent{part: span / parts} }
+
+// span is the time that the requests in it are counted for at least.
+func (r *recent) span() time.Duration { return parts * r.part }
 
 // add notes a request.
 func (r *recent) add(now time.Time) {
@@ -28,7 +30,7 @@
 	}
 }
 
-// count returns how many were noted within Span, or a little longer.
+// count returns how many were noted within the span, or a little longer.
 func (r *recent) count(now time.Time) (n int) {
 	if r.epoch.IsZero() {
 		return 0
@@ -41,7 +43,7 @@
 }
 
 func (r *recent) advance(now time.Time) {
-	part := int64(now.Sub(r.epoch) / partTime)
+	part := int64(now.Sub(r.epoch) / r.part)
 	if part-r.last > parts {
 		clear(r.counts[:])
 		r.last = part
@@ -52,7 +54,7 @@
 	}
 }
 
-// free is when fewer than most will have been noted within Span, if none is added.
+// free is when fewer than most will have been noted within the span, if none is added.
 func (r *recent) free(now time.Time, most int) time.Time {
 	n := r.count(now)
 	if n < most {
@@ -64,8 +66,8 @@
 		}
 		n -= int(r.counts[part%(parts+1)])
 		if n < most {
-			return r.epoch.Add(time.Duration(part+parts+1) * partTime)
+			return r.epoch.Add(time.Duration(part+parts+1) * r.part)
 		}
 	}
-	return now.Add(Span)
+	return now.Add(r.span())
 }
--- a/pkg/warmup/senders.go
+++ b/pkg/quota/senders.go
@@ -1,4 +1,4 @@
-package warmup
+package quota
 
 import (
 	"encoding/binary"
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"plumpitch.example/plumpitch/pkg/warmup"
+	"plumpitch.example/plumpitch/pkg/quota"
 )
 
 // Book holds the targets of one service and the requests that want one.
@@ -24,8 +24,8 @@
 	knee    float64 // how much longer work takes at a crowded target
 	view    survey  // of the targets, when they were last looked at
 	warmup  Warmup
-	senders warmup.Senders
-	share   warmup.Share // of each holder of a cold target
+	senders quota.Senders
+	share   quota.Share // of each holder of a cold target
 	scratch []candidate
 }
 
--- a/pkg/slot/cold.go
+++ b/pkg/slot/cold.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"plumpitch.example/plumpitch/pkg/warmup"
+	"plumpitch.example/plumpitch/pkg/quota"
 )
 
 // Warmup is what is known of the targets of a service that have just started.
 type Warmup struct {
-	Bound warmup.Bound
+	Bound quota.ColdBound
 	Time  time.Duration // for which they are cold
 }
 
@@ -23,14 +23,14 @@
 
 // Senders takes which entries send to the service. While there are none, as at an entry
 // that is cut off from the others, cold targets get nothing.
-func (b *Book) Senders(now time.Time, s warmup.Senders) {
+func (b *Book) Senders(now time.Time, s quota.Senders) {
 	b.senders = s
 	b.deal(now)
 }
 
 // deal works out which targets this entry holds a share of.
 func (b *Book) deal(now time.Time) {
-	b.share = warmup.NewShare(b.warmup.Bound, b.senders.Len())
+	b.share = quota.NewColdShare(b.warmup.Bound, b.senders.Len())
 	for _, m := range b.order {
 		m.ration.Deal(now, b.senders, b.share)
 	}
--- a/pkg/slot/cold_test.go
+++ b/pkg/slot/cold_test.go
@@ -8,18 +8,18 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"plumpitch.example/plumpitch/pkg/warmup"
+	"plumpitch.example/plumpitch/pkg/quota"
 )
 
 // warmDesk is a book of targets that bear 3.4 requests a second for 3 s after a start,
 // of which 13 in a second are allowed, at the only entry that sends to them.
 func warmDesk(list []Target) *desk {
 	d := newDesk(0)
-	d.Warmup(d.now, Warmup{Bound: warmup.NewBound(3.4, 1.5, 8), Time: 3 * time.Second})
-	d.Senders(d.now, warmup.NewSenders([]string{"a"}, "a"))
-	d.now = d.now.Add(2 * warmup.Span)
+	d.Warmup(d.now, Warmup{Bound: quota.NewColdBound(3.4, 1.5, 8), Time: 3 * time.Second})
+	d.Senders(d.now, quota.NewSenders([]string{"a"}, "a"))
+	d.now = d.now.Add(2 * quota.ColdSpan)
 	d.Targets(d.now, list, nil)
-	d.now = d.now.Add(2 * warmup.Span)
+	d.now = d.now.Add(2 * quota.ColdSpan)
 	return d
 }
 
@@ -91,7 +91,7 @@
 			for id := range d.flights {
 				d.Done(d.now, End{ID: id, Kind: Cancelled}, nil)
 			}
-			d.now = d.now.Add(2 * warmup.Span)
+			d.now = d.now.Add(2 * quota.ColdSpan)
 			tt.begin(d)
 			until := d.now.Add(3 * time.Second)
 			arrivals := make(map[string][]time.Time)
@@ -133,7 +133,7 @@
 		list[i].Warm = d.now.Add(time.Minute)
 	}
 	d.Targets(d.now, list, nil)
-	d.now = d.now.Add(2 * warmup.Span)
+	d.now = d.now.Add(2 * quota.ColdSpan)
 	served, refusals := 0, 0
 	began := d.now
 	for d.now.Sub(began) < 10*time.Second {
@@ -143,7 +143,7 @@
 		refusals += len(refused)
 		for _, a := range refused {
 			c.Assert(a.Reason, qt.Not(qt.Equals), NoTarget)
-			c.Assert(a.Retry > 0 && a.Retry < 2*warmup.Span, qt.IsTrue, qt.Commentf("%v", a.Retry))
+			c.Assert(a.Retry > 0 && a.Retry < 2*quota.ColdSpan, qt.IsTrue, qt.Commentf("%v", a.Retry))
 		}
 	}
 	seeking, _ := d.Len()
@@ -159,7 +159,7 @@
 	list := targets(1, 0)
 	list[0].Warm = d.now.Add(time.Minute)
 	d.Targets(d.now, list, nil)
-	d.now = d.now.Add(2 * warmup.Span)
+	d.now = d.now.Add(2 * quota.ColdSpan)
 	for range 13 {
 		d.now = d.now.Add(time.Millisecond)
 		d.members["t0"].ration.Sent(d.now)
@@ -194,7 +194,7 @@
 	d := warmDesk(nil)
 	list[0].Warm = d.now.Add(time.Minute)
 	d.Targets(d.now, list, nil)
-	d.Senders(d.now, warmup.NewSenders(nil, "a"))
+	d.Senders(d.now, quota.NewSenders(nil, "a"))
 	for range 500 {
 		d.now = d.now.Add(10 * time.Millisecond)
 		sent, _ := d.serve(func(id string) time.Duration {
@@ -248,8 +248,8 @@
 			for i := range list[:bb.evacuated+bb.cold] {
 				list[i].Warm = d.now.Add(time.Hour)
 			}
-			d.Warmup(d.now, Warmup{Bound: warmup.NewBound(3.4, 1.5, 8), Time: 3 * time.Second})
-			d.Senders(d.now, warmup.NewSenders(names, "e0"))
+			d.Warmup(d.now, Warmup{Bound: quota.NewColdBound(3.4, 1.5, 8), Time: 3 * time.Second})
+			d.Senders(d.now, quota.NewSenders(names, "e0"))
 			d.Targets(d.now, list, nil)
 			rnd := rand.New(rand.NewPCG(4, 4))
 			for i := range list {
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"plumpitch.example/plumpitch/pkg/warmup"
+	"plumpitch.example/plumpitch/pkg/quota"
 )
 
 // flight is a request at a target.
@@ -43,11 +43,11 @@
 
 	limit  limit
 	cold   time.Time // it has just started and is cold until then
-	ration warmup.Ration
+	ration quota.Ration
 }
 
 func newMember(t Target) *member {
-	return &member{Target: t, pace: 1, slowness: 1, cold: t.Warm, ration: warmup.NewRation(t.ID)}
+	return &member{Target: t, pace: 1, slowness: 1, cold: t.Warm, ration: quota.NewRation(t.ID, quota.ColdSpan)}
 }
 
 // estimate is the pace that is to be expected now: the last word, which goes
