slot, quota: a target that names a limit gets no more, over all entries

Callers were served by a target in need as if it had said nothing: by its load and pace an idle target in need looks best.

The limit is divided as the bound on a cold target is: dealt to three entries at the most by rendezvous hashing of those that send to the service, each of which sends at a steady pace and saves nothing up. In 4 s that comes to at most 4 times the limit and 3 requests, where 6 times and 5 are allowed, so that views of the senders may differ by half. What was sent before the limit was known counts, so that an entry pauses when it hears of one. An entry without a share asks each 0.5 s with demand; else it would never learn that the limit has ended. Where all targets have had what they take, requests that can't meet their objective are refused at once and told when the next one is let through.

Tried and dropped: refused callers take turns at the pace of the limits. New requests took the places that were kept for them, and the time told wasn't true.

--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -38,6 +38,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(t, site{targets: 3})
 			for _, k := range w.workers {
 				k.Work(5 * time.Millisecond)
@@ -73,6 +74,34 @@
 	}
 }
 
+// A limit ends while entries without a share send nothing to the target: they find out by
+// their questions, and the target gets its part at all of them again.
+func TestLimitEnds(t *testing.T) {
+	w := newWorld(t, site{targets: 2})
+	for _, k := range w.workers {
+		k.Work(5 * time.Millisecond)
+		k.Slots = 8
+		w.record(k, "gowns", "ready")
+	}
+	entries := several(w, 6)
+	one, other := w.workers[0], w.workers[1]
+	one.Limit("0.5")
+	stop := w.press(t.Context(), entries, 2)
+	time.Sleep(2 * time.Second)
+	one.Limit("")
+	time.Sleep(2 * time.Second) // by then it is to be used in full
+	from := time.Now()
+	time.Sleep(time.Second)
+	stop()
+	n, m := runsSince(one.Runs(), from), runsSince(other.Runs(), from)
+	w.c.Assert(2*n > m, qt.IsTrue, qt.Commentf("%d in a second, the other target got %d", n, m))
+	for _, e := range entries {
+		s, err := e.Status(t.Context())
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(s.Services[0].Targets[0].Limit, qt.IsNil, qt.Commentf("%s", e.self.Name))
+	}
+}
+
 // press has so many callers at each entry send without a pause until stop is called,
 // which returns what they got.
 func (w *world) press(ctx context.Context, entries []*entry, callers int) (stop func() []reply) {
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -26,6 +26,7 @@
 	warmup  Warmup
 	senders quota.Senders
 	share   quota.Share // of each holder of a cold target
+	limited int         // targets that name a limit
 	scratch []candidate
 }
 
@@ -76,6 +77,7 @@
 		b.order = append(b.order, m)
 	}
 	slices.SortFunc(b.order, func(a, c *member) int { return cmp.Compare(a.ID, c.ID) })
+	b.countLimited()
 	return b.serve(now, out)
 }
 
@@ -86,8 +88,9 @@
 	if !b.anyOpen() || !b.housed(r.Homes) {
 		return b.refuse(s, NoTarget, b.cfg.PauseMin, out)
 	}
-	if retry, ok := b.frozen(now, s); ok {
-		return b.refuse(s, Cold, retry, out)
+	out = b.checkLimits(now, out)
+	if why, retry, ok := b.hopeless(now, s); ok {
+		return b.refuse(s, why, retry, out)
 	}
 	if r.Hedge {
 		return b.ask(now, s, out)
@@ -141,6 +144,8 @@
 // question that was sent at that time.
 func (b *Book) reported(now, sent time.Time, m *member, r Report, question bool, out []Action) []Action {
 	if m.limit.take(now, sent, r, question) {
+		m.limit.deal(now, b.senders)
+		b.countLimited()
 		out = append(out, Action{Do: Limit, Target: m.Target, Rate: m.limit.rate, Named: m.limit.named})
 	}
 	return out
@@ -300,6 +305,7 @@
 	}
 	m.inFlight++
 	m.ration.Sent(now)
+	m.limit.ration.Sent(now)
 	b.flights[s.ID] = &flight{member: m, sent: now, beside: beside, pace: pace, class: s.Class, usual: s.usual}
 	return append(out, Action{Do: Send, ID: s.ID, Target: m.Target, Why: why})
 }
--- a/pkg/slot/choose.go
+++ b/pkg/slot/choose.go
@@ -226,8 +226,8 @@
 			return b.send(now, s, c.member, out)
 		}
 	}
-	if retry, ok := b.frozen(now, s); ok {
-		return b.refuse(s, Cold, retry, out)
+	if why, retry, ok := b.hopeless(now, s); ok {
+		return b.refuse(s, why, retry, out)
 	}
 	return b.refuse(s, Full, b.retry(s.usual), out)
 }
--- a/pkg/slot/cold.go
+++ b/pkg/slot/cold.go
@@ -33,42 +33,36 @@
 	b.share = quota.NewColdShare(b.warmup.Bound, b.senders.Len())
 	for _, m := range b.order {
 		m.ration.Deal(now, b.senders, b.share)
+		if m.limit.named {
+			m.limit.deal(now, b.senders)
+		}
 	}
 }
 
-// admits reports whether the bound on what a cold target gets lets this entry send to m.
-// Above it a target crashes and takes with it what it was at work on.
-func (b *Book) admits(now time.Time, m *member) bool {
+// bears reports whether the bound on what a cold target gets lets this entry send to m.
+func (b *Book) bears(now time.Time, m *member) bool {
 	if !m.isCold(now) || !b.warmup.Bound.Limited {
 		return true
 	}
 	return m.ration.Admits(now, b.share)
 }
 
+// thawed is when m is warm or, if that is sooner, when this entry may send it a request
+// while it is cold.
+func (b *Book) thawed(now time.Time, m *member) time.Time {
+	at := m.cold
+	if next, ok := m.ration.Next(now, b.share); ok {
+		at = soonest(at, next)
+	}
+	return at
+}
+
 // returns notes that a target's failure domain is in use again. It may have become cold
 // meanwhile and can't have been asked, so it counts as cold until it says something else.
 func (b *Book) returns(now time.Time, m *member) {
 	m.cold = later(m.cold, now.Add(b.warmup.Time))
 }
 
-// thaw tells whether all targets that may get requests with these homes are cold and have
-// had their share, and when one of them may get a request again.
-func (b *Book) thaw(now time.Time, homes []string) (at time.Time, all bool) {
-	for _, m := range b.order {
-		if m.leaves() || !m.atHome(homes) {
-			continue
-		}
-		if b.admits(now, m) {
-			return at, false
-		}
-		at = soonest(at, m.cold)
-		if next, ok := m.ration.Next(now, b.share); ok {
-			at = soonest(at, next)
-		}
-	}
-	return at, !at.IsZero()
-}
-
 // soonest returns the earlier of two times of which either may not be set.
 func soonest(a, b time.Time) time.Time {
 	if a.IsZero() || b.Before(a) {
@@ -77,15 +71,5 @@
 	return a
 }
 
-// frozen reports whether s can't be served in time since all targets are cold and have
-// had what they bear, and after how long it is best back.
-func (b *Book) frozen(now time.Time, s *seeker) (retry time.Duration, ok bool) {
-	at, all := b.thaw(now, s.Homes)
-	if !all || !at.Add(coldFactor*s.usual).After(s.Objective) {
-		return 0, false
-	}
-	return max(at.Sub(now), soon) + time.Duration(b.rnd.Int64N(int64(s.usual)+1)), true
-}
-
 // isCold reports whether the target has just started, as far as is known.
 func (m *member) isCold(now time.Time) bool { return !m.cold.IsZero() && now.Before(m.cold) }
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -67,9 +67,10 @@
 	Full            // no target could answer it in time
 	NoTarget        // no target may get work
 	Cold            // all targets have just started and have had what they bear
+	Limited         // all targets have had what they take, some of them by a limit that they name
 )
 
-var reasons = [...]string{"none", "full", "notarget", "cold"}
+var reasons = [...]string{"none", "full", "notarget", "cold", "limited"}
 
 // String returns the one-word name of a reason.
 func (r Reason) String() string {
--- a/pkg/slot/explain.go
+++ b/pkg/slot/explain.go
@@ -29,6 +29,8 @@
 	Left    State = "leaving"   // wants no new work
 	Vacated State = "evacuated" // its failure domain is to get no requests
 	Moved   State = "moved"     // another target answered at its address
+	// Throttled targets have had of this entry what the limit that they name allows.
+	Throttled State = "limited"
 )
 
 // Explain tells of each target, by id, whether it gets requests and why not.
@@ -65,6 +67,8 @@
 		return Out
 	case now.Before(m.closed):
 		return Resting
+	case !m.limit.admits(now):
+		return Throttled
 	case m.busy(now, &b.cfg) >= m.Slots:
 		return Busy
 	}
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -47,7 +47,7 @@
 }
 
 func newMember(t Target) *member {
-	return &member{Target: t, pace: 1, slowness: 1, cold: t.Warm, ration: quota.NewRation(t.ID, quota.ColdSpan)}
+	return &member{Target: t, pace: 1, slowness: 1, cold: t.Warm, ration: quota.NewRation(t.ID, quota.ColdSpan), limit: newLimit(t.ID)}
 }
 
 // estimate is the pace that is to be expected now: the last word, which goes
--- a/pkg/slot/queue.go
+++ b/pkg/slot/queue.go
@@ -28,21 +28,14 @@
 }
 
 // crowded reports whether so many requests would be served before s that it
-// could not meet its objective. Those with other homes wait for other targets.
+// could not meet its objective.
 func (b *Book) crowded(now time.Time, s *seeker) bool {
-	ahead := 0
-	for _, q := range b.queue {
-		if before(q, s) < 0 && slices.Equal(q.Homes, s.Homes) {
-			ahead++
-		}
-	}
-	slots := 0
-	for _, m := range b.order {
-		if (m.open(now) || m.inFlight > 0 && !m.leaves()) && m.atHome(s.Homes) {
-			slots++
-		}
+	work := b.usual.all.mean
+	slots := b.capacity(now, s.Homes, work)
+	if slots == 0 {
+		slots = 1
 	}
-	wait := time.Duration(float64(b.usual.all.mean) * float64(ahead+1) / float64(max(slots, 1)))
+	wait := time.Duration(float64(work) * float64(b.ahead(s)+1) / slots)
 	return now.Add(wait + s.usual).After(s.Objective)
 }
 
