gateway: a target that reports in a response that it leaves is logged and shown

The header is read from every response; the first of a target is a log line, the status says since when it is known. No choice goes by it yet.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -141,6 +141,8 @@
 			s.gateway.log.WithFields(log.Fields{"service": s.is.Name, "target": a.Target.ID}).Warn("target is out, it fails what it is sent")
 		case slot.Back:
 			s.gateway.log.WithFields(log.Fields{"service": s.is.Name, "target": a.Target.ID}).Info("target is back")
+		case slot.Leaves:
+			s.gateway.log.WithFields(log.Fields{"service": s.is.Name, "target": a.Target.ID}).Info("target says that it leaves")
 		case slot.Limit:
 			s.logLimit(a)
 		}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -88,6 +88,9 @@
 	Foreign  int     `json:"foreign"` // requests of other entries, as last told
 	Pace     float64 `json:"pace"`    // 0 where it has told none
 	Age      float64 `json:"age"`     // seconds of that word
+	// Leaves is for how many seconds this entry has known from a response that the
+	// target leaves; missing where it doesn't.
+	Leaves *float64 `json:"leaves,omitempty"`
 	// Limit is how many requests a second the target says that it takes from all
 	// entries; missing where it names no limit.
 	Limit *LimitStatus `json:"limit,omitempty"`
@@ -182,6 +185,10 @@
 	if !r.Until.IsZero() {
 		t.Until = max(r.Until.Sub(now).Seconds(), 0)
 	}
+	if !r.Leaves.IsZero() {
+		leaves := now.Sub(r.Leaves).Seconds()
+		t.Leaves = &leaves
+	}
 	if r.Limited {
 		t.Limit = &LimitStatus{Rate: r.Limit, Since: now.Sub(r.Since).Seconds()}
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -60,6 +60,7 @@
 	tells  bool      // it says so when it is asked
 	falls  int       // how often it crashed since it got more
 	limit  string    // that it names in its answers
+	leaves bool      // it says in its answers that it leaves
 	silent bool      // it doesn't name it in answers to questions
 }
 
@@ -110,6 +111,9 @@
 // Limit has it name a limit in its answers, as the text of the header; empty ends that.
 func (w *Worker) Limit(text string) { w.set(func() { w.limit = text }) }
 
+// Leave has it say in its answers that it leaves.
+func (w *Worker) Leave() { w.set(func() { w.leaves = true }) }
+
 // KeepSilent has it name no limit in answers to questions.
 func (w *Worker) KeepSilent() { w.set(func() { w.silent = true }) }
 
@@ -195,12 +199,15 @@
 	}
 }
 
-// load are the headers in which it reports its load and its limit. The lock is held.
+// load are the headers in which it reports its load, its limit and that it leaves. The lock is held.
 func (w *Worker) load(question bool) string {
 	limit := ""
 	if w.limit != "" && !(question && w.silent) {
 		limit = "Server-Limit: " + w.limit + "\r\n"
 	}
+	if w.leaves {
+		limit += "Server-Leaving: 1\r\n"
+	}
 	return limit + fmt.Sprintf("Plumpitch-Server-Load: %d,0,%d,100\r\n", w.now, w.Slots)
 }
 
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -143,6 +143,10 @@
 // reported takes what a target has reported of itself in the response to a request or a
 // question that was sent at that time.
 func (b *Book) reported(now, sent time.Time, m *member, r Report, question bool, out []Action) []Action {
+	if r.Leaving && m.left.IsZero() {
+		m.left = now
+		out = append(out, Action{Do: Leaves, Target: m.Target})
+	}
 	if m.limit.take(now, sent, r, question) {
 		m.limit.deal(now, b.senders)
 		b.countLimited()
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -55,6 +55,7 @@
 	Refuse               // request ID gets no target
 	Rest                 // Target is out: it fails what it is sent
 	Back                 // Target gets requests again
+	Leaves               // Target has reported that it leaves
 	Limit                // Target has named a limit, another one than before, or none any more
 )
 
--- a/pkg/slot/explain.go
+++ b/pkg/slot/explain.go
@@ -12,6 +12,7 @@
 	Age      time.Duration // of that word
 	State    State
 	Until    time.Time // end of a rest; zero where there is none
+	Leaves   time.Time // when it reported that it leaves; zero where it has not
 	Limited  bool
 	Limit    float64   // requests a second that it takes from all entries together
 	Since    time.Time // when it first named a limit
@@ -39,7 +40,7 @@
 	for _, m := range b.order {
 		r := Row{
 			Target: m.Target, InFlight: m.inFlight, Foreign: m.others(now, &b.cfg), Told: m.loads, Pace: m.pace,
-			State: b.state(now, m), Limited: m.limit.named, Limit: m.limit.rate, Since: m.limit.since,
+			State: b.state(now, m), Leaves: m.left, Limited: m.limit.named, Limit: m.limit.rate, Since: m.limit.since,
 		}
 		if m.loads {
 			r.Age = now.Sub(m.told)
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -41,6 +41,7 @@
 	closed time.Time
 	moved  bool // another target answered at its address
 
+	left   time.Time // when it reported that it leaves
 	limit  limit
 	cold   time.Time // it has just started and is cold until then
 	ration quota.Ration
--- a/pkg/slot/report.go
+++ b/pkg/slot/report.go
@@ -9,4 +9,5 @@
 	// Unlimited says that a response was read that names no limit. Where a limit
 	// can't be read, neither is set.
 	Unlimited bool
+	Leaving   bool // it wants no new work
 }
