--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -114,6 +114,9 @@
 // Leave has it say in its answers that it leaves.
 func (w *Worker) Leave() { w.set(func() { w.leaves = true }) }
 
+// Stay has it say no more that it leaves, as one that has started again.
+func (w *Worker) Stay() { w.set(func() { w.leaves = false }) }
+
 // KeepSilent has it name no limit in answers to questions.
 func (w *Worker) KeepSilent() { w.set(func() { w.silent = true }) }
 
