slot: a target that says in a response that it leaves gets no more requests

What a target has said holds for that incarnation, whatever its record says: the store may be away, or the record older.

Their setup is stricter: the target answers questions without the header and is the preferred one, so that nothing but a response to a request tells, and a choice by the record alone is sure to show.

--- a/internal/gateway/leaving_response_test.go
+++ b/internal/gateway/leaving_response_test.go
@@ -11,14 +11,16 @@
 	"plumpitch.example/plumpitch/internal/standin/objects"
 )
 
+// leaveCase is what happens after a target has said in a response that it leaves.
+type leaveCase struct {
+	name  string
+	begin func(w *world, e *entry)
+}
+
 // Requests reach a target that has said in a response that it leaves, while the store
 // doesn't say so.
 func TestLeavingByAResponse(t *testing.T) {
-	tests := []struct {
-		name string
-		// begin is done once the target says that it leaves, and an entry has heard it.
-		begin func(w *world, e *entry)
-	}{
+	playLeaving(t, []leaveCase{
 		{"store silent", func(w *world, _ *entry) {
 			w.store.Fail(func(*http.Request) objects.Fault { return objects.Fault{Silent: true} })
 		}},
@@ -26,9 +28,17 @@
 			w.workers[0].Slots = 9
 			w.record(w.workers[0], "gowns", "ready")
 		}},
+	})
+}
+
+// What a target has said is forgotten with its record or its service, and requests reach
+// it once these are back.
+func TestLeavingOutlivesItsRecord(t *testing.T) {
+	playLeaving(t, []leaveCase{
 		{"record removed and back", func(w *world, e *entry) {
 			w.store.Delete("servers", w.workers[0].ID)
 			w.until("the target is gone", func() bool { return !e.hasTarget(w.workers[0].ID) })
+			time.Sleep(drain)
 			w.record(w.workers[0], "gowns", "ready")
 			w.until("the target is back", func() bool { return e.hasTarget(w.workers[0].ID) })
 		}},
@@ -38,11 +48,16 @@
 				Name: "r-a", Host: "veil.example", Prefix: "/a/", Timeout: "2s", Goal: "1s", Attempts: 3, Service: "veils",
 			}}, []string{"veils"})
 			w.until("the service dropped", func() bool { return int(e.version()) == w.version })
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(drain)
 			w.configure(site{})
 			w.until("the service back", func() bool { return int(e.version()) == w.version && e.size("gowns") == 2 })
 		}},
-	}
+	})
+}
+
+// playLeaving checks that a target gets no request later than the bound after it has said
+// that it leaves.
+func playLeaving(t *testing.T, tests []leaveCase) {
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -52,19 +67,18 @@
 				w.record(k, "gowns", "ready")
 			}
 			e := w.entry("a").settled()
-			w.until("both targets in use", func() bool {
-				e.call("GET", "/a/x", "")
-				return len(w.workers[0].Runs()) > 0 && len(w.workers[1].Runs()) > 0
-			})
+			w.workers[1].Work(30 * time.Millisecond) // so that the first one is preferred
+			w.workers[0].KeepSilent()
 			w.workers[0].Leave()
-			before := len(w.workers[0].Runs())
 			w.until("a response that says so", func() bool {
 				e.call("GET", "/a/x", "")
-				return len(w.workers[0].Runs()) > before
+				s, err := e.Status(t.Context())
+				w.c.Assert(err, qt.IsNil)
+				return s.Services[0].Targets[0].Leaves != nil
 			})
 			told := time.Now()
 			tt.begin(w, e)
-			for time.Since(told) < drain+time.Second {
+			for end := time.Now().Add(drain + time.Second); time.Now().Before(end); {
 				w.c.Assert(e.call("GET", "/a/x", "").status, qt.Equals, http.StatusOK)
 			}
 			for _, r := range w.workers[0].Runs() {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -61,7 +61,7 @@
 	falls  int       // how often it crashed since it got more
 	limit  string    // that it names in its answers
 	leaves bool      // it says in its answers that it leaves
-	silent bool      // it doesn't name it in answers to questions
+	silent bool      // it reports its load alone in answers to questions
 }
 
 // Start runs a worker on loopback.
@@ -117,7 +117,7 @@
 // Stay has it say no more that it leaves, as one that has started again.
 func (w *Worker) Stay() { w.set(func() { w.leaves = false }) }
 
-// KeepSilent has it name no limit in answers to questions.
+// KeepSilent has it report its load alone in answers to questions.
 func (w *Worker) KeepSilent() { w.set(func() { w.silent = true }) }
 
 // Falls returns how often it crashed since it got more than it bears.
@@ -205,13 +205,20 @@
 // load are the headers in which it reports its load, its limit and that it leaves. The lock is held.
 func (w *Worker) load(question bool) string {
 	limit := ""
-	if w.limit != "" && !(question && w.silent) {
+	if question && w.silent {
+		return w.plain()
+	}
+	if w.limit != "" {
 		limit = "Server-Limit: " + w.limit + "\r\n"
 	}
 	if w.leaves {
 		limit += "Server-Leaving: 1\r\n"
 	}
-	return limit + fmt.Sprintf("Plumpitch-Server-Load: %d,0,%d,100\r\n", w.now, w.Slots)
+	return limit + w.plain()
+}
+
+func (w *Worker) plain() string {
+	return fmt.Sprintf("Plumpitch-Server-Load: %d,0,%d,100\r\n", w.now, w.Slots)
 }
 
 func (w *Worker) health(k *conn) {
--- a/pkg/slot/explain.go
+++ b/pkg/slot/explain.go
@@ -60,7 +60,7 @@
 	switch {
 	case m.moved:
 		return Moved
-	case m.Leaving:
+	case m.Leaving, !m.left.IsZero():
 		return Left
 	case m.Evacuated:
 		return Vacated
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -134,8 +134,12 @@
 	m.Target = t
 }
 
-// leaves reports whether the target is to get no new work, or is no longer there.
-func (m *member) leaves() bool { return m.Leaving || m.Evacuated || m.moved }
+// leaves reports whether the target is to get no new work, or is no longer there. What it
+// has said in a response holds against its record: the store may be away, or the record
+// older.
+func (m *member) leaves() bool {
+	return m.Leaving || !m.left.IsZero() || m.Evacuated || m.moved
+}
 
 // open reports whether the target may get a request at all now.
 func (m *member) open(now time.Time) bool {
