slot, gateway: what a target has reported outlives its record's absence

A target that had said that it leaves, or had named a limit, got requests as any other once its record was away for a moment (the store's entry lapsed, a list was behind) or its service was dropped by a configuration and came back: 2.0 and 3.2 s after the response, bound 2 s.

Cause: what is known of a target lay in the list of targets and went with it, and a service that a configuration drops got new ones.

Targets that have reported anything, or have requests that may yet tell something, are remembered by incarnation for 10 minutes, 1,024 at the most; services that a configuration drops for as long. One that starts again is a new one.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -76,7 +76,7 @@
 	enrolling time.Duration // how long that took
 	ahead     int           // entries that enrolled before, at a start of all
 	services  map[string]*service
-	dropped   map[string]*service // that the configuration has no more, with requests
+	dropped   map[string]droppedService
 	hosts     hosts
 	told      bool      // requests that were held for the first view go on
 	dirty     bool      // services lag behind what is known
@@ -90,7 +90,7 @@
 	return &control{
 		gateway: g, inbox: make(chan message, maxInbox), started: g.started,
 		targets: roster.New(slot.Same), lapses: roster.NewLapses[slot.Target](), evacuations: roster.New(slot.SameEvacuation),
-		dropped: make(map[string]*service), waiting: make(map[string]bool), suspects: make(map[uint64]int),
+		dropped: make(map[string]droppedService), waiting: make(map[string]bool), suspects: make(map[uint64]int),
 		numbers: owner.NewNumbers(), loads: make(map[string]loadsHeard),
 	}
 }
@@ -205,8 +205,8 @@
 }
 
 // supply gives each service of the configuration its targets, and those that it has
-// dropped for as long as requests of them seek one: with the list of that time, they
-// would be sent to targets that have left since.
+// dropped: with the list of that time, requests that still seek one would be sent to
+// targets that have left since.
 //
 // Before it is known which failure domains are evacuated no service gets any: an entry
 // that starts would send requests to a domain that the others have left.
@@ -217,19 +217,18 @@
 	}
 	services := make(map[string]*service, len(c.config.Services))
 	for name, s := range c.config.Services {
-		sv := cmp.Or(c.services[name], c.dropped[name])
+		sv := cmp.Or(c.services[name], c.dropped[name].service)
 		if sv == nil {
 			sv = newService(c.gateway, s)
-			c.unshared = true
 		}
+		c.unshared = c.unshared || sv != c.services[name]
 		sv.configure(now, s)
 		sv.take(now, byService[name])
 		services[name] = sv
 	}
-	maps.Copy(c.dropped, c.services)
-	maps.DeleteFunc(c.dropped, func(name string, sv *service) bool { return services[name] == sv || !sv.busy() })
-	for name, sv := range c.dropped {
-		sv.take(now, byService[name])
+	c.drop(now, services)
+	for name, d := range c.dropped {
+		d.take(now, byService[name])
 	}
 	c.services = services
 }
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -15,6 +15,7 @@
 	rnd     *rand.Rand
 	members map[string]*member
 	order   []*member // by id
+	absent  absences
 	flights map[uint64]*flight
 	seeking map[uint64]*seeker
 	queue   []*seeker // waiting, in the order in which they are served
@@ -48,6 +49,7 @@
 	return &Book{
 		cfg: cfg, rnd: rnd, mean: 1, knee: cfg.Knee,
 		members: make(map[string]*member),
+		absent:  make(absences),
 		flights: make(map[uint64]*flight),
 		seeking: make(map[uint64]*seeker),
 		usual:   newUsuals(cfg.Usual),
@@ -66,8 +68,7 @@
 	for _, t := range list {
 		m := old[t.ID]
 		if m == nil || m.Born != t.Born {
-			m = newMember(t)
-			m.ration.Deal(now, b.senders, b.share)
+			m = b.enter(now, t)
 		}
 		if m.Evacuated && !t.Evacuated {
 			b.returns(now, m)
@@ -76,11 +77,30 @@
 		b.members[t.ID] = m
 		b.order = append(b.order, m)
 	}
+	for id, m := range old {
+		if b.members[id] != m {
+			b.absent.add(now, m)
+		}
+	}
+	b.absent.expire(now)
 	slices.SortFunc(b.order, func(a, c *member) int { return cmp.Compare(a.ID, c.ID) })
 	b.countLimited()
 	return b.serve(now, out)
 }
 
+// enter returns the member of a target that is new in the list, or back.
+func (b *Book) enter(now time.Time, t Target) *member {
+	m := b.absent.take(t)
+	if m == nil {
+		m = newMember(t)
+	}
+	m.ration.Deal(now, b.senders, b.share)
+	if m.limit.named {
+		m.limit.deal(now, b.senders)
+	}
+	return m
+}
+
 // Arrive takes a request.
 func (b *Book) Arrive(now time.Time, r Request, out []Action) []Action {
 	s := &seeker{Request: r, usual: b.usual.of(r.Class)}
