slot: a target that wants nothing for a time gets nothing

A target refuses a request with 503 and Retry-After, and where no other one is left the entry goes on sending to it every few ms and tells callers to come back after 5 ms, which isn't true.

The time holds for the entry that was told, for that incarnation, and is not cut short by other responses. Requests that can't be served before it ends are refused at once and told so.

--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -61,7 +61,7 @@
 		sent: s.Counter("dispatches"), again: s.Counter("repeats"), asked: s.Counter("load_questions"),
 		failures: s.Counter("dispatches_failed"), refused: make(map[slot.Reason]tally.Counter),
 	}
-	for _, r := range []slot.Reason{slot.Full, slot.NoTarget, slot.Cold, slot.Limited} {
+	for _, r := range []slot.Reason{slot.Full, slot.NoTarget, slot.Cold, slot.Paused, slot.Limited} {
 		si.refused[r] = s.Tagged(map[string]string{"reason": r.String()}).Counter("refusals")
 	}
 	si.final = func(reason string) tally.Counter {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -18,6 +18,7 @@
 // Fault is how a target answers. The zero value is one that is well.
 type Fault struct {
 	Shed     bool          // refuses, runs nothing
+	After    string        // with Shed: when to come back, as the text of the header
 	Fail     bool          // answers 500 after the run
 	Lose     bool          // runs, then closes the connection without an answer
 	Cut      bool          // closes the connection within the body
@@ -52,6 +53,7 @@
 	work   time.Duration
 	fault  func(*http.Request) Fault
 	runs   []Run
+	sheds  []time.Time
 	now    int
 	open   map[net.Conn]bool
 	closed bool
@@ -157,6 +159,13 @@
 	return append([]Run(nil), w.runs...)
 }
 
+// Sheds returns when it refused a request.
+func (w *Worker) Sheds() []time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]time.Time(nil), w.sheds...)
+}
+
 func (w *Worker) accept() {
 	for {
 		c, err := w.l.Accept()
@@ -250,13 +259,23 @@
 		return true
 	}
 	if f.Shed {
-		_, _ = io.WriteString(k, "HTTP/1.1 503 Service Unavailable\r\nPlumpitch-Not-Executed: 1\r\nPlumpitch-Request-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+		w.shed(k, id, f.After)
 		return true
 	}
 	w.run(k, r, string(body))
 	return w.answer(k, r, f, string(body))
 }
 
+// shed refuses a request.
+func (w *Worker) shed(k *conn, id, after string) {
+	w.set(func() { w.sheds = append(w.sheds, time.Now()) })
+	head := "HTTP/1.1 503 Service Unavailable\r\nPlumpitch-Not-Executed: 1\r\nPlumpitch-Request-Id: " + id + "\r\n"
+	if after != "" {
+		head += "Retry-After: " + after + "\r\n"
+	}
+	_, _ = io.WriteString(k, head+"Content-Length: 0\r\n\r\n")
+}
+
 // run logs a run, works, and notes when the caller left meanwhile.
 func (w *Worker) run(k *conn, r *http.Request, body string) {
 	w.mu.Lock()
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -167,6 +167,9 @@
 		m.left = now
 		out = append(out, Action{Do: Leaves, Target: m.Target})
 	}
+	if r.Pause > 0 {
+		m.paused = later(m.paused, now.Add(r.Pause))
+	}
 	if m.limit.take(now, sent, r, question) {
 		m.limit.deal(now, b.senders)
 		b.countLimited()
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -68,10 +68,11 @@
 	Full            // no target could answer it in time
 	NoTarget        // no target may get work
 	Cold            // all targets have just started and have had what they bear
-	Limited         // all targets have had what they take, some of them by a limit that they name
+	Paused          // all targets have had what they take or, some of them, want nothing for a time
+	Limited         // the same, some of them by a limit that they name
 )
 
-var reasons = [...]string{"none", "full", "notarget", "cold", "limited"}
+var reasons = [...]string{"none", "full", "notarget", "cold", "paused", "limited"}
 
 // String returns the one-word name of a reason.
 func (r Reason) String() string {
--- a/pkg/slot/explain.go
+++ b/pkg/slot/explain.go
@@ -25,7 +25,7 @@
 const (
 	Open    State = "open"      // gets requests
 	Busy    State = "busy"      // all slots are taken
-	Resting State = "resting"   // refused or was unwell a moment ago
+	Resting State = "resting"   // refused or was unwell a moment ago, or wants nothing for a time
 	Out     State = "out"       // fails what it is sent, gets trials only
 	Left    State = "leaving"   // wants no new work
 	Vacated State = "evacuated" // its failure domain is to get no requests
@@ -49,7 +49,7 @@
 		case Out:
 			r.Until = m.rest
 		case Resting:
-			r.Until = m.closed
+			r.Until = later(m.closed, m.paused)
 		}
 		rows = append(rows, r)
 	}
@@ -66,7 +66,7 @@
 		return Vacated
 	case m.out:
 		return Out
-	case now.Before(m.closed):
+	case now.Before(m.closed), now.Before(m.paused):
 		return Resting
 	case !m.limit.admits(now):
 		return Throttled
--- a/pkg/slot/limit.go
+++ b/pkg/slot/limit.go
@@ -84,7 +84,7 @@
 // in its answers to questions isn't asked.
 func (m *member) due(now time.Time) bool {
 	l := &m.limit
-	return l.named && !m.asking && !m.leaves() && now.Sub(later(l.at, m.askedAt)) >= limitCheck && (l.asked || m.askedAt.Before(l.since))
+	return l.named && !m.asking && !m.leaves() && !now.Before(m.paused) && now.Sub(later(l.at, m.askedAt)) >= limitCheck && (l.asked || m.askedAt.Before(l.since))
 }
 
 func (b *Book) countLimited() {
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -42,6 +42,7 @@
 	moved  bool // another target answered at its address
 
 	left   time.Time // when it reported that it leaves
+	paused time.Time // it wants nothing from this entry until then
 	limit  limit
 	cold   time.Time // it has just started and is cold until then
 	ration quota.Ration
--- a/pkg/slot/queue.go
+++ b/pkg/slot/queue.go
@@ -142,6 +142,9 @@
 // it was sent to. Where most targets are open and have room, they refuse by
 // fault and not for load, and a pause would only make the request late.
 func (b *Book) Back(now time.Time) time.Duration {
+	if t, all := b.throttled(now, nil); all && !t.until.IsZero() {
+		return b.comeback(now, t.until, b.usual.all.mean)
+	}
 	room := 0
 	for _, m := range b.order {
 		if !m.leaves() && !m.crowded(m.busy(now, &b.cfg)) {
--- a/pkg/slot/report.go
+++ b/pkg/slot/report.go
@@ -1,5 +1,7 @@
 package slot
 
+import "time"
+
 // Report is what a target says of itself in a response. The zero value says nothing.
 type Report struct {
 	Load    Load
@@ -10,4 +12,6 @@
 	// can't be read, neither is set.
 	Unlimited bool
 	Leaving   bool // it wants no new work
+	// Pause is for how long it wants nothing from this entry.
+	Pause time.Duration
 }
--- a/pkg/slot/throttle.go
+++ b/pkg/slot/throttle.go
@@ -5,16 +5,17 @@
 	"time"
 )
 
-// admits reports whether this entry may send to m now by what m takes from all entries: a
-// cold target crashes above its bound and takes with it what it was at work on, a target
-// with a limit is in need.
+// admits reports whether this entry may send to m now by what m takes: a cold target
+// crashes above its bound and takes with it what it was at work on, a target with a limit
+// or a pause is in need.
 func (b *Book) admits(now time.Time, m *member) bool {
-	return b.bears(now, m) && m.limit.admits(now)
+	return !now.Before(m.paused) && b.bears(now, m) && m.limit.admits(now)
 }
 
 // allowed tells when this entry may send to m again; ok is false where nothing says when.
 func (b *Book) allowed(now time.Time, m *member) (at time.Time, ok bool) {
 	at, ok = m.limit.next(now)
+	at = later(at, m.paused)
 	if !ok || b.bears(now, m) {
 		return at, ok
 	}
@@ -42,16 +43,22 @@
 			t.until = soonest(t.until, at)
 		}
 		all = true
-		if m.limit.named {
-			t.why = Limited
-		}
-	}
-	if t.why == NoReason {
-		t.why = Cold
+		t.why = max(t.why, m.throttle(now))
 	}
 	return t, all
 }
 
+// throttle is why m gets no request now though it is there, the gravest of its reasons.
+func (m *member) throttle(now time.Time) Reason {
+	switch {
+	case m.limit.named:
+		return Limited
+	case now.Before(m.paused):
+		return Paused
+	}
+	return Cold
+}
+
 // hopeless reports whether s can't be served within its objective since all targets have
 // had what they take, and after how long it is best back.
 func (b *Book) hopeless(now time.Time, s *seeker) (why Reason, retry time.Duration, ok bool) {
