--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -33,6 +33,7 @@
 	Silent bool          // calls get no answer
 	Delay  time.Duration // before each answer
 	Lost   bool          // writes are done, and not answered
+	Era    string        // the answer names this era in place of the store's; "-" for none
 }
 
 // Store is the stand-in. It is an http.Handler.
@@ -47,6 +48,7 @@
 	calls   int
 	deaf    bool
 	page    int
+	era     uint64 // how often the store was restored, from 1 on
 }
 
 // pageSize is how many objects a page of a list holds, unless it is set.
@@ -55,7 +57,7 @@
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		objects: make(map[string]map[string]Object), at: 1, first: 1, moved: make(chan struct{}), page: pageSize,
+		objects: make(map[string]map[string]Object), at: 1, first: 1, moved: make(chan struct{}), page: pageSize, era: 1,
 		fault: func(*http.Request) Fault { return Fault{} },
 	}
 }
@@ -176,7 +178,7 @@
 			list = append(list, e)
 		}
 	}
-	return list, s.at, after < s.first, s.moved
+	return list, s.at, after < s.first || after > s.at, s.moved
 }
 
 func (s *Store) failing(r *http.Request) Fault {
@@ -194,6 +196,9 @@
 		return
 	}
 	time.Sleep(f.Delay)
+	if era := s.eraText(f); era != "" {
+		w.Header().Set("Store-Era", era)
+	}
 	if f.Down {
 		http.Error(w, `{"error":"try later"}`, http.StatusServiceUnavailable)
 		return
