slot: an older record undoes no leaving

After the store was restored from a copy of the time before, a target that had reported draining is ready on record until it has written again, and got requests meanwhile. A target that leaves doesn't come back without a new start, so that a record of the same start that says ready is an older one.

TestOlderRecordUndoesNoLeaving fails without it, and so does the case of a leaving target in TestLostWritesHoldAfterARestore.

--- a/pkg/slot/absent.go
+++ b/pkg/slot/absent.go
@@ -22,7 +22,7 @@
 
 // add remembers a target where anything was reported, or may yet be.
 func (a absences) add(now time.Time, m *member) {
-	if m.left.IsZero() && !m.limit.named && m.inFlight == 0 && !now.Before(m.paused) {
+	if !m.Leaving && m.left.IsZero() && !m.limit.named && m.inFlight == 0 && !now.Before(m.paused) {
 		return
 	}
 	if len(a) >= absentMost {
--- a/pkg/slot/absent_test.go
+++ b/pkg/slot/absent_test.go
@@ -66,3 +66,30 @@
 	}
 	qt.Assert(t, len(d.absent) <= absentMost, qt.IsTrue)
 }
+
+// A record that is older than the one that said that its target leaves undoes it.
+func TestOlderRecordUndoesNoLeaving(t *testing.T) {
+	tests := []struct {
+		name   string
+		away   bool // the target goes from the list in between
+		born   int64
+		leaves bool
+	}{
+		{"the same start", false, 1, true},
+		{"the same start, away in between", true, 1, true},
+		{"started again", false, 2, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDesk(0)
+			target := Target{ID: "t0", Slots: 2, Born: 1, Leaving: true}
+			d.Targets(d.now, []Target{target}, nil)
+			if tt.away {
+				d.Targets(d.now, nil, nil)
+			}
+			target.Leaving, target.Born = false, tt.born
+			d.Targets(d.now, []Target{target}, nil)
+			qt.Assert(t, d.members["t0"].leaves(), qt.Equals, tt.leaves)
+		})
+	}
+}
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -124,8 +124,10 @@
 }
 
 // record takes the target's record. What a request has shown of its address
-// counts until the record changes.
+// counts until the record changes. A target that leaves doesn't come back without a new
+// start: a record that says so is an older one.
 func (m *member) record(t Target) {
+	t.Leaving = t.Leaving || m.Leaving
 	if !Same(m.Target, t) {
 		m.moved = false
 	}
