gateway: the record of an entry is written again after a restore

Entries that start find the others by the records of three of them where no seed answers. A restore from a copy of the time before loses these, and they were written again never: an entry that had enrolled took its record for there.

TestEnrolmentAfterARestore failed: no record after 10 s.

--- a/internal/gateway/enroller.go
+++ b/internal/gateway/enroller.go
@@ -32,10 +32,11 @@
 
 // enroller keeps the records of entries in the store.
 type enroller struct {
-	gateway *Gateway
-	since   time.Time // since when this entry has to have a record
-	cleaned time.Time
-	silent  map[string]roster.Revision // records whose entry wasn't live when they were last looked through
+	gateway  *Gateway
+	since    time.Time // since when this entry has to have a record
+	cleaned  time.Time
+	restores uint64                     // of the store that were seen to
+	silent   map[string]roster.Revision // records whose entry wasn't live when they were last looked through
 }
 
 func (e *enroller) String() string { return "enroller" }
@@ -107,6 +108,13 @@
 // records where that is its part.
 func (e *enroller) check(ctx context.Context, now time.Time) {
 	rank := owner.Rank(e.gateway.view.Load().live, dutyRecord, e.gateway.self.Name)
+	if n := e.gateway.restores.Load(); n != e.restores {
+		// The record may be lost with the copy that the store was restored from. It is
+		// written again at once: those that start meanwhile find nobody by it.
+		e.restores = n
+		e.gateway.recorded.Store(false)
+		e.since = now.Add(-recordAfter)
+	}
 	switch {
 	case rank >= recorded || e.gateway.leaving.Load():
 		e.since = time.Time{}
@@ -148,7 +156,7 @@
 			silent[it.Name] = it.Revision
 			continue
 		}
-		e.gateway.log.WithFields(log.Fields{"peer": it.Name, "revision": uint64(it.Revision)}).Info("record of a dead entry removed")
+		e.gateway.log.WithFields(log.Fields{"peer": it.Name, "revision": it.Revision.String()}).Info("record of a dead entry removed")
 		if err := e.gateway.store.Leave(limited, it.Name, it.Revision); err != nil {
 			e.gateway.log.WithError(err).WithField("peer", it.Name).Info("record not removed")
 		}
