--- a/pkg/roster/revision.go
+++ b/pkg/roster/revision.go
@@ -7,9 +7,10 @@
 // out again: any revision of a newer epoch is greater than all of the older ones.
 type Revision uint64
 
+const positionBits = 48
+
+// The greatest epoch and position that a Revision holds.
 const (
-	positionBits = 48
-	// MostEpoch and MostPosition are the greatest that a Revision holds.
 	MostEpoch    = 1<<(64-positionBits) - 1
 	MostPosition = 1<<positionBits - 1
 )
