soak: gateway processes under faults that come in series and overlap

Gateways run as processes; signals pause, kill, stop and restart them, loopback proxies delay, swallow, deafen and reset links to targets and the store, the store is down, silent, slow, deaf, loses answers and history and is restored from a copy, targets refuse, fail, cut, answer twice, for others and unsigned, join, leave by record and by response, name limits and want nothing for a time.

Checked from what clients and targets saw: answers are whole and their own, refusals are true, what may run once does, planned stops cut nothing off, deadlines, leaving by record and by response, limits, pauses, the budget of repeats, and that all is well 6 s after the last fault.

--- a/internal/gateway/retry_after_test.go
+++ b/internal/gateway/retry_after_test.go
@@ -41,7 +41,7 @@
 				e.call("GET", "/a/x", "")
 				return len(k.Sheds()) > 0
 			})
-			first := k.Sheds()[0]
+			first := k.Sheds()[0].At
 			for time.Since(first) < tt.hold {
 				left := tt.hold - time.Since(first)
 				a := e.call("GET", "/a/x", "")
@@ -62,8 +62,8 @@
 				time.Sleep(10 * time.Millisecond)
 			}
 			n := 0
-			for _, at := range k.Sheds() {
-				if d := at.Sub(first); d >= heedAfter && d < tt.hold {
+			for _, s := range k.Sheds() {
+				if d := s.At.Sub(first); d >= heedAfter && d < tt.hold {
 					n++
 				}
 			}
--- /dev/null
+++ b/internal/soak/gateway_test.go
@@ -0,0 +1,150 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/platform"
+)
+
+const settings = `
+nodeName: "%s"
+zone: hall
+region: metro
+ip: "%s"
+listen: {front: "%[2]s:8548", ready: "%[2]s:8542", directory: "%[2]s:8546"}
+internalPorts: [7540, 7555]
+limits: {cpuShare: 1}
+bounds: ["grace=%s", "drain=2s", "configApply=2s", "retryBudgetRatio=0.2", "retryBudgetSlack=50"]
+platform: {address: "%s"}
+`
+
+// gateway is a gateway process, started again under the same name.
+type gateway struct {
+	site *site
+	name string
+	ip   string
+	boot string
+	log  string
+
+	mu      sync.Mutex // guards what follows
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	hurt    []span // kills, starts and pauses
+	planned []span // from a SIGTERM to the end
+}
+
+// lastHost gives each gateway a loopback address of its own, so that ports can be fixed.
+var lastHost atomic.Int64
+
+func (s *site) addGateway() *gateway {
+	n := lastHost.Add(1)
+	g := &gateway{
+		site: s, name: fmt.Sprintf("gateway-%d", len(s.gateways)),
+		ip: fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()%64, n/250, 1+n%250),
+	}
+	dir := s.t.TempDir()
+	g.boot, g.log = filepath.Join(dir, "boot.yaml"), filepath.Join(dir, "log")
+	g.settings("3s")
+	g.start()
+	s.gateways = append(s.gateways, g)
+	s.t.Cleanup(func() { g.kill() })
+	return g
+}
+
+func (g *gateway) settings(grace string) {
+	text := fmt.Sprintf(settings, g.name, g.ip, grace, g.site.front.address())
+	g.site.q.Assert(os.WriteFile(g.boot, []byte(text), 0o600), qt.IsNil)
+}
+
+func (g *gateway) start() {
+	out, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	g.site.q.Assert(err, qt.IsNil)
+	defer out.Close()
+	cmd, ended := exec.Command(g.site.program, "gateway", "--metrics", "9464"), make(chan struct{})
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.boot)
+	cmd.Stdout, cmd.Stderr = out, out
+	g.site.q.Assert(cmd.Start(), qt.IsNil)
+	g.mu.Lock()
+	g.cmd, g.ended = cmd, ended
+	g.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
+}
+
+func (g *gateway) signal(s syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_ = g.cmd.Process.Signal(s)
+}
+
+func (g *gateway) kill() {
+	g.signal(syscall.SIGCONT)
+	g.signal(syscall.SIGKILL)
+	g.wait()
+}
+
+func (g *gateway) wait() {
+	g.mu.Lock()
+	ended := g.ended
+	g.mu.Unlock()
+	<-ended
+}
+
+func (g *gateway) disturbed(from, to time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hurt = append(g.hurt, span{from, to})
+}
+
+// disturbances are the times in which the process was killed, started or paused.
+func (g *gateway) disturbances() []span {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]span(nil), g.hurt...)
+}
+
+func (g *gateway) ready() bool {
+	res, err := quick.Get("http://" + g.ip + ":8542/readiness")
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// quick is the client of checks.
+var quick = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// status is the part of a gateway's status that is checked.
+type status struct {
+	Boot     uint64 `json:"boot"`
+	Version  int    `json:"version"`
+	Epoch    uint64 `json:"epoch"`
+	Services []struct {
+		Targets []struct {
+			ID string `json:"id"`
+		} `json:"targets"`
+	} `json:"services"`
+}
+
+func (g *gateway) status() (s status, ok bool) {
+	res, err := quick.Get("http://" + g.ip + ":9464/status")
+	if err != nil {
+		return s, false
+	}
+	defer res.Body.Close()
+	return s, json.NewDecoder(res.Body).Decode(&s) == nil
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,66 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var (
+	first    = flag.Uint64("first", 1, "first seed")
+	seeds    = flag.Int("seeds", 1, "how many seeds are played, one after the other")
+	length   = flag.Duration("time", 12*time.Second, "how long faults are injected")
+	gateways = flag.Int("gateways", 4, "gateway processes")
+	targets  = flag.Int("targets", 6, "targets")
+	clients  = flag.Int("clients", 10, "clients")
+)
+
+// regressions are seeds that failed once, with the cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// Faults come in series and overlap while clients send. No promise is broken, and all is
+// well soon after the last one.
+func TestSoak(t *testing.T) {
+	for _, r := range regressions {
+		t.Run(fmt.Sprintf("regression-%d", r.seed), func(t *testing.T) { play(t, r.seed) })
+	}
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, seed) })
+	}
+}
+
+const (
+	// warmTime is how long clients send before the first fault.
+	warmTime = 2 * time.Second
+	// healTime is how long after the last fault all has to be well, and wellTime for how
+	// long that is watched.
+	healTime = 6 * time.Second
+	wellTime = 2 * time.Second
+)
+
+// play plays one seed.
+func play(t *testing.T, seed uint64) {
+	s := newSite(t, seed)
+	load := s.startClients(*clients)
+	time.Sleep(warmTime)
+	s.injectFaults(rand.New(rand.NewPCG(seed, 1)), *length)
+	time.Sleep(healTime)
+	well := time.Now()
+	time.Sleep(wellTime)
+	attempts := load.stop()
+	c := newCheck(s, attempts)
+	c.all(well)
+	t.Logf("%d requests, %d served, %d runs, %d faults", len(attempts), c.served, c.ran, s.injected)
+	for _, b := range c.broken {
+		t.Errorf("seed %d: %s", seed, b)
+	}
+	if t.Failed() {
+		s.report()
+	}
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -53,7 +53,7 @@
 	work   time.Duration
 	fault  func(*http.Request) Fault
 	runs   []Run
-	sheds  []time.Time
+	sheds  []Run
 	now    int
 	open   map[net.Conn]bool
 	closed bool
@@ -159,11 +159,11 @@
 	return append([]Run(nil), w.runs...)
 }
 
-// Sheds returns when it refused a request.
-func (w *Worker) Sheds() []time.Time {
+// Sheds returns the requests that it refused; Body is when they were told to come back.
+func (w *Worker) Sheds() []Run {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return append([]time.Time(nil), w.sheds...)
+	return append([]Run(nil), w.sheds...)
 }
 
 func (w *Worker) accept() {
@@ -268,7 +268,7 @@
 
 // shed refuses a request.
 func (w *Worker) shed(k *conn, id, after string) {
-	w.set(func() { w.sheds = append(w.sheds, time.Now()) })
+	w.set(func() { w.sheds = append(w.sheds, Run{Request: id, Body: after, At: time.Now()}) })
 	head := "HTTP/1.1 503 Service Unavailable\r\nPlumpitch-Not-Executed: 1\r\nPlumpitch-Request-Id: " + id + "\r\n"
 	if after != "" {
 		head += "Retry-After: " + after + "\r\n"
