--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,7 +10,7 @@
 
 var (
 	first    = flag.Uint64("first", 1, "first seed")
-	seeds    = flag.Int("seeds", 1, "how many seeds are played, one after the other")
+	seeds    = flag.Int("seeds", 3, "how many seeds are played, one after the other")
 	length   = flag.Duration("time", 12*time.Second, "how long faults are injected")
 	gateways = flag.Int("gateways", 4, "gateway processes")
 	targets  = flag.Int("targets", 6, "targets")
