--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -63,7 +63,7 @@
 // usable are the targets on record and those whose records are awaited after an
 // outage of the store.
 func (c *control) usable(now time.Time) map[string]roster.Item[slot.Target] {
-	return usable(now, c.targets, c.lapses, c.restored)
+	return inForce(now, c.targets, c.lapses, c.restored)
 }
 
 // change applies a change of the targets and notes what vanished by it.
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -47,9 +47,9 @@
 	return n
 }
 
-// usable are the objects on record and those that are awaited, without those that are back
+// inForce are the objects on record and those that are awaited, without those that are back
 // only through a copy.
-func usable[T any](now time.Time, r *roster.Roster[T], l *roster.Lapses[T], restored time.Time) map[string]roster.Item[T] {
+func inForce[T any](now time.Time, r *roster.Roster[T], l *roster.Lapses[T], restored time.Time) map[string]roster.Item[T] {
 	items := r.Items()
 	if r.AnyRevived() && now.Sub(restored) < reviveTime {
 		for name := range items {
@@ -68,7 +68,7 @@
 
 // marks are the evacuations in force.
 func (c *control) marks(now time.Time) map[string]roster.Item[slot.Evacuation] {
-	return usable(now, c.evacuations, c.marksAwaited, c.restored)
+	return inForce(now, c.evacuations, c.marksAwaited, c.restored)
 }
 
 // awaiting tells whether what counts changes by time alone.
--- a/pkg/slot/limit.go
+++ b/pkg/slot/limit.go
@@ -7,7 +7,7 @@
 )
 
 // limit is what a target has reported of its limit, and what this entry may send to it
-// under that. While rate isn't named nothing is held back.
+// under that. Nothing is held back while none is named.
 type limit struct {
 	rate  float64 // requests a second, from all entries
 	named bool
--- a/pkg/slot/throttle.go
+++ b/pkg/slot/throttle.go
@@ -43,13 +43,13 @@
 			t.until = soonest(t.until, at)
 		}
 		all = true
-		t.why = max(t.why, m.throttle(now))
+		t.why = max(t.why, m.heldBy(now))
 	}
 	return t, all
 }
 
-// throttle is why m gets no request now though it is there, the gravest of its reasons.
-func (m *member) throttle(now time.Time) Reason {
+// heldBy is why m gets no request now though it is there, the gravest of its reasons.
+func (m *member) heldBy(now time.Time) Reason {
 	switch {
 	case m.limit.named:
 		return Limited
