soak: a gateway that ends by itself is started again, as the platform does

Traced by its log: it was killed, bad settings were written meanwhile, and started with these it ended with a clear error, as it has to. The platform starts such a process again; the soak didn't. Now it does, and a process that ends by itself with good settings is a broken promise.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -134,6 +133,7 @@
 	if g == nil {
 		return "", nil
 	}
+	g.leave()
 	g.signal(syscall.SIGTERM)
 	from := time.Now()
 	return g.name + " is told to stop", func() {
@@ -151,9 +151,7 @@
 func hangup(s *site, rnd *rand.Rand) (string, func()) {
 	g := s.gateways[rnd.IntN(len(s.gateways))]
 	if rnd.IntN(3) == 0 {
-		if err := os.WriteFile(g.boot, []byte("nodeName: 7\nip: x"), 0o600); err != nil {
-			return "", nil
-		}
+		g.spoil()
 		g.signal(syscall.SIGHUP)
 		return g.name + " reads bad settings", func() { g.settings("3s") }
 	}
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -40,6 +40,8 @@
 	mu      sync.Mutex // guards what follows
 	cmd     *exec.Cmd
 	ended   chan struct{}
+	down    bool   // it was killed or told to stop
+	bad     bool   // its settings are
 	hurt    []span // kills, starts and pauses
 	planned []span // from a SIGTERM to the end
 }
@@ -62,7 +64,18 @@
 	return g
 }
 
+// spoil writes settings that can't be used.
+func (g *gateway) spoil() {
+	g.mu.Lock()
+	g.bad = true
+	g.mu.Unlock()
+	g.site.q.Assert(os.WriteFile(g.boot, []byte("nodeName: 7\nip: x"), 0o600), qt.IsNil)
+}
+
 func (g *gateway) settings(grace string) {
+	g.mu.Lock()
+	g.bad = false
+	g.mu.Unlock()
 	text := fmt.Sprintf(settings, g.name, g.ip, grace, g.site.front.address())
 	g.site.q.Assert(os.WriteFile(g.boot, []byte(text), 0o600), qt.IsNil)
 }
@@ -76,14 +89,48 @@
 	cmd.Stdout, cmd.Stderr = out, out
 	g.site.q.Assert(cmd.Start(), qt.IsNil)
 	g.mu.Lock()
-	g.cmd, g.ended = cmd, ended
+	g.cmd, g.ended, g.down = cmd, ended, false
 	g.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
 		close(ended)
+		g.again()
 	}()
 }
 
+// again starts a process again that has ended by itself, as the platform does. None may
+// but one that was started with bad settings.
+func (g *gateway) again() {
+	const platformDelay = 300 * time.Millisecond
+	from := time.Now()
+	down, bad := g.state()
+	if down {
+		return
+	}
+	if !bad {
+		g.site.t.Errorf("seed %d: %s ended by itself at %s", g.site.seed, g.name, g.site.at(from))
+	}
+	time.Sleep(platformDelay)
+	if down, _ := g.state(); down {
+		return
+	}
+	g.start()
+	g.disturbed(from, time.Now())
+}
+
+func (g *gateway) state() (down, bad bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.down, g.bad
+}
+
+// leave notes that the process is to end.
+func (g *gateway) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.down = true
+}
+
 func (g *gateway) signal(s syscall.Signal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -91,6 +138,7 @@
 }
 
 func (g *gateway) kill() {
+	g.leave()
 	g.signal(syscall.SIGCONT)
 	g.signal(syscall.SIGKILL)
 	g.wait()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,7 +21,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{141, "a gateway that was started with bad settings was not started again, as the platform does"},
+}
 
 // Faults come in series and overlap while clients send. No promise is broken, and all is
 // well soon after the last one.
