--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"plumpitch.example/plumpitch/internal/standin/worker"
@@ -12,18 +13,18 @@
 
 // The bounds are those that the users state.
 const (
-	drainBound   = 2 * time.Second
-	limitTold    = 500 * time.Millisecond
-	limitSpan    = 4 * time.Second
-	limitStart   = 3 * time.Second
-	touch        = 3 * time.Second // without a disturbance, a gateway is in touch
-	budgetSpan   = 10 * time.Second
-	budgetRatio  = 0.2
-	budgetSlack  = 50
-	pauseHeeded  = 500 * time.Millisecond
-	pauseTime    = 2 * time.Second // as "wants nothing for 2 s" says
-	mostInPause  = 2
-	servedAtLast = 0.95 // of the requests once all is well
+	drainBound  = 2 * time.Second
+	limitTold   = 500 * time.Millisecond
+	limitSpan   = 4 * time.Second
+	limitStart  = 3 * time.Second
+	touch       = 3 * time.Second // without a disturbance, a gateway is in touch
+	budgetSpan  = 10 * time.Second
+	budgetRatio = 0.2
+	budgetLate  = 500 * time.Millisecond // by which a target's time may end after the caller's
+	mostCrashes = 3                      // targets that a request may crash, and requests that may follow
+	pauseHeeded = 500 * time.Millisecond
+	pauseTime   = 2 * time.Second // as "wants nothing for 2 s" says
+	mostInPause = 2
 )
 
 // arrival is a request that reached a target.
@@ -44,6 +45,15 @@
 	broken   []string
 	served   int
 	ran      int
+	most     extremes
+}
+
+// extremes are how near the bounds on repeats were.
+type extremes struct {
+	repeats float64       // part of those that are allowed to a service
+	late    time.Duration // by which a repeat's time at its target ended after the caller's
+	crashes int           // requests that followed when one had crashed enough targets
+	paused  int           // requests at a target that wanted nothing from their gateway
 }
 
 func newCheck(s *site, attempts []*attempt) *check {
@@ -78,6 +88,7 @@
 	for _, a := range c.attempts {
 		c.answer(a)
 		c.once(a)
+		c.attempted(a)
 		c.lost(a)
 	}
 	c.requests()
@@ -87,7 +98,10 @@
 		c.limits(k)
 		c.pauses(k)
 	}
-	c.budget()
+	for _, sv := range c.site.services {
+		c.budget(sv)
+	}
+	c.poisoned()
 	c.recovered(well)
 }
 
@@ -99,7 +113,7 @@
 	case a.status == http.StatusOK:
 		c.served++
 		signed := slices.ContainsFunc(runs, func(r arrival) bool { return r.target.ID == a.signer })
-		if !signed || a.echo != a.id || a.body != "ran "+a.path+" b"+a.id {
+		if !signed || a.echo != a.id || a.body != "ran "+a.path+" "+a.text {
 			c.breaks("request %s got an answer that isn't its own: signed by %q, id %q, body %q", a.id, a.signer, a.echo, a.body)
 		}
 	case promises(a.status) && a.once && len(runs) > 0:
@@ -150,10 +164,65 @@
 		switch left, err := strconv.ParseInt(r.Deadline, 10, 64); {
 		case r.from == nil:
 			c.breaks("%s ran request %q that no client sent", r.target.ID, r.Request)
-		case r.Path != r.from.path || r.Body != "b"+r.from.id:
+		case r.Path != r.from.path || r.Body != r.from.text:
 			c.breaks("%s ran request %s as %s %q", r.target.ID, r.Request, r.Path, r.Body)
 		case err != nil || time.Duration(left)*time.Millisecond > r.from.deadline:
 			c.breaks("%s was handed request %s with a deadline of %q", r.target.ID, r.Request, r.Deadline)
+		default:
+			c.deadline(r, time.Duration(left)*time.Millisecond)
+		}
+	}
+}
+
+// deadline checks that a request that is sent once more leaves a target no time after its
+// caller's.
+func (c *check) deadline(r arrival, left time.Duration) {
+	late := r.At.Add(left).Sub(r.from.sent.Add(r.from.deadline))
+	around := span{r.from.sent.Add(-touch), r.At}
+	if r.At == c.runs[r.Request][0].At || overlaps(r.from.gateway.disturbances(), around) || overlaps(c.site.faulty, around) {
+		return
+	}
+	c.most.late = max(c.most.late, late)
+	if late <= budgetLate {
+		return
+	}
+	c.breaks("%s was handed request %s until %v after its caller's deadline", r.target.ID, r.Request, late)
+}
+
+// attempted checks that a request runs at no more targets than its route allows, but for
+// those that crashed.
+func (c *check) attempted(a *attempt) {
+	at := make(map[*target]bool)
+	for _, r := range c.runs[a.id] {
+		if !r.target.crashed {
+			at[r.target] = true
+		}
+	}
+	if len(at) > a.kind.attempts {
+		c.breaks("request %s ran at %d targets, its route allows %d", a.id, len(at), a.kind.attempts)
+	}
+}
+
+// poisoned checks that a request that has crashed some targets reaches no more of them a
+// while later.
+func (c *check) poisoned() {
+	crashes := make(map[string][]time.Time)
+	after := make(map[string]int)
+	for _, r := range c.arrivals {
+		if r.from == nil || !strings.Contains(r.Path, poison) {
+			continue
+		}
+		seen := crashes[r.Path]
+		crashes[r.Path] = append(seen, r.At)
+		if len(seen) < mostCrashes || r.At.Sub(seen[mostCrashes-1]) <= touch || overlaps(r.from.gateway.disturbances(), span{r.At.Add(-touch), r.At}) {
+			continue
+		}
+		after[r.Path]++
+	}
+	for path, n := range after {
+		c.most.crashes = max(c.most.crashes, n)
+		if n > mostCrashes {
+			c.breaks("%s reached %d targets after it had crashed %d", path, n, mostCrashes)
 		}
 	}
 }
@@ -257,18 +326,25 @@
 				n++
 			}
 		}
-		if n > mostInPause && !overlaps(from.gateway.disturbances(), span{refused.At.Add(-touch), refused.At.Add(pauseTime)}) && !overlaps(c.site.faulty, span{refused.At, refused.At.Add(pauseTime)}) {
+		if overlaps(from.gateway.disturbances(), span{refused.At.Add(-touch), refused.At.Add(pauseTime)}) || overlaps(c.site.faulty, span{refused.At, refused.At.Add(pauseTime)}) {
+			continue
+		}
+		c.most.paused = max(c.most.paused, n)
+		if n > mostInPause {
 			c.breaks("%s, which wanted nothing for %v from %s, got %d requests", k.ID, pauseTime, from.gateway.name, n)
 			return
 		}
 	}
 }
 
-// budget checks that repeats over all gateways keep to their share.
-func (c *check) budget() {
+// budget checks that repeats over all gateways keep to their share at each service.
+func (c *check) budget(sv service) {
 	seen := make(map[string]bool)
 	var repeats []time.Time
 	for _, r := range c.arrivals {
+		if r.target.service.name != sv.name {
+			continue
+		}
 		if !seen[r.Request] {
 			seen[r.Request] = true
 			continue
@@ -279,12 +355,13 @@
 		}
 		sent := 0
 		for _, a := range c.attempts {
-			if d := r.At.Sub(a.sent); d >= 0 && d <= budgetSpan {
+			if d := r.At.Sub(a.sent); a.kind.service == sv.name && d >= 0 && d <= budgetSpan {
 				sent++
 			}
 		}
-		if allowed := int(budgetRatio*float64(sent)) + budgetSlack; len(repeats) > allowed {
-			c.breaks("%d repeats in %v by %s, allowed %d of %d requests", len(repeats), budgetSpan, c.site.at(r.At), allowed, sent)
+		c.most.repeats = max(c.most.repeats, float64(len(repeats))/(budgetRatio*float64(sent)+float64(c.site.slack)))
+		if allowed := int(budgetRatio*float64(sent)) + c.site.slack; len(repeats) > allowed {
+			c.breaks("%s: %d repeats in %v by %s, allowed %d of %d requests", sv.name, len(repeats), budgetSpan, c.site.at(r.At), allowed, sent)
 			return
 		}
 	}
@@ -302,7 +379,7 @@
 			}
 		}
 	}
-	if float64(served) < servedAtLast*float64(sent) || sent == 0 {
+	if float64(served) < c.site.served*float64(sent) || sent == 0 {
 		c.breaks("%d of %d requests served after the faults had ended", served, sent)
 	}
 	for _, g := range c.site.gateways {
@@ -312,8 +389,13 @@
 			c.breaks("%s doesn't tell its status", g.name)
 		case s.Version != c.site.version:
 			c.breaks("%s has version %d of the configuration, %d is the newest", g.name, s.Version, c.site.version)
-		case len(s.Services) != 1 || len(s.Services[0].Targets) != len(c.site.targets):
-			c.breaks("%s knows other targets than the store: %+v", g.name, s.Services)
+		case len(s.Services) != len(c.site.services):
+			c.breaks("%s knows other services than the store: %+v", g.name, s.Services)
+		}
+		for _, sv := range s.Services {
+			if len(sv.Targets) != len(c.site.onRecord(sv.Name)) {
+				c.breaks("%s knows other targets than the store: %+v", g.name, sv)
+			}
 		}
 	}
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -50,7 +50,7 @@
 	for stop := time.Now().Add(d); time.Now().Before(stop); {
 		time.Sleep(time.Duration(100+rnd.IntN(500)) * time.Millisecond)
 		hold := time.Duration(300+rnd.IntN(2700)) * time.Millisecond
-		f := draw(rnd)
+		f := draw(s.faults, rnd)
 		running <- struct{}{}
 		name, end := f.begin(s, rnd)
 		if name == "" {
@@ -73,7 +73,7 @@
 	s.logf("all faults have ended")
 }
 
-func draw(rnd *rand.Rand) fault {
+func draw(faults []fault, rnd *rand.Rand) fault {
 	all := 0
 	for _, f := range faults {
 		all += f.share
@@ -271,7 +271,7 @@
 	defer s.mu.Unlock()
 	var list []*target
 	for _, k := range s.targets {
-		if k.left.IsZero() && k.drained.IsZero() {
+		if k.left.IsZero() && k.drained.IsZero() && !k.crashed {
 			list = append(list, k)
 		}
 	}
@@ -356,6 +356,6 @@
 	}
 }
 
-func join(s *site, _ *rand.Rand) (string, func()) {
-	return s.addTarget().ID + " joins", nil
+func join(s *site, rnd *rand.Rand) (string, func()) {
+	return s.addTarget(s.someService(rnd)).ID + " joins", nil
 }
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -19,23 +19,24 @@
 
 const settings = `
 nodeName: "%s"
-zone: hall
+zone: %s
 region: metro
 ip: "%s"
-listen: {front: "%[2]s:8548", ready: "%[2]s:8542", directory: "%[2]s:8546"}
+listen: {front: "%[3]s:8548", ready: "%[3]s:8542", directory: "%[3]s:8546"}
 internalPorts: [7540, 7555]
-limits: {cpuShare: 1}
-bounds: ["grace=%s", "drain=2s", "configApply=2s", "retryBudgetRatio=0.2", "retryBudgetSlack=50"]
+limits: {cpuShare: %g}
+bounds: ["grace=%s", "drain=2s", "configApply=2s", "retryBudgetRatio=0.2", "retryBudgetSlack=%d"]
 platform: {address: "%s"}
 `
 
 // gateway is a gateway process, started again under the same name.
 type gateway struct {
-	site *site
-	name string
-	ip   string
-	boot string
-	log  string
+	site  *site
+	name  string
+	place string
+	ip    string
+	boot  string
+	log   string
 
 	mu      sync.Mutex // guards what follows
 	cmd     *exec.Cmd
@@ -52,7 +53,7 @@
 func (s *site) addGateway() *gateway {
 	n := lastHost.Add(1)
 	g := &gateway{
-		site: s, name: fmt.Sprintf("gateway-%d", len(s.gateways)),
+		site: s, name: fmt.Sprintf("gateway-%d", len(s.gateways)), place: s.place(len(s.gateways)),
 		ip: fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()%64, n/250, 1+n%250),
 	}
 	dir := s.t.TempDir()
@@ -76,7 +77,7 @@
 	g.mu.Lock()
 	g.bad = false
 	g.mu.Unlock()
-	text := fmt.Sprintf(settings, g.name, g.ip, grace, g.site.front.address())
+	text := fmt.Sprintf(settings, g.name, g.place, g.ip, g.site.cores, grace, g.site.slack, g.site.front.address())
 	g.site.q.Assert(os.WriteFile(g.boot, []byte(text), 0o600), qt.IsNil)
 }
 
@@ -182,6 +183,7 @@
 	Version  int    `json:"version"`
 	Epoch    uint64 `json:"epoch"`
 	Services []struct {
+		Name    string `json:"name"`
 		Targets []struct {
 			ID string `json:"id"`
 		} `json:"targets"`
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -34,14 +34,17 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	p := &proxy{l: l, to: to, conns: make(map[net.Conn]bool)}
-	t.Cleanup(func() {
-		l.Close()
-		p.set(refuse, 0)
-	})
+	t.Cleanup(p.close)
 	go p.accept()
 	return p
 }
 
+// close ends all connections; new ones find no listener.
+func (p *proxy) close() {
+	p.l.Close()
+	p.set(refuse, 0)
+}
+
 func (p *proxy) address() string { return p.l.Addr().String() }
 
 // set sets what the proxy does. Connections are reset where it refuses.
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,17 +20,11 @@
 	"plumpitch.example/plumpitch/internal/standin/worker"
 )
 
-const (
-	host      = "veil.example"
-	service   = "gowns"
-	pathOnce  = "/once/"  // may run once only
-	pathTwice = "/twice/" // may run again
-	slots     = 4
-	workTime  = 15 * time.Millisecond
-)
+const host = "veil.example"
 
 // site is a site of gateway processes on stand-ins.
 type site struct {
+	profile
 	t       *testing.T
 	q       *qt.C
 	seed    uint64
@@ -35,11 +32,16 @@
 	began   time.Time
 	store   *objects.Store
 	front   *proxy // of the store
+	load    *load
+	rush    atomic.Int64 // percent of the usual requests
+	insist  atomic.Int64 // how often clients send again beyond the usual, at once
 
 	mu       sync.Mutex // guards what follows
 	gateways []*gateway
 	targets  []*target
+	poisons  int
 	version  int
+	started  int    // targets, those that have gone among them
 	faulty   []span // of faults of the store or of links
 	lines    []string
 	injected int
@@ -51,7 +53,11 @@
 // target is a worker behind a proxy.
 type target struct {
 	*worker.Worker
+	service service
+	place   string
 	proxy   *proxy
+	crashed bool      // its process has ended
+	lapsed  bool      // so has its record
 	left    time.Time // when it began to say in its responses that it leaves
 	drained time.Time // when the store took its leaving or its end
 	limits  []limit
@@ -63,16 +69,19 @@
 	span
 }
 
-func newSite(t *testing.T, seed uint64) *site {
-	s := &site{t: t, q: qt.New(t), seed: seed, program: program(t), began: time.Now(), store: objects.New()}
+func newSite(t *testing.T, seed uint64, p profile) *site {
+	s := &site{profile: p, t: t, q: qt.New(t), seed: seed, program: program(t), began: time.Now(), store: objects.New()}
+	s.rush.Store(100)
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.CloseClientConnections)
 	s.front = newProxy(t, strings.TrimPrefix(server.URL, "http://"))
-	for range *targets {
-		s.addTarget()
+	for _, sv := range s.services {
+		for range sv.targets {
+			s.addTarget(sv)
+		}
 	}
 	s.configure()
-	for range *gateways {
+	for range s.gatewayCount {
 		s.addGateway()
 	}
 	for _, g := range s.gateways {
@@ -89,6 +98,9 @@
 
 // program builds the program once.
 func program(t *testing.T) string {
+	if *built != "" {
+		return *built
+	}
 	build.once.Do(func() {
 		var dir string
 		if dir, build.err = os.MkdirTemp("", "soak"); build.err != nil {
@@ -113,24 +125,130 @@
 }
 
 // addTarget starts a target and puts it on record.
-func (s *site) addTarget() *target {
+func (s *site) addTarget(sv service) *target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w, err := worker.Start(fmt.Sprintf("i-%d", len(s.targets)))
+	w, err := worker.Start(fmt.Sprintf("i-%d", s.started))
 	s.q.Assert(err, qt.IsNil)
 	s.t.Cleanup(w.Close)
-	w.Slots = slots
-	w.Work(workTime)
-	k := &target{Worker: w, proxy: newProxy(s.t, w.Address())}
+	w.Slots = sv.slots
+	w.Work(sv.work)
+	if sv.queue > 0 {
+		w.Bound(sv.queue)
+	}
+	k := &target{Worker: w, service: sv, place: s.place(s.started), proxy: newProxy(s.t, w.Address())}
+	w.Crashed = func() { s.crash(k) }
+	k.Fail(nil)
+	s.started++
 	s.targets = append(s.targets, k)
 	s.record(k)
+	if sv.noisy {
+		s.disturbPace(k)
+	}
 	return k
 }
 
+const (
+	noiseTime  = 150 * time.Millisecond
+	noiseShare = 0.25
+	noisePace  = 5
+)
+
+// disturbPace has a target be slow a quarter of the time.
+func (s *site) disturbPace(k *target) {
+	rnd := rand.New(rand.NewPCG(s.seed, uint64(1000+s.started)))
+	ticker := time.NewTicker(noiseTime)
+	done := make(chan struct{})
+	s.t.Cleanup(func() {
+		ticker.Stop()
+		close(done)
+	})
+	go func() {
+		for {
+			pace := 1.0
+			if rnd.Float64() < noiseShare {
+				pace = noisePace
+			}
+			k.Pace(pace)
+			select {
+			case <-ticker.C:
+			case <-done:
+				return
+			}
+		}
+	}()
+}
+
+// place deals the places of a site out.
+func (s *site) place(n int) string { return s.places[n%len(s.places)] }
+
+// Fail sets the faults of each request, as worker.Worker.Fail does. A request that crashes
+// its targets does so whatever else they do.
+func (k *target) Fail(f func(*http.Request) worker.Fault) {
+	k.Worker.Fail(func(r *http.Request) worker.Fault {
+		switch {
+		case strings.Contains(r.URL.Path, poison):
+			return worker.Fault{Crash: true}
+		case f != nil:
+			return f(r)
+		}
+		return worker.Fault{}
+	})
+}
+
+const (
+	// crashTime is after how long another target stands in for one that has crashed,
+	// and lapseTime after how long the record of that one goes.
+	crashTime = time.Second
+	lapseTime = 4500 * time.Millisecond
+)
+
+// crash ends the process of a target as a crash does, without a word to the store.
+func (s *site) crash(k *target) {
+	s.mu.Lock()
+	again := k.crashed
+	k.crashed = true
+	s.mu.Unlock()
+	if again {
+		return
+	}
+	s.logf("%s crashes", k.ID)
+	k.Close()
+	k.proxy.close()
+	s.later(crashTime, func() { s.addTarget(k.service) })
+	s.later(lapseTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		k.lapsed = true
+		s.store.Delete("servers", k.ID)
+	})
+}
+
+// onRecord are the targets of a service that the store knows.
+func (s *site) onRecord(name string) (list []*target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.targets {
+		if k.service.name == name && !k.lapsed {
+			list = append(list, k)
+		}
+	}
+	return list
+}
+
+// later does something after a time, unless the play has ended.
+func (s *site) later(d time.Duration, f func()) {
+	timer := time.AfterFunc(d, f)
+	s.t.Cleanup(func() { timer.Stop() })
+}
+
 // record writes what the store is to hold of a target. The lock is held.
 func (s *site) record(k *target) {
+	if k.crashed {
+		return
+	}
 	s.store.PutTarget(objects.Target{
-		ID: k.ID, Address: k.proxy.address(), Service: service, Place: "hall", Slots: slots, Leaving: !k.drained.IsZero(),
+		ID: k.ID, Address: k.proxy.address(), Service: k.service.name, Place: k.place, Slots: k.service.slots, Leaving: !k.drained.IsZero(),
 	})
 }
 
@@ -143,10 +261,18 @@
 }
 
 func (s *site) putConfig() {
-	s.store.PutConfig(s.version, []objects.Route{
-		{Name: "r-once", Host: host, Prefix: pathOnce, Once: true, Timeout: "2s", Goal: "500ms", Attempts: 2, Service: service},
-		{Name: "r-twice", Host: host, Prefix: pathTwice, Timeout: "2s", Goal: "500ms", Attempts: 3, Service: service},
-	}, []string{service})
+	var routes []objects.Route
+	var names []string
+	for _, k := range s.kinds {
+		routes = append(routes, objects.Route{
+			Name: k.name, Host: host, Prefix: k.prefix, Once: k.once, Timeout: k.timeout.String(), Goal: k.goal.String(),
+			Attempts: k.attempts, Service: k.service,
+		})
+	}
+	for _, sv := range s.services {
+		names = append(names, sv.name)
+	}
+	s.store.PutConfig(s.version, routes, names)
 }
 
 // rewrite writes again what the operator and the targets had written, as after a restore.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -12,6 +12,8 @@
 	first    = flag.Uint64("first", 1, "first seed")
 	seeds    = flag.Int("seeds", 3, "how many seeds are played, one after the other")
 	length   = flag.Duration("time", 12*time.Second, "how long faults are injected")
+	big      = flag.Bool("full", false, "play sites of the users' size under faults that bring repeats, in place of small ones")
+	built    = flag.String("program", "", "program to run in place of one built from these sources")
 	gateways = flag.Int("gateways", 4, "gateway processes")
 	targets  = flag.Int("targets", 6, "targets")
 	clients  = flag.Int("clients", 10, "clients")
@@ -28,12 +30,26 @@
 // Faults come in series and overlap while clients send. No promise is broken, and all is
 // well soon after the last one.
 func TestSoak(t *testing.T) {
+	if *big {
+		t.Skip("-full")
+	}
 	for _, r := range regressions {
-		t.Run(fmt.Sprintf("regression-%d", r.seed), func(t *testing.T) { play(t, r.seed) })
+		t.Run(fmt.Sprintf("regression-%d", r.seed), func(t *testing.T) { play(t, r.seed, small()) })
+	}
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, seed, small()) })
+	}
+}
+
+// The same on sites of the users' size, under faults that bring repeats.
+func TestSoakOfRepeats(t *testing.T) {
+	if !*big {
+		t.Skip("only with -full")
 	}
 	for i := range *seeds {
 		seed := *first + uint64(i)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, seed, full()) })
 	}
 }
 
@@ -47,9 +63,9 @@
 )
 
 // play plays one seed.
-func play(t *testing.T, seed uint64) {
-	s := newSite(t, seed)
-	load := s.startClients(*clients)
+func play(t *testing.T, seed uint64, p profile) {
+	s := newSite(t, seed, p)
+	load := s.startClients()
 	time.Sleep(warmTime)
 	s.injectFaults(rand.New(rand.NewPCG(seed, 1)), *length)
 	time.Sleep(healTime)
@@ -58,7 +74,7 @@
 	attempts := load.stop()
 	c := newCheck(s, attempts)
 	c.all(well)
-	t.Logf("%d requests, %d served, %d runs, %d faults", len(attempts), c.served, c.ran, s.injected)
+	t.Logf("%d requests, %d served, %d runs, %d faults, at most: %+v", len(attempts), c.served, c.ran, s.injected, c.most)
 	for _, b := range c.broken {
 		t.Errorf("seed %d: %s", seed, b)
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -31,6 +31,7 @@
 	Early    bool          // answers before it has read the body
 	Plain503 bool          // answers 503 after the run, without word that it didn't run
 	Other    string        // the address belongs to this target now
+	Crash    bool          // the run ends the target, as Crashed says
 }
 
 // Run is one logged run.
@@ -45,12 +46,17 @@
 
 // Worker is the stand-in.
 type Worker struct {
-	ID    string
-	Slots int
+	ID      string
+	Slots   int
+	Queue   int    // requests that wait for a slot; beyond them it refuses. 0: it has no bound
+	Crashed func() // called by a run that ends the target
 
 	l      net.Listener
+	free   chan struct{} // a token for each request that runs or waits, where Queue bounds them
+	slots  chan struct{} // a token for each request that runs, the same
 	mu     sync.Mutex
 	work   time.Duration
+	pace   float64 // how many times as long as usual work takes
 	fault  func(*http.Request) Fault
 	runs   []Run
 	sheds  []Run
@@ -68,7 +74,7 @@
 
 // Start runs a worker on loopback.
 func Start(id string) (w *Worker, err error) {
-	w = &Worker{ID: id, Slots: 2, open: make(map[net.Conn]bool), fault: func(*http.Request) Fault { return Fault{} }}
+	w = &Worker{ID: id, Slots: 2, open: make(map[net.Conn]bool), pace: 1, fault: func(*http.Request) Fault { return Fault{} }}
 	if w.l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
@@ -93,6 +99,17 @@
 // Work sets how long a request takes.
 func (w *Worker) Work(d time.Duration) { w.set(func() { w.work = d }) }
 
+// Pace sets how many times as long as usual work takes; it is told with the load.
+func (w *Worker) Pace(x float64) { w.set(func() { w.pace = x }) }
+
+// Bound has it run no more requests at a time than it has slots. Queue more may wait.
+func (w *Worker) Bound(queue int) {
+	w.set(func() {
+		w.Queue = queue
+		w.slots, w.free = make(chan struct{}, w.Slots), make(chan struct{}, w.Slots+queue)
+	})
+}
+
 // Fail sets the faults of each request; nil ends them.
 func (w *Worker) Fail(f func(*http.Request) Fault) {
 	w.set(func() {
@@ -227,7 +244,11 @@
 }
 
 func (w *Worker) plain() string {
-	return fmt.Sprintf("Plumpitch-Server-Load: %d,0,%d,100\r\n", w.now, w.Slots)
+	waiting := 0
+	if w.free != nil {
+		waiting = max(len(w.free)-len(w.slots), 0)
+	}
+	return fmt.Sprintf("Plumpitch-Server-Load: %d,%d,%d,%.0f\r\n", w.now, waiting, w.Slots, 100*w.pace)
 }
 
 func (w *Worker) health(k *conn) {
@@ -258,14 +279,43 @@
 		_, _ = io.WriteString(k, "HTTP/1.1 421 Misdirected Request\r\nPlumpitch-Instance-Id: "+f.Other+"\r\nContent-Length: 0\r\n\r\n")
 		return true
 	}
-	if f.Shed {
+	if f.Shed || !w.enter() {
 		w.shed(k, id, f.After)
 		return true
 	}
 	w.run(k, r, string(body))
+	if f.Crash {
+		w.Crashed()
+		return false
+	}
 	return w.answer(k, r, f, string(body))
 }
 
+// enter takes a place among the requests that run or wait, where they are bounded.
+func (w *Worker) enter() bool {
+	if w.free == nil {
+		return true
+	}
+	select {
+	case w.free <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// begin waits for a slot and returns what frees it.
+func (w *Worker) begin() (end func()) {
+	if w.free == nil {
+		return func() {}
+	}
+	w.slots <- struct{}{}
+	return func() {
+		<-w.slots
+		<-w.free
+	}
+}
+
 // shed refuses a request.
 func (w *Worker) shed(k *conn, id, after string) {
 	w.set(func() { w.sheds = append(w.sheds, Run{Request: id, Body: after, At: time.Now()}) })
@@ -284,17 +334,21 @@
 		Request: r.Header.Get("Plumpitch-Request-Id"), Path: r.URL.RequestURI(), Body: body,
 		Deadline: r.Header.Get("Plumpitch-Request-Deadline"), At: time.Now(),
 	})
+	w.mu.Unlock()
+	defer w.begin()()
+	began := time.Now()
+	w.mu.Lock()
 	w.now++
-	if w.overdone(time.Now()) {
+	if w.overdone(began) {
 		w.crash()
 	}
-	work := w.work
+	work := time.Duration(float64(w.work) * w.pace)
 	w.mu.Unlock()
 	if work > 0 {
 		_ = k.SetReadDeadline(time.Now().Add(work))
 		if _, err := k.br.Peek(1); err != nil && !isTimeout(err) {
 			w.set(func() { w.runs[i].Gone = time.Now() })
-		} else if rest := time.Until(w.Runs()[i].At.Add(work)); rest > 0 {
+		} else if rest := time.Until(began.Add(work)); rest > 0 {
 			time.Sleep(rest)
 		}
 		_ = k.SetReadDeadline(time.Time{})
