gateway: logs and metrics that tell the causes of repeats apart

One line for each repeat with its reason and what the budget has left, a mark on requests that weren't sent again for want of it, the entry's part of the budget when it changes, crashes by request, who told of them and what cleared them, and the pauses of targets; counters by reason, gauges of the budget, its state in the status. No decision changes.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -23,6 +23,7 @@
 	Body    io.ReadCloser
 	Trailer http.Header // announced ones; complete after the end of Body
 	Load    Load
+	Connect time.Duration // until a connection was had
 
 	d *dispatch
 }
@@ -58,6 +59,7 @@
 		Header:  make(http.Header, len(resp.Header)),
 		Length:  resp.ContentLength,
 		Trailer: resp.Trailer,
+		Connect: d.watch.connected(),
 		d:       d,
 	}
 	if d.echo != "" {
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -92,6 +92,7 @@
 	f.Stage = d.stage(f.Status, err)
 	f.Ran = d.watch.ran()
 	f.Replay = !d.body.used()
+	f.Connect = d.watch.connected()
 	if success(f.Status) {
 		f.Ran = call.DidRun
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -140,13 +140,14 @@
 
 // Failure is a dispatch that brought no whole answer.
 type Failure struct {
-	Target string
-	Stage  call.Stage
-	Ran    call.Execution
-	Status int         // of the answer head, when one came
-	Header http.Header // the same
-	Replay bool        // the body can be sent again
-	Cause  error
+	Target  string
+	Stage   call.Stage
+	Ran     call.Execution
+	Status  int           // of the answer head, when one came
+	Header  http.Header   // the same
+	Replay  bool          // the body can be sent again
+	Connect time.Duration // until a connection was had; 0 where none was
+	Cause   error
 }
 
 // Error names the target, the stage and the cause.
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"plumpitch.example/plumpitch/pkg/call"
 )
@@ -16,6 +17,8 @@
 	conn   atomic.Pointer[conn]
 	start  int64
 	stale  atomic.Bool
+	asking time.Time    // when a connection was asked for
+	had    atomic.Int64 // how long that took, in ns
 }
 
 func (w *watch) attach(ctx context.Context) context.Context {
@@ -32,6 +35,7 @@
 	if w.asked.Add(1) > 1 {
 		panic(errResent)
 	}
+	w.asking = time.Now()
 }
 
 func (w *watch) gotConn(info httptrace.GotConnInfo) {
@@ -39,6 +43,7 @@
 	if !ok {
 		return
 	}
+	w.had.Store(int64(time.Since(w.asking)))
 	w.start = c.begin()
 	w.conn.Store(c)
 }
@@ -66,6 +71,9 @@
 	return call.MayHaveRun
 }
 
+// connected is how long a connection took; 0 where none was had.
+func (w *watch) connected() time.Duration { return time.Duration(w.had.Load()) }
+
 // broken reports whether the target ended the connection.
 func (w *watch) broken() bool {
 	c := w.conn.Load()
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -46,7 +46,7 @@
 	t.answer = nil
 	q.service.counts.answered.Inc(1)
 	q.service.counts.latency.RecordDuration(time.Since(q.arrived))
-	q.logAnswer(t, a.Status)
+	q.logAnswer(t, a.Status, a.Connect)
 	for _, name := range platform.TargetsOnly {
 		a.Header.Del(name)
 	}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -19,6 +19,7 @@
 	owners  string
 	targets map[string]roster.Item[slot.Target]
 	newer   bool // the targets have changed since
+	retries retryShare
 }
 
 // logBeliefs logs what has changed: which entries live, which own a service,
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"math"
+
+	"github.com/apex/log"
+
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/platform"
@@ -37,10 +41,34 @@
 // shareRetries lets the budgets of all services save up by this entry's part of
 // all requests.
 func (c *control) shareRetries() {
-	burst := retryBurst(*c.gateway.bounds.Load(), c.share())
+	b := *c.gateway.bounds.Load()
+	part := c.share()
+	burst := retryBurst(b, part)
 	for _, s := range c.services {
 		s.budget.SetBurst(burst)
 	}
+	c.logRetries(retryShare{part: part, ratio: b.RetryShare, burst: burst})
+}
+
+// retryShare is what this entry takes of the budget that all entries share.
+type retryShare struct {
+	part  float64 // of all requests
+	ratio float64 // repeats for each request
+	burst int     // repeats that may be saved up in each bucket
+}
+
+// logRetries logs what the entry takes of the budget where that has changed much.
+func (c *control) logRetries(r retryShare) {
+	const much = 2
+	c.shared = r
+	old := c.believed.retries
+	if r.ratio == old.ratio && r.burst <= much*max(old.burst, 1) && old.burst <= much*max(r.burst, 1) {
+		return
+	}
+	c.believed.retries = r
+	c.gateway.log.WithFields(log.Fields{
+		"ratio": r.ratio, "burst": r.burst, "before": old.burst, "part": math.Round(100*r.part) / 100,
+	}).Info("part of the retry budget changed")
 }
 
 // share is this entry's part of all requests. Of a host on which there is no word
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -75,6 +75,7 @@
 	// unshared says that services don't know yet which entries send to them, and apart
 	// that they go by this entry being cut off from the others.
 	unshared, apart bool
+	shared          retryShare // that services have
 
 	enrolled  time.Time     // when the store named the other entries
 	enrolling time.Duration // how long that took
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -32,26 +33,58 @@
 	if t.why.Told {
 		f["pace"], f["age"] = math.Round(100*t.why.Pace)/100, t.why.Age.Milliseconds()
 	}
-	f["waited"], f["expected"] = t.why.Waited.Milliseconds(), t.why.Expected.Milliseconds()
+	f["waited"], f["expected"], f["left"] = t.why.Waited.Milliseconds(), t.why.Expected.Milliseconds(), t.left.Milliseconds()
 }
 
-func (q *request) logAnswer(t *try, status int) {
+func (q *request) logAnswer(t *try, status int, connect time.Duration) {
 	f := q.fields()
 	choice(f, t)
-	f["status"], f["tries"] = status, q.next()
+	f["status"], f["tries"], f["connect"] = status, q.next(), connect.Milliseconds()
+	q.logSpent(f)
 	q.gateway.log.WithFields(f).Info("answered by its target")
 }
 
+// logRepeat tells why a request is sent again, or beside a slow target, and how many more
+// repeats the budget has.
+func (q *request) logRepeat(t *try, why call.Reason) {
+	f := q.fields()
+	choice(f, t)
+	f["why"], f["saved"] = string(why), math.Round(10*q.service.budget.Saved())/10
+	q.gateway.log.WithFields(f).Warn("sent again")
+}
+
+// logCleared tells that a request isn't suspected any more of crashing its targets.
+func (q *request) logCleared(t *try, status int) {
+	f := q.fields()
+	choice(f, t)
+	f["status"], f["print"] = status, strconv.FormatUint(q.digest, 36)
+	q.gateway.log.WithFields(f).Warn("request is cleared, its target answered")
+}
+
+// logSpent adds that a request wasn't sent again for want of budget.
+func (q *request) logSpent(f log.Fields) {
+	if q.call.Spent() {
+		f["spent"] = true
+	}
+}
+
 func (q *request) logFailure(t *try, fail *forward.Failure) {
 	f := q.fields()
 	choice(f, t)
-	f["stage"], f["ran"] = fail.Stage.String(), ran(fail.Ran)
+	f["stage"], f["ran"], f["connect"] = fail.Stage.String(), ran(fail.Ran), fail.Connect.Milliseconds()
+	if fail.Stage.Crash() {
+		f["print"], f["crashes"] = strconv.FormatUint(q.digest, 36), q.gateway.suspects.Crashes(q.digest)
+	}
 	q.gateway.log.WithFields(f).WithError(fail.Cause).Warn("dispatch failed")
 }
 
 func (q *request) logFinal(status int, reason string) {
 	f := q.fields()
 	f["status"], f["reason"], f["tries"] = status, reason, q.next()
+	q.logSpent(f)
+	if reason == string(call.ReasonQuarantined) {
+		f["print"] = strconv.FormatUint(q.digest, 36)
+	}
 	if q.refused.Do == slot.Refuse {
 		f["retry"] = q.refused.Retry.Milliseconds()
 	}
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -50,7 +50,12 @@
 	final    func(reason string) tally.Counter // answers in place of a target's
 	refused  map[slot.Reason]tally.Counter     // by the book
 	sent     tally.Counter
-	again    tally.Counter // sent after the first time: retries and hedges
+	again    func(why string) tally.Counter // sent after the first time: retries and hedges
+	denied   tally.Counter                  // requests that weren't sent again for want of budget
+	saved    tally.Gauge                    // repeats that the budget has
+	burst    tally.Gauge                    // and may have in each of its buckets
+	crashes  tally.Counter                  // targets that ended under a request
+	pauses   tally.Counter                  // responses of targets that want nothing for a time
 	asked    tally.Counter
 	failures tally.Counter // dispatches without an answer
 }
@@ -59,12 +64,17 @@
 	s := i.Scope.Tagged(map[string]string{"service": name})
 	si := serviceInstruments{
 		latency: s.Histogram("latency", metrics.LatencyBuckets), answered: s.Counter("answered"),
-		sent: s.Counter("dispatches"), again: s.Counter("repeats"), asked: s.Counter("load_questions"),
+		sent: s.Counter("dispatches"), asked: s.Counter("load_questions"),
+		denied: s.Counter("repeats_denied"), saved: s.Gauge("repeats_saved"), burst: s.Gauge("repeats_burst"),
+		crashes: s.Counter("crashes"), pauses: s.Counter("pauses"),
 		failures: s.Counter("dispatches_failed"), refused: make(map[slot.Reason]tally.Counter),
 	}
 	for _, r := range []slot.Reason{slot.Full, slot.NoTarget, slot.Cold, slot.Paused, slot.Limited} {
 		si.refused[r] = s.Tagged(map[string]string{"reason": r.String()}).Counter("refusals")
 	}
+	si.again = func(why string) tally.Counter {
+		return s.Tagged(map[string]string{"reason": why}).Counter("repeats")
+	}
 	si.final = func(reason string) tally.Counter {
 		return s.Tagged(map[string]string{"reason": reason}).Counter("final_answers")
 	}
@@ -78,6 +88,10 @@
 	i.live.Update(float64(len(c.live())))
 	i.targets.Update(float64(c.targets.Len()))
 	i.marks.Update(float64(c.evacuations.Len()))
+	for _, s := range c.services {
+		s.counts.saved.Update(s.budget.Saved())
+		s.counts.burst.Update(float64(c.shared.burst))
+	}
 	for d := range duties {
 		i.age[d].Update(c.age(now, d).Seconds())
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -218,6 +218,9 @@
 		c.loads[p.ID.Name] = loadsHeard{now, p.Loads}
 		return
 	case relay.Suspects:
+		for _, s := range p.Suspects {
+			c.logTold(s.Print, uint32(s.Crashes), p.ID.Name)
+		}
 		c.gateway.suspects.Merge(now, p.ID.Name, p.Suspects)
 		return
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -47,6 +47,7 @@
 	target slot.Target
 	why    slot.Why // of the choice
 	began  time.Time
+	left   time.Duration // that its target was given
 	cancel context.CancelFunc
 	answer *forward.Answer
 }
@@ -204,10 +205,12 @@
 	t.cancel = cancel
 	q.flying++
 	q.service.counts.sent.Inc(1)
+	left := q.end().Sub(t.began)
+	t.left = left
 	if a.Try > 0 {
-		q.service.counts.again.Inc(1)
+		q.service.counts.again(string(a.Why)).Inc(1)
+		q.logRepeat(t, a.Why)
 	}
-	left := q.end().Sub(t.began)
 	send := forward.Try{
 		Target: t.target.Address, Request: q.r, Path: q.r.URL.EscapedPath(), Body: q.body,
 		Timeout: left, Header: platform.Dispatch(t.target.ID, left),
@@ -230,8 +233,12 @@
 		e.Kind = kindOf(f.Stage)
 		q.service.done(now, e)
 		q.service.counts.failures.Inc(1)
+		crash := false
+		if f.Stage.Crash() {
+			q.service.counts.crashes.Inc(1)
+			crash = q.gateway.suspects.Crashed(now, q.digest, t.target.Run(), t.began)
+		}
 		q.logFailure(t, f)
-		crash := f.Stage.Crash() && q.gateway.suspects.Crashed(now, q.digest, t.target.Run(), t.began)
 		return q.call.Fail(now, call.Failed{Try: res.try, Stage: f.Stage, Ran: f.Ran, Replay: true, Quarantined: crash})
 	}
 	a := res.answer
@@ -245,7 +252,9 @@
 		e.Kind = slot.Failed
 	}
 	q.service.done(now, e)
-	q.gateway.suspects.Answered(now, q.digest)
+	if q.gateway.suspects.Answered(now, q.digest) {
+		q.logCleared(t, a.Status)
+	}
 	return q.call.Head(now, call.Head{
 		Try: res.try, Status: a.Status, Shed: shed, Replay: true, Unwell: a.Status >= http.StatusInternalServerError,
 	})
@@ -265,6 +274,9 @@
 // release gives back what the request holds. Dispatches that are still under
 // way are cancelled; their ends are awaited apart.
 func (q *request) release() {
+	if q.call.Spent() {
+		q.service.counts.denied.Inc(1)
+	}
 	if q.sought != 0 {
 		q.service.cancel(time.Now(), q.sought)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -145,6 +145,11 @@
 			s.gateway.log.WithFields(log.Fields{"service": s.is.Name, "target": a.Target.ID}).Info("target says that it leaves")
 		case slot.Limit:
 			s.logLimit(a)
+		case slot.Pause:
+			s.counts.pauses.Inc(1)
+			s.gateway.log.WithFields(log.Fields{
+				"service": s.is.Name, "target": a.Target.ID, "for": a.Retry.Milliseconds(),
+			}).Info("target wants nothing")
 		}
 	}
 	s.alarm.Set(now, s.book.Next())
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -76,6 +76,7 @@
 	Name    string         `json:"name"`
 	Seeking int            `json:"seeking"` // requests without a target
 	Flying  int            `json:"flying"`  // requests at targets
+	Saved   float64        `json:"saved"`   // repeats that the retry budget has
 	Targets []TargetStatus `json:"targets"`
 }
 
@@ -172,7 +173,7 @@
 func (s *service) status(now time.Time, name string) ServiceStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := ServiceStatus{Name: name, Targets: []TargetStatus{}}
+	out := ServiceStatus{Name: name, Saved: s.budget.Saved(), Targets: []TargetStatus{}}
 	out.Seeking, out.Flying = s.book.Len()
 	for _, r := range s.book.Explain(now) {
 		out.Targets = append(out.Targets, targetStatus(now, r))
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/apex/log"
+
 	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/member"
@@ -20,11 +23,19 @@
 // learned takes requests in quarantine that other entries have told of.
 func (c *control) learned(now time.Time, r member.Rumours) {
 	for _, s := range r.Crashers {
+		c.logTold(s.Print, s.Crashes, s.By)
 		seen := call.Suspect{Print: s.Print, Crashes: int(s.Crashes), Age: now.Sub(s.At)}
 		c.gateway.suspects.Merge(now, s.By, []call.Suspect{seen})
 	}
 }
 
+// logTold logs what another entry has told of a request that crashes targets.
+func (c *control) logTold(print uint64, crashes uint32, by string) {
+	c.gateway.log.WithFields(log.Fields{
+		"print": strconv.FormatUint(print, 36), "crashes": crashes, "by": by,
+	}).Info("told of a request that crashes targets")
+}
+
 // tellSuspects tells the others of crashes of targets that this entry has seen
 // since it last did. Where their caller sends such a request again it comes to an
 // owner, so that only these are told of each; that one is in quarantine is told to
--- a/pkg/call/action.go
+++ b/pkg/call/action.go
@@ -43,6 +43,7 @@
 	Try     int           // of DoDispatch, DoCancel, DoAnswer
 	Attempt int           // HeaderAttempt of DoDispatch
 	Target  string        // of DoDispatch, DoRelease
+	Why     Reason        // of DoDispatch: why it isn't the first one; empty for that one
 	After   time.Duration // wait of DoTimer, time for DoDispatch
 }
 
--- a/pkg/call/budget.go
+++ b/pkg/call/budget.go
@@ -89,6 +89,15 @@
 	}
 }
 
+// Saved returns how many second dispatches are saved up in all buckets.
+func (b *Budget) Saved() float64 {
+	sum := b.clean.Load()
+	for i := range b.levels {
+		sum += b.levels[i].Load()
+	}
+	return float64(sum) / tokenUnit
+}
+
 // First counts a first dispatch. One that repeats an earlier run adds nothing.
 func (b *Budget) First(depth, attempt int) {
 	if attempt > 0 {
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -30,6 +30,7 @@
 	n       int
 	reason  Reason
 	final   Final
+	spent   bool // a repeat was denied for want of budget
 }
 
 // try is one dispatch.
@@ -82,6 +83,12 @@
 	return c.final
 }
 
+// Spent reports whether the request wasn't sent again, or not beside a slow target, since the
+// budget had nothing left.
+func (c *Call) Spent() bool {
+	return c.spent
+}
+
 // Tried calls f with the target of each dispatch so far.
 func (c *Call) Tried(f func(target string)) {
 	for i := range c.tries[:c.n] {
--- a/pkg/call/outcome.go
+++ b/pkg/call/outcome.go
@@ -99,6 +99,7 @@
 	ReasonCut         Reason = "cut"         // the answer ended early
 	ReasonInvalid     Reason = "invalid"     // the answer broke the protocol
 	ReasonTimeout     Reason = "timeout"     // no answer in time after a dispatch
+	ReasonSlow        Reason = "slow"        // no answer yet, so that another target is asked beside
 	ReasonCancelled   Reason = "cancelled"   // its caller left
 	ReasonQuarantined Reason = "quarantined" // it crashed targets before
 	ReasonPanic       Reason = "panic"       // a fault in plumpitch itself
--- a/pkg/call/step.go
+++ b/pkg/call/step.go
@@ -44,7 +44,7 @@
 func (c *Call) dispatch(now time.Time, target string, acts *Actions) {
 	first := c.n == 0
 	attempt := c.arrival.Attempt + c.mayHaveRun()
-	acts.add(Action{Do: DoDispatch, Try: c.n, Attempt: attempt, Target: target, After: c.remaining(now)})
+	acts.add(Action{Do: DoDispatch, Try: c.n, Attempt: attempt, Target: target, Why: c.why(), After: c.remaining(now)})
 	c.tries[c.n] = try{target: target}
 	c.n++
 	c.seek = seekNone
@@ -61,6 +61,17 @@
 	}
 }
 
+// why is why the next dispatch isn't the first one, empty where it is.
+func (c *Call) why() Reason {
+	switch {
+	case c.n == 0:
+		return ""
+	case c.seek == seekHedge:
+		return ReasonSlow
+	}
+	return c.reason
+}
+
 // mayHaveRun counts the dispatches that load the tree below a second time.
 func (c *Call) mayHaveRun() (n int) {
 	for i := range c.tries[:c.n] {
@@ -182,6 +193,7 @@
 		return false
 	}
 	c.token, ok = c.cfg.Budget.Take(c.arrival.Depth, c.arrival.Attempt, clean)
+	c.spent = c.spent || !ok
 	return ok
 }
 
@@ -224,6 +236,7 @@
 			c.tries[e.Try].state = tryFlying
 			return false
 		}
+		c.reason = ReasonUnavailable
 		c.move(Queued)
 		c.seek = seekTry
 		acts.add(Action{Do: DoCancel, Try: e.Try})
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -113,6 +113,16 @@
 	}
 }
 
+// Crashes returns how many targets a request has crashed, as far as is known here.
+func (s *Suspects) Crashes(fp uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.known[fp]; e != nil {
+		return e.Value.(*suspect).count()
+	}
+	return 0
+}
+
 // Quarantined returns how long a request stays in quarantine, 0 if it isn't.
 func (s *Suspects) Quarantined(now time.Time, fp uint64) time.Duration {
 	if s.size.Load() == 0 {
@@ -131,17 +141,20 @@
 	return max(s.cfg.Hold-now.Sub(x.last), 0)
 }
 
-// Answered clears a fingerprint: a target ran the request and lives.
-func (s *Suspects) Answered(now time.Time, fp uint64) {
+// Answered clears a fingerprint: a target ran the request and lives. It reports whether
+// anything was known of it.
+func (s *Suspects) Answered(now time.Time, fp uint64) bool {
 	if s.size.Load() == 0 {
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := s.known[fp]; e != nil && !e.Value.(*suspect).cleared {
-		x := s.take(now, fp)
-		s.clear(x, now)
+	e := s.known[fp]
+	if e == nil || e.Value.(*suspect).cleared {
+		return false
 	}
+	s.clear(s.take(now, fp), now)
+	return true
 }
 
 func (s *Suspects) clear(x *suspect, at time.Time) {
--- a/pkg/slot/book.go
+++ b/pkg/slot/book.go
@@ -169,6 +169,7 @@
 	}
 	if r.Pause > 0 {
 		m.paused = later(m.paused, now.Add(r.Pause))
+		out = append(out, Action{Do: Pause, Target: m.Target, Retry: m.paused.Sub(now)})
 	}
 	if m.limit.take(now, sent, r, question) {
 		m.limit.deal(now, b.senders)
--- a/pkg/slot/event.go
+++ b/pkg/slot/event.go
@@ -57,6 +57,7 @@
 	Back                 // Target gets requests again
 	Leaves               // Target has reported that it leaves
 	Limit                // Target has named a limit, another one than before, or none any more
+	Pause                // Target wants nothing from this entry for the time in Retry
 )
 
 // Reason tells why a request was refused.
@@ -88,7 +89,7 @@
 	ID     uint64
 	Target Target
 	Reason Reason        // of Refuse
-	Retry  time.Duration // of Refuse: when room is likely
+	Retry  time.Duration // of Refuse: when room is likely; of Pause: for how long
 	Why    Why           // of Send
 	Rate   float64       // of Limit: requests a second
 	Named  bool          // of Limit: whether there is one
