gateway: the ratio of repeats follows the settings

Cause: retryBudget was worked out in newService, and Reload replaced the bounds that only the slack was read from again. Class: a setting that is copied at a start. Looked for elsewhere: the bound on cold targets followed with the next change of targets or configuration only, and does at once now, by the same message; the times of drain, stop, configuration and directory are read as they are used; the own interface makes its budget anew (internal/entry).

The mend: each publish sets ratio and burst together, for services that the configuration has dropped as well, and a reload has the control loop publish. A ratio of 0 allows none; it was taken for the default of 0.1.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -26,7 +26,9 @@
 // retryBudget is this entry's part of the budget that all entries share.
 // Repeats come out of its own requests; shareRetries tells what it may save up.
 func retryBudget(b platform.Bounds) *call.Budget {
-	return call.NewBudget(call.BudgetConfig{Share: b.RetryShare * retryMargin, Burst: 1})
+	budget := call.NewBudget(call.BudgetConfig{Burst: 1})
+	budget.SetShare(b.RetryShare * retryMargin)
+	return budget
 }
 
 // retryBurst is what an entry with such a part of all requests may save up in
@@ -38,18 +40,26 @@
 	return int(float64(b.RetrySlack) * min(share, burstShare) / burstParts)
 }
 
-// shareRetries lets the budgets of all services save up by this entry's part of
-// all requests.
+// shareRetries sets the ratio of the budgets of all services, and lets them save up by
+// this entry's part of all requests.
 func (c *control) shareRetries() {
 	b := *c.gateway.bounds.Load()
 	part := c.share()
 	burst := retryBurst(b, part)
 	for _, s := range c.services {
-		s.budget.SetBurst(burst)
+		s.shareRetries(b.RetryShare, burst)
+	}
+	for _, s := range c.dropped {
+		s.shareRetries(b.RetryShare, burst)
 	}
 	c.logRetries(retryShare{part: part, ratio: b.RetryShare, burst: burst})
 }
 
+func (s *service) shareRetries(ratio float64, burst int) {
+	s.budget.SetShare(ratio * retryMargin)
+	s.budget.SetBurst(burst)
+}
+
 // retryShare is what this entry takes of the budget that all entries share.
 type retryShare struct {
 	part  float64 // of all requests
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"plumpitch.example/plumpitch/internal/standin/worker"
 	"plumpitch.example/plumpitch/platform"
 )
 
@@ -66,3 +69,31 @@
 		qt.Assert(t, float64(spent) <= allowed, qt.IsTrue, qt.Commentf("%s: %d spent of %v", tt.name, spent, allowed))
 	}
 }
+
+// Settings that are reloaded lower the ratio while targets fail: from then on repeats keep to it.
+func TestReloadedRatioBoundsRepeats(t *testing.T) {
+	const (
+		requests = 300
+		slack    = 20
+	)
+	w := newWorld(t, site{targets: 4})
+	w.retryShare = 1
+	e := w.entry("a").settled()
+	s := e.cfg.Settings
+	for _, k := range w.workers {
+		k.Fail(func(*http.Request) worker.Fault { return worker.Fault{Fail: true} })
+	}
+	for range requests {
+		e.call("GET", "/a/x", "")
+	}
+	s.Bounds.RetryShare, s.Bounds.RetrySlack = 0.2, slack
+	e.Reload(s, nil)
+	time.Sleep(2 * tickPeriod)
+	before := w.arrivals()
+	for range requests {
+		e.call("GET", "/a/x", "")
+	}
+	repeats := w.arrivals() - before - requests
+	w.c.Assert(repeats <= requests/5+slack, qt.IsTrue, qt.Commentf("%d repeats of %d requests", repeats, requests))
+	w.c.Assert(repeats > 0, qt.IsTrue)
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -33,6 +34,8 @@
 	born    int64 // of the targets that are put on record
 	// evacuate is the bound on evacuations that entries are told; 0 for none.
 	evacuate time.Duration
+	// retryShare is the ratio of repeats that entries are told; 0 keeps the default.
+	retryShare float64
 }
 
 // site is what a world's first configuration holds.
@@ -118,6 +121,7 @@
 		Store: strings.TrimPrefix(w.server.URL, "http://"), Bounds: bounds.Bounds,
 	}
 	s.Bounds.Evacuate = w.evacuate
+	s.Bounds.RetryShare = cmp.Or(w.retryShare, s.Bounds.RetryShare)
 	for _, e := range seeds {
 		s.Seeds = append(s.Seeds, e.self.Peer)
 	}
@@ -227,6 +231,14 @@
 	return n
 }
 
+// arrivals counts the requests that reached any target.
+func (w *world) arrivals() (n int) {
+	for _, k := range w.workers {
+		n += len(k.Runs()) + len(k.Sheds())
+	}
+	return n
+}
+
 // densest is the greatest number of runs within any such span after from.
 func densest(runs []worker.Run, from time.Time, span time.Duration) (most int) {
 	var at []time.Time
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -1,11 +1,20 @@
 package gateway
 
 import (
+	"context"
+	"time"
+
 	"github.com/apex/log"
 
 	"plumpitch.example/plumpitch/platform"
 )
 
+// reloaded is told when settings have changed.
+type reloaded struct{}
+
+// apply has all services take their bounds anew.
+func (reloaded) apply(_ time.Time, c *control) { c.dirty = true }
+
 // Reload takes settings that have changed. Addresses and names stay those of
 // the start: only the bounds may move while the process runs.
 func (g *Gateway) Reload(s platform.Settings, err error) {
@@ -14,5 +23,6 @@
 		return
 	}
 	g.bounds.Store(&s.Bounds)
-	g.log.WithFields(log.Fields{"drain": s.Bounds.Drain.String(), "grace": s.Bounds.Grace.String()}).Info("settings reloaded")
+	go g.control.tell(context.Background(), reloaded{})
+	g.log.WithFields(log.Fields{"drain": s.Bounds.Drain.String(), "grace": s.Bounds.Grace.String(), "retries": s.Bounds.RetryShare, "slack": s.Bounds.RetrySlack}).Info("settings reloaded")
 }
--- a/pkg/call/budget.go
+++ b/pkg/call/budget.go
@@ -29,10 +29,11 @@
 // Share at any level. First dispatches alone fill the buckets, which start
 // empty, so the share holds from the first request on.
 type Budget struct {
+	cfg      BudgetConfig
 	clean    atomic.Int64
 	levels   []atomic.Int64
-	addClean int64
-	addRerun int64
+	addClean atomic.Int64
+	addRerun atomic.Int64
 	most     atomic.Int64
 }
 
@@ -57,16 +58,20 @@
 	if cfg.Burst <= 0 {
 		cfg.Burst = defaultBurst
 	}
-	rerun := cfg.Share * min(cfg.Rerun, 1)
-	b := &Budget{
-		levels:   make([]atomic.Int64, cfg.Levels),
-		addClean: int64((cfg.Share - rerun) * tokenUnit),
-		addRerun: int64(rerun / float64(cfg.Levels) * tokenUnit),
-	}
+	b := &Budget{cfg: cfg, levels: make([]atomic.Int64, cfg.Levels)}
+	b.SetShare(cfg.Share)
 	b.most.Store(int64(cfg.Burst) * tokenUnit)
 	return b
 }
 
+// SetShare changes how many second dispatches there may be for each first one from now on; 0
+// allows none but those that were saved up.
+func (b *Budget) SetShare(share float64) {
+	rerun := share * min(b.cfg.Rerun, 1)
+	b.addClean.Store(int64((share - rerun) * tokenUnit))
+	b.addRerun.Store(int64(rerun / float64(len(b.levels)) * tokenUnit))
+}
+
 // SetBurst changes how many second dispatches can be saved up, per bucket. What
 // was saved beyond that is lost.
 func (b *Budget) SetBurst(n int) {
@@ -103,9 +108,9 @@
 	if attempt > 0 {
 		return
 	}
-	b.fill(&b.clean, b.addClean)
+	b.fill(&b.clean, b.addClean.Load())
 	if depth < len(b.levels) {
-		b.fill(&b.levels[depth], b.addRerun)
+		b.fill(&b.levels[depth], b.addRerun.Load())
 	}
 }
 
--- a/pkg/call/budget_test.go
+++ b/pkg/call/budget_test.go
@@ -207,3 +207,32 @@
 		qt.Assert(t, ok, qt.IsTrue)
 	}
 }
+
+// A share that is lowered holds for what is saved up from then on.
+func TestShareChanges(t *testing.T) {
+	const firsts = 1000
+	tests := []struct {
+		name  string
+		share float64
+		most  int
+	}{
+		{"lowered", 0.2, 200},
+		{"none", 0, 0},
+		{"raised", 1, 1000},
+	}
+	for _, tt := range tests {
+		b := NewBudget(BudgetConfig{Share: 0.5, Burst: 1})
+		b.SetShare(tt.share)
+		spent := 0
+		for range firsts {
+			b.First(0, 0)
+			for range 2 {
+				if _, ok := b.Take(0, 0, true); ok {
+					spent++
+				}
+			}
+		}
+		qt.Assert(t, spent <= tt.most, qt.IsTrue, qt.Commentf("%s: %d of %d", tt.name, spent, tt.most))
+		qt.Assert(t, spent >= tt.most*9/10, qt.IsTrue, qt.Commentf("%s: %d of %d", tt.name, spent, tt.most))
+	}
+}
