soak: a ratio that is lowered by a reload, outages of all services, requests that crash targets among refusals

The soak of repeats starts its gateways with a ratio of 1, lowers it to 0.2 by SIGHUP before the first fault, and has all targets of all services fail for most of a window. Every second request that crashes targets is refused now and then.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -349,6 +349,9 @@
 			seen[r.Request] = true
 			continue
 		}
+		if r.At.Before(c.site.ratioAt) {
+			continue
+		}
 		repeats = append(repeats, r.At)
 		for r.At.Sub(repeats[0]) > budgetSpan {
 			repeats = repeats[1:]
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -25,7 +25,7 @@
 listen: {front: "%[3]s:8548", ready: "%[3]s:8542", directory: "%[3]s:8546"}
 internalPorts: [7540, 7555]
 limits: {cpuShare: %g}
-bounds: ["grace=%s", "drain=2s", "configApply=2s", "retryBudgetRatio=0.2", "retryBudgetSlack=%d"]
+bounds: ["grace=%s", "drain=2s", "configApply=2s", "retryBudgetRatio=%g", "retryBudgetSlack=%d"]
 platform: {address: "%s"}
 `
 
@@ -77,7 +77,7 @@
 	g.mu.Lock()
 	g.bad = false
 	g.mu.Unlock()
-	text := fmt.Sprintf(settings, g.name, g.place, g.ip, g.site.cores, grace, g.site.slack, g.site.front.address())
+	text := fmt.Sprintf(settings, g.name, g.place, g.ip, g.site.cores, grace, g.site.ratio.Load(), g.site.slack, g.site.front.address())
 	g.site.q.Assert(os.WriteFile(g.boot, []byte(text), 0o600), qt.IsNil)
 }
 
--- a/internal/soak/profile_test.go
+++ b/internal/soak/profile_test.go
@@ -8,7 +8,8 @@
 	clientCount  int
 	cores        float64 // of a gateway, as its settings say
 	places       []string
-	slack        int // repeats allowed beyond their share
+	firstRatio   float64 // of repeats, as the settings say at the start; lowered before the first fault
+	slack        int     // repeats allowed beyond their share
 	services     []service
 	kinds        []kind
 	paths        uint64  // of a kind; requests with one path look alike
@@ -45,7 +46,7 @@
 // small is a site on which every target can be watched.
 func small() profile {
 	return profile{
-		gatewayCount: *gateways, clientCount: *clients, cores: 1, places: []string{"hall"}, slack: 50,
+		gatewayCount: *gateways, clientCount: *clients, cores: 1, places: []string{"hall"}, firstRatio: budgetRatio, slack: 50,
 		services: []service{{name: "gowns", targets: *targets, slots: 4, work: 15 * time.Millisecond}},
 		kinds: []kind{
 			{
@@ -65,7 +66,7 @@
 // and clients that come again. Its faults bring repeats.
 func full() profile {
 	return profile{
-		gatewayCount: 13, clientCount: 120, cores: 0.32, places: []string{"fremantle", "subiaco", "joondalup"}, slack: 56,
+		gatewayCount: 13, clientCount: 120, cores: 0.32, places: []string{"fremantle", "subiaco", "joondalup"}, firstRatio: 1, slack: 56,
 		services: []service{
 			{name: "catalogue", targets: 14, slots: 2, queue: 4, work: 60 * time.Millisecond, noisy: true},
 			{name: "diary", targets: 7, slots: 2, queue: 4, work: 78 * time.Millisecond, noisy: true},
--- a/internal/soak/repeating_test.go
+++ b/internal/soak/repeating_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"plumpitch.example/plumpitch/internal/standin/worker"
@@ -24,6 +25,7 @@
 	{1, leave},
 	{2, wantNothing},
 	{3, misbehaveAll},
+	{2, outage},
 	{2, crashSome},
 	{2, burst},
 	{2, abuse},
@@ -31,6 +33,23 @@
 	{1, join},
 }
 
+// reloadTime is how long settings may take to be in force after a signal.
+const reloadTime = time.Second
+
+// lowerRatio has all gateways read the ratio of repeats that is checked.
+func (s *site) lowerRatio() {
+	if s.firstRatio == budgetRatio {
+		return
+	}
+	s.ratio.Store(float64(budgetRatio))
+	for _, g := range s.gateways {
+		g.settings("3s")
+		g.signal(syscall.SIGHUP)
+	}
+	s.logf("all gateways read a ratio of %g", budgetRatio)
+	s.ratioAt = time.Now().Add(reloadTime)
+}
+
 // someService draws a service. Nothing is drawn where there is but one.
 func (s *site) someService(rnd *rand.Rand) service {
 	if len(s.services) == 1 {
@@ -106,6 +125,36 @@
 	}
 }
 
+// outage has the targets of all services fail nearly all requests, for as long as a window of
+// the budget.
+func outage(s *site, rnd *rand.Rand) (string, func()) {
+	const share = 0.9
+	kinds := []worker.Fault{{Shed: true}, {Fail: true}, {Plain503: true}}
+	f := kinds[rnd.IntN(len(kinds))]
+	var mu sync.Mutex
+	faulty := rand.New(rand.NewPCG(rnd.Uint64(), 6))
+	var list []*target
+	for _, sv := range s.services {
+		list = append(list, s.of(sv.name)...)
+	}
+	for _, k := range list {
+		k.Fail(func(*http.Request) worker.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			if faulty.Float64() < share {
+				return f
+			}
+			return worker.Fault{}
+		})
+	}
+	return fmt.Sprintf("all targets fail: %+v", f), func() {
+		time.Sleep(budgetSpan * 3 / 4)
+		for _, k := range list {
+			k.Fail(nil)
+		}
+	}
+}
+
 // crashSome crashes targets of a service.
 func crashSome(s *site, rnd *rand.Rand) (string, func()) {
 	sv := s.someService(rnd)
@@ -132,8 +181,12 @@
 	return fmt.Sprintf("clients send again at once, %d times more", more), func() { s.insist.Store(0) }
 }
 
-// poison is in the path of a request that crashes the target that runs it.
-const poison = "poison"
+const (
+	// poison is in the path of a request that crashes the target that runs it.
+	poison = "poison"
+	// amongRefusals is there too where every second one is refused.
+	amongRefusals = "refused"
+)
 
 // poisoned has a client send a request that crashes targets, again and again.
 func poisoned(s *site, rnd *rand.Rand) (string, func()) {
@@ -142,6 +195,9 @@
 	s.mu.Lock()
 	s.poisons++
 	path := fmt.Sprintf("%s%s-%d", k.prefix, poison, s.poisons)
+	if s.poisons%2 == 0 {
+		path += amongRefusals
+	}
 	s.mu.Unlock()
 	end, done := make(chan struct{}), make(chan struct{})
 	go func() {
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -25,16 +25,19 @@
 // site is a site of gateway processes on stand-ins.
 type site struct {
 	profile
-	t       *testing.T
-	q       *qt.C
-	seed    uint64
-	program string
-	began   time.Time
-	store   *objects.Store
-	front   *proxy // of the store
-	load    *load
-	rush    atomic.Int64 // percent of the usual requests
-	insist  atomic.Int64 // how often clients send again beyond the usual, at once
+	t        *testing.T
+	q        *qt.C
+	seed     uint64
+	program  string
+	began    time.Time
+	store    *objects.Store
+	front    *proxy // of the store
+	load     *load
+	poisoned atomic.Int64 // requests that crash targets and reached one
+	rush     atomic.Int64 // percent of the usual requests
+	insist   atomic.Int64 // how often clients send again beyond the usual, at once
+	ratio    atomic.Value // of repeats, as settings say: a float64
+	ratioAt  time.Time    // since when it holds everywhere
 
 	mu       sync.Mutex // guards what follows
 	gateways []*gateway
@@ -56,10 +59,11 @@
 	service service
 	place   string
 	proxy   *proxy
-	crashed bool      // its process has ended
-	lapsed  bool      // so has its record
-	left    time.Time // when it began to say in its responses that it leaves
-	drained time.Time // when the store took its leaving or its end
+	poisons *atomic.Int64 // requests that crash targets, at all of them
+	crashed bool          // its process has ended
+	lapsed  bool          // so has its record
+	left    time.Time     // when it began to say in its responses that it leaves
+	drained time.Time     // when the store took its leaving or its end
 	limits  []limit
 }
 
@@ -72,6 +76,7 @@
 func newSite(t *testing.T, seed uint64, p profile) *site {
 	s := &site{profile: p, t: t, q: qt.New(t), seed: seed, program: program(t), began: time.Now(), store: objects.New()}
 	s.rush.Store(100)
+	s.ratio.Store(p.firstRatio)
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.CloseClientConnections)
 	s.front = newProxy(t, strings.TrimPrefix(server.URL, "http://"))
@@ -136,7 +141,7 @@
 	if sv.queue > 0 {
 		w.Bound(sv.queue)
 	}
-	k := &target{Worker: w, service: sv, place: s.place(s.started), proxy: newProxy(s.t, w.Address())}
+	k := &target{Worker: w, service: sv, place: s.place(s.started), proxy: newProxy(s.t, w.Address()), poisons: &s.poisoned}
 	w.Crashed = func() { s.crash(k) }
 	k.Fail(nil)
 	s.started++
@@ -187,6 +192,8 @@
 func (k *target) Fail(f func(*http.Request) worker.Fault) {
 	k.Worker.Fail(func(r *http.Request) worker.Fault {
 		switch {
+		case strings.HasSuffix(r.URL.Path, amongRefusals) && k.poisons.Add(1)%2 == 0:
+			return worker.Fault{Shed: true}
 		case strings.Contains(r.URL.Path, poison):
 			return worker.Fault{Crash: true}
 		case f != nil:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -67,6 +67,7 @@
 	s := newSite(t, seed, p)
 	load := s.startClients()
 	time.Sleep(warmTime)
+	s.lowerRatio()
 	s.injectFaults(rand.New(rand.NewPCG(seed, 1)), *length)
 	time.Sleep(healTime)
 	well := time.Now()
