gateway: a refusal clears no request that crashes targets

Cause: request.ended took any response for a sign that a target had run the request and lived: a refusal, a 421, a response that is cut later. Where targets crash the others are full, so that refusals and crashes alternate, and the crashes in a row that lead to quarantine never come.

The mend: only a whole answer of a run clears a request, as the doc comment of Suspects says: one in memory when it is read, a stream when all of it was passed on.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -56,6 +56,10 @@
 	forward.Copy(q.w, a, func(f *forward.Failure) {
 		if f != nil {
 			q.gateway.log.WithFields(q.fields()).WithError(f.Cause).Info("answer cut")
+			return
+		}
+		if a.Body != nil {
+			q.clear(time.Now(), t, a.Status)
 		}
 	})
 }
--- /dev/null
+++ b/internal/gateway/crash_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/worker"
+)
+
+const crashPath = "/a/poison"
+
+// crashes counts the runs of the request that crashes its targets.
+func (w *world) crashes() (n int) {
+	for _, k := range w.workers {
+		for _, r := range k.Runs() {
+			if r.Path == crashPath {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// A request that crashes targets is stopped though some of its sends are answered without a run.
+func TestCrashesAmongRefusals(t *testing.T) {
+	tests := []struct {
+		name  string
+		every int // which arrivals get the fault in place of the crash
+		fault worker.Fault
+	}{
+		{"every second one is refused", 2, worker.Fault{Shed: true}},
+		{"two of three are refused", 3, worker.Fault{Shed: true}},
+		{"every second one meets another target", 2, worker.Fault{Other: "i-other"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, site{targets: 8})
+			entries := several(w, 3)
+			var arrived atomic.Int64
+			for _, k := range w.workers {
+				k.Fail(func(r *http.Request) worker.Fault {
+					switch {
+					case !strings.HasPrefix(r.URL.Path, crashPath):
+						return worker.Fault{}
+					case arrived.Add(1)%int64(tt.every) != 0:
+						return tt.fault
+					}
+					return worker.Fault{Lose: true}
+				})
+			}
+			for i := range 40 {
+				entries[i%len(entries)].call("GET", crashPath, "")
+				time.Sleep(60 * time.Millisecond)
+			}
+			w.c.Assert(w.crashes() <= 2*crashLimit, qt.IsTrue, qt.Commentf("%d crashes", w.crashes()))
+			w.c.Assert(entries[0].call("GET", crashPath, "").status, qt.Equals, http.StatusServiceUnavailable)
+			w.c.Assert(entries[0].call("GET", "/a/other", "").status, qt.Equals, http.StatusOK)
+		})
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -252,14 +252,21 @@
 		e.Kind = slot.Failed
 	}
 	q.service.done(now, e)
-	if q.gateway.suspects.Answered(now, q.digest) {
-		q.logCleared(t, a.Status)
+	if whole := a.Body == nil; whole && !shed {
+		q.clear(now, t, a.Status)
 	}
 	return q.call.Head(now, call.Head{
 		Try: res.try, Status: a.Status, Shed: shed, Replay: true, Unwell: a.Status >= http.StatusInternalServerError,
 	})
 }
 
+// clear notes that a target has run the request and has given its whole answer.
+func (q *request) clear(now time.Time, t *try, status int) {
+	if q.gateway.suspects.Answered(now, q.digest) {
+		q.logCleared(t, status)
+	}
+}
+
 // kindOf says what a failed dispatch says of its target.
 func kindOf(s call.Stage) slot.Kind {
 	switch s {
