gateway: entries that start are told of requests in quarantine

A request that crashes targets is refused everywhere, and crashes targets again at each entry that has started since: 502 in place of 503, up to three times an entry (TestQuarantineOutlivesRestarts, failing before at the first entry replaced).

Cause: what is known of such requests is told when it is news and never again. Class: state that is spread once, and that an entry which starts has no way to ask for. Looked for elsewhere: configuration, targets, marks, members and numbers of owners are compared or sent to those that join; rumours alone are not, and nothing else of the gateway is one.

The mend: each of up to three entries that have been there for 2 s tells one that starts, with the age of the last crash, so that the quarantine ends when it would have. Nobody passes on what it was told that way: who found out has told all.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -63,3 +64,37 @@
 		})
 	}
 }
+
+// Entries are replaced one after the other. The new ones stop a request that crashed targets
+// before they started.
+func TestQuarantineOutlivesRestarts(t *testing.T) {
+	w := newWorld(t, site{targets: 8, attempts: 1})
+	entries := several(w, 3)
+	for _, k := range w.workers {
+		k.Fail(func(r *http.Request) worker.Fault { return worker.Fault{Lose: r.URL.Path == crashPath} })
+	}
+	for range 2 * crashLimit {
+		entries[0].call("GET", crashPath, "")
+	}
+	w.until("all refuse it", func() bool {
+		for _, e := range entries {
+			if e.call("GET", crashPath, "").status != http.StatusServiceUnavailable {
+				return false
+			}
+		}
+		return true
+	})
+	// Told of it in passing, an entry that starts at once would not show what is guarded.
+	time.Sleep(seniorTime + 2*time.Second)
+	before := w.crashes()
+	for i, e := range entries {
+		e.stop()
+		w.c.Assert(<-e.done, qt.IsNil)
+		next := w.entry(fmt.Sprint("next-", i), entries[(i+1)%len(entries)]).settled()
+		entries[i] = next
+		w.until("it is known to others", func() bool { return len(next.view.Load().live) == len(entries) })
+		time.Sleep(seniorTime)
+		w.c.Assert(next.call("GET", crashPath, "").status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	w.c.Assert(w.crashes(), qt.Equals, before)
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -218,10 +218,7 @@
 		c.loads[p.ID.Name] = loadsHeard{now, p.Loads}
 		return
 	case relay.Suspects:
-		for _, s := range p.Suspects {
-			c.logTold(s.Print, uint32(s.Crashes), p.ID.Name)
-		}
-		c.gateway.suspects.Merge(now, p.ID.Name, p.Suspects)
+		c.toldSuspects(now, p.ID.Name, p.Suspects)
 		return
 	}
 	for _, n := range p.Numbers {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -20,6 +20,81 @@
 	maxTold = 4096
 )
 
+const (
+	// seniorTime is how long an entry has to be known before it tells those that start of
+	// requests in quarantine: by then it has been told itself.
+	seniorTime = 2 * time.Second
+	// mostSeniors is how many tell one that starts, since datagrams are lost.
+	mostSeniors = 3
+)
+
+// acquaintance is a run of another entry, and since when it is known.
+type acquaintance struct {
+	boot  uint64
+	since time.Time
+}
+
+// greet tells entries that have started of requests in quarantine. The others were told
+// when it began, and are not told again.
+func (c *control) greet(now time.Time) {
+	var started []owner.Candidate
+	for _, e := range c.live() {
+		if c.met[e.Name].boot != e.Boot {
+			c.met[e.Name] = acquaintance{e.Boot, now}
+			started = append(started, e)
+		}
+	}
+	if len(started) == 0 || !c.senior(now) {
+		return
+	}
+	held := c.quarantined(now)
+	if len(held) == 0 {
+		return
+	}
+	for _, e := range started {
+		c.send(e.Peer, relay.Packet{Kind: relay.Suspects, Suspects: held, ID: c.members.Self()})
+	}
+}
+
+// senior tells whether this entry is one of those that tell others at their start.
+func (c *control) senior(now time.Time) bool {
+	n := 0
+	for _, e := range c.live() {
+		if now.Sub(c.met[e.Name].since) < seniorTime {
+			continue
+		}
+		if e.Name == c.gateway.self.Name {
+			return true
+		}
+		if n++; n == mostSeniors {
+			return false
+		}
+	}
+	return false
+}
+
+// quarantined are the requests in quarantine, as others are told of them.
+func (c *control) quarantined(now time.Time) (held []call.Suspect) {
+	for _, s := range c.gateway.suspects.Export(now, maxSuspects) {
+		if c.gateway.suspects.Quarantined(now, s.Print) > 0 {
+			held = append(held, s)
+		}
+	}
+	return held
+}
+
+// toldSuspects takes what another entry has told of requests that crash targets. Of a quarantine it
+// has told all others.
+func (c *control) toldSuspects(now time.Time, by string, list []call.Suspect) {
+	for _, s := range list {
+		c.logTold(s.Print, uint32(s.Crashes), by)
+		if s.Crashes >= crashLimit {
+			c.suspects[s.Print] = crashLimit
+		}
+	}
+	c.gateway.suspects.Merge(now, by, list)
+}
+
 // learned takes requests in quarantine that other entries have told of.
 func (c *control) learned(now time.Time, r member.Rumours) {
 	for _, s := range r.Crashers {
