forward: a target is given the time that is left when its connection is had

A request that waited 600 ms for a connection handed its target 2 s of the 2 s that it had at its dispatch (TestTimeThatIsLeftAtTheConnection, own interface and a platform's header, failing before). Its target goes on with work that nobody waits for; sent once more that late, it has over 0.5 s more than its caller, which the users' rule counts.

Cause: the time was written into the headers before net/http was asked for a connection, and it may wait for one of MaxConns, or for one that is dialled (0.25 s at a gateway, 1 s in the own interface). Class: a time that is worked out before a wait. Looked for elsewhere: questions carry no time; the timer of a dispatch begins with it and is right.

The mend: the headers that tell of time are set by the hook that runs when the connection is had, in the goroutine that hands the request to the writer.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -59,7 +59,7 @@
 		Header:  make(http.Header, len(resp.Header)),
 		Length:  resp.ContentLength,
 		Trailer: resp.Trailer,
-		Connect: d.watch.connected(),
+		Connect: d.watch.connect(),
 		d:       d,
 	}
 	if d.echo != "" {
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -25,13 +25,16 @@
 	Attempt int           // earlier dispatches that may have run
 	Depth   int           // level of the request in its call tree
 	Header  http.Header   // set for the target, over what the caller sent
+	// Timed are further such headers, by the time that is left of Timeout. They are made
+	// when a connection is had: what waits for one has less than at its dispatch.
+	Timed func(left time.Duration) http.Header
 }
 
 // Dispatch sends t to its target once. Exactly one of answer and failure is
 // not nil. Cancelling ctx cancels the request at the target, until the answer
 // is closed.
 func (f *Forwarder) Dispatch(ctx context.Context, t Try) (*Answer, *Failure) {
-	d := &dispatch{try: &t, parent: ctx, stall: f.cfg.Stall, echo: f.cfg.Echo}
+	d := &dispatch{try: &t, parent: ctx, began: time.Now(), stall: f.cfg.Stall, echo: f.cfg.Echo}
 	d.id = strconv.FormatUint(f.sent.Add(1), 36)
 	d.ctx, d.cancel = context.WithCancelCause(ctx)
 	d.watch.cancel = d.cancel
@@ -42,6 +45,7 @@
 	if err != nil {
 		return nil, d.fail(nil, err)
 	}
+	d.watch.connected = func() { d.timed(req.Header) }
 	resp, err := d.roundTrip(f.transport, req)
 	if err != nil {
 		return nil, d.fail(nil, err)
@@ -58,6 +62,7 @@
 type dispatch struct {
 	try    *Try
 	parent context.Context
+	began  time.Time
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
@@ -68,6 +73,23 @@
 	watch  watch
 }
 
+// timed sets the headers that tell how much of the time is left.
+func (d *dispatch) timed(h http.Header) {
+	if d.try.Timeout <= 0 {
+		return
+	}
+	left := max(d.try.Timeout-time.Since(d.began), 0)
+	if d.echo == "" {
+		h.Set(call.HeaderTimeout, left.String())
+	}
+	if d.try.Timed == nil {
+		return
+	}
+	for k, v := range d.try.Timed(left) {
+		h[k] = v
+	}
+}
+
 func (d *dispatch) roundTrip(t *http.Transport, req *http.Request) (resp *http.Response, err error) {
 	defer func() {
 		if r := recover(); r != nil {
@@ -92,7 +114,7 @@
 	f.Stage = d.stage(f.Status, err)
 	f.Ran = d.watch.ran()
 	f.Replay = !d.body.used()
-	f.Connect = d.watch.connected()
+	f.Connect = d.watch.connect()
 	if success(f.Status) {
 		f.Ran = call.DidRun
 	}
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -19,6 +19,8 @@
 	stale  atomic.Bool
 	asking time.Time    // when a connection was asked for
 	had    atomic.Int64 // how long that took, in ns
+	// connected is called when a connection is had, before anything is written to it.
+	connected func()
 }
 
 func (w *watch) attach(ctx context.Context) context.Context {
@@ -45,6 +47,7 @@
 	}
 	w.had.Store(int64(time.Since(w.asking)))
 	w.start = c.begin()
+	w.connected()
 	w.conn.Store(c)
 }
 
@@ -71,8 +74,8 @@
 	return call.MayHaveRun
 }
 
-// connected is how long a connection took; 0 where none was had.
-func (w *watch) connected() time.Duration { return time.Duration(w.had.Load()) }
+// connect is how long a connection took; 0 where none was had.
+func (w *watch) connect() time.Duration { return time.Duration(w.had.Load()) }
 
 // broken reports whether the target ended the connection.
 func (w *watch) broken() bool {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -213,7 +213,7 @@
 	}
 	send := forward.Try{
 		Target: t.target.Address, Request: q.r, Path: q.r.URL.EscapedPath(), Body: q.body,
-		Timeout: left, Header: platform.Dispatch(t.target.ID, left),
+		Timeout: left, Header: platform.Dispatch(t.target.ID), Timed: platform.TimeLeft,
 	}
 	go func() {
 		answer, fail := q.gateway.forward.Dispatch(ctx, send)
