call, gateway: repeats that were saved up age with the window they are counted in

Cause: each entry may keep one token a bucket however small its part, and keeps it for ever. Class: leave that outlives what it was given for; the window was read from the settings and used by nothing.

The mend: a bucket holds what was saved up in the present period apart from that of the one before, and drops what is older; the control loop begins a period each window. A service with steady requests stays full, as newer tokens take the place of older ones. Now repeats in a window come out of the requests of two windows at the most, whatever parts the entries reckon with.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/apex/log"
 
@@ -41,21 +42,29 @@
 }
 
 // shareRetries sets the ratio of the budgets of all services, and lets them save up by
-// this entry's part of all requests.
-func (c *control) shareRetries() {
+// this entry's part of all requests. What is saved up ages by the window in which repeats
+// are counted.
+func (c *control) shareRetries(now time.Time) {
 	b := *c.gateway.bounds.Load()
+	aged := now.Sub(c.aged) >= b.RetryWindow
+	if aged {
+		c.aged = now
+	}
 	part := c.share()
 	burst := retryBurst(b, part)
 	for _, s := range c.services {
-		s.shareRetries(b.RetryShare, burst)
+		s.shareRetries(b.RetryShare, burst, aged)
 	}
 	for _, s := range c.dropped {
-		s.shareRetries(b.RetryShare, burst)
+		s.shareRetries(b.RetryShare, burst, aged)
 	}
 	c.logRetries(retryShare{part: part, ratio: b.RetryShare, burst: burst})
 }
 
-func (s *service) shareRetries(ratio float64, burst int) {
+func (s *service) shareRetries(ratio float64, burst int, aged bool) {
+	if aged {
+		s.budget.Age()
+	}
 	s.budget.SetShare(ratio * retryMargin)
 	s.budget.SetBurst(burst)
 }
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -29,6 +29,7 @@
 		{"few, hardly a request", 14, 28, 14, 56},
 		{"many, busy", 113, 9000, 9000, 182},
 		{"many, hardly a request", 113, 1500, 113, 182},
+		{"many, busy long ago only", 113, 0, 113, 182},
 		{"three", 3, 300, 300, 56},
 		{"two owners", 2, 3000, 3000, 56},
 		{"two owners, idle after", 2, 3000, 0, 56},
@@ -49,9 +50,11 @@
 			for range longAgo / tt.entries {
 				budget.First(0, 0)
 			}
+			budget.Age()
 			for range tt.before / tt.entries {
 				budget.First(0, 0)
 			}
+			budget.Age()
 			for i := range tt.during/tt.entries + 1 {
 				for _, clean := range []bool{true, false} {
 					for range 10 {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -77,6 +77,7 @@
 	// that they go by this entry being cut off from the others.
 	unshared, apart bool
 	shared          retryShare // that services have
+	aged            time.Time  // when what they have saved up last aged
 
 	enrolled  time.Time     // when the store named the other entries
 	enrolling time.Duration // how long that took
@@ -199,7 +200,7 @@
 		c.apart, c.unshared = alone, false
 		c.shareCold(now, owners)
 	}
-	c.shareRetries()
+	c.shareRetries(now)
 	c.logBeliefs(now, live, owners)
 	targets := c.table != nil && c.complete()
 	c.gateway.view.Store(&view{
--- a/pkg/call/budget.go
+++ b/pkg/call/budget.go
@@ -8,6 +8,8 @@
 	defaultLevels = 1
 	defaultBurst  = 10
 	tokenUnit     = 1_000_000
+	// mostBurst is what fits into a bucket.
+	mostBurst = 4000
 )
 
 // BudgetConfig of a Budget. Zero fields take the defaults.
@@ -19,7 +21,8 @@
 }
 
 // Budget bounds the retries and hedges of one service to a share of its first
-// dispatches, over the whole call tree. It is safe for concurrent use.
+// dispatches, over the whole call tree. What is saved up ages by periods, which its user
+// begins. It is safe for concurrent use.
 //
 // A retry of a request that may have run, and a hedge, runs the tree below it
 // again, and each level could do so. So these draw on a bucket of their own
@@ -30,8 +33,8 @@
 // empty, so the share holds from the first request on.
 type Budget struct {
 	cfg      BudgetConfig
-	clean    atomic.Int64
-	levels   []atomic.Int64
+	clean    bucket
+	levels   []bucket
 	addClean atomic.Int64
 	addRerun atomic.Int64
 	most     atomic.Int64
@@ -58,9 +61,9 @@
 	if cfg.Burst <= 0 {
 		cfg.Burst = defaultBurst
 	}
-	b := &Budget{cfg: cfg, levels: make([]atomic.Int64, cfg.Levels)}
+	b := &Budget{cfg: cfg, levels: make([]bucket, cfg.Levels)}
 	b.SetShare(cfg.Share)
-	b.most.Store(int64(cfg.Burst) * tokenUnit)
+	b.most.Store(burst(cfg.Burst))
 	return b
 }
 
@@ -72,33 +75,36 @@
 	b.addRerun.Store(int64(rerun / float64(len(b.levels)) * tokenUnit))
 }
 
+// burst is what a bucket may hold, in parts of tokens.
+func burst(n int) int64 { return int64(min(max(n, 1), mostBurst)) * tokenUnit }
+
 // SetBurst changes how many second dispatches can be saved up, per bucket. What
 // was saved beyond that is lost.
 func (b *Budget) SetBurst(n int) {
-	most := int64(max(n, 1)) * tokenUnit
+	most := burst(n)
 	if b.most.Swap(most) <= most {
 		return
 	}
-	trim(&b.clean, most)
+	b.clean.trim(most)
 	for i := range b.levels {
-		trim(&b.levels[i], most)
+		b.levels[i].trim(most)
 	}
 }
 
-func trim(bucket *atomic.Int64, most int64) {
-	for {
-		old := bucket.Load()
-		if old <= most || bucket.CompareAndSwap(old, most) {
-			return
-		}
+// Age begins a period. What was saved up before the one that ends is lost: an entry that
+// had requests long ago would else keep leave for repeats that no requests of now warrant.
+func (b *Budget) Age() {
+	b.clean.age()
+	for i := range b.levels {
+		b.levels[i].age()
 	}
 }
 
 // Saved returns how many second dispatches are saved up in all buckets.
 func (b *Budget) Saved() float64 {
-	sum := b.clean.Load()
+	sum := b.clean.sum()
 	for i := range b.levels {
-		sum += b.levels[i].Load()
+		sum += b.levels[i].sum()
 	}
 	return float64(sum) / tokenUnit
 }
@@ -108,19 +114,19 @@
 	if attempt > 0 {
 		return
 	}
-	b.fill(&b.clean, b.addClean.Load())
+	b.clean.fill(b.addClean.Load(), b.most.Load())
 	if depth < len(b.levels) {
-		b.fill(&b.levels[depth], b.addRerun.Load())
+		b.levels[depth].fill(b.addRerun.Load(), b.most.Load())
 	}
 }
 
 // Take asks leave for a second dispatch; clean says that no earlier one can
 // have run.
 func (b *Budget) Take(depth, attempt int, clean bool) (t Token, ok bool) {
-	if clean && drain(&b.clean) {
+	if clean && b.clean.drain() {
 		return Token{bucket: cleanBucket}, true
 	}
-	if attempt > 0 || depth >= len(b.levels) || !drain(&b.levels[depth]) {
+	if attempt > 0 || depth >= len(b.levels) || !b.levels[depth].drain() {
 		return Token{}, false
 	}
 	return Token{bucket: cleanBucket + 1 + depth}, true
@@ -131,33 +137,8 @@
 	switch {
 	case t.bucket == 0:
 	case t.bucket == cleanBucket:
-		b.fill(&b.clean, tokenUnit)
+		b.clean.fill(tokenUnit, b.most.Load())
 	default:
-		b.fill(&b.levels[t.bucket-cleanBucket-1], tokenUnit)
-	}
-}
-
-func (b *Budget) fill(bucket *atomic.Int64, n int64) {
-	most := b.most.Load()
-	for {
-		old := bucket.Load()
-		if old >= most {
-			return
-		}
-		if bucket.CompareAndSwap(old, min(old+n, most)) {
-			return
-		}
-	}
-}
-
-func drain(bucket *atomic.Int64) bool {
-	for {
-		old := bucket.Load()
-		if old < tokenUnit {
-			return false
-		}
-		if bucket.CompareAndSwap(old, old-tokenUnit) {
-			return true
-		}
+		b.levels[t.bucket-cleanBucket-1].fill(tokenUnit, b.most.Load())
 	}
 }
--- a/pkg/call/budget_test.go
+++ b/pkg/call/budget_test.go
@@ -236,3 +236,70 @@
 		qt.Assert(t, spent >= tt.most*9/10, qt.IsTrue, qt.Commentf("%s: %d of %d", tt.name, spent, tt.most))
 	}
 }
+
+// What is saved up can be spent in its period and the next one, and not after.
+func TestSavedDispatchesAge(t *testing.T) {
+	tests := []struct {
+		name    string
+		periods int // begun since it was saved up
+		more    int // first dispatches after each of them
+		spent   int
+	}{
+		{"same period", 0, 0, 10},
+		{"next period", 1, 0, 10},
+		{"the one after", 2, 0, 0},
+		{"few since", 2, 10, 4},
+		{"many since", 5, 100, 10},
+	}
+	for _, tt := range tests {
+		b := NewBudget(BudgetConfig{Share: 0.2, Rerun: 0.5, Burst: 5})
+		for range 1000 {
+			b.First(0, 0)
+		}
+		for range tt.periods {
+			b.Age()
+			for range tt.more {
+				b.First(0, 0)
+			}
+		}
+		spent := 0
+		for range 100 {
+			if _, ok := b.Take(0, 0, true); ok {
+				spent++
+			}
+		}
+		qt.Assert(t, spent, qt.Equals, tt.spent, qt.Commentf("%s", tt.name))
+	}
+}
+
+// Whatever is filled, drained, trimmed and aged, a bucket holds neither more than its most
+// nor less than nothing.
+func TestBucketProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b bucket
+		most := int64(mostBurst) * tokenUnit
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			before := b.sum()
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				n := rapid.Int64Range(0, 3*tokenUnit).Draw(t, "n")
+				b.fill(n, most)
+				if b.sum() != min(before+n, most) && before <= most {
+					t.Fatalf("%d and %d make %d of at most %d", before, n, b.sum(), most)
+				}
+			case 1:
+				if b.drain() != (before >= tokenUnit) {
+					t.Fatalf("%d", before)
+				}
+			case 2:
+				most = rapid.Int64Range(1, mostBurst).Draw(t, "most") * tokenUnit
+				b.trim(most)
+			default:
+				b.age()
+			}
+			if s := unpack(b.state.Load()); s.old < 0 || s.fresh < 0 || s.sum() > most {
+				t.Fatalf("%+v of at most %d", s, most)
+			}
+		}
+	})
+}
