--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -98,3 +98,21 @@
 	}
 	w.c.Assert(w.crashes(), qt.Equals, before)
 }
+
+// All targets of a service close their connections for a moment, and none of them ends. What
+// callers asked for then is served again once the targets are well.
+func TestLostAnswersCondemnNoRequest(t *testing.T) {
+	w := newWorld(t, site{targets: 6})
+	e := w.entry("a").settled()
+	for _, k := range w.workers {
+		k.Fail(func(*http.Request) worker.Fault { return worker.Fault{Lose: true} })
+	}
+	for range 20 {
+		e.call("GET", "/a/popular", "")
+	}
+	for _, k := range w.workers {
+		k.Fail(nil)
+	}
+	w.until("other requests are served", func() bool { return e.call("GET", "/a/other", "").status == http.StatusOK })
+	w.until("it is served", func() bool { return e.call("GET", "/a/popular", "").status == http.StatusOK })
+}
