gateway: entries that are live again are told of requests in quarantine, names of what tells them

An entry that was cut off while a quarantine began hears of it when it is live again, as one that starts does: it missed the same word. What is known of live entries is worked out when they change, and holds no more than these. Names say what they hold.

--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -11,14 +11,14 @@
 
 // watch follows one dispatch through the transport.
 type watch struct {
-	trace  httptrace.ClientTrace
-	cancel context.CancelCauseFunc
-	asked  atomic.Int32
-	conn   atomic.Pointer[conn]
-	start  int64
-	stale  atomic.Bool
-	asking time.Time    // when a connection was asked for
-	had    atomic.Int64 // how long that took, in ns
+	trace   httptrace.ClientTrace
+	cancel  context.CancelCauseFunc
+	asked   atomic.Int32
+	conn    atomic.Pointer[conn]
+	start   int64
+	stale   atomic.Bool
+	askedAt time.Time    // for a connection
+	took    atomic.Int64 // how long that took, in ns
 	// connected is called when a connection is had, before anything is written to it.
 	connected func()
 }
@@ -37,7 +37,7 @@
 	if w.asked.Add(1) > 1 {
 		panic(errResent)
 	}
-	w.asking = time.Now()
+	w.askedAt = time.Now()
 }
 
 func (w *watch) gotConn(info httptrace.GotConnInfo) {
@@ -45,7 +45,7 @@
 	if !ok {
 		return
 	}
-	w.had.Store(int64(time.Since(w.asking)))
+	w.took.Store(int64(time.Since(w.askedAt)))
 	w.start = c.begin()
 	w.connected()
 	w.conn.Store(c)
@@ -75,7 +75,7 @@
 }
 
 // connect is how long a connection took; 0 where none was had.
-func (w *watch) connect() time.Duration { return time.Duration(w.had.Load()) }
+func (w *watch) connect() time.Duration { return time.Duration(w.took.Load()) }
 
 // broken reports whether the target ended the connection.
 func (w *watch) broken() bool {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -57,8 +57,10 @@
 	fetching bool            // the entries that another one knows
 	fetched  time.Time
 	suspects map[uint64]int // crashes of each suspect that the others were told of
-	met      map[string]acquaintance
-	said     uint64 // words on suspects
+	said     uint64         // words on suspects
+	runs     map[string]liveRun
+	rolls    int // how often it was worked out which entries live
+	rollTold int // the last of them after which those that had started were told of suspects
 
 	// What follows from which entries live; roll is nil when they have changed.
 	roll  []owner.Candidate
@@ -97,7 +99,7 @@
 	return &control{
 		gateway: g, inbox: make(chan message, maxInbox), started: g.started,
 		targets: roster.New(slot.Same), lapses: roster.NewLapses[slot.Target](), evacuations: roster.New(slot.SameEvacuation), marksAwaited: roster.NewLapses[slot.Evacuation](),
-		dropped: make(map[string]droppedService), waiting: make(map[string]bool), suspects: make(map[uint64]int), met: make(map[string]acquaintance),
+		dropped: make(map[string]droppedService), waiting: make(map[string]bool), suspects: make(map[uint64]int),
 		numbers: owner.NewNumbers(), loads: make(map[string]loadsHeard),
 	}
 }
@@ -150,7 +152,7 @@
 	c.strain.tick(now, tickPeriod)
 	c.excuse(now)
 	c.feel(now)
-	c.greet(now)
+	c.tellStarted(now)
 	c.tellSuspects(now)
 	c.publish(now)
 	c.tellLoads(now)
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -85,7 +85,7 @@
 		return true
 	})
 	// Told of it in passing, an entry that starts at once would not show what is guarded.
-	time.Sleep(seniorTime + 2*time.Second)
+	time.Sleep(tellerTime + 2*time.Second)
 	before := w.crashes()
 	for i, e := range entries {
 		e.stop()
@@ -93,7 +93,7 @@
 		next := w.entry(fmt.Sprint("next-", i), entries[(i+1)%len(entries)]).settled()
 		entries[i] = next
 		w.until("it is known to others", func() bool { return len(next.view.Load().live) == len(entries) })
-		time.Sleep(seniorTime)
+		time.Sleep(tellerTime)
 		w.c.Assert(next.call("GET", crashPath, "").status, qt.Equals, http.StatusServiceUnavailable)
 	}
 	w.c.Assert(w.crashes(), qt.Equals, before)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -218,7 +218,7 @@
 		c.loads[p.ID.Name] = loadsHeard{now, p.Loads}
 		return
 	case relay.Suspects:
-		c.toldSuspects(now, p.ID.Name, p.Suspects)
+		c.hearSuspects(now, p.ID.Name, p.Suspects)
 		return
 	}
 	for _, n := range p.Numbers {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -24,5 +24,7 @@
 	}
 	g.bounds.Store(&s.Bounds)
 	go g.control.tell(context.Background(), reloaded{})
-	g.log.WithFields(log.Fields{"drain": s.Bounds.Drain.String(), "grace": s.Bounds.Grace.String(), "retries": s.Bounds.RetryShare, "slack": s.Bounds.RetrySlack}).Info("settings reloaded")
+	g.log.WithFields(log.Fields{
+		"drain": s.Bounds.Drain.String(), "grace": s.Bounds.Grace.String(), "ratio": s.Bounds.RetryShare, "slack": s.Bounds.RetrySlack,
+	}).Info("settings reloaded")
 }
--- a/internal/gateway/roll.go
+++ b/internal/gateway/roll.go
@@ -19,6 +19,7 @@
 // enlist works out what depends on which entries live alone.
 func (c *control) enlist() {
 	c.roll = []owner.Candidate{}
+	c.rolls++
 	var readers []owner.Candidate
 	for e := range c.members.Entries() {
 		if e.State != member.Alive {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -21,30 +21,39 @@
 )
 
 const (
-	// seniorTime is how long an entry has to be known before it tells those that start of
-	// requests in quarantine: by then it has been told itself.
-	seniorTime = 2 * time.Second
-	// mostSeniors is how many tell one that starts, since datagrams are lost.
-	mostSeniors = 3
+	// tellerTime is how long an entry has to be live before it tells others at their
+	// start: by then it has been told itself.
+	tellerTime = 2 * time.Second
+	// mostTellers is how many tell one that starts, since datagrams are lost.
+	mostTellers = 3
 )
 
-// acquaintance is a run of another entry, and since when it is known.
-type acquaintance struct {
+// liveRun is a run of an entry, and since when it is live as far as is known here.
+type liveRun struct {
 	boot  uint64
 	since time.Time
 }
 
-// greet tells entries that have started of requests in quarantine. The others were told
-// when it began, and are not told again.
-func (c *control) greet(now time.Time) {
+// tellStarted tells entries that have started, or are live again, of requests in quarantine.
+// Those that were live when it began were told then.
+func (c *control) tellStarted(now time.Time) {
+	live := c.live()
+	if c.rolls == c.rollTold {
+		return
+	}
+	c.rollTold = c.rolls
 	var started []owner.Candidate
-	for _, e := range c.live() {
-		if c.met[e.Name].boot != e.Boot {
-			c.met[e.Name] = acquaintance{e.Boot, now}
+	runs := make(map[string]liveRun, len(live))
+	for _, e := range live {
+		run, ok := c.runs[e.Name]
+		if !ok || run.boot != e.Boot {
+			run = liveRun{e.Boot, now}
 			started = append(started, e)
 		}
+		runs[e.Name] = run
 	}
-	if len(started) == 0 || !c.senior(now) {
+	c.runs = runs
+	if !c.tells(now) {
 		return
 	}
 	held := c.quarantined(now)
@@ -56,17 +65,18 @@
 	}
 }
 
-// senior tells whether this entry is one of those that tell others at their start.
-func (c *control) senior(now time.Time) bool {
+// tells reports whether this entry is one of those that tell others at their start: the
+// first in the order of names that have been live for long.
+func (c *control) tells(now time.Time) bool {
 	n := 0
 	for _, e := range c.live() {
-		if now.Sub(c.met[e.Name].since) < seniorTime {
+		if now.Sub(c.runs[e.Name].since) < tellerTime {
 			continue
 		}
 		if e.Name == c.gateway.self.Name {
 			return true
 		}
-		if n++; n == mostSeniors {
+		if n++; n == mostTellers {
 			return false
 		}
 	}
@@ -83,9 +93,9 @@
 	return held
 }
 
-// toldSuspects takes what another entry has told of requests that crash targets. Of a quarantine it
-// has told all others.
-func (c *control) toldSuspects(now time.Time, by string, list []call.Suspect) {
+// hearSuspects takes what another entry has told of requests that crash targets. It has told
+// all others of those in quarantine.
+func (c *control) hearSuspects(now time.Time, by string, list []call.Suspect) {
 	for _, s := range list {
 		c.logTold(s.Print, uint32(s.Crashes), by)
 		if s.Crashes >= crashLimit {
@@ -105,9 +115,9 @@
 }
 
 // logTold logs what another entry has told of a request that crashes targets.
-func (c *control) logTold(print uint64, crashes uint32, by string) {
+func (c *control) logTold(fp uint64, crashes uint32, by string) {
 	c.gateway.log.WithFields(log.Fields{
-		"print": strconv.FormatUint(print, 36), "crashes": crashes, "by": by,
+		"print": strconv.FormatUint(fp, 36), "crashes": crashes, "by": by,
 	}).Info("told of a request that crashes targets")
 }
 
