gateway: settings that change without a signal are read

A change of the settings file without SIGHUP stayed without effect until the next signal or start (TestSettingsChangeWithoutASignal, failing before: nothing read in 40 s).

The mend: the file is compared each second with what it held, and settings are reloaded when it differs; what can't be read is told once and leaves those in force.

--- a/gateway.go
+++ b/gateway.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	stdlog "log"
 	"os"
@@ -40,6 +41,7 @@
 		return exitError{exitUsage, err}
 	}
 	path := os.Getenv(platform.SettingsVariable)
+	text, _ := os.ReadFile(path) // before they are read, so that no change is missed; a failure is told just below
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return exitError{exitInvalid, err}
@@ -60,10 +62,34 @@
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
 	defer signal.Stop(hups)
-	go func() {
-		for range hups {
-			g.Reload(platform.ReadSettings(path))
-		}
-	}()
+	following, stop := context.WithCancel(ctx)
+	defer stop()
+	go followSettings(following, g, path, text, hups)
 	return g.Serve(ctx)
 }
+
+// settingsPeriod is how often the settings file is looked at, which may change without a
+// signal: well within the time in which a configuration has to be in force.
+const settingsPeriod = time.Second
+
+// followSettings has g read its settings at each signal, and when their file has changed
+// without one. last is what the file held before it was first read.
+func followSettings(ctx context.Context, g *gateway.Gateway, path string, last []byte, hups <-chan os.Signal) {
+	look := time.NewTicker(settingsPeriod)
+	defer look.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hups:
+			last, _ = os.ReadFile(path) // a failure is told by the reload
+		case <-look.C:
+			now, _ := os.ReadFile(path)
+			if bytes.Equal(now, last) {
+				continue
+			}
+			last = now
+		}
+		g.Reload(platform.ReadSettings(path))
+	}
+}
--- a/gateway_proof_test.go
+++ b/gateway_proof_test.go
@@ -278,6 +278,21 @@
 	s.q.Assert(<-g.ended, qt.IsNil)
 }
 
+// The settings file changes and no signal comes, by bad settings in between: the good ones come
+// into force all the same.
+func TestSettingsChangeWithoutASignal(t *testing.T) {
+	t.Parallel()
+	s := newStudio(t, 2)
+	g := s.start(program(t))
+	s.q.Assert(os.WriteFile(g.boot, []byte("nodeName: 7\nip: x"), 0o600), qt.IsNil)
+	eventually(t, "bad ones told", func() bool { return strings.Contains(g.text(), "those in force stay") })
+	s.settings(g, "9s")
+	eventually(t, "good ones in force", func() bool { return strings.Contains(g.text(), `"grace":"9s"`) })
+	s.q.Assert(g.send("after"), qt.Equals, http.StatusOK)
+	g.signal(syscall.SIGTERM)
+	s.q.Assert(<-g.ended, qt.IsNil)
+}
+
 // Nobody reads a gateway's standard output, and the pipe is full. Requests are
 // answered as before, however many lines they would write.
 func TestOutputThatIsNotRead(t *testing.T) {
