gateway: a stop answers the requests that it gives up

A request whose target didn't answer until the end of a stop found its connection closed, with no answer (TestStopAnswersWhatItGivesUp, failing before: the gateway had stopped and its caller had nothing).

Cause: the stop's deadline ended http.Server.Shutdown, and the process with it, under requests that a route's timeout allows longer. Such callers can't tell a cut from a fault of the network.

The mend: 0.1 s before the end of the stop what is still under way expires as at its timeout: 504 where it was sent, 503 where it was not, which is true of both.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	restores atomic.Uint64             // of the store from a copy, since the start
 	started  time.Time
 	known    chan struct{} // closed once a configuration and targets are known
+	ending   chan struct{} // closed when a stop gives up what is still under way
 	bounds   atomic.Pointer[platform.Bounds]
 	view     atomic.Pointer[view]
 
@@ -78,7 +79,7 @@
 	defer func() { err = errors.WithMessage(err, "gateway "+cfg.Settings.Name) }()
 	s := cfg.Settings
 	g = &Gateway{
-		cfg: cfg, log: cfg.Log, started: time.Now(), known: make(chan struct{}),
+		cfg: cfg, log: cfg.Log, started: time.Now(), known: make(chan struct{}), ending: make(chan struct{}),
 		forward: forward.New(forward.Config{
 			Echo: platform.HeaderRequest, Silence: targetSilence, Connect: targetConnect, Idle: targetIdle, Whole: wholeAnswer,
 		}),
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -89,6 +89,8 @@
 			acts = q.call.Hedge(time.Now())
 		case <-expiry.C:
 			acts = q.call.Expire(time.Now())
+		case <-q.gateway.ending:
+			acts = q.call.Expire(time.Now())
 		case <-q.r.Context().Done():
 			acts = q.call.Leave(time.Now())
 		}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -20,6 +20,9 @@
 	acceptTime = 100 * time.Millisecond
 	// stopReserve is what is kept of the grace for the end of the process.
 	stopReserve = 500 * time.Millisecond
+	// answerTime is how long before that requests are given up, so that their callers
+	// have an answer when their connections close.
+	answerTime = 100 * time.Millisecond
 )
 
 // leave stops gracefully: out of the directory and not ready at once, then
@@ -32,6 +35,8 @@
 	g.log.Info(logs.MessageStops)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	giveUp := time.AfterFunc(time.Until(deadline)-answerTime, func() { close(g.ending) })
+	defer giveUp.Stop()
 	go func() {
 		if !g.recorded.Load() {
 			return
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/worker"
 )
 
 // An entry is told to stop while a request runs and callers still hold its
@@ -55,3 +58,35 @@
 	})
 	w.c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 }
+
+// The time of a stop ends under a request whose target doesn't answer. Its caller is told so
+// in place of finding the connection closed.
+func TestStopAnswersWhatItGivesUp(t *testing.T) {
+	tests := []struct {
+		name  string
+		route site
+	}{
+		{"idempotent", site{targets: 1, timeout: "8s"}},
+		{"once", site{targets: 1, timeout: "8s", kind: "non_idempotent"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, tt.route)
+			e := w.entry("a").settled()
+			w.workers[0].Fail(func(*http.Request) worker.Fault { return worker.Fault{Mute: true} })
+			answers := make(chan reply, 1)
+			go func() { answers <- e.callWith(context.Background(), "q-held", "POST", "/a/x", "b") }()
+			w.until("it is at its target", func() bool { return w.runs("q-held") == 1 })
+			e.stop()
+			w.c.Assert(<-e.done, qt.IsNil)
+			select {
+			case a := <-answers:
+				w.c.Assert(a.err, qt.IsNil)
+				w.c.Assert(a.status, qt.Equals, http.StatusGatewayTimeout)
+			case <-time.After(stopReserve / 2):
+				w.c.Fatal("the gateway has stopped, and its caller has no answer")
+			}
+		})
+	}
+}
