soak: a gateway is started again once

Cause: the goroutine that sees a process end asked whether it was meant to after it had told so; the fault that waited for the end had started the next process by then, which took the mark back. So it started a second one beside it, which found the address taken, and so on.

The mark is read before the end is told. No check has changed.

--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -94,20 +94,19 @@
 	g.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
+		down, bad := g.state() // of this process: once its end is known another may be started
 		close(ended)
-		g.again()
+		if !down {
+			g.again(bad)
+		}
 	}()
 }
 
 // again starts a process again that has ended by itself, as the platform does. None may
 // but one that was started with bad settings.
-func (g *gateway) again() {
+func (g *gateway) again(bad bool) {
 	const platformDelay = 300 * time.Millisecond
 	from := time.Now()
-	down, bad := g.state()
-	if down {
-		return
-	}
 	if !bad {
 		g.site.t.Errorf("seed %d: %s ended by itself at %s", g.site.seed, g.name, g.site.at(from))
 	}
