--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -40,6 +40,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(t, site{targets: 8})
 			entries := several(w, 3)
 			var arrived atomic.Int64
@@ -68,6 +69,7 @@
 // Entries are replaced one after the other. The new ones stop a request that crashed targets
 // before they started.
 func TestQuarantineOutlivesRestarts(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, site{targets: 8, attempts: 1})
 	entries := several(w, 3)
 	for _, k := range w.workers {
@@ -102,6 +104,7 @@
 // All targets of a service close their connections for a moment, and none of them ends. What
 // callers asked for then is served again once the targets are well.
 func TestLostAnswersCondemnNoRequest(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, site{targets: 6})
 	e := w.entry("a").settled()
 	for _, k := range w.workers {
