--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -102,14 +102,6 @@
 // Pace sets how many times as long as usual work takes; it is told with the load.
 func (w *Worker) Pace(x float64) { w.set(func() { w.pace = x }) }
 
-// Bound has it run no more requests at a time than it has slots. Queue more may wait.
-func (w *Worker) Bound(queue int) {
-	w.set(func() {
-		w.Queue = queue
-		w.slots, w.free = make(chan struct{}, w.Slots), make(chan struct{}, w.Slots+queue)
-	})
-}
-
 // Fail sets the faults of each request; nil ends them.
 func (w *Worker) Fail(f func(*http.Request) Fault) {
 	w.set(func() {
@@ -291,31 +283,6 @@
 	return w.answer(k, r, f, string(body))
 }
 
-// enter takes a place among the requests that run or wait, where they are bounded.
-func (w *Worker) enter() bool {
-	if w.free == nil {
-		return true
-	}
-	select {
-	case w.free <- struct{}{}:
-		return true
-	default:
-		return false
-	}
-}
-
-// begin waits for a slot and returns what frees it.
-func (w *Worker) begin() (end func()) {
-	if w.free == nil {
-		return func() {}
-	}
-	w.slots <- struct{}{}
-	return func() {
-		<-w.slots
-		<-w.free
-	}
-}
-
 // shed refuses a request.
 func (w *Worker) shed(k *conn, id, after string) {
 	w.set(func() { w.sheds = append(w.sheds, Run{Request: id, Body: after, At: time.Now()}) })
