--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -242,17 +242,22 @@
 	}
 	n := rnd.IntN(len(kinds))
 	share := 0.1 + 0.9*rnd.Float64()
+	k.Fail(sometimes(rand.NewPCG(rnd.Uint64(), 3), share, kinds[n].fault))
+	return fmt.Sprintf("%s %s, %.2f of all", k.ID, kinds[n].name, share), func() { k.Fail(nil) }
+}
+
+// sometimes gives a share of all requests a fault. It may serve several targets.
+func sometimes(source rand.Source, share float64, f worker.Fault) func(*http.Request) worker.Fault {
 	var mu sync.Mutex
-	faulty := rand.New(rand.NewPCG(rnd.Uint64(), 3))
-	k.Fail(func(*http.Request) worker.Fault {
+	rnd := rand.New(source)
+	return func(*http.Request) worker.Fault {
 		mu.Lock()
 		defer mu.Unlock()
-		if faulty.Float64() < share {
-			return kinds[n].fault
+		if rnd.Float64() < share {
+			return f
 		}
 		return worker.Fault{}
-	})
-	return fmt.Sprintf("%s %s, %.2f of all", k.ID, kinds[n].name, share), func() { k.Fail(nil) }
+	}
 }
 
 // wantNothing has a target refuse all and say for how long it wants nothing.
@@ -267,14 +272,7 @@
 
 // some draws a target that is in service.
 func (s *site) some(rnd *rand.Rand) *target {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []*target
-	for _, k := range s.targets {
-		if k.left.IsZero() && k.drained.IsZero() && !k.crashed {
-			list = append(list, k)
-		}
-	}
+	list := s.those(func(k *target) bool { return k.left.IsZero() && k.drained.IsZero() && !k.crashed })
 	if len(list) < 3 {
 		return nil
 	}
--- a/internal/soak/repeating_test.go
+++ b/internal/soak/repeating_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -59,15 +58,8 @@
 }
 
 // of are the targets of a service that run.
-func (s *site) of(name string) (list []*target) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, k := range s.targets {
-		if k.service.name == name && !k.crashed {
-			list = append(list, k)
-		}
-	}
-	return list
+func (s *site) of(name string) []*target {
+	return s.those(func(k *target) bool { return k.service.name == name && !k.crashed })
 }
 
 // killMany kills most gateways at the same moment.
@@ -105,23 +97,15 @@
 	}
 	n := rnd.IntN(len(kinds))
 	share := 0.3 + 0.7*rnd.Float64()
-	var mu sync.Mutex
-	faulty := rand.New(rand.NewPCG(rnd.Uint64(), 4))
 	list := s.of(sv.name)
+	failAll(list, sometimes(rand.NewPCG(rnd.Uint64(), 4), share, kinds[n].fault))
+	return fmt.Sprintf("all targets of %s %s, %.2f of all", sv.name, kinds[n].name, share), func() { failAll(list, nil) }
+}
+
+// failAll sets the faults of all targets of a list; nil ends them.
+func failAll(list []*target, f func(*http.Request) worker.Fault) {
 	for _, k := range list {
-		k.Fail(func(*http.Request) worker.Fault {
-			mu.Lock()
-			defer mu.Unlock()
-			if faulty.Float64() < share {
-				return kinds[n].fault
-			}
-			return worker.Fault{}
-		})
-	}
-	return fmt.Sprintf("all targets of %s %s, %.2f of all", sv.name, kinds[n].name, share), func() {
-		for _, k := range list {
-			k.Fail(nil)
-		}
+		k.Fail(f)
 	}
 }
 
@@ -131,27 +115,14 @@
 	const share = 0.9
 	kinds := []worker.Fault{{Shed: true}, {Fail: true}, {Plain503: true}}
 	f := kinds[rnd.IntN(len(kinds))]
-	var mu sync.Mutex
-	faulty := rand.New(rand.NewPCG(rnd.Uint64(), 6))
 	var list []*target
 	for _, sv := range s.services {
 		list = append(list, s.of(sv.name)...)
 	}
-	for _, k := range list {
-		k.Fail(func(*http.Request) worker.Fault {
-			mu.Lock()
-			defer mu.Unlock()
-			if faulty.Float64() < share {
-				return f
-			}
-			return worker.Fault{}
-		})
-	}
+	failAll(list, sometimes(rand.NewPCG(rnd.Uint64(), 6), share, f))
 	return fmt.Sprintf("all targets fail: %+v", f), func() {
 		time.Sleep(budgetSpan * 3 / 4)
-		for _, k := range list {
-			k.Fail(nil)
-		}
+		failAll(list, nil)
 	}
 }
 
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -232,11 +232,16 @@
 }
 
 // onRecord are the targets of a service that the store knows.
-func (s *site) onRecord(name string) (list []*target) {
+func (s *site) onRecord(name string) []*target {
+	return s.those(func(k *target) bool { return k.service.name == name && !k.lapsed })
+}
+
+// those are the targets that a condition holds of. The lock is held for it.
+func (s *site) those(ok func(k *target) bool) (list []*target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, k := range s.targets {
-		if k.service.name == name && !k.lapsed {
+		if ok(k) {
 			list = append(list, k)
 		}
 	}
