soak: gateways of two test processes don't share addresses

Two soaks that ran at once gave their gateways the same loopback addresses when their process ids were equal modulo 64.

The address is now derived from the whole process id.

--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -56,7 +56,7 @@
 	n := lastAddress.Add(1)
 	g := &gateway{
 		site: s, name: fmt.Sprintf("gateway-%d", len(s.gateways)), place: s.place(len(s.gateways)),
-		ip: fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()%64, n/250, 1+n%250),
+		ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, (int64(os.Getpid()/128)+n/250)%250, 1+n%250),
 	}
 	dir := s.t.TempDir()
 	g.settingsPath, g.logPath = filepath.Join(dir, "boot.yaml"), filepath.Join(dir, "log")
