gateway: logs and metrics that tell entries without contact from outdated shares

An entry now logs how many other entries it knows and how many of them are up whenever its contact changes, and with each change of its part; gauges have the same. member.Table.Contact counts dead entries and seeds that never answered as known.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -88,8 +88,10 @@
 		return
 	}
 	c.logged.retryShare = r
+	contact := c.members.Contact()
 	c.gateway.log.WithFields(log.Fields{
 		"ratio": r.ratio, "burst": r.burst, "before": old.burst, "part": math.Round(100*r.trafficShare) / 100,
+		"up": contact.Up, "known": contact.Known,
 	}).Info("part of the retry budget changed")
 }
 
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -23,6 +23,9 @@
 	configVersion    tally.Gauge                  // version in force
 	dataAge          [resourceCount]tally.Gauge   // seconds since the store confirmed the data
 	liveEntries      tally.Gauge                  // live entries
+	knownEntries     tally.Gauge                  // other entries, dead ones included
+	upEntries        tally.Gauge                  // other entries that are up
+	trafficShare     tally.Gauge                  // share of all requests that this entry reckons with
 	targets          tally.Gauge
 	evacuatedDomains tally.Gauge // evacuated failure domains
 }
@@ -32,7 +35,8 @@
 	i := instruments{
 		Metrics: m, restores: m.Scope.Counter("store_restores"), packetsReceived: m.Scope.Counter("packets"), bytesSent: m.Scope.Counter("packet_bytes"), pulls: m.Scope.Counter("pulls"),
 		freshnessWaits: m.Scope.Counter("waits_for_knowledge"),
-		configVersion:  m.Scope.Gauge("config_version"), liveEntries: m.Scope.Gauge("live_entries"), targets: m.Scope.Gauge("targets"),
+		configVersion:  m.Scope.Gauge("config_version"), liveEntries: m.Scope.Gauge("live_entries"), knownEntries: m.Scope.Gauge("entries_known"), upEntries: m.Scope.Gauge("entries_up"),
+		trafficShare: m.Scope.Gauge("traffic_part"), targets: m.Scope.Gauge("targets"),
 		evacuatedDomains: m.Scope.Gauge("evacuated_places"),
 	}
 	for r, name := range resourceLabels {
@@ -87,6 +91,7 @@
 	i := &c.gateway.instruments
 	i.configVersion.Update(float64(c.config.Version))
 	i.liveEntries.Update(float64(len(c.live())))
+	c.updateContactGauges(c.members.Contact())
 	i.targets.Update(float64(c.targets.Len()))
 	i.evacuatedDomains.Update(float64(c.evacuations.Len()))
 	for _, s := range c.services {
--- a/internal/gateway/loggedstate.go
+++ b/internal/gateway/loggedstate.go
@@ -20,11 +20,13 @@
 	targets        map[string]roster.Item[slot.Target]
 	targetsChanged bool // the targets have changed since the last log line
 	retryShare     retryShare
+	contact        contactState
 }
 
 // logChanges logs changes of the live entries, of the owners of each host, and of the targets.
 func (c *control) logChanges(now time.Time, live []owner.Candidate, owners map[string][]owner.Entry) {
 	c.logLive(live)
+	c.logContact(now, c.members.Contact())
 	logged := &c.logged
 	if text := ownersText(owners); text != logged.owners {
 		c.gateway.log.WithFields(log.Fields{"owners": text, "before": logged.owners}).Info("owners changed")
