soak: outages and crashing requests while no datagram between gateways arrives

Gateways that lose datagrams are processes of the test binary, which give the gateway a socket of their own; relay.Config.ListenPacket is the seam for it. Gateways that can't reach each other at all get unreachable addresses of the others from the store.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,9 @@
 	Settings    platform.Settings
 	Boot        uint64 // incarnation; grows with each start
 	MetricsPort int    // port of the metrics and the status; 0 takes a free one
-	Log         log.Interface
+	// ListenPacket opens the socket for datagrams of other entries; nil means net.ListenPacket.
+	ListenPacket func(network, address string) (net.PacketConn, error)
+	Log          log.Interface
 }
 
 // Gateway is one entry: a process that serves callers.
@@ -103,7 +105,7 @@
 		Address: net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0])),
 		Source:  g.control, OnPacket: g.control.enqueuePacket, Log: g.log,
 		Self:   func() member.ID { return *g.selfID.Load() },
-		OnSent: func(bytes int) { g.instruments.bytesSent.Inc(int64(bytes)) },
+		OnSent: func(bytes int) { g.instruments.bytesSent.Inc(int64(bytes)) }, ListenPacket: cfg.ListenPacket,
 	}); err != nil {
 		g.closeListeners()
 		return nil, err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,14 +77,16 @@
 	Self     func() member.ID            // ID of this entry, the response to pings
 	OnPacket func(p Packet, from string) // called by one goroutine for each received packet
 	OnSent   func(bytes int)             // called for each sent packet
-	Log      log.Interface
+	// ListenPacket opens the socket for datagrams; nil means net.ListenPacket.
+	ListenPacket func(network, address string) (net.PacketConn, error)
+	Log          log.Interface
 }
 
 // Relay sends packets to other entries, receives theirs and serves pulls. It is
 // safe for concurrent use.
 type Relay struct {
 	cfg      Config
-	packets  *net.UDPConn
+	packets  net.PacketConn
 	listener net.Listener
 	server   *http.Server
 	client   *http.Client
@@ -104,6 +106,9 @@
 // New opens the sockets, so that a port already in use fails the start early.
 func New(cfg Config) (r *Relay, err error) {
 	defer func() { err = errors.WithMessage(err, "relay") }()
+	if cfg.ListenPacket == nil {
+		cfg.ListenPacket = net.ListenPacket
+	}
 	r = &Relay{cfg: cfg, client: &http.Client{
 		Timeout:   callTimeout,
 		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true},
@@ -127,11 +132,7 @@
 // in use; listen then tries another port.
 func (r *Relay) listen() (err error) {
 	for range portAttempts {
-		var addr *net.UDPAddr
-		if addr, err = net.ResolveUDPAddr("udp4", r.cfg.Address); err != nil {
-			return err
-		}
-		if r.packets, err = net.ListenUDP("udp4", addr); err != nil {
+		if r.packets, err = r.cfg.ListenPacket("udp4", r.cfg.Address); err != nil {
 			return err
 		}
 		if r.listener, err = net.Listen("tcp", r.Address()); err == nil {
@@ -220,7 +221,7 @@
 	if err != nil {
 		return err
 	}
-	n, err := r.packets.WriteToUDPAddrPort(data, addr)
+	n, err := r.packets.WriteTo(data, net.UDPAddrFromAddrPort(addr))
 	r.cfg.OnSent(n)
 	return err
 }
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -164,8 +164,11 @@
 }
 
 // resolve returns the gateways that clients should connect to. It asks a random gateway for
-// them, up to 3 times.
+// them, up to 3 times. With anyGateway it returns all gateways.
 func (s *site) resolve(rnd *rand.Rand) (list []*gateway) {
+	if s.anyGateway {
+		return s.gateways
+	}
 	for range 3 {
 		g := s.gateways[rnd.IntN(len(s.gateways))]
 		res, err := checkClient.Get("http://" + g.ip + ":8546/resolve?region=metro&zone=" + g.place + "&name=" + host)
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -88,8 +89,7 @@
 	out, err := os.OpenFile(g.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	g.site.q.Assert(err, qt.IsNil)
 	defer out.Close()
-	cmd, exited := exec.Command(g.site.program, "gateway", "--metrics", "9464"), make(chan struct{})
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.settingsPath)
+	cmd, exited := g.command(), make(chan struct{})
 	cmd.Stdout, cmd.Stderr = out, out
 	g.site.q.Assert(cmd.Start(), qt.IsNil)
 	g.mu.Lock()
@@ -105,6 +105,20 @@
 	}()
 }
 
+const metricsPort = 9464
+
+// command returns the command that runs the program, or this test binary if datagrams are to
+// be lost.
+func (g *gateway) command() *exec.Cmd {
+	cmd := exec.Command(g.site.program, "gateway", "--metrics", strconv.Itoa(metricsPort))
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.settingsPath)
+	if loss := g.site.datagramLoss; loss > 0 {
+		cmd.Path = os.Args[0]
+		cmd.Env = append(cmd.Env, fmt.Sprintf("%s=%g", lossVariable, loss))
+	}
+	return cmd
+}
+
 // restart restarts a process that exited by itself, as the platform does. The test fails
 // unless the settings file was invalid when the process exited.
 func (g *gateway) restart(badSettings bool) {
--- a/internal/soak/profile_test.go
+++ b/internal/soak/profile_test.go
@@ -16,6 +16,9 @@
 	requestRate       float64 // requests a second of all clients together; 0: each client waits up to 20 ms between requests
 	minServedShare    float64 // minimum share of requests served after recovery
 	faults            []fault
+	datagramLoss      float64 // share of the datagrams between gateways that are lost
+	groups            int     // groups of gateways that can't reach each other; 0 or 1: all can
+	anyGateway        bool    // clients use any gateway, not those that the directory names
 }
 
 // service is a service and its targets.
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -28,7 +28,7 @@
 	t                  *testing.T
 	q                  *qt.C
 	seed               uint64
-	program            string
+	program            string // empty if gateways run this test binary
 	startedAt          time.Time
 	store              *objects.Store
 	storeProxy         *proxy // in front of the store
@@ -75,10 +75,13 @@
 
 // newSite starts a site and waits until all gateways are ready.
 func newSite(t *testing.T, seed uint64, p profile) *site {
-	s := &site{profile: p, t: t, q: qt.New(t), seed: seed, program: buildProgram(t), startedAt: time.Now(), store: objects.New()}
+	s := &site{profile: p, t: t, q: qt.New(t), seed: seed, startedAt: time.Now(), store: objects.New()}
+	if p.datagramLoss == 0 {
+		s.program = buildProgram(t)
+	}
 	s.loadPercent.Store(100)
 	s.retryRatio.Store(p.initialRetryRatio)
-	server := httptest.NewServer(s.store)
+	server := httptest.NewServer(s.separateGroups(s.store))
 	t.Cleanup(server.CloseClientConnections)
 	s.storeProxy = newProxy(t, strings.TrimPrefix(server.URL, "http://"))
 	for _, sv := range s.services {
@@ -124,6 +127,13 @@
 }
 
 func TestMain(m *testing.M) {
+	if loss := os.Getenv(lossVariable); loss != "" {
+		if err := runLossyGateway(loss); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	code := m.Run()
 	if build.path != "" {
 		os.RemoveAll(filepath.Dir(build.path))
