relay: packets go by TCP to entries that don't answer datagrams

Cause: membership, request rates, owner counts and reports of crashes were told by datagrams only, without acknowledgement, and nothing noticed that none arrived. Each entry took itself for the only one: all requests were its own, so that it took half of the budget, and it counted a request's crashes alone.

Change: the relay notices for each peer whether datagrams are answered, by the answers to membership messages and, where there are none, by a probe every 2 s. If none comes within 0.2 s, packets go by TCP until three probes in a row are answered. Answers go the way that the question came. Reports of crashes, which aren't repeated, always go both ways.

Why it holds: an entry that takes TCP connections gets all packets, whichever direction loses datagrams and however many.

--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -16,6 +16,7 @@
 	restores         tally.Counter // restores of the store from a copy
 	packetsReceived  tally.Counter // packets received from other entries
 	bytesSent        tally.Counter // bytes of packets sent to other entries
+	packetsByTCP     tally.Counter // packets sent by TCP to entries that don't answer datagrams
 	pulls            tally.Counter // pulls from other entries
 	freshnessWaits   tally.Counter // requests that waited for newer store data
 	storeReads       [resourceCount]tally.Counter
@@ -33,7 +34,7 @@
 func newInstruments(entry string) instruments {
 	m := metrics.New(entry)
 	i := instruments{
-		Metrics: m, restores: m.Scope.Counter("store_restores"), packetsReceived: m.Scope.Counter("packets"), bytesSent: m.Scope.Counter("packet_bytes"), pulls: m.Scope.Counter("pulls"),
+		Metrics: m, restores: m.Scope.Counter("store_restores"), packetsReceived: m.Scope.Counter("packets"), bytesSent: m.Scope.Counter("packet_bytes"), packetsByTCP: m.Scope.Counter("packets_tcp"), pulls: m.Scope.Counter("pulls"),
 		freshnessWaits: m.Scope.Counter("waits_for_knowledge"),
 		configVersion:  m.Scope.Gauge("config_version"), liveEntries: m.Scope.Gauge("live_entries"), knownEntries: m.Scope.Gauge("entries_known"), upEntries: m.Scope.Gauge("entries_up"),
 		trafficShare: m.Scope.Gauge("traffic_part"), targets: m.Scope.Gauge("targets"),
@@ -47,6 +48,14 @@
 	return i
 }
 
+// countSent counts a packet sent to another entry.
+func (i instruments) countSent(bytes int, stream bool) {
+	i.bytesSent.Inc(int64(bytes))
+	if stream {
+		i.packetsByTCP.Inc(1)
+	}
+}
+
 // serviceInstruments are the metrics of one service.
 type serviceInstruments struct {
 	latency          tally.Histogram                   // of forwarded responses
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,8 +1,9 @@
 // Package relay exchanges membership messages and store data between entries, so
 // that a few of them read the store for all.
 //
-// Datagrams carry membership messages and the revisions of the store data that the
-// sender has in force. An entry whose data is older pulls the rest from the sender.
+// Packets carry membership messages and the revisions of the store data that the sender
+// has in force. An entry whose data is older pulls the rest from the sender. Packets are
+// datagrams, or go by TCP to an entry that doesn't answer datagrams.
 // Duplicate, late and reordered messages are harmless, since all data carries a
 // version or a revision.
 package relay
@@ -74,9 +75,9 @@
 type Config struct {
 	Address  string // host:port, for datagrams and calls
 	Source   Source
-	Self     func() member.ID            // ID of this entry, the response to pings
-	OnPacket func(p Packet, from string) // called by one goroutine for each received packet
-	OnSent   func(bytes int)             // called for each sent packet
+	Self     func() member.ID             // ID of this entry, the response to pings
+	OnPacket func(p Packet, from string)  // called for each received packet, also concurrently
+	OnSent   func(bytes int, stream bool) // called for each sent packet; stream: by TCP
 	// ListenPacket opens the socket for datagrams; nil means net.ListenPacket.
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	Log          log.Interface
@@ -90,6 +91,9 @@
 	listener net.Listener
 	server   *http.Server
 	client   *http.Client
+	paths    *paths
+	streams  *streams
+	stop     context.CancelFunc // ends the streams
 }
 
 // Timeouts of HTTP calls between entries, whose network latency is about 1 ms.
@@ -116,8 +120,14 @@
 	if err := r.listen(); err != nil {
 		return nil, err
 	}
+	r.paths = newPaths()
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	r.streams = newStreams(ctx, r.deliver, func(to string, err error) {
+		cfg.Log.WithError(err).WithField("peer", to).Debug("relay: delivery by TCP failed")
+	})
 	r.server = &http.Server{
-		Handler:           wire.NewRelayServer(&server{source: cfg.Source}),
+		Handler:           wire.NewRelayServer(&server{relay: r, source: cfg.Source}),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       2 * idleTimeout,
 	}
@@ -165,6 +175,7 @@
 
 // Close closes all sockets.
 func (r *Relay) Close() {
+	r.stop()
 	r.packets.Close()
 	r.server.Close()
 }
@@ -182,24 +193,47 @@
 			r.cfg.Log.WithError(err).Warn("relay: reading a datagram failed")
 			continue
 		}
-		p, err := decodePacket(time.Now(), buf[:n])
-		if err != nil {
-			r.cfg.Log.WithError(err).WithField("from", from.String()).Warn("relay: dropped a malformed packet")
-			continue
-		}
-		r.handlePacket(p, from.String())
+		r.receive(buf[:n], from.String(), false)
+	}
+}
+
+// receive handles the encoded packet of a peer that came by TCP (stream) or as a datagram.
+func (r *Relay) receive(data []byte, from string, stream bool) {
+	p, err := decodePacket(time.Now(), data)
+	if err != nil {
+		r.cfg.Log.WithError(err).WithField("from", from).Warn("relay: dropped a malformed packet")
+		return
+	}
+	switch {
+	case !stream:
+		r.noteAnswer(p, from)
+	case p.Kind == GossipRequest || p.Kind == IndirectPing || p.Kind == ping:
+		r.paths.receivedStream(time.Now(), from)
 	}
+	r.handlePacket(p, from)
 }
 
-// handlePacket answers and forwards pings, and passes other packets to OnPacket.
+// noteAnswer records that a peer has answered a datagram, if the packet shows that.
+func (r *Relay) noteAnswer(p Packet, from string) {
+	probe := p.Kind == pong && p.Address == ""
+	if (probe || p.Kind == GossipResponse) && r.paths.receivedAnswer(time.Now(), from, probe) {
+		r.cfg.Log.WithField("peer", from).Info("relay: peer answers datagrams again")
+	}
+}
+
+// handlePacket answers and forwards pings, and passes other packets to OnPacket. A ping or
+// pong without an address is a probe of the path (see paths).
 func (r *Relay) handlePacket(p Packet, from string) {
 	var err error
-	switch p.Kind {
-	case IndirectPing:
+	switch {
+	case p.Kind == IndirectPing:
 		err = r.Send(p.Address, Packet{Kind: ping, ExchangeID: p.ExchangeID, Address: from})
-	case ping:
+	case p.Kind == ping && p.Address == "":
+		err = r.sendDatagram(from, Packet{Kind: pong, ID: r.cfg.Self()})
+	case p.Kind == ping:
 		err = r.Send(from, Packet{Kind: pong, ExchangeID: p.ExchangeID, Address: p.Address, ID: r.cfg.Self()})
-	case pong:
+	case p.Kind == pong && p.Address == "":
+	case p.Kind == pong:
 		err = r.Send(p.Address, Packet{Kind: IndirectAck, ExchangeID: p.ExchangeID, ID: p.ID})
 	default:
 		r.cfg.OnPacket(p, from)
@@ -209,10 +243,41 @@
 	}
 }
 
-// Send sends a packet to an address. It doesn't retry: a later packet carries newer
-// data than a lost one.
+// Send sends a packet to an address, as a datagram or by TCP if the peer doesn't answer
+// datagrams. A SuspectReport goes both ways, since it isn't repeated. Other packets are
+// not sent again: a later one carries newer data than a lost one.
 func (r *Relay) Send(to string, p Packet) (err error) {
 	defer func() { err = errors.WithMessage(err, "packet to "+to) }()
+	way := r.choose(to, p.Kind)
+	if way.broke {
+		r.cfg.Log.WithField("peer", to).Warn("relay: peer doesn't answer datagrams, packets go by TCP")
+	}
+	if way.probe {
+		if err := r.sendDatagram(to, Packet{Kind: ping}); err != nil {
+			return err
+		}
+	}
+	if way.stream || p.Kind == SuspectReport {
+		if err := r.sendStream(to, p); err != nil {
+			return err
+		}
+	}
+	if way.stream {
+		return nil
+	}
+	return r.sendDatagram(to, p)
+}
+
+// choose returns how to send a packet of this kind.
+func (r *Relay) choose(to string, k Kind) transport {
+	switch k {
+	case GossipResponse, pong, IndirectAck:
+		return r.paths.chooseAnswer(time.Now(), to)
+	}
+	return r.paths.choose(time.Now(), to)
+}
+
+func (r *Relay) sendDatagram(to string, p Packet) error {
 	data, err := encodePacket(time.Now(), p)
 	if err != nil {
 		return err
@@ -222,10 +287,22 @@
 		return err
 	}
 	n, err := r.packets.WriteTo(data, net.UDPAddrFromAddrPort(addr))
-	r.cfg.OnSent(n)
+	r.cfg.OnSent(n, false)
 	return err
 }
 
+func (r *Relay) sendStream(to string, p Packet) error {
+	data, err := encodePacket(time.Now(), p)
+	if err != nil {
+		return err
+	}
+	if _, err := netip.ParseAddrPort(to); err != nil {
+		return err
+	}
+	r.cfg.OnSent(len(data), true)
+	return r.streams.send(to, data)
+}
+
 // Pull requests the data that is newer than have from the entry at an address.
 func (r *Relay) Pull(ctx context.Context, from string, have PullQuery) (result PullResult, err error) {
 	defer func() { err = errors.WithMessage(err, "pull from "+from) }()
@@ -242,6 +319,7 @@
 
 // server serves calls from other entries.
 type server struct {
+	relay       *Relay
 	source      Source
 	compressor  configCompressor
 	fullReplies replyCache
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
@@ -25,8 +26,12 @@
 func (f fixedSource) AnswerPull(context.Context, PullQuery) (PullResult, error) { return f.result, nil }
 
 func startRelay(t *testing.T, s Source, onPacket func(Packet, string)) *Relay {
+	return startRelayWith(t, s, onPacket, nil)
+}
+
+func startRelayWith(t *testing.T, s Source, onPacket func(Packet, string), listen func(network, address string) (net.PacketConn, error)) *Relay {
 	r, err := New(Config{
-		Address: "127.0.0.1:0", Source: s, OnPacket: onPacket, OnSent: func(int) {}, Log: &log.Logger{Handler: discard.New()},
+		Address: "127.0.0.1:0", Source: s, OnPacket: onPacket, OnSent: func(int, bool) {}, ListenPacket: listen, Log: &log.Logger{Handler: discard.New()},
 		Self: func() member.ID { return member.ID{Name: "self", Boot: 3} },
 	})
 	qt.Assert(t, err, qt.IsNil)
@@ -57,15 +62,18 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			received := make(chan Packet, 1)
-			var sender string
-			to := startRelay(t, fixedSource{}, func(p Packet, from string) { sender = from; received <- p })
+			type arrival struct {
+				packet Packet
+				from   string
+			}
+			received := make(chan arrival, 2) // a report of suspects arrives twice
+			to := startRelay(t, fixedSource{}, func(p Packet, from string) { received <- arrival{p, from} })
 			from := startRelay(t, fixedSource{}, ignorePacket)
 			qt.Assert(t, from.Send(to.Address(), tt.packet), qt.IsNil)
 			select {
 			case got := <-received:
-				qt.Assert(t, got, qt.DeepEquals, tt.packet)
-				qt.Assert(t, sender, qt.Equals, from.Address())
+				qt.Assert(t, got.packet, qt.DeepEquals, tt.packet)
+				qt.Assert(t, got.from, qt.Equals, from.Address())
 			case <-time.After(10 * time.Second):
 				t.Fatal("no packet received")
 			}
