gateway: isolated entries share the requests that crash targets through the store

Callers saw: with 13 gateways that reach the store but not each other, a request that crashes targets reached 27 targets later than 3 s after the third crash, allowed 3 (TestPoisonUnderConditions, isolated).

Cause: crash counts go from entry to entry only. An entry without contact counts alone, and each of them let the request crash three targets.

Change: while an entry is in contact with none of the entries that it knows, it writes its suspects to a record of its own in the store (kind suspects) when they change, and reads those of the others every 0.5 s. It deletes the record once it has contact again; records whose suspects are all older than 10 min are removed with those of dead entries. The record also outlives a restart of its entry. In contact, nothing is written or read.

Ways weighed: a lower limit of crashes for an entry without contact would refuse requests after a single lost connection; a record for each request needs merging writes.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -208,6 +208,7 @@
 	initialized := c.table != nil && c.targetsKnown()
 	c.gateway.view.Store(&view{
 		table: c.table, initialized: initialized, services: c.services, live: live, owners: owners, rates: c.hosts.rates,
+		isolated: contactStateOf(c.members.Contact()) == contactNone,
 	})
 	if initialized && !c.firstViewPublished {
 		c.firstViewPublished = true
--- a/internal/gateway/enroller.go
+++ b/internal/gateway/enroller.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
 
+	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/roster"
@@ -151,6 +153,7 @@
 	if rank == 0 && now.Sub(e.lastCleaned) >= cleanInterval {
 		e.lastCleaned = now
 		e.cleanRecords(ctx)
+		e.cleanSuspects(ctx)
 	}
 }
 
@@ -187,6 +190,30 @@
 	e.absent = absent
 }
 
+// cleanSuspects removes the records of suspects that no entry uses any more. Their writers
+// may be gone.
+func (e *enroller) cleanSuspects(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	items, _, err := e.gateway.store.Suspects().List(ctx)
+	if err != nil {
+		e.gateway.log.WithError(err).Info("suspects not listed")
+		return
+	}
+	for _, it := range items {
+		if slices.ContainsFunc(it.Value, func(s call.Suspect) bool { return s.Age < suspectRecordTTL }) {
+			continue
+		}
+		e.gateway.log.WithField("peer", it.Name).Info("removing an old record of suspects")
+		if err := e.gateway.store.DeleteSuspects(ctx, it.Name); err != nil {
+			e.gateway.log.WithError(err).WithField("peer", it.Name).Info("record of suspects not removed")
+		}
+	}
+}
+
+// suspectRecordTTL is longer than the longest quarantine and the difference of two clocks.
+const suspectRecordTTL = 10 * time.Minute
+
 // recordOrder names the order that selects the entries with a record.
 const recordOrder = "record"
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,6 +186,7 @@
 	s.Add(g.control)
 	s.Add(g.relay)
 	s.Add(&enroller{gateway: g})
+	s.Add(&suspectRecorder{gateway: g})
 	s.Add(newConfigReader(g))
 	s.Add(newTargetReader(g))
 	s.Add(newEvacuationReader(g))
--- /dev/null
+++ b/internal/gateway/suspectrecords_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/worker"
+)
+
+// Entries that reach the store but not each other get a request that crashes targets. Guards
+// against a quarantine that each of them starts alone, after crashLimit crashes of its own.
+func TestQuarantineOfIsolatedEntries(t *testing.T) {
+	const entryCount = 6
+	w := newWorld(t, worldConfig{targets: 8, attempts: 1})
+	w.store.SeparateEntries(func(number int) int { return number })
+	var entries []*entry
+	for i := range entryCount {
+		entries = append(entries, w.startEntry(fmt.Sprint("e", i+1)).waitReady())
+	}
+	for _, e := range entries {
+		w.waitFor("others known and unreachable", func() bool { return e.view.Load().isolated })
+	}
+	for _, k := range w.workers {
+		k.SetFaults(func(r *http.Request) worker.Fault { return worker.Fault{LoseResponse: r.URL.Path == crashPath} })
+	}
+	for i := range 2 * crashLimit * entryCount {
+		entries[i%entryCount].call("GET", crashPath, "")
+		time.Sleep(suspectRecordInterval)
+		if w.crashes() >= crashLimit {
+			break
+		}
+	}
+	for _, e := range entries {
+		w.waitFor("quarantined", func() bool { return len(e.control.quarantined(time.Now())) > 0 })
+	}
+	crashes := w.crashes()
+	for _, e := range entries {
+		w.c.Assert(e.call("GET", crashPath, "").status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	w.c.Assert(w.crashes(), qt.Equals, crashes)
+	w.c.Assert(crashes <= 2*crashLimit, qt.IsTrue, qt.Commentf("%d crashes", crashes))
+	w.c.Assert(entries[0].call("GET", "/a/other", "").status, qt.Equals, http.StatusOK)
+}
+
+// An isolated entry is replaced. Guards against a new process that forgets the requests that
+// the one before had recorded, and against records that stay after the isolation.
+func TestSuspectRecordOutlivesRestart(t *testing.T) {
+	w := newWorld(t, worldConfig{targets: 8, attempts: 1})
+	w.store.Put("entries", "e2", map[string]any{"front": "127.0.0.1:9", "peer": "127.0.0.1:1"})
+	for _, k := range w.workers {
+		k.SetFaults(func(r *http.Request) worker.Fault { return worker.Fault{LoseResponse: r.URL.Path == crashPath} })
+	}
+	first := w.startEntry("e1").waitReady()
+	w.waitFor("isolated", func() bool { return first.view.Load().isolated })
+	w.waitFor("quarantined at first", func() bool { return first.call("GET", crashPath, "").status == http.StatusServiceUnavailable })
+	crashes := w.crashes()
+	w.waitFor("recorded", func() bool { return len(w.store.Names("suspects")) == 1 })
+	time.Sleep(2 * suspectRecordInterval) // the record may have been written before the last crash
+	first.stop()
+	<-first.done
+	next := w.startEntry("e1").waitReady()
+	w.waitFor("quarantined", func() bool { return len(next.control.quarantined(time.Now())) == 1 })
+	w.c.Assert(next.call("GET", crashPath, "").status, qt.Equals, http.StatusServiceUnavailable)
+	w.c.Assert(w.crashes(), qt.Equals, crashes)
+	w.startEntry("e2")
+	w.waitFor("record removed", func() bool { return len(w.store.Names("suspects")) == 0 })
+}
--- a/internal/soak/lossy_test.go
+++ b/internal/soak/lossy_test.go
@@ -1,17 +1,12 @@
 package soak
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/signal"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -75,47 +70,3 @@
 	defer stop()
 	return g.Serve(ctx)
 }
-
-// unreachablePeer is an address that no gateway listens on.
-const unreachablePeer = "127.0.0.1:9"
-
-// separateGroups returns a handler for the store that gives each gateway an unreachable
-// address for the gateways of other groups. Each gateway knows then that the others exist,
-// but no datagram and no connection reaches them.
-func (s *site) separateGroups(next http.Handler) http.Handler {
-	if s.groups <= 1 {
-		return next
-	}
-	group := func(name string) int {
-		n, _ := strconv.Atoi(strings.TrimPrefix(name, "gateway-"))
-		return n % s.groups
-	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodGet || r.URL.Path != "/objects/entries" {
-			next.ServeHTTP(w, r)
-			return
-		}
-		recorded := httptest.NewRecorder()
-		next.ServeHTTP(recorded, r)
-		var list struct {
-			Items   []map[string]any `json:"items"`
-			HasMore bool             `json:"hasMore"`
-			AtRev   uint64           `json:"atRev"`
-		}
-		body := recorded.Body.Bytes()
-		if recorded.Code == http.StatusOK && json.Unmarshal(body, &list) == nil {
-			for _, it := range list.Items {
-				name, _ := it["metadata"].(map[string]any)["name"].(string)
-				if spec, ok := it["spec"].(map[string]any); ok && group(name) != group(r.Header.Get("User-Agent")) {
-					spec["peer"] = unreachablePeer
-				}
-			}
-			body, _ = json.Marshal(list)
-		}
-		for name, values := range recorded.Header() {
-			w.Header()[name] = values
-		}
-		w.WriteHeader(recorded.Code)
-		_, _ = bytes.NewReader(body).WriteTo(w)
-	})
-}
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -81,7 +81,10 @@
 	}
 	s.loadPercent.Store(100)
 	s.retryRatio.Store(p.initialRetryRatio)
-	server := httptest.NewServer(s.separateGroups(s.store))
+	if s.groups > 1 {
+		s.store.SeparateEntries(func(number int) int { return number % s.groups })
+	}
+	server := httptest.NewServer(s.store)
 	t.Cleanup(server.CloseClientConnections)
 	s.storeProxy = newProxy(t, strings.TrimPrefix(server.URL, "http://"))
 	for _, sv := range s.services {
--- a/internal/standin/objects/http.go
+++ b/internal/standin/objects/http.go
@@ -42,11 +42,14 @@
 }
 
 func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
-	after := r.URL.Query().Get("after")
+	after, kind := r.URL.Query().Get("after"), r.PathValue("kind")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	items := []objectWire{}
-	for _, o := range s.objects[r.PathValue("kind")] {
+	for _, o := range s.objects[kind] {
+		if s.rewrite != nil {
+			o = s.rewrite(r, kind, o)
+		}
 		if o.Name > after {
 			items = append(items, encodeObject(o))
 		}
--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -45,6 +45,7 @@
 	oldestRevision uint64        // watches from an older revision get 410
 	changed        chan struct{} // closed and replaced at each change
 	fault          func(r *http.Request) Fault
+	rewrite        func(r *http.Request, kind string, o Object) Object
 	calls          int
 	watchesPaused  bool
 	pageSize       int
@@ -72,6 +73,14 @@
 	s.fault = f
 }
 
+// RewriteLists sets a function that changes the objects in the responses to lists, for example
+// to give each entry other addresses of the others; nil ends that.
+func (s *Store) RewriteLists(f func(r *http.Request, kind string, o Object) Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rewrite = f
+}
+
 // PauseWatches sets whether watches are paused. A paused watch delivers no changes
 // until its wait time ends, as on a connection that failed without an error.
 func (s *Store) PauseWatches(paused bool) {
--- a/internal/standin/objects/records.go
+++ b/internal/standin/objects/records.go
@@ -1,7 +1,10 @@
 package objects
 
 import (
+	"encoding/json"
+	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -25,6 +28,35 @@
 	WarmupRate = 3.4 // requests a second during the warm-up
 )
 
+// unreachablePeer is an address that nothing listens on; the port is the number of an entry.
+const unreachablePeer = "127.0.0.1:"
+
+// SeparateEntries gives each entry that lists the entries an unreachable address for each
+// one that isn't in its group, so that they know of each other and can't reach each other.
+// Entries are numbered by the digits at the end of their names, from 1 on.
+func (s *Store) SeparateEntries(group func(number int) int) {
+	s.RewriteLists(func(r *http.Request, kind string, o Object) Object {
+		n := entryNumber(o.Name)
+		if kind != "entries" || group(n) == group(entryNumber(r.UserAgent())) {
+			return o
+		}
+		var spec map[string]any
+		if err := json.Unmarshal(o.Spec, &spec); err != nil {
+			return o
+		}
+		spec["peer"] = unreachablePeer + strconv.Itoa(n)
+		o.Spec, _ = json.Marshal(spec) // of a decoded map, so it can't fail
+		return o
+	})
+}
+
+// entryNumber returns the number at the end of an entry's name, or 0 if there is none.
+func entryNumber(name string) int {
+	digits := name[len(strings.TrimRight(name, "0123456789")):]
+	n, _ := strconv.Atoi(digits)
+	return n
+}
+
 // PutTarget writes a target's record.
 func (s *Store) PutTarget(t Target) {
 	state := "ready"
