gateway: an entry isolated from its start holds no share of a target's limit

Cause: an entry counted as isolated only if the membership had known another entry. One that never reached any was alone, and held the shares of all limits and cold targets.

Change: records of others in the store count as well.

--- a/internal/gateway/enroller.go
+++ b/internal/gateway/enroller.go
@@ -225,9 +225,11 @@
 
 func (m entriesListed) apply(now time.Time, c *control) {
 	seeds := c.gateway.otherSeeds()
+	c.recordedPeers = 0
 	for _, it := range m.items {
 		if it.Name != c.gateway.self.Name {
 			seeds = append(seeds, it.Value.PeerAddress)
+			c.recordedPeers++
 		}
 	}
 	if m.enrollDuration > 0 {
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -78,6 +79,35 @@
 	}
 }
 
+// Entries that never reached each other get responses with a limit. Guards against entries of
+// which each takes itself for the only one that sends to the target.
+func TestLimitHoldsOverIsolatedEntries(t *testing.T) {
+	const (
+		rate       = 2.0
+		entryCount = 6
+		load       = 6 * time.Second
+	)
+	w := newWorld(t, worldConfig{targets: 3})
+	w.store.SeparateEntries(func(number int) int { return number })
+	var entries []*entry
+	for i := range entryCount {
+		entries = append(entries, w.startEntry(fmt.Sprint("e", i+1)).waitReady())
+	}
+	for _, e := range entries {
+		w.waitFor("others known and unreachable", func() bool { return e.view.Load().isolated })
+	}
+	limited := w.workers[0]
+	limited.SetLimit(strconv.Itoa(rate))
+	time.Sleep(isolationTimeout)
+	limitedAt := time.Now()
+	stop := w.callContinuously(t.Context(), entries, 2)
+	time.Sleep(load)
+	replies := stop()
+	n := maxRunsWithin(limited.Runs(), limitedAt.Add(2*limitDelay), limitWindow)
+	w.c.Check(n <= maxLimited(rate), qt.IsTrue, qt.Commentf("%d requests in %v, allowed %d", n, limitWindow, maxLimited(rate)))
+	w.c.Check(countUnavailable(replies), qt.Equals, 0)
+}
+
 // A limit ends while entries without a share of it send nothing to the target. They must
 // detect the end by load probes, and the target must get its usual part of the requests.
 func TestLimitEnds(t *testing.T) {
--- a/internal/gateway/live.go
+++ b/internal/gateway/live.go
@@ -62,13 +62,17 @@
 	return now.Sub(c.started) > isolationTimeout && now.Sub(c.members.LastReceived()) > isolationTimeout
 }
 
-// isolated reports whether this entry receives nothing from the others though it has known
-// some. Unlike lostContactWithLive it also counts entries that seem dead: after a second or
-// more without contact, all of them do.
+// isolated reports whether this entry receives nothing from the others though there are
+// some: it has known them, or they have a record in the store. Unlike lostContactWithLive it
+// also counts entries that seem dead: after a second or more without contact, all of them do.
+// Seeds of the settings don't count, since they may be gone for good.
 func (c *control) isolated(now time.Time) bool {
 	if !c.lostContact(now) {
 		return false
 	}
+	if c.recordedPeers > 0 {
+		return true
+	}
 	for e := range c.members.Entries() {
 		if e.State != member.Left && e.ID.Name != c.gateway.self.Name {
 			return true
