--- a/internal/soak/outage_test.go
+++ b/internal/soak/outage_test.go
@@ -102,7 +102,7 @@
 // start starts a site and its clients under the condition. The returned function waits until
 // the condition has ended.
 func (k condition) start(t *testing.T, seed uint64, length time.Duration) (s *site, wait func()) {
-	p := fullSizeSite()
+	p := largeSite()
 	p.initialRetryRatio = retryBudgetRatio
 	if k.change != nil {
 		k.change(&p)
--- a/internal/soak/profile_test.go
+++ b/internal/soak/profile_test.go
@@ -92,3 +92,41 @@
 		pathCount: 1 << 40, requestRate: 176, minServedShare: 0.85, faults: extraDispatchFaults,
 	}
 }
+
+// staffingSite is another profile of the users' size. Its requests take longer and have more
+// time, so that a failed one is often retried late.
+func staffingSite() profile {
+	p := fullSizeSite()
+	p.gatewayCount, p.retrySlack, p.requestRate = 14, 58, 126
+	p.places = []string{"civic", "wharf", "festival"}
+	p.services = []service{
+		{name: "board", targets: 15, slots: 2, queueLimit: 4, serviceTime: 90 * time.Millisecond, variablePace: true},
+		{name: "confirm", targets: 8, slots: 2, queueLimit: 4, serviceTime: 120 * time.Millisecond, variablePace: true},
+		{name: "paydesk", targets: 6, slots: 2, queueLimit: 4, serviceTime: 63 * time.Millisecond, variablePace: true},
+	}
+	p.kinds = []requestKind{
+		{
+			name: "r-lookup", service: "board", method: "GET", prefix: "/lookup/", attempts: 2, retries: 2, weight: 73,
+			targetLatency: 250 * time.Millisecond, timeout: 2 * time.Second, deadline: 2 * time.Second,
+		},
+		{
+			name: "r-claim", service: "confirm", method: "POST", prefix: "/claim/", runOnce: true, attempts: 2, retries: 2, weight: 31,
+			targetLatency: 300 * time.Millisecond, timeout: 2500 * time.Millisecond, deadline: 2500 * time.Millisecond,
+		},
+		{
+			name: "r-advance", service: "paydesk", method: "PUT", prefix: "/advance/", runOnce: true, attempts: 2, retries: 2, weight: 22,
+			targetLatency: 200 * time.Millisecond, timeout: 1200 * time.Millisecond, deadline: 1200 * time.Millisecond,
+		},
+	}
+	return p
+}
+
+// largeSite returns the profile of the users' size that the flags select.
+func largeSite() profile {
+	p := fullSizeSite()
+	if *staffing {
+		p = staffingSite()
+	}
+	p.datagramLoss = *datagramLoss
+	return p
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,14 +9,16 @@
 )
 
 var (
-	firstSeed   = flag.Uint64("first", 1, "first seed")
-	seedCount   = flag.Int("seeds", 3, "number of seeds to run, one after the other")
-	faultTime   = flag.Duration("time", 12*time.Second, "how long faults are injected for")
-	fullSize    = flag.Bool("full", false, "run sites of the users' size under faults that cause retries and hedges, instead of small ones")
-	programPath = flag.String("program", "", "program to run instead of one built from these sources")
-	numGateways = flag.Int("gateways", 4, "number of gateway processes")
-	numTargets  = flag.Int("targets", 6, "number of targets")
-	numClients  = flag.Int("clients", 10, "number of clients")
+	firstSeed    = flag.Uint64("first", 1, "first seed")
+	seedCount    = flag.Int("seeds", 3, "number of seeds to run, one after the other")
+	faultTime    = flag.Duration("time", 12*time.Second, "how long faults are injected for")
+	fullSize     = flag.Bool("full", false, "run sites of the users' size under faults that cause retries and hedges, instead of small ones")
+	staffing     = flag.Bool("staffing", false, "with -full: the site whose requests take longer")
+	datagramLoss = flag.Float64("loss", 0, "with -full: share of the datagrams between gateways that are lost")
+	programPath  = flag.String("program", "", "program to run instead of one built from these sources")
+	numGateways  = flag.Int("gateways", 4, "number of gateway processes")
+	numTargets   = flag.Int("targets", 6, "number of targets")
+	numClients   = flag.Int("clients", 10, "number of clients")
 )
 
 // regressions are seeds that failed before, with the cause.
@@ -64,7 +66,7 @@
 	}
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSeed(t, seed, fullSizeSite(), *faultTime) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSeed(t, seed, largeSite(), *faultTime) })
 	}
 }
 
