relay: datagrams that the system refuses go by TCP at once

Where the system refuses to send datagrams, as with a local firewall that answers EPERM, no packet arrived at all: a probe that couldn't be sent ended the sending of the packet that it went with. A report of crashes whose TCP queue was full was not sent as a datagram either.

Probes that fail are logged; a packet whose datagram is refused goes by TCP, the first one too. TestPacketsWhileDatagramsAreRefused fails without the change: the packet is an error.

--- a/internal/relay/path_test.go
+++ b/internal/relay/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -185,6 +186,30 @@
 	}
 }
 
+// refusingConn refuses to send datagrams, as with a local firewall.
+type refusingConn struct{ net.PacketConn }
+
+func (refusingConn) WriteTo([]byte, net.Addr) (int, error) { return 0, syscall.EPERM }
+
+// The system refuses to send datagrams. Each packet must go by TCP, also the first one.
+func TestPacketsWhileDatagramsAreRefused(t *testing.T) {
+	received := make(chan Packet, 10)
+	b := startRelay(t, fixedSource{}, func(p Packet, _ string) { received <- p })
+	a := startRelayWith(t, fixedSource{}, ignorePacket, func(network, address string) (net.PacketConn, error) {
+		c, err := net.ListenPacket(network, address)
+		return refusingConn{c}, err
+	})
+	for range 3 {
+		qt.Assert(t, a.Send(b.Address(), Packet{Kind: LoadReport, ID: member.ID{Name: "a", Boot: 1}}), qt.IsNil)
+		select {
+		case <-received:
+		case <-time.After(10 * time.Second):
+			t.Fatal("no packet received")
+		}
+		time.Sleep(probeTimeout)
+	}
+}
+
 // A report of crashes is sent once. It must arrive even if its datagram is lost.
 func TestSuspectReportWhileDatagramsAreLost(t *testing.T) {
 	var lost atomic.Bool
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -244,8 +244,9 @@
 }
 
 // Send sends a packet to an address, as a datagram or by TCP if the peer doesn't answer
-// datagrams. A SuspectReport goes both ways, since it isn't repeated. Other packets are
-// not sent again: a later one carries newer data than a lost one.
+// datagrams or the system refuses to send one. A SuspectReport goes both ways, since it
+// isn't repeated. Other packets are not sent again: a later one carries newer data than a
+// lost one.
 func (r *Relay) Send(to string, p Packet) (err error) {
 	defer func() { err = errors.WithMessage(err, "packet to "+to) }()
 	way := r.choose(to, p.Kind)
@@ -254,18 +255,16 @@
 	}
 	if way.probe {
 		if err := r.sendDatagram(to, Packet{Kind: ping}); err != nil {
-			return err
+			r.cfg.Log.WithError(err).WithField("peer", to).Debug("relay: probe not sent")
 		}
 	}
-	if way.stream || p.Kind == SuspectReport {
-		if err := r.sendStream(to, p); err != nil {
-			return err
-		}
+	if !way.stream {
+		err = r.sendDatagram(to, p)
 	}
-	if way.stream {
-		return nil
+	if way.stream || err != nil || p.Kind == SuspectReport {
+		return r.sendStream(to, p)
 	}
-	return r.sendDatagram(to, p)
+	return nil
 }
 
 // choose returns how to send a packet of this kind.
