gateway: one notion of an isolated entry, contact counted once per change

The suspects' records and the shares of limits used two definitions of isolation; both use that of the shares now. The counts of known entries are worked out when the live entries or the records change, not four times a publish. No change of what callers see.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -113,14 +113,13 @@
 		return
 	}
 	c.logged.retryShare = r
-	contact := c.members.Contact()
 	c.gateway.log.WithFields(log.Fields{
-		"ratio": r.ratio, "burst": roundCents(r.burst), "before": roundCents(old.burst), "part": roundCents(r.trafficShare),
-		"up": contact.Up, "known": contact.Known,
+		"ratio": r.ratio, "burst": roundHundredths(r.burst), "before": roundHundredths(old.burst), "part": roundHundredths(r.trafficShare),
+		"up": c.contact.Up, "known": c.contact.Known,
 	}).Info("part of the retry budget changed")
 }
 
-func roundCents(f float64) float64 { return math.Round(100*f) / 100 }
+func roundHundredths(f float64) float64 { return math.Round(100*f) / 100 }
 
 // trafficShare returns this entry's share of all requests. For a host whose total rate no
 // entry has announced yet, it assumes that every live entry gets as many requests as this
--- a/internal/gateway/contact.go
+++ b/internal/gateway/contact.go
@@ -36,12 +36,12 @@
 
 // logContact logs changes of the contact with the other entries. An entry without contact
 // knows neither their request rates nor the requests that crashed their targets.
-func (c *control) logContact(now time.Time, n member.Contact) {
-	state := contactStateOf(n)
+func (c *control) logContact(now time.Time) {
+	state := contactStateOf(c.contact)
 	if state == c.logged.contact {
 		return
 	}
-	fields := log.Fields{"contact": state.String(), "before": c.logged.contact.String(), "up": n.Up, "known": n.Known}
+	fields := log.Fields{"contact": state.String(), "before": c.logged.contact.String(), "up": c.contact.Up, "known": c.contact.Known}
 	if at := c.members.LastReceived(); !at.IsZero() {
 		fields["silence"] = now.Sub(at).Milliseconds()
 	}
@@ -50,20 +50,20 @@
 }
 
 // updateContactGauges sets the gauges of the contact with the other entries.
-func (c *control) updateContactGauges(n member.Contact) {
+func (c *control) updateContactGauges() {
 	i := &c.gateway.instruments
-	i.knownEntries.Update(float64(n.Known))
-	i.upEntries.Update(float64(n.Up))
-	i.trafficShare.Update(roundCents(c.retryShare.trafficShare))
+	i.knownEntries.Update(float64(c.contact.Known))
+	i.upEntries.Update(float64(c.contact.Up))
+	i.trafficShare.Update(roundHundredths(c.retryShare.trafficShare))
 }
 
 // contactShare returns the share of all known entries, this one included, that this entry is
-// in contact with. If it knows no other, it may only take itself for the only one if the
-// store, which lists entries that no other answers, doesn't list another.
+// in contact with. An entry that knows of no other is the only one only if the store says so:
+// it has listed the records of entries, which those write that reach no other. Until then the
+// share is 0.
 func (c *control) contactShare() float64 {
-	n := c.members.Contact()
-	if n.Known == 0 && c.enrolledAt.IsZero() {
+	if c.contact.Known == 0 && c.enrolledAt.IsZero() {
 		return 0
 	}
-	return float64(n.Up+1) / float64(n.Known+1)
+	return float64(c.contact.Up+1) / float64(c.contact.Known+1)
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -65,6 +65,7 @@
 
 	// State derived from membership; liveEntries is nil when the membership has changed.
 	liveEntries []owner.Candidate
+	contact     member.Contact
 	readerOrder [resourceCount][]owner.Entry // the first entries in the order of readers
 	readerRank  [resourceCount]int           // of this entry in the order of readers
 
@@ -209,7 +210,7 @@
 	initialized := c.table != nil && c.targetsKnown()
 	c.gateway.view.Store(&view{
 		table: c.table, initialized: initialized, services: c.services, live: live, owners: owners, rates: c.hosts.rates,
-		isolated: contactStateOf(c.members.Contact()) == contactNone,
+		isolated: c.isolated(now),
 	})
 	if initialized && !c.firstViewPublished {
 		c.firstViewPublished = true
--- a/internal/gateway/enroller.go
+++ b/internal/gateway/enroller.go
@@ -236,4 +236,5 @@
 		c.enrolledAt, c.enrollDuration, c.enrolledBefore = now, m.enrollDuration, countEnrolledBefore(c.gateway.self, m.items)
 	}
 	c.handleEvent(now, member.SetSeeds{Addresses: seeds})
+	c.contact = c.members.Contact()
 }
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -100,7 +100,7 @@
 	i := &c.gateway.instruments
 	i.configVersion.Update(float64(c.config.Version))
 	i.liveEntries.Update(float64(len(c.live())))
-	c.updateContactGauges(c.members.Contact())
+	c.updateContactGauges()
 	i.targets.Update(float64(c.targets.Len()))
 	i.evacuatedDomains.Update(float64(c.evacuations.Len()))
 	for _, s := range c.services {
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -88,14 +88,7 @@
 		load       = 6 * time.Second
 	)
 	w := newWorld(t, worldConfig{targets: 3})
-	w.store.SeparateEntries(func(number int) int { return number })
-	var entries []*entry
-	for i := range entryCount {
-		entries = append(entries, w.startEntry(fmt.Sprint("e", i+1)).waitReady())
-	}
-	for _, e := range entries {
-		w.waitFor("others known and unreachable", func() bool { return e.view.Load().isolated })
-	}
+	entries := startIsolatedEntries(w, entryCount)
 	limited := w.workers[0]
 	limited.SetLimit(strconv.Itoa(rate))
 	time.Sleep(isolationTimeout)
--- a/internal/gateway/live.go
+++ b/internal/gateway/live.go
@@ -43,6 +43,7 @@
 		c.readerRank[r] = owner.Rank(ranked, resourceLabels[r], c.gateway.self.Name)
 	}
 	c.assignment = nil
+	c.contact = c.members.Contact()
 }
 
 func ownerOf(e member.Entry) owner.Entry {
--- a/internal/gateway/loggedstate.go
+++ b/internal/gateway/loggedstate.go
@@ -26,7 +26,7 @@
 // logChanges logs changes of the live entries, of the owners of each host, and of the targets.
 func (c *control) logChanges(now time.Time, live []owner.Candidate, owners map[string][]owner.Entry) {
 	c.logLive(live)
-	c.logContact(now, c.members.Contact())
+	c.logContact(now)
 	logged := &c.logged
 	if text := ownersText(owners); text != logged.owners {
 		c.gateway.log.WithFields(log.Fields{"owners": text, "before": logged.owners}).Info("owners changed")
--- a/internal/gateway/several_test.go
+++ b/internal/gateway/several_test.go
@@ -32,6 +32,19 @@
 	return entries
 }
 
+// startIsolatedEntries starts entries that reach the store but not each other, and waits until
+// they notice it.
+func startIsolatedEntries(w *world, n int) (entries []*entry) {
+	w.store.SeparateEntries(func(number int) int { return number })
+	for i := range n {
+		entries = append(entries, w.startEntry(fmt.Sprint("e", i+1)).waitReady())
+	}
+	for _, e := range entries {
+		w.waitFor("others known and unreachable", func() bool { return e.view.Load().isolated })
+	}
+	return entries
+}
+
 // byReaderRank returns the entries in the order of readers.
 func byReaderRank(entries []*entry, r resource) (readers []*entry) {
 	var live []owner.Candidate
--- a/internal/gateway/suspectrecords_test.go
+++ b/internal/gateway/suspectrecords_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -16,14 +15,7 @@
 func TestQuarantineOfIsolatedEntries(t *testing.T) {
 	const entryCount = 6
 	w := newWorld(t, worldConfig{targets: 8, attempts: 1})
-	w.store.SeparateEntries(func(number int) int { return number })
-	var entries []*entry
-	for i := range entryCount {
-		entries = append(entries, w.startEntry(fmt.Sprint("e", i+1)).waitReady())
-	}
-	for _, e := range entries {
-		w.waitFor("others known and unreachable", func() bool { return e.view.Load().isolated })
-	}
+	entries := startIsolatedEntries(w, entryCount)
 	for _, k := range w.workers {
 		k.SetFaults(func(r *http.Request) worker.Fault { return worker.Fault{LoseResponse: r.URL.Path == crashPath} })
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -13,7 +13,7 @@
 	initialized bool         // everything needed to choose a target is known
 	services    map[string]*service
 	live        []owner.Candidate
-	isolated    bool                     // in contact with no other entry, though some are known
+	isolated    bool                     // this entry receives nothing from the others
 	owners      map[string][]owner.Entry // by host
 	rates       map[string]*rate         // by host
 }
