--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -71,8 +71,9 @@
 	return p
 }
 
-// choose returns how to send a packet that the peer hasn't asked for.
-func (ps *paths) choose(now time.Time, peer string) (t transport) {
+// choose returns how to send a packet that the peer hasn't asked for. A packet that the peer
+// answers at once is a probe itself while it goes as a datagram.
+func (ps *paths) choose(now time.Time, peer string, answered bool) (t transport) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	p := ps.get(now, peer)
@@ -85,7 +86,7 @@
 		t.broke, p.broken, p.answered = !p.broken, true, 0
 	}
 	if p.probed.IsZero() || unanswered && now.Sub(p.probed) >= probeInterval {
-		t.probe, p.probed = true, now
+		t.probe, p.probed = p.broken || !answered, now
 	}
 	t.stream = p.broken
 	return t
--- a/internal/relay/path_test.go
+++ b/internal/relay/path_test.go
@@ -19,8 +19,8 @@
 	const peer = "127.0.0.1:1"
 	type step struct {
 		at     time.Duration
-		event  string // "send", "reply", "answer", "gossip", "stream"
-		stream bool   // expected of "send" and "reply"
+		event  string // "send", "ask" (a packet that is answered), "reply", "answer", "gossip", "stream"
+		stream bool   // expected of "send", "ask" and "reply"
 		probe  bool   // likewise
 	}
 	tests := []struct {
@@ -39,6 +39,12 @@
 			{5 * time.Millisecond, "gossip", false, false},
 			{time.Second, "send", false, false},
 		}},
+		{"a packet that is answered needs no probe beside it", []step{
+			{0, "ask", false, false},
+			{5 * time.Millisecond, "gossip", false, false},
+			{3 * time.Second, "ask", false, false},
+			{4 * time.Second, "ask", true, true},
+		}},
 		{"no answer", []step{
 			{0, "send", false, true},
 			{probeTimeout / 2, "send", false, false},
@@ -89,8 +95,8 @@
 			for i, s := range tt.steps {
 				now := start.Add(s.at)
 				switch s.event {
-				case "send":
-					got := ps.choose(now, peer)
+				case "send", "ask":
+					got := ps.choose(now, peer, s.event == "ask")
 					got.broke = false
 					qt.Assert(t, got, qt.Equals, transport{stream: s.stream, probe: s.probe}, qt.Commentf("step %d", i))
 				case "reply":
@@ -108,9 +114,9 @@
 // Peers that are gone don't fill the memory.
 func TestUnusedPathsRemoved(t *testing.T) {
 	ps, now := newPaths(), time.Unix(1000, 0)
-	ps.choose(now, "a")
-	ps.choose(now.Add(pathRetention), "b")
-	ps.choose(now.Add(pathRetention+pathsCleanInterval), "b")
+	ps.choose(now, "a", false)
+	ps.choose(now.Add(pathRetention), "b", false)
+	ps.choose(now.Add(pathRetention+pathsCleanInterval), "b", false)
 	qt.Assert(t, ps.byPeer, qt.HasLen, 1)
 }
 
@@ -181,7 +187,7 @@
 				time.Sleep(probeInterval)
 				qt.Assert(t, exchange(), qt.IsTrue)
 			}
-			qt.Assert(t, a.paths.choose(time.Now(), b.Address()).stream, qt.IsFalse)
+			qt.Assert(t, a.paths.choose(time.Now(), b.Address(), false).stream, qt.IsFalse)
 		})
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -273,7 +273,7 @@
 	case GossipResponse, pong, IndirectAck:
 		return r.paths.chooseAnswer(time.Now(), to)
 	}
-	return r.paths.choose(time.Now(), to)
+	return r.paths.choose(time.Now(), to, k == GossipRequest)
 }
 
 func (r *Relay) sendDatagram(to string, p Packet) error {
