gateway: an isolated entry writes a lost record of its suspects again

A request that crashes targets would have reached more of them through other isolated gateways: an entry compared its suspects with what it had written and not with what the store has. A record that was lost with a restore from an older copy, or removed as old just as it was renewed, stayed away until the next crash.

The entry lists the records anyway, and writes its own if it isn't among them. TestLostSuspectRecordWrittenAgain failed before: not within 10 s.

--- a/internal/gateway/suspectrecords.go
+++ b/internal/gateway/suspectrecords.go
@@ -59,7 +59,8 @@
 	for _, s := range list {
 		crashes[s.Fingerprint] = s.Crashes
 	}
-	if maps.Equal(crashes, r.recorded) {
+	missing := !r.exists && len(crashes) > 0 // never written, or lost by the store
+	if !missing && maps.Equal(crashes, r.recorded) {
 		return
 	}
 	if err := r.gateway.store.PutSuspects(ctx, now, r.gateway.self.Name, list); err != nil {
--- a/internal/gateway/suspectrecords_test.go
+++ b/internal/gateway/suspectrecords_test.go
@@ -61,3 +61,20 @@
 	w.startEntry("e2")
 	w.waitFor("record removed", func() bool { return len(w.store.Names("suspects")) == 0 })
 }
+
+// The record of an isolated entry is lost, as when the store is restored from an older copy.
+// Guards against suspects that stay unknown to the others because nothing new has happened.
+func TestLostSuspectRecordWrittenAgain(t *testing.T) {
+	w := newWorld(t, worldConfig{targets: 8, attempts: 1})
+	w.store.Put("entries", "e2", map[string]any{"front": "127.0.0.1:9", "peer": "127.0.0.1:1"})
+	for _, k := range w.workers {
+		k.SetFaults(func(r *http.Request) worker.Fault { return worker.Fault{LoseResponse: r.URL.Path == crashPath} })
+	}
+	e := w.startEntry("e1").waitReady()
+	w.waitFor("isolated", func() bool { return e.view.Load().isolated })
+	w.waitFor("quarantined", func() bool { return e.call("GET", crashPath, "").status == http.StatusServiceUnavailable })
+	w.waitFor("recorded", func() bool { return len(w.store.Names("suspects")) == 1 })
+	time.Sleep(2 * suspectRecordInterval) // the record may have been written before the last crash
+	w.store.Delete("suspects", "e1")
+	w.waitFor("recorded again", func() bool { return len(w.store.Names("suspects")) == 1 })
+}
