relay: packets lost on the way by TCP are counted and logged

A packet that could not be delivered by TCP, or was dropped because too many waited, left a line at debug level only: an operator saw that packets go by TCP and not that they were lost there. Each counts in plumpitch_packets_lost now; the first lost one in a row and the next one that arrives are logged. TestLostPacketsLogged fails without either.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,7 +105,7 @@
 		Address: net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0])),
 		Source:  g.control, OnPacket: g.control.enqueuePacket, Log: g.log,
 		Self:   func() member.ID { return *g.selfID.Load() },
-		OnSent: g.instruments.countSent, ListenPacket: cfg.ListenPacket,
+		OnSent: g.instruments.countSent, OnLost: func(packets int) { g.instruments.packetsLost.Inc(int64(packets)) }, ListenPacket: cfg.ListenPacket,
 	}); err != nil {
 		g.closeListeners()
 		return nil, err
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -16,6 +16,7 @@
 	restores         tally.Counter // restores of the store from a copy
 	packetsReceived  tally.Counter // packets received from other entries
 	bytesSent        tally.Counter // bytes of packets sent to other entries
+	packetsLost      tally.Counter // packets by TCP that were dropped or couldn't be delivered
 	packetsByTCP     tally.Counter // packets sent by TCP to entries that don't answer datagrams
 	pulls            tally.Counter // pulls from other entries
 	freshnessWaits   tally.Counter // requests that waited for newer store data
@@ -34,7 +35,7 @@
 func newInstruments(entry string) instruments {
 	m := metrics.New(entry)
 	i := instruments{
-		Metrics: m, restores: m.Scope.Counter("store_restores"), packetsReceived: m.Scope.Counter("packets"), bytesSent: m.Scope.Counter("packet_bytes"), packetsByTCP: m.Scope.Counter("packets_tcp"), pulls: m.Scope.Counter("pulls"),
+		Metrics: m, restores: m.Scope.Counter("store_restores"), packetsReceived: m.Scope.Counter("packets"), bytesSent: m.Scope.Counter("packet_bytes"), packetsByTCP: m.Scope.Counter("packets_tcp"), packetsLost: m.Scope.Counter("packets_lost"), pulls: m.Scope.Counter("pulls"),
 		freshnessWaits: m.Scope.Counter("waits_for_knowledge"),
 		configVersion:  m.Scope.Gauge("config_version"), liveEntries: m.Scope.Gauge("live_entries"), knownEntries: m.Scope.Gauge("entries_known"), upEntries: m.Scope.Gauge("entries_up"),
 		trafficShare: m.Scope.Gauge("traffic_part"), targets: m.Scope.Gauge("targets"),
--- a/internal/gateway/pull_test.go
+++ b/internal/gateway/pull_test.go
@@ -65,7 +65,7 @@
 	w.store.SetFaults(refuseStoreCalls(e))
 	peer := func(name string, s relay.Source) *relay.Relay {
 		r, err := relay.New(relay.Config{
-			Address: "127.0.0.1:0", Source: s, Log: e.log, OnPacket: func(relay.Packet, string) {}, OnSent: func(int, bool) {},
+			Address: "127.0.0.1:0", Source: s, Log: e.log, OnPacket: func(relay.Packet, string) {}, OnSent: func(int, bool) {}, OnLost: func(int) {},
 			Self: func() member.ID { return member.ID{Name: name, Boot: 1} },
 		})
 		w.c.Assert(err, qt.IsNil)
--- a/internal/relay/path_test.go
+++ b/internal/relay/path_test.go
@@ -1,13 +1,17 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/member"
@@ -233,6 +237,37 @@
 	}
 }
 
+// A peer is gone and comes back. Each change is logged once, and each lost packet counted.
+func TestLostPacketsLogged(t *testing.T) {
+	logged := memory.New()
+	var lost atomic.Int64
+	failing := errors.New("refused")
+	var result atomic.Pointer[error]
+	delivered := make(chan bool, 10)
+	s := &streams{
+		ctx: t.Context(), log: &log.Logger{Handler: logged}, lost: func(n int) { lost.Add(int64(n)) }, queues: make(map[string]chan []byte),
+		deliver: func(context.Context, string, [][]byte) error {
+			delivered <- true
+			if err := result.Load(); err != nil {
+				return *err
+			}
+			return nil
+		},
+	}
+	for _, err := range []error{nil, failing, failing, nil, nil} {
+		result.Store(&err)
+		qt.Assert(t, s.send("a", []byte{1}), qt.IsNil)
+		<-delivered
+		time.Sleep(20 * time.Millisecond) // the goroutine logs after the delivery
+	}
+	qt.Assert(t, lost.Load(), qt.Equals, int64(2))
+	var messages []string
+	for _, e := range logged.Entries {
+		messages = append(messages, e.Message)
+	}
+	qt.Assert(t, messages, qt.DeepEquals, []string{"relay: packets by TCP are lost", "relay: packets by TCP arrive again"})
+}
+
 // Guards against a sender that blocks, or remembers all packets, while a peer is gone.
 func TestSendToUnreachablePeer(t *testing.T) {
 	var lost atomic.Bool
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,6 +78,7 @@
 	Self     func() member.ID             // ID of this entry, the response to pings
 	OnPacket func(p Packet, from string)  // called for each received packet, also concurrently
 	OnSent   func(bytes int, stream bool) // called for each sent packet; stream: by TCP
+	OnLost   func(packets int)            // called for packets by TCP that are dropped or can't be delivered
 	// ListenPacket opens the socket for datagrams; nil means net.ListenPacket.
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	Log          log.Interface
@@ -123,9 +124,7 @@
 	r.paths = newPaths()
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
-	r.streams = newStreams(ctx, r.deliver, func(to string, err error) {
-		cfg.Log.WithError(err).WithField("peer", to).Debug("relay: delivery by TCP failed")
-	})
+	r.streams = &streams{ctx: ctx, log: cfg.Log, deliver: r.deliver, lost: cfg.OnLost, queues: make(map[string]chan []byte)}
 	r.server = &http.Server{
 		Handler:           wire.NewRelayServer(&server{relay: r, source: cfg.Source}),
 		ReadHeaderTimeout: headerTimeout,
@@ -259,7 +258,9 @@
 		}
 	}
 	if !way.stream {
-		err = r.sendDatagram(to, p)
+		if err = r.sendDatagram(to, p); err != nil {
+			r.cfg.Log.WithError(err).WithField("peer", to).Debug("relay: datagram not sent, the packet goes by TCP")
+		}
 	}
 	if way.stream || err != nil || p.Kind == SuspectReport {
 		return r.sendStream(to, p)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -31,7 +31,7 @@
 
 func startRelayWith(t *testing.T, s Source, onPacket func(Packet, string), listen func(network, address string) (net.PacketConn, error)) *Relay {
 	r, err := New(Config{
-		Address: "127.0.0.1:0", Source: s, OnPacket: onPacket, OnSent: func(int, bool) {}, ListenPacket: listen, Log: &log.Logger{Handler: discard.New()},
+		Address: "127.0.0.1:0", Source: s, OnPacket: onPacket, OnSent: func(int, bool) {}, OnLost: func(int) {}, ListenPacket: listen, Log: &log.Logger{Handler: discard.New()},
 		Self: func() member.ID { return member.ID{Name: "self", Boot: 3} },
 	})
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/relay/wire"
@@ -25,17 +26,14 @@
 // goroutine of its own, so that a peer that doesn't answer delays no other.
 type streams struct {
 	ctx     context.Context
+	log     log.Interface
 	deliver func(ctx context.Context, to string, packets [][]byte) error
-	failed  func(to string, err error) // called for each failed delivery
+	lost    func(packets int) // called for packets that are dropped or can't be delivered
 
 	mu     sync.Mutex
 	queues map[string]chan []byte
 }
 
-func newStreams(ctx context.Context, deliver func(context.Context, string, [][]byte) error, failed func(string, error)) *streams {
-	return &streams{ctx: ctx, deliver: deliver, failed: failed, queues: make(map[string]chan []byte)}
-}
-
 // send queues a packet without blocking.
 func (s *streams) send(to string, data []byte) error {
 	s.mu.Lock()
@@ -50,6 +48,7 @@
 	case q <- data:
 		return nil
 	default:
+		s.lost(1)
 		return errStreamFull
 	}
 }
@@ -58,12 +57,17 @@
 func (s *streams) run(to string, q chan []byte) {
 	idle := time.NewTimer(streamIdleTimeout)
 	defer idle.Stop()
+	failing := false
 	for {
 		select {
 		case data := <-q:
-			if err := s.deliver(s.ctx, to, drain(q, data)); err != nil && s.ctx.Err() == nil {
-				s.failed(to, err)
+			packets := drain(q, data)
+			err := s.deliver(s.ctx, to, packets)
+			if err != nil {
+				s.lost(len(packets))
 			}
+			s.logChange(to, failing, err)
+			failing = err != nil
 			idle.Reset(streamIdleTimeout)
 		case <-idle.C:
 			if s.remove(to, q) {
@@ -76,6 +80,17 @@
 	}
 }
 
+// logChange logs the first failed delivery of several in a row, and the next one that succeeds.
+func (s *streams) logChange(to string, failing bool, err error) {
+	switch {
+	case s.ctx.Err() != nil:
+	case err != nil && !failing:
+		s.log.WithError(err).WithField("peer", to).Warn("relay: packets by TCP are lost")
+	case err == nil && failing:
+		s.log.WithField("peer", to).Info("relay: packets by TCP arrive again")
+	}
+}
+
 // remove removes an empty queue. It returns false if a packet has come meanwhile.
 func (s *streams) remove(to string, q chan []byte) bool {
 	s.mu.Lock()
