gateway: one list of the store's records

The records of entries were listed in three places with the same lines. An entry counts as told by the store whenever it has listed them, not only at its enrolment: one that had found its seeds and lost them all had no part of the slack although the store listed no other. The tests of suspects' records share their start.

--- a/internal/gateway/contact.go
+++ b/internal/gateway/contact.go
@@ -58,11 +58,10 @@
 }
 
 // contactShare returns the share of all known entries, this one included, that this entry is
-// in contact with. An entry that knows of no other is the only one only if the store says so:
-// it has listed the records of entries, which those write that reach no other. Until then the
-// share is 0.
+// in contact with. It is 0 while this entry knows of no other and hasn't listed the records
+// in the store, where entries that reach no other have one.
 func (c *control) contactShare() float64 {
-	if c.contact.Known == 0 && c.enrolledAt.IsZero() {
+	if c.contact.Known == 0 && !c.recordsListed {
 		return 0
 	}
 	return float64(c.contact.Up+1) / float64(c.contact.Known+1)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -85,6 +85,7 @@
 
 	enrolledAt         time.Time     // when the enrolment listed the other entries; zero before
 	enrollDuration     time.Duration // how long the enrolment took
+	recordsListed      bool          // the store has listed the records of entries
 	recordedPeers      int           // other entries in the last list of the store's records
 	enrolledBefore     int           // entries that started at the same time and enrolled earlier
 	services           map[string]*service
--- a/internal/gateway/enroller.go
+++ b/internal/gateway/enroller.go
@@ -80,11 +80,13 @@
 func (e *enroller) enroll(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := time.Now()
+		var items []roster.Item[owner.Entry]
 		err := e.writeRecord(ctx)
 		if err == nil {
-			err = e.listEntries(ctx, began)
+			items, err = e.listEntries(ctx)
 		}
 		if err == nil {
+			e.gateway.control.enqueue(ctx, entriesListed{items, time.Since(began)})
 			return
 		}
 		e.gateway.log.WithError(err).Warn("enrolment in the store failed")
@@ -101,27 +103,23 @@
 	return err
 }
 
-func (e *enroller) listEntries(ctx context.Context, began time.Time) (err error) {
+func (e *enroller) listEntries(ctx context.Context) (items []roster.Item[owner.Entry], err error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	items, _, err := e.gateway.store.Entries().List(ctx)
-	if err == nil {
-		e.gateway.control.enqueue(ctx, entriesListed{items, time.Since(began)})
-	}
-	return err
+	items, _, err = e.gateway.store.Entries().List(ctx)
+	return items, err
 }
 
 // findEntries lists the records for the membership table, which contacts the entries that
-// it doesn't know.
-func (e *enroller) findEntries(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	items, _, err := e.gateway.store.Entries().List(ctx)
+// it doesn't know. ok is false if the store doesn't answer.
+func (e *enroller) findEntries(ctx context.Context) (items []roster.Item[owner.Entry], ok bool) {
+	items, err := e.listEntries(ctx)
 	if err != nil {
 		e.gateway.log.WithError(err).Info("entry records not listed")
-		return
+		return nil, false
 	}
 	e.gateway.control.enqueue(ctx, entriesListed{items: items})
+	return items, true
 }
 
 // checkRecord writes this entry's record if it needs one and has none, and cleans the
@@ -161,14 +159,12 @@
 // the record has changed: an entry that restarted has written it again. The membership table
 // gets the addresses of all records, and contacts the entries that it doesn't know.
 func (e *enroller) cleanRecords(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	items, _, err := e.gateway.store.Entries().List(callCtx)
-	if err != nil {
-		e.gateway.log.WithError(err).Info("entry records not listed")
+	items, ok := e.findEntries(ctx)
+	if !ok {
 		return
 	}
-	e.gateway.control.enqueue(ctx, entriesListed{items: items})
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
 	live := make(map[string]bool)
 	for _, c := range e.gateway.view.Load().live {
 		live[c.Name] = true
@@ -183,7 +179,7 @@
 			continue
 		}
 		e.gateway.log.WithFields(log.Fields{"peer": it.Name, "revision": it.Revision.String()}).Info("removing the record of a dead entry")
-		if err := e.gateway.store.DeleteEntry(callCtx, it.Name, it.Revision); err != nil {
+		if err := e.gateway.store.DeleteEntry(ctx, it.Name, it.Revision); err != nil {
 			e.gateway.log.WithError(err).WithField("peer", it.Name).Info("entry record not removed")
 		}
 	}
@@ -225,7 +221,7 @@
 
 func (m entriesListed) apply(now time.Time, c *control) {
 	seeds := c.gateway.otherSeeds()
-	c.recordedPeers = 0
+	c.recordsListed, c.recordedPeers = true, 0
 	for _, it := range m.items {
 		if it.Name != c.gateway.self.Name {
 			seeds = append(seeds, it.Value.PeerAddress)
--- a/internal/gateway/suspectrecords_test.go
+++ b/internal/gateway/suspectrecords_test.go
@@ -38,20 +38,27 @@
 	w.c.Assert(entries[0].call("GET", "/a/other", "").status, qt.Equals, http.StatusOK)
 }
 
-// An isolated entry is replaced. Guards against a new process that forgets the requests that
-// the one before had recorded, and against records that stay after the isolation.
-func TestSuspectRecordOutlivesRestart(t *testing.T) {
-	w := newWorld(t, worldConfig{targets: 8, attempts: 1})
+// startRecordedEntry starts an isolated entry that has put a request in quarantine and recorded
+// it in the store.
+func startRecordedEntry(w *world) *entry {
 	w.store.Put("entries", "e2", map[string]any{"front": "127.0.0.1:9", "peer": "127.0.0.1:1"})
 	for _, k := range w.workers {
 		k.SetFaults(func(r *http.Request) worker.Fault { return worker.Fault{LoseResponse: r.URL.Path == crashPath} })
 	}
-	first := w.startEntry("e1").waitReady()
-	w.waitFor("isolated", func() bool { return first.view.Load().isolated })
-	w.waitFor("quarantined at first", func() bool { return first.call("GET", crashPath, "").status == http.StatusServiceUnavailable })
-	crashes := w.crashes()
+	e := w.startEntry("e1").waitReady()
+	w.waitFor("isolated", func() bool { return e.view.Load().isolated })
+	w.waitFor("quarantined", func() bool { return e.call("GET", crashPath, "").status == http.StatusServiceUnavailable })
 	w.waitFor("recorded", func() bool { return len(w.store.Names("suspects")) == 1 })
 	time.Sleep(2 * suspectRecordInterval) // the record may have been written before the last crash
+	return e
+}
+
+// An isolated entry is replaced. Guards against a new process that forgets the requests that
+// the one before had recorded, and against records that stay after the isolation.
+func TestSuspectRecordOutlivesRestart(t *testing.T) {
+	w := newWorld(t, worldConfig{targets: 8, attempts: 1})
+	first := startRecordedEntry(w)
+	crashes := w.crashes()
 	first.stop()
 	<-first.done
 	next := w.startEntry("e1").waitReady()
@@ -66,15 +73,7 @@
 // Guards against suspects that stay unknown to the others because nothing new has happened.
 func TestLostSuspectRecordWrittenAgain(t *testing.T) {
 	w := newWorld(t, worldConfig{targets: 8, attempts: 1})
-	w.store.Put("entries", "e2", map[string]any{"front": "127.0.0.1:9", "peer": "127.0.0.1:1"})
-	for _, k := range w.workers {
-		k.SetFaults(func(r *http.Request) worker.Fault { return worker.Fault{LoseResponse: r.URL.Path == crashPath} })
-	}
-	e := w.startEntry("e1").waitReady()
-	w.waitFor("isolated", func() bool { return e.view.Load().isolated })
-	w.waitFor("quarantined", func() bool { return e.call("GET", crashPath, "").status == http.StatusServiceUnavailable })
-	w.waitFor("recorded", func() bool { return len(w.store.Names("suspects")) == 1 })
-	time.Sleep(2 * suspectRecordInterval) // the record may have been written before the last crash
+	startRecordedEntry(w)
 	w.store.Delete("suspects", "e1")
 	w.waitFor("recorded again", func() bool { return len(w.store.Names("suspects")) == 1 })
 }
--- a/internal/soak/lossy_test.go
+++ b/internal/soak/lossy_test.go
@@ -35,7 +35,7 @@
 	return c.PacketConn.WriteTo(data, to)
 }
 
-// runLossyGateway runs a gateway until SIGTERM, as the program does.
+// runLossyGateway runs a gateway until SIGTERM. It reloads its settings at SIGHUP only.
 func runLossyGateway(loss string) error {
 	share, err := strconv.ParseFloat(loss, 64)
 	if err != nil {
