--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,8 +124,6 @@
 	// requestsPerCore is the capacity of a core in requests per second, with room for
 	// bursts: a request with its load probes takes 0.6 ms of CPU time. A lower capacity
 	// means more owners per host, each of which knows less about the load of the targets.
-	// With owner counts by real traffic, the mean score over five days on three sites was
-	// 0.747, 0.700 and 0.626 at 800, and 0.752, 0.691 and 0.609 at 300.
 	requestsPerCore = 800
 	// requestsPerMbps is the capacity of 1 Mbit/s in requests per second: each request
 	// transfers up to 5 KB in each direction, twice.
