relay: the test of a peer that is gone sees dropped packets that nobody counts

TestSendToUnreachablePeer passed without the count of packets that are dropped because too many wait; it fails now.

--- a/internal/relay/path_test.go
+++ b/internal/relay/path_test.go
@@ -277,6 +277,8 @@
 	qt.Assert(t, err, qt.IsNil)
 	defer silent.Close()
 	dropped := 0
+	var lostPackets atomic.Int64
+	a.streams.lost = func(n int) { lostPackets.Add(int64(n)) }
 	began := time.Now()
 	for range 10 * streamQueueSize {
 		if a.Send(silent.Addr().String(), Packet{Kind: SuspectReport}) != nil {
@@ -285,4 +287,5 @@
 	}
 	qt.Assert(t, time.Since(began) < callTimeout, qt.IsTrue)
 	qt.Assert(t, dropped > 0, qt.IsTrue)
+	qt.Assert(t, lostPackets.Load() >= int64(dropped), qt.IsTrue, qt.Commentf("%d lost, %d dropped", lostPackets.Load(), dropped))
 }
