--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -78,6 +78,7 @@
 	f["stage"], f["ran"], f["connect"] = fail.Stage.String(), executionText(fail.Execution), fail.ConnectTime.Milliseconds()
 	if fail.Stage.MayBeCrash() {
 		f["print"], f["crashes"] = strconv.FormatUint(q.fingerprint, 36), q.gateway.suspects.CrashCount(q.fingerprint)
+		f["caller"], f["content"] = q.callerAddress(), strconv.FormatUint(q.contentHash(), 36)
 	}
 	q.gateway.log.WithFields(f).WithError(fail.Cause).Warn("dispatch failed")
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -146,13 +146,24 @@
 func (q *request) computeFingerprint() uint64 {
 	var hash xxhash.Digest
 	hash.Reset()
+	_, _ = hash.WriteString(q.callerAddress() + "\x00" + q.r.Method + "\x00" + q.r.URL.RequestURI() + "\x00")
+	_, _ = hash.Write(q.body)
+	return hash.Sum64()
+}
+
+// contentHash hashes the host, the method, the path, the query and the body: what targets
+// see of the request besides its headers.
+func (q *request) contentHash() uint64 {
+	return call.Fingerprint(q.route.Host, q.r.Method, q.r.URL.EscapedPath(), q.r.URL.RawQuery, call.BodyHash(q.body))
+}
+
+// callerAddress returns the caller's IP address.
+func (q *request) callerAddress() string {
 	host, _, err := net.SplitHostPort(q.r.RemoteAddr)
 	if err != nil {
-		host = q.r.RemoteAddr
+		return q.r.RemoteAddr
 	}
-	_, _ = hash.WriteString(host + "\x00" + q.r.Method + "\x00" + q.r.URL.RequestURI() + "\x00")
-	_, _ = hash.Write(q.body)
-	return hash.Sum64()
+	return host
 }
 
 // perform executes the actions of the call state machine and reports whether the request
