--- /dev/null
+++ b/internal/gateway/crash_callers_test.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/worker"
+)
+
+const (
+	// replacementDelay is the time from the end of a target until another one replaces it.
+	replacementDelay = 300 * time.Millisecond
+	// maxLateCrashes bounds the targets that a request reaches later than lateCrashTime after
+	// the third one has ended under it.
+	maxLateCrashes = 3
+	lateCrashTime  = 3 * time.Second
+)
+
+// callersFrom returns an HTTP client for each of n loopback addresses.
+func callersFrom(n int) (clients []*http.Client) {
+	for i := range n {
+		local := &net.TCPAddr{IP: net.IPv4(127, 0, byte(1+i/200), byte(1+i%200))}
+		clients = append(clients, &http.Client{Transport: &http.Transport{
+			DialContext: (&net.Dialer{LocalAddr: local}).DialContext, DisableKeepAlives: true,
+		}})
+	}
+	return clients
+}
+
+// callFrom sends one request from a client, with an additional header if name isn't empty.
+func (e *entry) callFrom(client *http.Client, id, path, name, value string) callResult {
+	r := e.newRequest(context.Background(), id, http.MethodGet, path, "")
+	if name != "" {
+		r.Header.Set(name, value)
+	}
+	return send(client, id, r)
+}
+
+// crashWorld is a world whose targets end when they run a request that crashes them, and are
+// replaced by new ones.
+type crashWorld struct {
+	*world
+	mu       sync.Mutex
+	crashing func(*http.Request) bool
+	ends     []time.Time
+}
+
+func newCrashWorld(t *testing.T, targets int, crashing func(*http.Request) bool) *crashWorld {
+	w := &crashWorld{world: newWorld(t, worldConfig{}), crashing: crashing}
+	for range targets {
+		w.startMortal()
+	}
+	return w
+}
+
+// startMortal starts a target that ends when it runs a request that crashes it.
+func (w *crashWorld) startMortal() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := w.startTarget("gowns")
+	k.SetServiceTime(20 * time.Millisecond)
+	k.OnCrash = func() { w.end(k) }
+	k.SetFaults(func(r *http.Request) worker.Fault { return worker.Fault{Crash: w.crashing(r)} })
+}
+
+// end ends a target and starts another one after replacementDelay.
+func (w *crashWorld) end(k *worker.Worker) {
+	k.Close()
+	w.mu.Lock()
+	w.ends = append(w.ends, time.Now())
+	w.mu.Unlock()
+	time.AfterFunc(replacementDelay, func() {
+		w.startMortal()
+		w.store.Delete("servers", k.ID)
+	})
+}
+
+// endCounts returns how many targets have ended, and how many of them later than lateCrashTime
+// after the third.
+func (w *crashWorld) endCounts() (all, late int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, at := range w.ends {
+		if len(w.ends) >= crashLimit && at.Sub(w.ends[crashLimit-1]) > lateCrashTime {
+			late++
+		}
+	}
+	return len(w.ends), late
+}
+
+// A request that ends each target comes from many callers. Guards against a quarantine for
+// each caller, which lets each of them end crashLimit targets more.
+func TestCrashingRequestOfManyCallers(t *testing.T) {
+	tests := []struct {
+		name    string
+		callers int
+	}{
+		{"one", 1},
+		{"five", 5},
+		{"forty", 40},
+		{"two hundred", 200},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newCrashWorld(t, 8, func(r *http.Request) bool { return r.URL.Path == crashPath })
+			entries := startEntries(w.world, 3)
+			callers := callersFrom(tt.callers)
+			for i := range 70 {
+				go entries[i%len(entries)].callFrom(callers[i%len(callers)], fmt.Sprint("c-", i), crashPath, "", "")
+				time.Sleep(80 * time.Millisecond)
+			}
+			all, late := w.endCounts()
+			t.Logf("%d targets ended, %d late", all, late)
+			w.c.Assert(late <= maxLateCrashes, qt.IsTrue, qt.Commentf("%d late of %d", late, all))
+			w.c.Assert(all <= crashLimit+maxLateCrashes, qt.IsTrue, qt.Commentf("%d ended", all))
+			w.waitFor("another request is served", func() bool { return entries[0].call("GET", "/a/other", "").status == http.StatusOK })
+		})
+	}
+}
+
+const popularPath = "/a/popular"
+
+// servedShare sends n requests for the popular path, from one caller after the other, and
+// returns the share of them that is served.
+func servedShare(entries []*entry, callers []*http.Client, n int) float64 {
+	var served atomic.Int64
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			if entries[i%len(entries)].callFrom(callers[i%len(callers)], fmt.Sprint("s-", i), popularPath, "", "").status == http.StatusOK {
+				served.Add(1)
+			}
+		})
+		time.Sleep(popularInterval)
+	}
+	wg.Wait()
+	return float64(served.Load()) / float64(n)
+}
+
+const (
+	// popularInterval is the time between requests for the popular path.
+	popularInterval = 15 * time.Millisecond
+	// minServedShare is the share of the requests for the popular path that is served once the
+	// targets work again.
+	minServedShare = 0.95
+	// faultTime is how long targets lose connections, and settleTime how long after it the
+	// popular path is served again.
+	faultTime  = 700 * time.Millisecond
+	settleTime = 2 * time.Second
+)
+
+// All targets close their connections for a short time and none of them ends. Guards against a
+// quarantine of a request that many callers send, which would refuse it to all of them.
+func TestPopularRequestOutlivesLostConnections(t *testing.T) {
+	for _, callerCount := range []int{1, 40, 200} {
+		t.Run(fmt.Sprint(callerCount, " callers"), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, worldConfig{targets: 8})
+			for _, k := range w.workers {
+				k.SetServiceTime(20 * time.Millisecond)
+			}
+			entries := startEntries(w, 3)
+			callers := callersFrom(callerCount)
+			servedShare(entries, callers, 40)
+			for _, k := range w.workers {
+				k.SetFaults(func(*http.Request) worker.Fault { return worker.Fault{LoseResponse: true} })
+			}
+			servedShare(entries, callers, int(faultTime/popularInterval))
+			for _, k := range w.workers {
+				k.SetFaults(nil)
+			}
+			time.Sleep(settleTime)
+			share := servedShare(entries, callers, 120)
+			w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
+		})
+	}
+}
+
+// Targets end, all at once or in turn, while a popular request runs on them, and come back under
+// new IDs. Guards against a quarantine of a request that only ran beside the cause.
+func TestPopularRequestOutlivesEndedTargets(t *testing.T) {
+	tests := []struct {
+		name     string
+		interval time.Duration // between the ends of two targets
+		ends     int
+	}{
+		{"half of them at once", 0, 4},
+		{"all at once", 0, 8},
+		{"in turn", 150 * time.Millisecond, 12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newCrashWorld(t, 8, func(*http.Request) bool { return false })
+			entries := startEntries(w.world, 3)
+			callers := callersFrom(40)
+			servedShare(entries, callers, 40)
+			stop := make(chan struct{})
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+						servedShare(entries, callers, 20)
+					}
+				}
+			})
+			for i := range tt.ends {
+				w.mu.Lock()
+				k := w.workers[i]
+				w.mu.Unlock()
+				w.end(k)
+				time.Sleep(tt.interval)
+			}
+			close(stop)
+			wg.Wait()
+			time.Sleep(settleTime)
+			share := servedShare(entries, callers, 120)
+			w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
+		})
+	}
+}
