gateway: a broken connection counts as a crash only if its target has ended

Cause: three broken connections in a row under equal requests counted as three crashed targets, whether the targets lived or not. Change: the entry asks the target's health path after a broken connection. A refused connection or another instance shows that the target has ended; an answer or an accepted connection shows that it lives. An unreachable target counts only if another one has answered since: an entry that is cut off sees all targets vanish. Calls for one target share a check. An answer to the request before the check ends clears it as before. Cost: a health request for each target that breaks a connection under a request.

The tests of crashing requests simulated a crash by a target that closes one connection and lives on, which no longer is one.

--- /dev/null
+++ b/internal/gateway/ended.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/logs"
+	"plumpitch.example/plumpitch/pkg/slot"
+	"plumpitch.example/plumpitch/platform"
+)
+
+// Checks of targets that broke a connection.
+const (
+	// endCheckTimeout bounds one check. A target that is unreachable doesn't refuse connections.
+	endCheckTimeout = 300 * time.Millisecond
+	// endCheckTries is how often a target is asked that accepts connections and closes them, and
+	// endCheckPause the time between. A process that ends may accept connections a moment longer.
+	endCheckTries = 3
+	endCheckPause = 20 * time.Millisecond
+)
+
+// targetState is what a check has found out about a target.
+type targetState int
+
+const (
+	targetLives targetState = iota
+	targetEnded
+	targetUnreachable // it has ended, or this entry doesn't reach it
+)
+
+func (s targetState) String() string {
+	return [...]string{"lives", "ended", "unreachable"}[s]
+}
+
+// endChecks checks targets that broke a connection, each once at a time: a target that ends
+// breaks the connections of all its requests.
+type endChecks struct {
+	mu     sync.Mutex
+	checks map[string]*endCheck // in progress, by incarnation of the target
+}
+
+type endCheck struct {
+	done  chan struct{}
+	state targetState
+}
+
+// check returns the state of a target. Concurrent calls for a target share one check.
+func (e *endChecks) check(target string, run func() targetState) targetState {
+	e.mu.Lock()
+	c := e.checks[target]
+	if c != nil {
+		e.mu.Unlock()
+		<-c.done
+		return c.state
+	}
+	c = &endCheck{done: make(chan struct{})}
+	if e.checks == nil {
+		e.checks = make(map[string]*endCheck)
+	}
+	e.checks[target] = c
+	e.mu.Unlock()
+	c.state = run()
+	e.mu.Lock()
+	delete(e.checks, target)
+	e.mu.Unlock()
+	close(c.done)
+	return c.state
+}
+
+// checkEnded asks a target for its health. Any response but that of another instance shows that
+// it lives; so does a connection that it accepts.
+func (g *Gateway) checkEnded(t slot.Target, healthPath string) targetState {
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	for range endCheckTries {
+		_, header, err := g.forward.Probe(ctx, t.Address, healthPath)
+		if err == nil {
+			if id := platform.InstanceID(header); id != "" && id != t.ID {
+				return targetEnded
+			}
+			return targetLives
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return targetEnded
+		}
+		if isUnreachable(err) {
+			return targetUnreachable
+		}
+		sleep(ctx, endCheckPause)
+	}
+	return targetLives
+}
+
+// isUnreachable reports whether an error of a probe leaves open whether the target has ended.
+func isUnreachable(err error) bool {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return true
+	}
+	for _, errno := range []error{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, context.DeadlineExceeded} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
+// noteBrokenConnection records that a target broke the connection of this request, and checks in
+// the background whether it has ended. It reports whether the request is in quarantine already.
+func (q *request) noteBrokenConnection(now time.Time, d *dispatch) (quarantined bool) {
+	q.gateway.suspects.RecordBreak(now, q.fingerprint, d.target.Incarnation(), d.began)
+	b := brokenConnection{gateway: q.gateway, service: q.service, request: q.id, fingerprint: q.fingerprint, target: d.target, began: d.began}
+	go b.resolve()
+	return q.gateway.suspects.QuarantineRemaining(now, q.fingerprint) > 0
+}
+
+// brokenConnection is a dispatch whose connection the target broke.
+type brokenConnection struct {
+	gateway     *Gateway
+	service     *service
+	request     string
+	fingerprint uint64
+	target      slot.Target
+	began       time.Time // of the dispatch
+}
+
+// resolve counts the target as crashed by the request if it has ended. An unreachable target
+// counts only if this entry still reaches others: else the entry is the one that is cut off.
+func (b brokenConnection) resolve() {
+	g, incarnation := b.gateway, b.target.Incarnation()
+	state := g.endChecks.check(incarnation, func() targetState { return g.checkEnded(b.target, b.service.healthPath()) })
+	ended := state == targetEnded || state == targetUnreachable && b.service.answeredSince(b.target.ID, b.began)
+	now := time.Now()
+	if ended {
+		b.service.instruments.crashes.Inc(1)
+		g.suspects.ConfirmCrash(now, b.fingerprint, incarnation)
+	} else {
+		g.suspects.DismissCrash(b.fingerprint, incarnation)
+	}
+	g.log.WithFields(log.Fields{
+		logs.FieldRequest: b.request, "target": b.target.ID, "state": state.String(), "counted": ended,
+		"print": strconv.FormatUint(b.fingerprint, 36), "crashes": g.suspects.CrashCount(b.fingerprint),
+	}).Info("target checked after a broken connection")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	relay       *relay.Relay
 	control     *control
 	suspects    *call.Suspects
+	endChecks   endChecks
 	parseErrors *parseErrorLog
 	leaving     atomic.Bool
 	selfID      atomic.Pointer[member.ID] // this incarnation's ID in the membership
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -284,8 +284,7 @@
 		q.service.instruments.failedDispatches.Inc(1)
 		quarantined := false
 		if f.Stage.MayBeCrash() {
-			q.service.instruments.crashes.Inc(1)
-			quarantined = q.gateway.suspects.RecordCrash(now, q.fingerprint, d.target.Incarnation(), d.began)
+			quarantined = q.noteBrokenConnection(now, d)
 		}
 		q.logFailure(d, f)
 		return q.call.Fail(now, call.Failed{Dispatch: res.dispatch, Stage: f.Stage, Execution: f.Execution, Replayable: true, Quarantined: quarantined})
@@ -302,6 +301,7 @@
 	}
 	q.service.complete(now, completion)
 	if complete := resp.Body == nil; complete && !shed {
+		q.service.answers.note(now, d.target.ID)
 		q.clearSuspicion(now, d, resp.Status)
 	}
 	return q.call.ReceiveHead(now, call.ResponseHead{
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -25,6 +25,7 @@
 	instruments serviceInstruments
 	// firstDispatches measures the requests that are dispatched to a target.
 	firstDispatches rate
+	answers         lastAnswers
 
 	mu           sync.Mutex
 	config       route.Service
@@ -126,6 +127,18 @@
 	return pending+inFlight > 0
 }
 
+// healthPath returns the path of the targets' health checks.
+func (s *service) healthPath() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config.HealthPath
+}
+
+// answeredSince reports whether a target other than this one has answered since a time.
+func (s *service) answeredSince(target string, since time.Time) bool {
+	return s.answers.otherSince(target, since)
+}
+
 // targetCount returns the number of targets.
 func (s *service) targetCount() int {
 	s.mu.Lock()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Fault is the fault that the worker injects into a request. The zero value injects
@@ -84,22 +86,39 @@
 	if w.l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
-	go w.accept()
+	go w.accept(w.l)
 	return w, nil
 }
 
 // Address returns the address that the worker listens on.
-func (w *Worker) Address() string { return w.l.Addr().String() }
+func (w *Worker) Address() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.l.Addr().String()
+}
 
-// Close stops the worker and closes its connections.
+// Close stops the worker and closes its connections, like the end of its process.
 func (w *Worker) Close() {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.closed = true
+	w.l.Close()
 	for c := range w.conns {
 		c.Close()
 	}
-	w.mu.Unlock()
-	w.l.Close()
+}
+
+// Restart makes a closed worker listen on its address again, with the same ID.
+func (w *Worker) Restart() (err error) {
+	defer func() { err = errors.WithMessage(err, "restarting worker "+w.ID) }()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.l, err = net.Listen("tcp", w.l.Addr().String()); err != nil {
+		return err
+	}
+	w.closed = false
+	go w.accept(w.l)
+	return nil
 }
 
 // SetServiceTime sets how long a request takes at pace 1.
@@ -199,13 +218,18 @@
 	return w.peakConns
 }
 
-func (w *Worker) accept() {
+func (w *Worker) accept(l net.Listener) {
 	for {
-		c, err := w.l.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
 		w.mu.Lock()
+		if w.closed {
+			w.mu.Unlock()
+			c.Close()
+			return
+		}
 		w.conns[c] = true
 		w.peakConns = max(w.peakConns, len(w.conns))
 		w.mu.Unlock()
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	defaultQuarantine      = 5 * time.Minute
 	defaultMaxFingerprints = 1024
 	maxPeers               = 4 // peers whose crash counts are kept per fingerprint
+	maxBreaks              = 8 // broken connections that are kept per fingerprint until they are resolved
 )
 
 // SuspectsConfig configures Suspects. Zero fields take the defaults.
@@ -53,13 +55,20 @@
 
 type suspect struct {
 	fingerprint uint64
-	targets     []uint64  // hashes of the targets whose crash this entry observed
+	targets     []uint64 // hashes of the targets whose crash this entry observed
+	breaks      []connectionBreak
 	lastEvent   time.Time // of the last crash or clearing
 	quarantined bool
 	cleared     bool
 	peers       [maxPeers]peerCount
 }
 
+// connectionBreak is a connection that a target broke, until it is known whether it crashed.
+type connectionBreak struct {
+	target    uint64
+	began, at time.Time // of the dispatch, of the break
+}
+
 type peerCount struct {
 	peer    uint64
 	crashes int
@@ -87,21 +96,85 @@
 	return s == StageSent || s == StageCut
 }
 
-// RecordCrash records that target broke the connection of a request that was dispatched
-// at began, and reports whether the request is in quarantine.
+// RecordCrash records that target crashed under a request that was dispatched at began,
+// and reports whether the request is in quarantine.
 func (s *Suspects) RecordCrash(now time.Time, fp uint64, target string, began time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.detach(now, fp)
-	if x.crashCount() == 0 || !began.Before(x.lastEvent) {
-		x.addTarget(xxhash.Sum64String(target), s.cfg.CrashLimit)
-		x.cleared = false
+	x.countCrash(connectionBreak{xxhash.Sum64String(target), began, now}, s.cfg.CrashLimit)
+	s.insert(x)
+	return x.quarantined
+}
+
+// RecordBreak records that target broke the connection of a request that was dispatched at
+// began. It counts as a crash once ConfirmCrash is called, unless a target responds to the
+// request in the meantime.
+func (s *Suspects) RecordBreak(now time.Time, fp uint64, target string, began time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.detach(now, fp)
+	if len(x.breaks) < maxBreaks {
+		x.breaks = append(x.breaks, connectionBreak{xxhash.Sum64String(target), began, now})
+	}
+	if x.lastEvent.IsZero() {
 		x.lastEvent = now
 	}
 	s.insert(x)
+}
+
+// ConfirmCrash counts the connections that target broke as a crash, at the time of the break. It
+// reports whether the request is in quarantine.
+func (s *Suspects) ConfirmCrash(now time.Time, fp uint64, target string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byFingerprint[fp] == nil {
+		return false
+	}
+	x := s.detach(now, fp)
+	for _, b := range x.takeBreaks(xxhash.Sum64String(target)) {
+		x.countCrash(b, s.cfg.CrashLimit)
+	}
+	s.insert(x)
 	return x.quarantined
 }
 
+// DismissCrash forgets the connections that target broke: it didn't crash.
+func (s *Suspects) DismissCrash(fp uint64, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.byFingerprint[fp]
+	if e == nil {
+		return
+	}
+	x := e.Value.(*suspect)
+	x.takeBreaks(xxhash.Sum64String(target))
+	if len(x.breaks) == 0 && x.crashCount() == 0 && !x.cleared {
+		s.remove(e)
+	}
+}
+
+// takeBreaks removes and returns the broken connections of a target.
+func (x *suspect) takeBreaks(target uint64) (taken []connectionBreak) {
+	x.breaks = slices.DeleteFunc(x.breaks, func(b connectionBreak) bool {
+		if b.target == target {
+			taken = append(taken, b)
+		}
+		return b.target == target
+	})
+	return taken
+}
+
+// countCrash counts a crash, unless the dispatch was in flight when an earlier one happened.
+func (x *suspect) countCrash(b connectionBreak, limit int) {
+	if x.crashCount() > 0 && b.began.Before(x.lastEvent) {
+		return
+	}
+	x.addTarget(b.target, limit)
+	x.cleared = false
+	x.lastEvent = latest(x.lastEvent, b.at)
+}
+
 // addTarget adds a crashed target, up to limit different targets.
 func (x *suspect) addTarget(target uint64, limit int) {
 	for _, t := range x.targets {
@@ -155,7 +228,11 @@
 	if e == nil || e.Value.(*suspect).cleared {
 		return false
 	}
-	s.clear(s.detach(now, fp), now)
+	x := s.detach(now, fp)
+	if x.crashCount() == 0 {
+		return false // only broken connections, which other entries don't know of
+	}
+	s.clear(x, now)
 	return true
 }
 
