gateway: a request that crashes targets is known by its content, not by its caller

Cause: the fingerprint by which a crashing request is recognized held the caller's address. Each address had a quarantine of its own, and could end three targets more. Targets don't see the caller's address, so it can't be what crashes them. Change: the fingerprint is that of host, method, path, query and body (call.Fingerprint, which the entry of our own interface uses too). A second one adds the headers that targets see, so that sound requests of the same path don't clear a crashing one. TestCrashingHeader: every second request is sound. Other side: a popular request of 1, 40 and 200 callers is served once targets work again (TestPopularRequestOutlivesLostConnections, TestPopularRequestOutlivesEndedTargets). Entries of an earlier version send fingerprints with addresses, which match nothing here: during an upgrade each version has a quarantine of its own.

--- a/internal/gateway/crash_callers_test.go
+++ b/internal/gateway/crash_callers_test.go
@@ -73,6 +73,27 @@
 	}
 }
 
+// A request with one header crashes its targets, and every second one has another value and is
+// sound. Guards against sound requests that clear a crashing one of the same path.
+func TestCrashingHeader(t *testing.T) {
+	const name, crashing = "X-Layout", "broken"
+	w := newCrashWorld(t, worldConfig{targets: 8}, func(r *http.Request) worker.Fault {
+		return worker.Fault{Crash: r.Header.Get(name) == crashing}
+	})
+	entries := startEntries(w.world, 3)
+	callers := callersFrom(40)
+	for i := range 60 {
+		value := crashing
+		if i%2 == 0 {
+			value = "plain"
+		}
+		entries[i%len(entries)].callFrom(callers[i%len(callers)], fmt.Sprint("h-", i), popularPath, name, value)
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.c.Assert(w.crashes() <= crashLimit+maxLateCrashes, qt.IsTrue, qt.Commentf("%d ended", w.crashes()))
+	w.c.Assert(entries[0].callFrom(callers[0], "sound", popularPath, name, "plain").status, qt.Equals, http.StatusOK)
+}
+
 const popularPath = "/a/popular"
 
 // servedShare sends n requests for the popular path, from one caller after the other, and
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -115,20 +114,20 @@
 // noteBrokenConnection records that a target broke the connection of this request, and checks in
 // the background whether it has ended. It reports whether the request is in quarantine already.
 func (q *request) noteBrokenConnection(now time.Time, d *dispatch) (quarantined bool) {
-	q.gateway.suspects.RecordBreak(now, q.fingerprint, d.target.Incarnation(), d.began)
-	b := brokenConnection{gateway: q.gateway, service: q.service, request: q.id, fingerprint: q.fingerprint, target: d.target, began: d.began}
+	q.prints.recordBreak(q.gateway.suspects, now, d.target.Incarnation(), d.began)
+	b := brokenConnection{gateway: q.gateway, service: q.service, request: q.id, prints: q.prints, target: d.target, began: d.began}
 	go b.resolve()
-	return q.gateway.suspects.QuarantineRemaining(now, q.fingerprint) > 0
+	return q.prints.quarantineRemaining(q.gateway.suspects, now) > 0
 }
 
 // brokenConnection is a dispatch whose connection the target broke.
 type brokenConnection struct {
-	gateway     *Gateway
-	service     *service
-	request     string
-	fingerprint uint64
-	target      slot.Target
-	began       time.Time // of the dispatch
+	gateway *Gateway
+	service *service
+	request string
+	prints  fingerprints
+	target  slot.Target
+	began   time.Time // of the dispatch
 }
 
 // resolve counts the target as crashed by the request if it has ended. An unreachable target
@@ -137,15 +136,12 @@
 	g, incarnation := b.gateway, b.target.Incarnation()
 	state := g.endChecks.check(incarnation, func() targetState { return g.checkEnded(b.target, b.service.healthPath()) })
 	ended := state == targetEnded || state == targetUnreachable && b.service.answeredSince(b.target.ID, b.began)
-	now := time.Now()
 	if ended {
 		b.service.instruments.crashes.Inc(1)
-		g.suspects.ConfirmCrash(now, b.fingerprint, incarnation)
-	} else {
-		g.suspects.DismissCrash(b.fingerprint, incarnation)
 	}
+	b.prints.resolveBreak(g.suspects, time.Now(), incarnation, ended)
 	g.log.WithFields(log.Fields{
 		logs.FieldRequest: b.request, "target": b.target.ID, "state": state.String(), "counted": ended,
-		"print": strconv.FormatUint(b.fingerprint, 36), "crashes": g.suspects.CrashCount(b.fingerprint),
+		"print": b.prints.text(), "crashes": b.prints.crashCount(g.suspects),
 	}).Info("target checked after a broken connection")
 }
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -60,7 +59,7 @@
 func (q *request) logCleared(d *dispatch, status int) {
 	f := q.logFields()
 	addDecision(f, d)
-	f["status"], f["print"] = status, strconv.FormatUint(q.fingerprint, 36)
+	f["status"], f["print"] = status, q.prints.text()
 	q.gateway.log.WithFields(f).Warn("request is cleared, its target answered")
 }
 
@@ -77,8 +76,7 @@
 	addDecision(f, d)
 	f["stage"], f["ran"], f["connect"] = fail.Stage.String(), executionText(fail.Execution), fail.ConnectTime.Milliseconds()
 	if fail.Stage.MayBeCrash() {
-		f["print"], f["crashes"] = strconv.FormatUint(q.fingerprint, 36), q.gateway.suspects.CrashCount(q.fingerprint)
-		f["caller"], f["content"] = q.callerAddress(), strconv.FormatUint(q.contentHash(), 36)
+		f["print"], f["crashes"], f["caller"] = q.prints.text(), q.prints.crashCount(q.gateway.suspects), q.callerAddress()
 	}
 	q.gateway.log.WithFields(f).WithError(fail.Cause).Warn("dispatch failed")
 }
@@ -89,7 +87,7 @@
 	f["status"], f["reason"], f["tries"] = status, reason, q.dispatchCount()
 	q.addBudgetDenied(f)
 	if reason == string(call.ReasonQuarantined) {
-		f["print"] = strconv.FormatUint(q.fingerprint, 36)
+		f["print"] = q.prints.text()
 	}
 	if q.refusal.Kind == slot.Refuse {
 		f["retry"] = q.refusal.RetryAfter.Milliseconds()
--- /dev/null
+++ b/internal/gateway/fingerprint.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/platform"
+)
+
+// fingerprints identify a request that is repeated by what its targets see of it, whoever sends
+// it. If either of them has crashed targets, so has the request.
+type fingerprints struct {
+	content uint64 // of host, method, path, query and body
+	headers uint64 // of the content and the headers
+}
+
+// ignoredHeaders aren't forwarded, or differ between attempts of one request.
+var ignoredHeaders = []string{
+	"Connection", "Content-Length", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	platform.HeaderRequestID, platform.HeaderDeadline,
+}
+
+// computeFingerprints returns the fingerprints of the request.
+func (q *request) computeFingerprints() (f fingerprints) {
+	f.content = call.Fingerprint(q.route.Host, q.r.Method, q.r.URL.EscapedPath(), q.r.URL.RawQuery, call.BodyHash(q.body))
+	var hash xxhash.Digest
+	hash.Reset()
+	_, _ = hash.WriteString(strconv.FormatUint(f.content, 36))
+	for _, name := range forwardedHeaders(q.r.Header, q.omittedHeaders()) {
+		_, _ = hash.WriteString("\x00" + name + "\x00" + strings.Join(q.r.Header[name], "\x00"))
+	}
+	f.headers = hash.Sum64()
+	return f
+}
+
+// forwardedHeaders returns the sorted names of the headers that targets see and that are equal
+// in each attempt of a request.
+func forwardedHeaders(h http.Header, omitted []string) (names []string) {
+	for name := range h {
+		if !slices.Contains(ignoredHeaders, name) && !slices.Contains(omitted, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// text returns the fingerprint that log lines contain.
+func (f fingerprints) text() string { return strconv.FormatUint(f.content, 36) }
+
+// quarantineRemaining returns the remaining quarantine of a request, or 0.
+func (f fingerprints) quarantineRemaining(s *call.Suspects, now time.Time) time.Duration {
+	return max(s.QuarantineRemaining(now, f.content), s.QuarantineRemaining(now, f.headers))
+}
+
+// crashCount returns the number of target crashes known for a request.
+func (f fingerprints) crashCount(s *call.Suspects) int {
+	return max(s.CrashCount(f.content), s.CrashCount(f.headers))
+}
+
+// recordBreak records that a target broke the connection of a request.
+func (f fingerprints) recordBreak(s *call.Suspects, now time.Time, target string, began time.Time) {
+	s.RecordBreak(now, f.content, target, began)
+	s.RecordBreak(now, f.headers, target, began)
+}
+
+// resolveBreak counts the connections that a target broke as a crash, or forgets them.
+func (f fingerprints) resolveBreak(s *call.Suspects, now time.Time, target string, crashed bool) {
+	for _, fp := range []uint64{f.content, f.headers} {
+		if crashed {
+			s.ConfirmCrash(now, fp, target)
+		} else {
+			s.DismissCrash(fp, target)
+		}
+	}
+}
+
+// recordResponse clears a request, and reports whether it had crashes.
+func (f fingerprints) recordResponse(s *call.Suspects, now time.Time) bool {
+	content := s.RecordResponse(now, f.content)
+	return s.RecordResponse(now, f.headers) || content
+}
+
+// callerAddress returns the caller's IP address.
+func (q *request) callerAddress() string {
+	host, _, err := net.SplitHostPort(q.r.RemoteAddr)
+	if err != nil {
+		return q.r.RemoteAddr
+	}
+	return host
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/pkg/account"
 	"plumpitch.example/plumpitch/pkg/call"
@@ -18,21 +15,21 @@
 
 // request is the state of one caller request while it is served.
 type request struct {
-	gateway     *Gateway
-	w           http.ResponseWriter
-	r           *http.Request
-	id          string
-	arrived     time.Time
-	body        []byte
-	fingerprint uint64       // identifies repeated requests for the crash quarantine
-	table       *route.Table // of the view that the request was routed by
-	route       *route.ActiveRoute
-	account     *account.Account // nil without an account
-	key         account.Digest   // of the account's key that the request carries
-	hasToken    bool             // a token of the account's limit was spent on the request
-	admitted    time.Time        // when it got the token
-	late        bool             // it couldn't meet its objective any more when it asked for the token
-	waited      time.Duration    // how long the caller has been waiting at least, by StartRange
+	gateway  *Gateway
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	arrived  time.Time
+	body     []byte
+	prints   fingerprints // identify repeated requests for the crash quarantine
+	table    *route.Table // of the view that the request was routed by
+	route    *route.ActiveRoute
+	account  *account.Account // nil without an account
+	key      account.Digest   // of the account's key that the request carries
+	hasToken bool             // a token of the account's limit was spent on the request
+	admitted time.Time        // when it got the token
+	late     bool             // it couldn't meet its objective any more when it asked for the token
+	waited   time.Duration    // how long the caller has been waiting at least, by StartRange
 	// tokenExpected is how long after its refusal the account is expected to have a token for it.
 	tokenExpected time.Duration
 	service       *service
@@ -111,14 +108,14 @@
 func (q *request) start(now, deadline time.Time) call.Actions {
 	q.decisions = make(chan slot.Action, 1)
 	q.results = make(chan result, call.MaxDispatches)
-	q.fingerprint = q.computeFingerprint()
+	q.prints = q.computeFingerprints()
 	q.setObjective()
 	q.call = call.New(call.Config{
 		MaxDispatches: min(q.route.MaxDispatches, call.MaxDispatches), Margin: responseMargin, Budget: q.service.budget,
 	})
 	return q.call.Arrive(now, call.Arrival{
 		Deadline: deadline, Idempotent: q.route.Idempotent, HedgeDelay: q.service.hedgeDelay(q.route.Name, q.objective.Sub(now)),
-		QuarantineRemaining: q.gateway.suspects.QuarantineRemaining(now, q.fingerprint),
+		QuarantineRemaining: q.prints.quarantineRemaining(q.gateway.suspects, now),
 	})
 }
 
@@ -141,31 +138,6 @@
 	return q.arrived.Add(timeout)
 }
 
-// computeFingerprint hashes the caller's address, the method, the path and the body, so
-// that a request that crashes targets is recognized when it is repeated.
-func (q *request) computeFingerprint() uint64 {
-	var hash xxhash.Digest
-	hash.Reset()
-	_, _ = hash.WriteString(q.callerAddress() + "\x00" + q.r.Method + "\x00" + q.r.URL.RequestURI() + "\x00")
-	_, _ = hash.Write(q.body)
-	return hash.Sum64()
-}
-
-// contentHash hashes the host, the method, the path, the query and the body: what targets
-// see of the request besides its headers.
-func (q *request) contentHash() uint64 {
-	return call.Fingerprint(q.route.Host, q.r.Method, q.r.URL.EscapedPath(), q.r.URL.RawQuery, call.BodyHash(q.body))
-}
-
-// callerAddress returns the caller's IP address.
-func (q *request) callerAddress() string {
-	host, _, err := net.SplitHostPort(q.r.RemoteAddr)
-	if err != nil {
-		return q.r.RemoteAddr
-	}
-	return host
-}
-
 // perform executes the actions of the call state machine and reports whether the request
 // has ended.
 func (q *request) perform(actions []call.Action) (ended bool) {
@@ -311,7 +283,7 @@
 
 // clearSuspicion records that a target ran the request and sent its complete response.
 func (q *request) clearSuspicion(now time.Time, d *dispatch, status int) {
-	if q.gateway.suspects.RecordResponse(now, q.fingerprint) {
+	if q.prints.recordResponse(q.gateway.suspects, now) {
 		q.logCleared(d, status)
 	}
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -12,12 +12,12 @@
 	"plumpitch.example/plumpitch/pkg/owner"
 )
 
-// A suspect is a request, known by its fingerprint, that may have crashed targets
+// A suspect is a request, known by a fingerprint, that may have crashed targets
 // (call.Suspects). After crashLimit crashes in a row it is quarantined.
 
 const (
-	// maxSuspects is how many suspects are checked for changes at a time.
-	maxSuspects = 16
+	// maxSuspects is how many suspects are checked for changes at a time, two for each request.
+	maxSuspects = 32
 	// maxAnnouncedSuspects bounds the suspects that are remembered as announced. When it is
 	// exceeded, all are forgotten and announced once more.
 	maxAnnouncedSuspects = 4096
