--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -64,6 +64,8 @@
 	// unchanged in both directions, and a response body may end with its
 	// connection. If it is empty, plumpitch's own headers are used.
 	EchoHeader string
+	// Dial opens TCP connections to targets, with a socket; nil means net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 const (
@@ -86,11 +88,10 @@
 // New returns a Forwarder with a transport of its own.
 func New(cfg Config) *Forwarder {
 	cfg = cfg.withDefaults()
-	dialer := net.Dialer{Timeout: cfg.ConnectTimeout, Control: unackedTimeout(cfg.UnackedTimeout)}
 	f := &Forwarder{cfg: cfg}
 	f.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, addr)
+			c, err := f.dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
@@ -108,6 +109,13 @@
 	return f
 }
 
+// dial opens a connection within ConnectTimeout.
+func (f *Forwarder) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.ConnectTimeout)
+	defer cancel()
+	return f.cfg.Dial(ctx, network, address)
+}
+
 func (c Config) withDefaults() Config {
 	if c.MaxConns <= 0 {
 		c.MaxConns = defaultMaxConns
@@ -127,6 +135,9 @@
 	if c.MaxBufferedBytes <= 0 {
 		c.MaxBufferedBytes = defaultMaxBufferedBytes
 	}
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{Control: unackedTimeout(c.UnackedTimeout)}).DialContext
+	}
 	return c
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,7 +30,9 @@
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	// Dial opens TCP connections to other entries; nil means the default of http.Transport.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	Log  log.Interface
+	// DialTarget opens TCP connections to targets; nil means net.Dialer.
+	DialTarget func(ctx context.Context, network, address string) (net.Conn, error)
+	Log        log.Interface
 }
 
 // Gateway is one entry: a process that serves callers.
@@ -89,6 +91,7 @@
 		cfg: cfg, log: cfg.Log, started: time.Now(), initialized: make(chan struct{}), giveUp: make(chan struct{}),
 		forward: forward.New(forward.Config{
 			EchoHeader: platform.HeaderRequestID, UnackedTimeout: targetAckTimeout, ConnectTimeout: targetConnectTimeout, IdleTimeout: targetIdleTimeout, MaxBufferedBytes: maxBufferedResponse,
+			Dial: cfg.DialTarget,
 		}),
 		suspects:    call.NewSuspects(call.SuspectsConfig{CrashLimit: crashLimit}),
 		parseErrors: newParseErrorLog(cfg.Log),
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -39,6 +39,8 @@
 	retryShare float64
 	// overloadControl is the bound on overload control in the entries' settings.
 	overloadControl bool
+	// links has the connections of entries to targets that tests may cut, by entry.
+	links map[string]*targetLinks
 }
 
 // worldConfig describes a world's targets and the route of its first configuration.
@@ -128,7 +130,11 @@
 	for _, e := range seeds {
 		s.Seeds = append(s.Seeds, e.self.PeerAddress)
 	}
-	g, err := New(Config{Settings: s, Boot: boot, Log: &log.Logger{Handler: discard.New()}})
+	cfg := Config{Settings: s, Boot: boot, Log: &log.Logger{Handler: discard.New()}}
+	if links := w.links[name]; links != nil {
+		cfg.DialTarget = links.dial
+	}
+	g, err := New(cfg)
 	w.c.Assert(err, qt.IsNil)
 	return g
 }
