gateway: an entry that is cut off from a service's targets says so and passes its requests on

Cause: whether an entry reaches targets counted for nothing. Owners and directory went by contact between entries, and a request had no other way than the entry's own. Change: after a sign of trouble (a connection refused or lost, unanswered probes) an entry asks a few targets for connections, all up to 32 if none accepts. When others report a service, up to 16 entries and its owners check it too: if nobody reaches it, its targets are gone, and all are equal as before. A passed on request takes one token, is counted in one rate, keeps its account and deadline, runs once, and is finished by a stand-in that stops. Also TestOwnersReachTheirTargets, TestStandInStops, TestPassedOnRequestsHaveAnAccount. Without a cut nothing is sent: checks follow signs of trouble only.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -116,6 +116,16 @@
 	return f.cfg.Dial(ctx, network, address)
 }
 
+// Connect opens a connection to a target and closes it.
+func (f *Forwarder) Connect(ctx context.Context, target string) (err error) {
+	defer func() { err = errors.WithMessage(err, "connecting to "+target) }()
+	c, err := f.dial(ctx, "tcp", target)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 func (c Config) withDefaults() Config {
 	if c.MaxConns <= 0 {
 		c.MaxConns = defaultMaxConns
--- a/internal/gateway/accountmetrics.go
+++ b/internal/gateway/accountmetrics.go
@@ -108,7 +108,7 @@
 
 // countAccount counts the request for its account, if it has one.
 func (q *request) countAccount(result string) {
-	if q.account != nil {
+	if q.account != nil && !q.passedOn {
 		q.gateway.instruments.accounts.count(q.account.Name, result)
 	}
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -66,8 +66,12 @@
 	// State derived from membership; liveEntries is nil when the membership has changed.
 	liveEntries []owner.Candidate
 	contact     member.Contact
-	readerOrder [resourceCount][]owner.Entry // the first entries in the order of readers
-	readerRank  [resourceCount]int           // of this entry in the order of readers
+	// unreachableBy has the IDs of the services that each entry doesn't reach, by name of the
+	// entry, and reportedUnreachable those that any other entry doesn't reach.
+	unreachableBy       map[string][]uint32
+	reportedUnreachable map[uint32]bool
+	readerOrder         [resourceCount][]owner.Entry // the first entries in the order of readers
+	readerRank          [resourceCount]int           // of this entry in the order of readers
 
 	gossipedCounts     owner.Counts          // owner count of each host, as gossiped
 	rateReports        map[string]rateReport // request rates that other entries report, by entry
@@ -89,6 +93,7 @@
 	recordedPeers      int           // other entries in the last list of the store's records
 	enrolledBefore     int           // entries that started at the same time and enrolled earlier
 	services           map[string]*service
+	reach              map[string]*serviceReach // of services that showed signs of trouble
 	removedServices    map[string]removedService
 	hosts              hosts
 	firstViewPublished bool      // requests are no longer held for the first view
@@ -107,6 +112,7 @@
 		targets: roster.New(slot.Equivalent), vanishedTargets: roster.NewVanished[slot.Target](), evacuations: roster.New(slot.EquivalentEvacuations), vanishedEvacuations: roster.NewVanished[slot.Evacuation](),
 		removedServices: make(map[string]removedService), waitingPeers: make(map[string]bool), announcedCrashes: make(map[uint64]int),
 		gossipedCounts: owner.NewCounts(), rateReports: make(map[string]rateReport),
+		reach: make(map[string]*serviceReach),
 	}
 }
 
@@ -157,6 +163,7 @@
 	c.hosts.tick(now)
 	c.overload.tick(now, tickInterval)
 	c.clearLocalFailure(now)
+	c.checkReach(now)
 	c.reportCondition(now)
 	c.notifyStarted(now)
 	c.announceSuspects(now)
@@ -214,7 +221,7 @@
 	initialized := c.table != nil && c.targetsKnown()
 	c.gateway.view.Store(&view{
 		table: c.table, initialized: initialized, services: c.services, live: live, owners: owners, rates: c.hosts.rates,
-		isolated: c.isolated(now),
+		isolated: c.isolated(now), standIns: c.standIns(live, owners),
 	})
 	if initialized && !c.firstViewPublished {
 		c.firstViewPublished = true
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -54,8 +54,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{gateway: g, w: w, r: r, arrived: now, id: platform.RequestID(r.Header)}
-	g.awaitFresh(r.Context(), now, q.id)
-	v := g.viewAfterStart(r.Context(), now)
+	q.serve()
+}
+
+// serve routes and runs the request.
+func (q *request) serve() {
+	g, r := q.gateway, q.r
+	g.awaitFresh(r.Context(), q.arrived, q.id)
+	v := g.viewAfterStart(r.Context(), q.arrived)
 	if v.table == nil {
 		q.refuse("noconfig", noConfigRetry)
 		return
@@ -66,7 +72,7 @@
 		q.respond(http.StatusNotFound, "noroute")
 		return
 	}
-	if rate := v.rates[q.route.Host]; rate != nil {
+	if rate := v.rates[q.route.Host]; rate != nil && !q.passedOn {
 		rate.add()
 	}
 	if !q.authenticate() {
@@ -87,7 +93,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	q.body = body
-	if q.awaitToken(v) {
+	if q.passedOn || q.awaitToken(v) {
 		q.run(v.services[q.route.Split.Next()])
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,25 +37,28 @@
 
 // Gateway is one entry: a process that serves callers.
 type Gateway struct {
-	cfg         Config
-	log         log.Interface
-	self        owner.Entry
-	store       *platform.Store
-	forward     *forward.Forwarder
-	relay       *relay.Relay
-	control     *control
-	suspects    *call.Suspects
-	endChecks   endChecks
-	parseErrors *parseErrorLog
-	leaving     atomic.Bool
-	selfID      atomic.Pointer[member.ID] // this incarnation's ID in the membership
-	enrolled    atomic.Bool               // this entry has a record in the store
-	restores    atomic.Uint64             // restores of the store from a copy since the start
-	started     time.Time
-	initialized chan struct{} // closed once a view has everything needed to choose a target
-	giveUp      chan struct{} // closed when a stop gives up the unfinished requests
-	bounds      atomic.Pointer[platform.Bounds]
-	view        atomic.Pointer[view]
+	cfg     Config
+	log     log.Interface
+	self    owner.Entry
+	store   *platform.Store
+	forward *forward.Forwarder
+	peers   *forward.Forwarder // to other entries
+	// passedOnActive is how many requests that other entries have passed on are being served.
+	passedOnActive atomic.Int64
+	relay          *relay.Relay
+	control        *control
+	suspects       *call.Suspects
+	endChecks      endChecks
+	parseErrors    *parseErrorLog
+	leaving        atomic.Bool
+	selfID         atomic.Pointer[member.ID] // this incarnation's ID in the membership
+	enrolled       atomic.Bool               // this entry has a record in the store
+	restores       atomic.Uint64             // restores of the store from a copy since the start
+	started        time.Time
+	initialized    chan struct{} // closed once a view has everything needed to choose a target
+	giveUp         chan struct{} // closed when a stop gives up the unfinished requests
+	bounds         atomic.Pointer[platform.Bounds]
+	view           atomic.Pointer[view]
 
 	freshness *freshness
 	quotas    *quotas
@@ -93,6 +96,9 @@
 			EchoHeader: platform.HeaderRequestID, UnackedTimeout: targetAckTimeout, ConnectTimeout: targetConnectTimeout, IdleTimeout: targetIdleTimeout, MaxBufferedBytes: maxBufferedResponse,
 			Dial: cfg.DialTarget,
 		}),
+		peers: forward.New(forward.Config{
+			EchoHeader: platform.HeaderRequestID, UnackedTimeout: targetAckTimeout, ConnectTimeout: targetConnectTimeout, MaxBufferedBytes: maxBufferedResponse,
+		}),
 		suspects:    call.NewSuspects(call.SuspectsConfig{CrashLimit: crashLimit}),
 		parseErrors: newParseErrorLog(cfg.Log),
 		instruments: newInstruments(cfg.Settings.Name),
@@ -111,7 +117,7 @@
 	g.quotas = newQuotas(g)
 	if g.relay, err = relay.New(relay.Config{
 		Address: net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0])),
-		Source:  g.control, OnPacket: g.receivePacket, Log: g.log,
+		Source:  g.control, OnPacket: g.receivePacket, Log: g.log, OnRequest: http.HandlerFunc(g.servePassedOn),
 		Self:   func() member.ID { return *g.selfID.Load() },
 		OnSent: g.instruments.countSent, OnLost: func(packets int) { g.instruments.packetsLost.Inc(int64(packets)) }, ListenPacket: cfg.ListenPacket, Dial: cfg.Dial,
 	}); err != nil {
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -90,7 +90,7 @@
 // needs the assignment.
 func (c *control) currentAssignment(live []owner.Candidate) *owner.Assignment {
 	if c.assignment == nil || c.assignmentTable != c.hosts.table {
-		c.assignment, c.assignmentTable = owner.New(live, slices.Collect(maps.Keys(c.hosts.ownerSizers))), c.hosts.table
+		c.assignment, c.assignmentTable = owner.New(c.markUnserved(live), slices.Collect(maps.Keys(c.hosts.ownerSizers))), c.hosts.table
 	}
 	return c.assignment
 }
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -78,6 +78,7 @@
 	pauses           tally.Counter                  // responses in which a target asked for a pause
 	loadProbes       tally.Counter
 	failedDispatches tally.Counter // dispatches without a valid response
+	passedOn         tally.Counter // requests sent to an entry that reaches the targets
 }
 
 // service creates the metrics of a service.
@@ -88,7 +89,7 @@
 		dispatches: s.Counter("dispatches"), loadProbes: s.Counter("load_questions"),
 		budgetDenied: s.Counter("repeats_denied"), budgetAvailable: s.Gauge("repeats_saved"), burst: s.Gauge("repeats_burst"),
 		crashes: s.Counter("crashes"), pauses: s.Counter("pauses"),
-		failedDispatches: s.Counter("dispatches_failed"), refusals: make(map[slot.Reason]tally.Counter),
+		failedDispatches: s.Counter("dispatches_failed"), passedOn: s.Counter("passed_on"), refusals: make(map[slot.Reason]tally.Counter),
 	}
 	for _, r := range []slot.Reason{slot.Full, slot.NoTarget, slot.Cold, slot.Paused, slot.Limited} {
 		si.refusals[r] = s.Tagged(map[string]string{"reason": r.String()}).Counter("refusals")
--- a/internal/gateway/live.go
+++ b/internal/gateway/live.go
@@ -20,6 +20,7 @@
 func (c *control) updateLive() {
 	c.liveEntries = []owner.Candidate{}
 	c.liveVersion++
+	c.unreachableBy, c.reportedUnreachable = make(map[string][]uint32), make(map[uint32]bool)
 	var readers []owner.Candidate
 	for e := range c.members.Entries() {
 		if e.State != member.Alive {
@@ -27,6 +28,7 @@
 		}
 		o := owner.Candidate{Entry: ownerOf(e), Overloaded: e.Overloaded}
 		c.liveEntries = append(c.liveEntries, o)
+		c.noteUnreachable(e)
 		if !e.StoreUnavailable {
 			readers = append(readers, o)
 		}
@@ -46,6 +48,20 @@
 	c.contact = c.members.Contact()
 }
 
+// noteUnreachable records the services that an entry doesn't reach.
+func (c *control) noteUnreachable(e member.Entry) {
+	if len(e.Unreachable) == 0 {
+		return
+	}
+	c.unreachableBy[e.ID.Name] = e.Unreachable
+	if e.ID.Name == c.gateway.self.Name {
+		return
+	}
+	for _, id := range e.Unreachable {
+		c.reportedUnreachable[id] = true
+	}
+}
+
 func ownerOf(e member.Entry) owner.Entry {
 	return owner.Entry{
 		Name: e.ID.Name, Boot: e.ID.Boot, CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, Place: e.Place, Region: e.Region, Capacity: e.Capacity,
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -234,9 +234,12 @@
 	c.receiveKnowledge(now, m.from, p.Knowledge)
 }
 
-// reportCondition advertises whether this entry is overloaded or the store is unavailable.
+// reportCondition advertises whether this entry is overloaded, the store is unavailable, or
+// services are out of reach.
 func (c *control) reportCondition(now time.Time) {
-	c.handleEvent(now, member.SetCondition{Condition: member.Condition{Overloaded: c.overload.overloaded(now), StoreUnavailable: c.storeUnavailable}})
+	c.handleEvent(now, member.SetCondition{Condition: member.Condition{
+		Overloaded: c.overload.overloaded(now), StoreUnavailable: c.storeUnavailable, Unreachable: c.unreachable(now),
+	}})
 }
 
 // leaveStarted is sent when this entry begins to stop. left, if not nil, gets the time at which
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/relay"
+	"plumpitch.example/plumpitch/internal/standin/objects"
 )
 
 // partitionWorld is a world whose entries can be cut off from all targets.
@@ -150,3 +153,105 @@
 	time.Sleep(cutSettleTime)
 	w.c.Assert(w.firstTries("GET", w.entries, 40), qt.Equals, 1.0)
 }
+
+// Callers must be sent elsewhere while their entry is cut off, and come back after it. Guards
+// against owners that stay unreachable, or that change with each turn of a link.
+func TestOwnersReachTheirTargets(t *testing.T) {
+	w := newPartitionWorld(t, worldConfig{targets: 8}, 6)
+	w.firstTries("GET", w.entries, 10)
+	before := w.owners(w.entries[0])
+	cut, others := w.split()
+	for _, e := range cut {
+		w.links[e.self.Name].set(linksReset)
+	}
+	w.firstTries("GET", cut, 5)
+	for _, e := range w.entries {
+		w.waitFor("no owner is cut off", func() bool {
+			return !slices.ContainsFunc(w.owners(e), func(name string) bool { return slices.Contains(before, name) })
+		})
+	}
+	for _, e := range cut {
+		w.links[e.self.Name].set(linksUp)
+	}
+	for _, e := range w.entries {
+		w.waitFor("owners are as before", func() bool { return slices.Equal(w.owners(e), before) })
+	}
+	w.c.Assert(w.firstTries("GET", cut, 20), qt.Equals, 1.0)
+	w.c.Assert(w.firstTries("GET", others, 20), qt.Equals, 1.0)
+}
+
+// An entry that serves requests for one that is cut off stops. Guards against requests that are
+// lost with it, or run twice.
+func TestStandInStops(t *testing.T) {
+	w := newPartitionWorld(t, worldConfig{targets: 8, routeType: "non_idempotent", attempts: 1}, 6)
+	w.firstTries("POST", w.entries, 5)
+	cut, others := w.split()
+	for _, e := range cut {
+		w.links[e.self.Name].set(linksReset)
+	}
+	w.firstTries("POST", cut, 5)
+	w.waitFor("stand-ins are known", func() bool { return len(cut[0].view.Load().standIns["gowns"]) > 1 })
+	for _, k := range w.workers {
+		k.SetServiceTime(200 * time.Millisecond)
+	}
+	results := make(chan callResult, 100)
+	for i := range cap(results) {
+		go func() {
+			results <- cut[0].callWith(context.Background(), fmt.Sprint("stop-", i), "POST", "/a/x", "veil")
+		}()
+		time.Sleep(15 * time.Millisecond)
+		if i == cap(results)/4 {
+			others[0].stop()
+		}
+	}
+	for range cap(results) {
+		res := <-results
+		w.c.Assert(res.status == http.StatusOK || res.status == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("%d %s", res.status, res.header.Get("Plumpitch-Reason")))
+		w.c.Assert(w.runs(res.id) <= 1, qt.IsTrue)
+		w.c.Assert(res.status == http.StatusOK, qt.Equals, w.runs(res.id) == 1)
+	}
+	w.c.Assert(<-others[0].done, qt.IsNil)
+}
+
+// Callers with keys use an entry that is cut off. Guards against requests that are passed on
+// without their account or with the caller's key, and against tokens that are spent twice.
+func TestPassedOnRequestsHaveAnAccount(t *testing.T) {
+	const (
+		rate = 40 // requests per second that an account may send, and its burst
+		span = 4 * time.Second
+	)
+	w := newPartitionWorld(t, worldConfig{targets: 8}, 6)
+	w.configureAccounts(
+		objects.Account{Name: "bride", Keys: []string{"k1"}, Rate: 1000, Burst: 1000},
+		objects.Account{Name: "seamstress", Keys: []string{"k2"}, Rate: rate, Burst: rate},
+	)
+	for _, e := range w.entries {
+		e.waitReady()
+	}
+	cut, _ := w.split()
+	for _, e := range cut {
+		w.links[e.self.Name].set(linksReset)
+	}
+	w.waitFor("served by a stand-in", func() bool { return cut[0].callWithKey("/a/x", "k1").status == http.StatusOK })
+	w.c.Assert(cut[0].callWithKey("/a/x", "").status, qt.Equals, http.StatusUnauthorized)
+	w.c.Assert(cut[0].callWithKey("/a/x", "unknown").status, qt.Equals, http.StatusUnauthorized)
+	w.c.Assert(cut[0].callWithKey("/a/x", "k1", relay.HeaderPassedOn, "e1").status, qt.Equals, http.StatusOK)
+	w.waitFor("the account has tokens", func() bool { return cut[0].callWithKey("/a/x", "k2").status == http.StatusOK })
+	served := 1
+	for began := time.Now(); time.Since(began) < span; {
+		if cut[0].callWithKey("/a/x", "k2").status == http.StatusOK {
+			served++
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	full := int(rate * span.Seconds())
+	w.c.Assert(served <= full+rate, qt.IsTrue, qt.Commentf("%d served", served))
+	w.c.Assert(served >= 3*full/4, qt.IsTrue, qt.Commentf("%d served", served))
+	accounts := map[string]int{}
+	for _, r := range w.allRuns() {
+		accounts[r.Account]++
+		w.c.Assert(r.LeakedKey, qt.Equals, "")
+	}
+	w.c.Assert(accounts["seamstress"], qt.Equals, served)
+	w.c.Assert(accounts["bride"] > 0, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/gateway/reach.go
@@ -0,0 +1,292 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/reach"
+	"plumpitch.example/plumpitch/pkg/slot"
+)
+
+// An entry that reaches no target of a service, while others do, is cut off from it. It tells
+// the others, which then prefer themselves as owners of the service's hosts, and passes its
+// requests on to them. If no entry reaches the service, its targets are gone: all entries are
+// equal again, and none passes on anything.
+//
+// The targets are asked for connections, and only after a sign of trouble. Answers on
+// connections that were opened before the cut don't show that new ones can be opened.
+
+const (
+	// lostCheckInterval is the least time between two checks of a service out of reach, and
+	// reachedCheckInterval of one in reach. A single target that is gone is a sign of trouble too.
+	lostCheckInterval    = 200 * time.Millisecond
+	reachedCheckInterval = 500 * time.Millisecond
+	// reportedCheckInterval is the time between checks of a service that other entries report
+	// as out of reach.
+	reportedCheckInterval = time.Second
+	// maxReportedChecks bounds the entries that make these checks, besides the owners of a host.
+	maxReportedChecks = 16
+	// firstCheckTargets is how many targets a check asks first, and maxCheckTargets how many it
+	// asks in all if none of these has accepted a connection within firstCheckWait.
+	firstCheckTargets = 2
+	maxCheckTargets   = 32
+	firstCheckWait    = 50 * time.Millisecond
+	// minSilentProbes is the number of unanswered probes that are a sign of trouble.
+	minSilentProbes = 2
+	// maxStandIns bounds the entries that requests are passed on to.
+	maxStandIns = 4
+)
+
+// serviceID returns a short identifier of a service, for messages.
+func serviceID(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// serviceReach is what the control loop knows of the reach of one service.
+type serviceReach struct {
+	state     *reach.Service
+	checking  bool
+	checkedAt time.Time
+}
+
+// contactSigns counts what a service's targets were asked and have answered. It shows whether
+// they may be out of reach.
+type contactSigns struct {
+	asked, done, heard atomic.Int64 // probes sent and ended; probes and requests that were answered
+	suspected          atomic.Bool  // a connection could not be opened or was lost
+	outstanding        int64        // unanswered probes at the last call of take; used by the control loop
+}
+
+// take reports whether there was a sign of trouble since the last call.
+func (s *contactSigns) take() bool {
+	outstanding, heard := s.asked.Load()-s.done.Load(), s.heard.Swap(0)
+	silent := heard == 0 && min(outstanding, s.outstanding) >= minSilentProbes
+	s.outstanding = outstanding
+	return s.suspected.Swap(false) || silent
+}
+
+// suspectReach makes the control loop check whether the service's targets are in reach.
+func (s *service) suspectReach() {
+	if s.signs.suspected.Swap(true) {
+		return
+	}
+	select {
+	case s.gateway.control.inbox <- reachSuspected{}:
+	default: // the next tick checks it
+	}
+}
+
+// reachSuspected is sent when a service may be out of reach.
+type reachSuspected struct{}
+
+func (reachSuspected) apply(now time.Time, c *control) { c.checkReach(now) }
+
+// checkReach starts the checks that are due.
+func (c *control) checkReach(now time.Time) {
+	for name, sv := range c.services {
+		r := c.reach[name]
+		sign := sv.signs.take()
+		lost := r != nil && r.state.Lost()
+		if !sign && !lost && !c.checksReported(now, name, r) {
+			continue
+		}
+		if r == nil {
+			r = &serviceReach{state: reach.New(reach.Config{})}
+			c.reach[name] = r
+		}
+		interval := reachedCheckInterval
+		if lost {
+			interval = lostCheckInterval
+		}
+		if r.checking || now.Sub(r.checkedAt) < interval {
+			if sign {
+				sv.signs.suspected.Store(true)
+			}
+			continue
+		}
+		r.checking, r.checkedAt = true, now
+		go c.runReachCheck(name, sv.checkTargets())
+	}
+}
+
+// checksReported reports whether this entry checks a service because others report it as out of
+// reach.
+func (c *control) checksReported(now time.Time, name string, r *serviceReach) bool {
+	if !c.reportedUnreachable[serviceID(name)] || r != nil && now.Sub(r.checkedAt) < reportedCheckInterval {
+		return false
+	}
+	if owner.Rank(c.live(), "reach "+name, c.gateway.self.Name) < maxReportedChecks {
+		return true
+	}
+	return slices.Contains(c.senders(c.owners)[name], c.gateway.self.Name)
+}
+
+// runReachCheck asks targets for connections and reports the result to the control loop.
+func (c *control) runReachCheck(name string, addresses []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), targetConnectTimeout+firstCheckWait)
+	defer cancel()
+	reached := len(addresses) == 0 || c.gateway.connectsToAny(ctx, addresses)
+	c.enqueue(context.Background(), reachChecked{name, reached})
+}
+
+// connectsToAny reports whether any of the addresses accepts a connection.
+func (g *Gateway) connectsToAny(ctx context.Context, addresses []string) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan bool, len(addresses))
+	connect := func(list []string) {
+		for _, address := range list {
+			go func() { results <- g.forward.Connect(ctx, address) == nil }()
+		}
+	}
+	first := min(firstCheckTargets, len(addresses))
+	connect(addresses[:first])
+	more := time.NewTimer(firstCheckWait)
+	defer more.Stop()
+	for waiting, rest := first, addresses[first:]; waiting > 0 || len(rest) > 0; {
+		select {
+		case ok := <-results:
+			if waiting--; ok {
+				return true
+			}
+			if waiting > 0 {
+				continue
+			}
+		case <-more.C:
+		}
+		connect(rest)
+		waiting, rest = waiting+len(rest), nil
+	}
+	return false
+}
+
+// checkTargets returns the addresses that a check asks, in the order in which it asks them: one
+// of each failure domain first.
+func (s *service) checkTargets() (addresses []string) {
+	s.mu.Lock()
+	targets := s.balancer.Targets()
+	s.mu.Unlock()
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	seen := make(map[string]bool)
+	var later []slot.Target
+	for _, t := range targets {
+		if seen[t.Place] {
+			later = append(later, t)
+			continue
+		}
+		seen[t.Place] = true
+		addresses = append(addresses, t.Address)
+	}
+	for _, t := range later {
+		addresses = append(addresses, t.Address)
+	}
+	return addresses[:min(len(addresses), maxCheckTargets)]
+}
+
+// reachChecked is the result of a check.
+type reachChecked struct {
+	service string
+	reached bool
+}
+
+func (m reachChecked) apply(now time.Time, c *control) {
+	r := c.reach[m.service]
+	if r == nil {
+		return
+	}
+	r.checking = false
+	if !r.state.Update(now, m.reached) {
+		return
+	}
+	if sv := c.services[m.service]; sv != nil {
+		sv.lost.Store(r.state.Lost())
+	}
+	c.gateway.log.WithFields(log.Fields{"service": m.service, "reached": m.reached}).Warn("reach of a service changed")
+	c.reportCondition(now)
+	c.publish(now)
+}
+
+// unreachable returns the IDs of the services that this entry reports as out of reach, and
+// forgets services that the configuration no longer has.
+func (c *control) unreachable(now time.Time) (ids []uint32) {
+	for name, r := range c.reach {
+		if c.services[name] == nil {
+			delete(c.reach, name)
+			continue
+		}
+		if r.state.Advertised(now) {
+			ids = append(ids, serviceID(name))
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// markUnserved returns the candidates, each with the hosts whose services it doesn't reach.
+func (c *control) markUnserved(live []owner.Candidate) []owner.Candidate {
+	if len(c.unreachableBy) == 0 || c.table == nil {
+		return live
+	}
+	services := c.hostServices()
+	marked := slices.Clone(live)
+	for i := range marked {
+		lost := c.unreachableBy[marked[i].Name]
+		if len(lost) == 0 {
+			continue
+		}
+		marked[i].Unserved = make(map[string]bool)
+		for host, ids := range services {
+			marked[i].Unserved[host] = slices.ContainsFunc(ids, func(id uint32) bool { return slices.Contains(lost, id) })
+		}
+	}
+	return marked
+}
+
+// hostServices returns the IDs of the services that each host has a route to.
+func (c *control) hostServices() map[string][]uint32 {
+	services := make(map[string][]uint32)
+	for _, r := range c.config.Routes {
+		host, _ := c.table.LookupHost(r.Host)
+		for _, p := range r.Services {
+			services[host] = append(services[host], serviceID(p.Service))
+		}
+	}
+	return services
+}
+
+// standIns returns, for each service that this entry doesn't reach, the entries that do: owners
+// of its hosts first, since they know the load of the targets.
+func (c *control) standIns(live []owner.Candidate, owners map[string][]owner.Entry) map[string][]owner.Entry {
+	var standIns map[string][]owner.Entry
+	for name, r := range c.reach {
+		if !r.state.Lost() {
+			continue
+		}
+		id := serviceID(name)
+		senders := c.senders(owners)[name]
+		var first, rest []owner.Entry
+		for _, e := range live {
+			switch {
+			case e.Name == c.gateway.self.Name || slices.Contains(c.unreachableBy[e.Name], id):
+			case slices.Contains(senders, e.Name):
+				first = append(first, e.Entry)
+			default:
+				rest = append(rest, e.Entry)
+			}
+		}
+		list := append(first, rest...)
+		if len(list) == 0 {
+			continue
+		}
+		if standIns == nil {
+			standIns = make(map[string][]owner.Entry)
+		}
+		standIns[name] = list[:min(len(list), maxStandIns)]
+	}
+	return standIns
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -46,6 +46,8 @@
 	inFlight   int // dispatches in flight
 	hedgeTimer *time.Timer
 	refusal    slot.Action // refusal of the balancer, if it gave no target
+
+	passedOn bool // another entry has passed it on to this one
 }
 
 // dispatch is one dispatch of a request to a target.
@@ -77,6 +79,14 @@
 		q.refuse("noservice", noConfigRetry)
 		return
 	}
+	if q.passOn() {
+		q.returnToken()
+		return
+	}
+	if q.passedOn && s.lost.Load() {
+		q.refuse(reasonNoReach, noConfigRetry)
+		return
+	}
 	now := time.Now()
 	deadline := q.deadline()
 	expiry := time.NewTimer(deadline.Sub(now))
@@ -254,6 +264,9 @@
 		completion.Outcome = failureOutcome(f.Stage)
 		q.service.complete(now, completion)
 		q.service.instruments.failedDispatches.Inc(1)
+		if f.Stage == call.StageRefused || f.Stage == call.StageConnect || isUnreachable(f.Cause) {
+			q.service.suspectReach()
+		}
 		quarantined := false
 		if f.Stage.MayBeCrash() {
 			quarantined = q.noteBrokenConnection(now, d)
@@ -263,6 +276,7 @@
 	}
 	resp := res.response
 	d.response = resp
+	q.service.signs.heard.Add(1)
 	shed := platform.NotRun(resp.Status, resp.Header)
 	completion.AddressReused = platform.Misdirected(resp.Status)
 	switch {
@@ -306,8 +320,8 @@
 	if q.call.BudgetDenied() {
 		q.service.instruments.budgetDenied.Inc(1)
 	}
-	if q.hasToken && q.call.Outcome() == call.NotRun {
-		q.gateway.quotas.giveBack(time.Now(), q.account.Name, q.admitted)
+	if q.call.Outcome() == call.NotRun {
+		q.returnToken()
 	}
 	if q.pendingID != 0 {
 		q.service.cancel(time.Now(), q.pendingID)
@@ -322,6 +336,13 @@
 	}
 }
 
+// returnToken gives the token of a request that has not run back to its account.
+func (q *request) returnToken() {
+	if q.hasToken {
+		q.gateway.quotas.giveBack(time.Now(), q.account.Name, q.admitted)
+	}
+}
+
 // awaitCancelled waits for the results of cancelled dispatches and frees their slots.
 func (q *request) awaitCancelled() {
 	for ; q.inFlight > 0; q.inFlight-- {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -26,6 +27,8 @@
 	// firstDispatches measures the requests that are dispatched to a target.
 	firstDispatches rate
 	answers         lastAnswers
+	signs           contactSigns
+	lost            atomic.Bool // no target is in reach; set by the control loop
 
 	mu           sync.Mutex
 	config       route.Service
@@ -127,6 +130,13 @@
 	return pending+inFlight > 0
 }
 
+// name returns the name of the service.
+func (s *service) name() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config.Name
+}
+
 // healthPath returns the path of the targets' health checks.
 func (s *service) healthPath() string {
 	s.mu.Lock()
@@ -188,6 +198,7 @@
 			}
 		case slot.SendProbe:
 			s.instruments.loadProbes.Inc(1)
+			s.signs.asked.Add(1)
 			go s.probe(a, s.config.HealthPath)
 		case slot.NoteEjected:
 			s.gateway.log.WithFields(log.Fields{"service": s.config.Name, "target": a.Target.ID}).Warn("target is out, it fails what it is sent")
@@ -231,6 +242,10 @@
 	defer cancel()
 	status, header, err := s.gateway.forward.Probe(ctx, a.Target.Address, path)
 	result := slot.ProbeResult{Target: a.Target.ID}
+	s.signs.done.Add(1)
+	if err == nil {
+		s.signs.heard.Add(1)
+	}
 	if err == nil && platform.InstanceID(header) == a.Target.ID {
 		result.Healthy = status == http.StatusOK
 		result.Report = s.gateway.parseReport(a.Target.ID, status, header)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -50,6 +50,7 @@
 	g.frontListener.Close()
 	sleep(ctx, lastRequestWait)
 	g.shutdown(ctx, servers)
+	g.awaitPassedOn(ctx)
 	awaitTransfers(began, left)
 	g.control.enqueue(ctx, departed{})
 }
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -53,6 +53,7 @@
 		Capacity: float32(e.Capacity),
 		Strained: e.Overloaded,
 		Shut:     e.StoreUnavailable,
+		Lost:     e.Unreachable,
 	}
 }
 
@@ -80,6 +81,7 @@
 		Condition: member.Condition{
 			Overloaded:       w.GetStrained(),
 			StoreUnavailable: w.GetShut(),
+			Unreachable:      w.GetLost(),
 		},
 	}, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,12 +73,13 @@
 
 // Config builds a Relay.
 type Config struct {
-	Address  string // host:port, for datagrams and calls
-	Source   Source
-	Self     func() member.ID             // ID of this entry, the response to pings
-	OnPacket func(p Packet, from string)  // called for each received packet, also concurrently
-	OnSent   func(bytes int, stream bool) // called for each sent packet; stream: by TCP
-	OnLost   func(packets int)            // called for packets by TCP that are dropped or can't be delivered
+	Address   string // host:port, for datagrams and calls
+	Source    Source
+	Self      func() member.ID             // ID of this entry, the response to pings
+	OnPacket  func(p Packet, from string)  // called for each received packet, also concurrently
+	OnSent    func(bytes int, stream bool) // called for each sent packet; stream: by TCP
+	OnLost    func(packets int)            // called for packets by TCP that are dropped or can't be delivered
+	OnRequest http.Handler                 // serves the callers' requests that other entries pass on
 	// ListenPacket opens the socket for datagrams; nil means net.ListenPacket.
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	// Dial opens the connections for calls and packets by TCP; nil means the default of http.Transport.
@@ -128,13 +129,28 @@
 	r.stop = stop
 	r.streams = &streams{ctx: ctx, log: cfg.Log, deliver: r.deliver, lost: cfg.OnLost, queues: make(map[string]chan []byte)}
 	r.server = &http.Server{
-		Handler:           wire.NewRelayServer(&server{relay: r, source: cfg.Source}),
+		Handler:           r.handler(wire.NewRelayServer(&server{relay: r, source: cfg.Source})),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       2 * idleTimeout,
 	}
 	return r, nil
 }
 
+// HeaderPassedOn is in a caller's request that one entry passes on to another. It names the
+// former.
+const HeaderPassedOn = "Plumpitch-Passed-On"
+
+// handler serves passed on requests by OnRequest, and all others by calls.
+func (r *Relay) handler(calls http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get(HeaderPassedOn) != "" && r.cfg.OnRequest != nil {
+			r.cfg.OnRequest.ServeHTTP(w, req)
+			return
+		}
+		calls.ServeHTTP(w, req)
+	})
+}
+
 // portAttempts limits the attempts to find a port that is free for both UDP and TCP.
 const portAttempts = 20
 
--- a/pkg/member/entry.go
+++ b/pkg/member/entry.go
@@ -5,7 +5,10 @@
 // actions.
 package member
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ID identifies one incarnation of an entry. Each restart has a new boot number.
 type ID struct {
@@ -59,6 +62,13 @@
 type Condition struct {
 	Overloaded       bool // can't keep up with its load
 	StoreUnavailable bool // the store doesn't serve it
+	// Unreachable has the IDs, in ascending order, of the services of which it reaches no target.
+	Unreachable []uint32
+}
+
+// Equal reports whether two entries report the same.
+func (c Condition) Equal(other Condition) bool {
+	return c.Overloaded == other.Overloaded && c.StoreUnavailable == other.StoreUnavailable && slices.Equal(c.Unreachable, other.Unreachable)
 }
 
 // IsSummary reports whether the entry is a summary, which has no addresses.
--- a/pkg/member/records.go
+++ b/pkg/member/records.go
@@ -36,6 +36,9 @@
 	b = binary.BigEndian.AppendUint64(b, e.ID.Boot)
 	b = binary.BigEndian.AppendUint64(b, e.Sequence)
 	b = append(b, byte(e.State), bit(e.Ready)|bit(e.Overloaded)<<1|bit(e.StoreUnavailable)<<2)
+	for _, service := range e.Unreachable {
+		b = binary.BigEndian.AppendUint32(b, service)
+	}
 	return xxhash.Sum64(b)
 }
 
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -151,7 +151,7 @@
 	case Ready:
 		t.updateSelf(now, func(e *Entry) { e.Ready = true })
 	case SetCondition:
-		if ev.Condition != t.self.Condition {
+		if !ev.Condition.Equal(t.self.Condition) {
 			t.updateSelf(now, func(e *Entry) { e.Condition = ev.Condition })
 		}
 	case Fetched:
--- a/pkg/owner/assignment.go
+++ b/pkg/owner/assignment.go
@@ -28,6 +28,13 @@
 	scores      map[string][]uint64
 }
 
+// hostView is what the order of the entries for one host depends on.
+type hostView struct {
+	host   string
+	scores []uint64 // of each entry
+	places []int    // owners in each place
+}
+
 // New assigns the first owners of hosts.
 func New(live []Candidate, hosts []string) *Assignment {
 	a := &Assignment{
@@ -114,23 +121,22 @@
 func (a *Assignment) remaining(host string, owners, owned []int) iter.Seq[int] {
 	return func(yield func(int) bool) {
 		taken := make([]bool, len(a.live))
-		places := make([]int, a.placeCount)
+		v := hostView{host: host, scores: a.scores[host], places: make([]int, a.placeCount)}
 		for _, i := range owners {
 			taken[i] = true
-			places[a.placeIndex[i]]++
+			v.places[a.placeIndex[i]]++
 		}
-		scores := a.scores[host]
 		for range len(a.live) - len(owners) {
 			best := -1
 			for i := range a.live {
-				if !taken[i] && (best < 0 || a.compare(i, best, owned, places, scores) < 0) {
+				if !taken[i] && (best < 0 || a.compare(i, best, owned, v) < 0) {
 					best = i
 				}
 			}
 			next := yield(best)
 			taken[best] = true
 			owned[best]++
-			places[a.placeIndex[best]]++
+			v.places[a.placeIndex[best]]++
 			if !next {
 				return
 			}
@@ -141,8 +147,11 @@
 // compare orders two entries for a host, the better one first. With equal load and
 // capacity it prefers failure domains with fewer owners of the host: owners prefer
 // nearby targets, so owners in different failure domains prefer different targets.
-func (a *Assignment) compare(i, j int, owned, places []int, scores []uint64) int {
+func (a *Assignment) compare(i, j int, owned []int, v hostView) int {
 	x, y := &a.live[i], &a.live[j]
+	if x.Unserved[v.host] != y.Unserved[v.host] {
+		return cmp.Compare(boolInt(x.Unserved[v.host]), boolInt(y.Unserved[v.host]))
+	}
 	if x.Overloaded != y.Overloaded {
 		return cmp.Compare(boolInt(x.Overloaded), boolInt(y.Overloaded))
 	}
@@ -152,11 +161,11 @@
 	if owned[i] != owned[j] {
 		return cmp.Compare(owned[i], owned[j])
 	}
-	if p, q := places[a.placeIndex[i]], places[a.placeIndex[j]]; p != q {
+	if p, q := v.places[a.placeIndex[i]], v.places[a.placeIndex[j]]; p != q {
 		return cmp.Compare(p, q)
 	}
-	if scores[i] != scores[j] {
-		return cmp.Compare(scores[j], scores[i])
+	if v.scores[i] != v.scores[j] {
+		return cmp.Compare(v.scores[j], v.scores[i])
 	}
 	return cmp.Compare(x.Name, y.Name)
 }
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -30,6 +30,8 @@
 type Candidate struct {
 	Entry
 	Overloaded bool // reports that it can't keep up with its load
+	// Unserved has the hosts that it can't serve, because it reaches no target of a service.
+	Unserved map[string]bool
 }
 
 // MinOwners is the least number of owners of a host. With a single owner, all callers
--- a/pkg/slot/balancer.go
+++ b/pkg/slot/balancer.go
@@ -327,6 +327,14 @@
 // NumTargets returns the number of targets.
 func (b *Balancer) NumTargets() int { return len(b.members) }
 
+// Targets returns the targets in the order of their IDs.
+func (b *Balancer) Targets() (list []Target) {
+	for _, m := range b.sorted {
+		list = append(list, m.Target)
+	}
+	return list
+}
+
 // HasTarget reports whether the list contains the target with this ID.
 func (b *Balancer) HasTarget(id string) bool { return b.members[id] != nil }
 
