gateway: fingerprints are computed only while a request is suspected

Each request paid for two hashes, one of them over its sorted headers, although nearly always no request is suspected. Now it pays for one atomic load then. TestSuspectRecordOutlivesRestart expected one quarantined fingerprint and failed since a request has two (content, and content with headers); it now expects both.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -114,10 +114,10 @@
 // noteBrokenConnection records that a target broke the connection of this request, and checks in
 // the background whether it has ended. It reports whether the request is in quarantine already.
 func (q *request) noteBrokenConnection(now time.Time, d *dispatch) (quarantined bool) {
-	q.prints.recordBreak(q.gateway.suspects, now, d.target.Incarnation(), d.began)
-	b := brokenConnection{gateway: q.gateway, service: q.service, request: q.id, prints: q.prints, target: d.target, began: d.began}
+	q.fingerprints().recordBreak(q.gateway.suspects, now, d.target.Incarnation(), d.began)
+	b := brokenConnection{gateway: q.gateway, service: q.service, request: q.id, prints: q.fingerprints(), target: d.target, began: d.began}
 	go b.resolve()
-	return q.prints.quarantineRemaining(q.gateway.suspects, now) > 0
+	return q.fingerprints().quarantineRemaining(q.gateway.suspects, now) > 0
 }
 
 // brokenConnection is a dispatch whose connection the target broke.
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -59,7 +59,7 @@
 func (q *request) logCleared(d *dispatch, status int) {
 	f := q.logFields()
 	addDecision(f, d)
-	f["status"], f["print"] = status, q.prints.text()
+	f["status"], f["print"] = status, q.fingerprints().text()
 	q.gateway.log.WithFields(f).Warn("request is cleared, its target answered")
 }
 
@@ -76,7 +76,7 @@
 	addDecision(f, d)
 	f["stage"], f["ran"], f["connect"] = fail.Stage.String(), executionText(fail.Execution), fail.ConnectTime.Milliseconds()
 	if fail.Stage.MayBeCrash() {
-		f["print"], f["crashes"], f["caller"] = q.prints.text(), q.prints.crashCount(q.gateway.suspects), q.callerAddress()
+		f["print"], f["crashes"], f["caller"] = q.fingerprints().text(), q.fingerprints().crashCount(q.gateway.suspects), q.callerAddress()
 	}
 	q.gateway.log.WithFields(f).WithError(fail.Cause).Warn("dispatch failed")
 }
@@ -87,7 +87,7 @@
 	f["status"], f["reason"], f["tries"] = status, reason, q.dispatchCount()
 	q.addBudgetDenied(f)
 	if reason == string(call.ReasonQuarantined) {
-		f["print"] = q.prints.text()
+		f["print"] = q.fingerprints().text()
 	}
 	if q.refusal.Kind == slot.Refuse {
 		f["retry"] = q.refusal.RetryAfter.Milliseconds()
--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -27,6 +27,23 @@
 	platform.HeaderRequestID, platform.HeaderDeadline,
 }
 
+// fingerprints returns the fingerprints of the request, which it computes once.
+func (q *request) fingerprints() fingerprints {
+	if q.prints == (fingerprints{}) {
+		q.prints = q.computeFingerprints()
+	}
+	return q.prints
+}
+
+// quarantineRemaining returns the remaining quarantine of the request, or 0. Most requests need
+// no fingerprint, since none is suspected.
+func (q *request) quarantineRemaining(now time.Time) time.Duration {
+	if q.gateway.suspects.Empty() {
+		return 0
+	}
+	return q.fingerprints().quarantineRemaining(q.gateway.suspects, now)
+}
+
 // computeFingerprints returns the fingerprints of the request.
 func (q *request) computeFingerprints() (f fingerprints) {
 	f.content = call.Fingerprint(q.route.Host, q.r.Method, q.r.URL.EscapedPath(), q.r.URL.RawQuery, call.BodyHash(q.body))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -21,7 +21,7 @@
 	id       string
 	arrived  time.Time
 	body     []byte
-	prints   fingerprints // identify repeated requests for the crash quarantine
+	prints   fingerprints // set by fingerprints
 	table    *route.Table // of the view that the request was routed by
 	route    *route.ActiveRoute
 	account  *account.Account // nil without an account
@@ -118,14 +118,13 @@
 func (q *request) start(now, deadline time.Time) call.Actions {
 	q.decisions = make(chan slot.Action, 1)
 	q.results = make(chan result, call.MaxDispatches)
-	q.prints = q.computeFingerprints()
 	q.setObjective()
 	q.call = call.New(call.Config{
 		MaxDispatches: min(q.route.MaxDispatches, call.MaxDispatches), Margin: responseMargin, Budget: q.service.budget,
 	})
 	return q.call.Arrive(now, call.Arrival{
 		Deadline: deadline, Idempotent: q.route.Idempotent, HedgeDelay: q.service.hedgeDelay(q.route.Name, q.objective.Sub(now)),
-		QuarantineRemaining: q.prints.quarantineRemaining(q.gateway.suspects, now),
+		QuarantineRemaining: q.quarantineRemaining(now),
 	})
 }
 
@@ -297,7 +296,7 @@
 
 // clearSuspicion records that a target ran the request and sent its complete response.
 func (q *request) clearSuspicion(now time.Time, d *dispatch, status int) {
-	if q.prints.recordResponse(q.gateway.suspects, now) {
+	if !q.gateway.suspects.Empty() && q.fingerprints().recordResponse(q.gateway.suspects, now) {
 		q.logCleared(d, status)
 	}
 }
--- a/internal/gateway/suspectrecords_test.go
+++ b/internal/gateway/suspectrecords_test.go
@@ -54,7 +54,7 @@
 	first.stop()
 	<-first.done
 	next := w.startEntry("e1").waitReady()
-	w.waitFor("quarantined", func() bool { return len(next.control.quarantined(time.Now())) == 1 })
+	w.waitFor("both fingerprints are quarantined", func() bool { return len(next.control.quarantined(time.Now())) == 2 })
 	w.c.Assert(next.call("GET", crashPath, "").status, qt.Equals, http.StatusServiceUnavailable)
 	w.c.Assert(w.crashes(), qt.Equals, crashes)
 	w.startEntry("e2")
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -187,6 +187,9 @@
 	}
 }
 
+// Empty reports whether no request is suspected.
+func (s *Suspects) Empty() bool { return s.size.Load() == 0 }
+
 // CrashCount returns the number of target crashes known for a request.
 func (s *Suspects) CrashCount(fp uint64) int {
 	s.mu.Lock()
