gateway: an entry that reaches fewer than a third of the targets is cut off too

Cause: one reachable target counted as reach, but can't take the load of all. Change: the entry remembers which targets it could not reach when it last asked them. If those are two thirds, a check asks all targets, up to 32, and the service is out of reach if fewer than a third accept a connection. Otherwise a check asks three and is content with two.

--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -20,9 +20,10 @@
 
 // targetLinks passes the connections of one entry to its targets through sockets that can be cut.
 type targetLinks struct {
-	mu    sync.Mutex
-	mode  linkMode
-	conns map[*net.TCPConn]bool
+	mu     sync.Mutex
+	mode   linkMode
+	conns  map[*net.TCPConn]string // address of the target of each
+	spared string                  // address of a target whose links stay up
 }
 
 // set changes what happens to the connections.
@@ -33,21 +34,27 @@
 	if m != linksReset {
 		return
 	}
-	for c := range l.conns {
-		_ = c.SetLinger(0)
-		c.Close()
+	for c, address := range l.conns {
+		if address != l.spared {
+			_ = c.SetLinger(0)
+			c.Close()
+		}
 	}
 }
 
-func (l *targetLinks) current() linkMode {
+// current returns what happens to the connections to a target.
+func (l *targetLinks) current(address string) linkMode {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if address == l.spared {
+		return linksUp
+	}
 	return l.mode
 }
 
 // dial opens a connection to a target.
 func (l *targetLinks) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	switch l.current() {
+	switch l.current(address) {
 	case linksHang:
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -64,21 +71,21 @@
 		return nil, err
 	}
 	l.mu.Lock()
-	l.conns[far] = true
+	l.conns[far] = address
 	l.mu.Unlock()
-	go l.copy(target.(*net.TCPConn), far)
-	go l.copy(far, target.(*net.TCPConn))
+	go l.copy(address, target.(*net.TCPConn), far)
+	go l.copy(address, far, target.(*net.TCPConn))
 	return near, nil
 }
 
 // copy copies what one end sends to the other, unless the links hang.
-func (l *targetLinks) copy(to, from *net.TCPConn) {
+func (l *targetLinks) copy(address string, to, from *net.TCPConn) {
 	defer from.Close()
 	defer to.Close()
 	b := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(b)
-		if l.current() != linksHang {
+		if l.current(address) != linksHang {
 			if _, err := to.Write(b[:n]); err != nil {
 				return
 			}
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -28,7 +28,7 @@
 	w := &partitionWorld{world: newWorld(t, cfg)}
 	w.links = make(map[string]*targetLinks)
 	for i := range entryCount {
-		w.links[fmt.Sprint("e", i)] = &targetLinks{conns: make(map[*net.TCPConn]bool)}
+		w.links[fmt.Sprint("e", i)] = &targetLinks{conns: make(map[*net.TCPConn]string)}
 	}
 	w.entries = startEntries(w.world, entryCount)
 	for _, k := range w.workers {
@@ -58,7 +58,7 @@
 	return cut, others
 }
 
-// firstTries sends n requests, one after the other, to each entry, and returns the share of them
+// firstTries sends n requests to each entry, one after the other, and returns the share of them
 // that is served at the first try.
 func (w *partitionWorld) firstTries(method string, entries []*entry, n int) float64 {
 	var served atomic.Int64
@@ -126,6 +126,35 @@
 	}
 }
 
+// Entries reach one of eight targets, which can't take their load. Guards against entries that
+// refuse most requests because they reach any target at all.
+func TestEntriesThatReachOneTargetServe(t *testing.T) {
+	const callers = 6 // at each entry
+	for _, mode := range []linkMode{linksReset, linksHang} {
+		t.Run(fmt.Sprint("mode ", mode), func(t *testing.T) {
+			t.Parallel()
+			w := newPartitionWorld(t, worldConfig{targets: 8, timeout: "600ms"}, 6)
+			for _, k := range w.workers {
+				k.SetServiceTime(30 * time.Millisecond)
+				k.LimitQueue(2)
+			}
+			cut, _ := w.split()
+			busy := slices.Repeat(cut, callers)
+			w.firstTries("GET", busy, 5)
+			for _, e := range cut {
+				w.links[e.self.Name].spared = w.workers[0].Address()
+				w.links[e.self.Name].set(mode)
+			}
+			for began := time.Now(); time.Since(began) < cutSettleTime; {
+				w.firstTries("GET", busy, 1)
+			}
+			share := w.firstTries("GET", busy, 20)
+			t.Logf("%.2f served", share)
+			w.c.Assert(share >= minCutShare, qt.IsTrue, qt.Commentf("%.2f", share))
+		})
+	}
+}
+
 // All targets of a service end. Guards against entries that take each other for cut off: all of
 // them must stay in the directory, refuse at once, and serve again when targets are back.
 func TestGoneTargetsDrainNobody(t *testing.T) {
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -1,10 +1,7 @@
 package gateway
 
 import (
-	"context"
-	"math/rand/v2"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -12,16 +9,12 @@
 
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/reach"
-	"plumpitch.example/plumpitch/pkg/slot"
 )
 
-// An entry that reaches no target of a service, while others do, is cut off from it. It tells
-// the others, which then prefer themselves as owners of the service's hosts, and passes its
-// requests on to them. If no entry reaches the service, its targets are gone: all entries are
-// equal again, and none passes on anything.
-//
-// The targets are asked for connections, and only after a sign of trouble. Answers on
-// connections that were opened before the cut don't show that new ones can be opened.
+// An entry that reaches few targets of a service or none, while others reach them, is cut off
+// from it. It tells the others, which then prefer themselves as owners of the service's hosts,
+// and passes its requests on to them. If no entry reaches the service, its targets are gone: all
+// entries are equal again, and none passes on anything.
 
 const (
 	// lostCheckInterval is the least time between two checks of a service out of reach, and
@@ -30,16 +23,9 @@
 	reachedCheckInterval = 500 * time.Millisecond
 	// reportedCheckInterval is the time between checks of a service that other entries report
 	// as out of reach.
-	reportedCheckInterval = time.Second
+	reportedCheckInterval = 2 * time.Second
 	// maxReportedChecks bounds the entries that make these checks, besides the owners of a host.
 	maxReportedChecks = 16
-	// firstCheckTargets is how many targets a check asks first, and maxCheckTargets how many it
-	// asks in all if none of these has accepted a connection within firstCheckWait.
-	firstCheckTargets = 2
-	maxCheckTargets   = 32
-	firstCheckWait    = 50 * time.Millisecond
-	// minSilentProbes is the number of unanswered probes that are a sign of trouble.
-	minSilentProbes = 2
 	// maxStandIns bounds the entries that requests are passed on to.
 	maxStandIns = 4
 )
@@ -54,33 +40,6 @@
 	checkedAt time.Time
 }
 
-// contactSigns counts what a service's targets were asked and have answered. It shows whether
-// they may be out of reach.
-type contactSigns struct {
-	asked, done, heard atomic.Int64 // probes sent and ended; probes and requests that were answered
-	suspected          atomic.Bool  // a connection could not be opened or was lost
-	outstanding        int64        // unanswered probes at the last call of take; used by the control loop
-}
-
-// take reports whether there was a sign of trouble since the last call.
-func (s *contactSigns) take() bool {
-	outstanding, heard := s.asked.Load()-s.done.Load(), s.heard.Swap(0)
-	silent := heard == 0 && min(outstanding, s.outstanding) >= minSilentProbes
-	s.outstanding = outstanding
-	return s.suspected.Swap(false) || silent
-}
-
-// suspectReach makes the control loop check whether the service's targets are in reach.
-func (s *service) suspectReach() {
-	if s.signs.suspected.Swap(true) {
-		return
-	}
-	select {
-	case s.gateway.control.inbox <- reachSuspected{}:
-	default: // the next tick checks it
-	}
-}
-
 // reachSuspected is sent when a service may be out of reach.
 type reachSuspected struct{}
 
@@ -90,9 +49,9 @@
 func (c *control) checkReach(now time.Time) {
 	for name, sv := range c.services {
 		r := c.reach[name]
-		sign := sv.signs.take()
+		sign := sv.takeSign()
 		lost := r != nil && r.state.Lost()
-		if !sign && !lost && !c.checksReported(now, name, r) {
+		if sign == noSign && !lost && !c.checksReported(now, name, r) {
 			continue
 		}
 		if r == nil {
@@ -104,13 +63,13 @@
 			interval = lostCheckInterval
 		}
 		if r.checking || now.Sub(r.checkedAt) < interval {
-			if sign {
+			if sign != noSign {
 				sv.signs.suspected.Store(true)
 			}
 			continue
 		}
 		r.checking, r.checkedAt = true, now
-		go c.runReachCheck(name, sv.checkTargets())
+		go c.runReachCheck(name, sv.checkTargets(), sign == mostFailed || lost)
 	}
 }
 
@@ -126,68 +85,6 @@
 	return slices.Contains(c.senders(c.owners)[name], c.gateway.self.Name)
 }
 
-// runReachCheck asks targets for connections and reports the result to the control loop.
-func (c *control) runReachCheck(name string, addresses []string) {
-	ctx, cancel := context.WithTimeout(context.Background(), targetConnectTimeout+firstCheckWait)
-	defer cancel()
-	reached := len(addresses) == 0 || c.gateway.connectsToAny(ctx, addresses)
-	c.enqueue(context.Background(), reachChecked{name, reached})
-}
-
-// connectsToAny reports whether any of the addresses accepts a connection.
-func (g *Gateway) connectsToAny(ctx context.Context, addresses []string) bool {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan bool, len(addresses))
-	connect := func(list []string) {
-		for _, address := range list {
-			go func() { results <- g.forward.Connect(ctx, address) == nil }()
-		}
-	}
-	first := min(firstCheckTargets, len(addresses))
-	connect(addresses[:first])
-	more := time.NewTimer(firstCheckWait)
-	defer more.Stop()
-	for waiting, rest := first, addresses[first:]; waiting > 0 || len(rest) > 0; {
-		select {
-		case ok := <-results:
-			if waiting--; ok {
-				return true
-			}
-			if waiting > 0 {
-				continue
-			}
-		case <-more.C:
-		}
-		connect(rest)
-		waiting, rest = waiting+len(rest), nil
-	}
-	return false
-}
-
-// checkTargets returns the addresses that a check asks, in the order in which it asks them: one
-// of each failure domain first.
-func (s *service) checkTargets() (addresses []string) {
-	s.mu.Lock()
-	targets := s.balancer.Targets()
-	s.mu.Unlock()
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	seen := make(map[string]bool)
-	var later []slot.Target
-	for _, t := range targets {
-		if seen[t.Place] {
-			later = append(later, t)
-			continue
-		}
-		seen[t.Place] = true
-		addresses = append(addresses, t.Address)
-	}
-	for _, t := range later {
-		addresses = append(addresses, t.Address)
-	}
-	return addresses[:min(len(addresses), maxCheckTargets)]
-}
-
 // reachChecked is the result of a check.
 type reachChecked struct {
 	service string
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -264,7 +264,7 @@
 		q.service.complete(now, completion)
 		q.service.instruments.failedDispatches.Inc(1)
 		if f.Stage == call.StageRefused || f.Stage == call.StageConnect || isUnreachable(f.Cause) {
-			q.service.suspectReach()
+			q.service.noteUnreachable(d.target.ID)
 		}
 		quarantined := false
 		if f.Stage.MayBeCrash() {
@@ -275,7 +275,7 @@
 	}
 	resp := res.response
 	d.response = resp
-	q.service.signs.heard.Add(1)
+	q.service.signs.noteHeard(d.target.ID)
 	shed := platform.NotRun(resp.Status, resp.Header)
 	completion.AddressReused = platform.Misdirected(resp.Status)
 	switch {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/alarm"
 	"plumpitch.example/plumpitch/pkg/call"
@@ -243,8 +245,11 @@
 	status, header, err := s.gateway.forward.Probe(ctx, a.Target.Address, path)
 	result := slot.ProbeResult{Target: a.Target.ID}
 	s.signs.done.Add(1)
-	if err == nil {
-		s.signs.heard.Add(1)
+	switch {
+	case err == nil:
+		s.signs.noteHeard(a.Target.ID)
+	case isUnreachable(err) || errors.Is(err, syscall.ECONNREFUSED):
+		s.noteUnreachable(a.Target.ID)
 	}
 	if err == nil && platform.InstanceID(header) == a.Target.ID {
 		result.Healthy = status == http.StatusOK
