--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -221,7 +221,7 @@
 	initialized := c.table != nil && c.targetsKnown()
 	c.gateway.view.Store(&view{
 		table: c.table, initialized: initialized, services: c.services, live: live, owners: owners, rates: c.hosts.rates,
-		isolated: c.isolated(now), standIns: c.standIns(live, owners),
+		isolated: c.isolated(now), delegates: c.delegates(live, owners),
 	})
 	if initialized && !c.firstViewPublished {
 		c.firstViewPublished = true
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -211,7 +211,7 @@
 
 // An entry that serves requests for one that is cut off stops. Guards against requests that are
 // lost with it, or run twice.
-func TestStandInStops(t *testing.T) {
+func TestDelegateStops(t *testing.T) {
 	w := newPartitionWorld(t, worldConfig{targets: 8, routeType: "non_idempotent", attempts: 1}, 6)
 	w.firstTries("POST", w.entries, 5)
 	cut, others := w.split()
@@ -219,7 +219,7 @@
 		w.links[e.self.Name].set(linksReset)
 	}
 	w.firstTries("POST", cut, 5)
-	w.waitFor("stand-ins are known", func() bool { return len(cut[0].view.Load().standIns["gowns"]) > 1 })
+	w.waitFor("delegates are known", func() bool { return len(cut[0].view.Load().delegates["gowns"]) > 1 })
 	for _, k := range w.workers {
 		k.SetServiceTime(200 * time.Millisecond)
 	}
@@ -261,7 +261,7 @@
 	for _, e := range cut {
 		w.links[e.self.Name].set(linksReset)
 	}
-	w.waitFor("served by a stand-in", func() bool { return cut[0].callWithKey("/a/x", "k1").status == http.StatusOK })
+	w.waitFor("served by a delegate", func() bool { return cut[0].callWithKey("/a/x", "k1").status == http.StatusOK })
 	w.c.Assert(cut[0].callWithKey("/a/x", "").status, qt.Equals, http.StatusUnauthorized)
 	w.c.Assert(cut[0].callWithKey("/a/x", "unknown").status, qt.Equals, http.StatusUnauthorized)
 	res := cut[0].callWithKey("/a/x", "k1", relay.HeaderPassedOn, "e1")
--- a/internal/gateway/passon.go
+++ b/internal/gateway/passon.go
@@ -16,17 +16,17 @@
 	"plumpitch.example/plumpitch/platform"
 )
 
-// An entry that reaches no target of a service passes its requests on to a stand-in: an entry
-// that does. The stand-in serves them like those of its own callers, but takes no token of a
+// An entry that reaches no target of a service passes its requests on to a delegate: an entry
+// that does. The delegate serves them like those of its own callers, but takes no token of a
 // client account for them, counts them in no request rate, and never passes them on.
 
 const (
-	// maxPassOns is the number of stand-ins that a request is passed on to, one after the other.
+	// maxPassOns is the number of delegates that a request is passed on to, one after the other.
 	// Each but the last has certainly not run it.
 	maxPassOns = 3
-	// reasonNoReach is why a stand-in refuses a request: it reaches no target either.
+	// reasonNoReach is why a delegate refuses a request: it reaches no target either.
 	reasonNoReach = "noreach"
-	// reasonLeaving is why a stand-in refuses a request: it is about to stop.
+	// reasonLeaving is why a delegate refuses a request: it is about to stop.
 	reasonLeaving = "leaving"
 )
 
@@ -36,13 +36,13 @@
 	if q.passedOn || !q.service.lost.Load() {
 		return false
 	}
-	standIns := q.gateway.view.Load().standIns[q.service.name()]
-	if len(standIns) == 0 {
+	delegates := q.gateway.view.Load().delegates[q.service.name()]
+	if len(delegates) == 0 {
 		return false
 	}
-	start := rand.IntN(min(len(standIns), maxPassOns))
-	for i := range min(len(standIns), maxPassOns) {
-		e := standIns[(start+i)%len(standIns)]
+	start := rand.IntN(min(len(delegates), maxPassOns))
+	for i := range min(len(delegates), maxPassOns) {
+		e := delegates[(start+i)%len(delegates)]
 		if q.passOnTo(e) {
 			return true
 		}
@@ -50,7 +50,7 @@
 	return false
 }
 
-// passOnTo passes the request on to one stand-in, and reports whether it has been answered.
+// passOnTo passes the request on to one delegate, and reports whether it has been answered.
 func (q *request) passOnTo(e owner.Entry) (answered bool) {
 	ctx, cancel := context.WithCancel(q.r.Context())
 	defer cancel()
@@ -77,12 +77,12 @@
 	return true
 }
 
-// neverSent reports whether a stand-in got nothing of the request, and another one may get it.
+// neverSent reports whether a delegate got nothing of the request, and another one may get it.
 func neverSent(f *forward.Failure) bool {
 	return f.Execution == call.DidNotRun && f.Stage != call.StageTimeout && f.Stage != call.StageCancelled
 }
 
-// dispatchTo sends the request to a stand-in.
+// dispatchTo sends the request to a delegate.
 func (q *request) dispatchTo(ctx context.Context, peer string) (*forward.Response, *forward.Failure) {
 	return q.gateway.peers.Dispatch(ctx, forward.DispatchParams{
 		Target: peer, Request: q.r, Path: q.r.URL.EscapedPath(), Body: q.body,
@@ -91,7 +91,7 @@
 	})
 }
 
-// notServedHere reports whether a stand-in's response says that the request has not run, for a
+// notServedHere reports whether a delegate's response says that the request has not run, for a
 // reason that another entry may not have.
 func notServedHere(resp *forward.Response) bool {
 	switch resp.Header.Get(call.HeaderReason) {
@@ -101,7 +101,7 @@
 	return false
 }
 
-// finishPassOn answers the caller with the response of a stand-in, or with its failure.
+// finishPassOn answers the caller with the response of a delegate, or with its failure.
 func (q *request) finishPassOn(peer string, resp *forward.Response, failure *forward.Failure) {
 	if failure != nil {
 		q.logPassOn(peer, failure.Stage.String())
@@ -141,7 +141,7 @@
 	})
 }
 
-// copyRefusal answers the caller with an error response that a stand-in has made itself.
+// copyRefusal answers the caller with an error response that a delegate has made itself.
 func (q *request) copyRefusal(resp *forward.Response, reason string) {
 	defer resp.Close()
 	if retry := resp.Header.Get("Retry-After"); retry != "" {
@@ -156,7 +156,7 @@
 	q.respond(resp.Status, reason)
 }
 
-// logPassOn logs what became of the request at a stand-in.
+// logPassOn logs what became of the request at a delegate.
 func (q *request) logPassOn(peer, outcome string) {
 	f := q.logFields()
 	f["peer"], f["outcome"] = peer, outcome
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -26,8 +26,8 @@
 	reportedCheckInterval = 2 * time.Second
 	// maxReportedChecks bounds the entries that make these checks, besides the owners of a host.
 	maxReportedChecks = 16
-	// maxStandIns bounds the entries that requests are passed on to.
-	maxStandIns = 4
+	// maxDelegates bounds the entries that requests are passed on to.
+	maxDelegates = 4
 )
 
 // serviceID returns a short identifier of a service, for messages.
@@ -156,10 +156,10 @@
 	return services
 }
 
-// standIns returns, for each service that this entry doesn't reach, the entries that do: owners
+// delegates returns, for each service that this entry doesn't reach, the entries that do: owners
 // of its hosts first, since they know the load of the targets.
-func (c *control) standIns(live []owner.Candidate, owners map[string][]owner.Entry) map[string][]owner.Entry {
-	var standIns map[string][]owner.Entry
+func (c *control) delegates(live []owner.Candidate, owners map[string][]owner.Entry) map[string][]owner.Entry {
+	var delegates map[string][]owner.Entry
 	for name, r := range c.reach {
 		if !r.state.Lost() {
 			continue
@@ -180,10 +180,10 @@
 		if len(list) == 0 {
 			continue
 		}
-		if standIns == nil {
-			standIns = make(map[string][]owner.Entry)
+		if delegates == nil {
+			delegates = make(map[string][]owner.Entry)
 		}
-		standIns[name] = list[:min(len(list), maxStandIns)]
+		delegates[name] = list[:min(len(list), maxDelegates)]
 	}
-	return standIns
+	return delegates
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -16,9 +16,9 @@
 	isolated    bool                     // this entry receives nothing from the others
 	owners      map[string][]owner.Entry // by host
 	rates       map[string]*rate         // by host
-	// standIns are the entries that serve the requests of a service that this one doesn't
+	// delegates are the entries that serve the requests of a service that this one doesn't
 	// reach, by service.
-	standIns map[string][]owner.Entry
+	delegates map[string][]owner.Entry
 }
 
 // refusesCallers reports whether the directory names no entries to callers. An isolated entry
