soak: gateways that are cut off from all targets

No soak cut all links of one gateway. The links of the gateway tests are a fake of their own now (internal/standin/link), which gateway processes use too.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 	qt "github.com/frankban/quicktest"
 
+	"plumpitch.example/plumpitch/internal/standin/link"
 	"plumpitch.example/plumpitch/internal/standin/objects"
 	"plumpitch.example/plumpitch/internal/standin/worker"
 	"plumpitch.example/plumpitch/platform"
@@ -40,7 +41,7 @@
 	// overloadControl is the bound on overload control in the entries' settings.
 	overloadControl bool
 	// links has the connections of entries to targets that tests may cut, by entry.
-	links map[string]*targetLinks
+	links map[string]*link.Links
 }
 
 // worldConfig describes a world's targets and the route of its first configuration.
@@ -132,7 +133,7 @@
 	}
 	cfg := Config{Settings: s, Boot: boot, Log: &log.Logger{Handler: discard.New()}}
 	if links := w.links[name]; links != nil {
-		cfg.DialTarget = links.dial
+		cfg.DialTarget = links.Dial
 	}
 	g, err := New(cfg)
 	w.c.Assert(err, qt.IsNil)
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -14,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"plumpitch.example/plumpitch/internal/relay"
+	"plumpitch.example/plumpitch/internal/standin/link"
 	"plumpitch.example/plumpitch/internal/standin/objects"
 )
 
@@ -26,9 +26,9 @@
 
 func newPartitionWorld(t *testing.T, cfg worldConfig, entryCount int) *partitionWorld {
 	w := &partitionWorld{world: newWorld(t, cfg)}
-	w.links = make(map[string]*targetLinks)
+	w.links = make(map[string]*link.Links)
 	for i := range entryCount {
-		w.links[fmt.Sprint("e", i)] = &targetLinks{conns: make(map[*net.TCPConn]string)}
+		w.links[fmt.Sprint("e", i)] = link.New()
 	}
 	w.entries = startEntries(w.world, entryCount)
 	for _, k := range w.workers {
@@ -90,15 +90,15 @@
 func TestEntriesCutOffFromTargetsServe(t *testing.T) {
 	tests := []struct {
 		name   string
-		mode   linkMode
+		mode   link.Mode
 		method string
 		kind   string
 	}{
-		{"connections hang", linksHang, "GET", ""},
-		{"connections are reset", linksReset, "GET", ""},
-		{"new connections are refused", linksRefuse, "GET", ""},
-		{"connections hang, requests may run once", linksHang, "POST", "non_idempotent"},
-		{"connections are reset, requests may run once", linksReset, "POST", "non_idempotent"},
+		{"connections hang", link.Hang, "GET", ""},
+		{"connections are reset", link.Reset, "GET", ""},
+		{"new connections are refused", link.Refuse, "GET", ""},
+		{"connections hang, requests may run once", link.Hang, "POST", "non_idempotent"},
+		{"connections are reset, requests may run once", link.Reset, "POST", "non_idempotent"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -107,7 +107,7 @@
 			cut, others := w.split()
 			w.firstTries(tt.method, w.entries, 10)
 			for _, e := range cut {
-				w.links[e.self.Name].set(tt.mode)
+				w.links[e.self.Name].Set(tt.mode)
 			}
 			for began := time.Now(); time.Since(began) < cutSettleTime; {
 				w.firstTries(tt.method, cut, 1)
@@ -130,7 +130,7 @@
 // refuse most requests because they reach any target at all.
 func TestEntriesThatReachOneTargetServe(t *testing.T) {
 	const callers = 6 // at each entry
-	for _, mode := range []linkMode{linksReset, linksHang} {
+	for _, mode := range []link.Mode{link.Reset, link.Hang} {
 		t.Run(fmt.Sprint("mode ", mode), func(t *testing.T) {
 			t.Parallel()
 			w := newPartitionWorld(t, worldConfig{targets: 8, timeout: "600ms"}, 6)
@@ -142,8 +142,8 @@
 			busy := slices.Repeat(cut, callers)
 			w.firstTries("GET", busy, 5)
 			for _, e := range cut {
-				w.links[e.self.Name].spared = w.workers[0].Address()
-				w.links[e.self.Name].set(mode)
+				w.links[e.self.Name].Spare(w.workers[0].Address())
+				w.links[e.self.Name].Set(mode)
 			}
 			for began := time.Now(); time.Since(began) < cutSettleTime; {
 				w.firstTries("GET", busy, 1)
@@ -191,7 +191,7 @@
 	before := w.owners(w.entries[0])
 	cut, others := w.split()
 	for _, e := range cut {
-		w.links[e.self.Name].set(linksReset)
+		w.links[e.self.Name].Set(link.Reset)
 	}
 	w.firstTries("GET", cut, 5)
 	for _, e := range w.entries {
@@ -200,7 +200,7 @@
 		})
 	}
 	for _, e := range cut {
-		w.links[e.self.Name].set(linksUp)
+		w.links[e.self.Name].Set(link.Up)
 	}
 	for _, e := range w.entries {
 		w.waitFor("owners are as before", func() bool { return slices.Equal(w.owners(e), before) })
@@ -216,7 +216,7 @@
 	w.firstTries("POST", w.entries, 5)
 	cut, others := w.split()
 	for _, e := range cut {
-		w.links[e.self.Name].set(linksReset)
+		w.links[e.self.Name].Set(link.Reset)
 	}
 	w.firstTries("POST", cut, 5)
 	w.waitFor("delegates are known", func() bool { return len(cut[0].view.Load().delegates["gowns"]) > 1 })
@@ -259,7 +259,7 @@
 	}
 	cut, _ := w.split()
 	for _, e := range cut {
-		w.links[e.self.Name].set(linksReset)
+		w.links[e.self.Name].Set(link.Reset)
 	}
 	w.waitFor("served by a delegate", func() bool { return cut[0].callWithKey("/a/x", "k1").status == http.StatusOK })
 	w.c.Assert(cut[0].callWithKey("/a/x", "").status, qt.Equals, http.StatusUnauthorized)
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -121,7 +121,7 @@
 		cmd.Path = os.Args[0]
 		cmd.Env = append(cmd.Env, fmt.Sprintf("%s=%g", lossVariable, loss))
 	}
-	if g.site.accountCount > 0 {
+	if g.site.accountCount > 0 || g.site.targetLinks {
 		cmd.Path = os.Args[0]
 		cmd.Env = append(cmd.Env, linksVariable+"="+g.linksPath())
 	}
--- a/internal/soak/links_test.go
+++ b/internal/soak/links_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/link"
 )
 
 // linksVariable makes this test binary run as a gateway whose links to other gateways are in
@@ -22,11 +24,16 @@
 type linkState struct {
 	Loss float64  `json:"loss"` // share of the datagrams that are lost
 	Cut  []string `json:"cut"`  // IP addresses of the gateways that it can't reach
+	// Targets is what happens to its connections to targets.
+	Targets link.Mode `json:"targets"`
 }
 
 // links applies a linkState in the process of a gateway. What is sent to a gateway that can't
 // be reached is dropped, as in a network that is divided.
-type links struct{ state atomic.Pointer[linkState] }
+type links struct {
+	state   atomic.Pointer[linkState]
+	targets *link.Links
+}
 
 // follow reads the file again and again, as it changes while the gateway runs.
 func (l *links) follow(path string) {
@@ -34,7 +41,9 @@
 	for ; ; time.Sleep(period) {
 		var s linkState
 		if data, err := os.ReadFile(path); err == nil && json.Unmarshal(data, &s) == nil {
-			l.state.Store(&s)
+			if before := l.state.Swap(&s); before == nil || before.Targets != s.Targets {
+				l.targets.Set(s.Targets)
+			}
 		}
 	}
 }
@@ -97,9 +106,14 @@
 				state.Cut = append(state.Cut, other.ip)
 			}
 		}
-		data, err := json.Marshal(state)
-		s.q.Check(err, qt.IsNil)
-		s.q.Check(os.WriteFile(g.linksPath()+".new", data, 0o600), qt.IsNil)
-		s.q.Check(os.Rename(g.linksPath()+".new", g.linksPath()), qt.IsNil)
+		g.writeLinks(state)
 	}
 }
+
+// writeLinks sets the state of the gateway's links.
+func (g *gateway) writeLinks(state linkState) {
+	data, err := json.Marshal(state)
+	g.site.q.Check(err, qt.IsNil)
+	g.site.q.Check(os.WriteFile(g.linksPath()+".new", data, 0o600), qt.IsNil)
+	g.site.q.Check(os.Rename(g.linksPath()+".new", g.linksPath()), qt.IsNil)
+}
--- a/internal/soak/lossy_test.go
+++ b/internal/soak/lossy_test.go
@@ -14,6 +14,7 @@
 
 	gatewaypkg "plumpitch.example/plumpitch/internal/gateway"
 	"plumpitch.example/plumpitch/internal/logs"
+	"plumpitch.example/plumpitch/internal/standin/link"
 	"plumpitch.example/plumpitch/platform"
 )
 
@@ -47,7 +48,7 @@
 			return err
 		}
 	}
-	l := &links{}
+	l := &links{targets: link.New()}
 	if linksPath != "" {
 		go l.follow(linksPath)
 	}
@@ -58,7 +59,7 @@
 	}
 	handler := logs.New(os.Stdout)
 	defer handler.Close()
-	g, err := gatewaypkg.New(gatewaypkg.Config{
+	cfg := gatewaypkg.Config{
 		Settings: settings, Boot: uint64(time.Now().UnixNano()), MetricsPort: metricsPort,
 		Log: (&log.Logger{Handler: handler, Level: log.InfoLevel}).WithField("entry", settings.Name),
 		ListenPacket: func(network, address string) (net.PacketConn, error) {
@@ -66,7 +67,11 @@
 			return linkedPacketConn{lossyPacketConn{c, share}, l}, err
 		},
 		Dial: l.dial,
-	})
+	}
+	if linksPath != "" {
+		cfg.DialTarget = l.targets.Dial
+	}
+	g, err := gatewaypkg.New(cfg)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/profile_test.go
+++ b/internal/soak/profile_test.go
@@ -21,6 +21,7 @@
 	accountCount      int     // client accounts; 0: the configuration has none
 	accountRate       float64 // usual requests a second of all accounts together
 	accountLimit      float64 // limit of an account, relative to its usual rate
+	targetLinks       bool    // the links of gateways to targets can be cut
 	anyGateway        bool    // clients use any gateway, not those that the directory names
 }
 
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -43,6 +43,7 @@
 	gateways       []*gateway
 	targets        []*target
 	poisonPaths    int // poison paths used so far
+	targetCuts     []targetCut
 	configVersion  int
 	startedTargets int        // targets started so far, including those that are gone
 	disturbances   []interval // disturbances of the store or of links
@@ -82,7 +83,7 @@
 // newSite starts a site and waits until all gateways are ready.
 func newSite(t *testing.T, seed uint64, p profile) *site {
 	s := &site{profile: p, t: t, q: qt.New(t), seed: seed, startedAt: time.Now(), store: objects.New()}
-	if p.datagramLoss == 0 && p.accountCount == 0 {
+	if p.datagramLoss == 0 && p.accountCount == 0 && !p.targetLinks {
 		s.program = buildProgram(t)
 	}
 	s.loadPercent.Store(100)
--- a/internal/gateway/links_test.go
+++ b/internal/standin/link/link.go
@@ -1,4 +1,6 @@
-package gateway
+// Package link is a fake of the network between an entry and its targets. It passes connections
+// through sockets that can be cut.
+package link
 
 import (
 	"context"
@@ -8,30 +10,41 @@
 	"syscall"
 )
 
-// linkMode is what happens to the connections of an entry to its targets.
-type linkMode uint8
+// Mode is what happens to the connections of an entry to its targets.
+type Mode uint8
 
+// Modes of links.
 const (
-	linksUp     linkMode = iota
-	linksHang            // open connections carry nothing, and new ones get no answer
-	linksReset           // open connections are reset, and new ones refused
-	linksRefuse          // open connections live on, and new ones are refused
+	Up     Mode = iota
+	Hang        // open connections carry nothing, and new ones get no answer
+	Reset       // open connections are reset, and new ones refused
+	Refuse      // open connections live on, and new ones are refused
 )
 
-// targetLinks passes the connections of one entry to its targets through sockets that can be cut.
-type targetLinks struct {
+// Links are the connections of one entry to its targets. It is safe for concurrent use.
+type Links struct {
 	mu     sync.Mutex
-	mode   linkMode
+	mode   Mode
 	conns  map[*net.TCPConn]string // address of the target of each
-	spared string                  // address of a target whose links stay up
+	spared string
 }
 
-// set changes what happens to the connections.
-func (l *targetLinks) set(m linkMode) {
+// New returns links that are up.
+func New() *Links { return &Links{conns: make(map[*net.TCPConn]string)} }
+
+// Spare keeps the links to the target at an address up.
+func (l *Links) Spare(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spared = address
+}
+
+// Set changes what happens to the connections.
+func (l *Links) Set(m Mode) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mode = m
-	if m != linksReset {
+	if m != Reset {
 		return
 	}
 	for c, address := range l.conns {
@@ -43,22 +56,22 @@
 }
 
 // current returns what happens to the connections to a target.
-func (l *targetLinks) current(address string) linkMode {
+func (l *Links) current(address string) Mode {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if address == l.spared {
-		return linksUp
+		return Up
 	}
 	return l.mode
 }
 
-// dial opens a connection to a target.
-func (l *targetLinks) dial(ctx context.Context, network, address string) (net.Conn, error) {
+// Dial opens a connection to a target.
+func (l *Links) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	switch l.current(address) {
-	case linksHang:
+	case Hang:
 		<-ctx.Done()
 		return nil, ctx.Err()
-	case linksReset, linksRefuse:
+	case Reset, Refuse:
 		return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
 	target, err := new(net.Dialer).DialContext(ctx, network, address)
@@ -73,19 +86,29 @@
 	l.mu.Lock()
 	l.conns[far] = address
 	l.mu.Unlock()
-	go l.copy(address, target.(*net.TCPConn), far)
+	go func() {
+		defer l.remove(far)
+		l.copy(address, target.(*net.TCPConn), far)
+	}()
 	go l.copy(address, far, target.(*net.TCPConn))
 	return near, nil
 }
 
+// remove forgets a connection that has ended.
+func (l *Links) remove(c *net.TCPConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
 // copy copies what one end sends to the other, unless the links hang.
-func (l *targetLinks) copy(address string, to, from *net.TCPConn) {
+func (l *Links) copy(address string, to, from *net.TCPConn) {
 	defer from.Close()
 	defer to.Close()
 	b := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(b)
-		if l.current(address) != linksHang {
+		if l.current(address) != Hang {
 			if _, err := to.Write(b[:n]); err != nil {
 				return
 			}
