gateway: a passed on request keeps the service that its entry has chosen

Found in the read of the diff: the delegate chose a service of the route's split anew. Where an entry lost one of two services, that one would have got only its weight of the requests that belong to it, and the other the rest. Change: the entry names the service; the delegate takes it if the route still has it. TestPassedOnRequestKeepsItsService: 0 of 40 passed on requests for the other service; a new choice gives 30.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -94,7 +94,7 @@
 	}
 	q.body = body
 	if q.passedOn || q.awaitToken(v) {
-		q.run(v.services[q.route.Split.Next()])
+		q.run(v.services[q.chooseService()])
 	}
 }
 
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -15,6 +15,7 @@
 	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/internal/standin/link"
 	"plumpitch.example/plumpitch/internal/standin/objects"
+	"plumpitch.example/plumpitch/pkg/route"
 )
 
 // partitionWorld is a world whose entries can be cut off from all targets.
@@ -285,3 +286,33 @@
 	w.c.Assert(accounts["seamstress"], qt.Equals, served)
 	w.c.Assert(accounts["bride"] > 0, qt.IsTrue)
 }
+
+// Two services of a route with weights 1 and 3, of which an entry reaches one. Guards against a
+// second choice at the delegate, which gives the service out of reach its weight of the rest.
+func TestPassedOnRequestKeepsItsService(t *testing.T) {
+	tests := []struct {
+		name     string
+		passedOn bool
+		chosen   string
+		others   int // of 40 requests, those for veils
+	}{
+		{"of an own caller", false, "", 30},
+		{"of an own caller, who names a service", false, "gowns", 30},
+		{"passed on", true, "gowns", 0},
+		{"passed on, of a service that the route no longer has", true, "hats", 30},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			services := []route.WeightedService{{Service: "gowns", Weight: 1}, {Service: "veils", Weight: 3}}
+			active := &route.ActiveRoute{Route: route.Route{Services: services}, Split: route.NewSplit(services)}
+			others := 0
+			for range 40 {
+				q := &request{route: active, passedOn: tt.passedOn, chosen: tt.chosen}
+				if q.chooseService() == "veils" {
+					others++
+				}
+			}
+			qt.Assert(t, others, qt.Equals, tt.others)
+		})
+	}
+}
--- a/internal/gateway/passon.go
+++ b/internal/gateway/passon.go
@@ -87,7 +87,7 @@
 	return q.gateway.peers.Dispatch(ctx, forward.DispatchParams{
 		Target: peer, Request: q.r, Path: q.r.URL.EscapedPath(), Body: q.body,
 		Timeout: dispatchTimeout(q.deadline(), time.Now()), TimeoutHeader: platform.TimeoutHeader,
-		Header: http.Header{relay.HeaderPassedOn: {q.gateway.self.Name}},
+		Header: http.Header{relay.HeaderPassedOn: {q.gateway.self.Name}, relay.HeaderService: {q.service.name()}},
 	})
 }
 
@@ -168,15 +168,28 @@
 func (g *Gateway) servePassedOn(w http.ResponseWriter, r *http.Request) {
 	g.passedOnActive.Add(1)
 	defer g.passedOnActive.Add(-1)
-	q := &request{gateway: g, w: w, r: r, arrived: time.Now(), id: platform.RequestID(r.Header), passedOn: true}
+	q := &request{gateway: g, w: w, r: r, arrived: time.Now(), id: platform.RequestID(r.Header), passedOn: true, chosen: r.Header.Get(relay.HeaderService)}
 	if g.leaving.Load() {
 		q.refuse(reasonLeaving, noConfigRetry)
 		return
 	}
 	r.Header.Del(relay.HeaderPassedOn)
+	r.Header.Del(relay.HeaderService)
 	q.serve()
 }
 
+// chooseService returns the service that serves the request: the next one of the route's split.
+// The entry that has passed the request on has chosen already; a second choice would distort the
+// weights when it reaches only some of the services.
+func (q *request) chooseService() string {
+	for _, s := range q.route.Services {
+		if q.passedOn && s.Service == q.chosen {
+			return q.chosen
+		}
+	}
+	return q.route.Split.Next()
+}
+
 // passedOnPoll is the time between two looks whether passed on requests are left.
 const passedOnPoll = 5 * time.Millisecond
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -47,7 +47,8 @@
 	hedgeTimer *time.Timer
 	refusal    slot.Action // refusal of the balancer, if it gave no target
 
-	passedOn bool // another entry has passed it on to this one
+	passedOn bool   // another entry has passed it on to this one
+	chosen   string // service that the other entry has chosen
 }
 
 // dispatch is one dispatch of a request to a target.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -140,6 +140,9 @@
 // former.
 const HeaderPassedOn = "Plumpitch-Passed-On"
 
+// HeaderService is in such a request too. It names the service that the former has chosen.
+const HeaderService = "Plumpitch-Passed-On-Service"
+
 // handler serves passed on requests by OnRequest, and all others by calls.
 func (r *Relay) handler(calls http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
