call: simultaneous crashes at several entries count once, and are announced at once

Found in the read of the diff: three entries that lose their targets at one moment, each with the same popular request under way, added up to three crashes in a row, and the request was refused to everybody for 5 min. Cause: within an entry, dispatches in flight at an earlier crash count as part of it; between entries each report counted for itself. Change: the last crashes that entries saw within 150 ms count as one. To make up for the slower count, a crash is announced when it is counted (at most each 50 ms) and not at the next tick of 250 ms.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -58,7 +58,8 @@
 	fetchPending          bool              // a fetch of another entry's members is in progress
 	lastFetch             time.Time
 	announcedCrashes      map[uint64]int // crashes of each suspected request, by fingerprint, as announced to the other entries
-	suspectSequence       uint64         // number of the last announcement of a suspected request
+	suspectsAnnouncedAt   time.Time
+	suspectSequence       uint64 // number of the last announcement of a suspected request
 	liveInstances         map[string]liveInstance
 	liveVersion           int // grows each time that the live entries are recomputed
 	startedHandledVersion int // liveVersion up to which notifyStarted has handled newly started entries
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -140,6 +140,12 @@
 		b.service.instruments.crashes.Inc(1)
 	}
 	b.prints.resolveBreak(g.suspects, time.Now(), incarnation, ended)
+	if ended {
+		select {
+		case g.control.inbox <- crashCounted{}:
+		default: // the next tick announces it
+		}
+	}
 	g.log.WithFields(log.Fields{
 		logs.FieldRequest: b.request, "target": b.target.ID, "state": state.String(), "counted": ended,
 		"print": b.prints.text(), "crashes": b.prints.crashCount(g.suspects),
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -316,3 +316,32 @@
 		})
 	}
 }
+
+// Entries are cut off from all targets while a request that many callers send runs at all of them.
+// Guards against broken connections of several entries that add up to a quarantine.
+func TestCutCondemnsNoRequest(t *testing.T) {
+	w := newPartitionWorld(t, worldConfig{targets: 8}, 6)
+	for _, k := range w.workers {
+		k.SetServiceTime(200 * time.Millisecond)
+	}
+	callers := callersFrom(40)
+	for _, e := range w.entries {
+		for i := range 5 {
+			go e.callFrom(callers[i], fmt.Sprint("cut-", e.self.Name, i), popularPath, "", "")
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, e := range w.entries[1:] {
+		w.links[e.self.Name].Set(link.Reset)
+	}
+	time.Sleep(2 * tickInterval)
+	for _, e := range w.entries[1:] {
+		w.links[e.self.Name].Set(link.Up)
+	}
+	for _, k := range w.workers {
+		k.SetServiceTime(5 * time.Millisecond)
+	}
+	time.Sleep(settleTime)
+	share := servedShare(w.entries, callers, 120)
+	w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
+}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -125,11 +125,26 @@
 	}).Info("told of a request that crashes targets")
 }
 
+// minAnnounceInterval is the least time between two announcements of crashes, besides those of
+// the ticks. A domain that fails breaks the requests of all its targets.
+const minAnnounceInterval = 50 * time.Millisecond
+
+// crashCounted is sent when a target has crashed under a request. Its caller sends the request to
+// another entry within a few milliseconds.
+type crashCounted struct{}
+
+func (crashCounted) apply(now time.Time, c *control) {
+	if now.Sub(c.suspectsAnnouncedAt) >= minAnnounceInterval {
+		c.announceSuspects(now)
+	}
+}
+
 // announceSuspects announces the target crashes that this entry has seen since the last
 // announcement. A crash goes to the owners only, since a caller sends its retry to an
 // owner; a quarantine goes to all entries. When each crash went to all 472 entries, a
 // fault of 105 targets caused half of the bytes of all packets.
 func (c *control) announceSuspects(now time.Time) {
+	c.suspectsAnnouncedAt = now
 	var rumours member.Rumours
 	var changed []call.Suspect
 	for _, s := range c.gateway.suspects.Export(now, maxSuspects) {
--- a/pkg/call/merge.go
+++ b/pkg/call/merge.go
@@ -61,22 +61,24 @@
 		s.clear(x, at)
 		return
 	case in.Crashes > 0 && !(x.cleared && !at.After(x.lastEvent)):
-		x.setPeerCount(peer, min(in.Crashes, s.cfg.CrashLimit))
+		x.setPeerCount(peerCount{peer: peer, crashes: min(in.Crashes, s.cfg.CrashLimit), last: at})
 		x.cleared = false
 		x.lastEvent = latest(x.lastEvent, at)
 	}
 	s.insert(x)
 }
 
-// setPeerCount keeps the highest count of each of the first maxPeers peers. A
-// fingerprint with crashes from that many peers is in quarantine already.
-func (x *suspect) setPeerCount(peer uint64, crashes int) {
+// setPeerCount keeps the highest count of each of the first maxPeers peers.
+func (x *suspect) setPeerCount(in peerCount) {
 	for i := range x.peers {
 		p := &x.peers[i]
-		if p.crashes == 0 || p.peer == peer {
-			*p = peerCount{peer: peer, crashes: max(p.crashes, crashes)}
-			return
+		if p.crashes != 0 && p.peer != in.peer {
+			continue
+		}
+		if in.crashes > p.crashes {
+			*p = in
 		}
+		return
 	}
 }
 
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -15,8 +15,8 @@
 	defaultCrashWindow     = time.Minute
 	defaultQuarantine      = 5 * time.Minute
 	defaultMaxFingerprints = 1024
-	maxPeers               = 4 // peers whose crash counts are kept per fingerprint
-	maxBreaks              = 8 // broken connections that are kept per fingerprint until they are resolved
+	maxPeers               = 16 // peers whose crash counts are kept per fingerprint
+	maxBreaks              = 8  // broken connections that are kept per fingerprint until they are resolved
 )
 
 // SuspectsConfig configures Suspects. Zero fields take the defaults.
@@ -57,6 +57,7 @@
 	fingerprint uint64
 	targets     []uint64 // hashes of the targets whose crash this entry observed
 	breaks      []connectionBreak
+	lastOwn     time.Time // of the last crash that this entry observed
 	lastEvent   time.Time // of the last crash or clearing
 	quarantined bool
 	cleared     bool
@@ -72,8 +73,14 @@
 type peerCount struct {
 	peer    uint64
 	crashes int
+	last    time.Time // of the last of them
 }
 
+// simultaneous is the time within which the last crashes that different entries observed count
+// as one. When all targets of a domain end, or entries are cut off from targets, a request that
+// many callers send breaks at several entries at once.
+const simultaneous = 150 * time.Millisecond
+
 // NewSuspects returns an empty table.
 func NewSuspects(cfg SuspectsConfig) *Suspects {
 	if cfg.CrashLimit <= 0 {
@@ -172,6 +179,7 @@
 	}
 	x.addTarget(b.target, limit)
 	x.cleared = false
+	x.lastOwn = latest(x.lastOwn, b.at)
 	x.lastEvent = latest(x.lastEvent, b.at)
 }
 
@@ -244,11 +252,37 @@
 	s.insert(x)
 }
 
-// crashCount returns the crashes that this entry observed plus those that peers reported.
-func (x *suspect) crashCount() int {
-	n := len(x.targets)
+// crashCount returns the crashes that this entry observed plus those that peers reported. The
+// last ones of several entries count once if they were simultaneous.
+func (x *suspect) crashCount() (n int) {
+	var last [maxPeers + 1]time.Time
+	entries := 0
+	count := func(crashes int, at time.Time) {
+		if crashes == 0 {
+			return
+		}
+		n += crashes
+		last[entries] = at
+		entries++
+	}
+	count(len(x.targets), x.lastOwn)
 	for _, p := range x.peers {
-		n += p.crashes
+		count(p.crashes, p.last)
+	}
+	return n - repeated(last[:entries])
+}
+
+// repeated returns how many of the times are simultaneous with an earlier one that isn't itself.
+// It sorts them.
+func repeated(times []time.Time) (n int) {
+	slices.SortFunc(times, time.Time.Compare)
+	var first time.Time
+	for _, t := range times {
+		if t.Sub(first) < simultaneous {
+			n++
+			continue
+		}
+		first = t
 	}
 	return n
 }
--- a/pkg/call/suspect_test.go
+++ b/pkg/call/suspect_test.go
@@ -132,6 +132,35 @@
 	c.Assert(d.QuarantineRemaining(at(11), 7), qt.Equals, time.Duration(0))
 }
 
+// Several entries each see a target end under the same request. Guards against a quarantine of a
+// request that many callers send, when all targets end at once or entries are cut off from them.
+func TestSimultaneousCrashesAtSeveralEntries(t *testing.T) {
+	tests := []struct {
+		name    string
+		crashes []time.Duration // when each of the entries saw one
+		held    bool
+	}{
+		{"all at once", []time.Duration{0, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond}, false},
+		{"one after the other", []time.Duration{0, 400 * time.Millisecond, 800 * time.Millisecond}, true},
+		{"twice, all at once", []time.Duration{0, 5 * time.Millisecond, 10 * time.Millisecond, time.Second, 1005 * time.Millisecond}, false},
+		{"three times, all at once", []time.Duration{0, 5 * time.Millisecond, time.Second, 1005 * time.Millisecond, 2 * time.Second}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := NewSuspects(SuspectsConfig{CrashLimit: 3})
+			for i, after := range tt.crashes {
+				seen := start.Add(after)
+				if i == 0 {
+					s.RecordCrash(seen, 7, "own", seen.Add(-time.Second))
+					continue
+				}
+				s.Merge(start.Add(3*time.Second), strconv.Itoa(i), []Suspect{{Fingerprint: 7, Crashes: 1, Age: 3*time.Second - after}})
+			}
+			qt.Assert(t, s.QuarantineRemaining(start.Add(3*time.Second), 7) > 0, qt.Equals, tt.held)
+		})
+	}
+}
+
 // Many single crashes fill the table. They must not evict a request from quarantine.
 func TestSuspectsAreBounded(t *testing.T) {
 	c := qt.New(t)
