gateway: a service that comes back to the configuration is in reach until a check says otherwise

A service with requests in flight that leaves the configuration is kept, and used again if it comes back. Its mark of being out of reach stayed, while the state that the checks update was gone: the entry refused what others passed on to it, for good. Change: the control loop sets the mark at each round. TestServiceComesBackInReach: not in reach after 10 s before, passes now.

--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -345,3 +345,31 @@
 	share := servedShare(w.entries, callers, 120)
 	w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
 }
+
+// A service leaves the configuration while it is out of reach, and comes back after the cut.
+// Guards against an entry that goes on taking it for out of reach, as nothing checks it any more.
+func TestServiceComesBackInReach(t *testing.T) {
+	w := newPartitionWorld(t, worldConfig{targets: 4, timeout: "4s", attempts: 1}, 3)
+	e := w.entries[0]
+	w.firstTries("GET", w.entries, 5)
+	w.links[e.self.Name].Set(link.Hang)
+	for i := range 4 { // a service with requests in flight is kept
+		go e.callWith(context.Background(), fmt.Sprint("held-", i), "GET", "/a/x", "")
+	}
+	lost := func() bool {
+		sv := e.view.Load().services["gowns"]
+		return sv != nil && sv.lost.Load()
+	}
+	w.waitFor("out of reach", func() bool {
+		e.call("GET", "/a/x", "")
+		return lost()
+	})
+	w.version++
+	w.store.PutConfig(w.version, nil, []string{"veils"})
+	w.waitFor("the service is removed", func() bool { return e.view.Load().services["gowns"] == nil })
+	time.Sleep(2 * tickInterval)
+	w.links[e.self.Name].Set(link.Up)
+	w.configure(worldConfig{})
+	w.waitFor("the service is back", func() bool { return e.view.Load().services["gowns"] != nil })
+	w.waitFor("in reach", func() bool { return !lost() })
+}
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -51,6 +51,7 @@
 		r := c.reach[name]
 		sign := sv.takeSign()
 		lost := r != nil && r.state.Lost()
+		sv.lost.Store(lost) // a service that comes back to the configuration may have an old value
 		if sign == noSign && !lost && !c.checksReported(now, name, r) {
 			continue
 		}
