--- a/internal/gateway/passon.go
+++ b/internal/gateway/passon.go
@@ -16,15 +16,15 @@
 	"plumpitch.example/plumpitch/platform"
 )
 
-// An entry that reaches no target of a service passes its requests on to a delegate: an entry
-// that does. The delegate serves them like those of its own callers, but takes no token of a
+// An entry that is cut off from a service's targets passes its requests on to a delegate, an entry
+// that reaches them. The delegate serves them like those of its own callers, but takes no token of a
 // client account for them, counts them in no request rate, and never passes them on.
 
 const (
 	// maxPassOns is the number of delegates that a request is passed on to, one after the other.
 	// Each but the last has certainly not run it.
 	maxPassOns = 3
-	// reasonNoReach is why a delegate refuses a request: it reaches no target either.
+	// reasonNoReach is why a delegate refuses a request: it is cut off from the targets too.
 	reasonNoReach = "noreach"
 	// reasonLeaving is why a delegate refuses a request: it is about to stop.
 	reasonLeaving = "leaving"
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -30,7 +30,7 @@
 	firstDispatches rate
 	answers         lastAnswers
 	signs           contactSigns
-	lost            atomic.Bool // no target is in reach; set by the control loop
+	lost            atomic.Bool // this entry is cut off from the targets; set by the control loop
 
 	mu           sync.Mutex
 	config       route.Service
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -236,7 +236,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.byFingerprint[fp]
-	if e == nil || e.Value.(*suspect).cleared {
+	if e == nil {
+		return false
+	}
+	if x := e.Value.(*suspect); x.cleared {
+		x.breaks = nil
 		return false
 	}
 	x := s.detach(now, fp)
@@ -272,8 +276,8 @@
 	return n - repeated(last[:entries])
 }
 
-// repeated returns how many of the times are simultaneous with an earlier one that isn't itself.
-// It sorts them.
+// repeated returns how many of the times don't count, because an earlier one within simultaneous
+// does. It sorts them.
 func repeated(times []time.Time) (n int) {
 	slices.SortFunc(times, time.Time.Compare)
 	var first time.Time
--- a/pkg/call/suspect_test.go
+++ b/pkg/call/suspect_test.go
@@ -102,6 +102,19 @@
 	}
 }
 
+// A target responds to a request that was cleared before, after others have broken its connections.
+// Guards against breaks from before the response that are counted when they are confirmed after it.
+func TestResponseDropsBreaksOfClearedRequest(t *testing.T) {
+	c := qt.New(t)
+	s := NewSuspects(SuspectsConfig{})
+	s.RecordCrash(at(1), 7, "a", at(0))
+	c.Assert(s.RecordResponse(at(2), 7), qt.IsTrue)
+	s.RecordBreak(at(4), 7, "b", at(3))
+	c.Assert(s.RecordResponse(at(5), 7), qt.IsFalse)
+	s.ConfirmCrash(at(6), 7, "b")
+	c.Assert(s.CrashCount(7), qt.Equals, 0)
+}
+
 // A caller sends the request to a different entry each time, so that each entry sees one
 // crash. The entries exchange their counts, also repeatedly and through a third entry. Each
 // crash must count once.
--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -1,6 +1,6 @@
-// Package reach keeps whether an entry reaches any target of a service. The entry serves by
-// what it knows now, but tells the others that it is back only after a while: owners would
-// change with each turn of a link that goes up and down.
+// Package reach keeps whether an entry reaches the targets of a service. Lost changes with each
+// check. Advertised, which other entries choose owners by, ends only some time after the return:
+// otherwise owners would change whenever a flapping link does.
 package reach
 
 import "time"
@@ -58,7 +58,7 @@
 	return true
 }
 
-// Lost reports whether no target was reached by the last check.
+// Lost reports whether the last check found the targets out of reach.
 func (s *Service) Lost() bool { return s.lost }
 
 // Advertised reports whether the other entries should take the targets for out of reach.
