--- a/internal/entry/policy_test.go
+++ b/internal/entry/policy_test.go
@@ -68,3 +68,24 @@
 	w.c.Assert(runs.Load() <= 4, qt.IsTrue, qt.Commentf("%d runs", runs.Load()))
 	w.c.Assert(w.request("GET", "/v1/call/crash/", nil).outcome(), qt.Equals, "not-run quarantined")
 }
+
+// All targets close their connections for a moment and none of them ends. Guards against a
+// quarantine of a request whose targets live.
+func TestLostConnectionsQuarantineNoRequest(t *testing.T) {
+	var failing atomic.Bool
+	failing.Store(true)
+	target := func() string {
+		return startTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+			if failing.Load() {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "ok")
+		})
+	}
+	w := start(t, testService{name: "lost", targets: []string{target(), target(), target(), target()}})
+	for range 10 {
+		w.request("GET", "/v1/call/lost/", nil)
+	}
+	failing.Store(false)
+	w.c.Assert(w.request("GET", "/v1/call/lost/", nil).outcome(), qt.Not(qt.Equals), "not-run quarantined")
+}
