gateway: a service out of reach is logged with its cause; names say cut off, not no target

Second read of the diff: the check of a service's reach dropped the errors of its connections, so that the log told that a service was out of reach but not why. It now has how many targets accepted a connection and the last failure. Comments said 'reaches no target' where fewer than a third count. TestUnservedHost of pkg/owner: seen to fail without the comparison. Run: pkg/owner, pkg/member, internal/peer, TestEntriesCutOffFromTargetsServe and TestGoneTargetsDrainNobody pass.

--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
 	"plumpitch.example/plumpitch/pkg/owner"
@@ -89,7 +88,7 @@
 // reachChecked is the result of a check.
 type reachChecked struct {
 	service string
-	reached bool
+	cause   error // why the service is out of reach; nil if it isn't
 }
 
 func (m reachChecked) apply(now time.Time, c *control) {
@@ -98,13 +97,18 @@
 		return
 	}
 	r.checking = false
-	if !r.state.Update(now, m.reached) {
+	if !r.state.Update(now, m.cause == nil) {
 		return
 	}
 	if sv := c.services[m.service]; sv != nil {
 		sv.lost.Store(r.state.Lost())
 	}
-	c.gateway.log.WithFields(log.Fields{"service": m.service, "reached": m.reached}).Warn("reach of a service changed")
+	logger := c.gateway.log.WithField("service", m.service)
+	if m.cause != nil {
+		logger.WithError(m.cause).Warn("service out of reach")
+	} else {
+		logger.Info("service in reach again")
+	}
 	c.reportCondition(now)
 	c.publish(now)
 }
--- a/internal/gateway/reachcheck.go
+++ b/internal/gateway/reachcheck.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"plumpitch.example/plumpitch/pkg/slot"
 )
 
@@ -24,36 +26,49 @@
 // runReachCheck asks targets for connections and reports the result to the control loop. full
 // leaves out the first, small part of the check.
 func (c *control) runReachCheck(name string, addresses []string, full bool) {
-	reached := len(addresses) == 0 || c.gateway.reachesTargets(addresses, full)
-	c.enqueue(context.Background(), reachChecked{name, reached})
+	cause := error(nil)
+	if len(addresses) > 0 {
+		cause = c.gateway.connectToMany(addresses, full)
+	}
+	c.enqueue(context.Background(), reachChecked{name, cause})
 }
 
-// reachesTargets reports whether enough of the targets accept a connection.
-func (g *Gateway) reachesTargets(addresses []string, full bool) bool {
+// connectToMany opens connections to targets. The error is nil if enough of them accept one.
+func (g *Gateway) connectToMany(addresses []string, full bool) error {
 	if !full {
 		first := addresses[:min(firstCheckTargets, len(addresses))]
-		if g.connects(first, len(first)/2+1, firstCheckWait) {
-			return true
+		if g.connect(first, len(first)/2+1, firstCheckWait) == nil {
+			return nil
 		}
 	}
 	addresses = addresses[:min(maxCheckTargets, len(addresses))]
-	return g.connects(addresses, (len(addresses)+minReached-1)/minReached, targetConnectTimeout)
+	return g.connect(addresses, (len(addresses)+minReached-1)/minReached, targetConnectTimeout)
 }
 
-// connects reports whether at least so many of the addresses accept a connection in time.
-func (g *Gateway) connects(addresses []string, enough int, timeout time.Duration) bool {
+// connect opens connections to all of the addresses. The error is nil if at least so many accept
+// one in time, and otherwise wraps that of the last failure.
+func (g *Gateway) connect(addresses []string, enough int, timeout time.Duration) (err error) {
+	accepted := 0
+	defer func() {
+		err = errors.WithMessagef(err, "%d of %d targets accepted a connection", accepted, len(addresses))
+	}()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	results := make(chan error, len(addresses))
 	for _, address := range addresses {
 		go func() { results <- g.forward.Connect(ctx, address) }()
 	}
-	for left := len(addresses); enough > 0 && left >= enough; left-- {
-		if err := <-results; err == nil {
-			enough--
+	for left := len(addresses); left > 0 && accepted+left >= enough; left-- {
+		failure := <-results
+		if failure != nil {
+			err = failure
+			continue
+		}
+		if accepted++; accepted == enough {
+			return nil
 		}
 	}
-	return enough == 0
+	return err
 }
 
 // checkTargets returns the addresses that a check asks, in the order in which it asks them: one
--- a/internal/gateway/reachsigns.go
+++ b/internal/gateway/reachsigns.go
@@ -25,7 +25,7 @@
 type contactSigns struct {
 	asked, done, heard atomic.Int64 // probes sent and ended; probes and requests that were answered
 	suspected          atomic.Bool  // a connection could not be opened or was lost
-	outstanding        int64        // unanswered probes at the last call of take; used by the control loop
+	outstanding        int64        // unanswered probes at the last call of takeSign; used by the control loop
 
 	failedCount atomic.Int64 // targets in failed
 	mu          sync.Mutex
--- a/pkg/member/entry.go
+++ b/pkg/member/entry.go
@@ -62,7 +62,7 @@
 type Condition struct {
 	Overloaded       bool // can't keep up with its load
 	StoreUnavailable bool // the store doesn't serve it
-	// Unreachable has the IDs, in ascending order, of the services of which it reaches no target.
+	// Unreachable has the IDs, in ascending order, of the services that it is cut off from.
 	Unreachable []uint32
 }
 
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -30,7 +30,7 @@
 type Candidate struct {
 	Entry
 	Overloaded bool // reports that it can't keep up with its load
-	// Unserved has the hosts that it can't serve, because it reaches no target of a service.
+	// Unserved has the hosts that it can't serve, because it is cut off from one of their services.
 	Unserved map[string]bool
 }
 
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -78,6 +78,23 @@
 	qt.Assert(t, owners(live, counts())["a"][0].Name, qt.Not(qt.Equals), first)
 }
 
+// An entry that is cut off from a host's services owns it only if all entries are. Guards against
+// callers who are sent to an entry that can't serve them, and against owners that change when the
+// targets are gone.
+func TestUnservedHost(t *testing.T) {
+	before := owners(entries(13), counts())
+	cut := map[string]bool{before["a"][0].Name: true, before["a"][1].Name: true}
+	some, all := entries(13), entries(13)
+	for i := range some {
+		some[i].Unserved = map[string]bool{"a": cut[some[i].Name]}
+		all[i].Unserved = map[string]bool{"a": true}
+	}
+	for _, e := range owners(some, counts())["a"] {
+		qt.Assert(t, cut[e.Name], qt.IsFalse)
+	}
+	qt.Assert(t, owners(all, counts()), qt.DeepEquals, before)
+}
+
 // The ranks for a task are a permutation, and an entry that isn't live comes last.
 func TestRank(t *testing.T) {
 	live := entries(9)
