gateway: tests of delegates that stop and of targets that are gone see what they guard against

TestDelegateStops passed without the wait for passed on requests, as these ended before the delegate's listener closed; they now last 1.9 s, and it fails. TestGoneTargetsDrainNobody passed with a directory that refuses; it now asks directory and readiness, and fails.

--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -176,6 +177,11 @@
 	for _, e := range w.entries {
 		w.c.Assert(w.owners(e), qt.DeepEquals, before)
 		w.c.Assert(e.view.Load().callerAddresses("veil.example", "", e.self), qt.HasLen, len(before))
+		for _, path := range []string{"/readiness", "/resolve?name=veil.example&region=metro"} {
+			rec := httptest.NewRecorder()
+			e.auxHandler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, path, nil))
+			w.c.Assert(rec.Code, qt.Equals, http.StatusOK, qt.Commentf("%s", path))
+		}
 	}
 	for _, k := range w.workers {
 		w.c.Assert(k.Restart(), qt.IsNil)
@@ -213,7 +219,7 @@
 // An entry that serves requests for one that is cut off stops. Guards against requests that are
 // lost with it, or run twice.
 func TestDelegateStops(t *testing.T) {
-	w := newPartitionWorld(t, worldConfig{targets: 8, routeType: "non_idempotent", attempts: 1}, 6)
+	w := newPartitionWorld(t, worldConfig{targets: 8, routeType: "non_idempotent", timeout: "4s", attempts: 1}, 6)
 	w.firstTries("POST", w.entries, 5)
 	cut, others := w.split()
 	for _, e := range cut {
@@ -222,7 +228,7 @@
 	w.firstTries("POST", cut, 5)
 	w.waitFor("delegates are known", func() bool { return len(cut[0].view.Load().delegates["gowns"]) > 1 })
 	for _, k := range w.workers {
-		k.SetServiceTime(200 * time.Millisecond)
+		k.SetServiceTime(1900 * time.Millisecond) // the delegate's listener closes before they end
 	}
 	results := make(chan callResult, 100)
 	for i := range cap(results) {
