--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -25,8 +25,10 @@
 	minCutShare            = 2.0 / 3
 	allowedCutFailures     = 10
 	allowedCutFailureShare = 1.0 / 50
-	// shortPartitionTime is how long the test injects faults without -seeds.
-	shortPartitionTime = 15 * time.Second
+	// shortPartitionSeed and shortPartitionTime are the seed that the test runs without -seeds,
+	// and how long it injects faults then. Clients use gateways that are cut off for long.
+	shortPartitionSeed = 3
+	shortPartitionTime = 20 * time.Second
 )
 
 // partitionSite is a small site whose gateways can be cut off from targets. With odd seeds clients
@@ -121,7 +123,7 @@
 		t.Skip("-full")
 	}
 	if !isSet("seeds") {
-		runPartitionSeed(t, 1, shortPartitionTime)
+		runPartitionSeed(t, shortPartitionSeed, shortPartitionTime)
 		return
 	}
 	for i := range *seedCount {
