--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -17,17 +17,18 @@
 	modeDropAll           // drops data in both directions and keeps connections open
 	modeDropResponses
 	modeReset // resets open and new connections
+	modeClose // closes open and new connections
 )
 
 // proxy forwards connections from gateways to one fake.
 type proxy struct {
 	listener net.Listener
-	backend  string
 
-	mu    sync.Mutex // guards the fields below
-	mode  proxyMode
-	delay time.Duration // before each write of response data
-	conns map[net.Conn]bool
+	mu      sync.Mutex // guards the fields below
+	backend string
+	mode    proxyMode
+	delay   time.Duration // before each write of response data
+	conns   map[net.Conn]bool
 }
 
 func newProxy(t *testing.T, to string) *proxy {
@@ -47,16 +48,34 @@
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
-// setMode sets the mode and the delay of responses. modeReset resets all open connections.
+// setBackend sets the address to which new connections are forwarded.
+func (p *proxy) setBackend(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backend = address
+}
+
+// resetConns resets all open connections.
+func (p *proxy) resetConns() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.reset(c)
+	}
+}
+
+// setMode sets the mode and the delay of responses. modeReset and modeClose end all open connections.
 func (p *proxy) setMode(m proxyMode, delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode, p.delay = m, delay
-	if m != modeReset {
-		return
-	}
 	for c := range p.conns {
-		p.reset(c)
+		switch m {
+		case modeReset:
+			p.reset(c)
+		case modeClose:
+			c.Close()
+		}
 	}
 }
 
@@ -74,17 +93,27 @@
 	return p.mode, p.delay
 }
 
+func (p *proxy) currentBackend() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.backend
+}
+
 func (p *proxy) accept() {
 	for {
 		in, err := p.listener.Accept()
 		if err != nil {
 			return
 		}
-		if m, _ := p.state(); m == modeReset {
+		switch m, _ := p.state(); m {
+		case modeReset:
 			p.reset(in)
 			continue
+		case modeClose:
+			in.Close()
+			continue
 		}
-		out, err := net.Dial("tcp", p.backend)
+		out, err := net.Dial("tcp", p.currentBackend())
 		if err != nil {
 			in.Close()
 			continue
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -37,11 +37,13 @@
 	loadPercent        atomic.Int64 // request rate, in percent of the normal rate
 	extraRetries       atomic.Int64 // retries that clients send at once, beyond those of the request's kind
 	retryRatio         atomic.Value // retry budget ratio in the settings files: a float64
+	end                targetEnd    // how targets end when they crash
 	retryRatioSince    time.Time    // when all gateways have to apply retryRatio; zero: from the start
 
 	mu             sync.Mutex // guards the fields below
 	gateways       []*gateway
 	targets        []*target
+	crashTimes     []time.Time
 	poisonPaths    int // poison paths used so far
 	targetCuts     []targetCut
 	configVersion  int
@@ -67,6 +69,7 @@
 	place              string
 	proxy              *proxy
 	refusedSuffixCount *atomic.Int64 // counter of the site
+	startedMillis      int64         // start of its process, in Unix ms
 	crashed            bool          // its process has exited
 	recordDeleted      bool          // its record in the store was deleted
 	leavingSince       time.Time     // since when its responses announce that it leaves
@@ -158,22 +161,29 @@
 	defer s.mu.Unlock()
 	w, err := worker.Start(fmt.Sprintf("i-%d", s.startedTargets))
 	s.q.Assert(err, qt.IsNil)
-	s.t.Cleanup(w.Close)
-	w.Slots = sv.slots
-	w.SetServiceTime(sv.serviceTime)
+	k := &target{Worker: w, service: sv, place: s.place(s.startedTargets), proxy: newProxy(s.t, w.Address())}
+	s.startedTargets++
+	s.register(k)
+	return k
+}
+
+// register sets a target up and writes its record to the store. The caller holds the lock.
+func (s *site) register(k *target) {
+	s.t.Cleanup(k.Close)
+	sv := k.service
+	k.Slots = sv.slots
+	k.SetServiceTime(sv.serviceTime)
 	if sv.queueLimit > 0 {
-		w.LimitQueue(sv.queueLimit)
+		k.LimitQueue(sv.queueLimit)
 	}
-	k := &target{Worker: w, service: sv, place: s.place(s.startedTargets), proxy: newProxy(s.t, w.Address()), refusedSuffixCount: &s.refusedSuffixCount}
-	w.OnCrash = func() { s.crashTarget(k) }
+	k.refusedSuffixCount = &s.refusedSuffixCount
+	k.OnCrash = func() { s.crashTarget(k) }
 	k.Fail(nil)
-	s.startedTargets++
 	s.targets = append(s.targets, k)
 	s.writeRecord(k)
 	if sv.variablePace {
 		s.varyPace(k)
 	}
-	return k
 }
 
 const (
@@ -218,7 +228,7 @@
 		switch {
 		case strings.HasSuffix(r.URL.Path, refusedSuffix) && k.refusedSuffixCount.Add(1)%2 == 0:
 			return worker.Fault{Shed: true}
-		case strings.Contains(r.URL.Path, poison):
+		case isPoison(r.URL.Path):
 			return worker.Fault{Crash: true}
 		case f != nil:
 			return f(r)
@@ -244,8 +254,14 @@
 		return
 	}
 	s.logf("%s crashes", k.ID)
-	k.Close()
-	k.proxy.close()
+	s.mu.Lock()
+	s.crashTimes = append(s.crashTimes, time.Now())
+	s.mu.Unlock()
+	if s.end == endReborn || s.end == endRestarted {
+		s.replaceAtOnce(k)
+		return
+	}
+	k.crash(s)
 	s.schedule(replacementDelay, func() { s.addTarget(k.service) })
 	s.schedule(recordDeletionDelay, func() {
 		s.mu.Lock()
@@ -285,7 +301,7 @@
 		return
 	}
 	s.store.PutTarget(objects.Target{
-		ID: k.ID, Address: k.proxy.address(), Service: k.service.name, Place: k.place, Slots: k.service.slots, Leaving: !k.leavingRecordedAt.IsZero(),
+		ID: k.ID, Address: k.proxy.address(), StartedMillis: k.startedMillis, Service: k.service.name, Place: k.place, Slots: k.service.slots, Leaving: !k.leavingRecordedAt.IsZero(),
 	})
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -68,6 +68,8 @@
 	running         int
 	conns           map[net.Conn]bool
 	closed          bool
+	ended           bool // by End, with an ending other than Refusing
+	ending          Ending
 	coldUntil       time.Time // end of the warm-up
 	coldLimit       int       // requests in any second that the worker can handle while it is cold
 	reportsWarmup   bool      // responses to probes contain the remaining warm-up time
