call, gateway: a request that gets no response from several targets in a row is held

A port that accepts connections for a process that has ended, one that stays silent, a process that answers health checks for a moment longer, and one that is back at once under its ID all pass for targets that live. The class: a safeguard that acts only on proof, where the other side decides whether there is any.

Change: besides the count of proven crashes, dispatches without a response count in a row and in sum over the entries (call.streak). From the third on the request is held like by a circuit breaker: one trial at a time, after 250, 500 and 1000 ms, then 8 s, 64 s, an hour; an answer frees it at once. Trials are sent by rank, those entries first that callers send requests to; a trial has no retry and no hedge. A request whose content was answered in the last 5 minutes waits at most 1 s, as its targets are more likely to have failed than the request to fail them. An entry that has had an answer since a peer's first failure ignores that peer's, so that a cut entry holds nothing at the others. Proof still means quarantine.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -57,7 +57,7 @@
 	pullStarted           time.Time         // when that pull began
 	fetchPending          bool              // a fetch of another entry's members is in progress
 	lastFetch             time.Time
-	announcedCrashes      map[uint64]int // crashes of each suspected request, by fingerprint, as announced to the other entries
+	announcedSuspects     map[uint64]announcedSuspect // by fingerprint
 	suspectsAnnouncedAt   time.Time
 	suspectSequence       uint64 // number of the last announcement of a suspected request
 	liveInstances         map[string]liveInstance
@@ -111,7 +111,7 @@
 	return &control{
 		gateway: g, inbox: make(chan message, inboxSize), started: g.started,
 		targets: roster.New(slot.Equivalent), vanishedTargets: roster.NewVanished[slot.Target](), evacuations: roster.New(slot.EquivalentEvacuations), vanishedEvacuations: roster.NewVanished[slot.Evacuation](),
-		removedServices: make(map[string]removedService), waitingPeers: make(map[string]bool), announcedCrashes: make(map[uint64]int),
+		removedServices: make(map[string]removedService), waitingPeers: make(map[string]bool), announcedSuspects: make(map[uint64]announcedSuspect),
 		gossipedCounts: owner.NewCounts(), rateReports: make(map[string]rateReport),
 		reach: make(map[string]*serviceReach),
 	}
@@ -222,7 +222,7 @@
 	initialized := c.table != nil && c.targetsKnown()
 	c.gateway.view.Store(&view{
 		table: c.table, initialized: initialized, services: c.services, live: live, owners: owners, rates: c.hosts.rates,
-		isolated: c.isolated(now), delegates: c.delegates(live, owners),
+		isolated: c.isolated(now), known: c.recordedPeers, delegates: c.delegates(live, owners),
 	})
 	if initialized && !c.firstViewPublished {
 		c.firstViewPublished = true
--- a/internal/gateway/crash_ending_test.go
+++ b/internal/gateway/crash_ending_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -66,6 +67,42 @@
 	w.waitFor("another request is served", func() bool { return entries[0].call("GET", "/a/other", "").status == http.StatusOK })
 }
 
+// A request breaks the connection of each target that runs it, and the targets live on. Guards against
+// a request that empties a service of free slots, or crashes a part of its targets unseen.
+func TestRequestThatBreaksConnections(t *testing.T) {
+	for _, callerCount := range []int{1, 40} {
+		t.Run(fmt.Sprint(callerCount, " callers"), func(t *testing.T) {
+			t.Parallel()
+			w := newCrashWorld(t, worldConfig{targets: 8}, func(r *http.Request) worker.Fault {
+				return worker.Fault{LoseResponse: r.URL.Path == crashPath}
+			})
+			entries := startEntries(w.world, 3)
+			callers := callersFrom(callerCount)
+			for i := range 70 {
+				go entries[i%len(entries)].callFrom(callers[i%len(callers)], fmt.Sprint("c-", i), crashPath, "", "")
+				time.Sleep(80 * time.Millisecond)
+			}
+			var runs []time.Time
+			for _, k := range w.workers {
+				for _, r := range k.Runs() {
+					if r.Path == crashPath {
+						runs = append(runs, r.StartedAt)
+					}
+				}
+			}
+			slices.SortFunc(runs, time.Time.Compare)
+			late := 0
+			for _, at := range runs {
+				if at.Sub(runs[crashLimit-1]) > lateCrashTime {
+					late++
+				}
+			}
+			t.Logf("%d runs, %d late", len(runs), late)
+			w.c.Assert(late <= maxLateCrashes, qt.IsTrue, qt.Commentf("%d late of %d", late, len(runs)))
+		})
+	}
+}
+
 // Targets lose all connections for a while, health checks too, and none of them ends. Guards
 // against a quarantine of a request that many callers send.
 func TestPopularRequestOutlivesSilentTargets(t *testing.T) {
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/logs"
+	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/slot"
 	"plumpitch.example/plumpitch/platform"
 )
@@ -112,12 +113,17 @@
 }
 
 // noteBrokenConnection records that a target broke the connection of this request, and checks in
-// the background whether it has ended. It reports whether the request is in quarantine already.
-func (q *request) noteBrokenConnection(now time.Time, d *dispatch) (quarantined bool) {
-	q.fingerprints().recordBreak(q.gateway.suspects, now, d.target.Incarnation(), d.began)
+// the background whether it has ended. It reports whether the request is held now.
+func (q *request) noteBrokenConnection(now time.Time, d *dispatch, stage call.Stage) (held bool) {
+	held = q.fingerprints().recordFailure(q.gateway.suspects, now, call.FailedDispatch{
+		Target: d.target.Incarnation(), Stage: stage, Began: d.began, Checked: true,
+	})
+	if held {
+		q.gateway.control.announceSoon()
+	}
 	b := brokenConnection{gateway: q.gateway, service: q.service, request: q.id, prints: q.fingerprints(), target: d.target, began: d.began}
 	go b.resolve()
-	return q.fingerprints().quarantineRemaining(q.gateway.suspects, now) > 0
+	return held
 }
 
 // brokenConnection is a dispatch whose connection the target broke.
@@ -141,10 +147,7 @@
 	}
 	b.prints.resolveBreak(g.suspects, time.Now(), incarnation, ended)
 	if ended {
-		select {
-		case g.control.inbox <- crashCounted{}:
-		default: // the next tick announces it
-		}
+		g.control.announceSoon()
 	}
 	g.log.WithFields(log.Fields{
 		logs.FieldRequest: b.request, "target": b.target.ID, "state": state.String(), "counted": ended,
--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -35,18 +35,14 @@
 	return q.prints
 }
 
-// quarantineRemaining returns the remaining quarantine of the request, or 0. Most requests need
-// no fingerprint, since none is suspected.
-func (q *request) quarantineRemaining(now time.Time) time.Duration {
-	if q.gateway.suspects.Empty() {
-		return 0
-	}
-	return q.fingerprints().quarantineRemaining(q.gateway.suspects, now)
+// contentFingerprint returns the hash of the request's content.
+func (q *request) contentFingerprint() uint64 {
+	return call.Fingerprint(q.route.Host, q.r.Method, q.r.URL.EscapedPath(), q.r.URL.RawQuery, call.BodyHash(q.body))
 }
 
 // computeFingerprints returns the fingerprints of the request.
 func (q *request) computeFingerprints() (f fingerprints) {
-	f.content = call.Fingerprint(q.route.Host, q.r.Method, q.r.URL.EscapedPath(), q.r.URL.RawQuery, call.BodyHash(q.body))
+	f.content = q.contentFingerprint()
 	var hash xxhash.Digest
 	hash.Reset()
 	_, _ = hash.WriteString(strconv.FormatUint(f.content, 36))
@@ -77,15 +73,43 @@
 	return max(s.QuarantineRemaining(now, f.content), s.QuarantineRemaining(now, f.headers))
 }
 
+// hold returns how much longer a request is held, or whether it may be sent as a trial.
+func (f fingerprints) hold(s *call.Suspects, now time.Time, rank int) (remaining time.Duration, trial bool) {
+	answered := s.LastAnswer(now, f.content)
+	for _, fp := range []uint64{f.content, f.headers} {
+		left, free := s.Hold(now, fp, rank, answered)
+		remaining, trial = max(remaining, left), trial || free
+	}
+	return remaining, trial && remaining == 0
+}
+
+// beginTrial reserves a trial, and reports whether the request may be sent.
+func (f fingerprints) beginTrial(s *call.Suspects, now time.Time) bool {
+	if !s.BeginTrial(now, f.content) {
+		return false
+	}
+	if !s.BeginTrial(now, f.headers) {
+		s.EndTrial(now, f.content, false)
+		return false
+	}
+	return true
+}
+
+// endTrial ends a trial; dispatched is whether a target got the request.
+func (f fingerprints) endTrial(s *call.Suspects, now time.Time, dispatched bool) {
+	s.EndTrial(now, f.content, dispatched)
+	s.EndTrial(now, f.headers, dispatched)
+}
+
 // crashCount returns the number of target crashes known for a request.
 func (f fingerprints) crashCount(s *call.Suspects) int {
 	return max(s.CrashCount(f.content), s.CrashCount(f.headers))
 }
 
-// recordBreak records that a target broke the connection of a request.
-func (f fingerprints) recordBreak(s *call.Suspects, now time.Time, target string, began time.Time) {
-	s.RecordBreak(now, f.content, target, began)
-	s.RecordBreak(now, f.headers, target, began)
+// recordFailure records a failed dispatch, and reports whether the request is held now.
+func (f fingerprints) recordFailure(s *call.Suspects, now time.Time, d call.FailedDispatch) (held bool) {
+	held = s.RecordFailure(now, f.content, d)
+	return s.RecordFailure(now, f.headers, d) || held
 }
 
 // resolveBreak counts the connections that a target broke as a crash, or forgets them.
--- /dev/null
+++ b/internal/gateway/hold.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/owner"
+)
+
+// checkSuspicion sets what an arrival says of the quarantine and the hold of the request. Most
+// requests need no fingerprint, since none is suspected.
+func (q *request) checkSuspicion(now time.Time, a *call.Arrival) {
+	s := q.gateway.suspects
+	if s.Empty() {
+		return
+	}
+	f := q.fingerprints()
+	if a.QuarantineRemaining = f.quarantineRemaining(s, now); a.QuarantineRemaining > 0 {
+		return
+	}
+	remaining, trial := f.hold(s, now, q.gateway.view.Load().trialRank(q.service, f.text(), q.gateway.self.Name))
+	if trial && !f.beginTrial(s, now) {
+		remaining = minHold
+	}
+	a.HoldRemaining = remaining
+	q.trial = trial && remaining == 0
+	a.Trial = q.trial
+}
+
+// minHold is when a caller may return whose request found another one's trial in progress.
+const minHold = 250 * time.Millisecond
+
+// trialRank returns the rank of this entry among those that send trials of a request: first those
+// that callers send requests for the service to, then the others. An isolated entry doesn't know
+// who they are. It takes one of as many ranks as the store has records of entries.
+func (v *view) trialRank(s *service, print, self string) int {
+	task := "trial " + print
+	if v.isolated {
+		return owner.Slot(task, self, v.known+1)
+	}
+	senders := s.senderNames()
+	if slices.Contains(senders, self) {
+		return owner.RankAmong(senders, task, self)
+	}
+	return len(senders) + owner.Rank(v.live, task, self)
+}
+
+// senderNames returns the names of the entries that send requests to the service.
+func (s *service) senderNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.senders
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -22,6 +22,7 @@
 	arrived  time.Time
 	body     []byte
 	prints   fingerprints // set by fingerprints
+	trial    bool         // the request is held, and sent as a trial
 	table    *route.Table // of the view that the request was routed by
 	route    *route.ActiveRoute
 	account  *account.Account // nil without an account
@@ -123,10 +124,9 @@
 	q.call = call.New(call.Config{
 		MaxDispatches: min(q.route.MaxDispatches, call.MaxDispatches), Margin: responseMargin, Budget: q.service.budget,
 	})
-	return q.call.Arrive(now, call.Arrival{
-		Deadline: deadline, Idempotent: q.route.Idempotent, HedgeDelay: q.service.hedgeDelay(q.route.Name, q.objective.Sub(now)),
-		QuarantineRemaining: q.quarantineRemaining(now),
-	})
+	a := call.Arrival{Deadline: deadline, Idempotent: q.route.Idempotent, HedgeDelay: q.service.hedgeDelay(q.route.Name, q.objective.Sub(now))}
+	q.checkSuspicion(now, &a)
+	return q.call.Arrive(now, a)
 }
 
 // setObjective sets the objective. It is called once for each request that is served, because the
@@ -267,12 +267,12 @@
 		if f.Stage == call.StageRefused || f.Stage == call.StageConnect || isUnreachable(f.Cause) {
 			q.service.noteUnreachable(d.target.ID)
 		}
-		quarantined := false
+		held := false
 		if f.Stage.MayBeCrash() {
-			quarantined = q.noteBrokenConnection(now, d)
+			held = q.noteBrokenConnection(now, d, f.Stage)
 		}
 		q.logFailure(d, f)
-		return q.call.Fail(now, call.Failed{Dispatch: res.dispatch, Stage: f.Stage, Execution: f.Execution, Replayable: true, Quarantined: quarantined})
+		return q.call.Fail(now, call.Failed{Dispatch: res.dispatch, Stage: f.Stage, Execution: f.Execution, Replayable: true, Held: held})
 	}
 	resp := res.response
 	d.response = resp
@@ -297,6 +297,7 @@
 
 // clearSuspicion records that a target ran the request and sent its complete response.
 func (q *request) clearSuspicion(now time.Time, d *dispatch, status int) {
+	q.gateway.suspects.NoteAnswer(now, q.contentFingerprint())
 	if !q.gateway.suspects.Empty() && q.fingerprints().recordResponse(q.gateway.suspects, now) {
 		q.logCleared(d, status)
 	}
@@ -323,6 +324,9 @@
 	if q.call.Outcome() == call.NotRun {
 		q.returnToken()
 	}
+	if q.trial {
+		q.fingerprints().endTrial(q.gateway.suspects, time.Now(), q.call.Outcome() != call.NotRun)
+	}
 	if q.pendingID != 0 {
 		q.service.cancel(time.Now(), q.pendingID)
 	}
--- a/internal/gateway/suspectrecords.go
+++ b/internal/gateway/suspectrecords.go
@@ -15,8 +15,8 @@
 // crashes of a request alone, and the request would crash crashLimit targets through each.
 type suspectRecorder struct {
 	gateway  *Gateway
-	recorded map[uint64]int // crashes in the record that this process wrote, by fingerprint
-	exists   bool           // this entry has a record, of this process or of the one before
+	recorded map[uint64]announcedSuspect // in the record that this process wrote, by fingerprint
+	exists   bool                        // this entry has a record, of this process or of the one before
 }
 
 // suspectRecordInterval is the time between exchanges. It bounds how many targets a request
@@ -55,19 +55,19 @@
 	}
 	r.gateway.control.enqueue(ctx, suspectsListed(items))
 	list := r.gateway.suspects.Export(now, maxSuspects)
-	crashes := make(map[uint64]int, len(list))
+	suspects := make(map[uint64]announcedSuspect, len(list))
 	for _, s := range list {
-		crashes[s.Fingerprint] = s.Crashes
+		suspects[s.Fingerprint] = announcedOf(s)
 	}
-	missing := !r.exists && len(crashes) > 0 // never written, or lost by the store
-	if !missing && maps.Equal(crashes, r.recorded) {
+	missing := !r.exists && len(suspects) > 0 // never written, or lost by the store
+	if !missing && maps.Equal(suspects, r.recorded) {
 		return
 	}
 	if err := r.gateway.store.PutSuspects(ctx, now, r.gateway.self.Name, list); err != nil {
 		r.gateway.log.WithError(err).Info("suspects not recorded")
 		return
 	}
-	r.recorded, r.exists = crashes, true
+	r.recorded, r.exists = suspects, true
 }
 
 func (r *suspectRecorder) ownRecord(it roster.Item[[]call.Suspect]) bool {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -87,10 +87,15 @@
 	return false
 }
 
-// quarantined returns the requests in quarantine, in the form sent to other entries.
+// heldOrQuarantined reports whether a request is held or in quarantine.
+func heldOrQuarantined(s call.Suspect) bool {
+	return s.Crashes >= crashLimit || s.Unanswered >= crashLimit
+}
+
+// quarantined returns the requests that are held or in quarantine, in the form sent to other entries.
 func (c *control) quarantined(now time.Time) (list []call.Suspect) {
 	for _, s := range c.gateway.suspects.Export(now, maxSuspects) {
-		if c.gateway.suspects.QuarantineRemaining(now, s.Fingerprint) > 0 {
+		if heldOrQuarantined(s) {
 			list = append(list, s)
 		}
 	}
@@ -102,8 +107,8 @@
 func (c *control) receiveSuspects(now time.Time, by string, list []call.Suspect) {
 	for _, s := range list {
 		c.logReceivedSuspect(s.Fingerprint, uint32(s.Crashes), by)
-		if s.Crashes >= crashLimit {
-			c.announcedCrashes[s.Fingerprint] = crashLimit
+		if heldOrQuarantined(s) {
+			c.announcedSuspects[s.Fingerprint] = announcedOf(s)
 		}
 	}
 	c.gateway.suspects.Merge(now, by, list)
@@ -114,6 +119,10 @@
 	for _, s := range r.CrashReports {
 		c.logReceivedSuspect(s.Fingerprint, s.Crashes, s.Reporter)
 		suspect := call.Suspect{Fingerprint: s.Fingerprint, Crashes: int(s.Crashes), Age: now.Sub(s.Time)}
+		if s.Unanswered > 0 {
+			suspect.Unanswered, suspect.Trials = int(s.Unanswered), int(s.Trials)
+			suspect.Since, suspect.Last = now.Sub(s.Since), now.Sub(s.Last)
+		}
 		c.gateway.suspects.Merge(now, s.Reporter, []call.Suspect{suspect})
 	}
 }
@@ -129,11 +138,29 @@
 // the ticks. A domain that fails breaks the requests of all its targets.
 const minAnnounceInterval = 50 * time.Millisecond
 
-// crashCounted is sent when a target has crashed under a request. Its caller sends the request to
-// another entry within a few milliseconds.
-type crashCounted struct{}
+// suspectsChanged is sent when a target has crashed under a request, or the request is held. Its
+// caller sends it to another entry within a few milliseconds.
+type suspectsChanged struct{}
+
+// announceSoon makes the control loop announce suspects before its next tick, which does it otherwise.
+func (c *control) announceSoon() {
+	select {
+	case c.inbox <- suspectsChanged{}:
+	default:
+	}
+}
 
-func (crashCounted) apply(now time.Time, c *control) {
+// announcedSuspect is what other entries were told of a suspect.
+type announcedSuspect struct{ crashes, unanswered, trials int }
+
+func announcedOf(s call.Suspect) announcedSuspect {
+	return announcedSuspect{s.Crashes, s.Unanswered, s.Trials}
+}
+
+// toAll reports whether all entries were told, not only the owners.
+func (a announcedSuspect) toAll() bool { return max(a.crashes, a.unanswered) >= crashLimit }
+
+func (suspectsChanged) apply(now time.Time, c *control) {
 	if now.Sub(c.suspectsAnnouncedAt) >= minAnnounceInterval {
 		c.announceSuspects(now)
 	}
@@ -148,22 +175,18 @@
 	var rumours member.Rumours
 	var changed []call.Suspect
 	for _, s := range c.gateway.suspects.Export(now, maxSuspects) {
-		quarantined := c.gateway.suspects.QuarantineRemaining(now, s.Fingerprint) > 0
-		if quarantined {
-			s.Crashes = crashLimit
-		}
-		announced, ok := c.announcedCrashes[s.Fingerprint]
-		if ok && announced == s.Crashes {
+		announced, ok := c.announcedSuspects[s.Fingerprint]
+		if ok && announced == announcedOf(s) {
 			continue
 		}
-		c.announcedCrashes[s.Fingerprint] = s.Crashes
+		c.announcedSuspects[s.Fingerprint] = announcedOf(s)
 		changed = append(changed, s)
-		if quarantined || announced == crashLimit {
+		if heldOrQuarantined(s) || announced.toAll() {
 			rumours.CrashReports = append(rumours.CrashReports, c.suspectRumour(now, s))
 		}
 	}
-	if len(c.announcedCrashes) > maxAnnouncedSuspects {
-		clear(c.announcedCrashes)
+	if len(c.announcedSuspects) > maxAnnouncedSuspects {
+		clear(c.announcedSuspects)
 	}
 	if len(rumours.CrashReports) > 0 {
 		c.handleEvent(now, member.SpreadRumours{Rumours: rumours})
@@ -181,6 +204,7 @@
 	c.suspectSequence++
 	return member.CrashReport{
 		Fingerprint: s.Fingerprint, Crashes: uint32(s.Crashes), Time: now.Add(-s.Age), Reporter: c.gateway.self.Name, Sequence: c.gateway.self.Boot + c.suspectSequence,
+		Unanswered: uint32(s.Unanswered), Trials: uint32(s.Trials), Since: now.Add(-s.Since), Last: now.Add(-s.Last),
 	}
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -14,6 +14,7 @@
 	services    map[string]*service
 	live        []owner.Candidate
 	isolated    bool                     // this entry receives nothing from the others
+	known       int                      // other entries of which the store has records
 	owners      map[string][]owner.Entry // by host
 	rates       map[string]*rate         // by host
 	// delegates are the entries that serve the requests of a service that this one doesn't
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -106,7 +106,7 @@
 		w.Leaving = append(w.Leaving, &wire.Leaving{Target: s.Target, Boot: s.Boot, Ago: encodeAge(now, s.Time)})
 	}
 	for _, c := range m.Rumours.CrashReports {
-		w.Suspects = append(w.Suspects, &wire.Suspect{Print: c.Fingerprint, Crashes: c.Crashes, Ago: encodeAge(now, c.Time), By: c.Reporter, Sequence: c.Sequence})
+		w.Suspects = append(w.Suspects, encodeCrashReport(now, c))
 	}
 	return w
 }
@@ -145,7 +145,23 @@
 		r.LeavingNotices = append(r.LeavingNotices, member.LeavingNotice{Target: s.GetTarget(), Boot: s.GetBoot(), Time: decodeAge(now, s.GetAgo())})
 	}
 	for _, c := range w.GetSuspects() {
-		r.CrashReports = append(r.CrashReports, member.CrashReport{Fingerprint: c.GetPrint(), Crashes: c.GetCrashes(), Time: decodeAge(now, c.GetAgo()), Reporter: c.GetBy(), Sequence: c.GetSequence()})
+		r.CrashReports = append(r.CrashReports, decodeCrashReport(now, c))
 	}
 	return r
 }
+
+func encodeCrashReport(now time.Time, c member.CrashReport) *wire.Suspect {
+	w := &wire.Suspect{Print: c.Fingerprint, Crashes: c.Crashes, Ago: encodeAge(now, c.Time), By: c.Reporter, Sequence: c.Sequence}
+	if c.Unanswered > 0 {
+		w.Unanswered, w.Trials, w.Since, w.Last = c.Unanswered, c.Trials, encodeAge(now, c.Since), encodeAge(now, c.Last)
+	}
+	return w
+}
+
+func decodeCrashReport(now time.Time, w *wire.Suspect) member.CrashReport {
+	c := member.CrashReport{Fingerprint: w.GetPrint(), Crashes: w.GetCrashes(), Time: decodeAge(now, w.GetAgo()), Reporter: w.GetBy(), Sequence: w.GetSequence()}
+	if w.GetUnanswered() > 0 {
+		c.Unanswered, c.Trials, c.Since, c.Last = w.GetUnanswered(), w.GetTrials(), decodeAge(now, w.GetSince()), decodeAge(now, w.GetLast())
+	}
+	return c
+}
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -119,7 +119,7 @@
 		w.Loads = append(w.Loads, &wire.Load{Host: l.Host, Rate: float32(l.Rate)})
 	}
 	for _, s := range p.Suspects[:min(len(p.Suspects), maxSuspects)] {
-		w.Suspects = append(w.Suspects, &peerwire.Suspect{Print: s.Fingerprint, Crashes: uint32(s.Crashes), Ago: millis(s.Age)})
+		w.Suspects = append(w.Suspects, encodeSuspect(s))
 	}
 	return proto.Marshal(w)
 }
@@ -176,7 +176,21 @@
 		p.Loads = append(p.Loads, HostLoad{Host: l.Host, Rate: float64(l.Rate)})
 	}
 	for _, s := range w.Suspects {
-		p.Suspects = append(p.Suspects, call.Suspect{Fingerprint: s.Print, Crashes: int(s.Crashes), Age: fromMillis(s.Ago)})
+		p.Suspects = append(p.Suspects, decodeSuspect(s))
 	}
 	return p, nil
 }
+
+func encodeSuspect(s call.Suspect) *peerwire.Suspect {
+	return &peerwire.Suspect{
+		Print: s.Fingerprint, Crashes: uint32(s.Crashes), Ago: millis(s.Age),
+		Unanswered: uint32(s.Unanswered), Trials: uint32(s.Trials), Since: millis(s.Since), Last: millis(s.Last),
+	}
+}
+
+func decodeSuspect(w *peerwire.Suspect) call.Suspect {
+	return call.Suspect{
+		Fingerprint: w.Print, Crashes: int(w.Crashes), Age: fromMillis(w.Ago),
+		Unanswered: int(w.Unanswered), Trials: int(w.Trials), Since: fromMillis(w.Since), Last: fromMillis(w.Last),
+	}
+}
--- a/pkg/call/event.go
+++ b/pkg/call/event.go
@@ -10,6 +10,8 @@
 	Depth               int           // value of HeaderDepth
 	HedgeDelay          time.Duration // delay before a hedge; 0 disables it, as for a body that can be read only once
 	QuarantineRemaining time.Duration // remaining quarantine of the request's fingerprint
+	HoldRemaining       time.Duration // until the request may be sent as a trial
+	Trial               bool          // the request is sent as a trial, to one target only
 }
 
 // Choice is the event of the pool assigning a target with a slot.
@@ -30,6 +32,7 @@
 	Execution   Execution
 	Replayable  bool // the request body can be sent again
 	Quarantined bool // the request is now in quarantine for crashing targets
+	Held        bool // the request is held now, since its dispatches get no response
 }
 
 // ResponseHead is the event of a target's response head.
--- a/pkg/call/merge.go
+++ b/pkg/call/merge.go
@@ -22,14 +22,29 @@
 func (s *Suspects) export(out []Suspect, now time.Time, n int, l *list.List) []Suspect {
 	for e := l.Front(); e != nil && len(out) < n; e = e.Next() {
 		x := e.Value.(*suspect)
-		if s.expired(now, x) || !x.quarantined && !x.cleared && len(x.targets) == 0 {
+		if s.expired(now, x) || !x.quarantined && !x.cleared && len(x.targets)+len(x.streak.own) == 0 {
 			continue
 		}
-		crashes := len(x.targets)
-		if x.quarantined {
-			crashes = s.cfg.CrashLimit
-		}
-		out = append(out, Suspect{Fingerprint: x.fingerprint, Crashes: crashes, Age: now.Sub(x.lastEvent)})
+		x.exported = true
+		out = append(out, x.export(now, s.cfg.CrashLimit))
+	}
+	return out
+}
+
+// export returns the record that other entries get.
+func (x *suspect) export(now time.Time, limit int) Suspect {
+	out := Suspect{Fingerprint: x.fingerprint, Crashes: len(x.targets), Age: now.Sub(x.lastEvent)}
+	if x.proven {
+		out.Crashes = limit
+	}
+	k := &x.streak
+	switch {
+	case k.held:
+		out.Unanswered, out.Trials = limit, k.trials
+		out.Since, out.Last = now.Sub(k.since()), now.Sub(k.last)
+	case len(k.own) > 0:
+		out.Unanswered = len(k.own)
+		out.Since, out.Last = now.Sub(k.own[0]), now.Sub(k.own[len(k.own)-1])
 	}
 	return out
 }
@@ -45,21 +60,28 @@
 }
 
 func (s *Suspects) merge(now time.Time, peer uint64, in Suspect) {
+	if in.Unanswered > 0 {
+		s.mergeStreak(now, peer, in)
+	}
 	if in.Age < 0 || in.Age >= s.cfg.Quarantine || in.Crashes < 0 {
 		return
 	}
 	if in.Crashes < s.cfg.CrashLimit && in.Age >= s.cfg.CrashWindow {
 		return
 	}
-	if in.Crashes == 0 && s.byFingerprint[in.Fingerprint] == nil {
+	if in.Crashes == 0 && (in.Unanswered > 0 || s.byFingerprint[in.Fingerprint] == nil) {
 		return
 	}
 	at := now.Add(-in.Age)
 	x := s.detach(now, in.Fingerprint)
 	switch {
-	case in.Crashes == 0 && !x.lastEvent.After(at):
-		s.clear(x, at)
-		return
+	case in.Crashes == 0:
+		if x.streak.drop(at, s.cfg.CrashLimit); !x.lastEvent.After(at) {
+			k := x.streak
+			s.clear(x, at)
+			x.streak = k
+			return
+		}
 	case in.Crashes > 0 && !(x.cleared && !at.After(x.lastEvent)):
 		x.setPeerCount(peerCount{peer: peer, crashes: min(in.Crashes, s.cfg.CrashLimit), last: at})
 		x.cleared = false
@@ -68,6 +90,35 @@
 	s.insert(x)
 }
 
+// mergeStreak merges the unanswered dispatches that a peer has reported. If this entry has had an
+// answer since the first of them, they weren't in a row.
+func (s *Suspects) mergeStreak(now time.Time, peer uint64, in Suspect) {
+	limit := s.cfg.CrashWindow
+	if in.Unanswered >= s.cfg.CrashLimit {
+		limit = s.holdTime(in.Trials)
+	}
+	if in.Since < 0 || in.Last < 0 || in.Trials < 0 || in.Last >= limit {
+		return
+	}
+	since, last := now.Add(-in.Since), now.Add(-in.Last)
+	x := s.detach(now, in.Fingerprint)
+	answered := s.answers.last(now, in.Fingerprint)
+	if x.cleared {
+		answered = latest(answered, x.lastEvent)
+	}
+	if answered.After(since) {
+		x.cleared, x.exported, x.lastEvent = true, true, latest(x.lastEvent, answered)
+		s.insert(x)
+		return
+	}
+	x.streak.merge(peerStreak{peer: peer, count: min(in.Unanswered, s.cfg.CrashLimit), since: since, last: last}, in.Trials, s.cfg.CrashLimit)
+	x.exported = true
+	if x.lastEvent.IsZero() {
+		x.lastEvent = last
+	}
+	s.insert(x)
+}
+
 // setPeerCount keeps the highest count of each of the first maxPeers peers.
 func (x *suspect) setPeerCount(in peerCount) {
 	for i := range x.peers {
--- /dev/null
+++ b/pkg/call/streak.go
@@ -0,0 +1,284 @@
+package call
+
+import (
+	"slices"
+	"time"
+)
+
+// A streak is what is known of the dispatches of a request that got no response, one after the other
+// and at all entries together. From CrashLimit on, the request is held like by a circuit breaker: it
+// gets one trial at a time, after growing pauses, until one is answered. This needs no proof that a
+// target has ended, and frees a request whose targets have only lost connections.
+type streak struct {
+	own        []time.Time // of the unanswered dispatches at this entry, at most CrashLimit
+	peers      [maxPeers]peerStreak
+	held       bool      // there were CrashLimit of them
+	heldAt     time.Time // of the last of these, at the latest
+	trials     int       // unanswered dispatches since then
+	last       time.Time // of the last unanswered dispatch, at any entry
+	trialUntil time.Time // until then a trial of this entry may be in flight
+}
+
+// peerStreak is what a peer has reported of its unanswered dispatches.
+type peerStreak struct {
+	peer        uint64
+	count       int
+	since, last time.Time
+}
+
+// trialPauses are the pauses before each trial, from the last unanswered dispatch on. The first
+// shortPauses of them are for targets that have lost connections for a moment, and for
+// shortPauseTime only: while trials are rare, each of them would reach targets much later.
+var trialPauses = [...]time.Duration{
+	250 * time.Millisecond, 500 * time.Millisecond, time.Second,
+	8 * time.Second, 64 * time.Second, time.Hour,
+}
+
+const (
+	shortPauses    = 3
+	shortPauseTime = 2 * time.Second
+	// maxAnsweredPause bounds the pauses of a request that targets have answered before: they are
+	// more likely to have failed than the request to fail them.
+	maxAnsweredPause = time.Second
+	// rankPause is how much later an entry sends a trial than the entry of the rank before, so that
+	// the result of that trial reaches it first.
+	rankPause = time.Second
+	// trialTimeout is how long a trial without a result keeps its entry from sending another one.
+	trialTimeout = 10 * time.Second
+	// holdPauses is for how many pauses a request stays held after its last unanswered dispatch,
+	// at least for the time of a quarantine.
+	holdPauses = 4
+)
+
+// longPause returns the pause before the next trial once the short pauses are over.
+func longPause(trials int) time.Duration {
+	return trialPauses[min(max(trials, shortPauses), len(trialPauses)-1)]
+}
+
+// nextTrial returns when the entry of a rank may send the next trial. answered is whether targets have
+// answered the request before.
+func (k *streak) nextTrial(now time.Time, rank int, answered bool) time.Time {
+	ranked := k.last.Add(time.Duration(rank) * rankPause)
+	switch {
+	case answered:
+		return ranked.Add(min(trialPauses[min(k.trials, shortPauses)], maxAnsweredPause))
+	case k.trials < shortPauses && now.Sub(k.heldAt) <= shortPauseTime:
+		return ranked.Add(trialPauses[k.trials])
+	}
+	return ranked.Add(longPause(k.trials))
+}
+
+// hold makes the request held if it has had limit unanswered dispatches.
+func (k *streak) hold(limit int) {
+	if k.held || k.count() < limit {
+		return
+	}
+	k.held, k.heldAt = true, k.last
+	for _, p := range trialPauses[:min(k.trials, shortPauses)] {
+		k.heldAt = k.heldAt.Add(-p)
+	}
+}
+
+// holdTime returns how long a request is held after its last unanswered dispatch, by its trials.
+func (s *Suspects) holdTime(trials int) time.Duration {
+	return max(holdPauses*longPause(trials), s.cfg.Quarantine)
+}
+
+// count returns the number of unanswered dispatches at all entries. The last ones of several
+// entries count once if they were simultaneous.
+func (k *streak) count() (n int) {
+	var last [maxPeers + 1]time.Time
+	entries := 0
+	if len(k.own) > 0 {
+		n = len(k.own)
+		last[entries] = k.own[len(k.own)-1]
+		entries++
+	}
+	for _, p := range k.peers {
+		if p.count > 0 {
+			n += p.count
+			last[entries] = p.last
+			entries++
+		}
+	}
+	return n - repeated(last[:entries])
+}
+
+// since returns the time of the first unanswered dispatch, zero if there is none.
+func (k *streak) since() (t time.Time) {
+	if len(k.own) > 0 {
+		t = k.own[0]
+	}
+	for _, p := range k.peers {
+		if p.count > 0 && (t.IsZero() || p.since.Before(t)) {
+			t = p.since
+		}
+	}
+	return t
+}
+
+// add records an unanswered dispatch of this entry. Another one that begins before at counts as
+// part of the same failure.
+func (k *streak) add(at, began time.Time, limit int) {
+	if k.count() > 0 && began.Before(k.last) {
+		return
+	}
+	if k.held {
+		k.countTrial(at)
+	}
+	k.trialUntil = time.Time{}
+	k.last = latest(k.last, at)
+	if len(k.own) < limit {
+		k.own = append(k.own, at)
+	}
+	k.hold(limit)
+}
+
+// countTrial counts a dispatch of a held request. The short pauses are over for good once they
+// have taken too long.
+func (k *streak) countTrial(at time.Time) {
+	k.trials++
+	if at.Sub(k.heldAt) > shortPauseTime {
+		k.trials = max(k.trials, shortPauses+1)
+	}
+}
+
+// merge records what a peer has reported.
+func (k *streak) merge(in peerStreak, trials, limit int) {
+	k.trials = max(k.trials, trials)
+	k.last = latest(k.last, in.last)
+	for i := range k.peers {
+		p := &k.peers[i]
+		if p.count != 0 && p.peer != in.peer {
+			continue
+		}
+		if in.count >= p.count || in.since.After(p.last) {
+			*p = in
+		}
+		break
+	}
+	k.hold(limit)
+}
+
+// drop forgets the dispatches from before an answer.
+func (k *streak) drop(answered time.Time, limit int) {
+	k.own = slices.DeleteFunc(k.own, func(at time.Time) bool { return !at.After(answered) })
+	for i := range k.peers {
+		if p := &k.peers[i]; !p.since.After(answered) {
+			*p = peerStreak{}
+		}
+	}
+	switch n := k.count(); {
+	case n == 0:
+		*k = streak{}
+	case n < limit:
+		k.held, k.trials = false, 0
+	}
+}
+
+// FailedDispatch is a dispatch that got no complete response.
+type FailedDispatch struct {
+	Target string // unique to the target's incarnation
+	Stage  Stage
+	Began  time.Time
+	// Silent reports whether the target was silent all the while. Stage may be 0 then, as the
+	// dispatch may still be in flight.
+	Silent bool
+	// Checked reports whether the caller finds out if the target has ended, and then calls
+	// ConfirmCrash or DismissCrash.
+	Checked bool
+}
+
+// RecordFailure records a failed dispatch and reports whether the request is held or in quarantine
+// now. A response that breaks off shows that the target was running this request, and counts as a crash
+// unless the target is checked.
+func (s *Suspects) RecordFailure(now time.Time, fp uint64, d FailedDispatch) bool {
+	if !d.Silent && !d.Stage.MayBeCrash() {
+		return false
+	}
+	if d.Stage == StageCut && !d.Checked {
+		return s.RecordCrash(now, fp, d.Target, d.Began)
+	}
+	if d.Checked && !d.Silent {
+		s.RecordBreak(now, fp, d.Target, d.Began)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.detach(now, fp)
+	at := now
+	if d.Silent {
+		at = d.Began // a dispatch that began later is another failure
+	}
+	x.streak.add(at, d.Began, s.cfg.CrashLimit)
+	if x.lastEvent.IsZero() {
+		x.lastEvent = now
+	}
+	s.insert(x)
+	return x.quarantined
+}
+
+// Hold returns how much longer a request is held; 0 if it isn't, or if it may be sent as a trial,
+// once BeginTrial has reserved that. rank is this entry's rank among those that send trials, from 0.
+// answered is when a request of the same content was last answered, zero if never.
+func (s *Suspects) Hold(now time.Time, fp uint64, rank int, answered time.Time) (remaining time.Duration, trial bool) {
+	if s.size.Load() == 0 {
+		return 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.known(now, fp)
+	if x == nil || !x.streak.held {
+		return 0, false
+	}
+	known := !answered.IsZero() && answered.Before(x.streak.since())
+	next := latest(x.streak.nextTrial(now, rank, known), x.streak.trialUntil)
+	if left := next.Sub(now); left > 0 {
+		return left, false
+	}
+	return 0, true
+}
+
+// BeginTrial reserves the trial of a held request. It reports whether the request may be sent,
+// which is so too if it isn't held any more.
+func (s *Suspects) BeginTrial(now time.Time, fp uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.known(now, fp)
+	if x == nil || !x.streak.held {
+		return true
+	}
+	if now.Before(x.streak.trialUntil) {
+		return false
+	}
+	x.streak.trialUntil = now.Add(trialTimeout)
+	return true
+}
+
+// EndTrial records that a trial has ended. It counts as unanswered if it was dispatched and its
+// result hasn't been recorded.
+func (s *Suspects) EndTrial(now time.Time, fp uint64, dispatched bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.known(now, fp)
+	if x == nil || x.streak.trialUntil.IsZero() {
+		return
+	}
+	x.streak.trialUntil = time.Time{}
+	if dispatched {
+		x.streak.countTrial(now)
+		x.streak.last = now
+	}
+}
+
+// known returns a fingerprint of the table that hasn't expired, or nil.
+func (s *Suspects) known(now time.Time, fp uint64) *suspect {
+	e := s.byFingerprint[fp]
+	if e == nil {
+		return nil
+	}
+	x := e.Value.(*suspect)
+	if s.expired(now, x) {
+		return nil
+	}
+	return x
+}
--- /dev/null
+++ b/pkg/call/streak_test.go
@@ -0,0 +1,227 @@
+package call
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// holdSim simulates entries that get a request in turn and tell each other of it.
+type holdSim struct {
+	entries  []*Suspects
+	now      time.Time
+	answers  func(entry int, now time.Time) bool // whether a dispatch is answered
+	duration time.Duration                       // of a dispatch
+	gossip   time.Duration                       // time between two exchanges of all entries
+	told     time.Time
+	pending  []pendingDispatch
+	sent     []time.Time // dispatches
+	refused  []time.Time
+}
+
+type pendingDispatch struct {
+	entry int
+	began time.Time
+	trial bool
+}
+
+const simPrint = 7
+
+func newHoldSim(entries int, answers func(int, time.Time) bool) *holdSim {
+	s := &holdSim{now: start, told: start, answers: answers, duration: 20 * time.Millisecond, gossip: 100 * time.Millisecond}
+	for range entries {
+		s.entries = append(s.entries, NewSuspects(SuspectsConfig{CrashLimit: 3}))
+	}
+	return s
+}
+
+// send sends the request through an entry.
+func (s *holdSim) send(entry int) {
+	e := s.entries[entry]
+	remaining, trial := e.Hold(s.now, simPrint, entry, e.LastAnswer(s.now, simPrint))
+	if remaining > 0 || trial && !e.BeginTrial(s.now, simPrint) {
+		s.refused = append(s.refused, s.now)
+		return
+	}
+	s.sent = append(s.sent, s.now)
+	s.pending = append(s.pending, pendingDispatch{entry, s.now, trial})
+}
+
+// advance moves the time on.
+func (s *holdSim) advance(d time.Duration) {
+	const step = 10 * time.Millisecond
+	for until := s.now.Add(d); s.now.Before(until); s.now = s.now.Add(step) {
+		var left []pendingDispatch
+		for _, p := range s.pending {
+			if s.now.Sub(p.began) < s.duration {
+				left = append(left, p)
+				continue
+			}
+			s.end(p)
+		}
+		s.pending = left
+		if s.now.Sub(s.told) >= s.gossip {
+			s.told = s.now
+			s.exchange()
+		}
+	}
+}
+
+func (s *holdSim) end(p pendingDispatch) {
+	e := s.entries[p.entry]
+	if s.answers(p.entry, s.now) {
+		e.NoteAnswer(s.now, simPrint)
+		e.RecordResponse(s.now, simPrint)
+	} else {
+		e.RecordFailure(s.now, simPrint, FailedDispatch{Target: strconv.Itoa(len(s.sent)), Stage: StageSent, Began: p.began})
+	}
+	if p.trial {
+		e.EndTrial(s.now, simPrint, true)
+	}
+}
+
+func (s *holdSim) exchange() {
+	for i, from := range s.entries {
+		list := from.Export(s.now, 10)
+		for _, to := range s.entries {
+			if to != from {
+				to.Merge(s.now, strconv.Itoa(i), list)
+			}
+		}
+	}
+}
+
+// lateDispatches returns the number of dispatches later than 3 s after the third.
+func (s *holdSim) lateDispatches() (n int) {
+	for _, at := range s.sent {
+		if at.Sub(s.sent[2]) > 3*time.Second {
+			n++
+		}
+	}
+	return n
+}
+
+func neverAnswered(int, time.Time) bool { return false }
+
+// No target ever answers a request, and nothing shows that targets have ended. Guards against a
+// request that reaches targets without end.
+func TestUnansweredRequest(t *testing.T) {
+	tests := []struct {
+		entries, copies int
+		interval        time.Duration
+	}{
+		{1, 1, 80 * time.Millisecond},
+		{3, 1, 80 * time.Millisecond},
+		{3, 4, 320 * time.Millisecond},
+		{14, 1, 300 * time.Millisecond},
+		{14, 1, 10 * time.Millisecond},
+		{40, 1, 100 * time.Millisecond},
+		{14, 1, 3 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.entries, " entries, ", tt.copies, " copies each ", tt.interval), func(t *testing.T) {
+			s := newHoldSim(tt.entries, neverAnswered)
+			const day = 10 * time.Minute
+			for n := 0; s.now.Sub(start) < day; {
+				for range tt.copies {
+					s.send(n % tt.entries)
+					n++
+				}
+				s.advance(tt.interval)
+			}
+			t.Logf("%d dispatches, %d late", len(s.sent), s.lateDispatches())
+			qt.Assert(t, s.lateDispatches() <= 3, qt.IsTrue, qt.Commentf("%d late", s.lateDispatches()))
+		})
+	}
+}
+
+// All targets lose the connections of a request that they have answered before. Guards against a
+// hold that outlasts the failure of the targets.
+func TestAnsweredRequestIsFreed(t *testing.T) {
+	for _, outage := range []time.Duration{700 * time.Millisecond, 4 * time.Second, time.Minute} {
+		t.Run(outage.String(), func(t *testing.T) {
+			from, to := start.Add(time.Second), start.Add(time.Second+outage)
+			s := newHoldSim(3, func(_ int, now time.Time) bool { return now.Before(from) || !now.Before(to) })
+			for n := 0; s.now.Before(to.Add(4 * time.Second)); n++ {
+				s.send(n % 3)
+				s.advance(15 * time.Millisecond)
+			}
+			for _, at := range s.refused {
+				qt.Assert(t, at.Sub(to) < 2*time.Second, qt.IsTrue, qt.Commentf("refused %v after the failure", at.Sub(to)))
+			}
+		})
+	}
+}
+
+// One entry is cut off from the targets of a request that other entries serve. Guards against its
+// failures holding the request at the others.
+func TestOneEntryHoldsNoRequestOfOthers(t *testing.T) {
+	s := newHoldSim(3, func(entry int, _ time.Time) bool { return entry != 0 })
+	refused := 0
+	for n := 0; s.now.Sub(start) < 20*time.Second; n++ {
+		before := len(s.refused)
+		s.send(n % 3)
+		if n%3 != 0 {
+			refused += len(s.refused) - before
+		}
+		s.advance(15 * time.Millisecond)
+	}
+	qt.Assert(t, refused, qt.Equals, 0)
+}
+
+// A dispatch that a target never answers is recorded at its deadline. Guards against dispatches
+// in flight meanwhile that count as part of it.
+func TestSilentDispatches(t *testing.T) {
+	c := qt.New(t)
+	s := NewSuspects(SuspectsConfig{CrashLimit: 3})
+	for i := range 3 {
+		began := start.Add(time.Duration(i) * 300 * time.Millisecond)
+		s.RecordFailure(began.Add(2*time.Second), simPrint, FailedDispatch{Target: "a", Began: began, Silent: true})
+	}
+	remaining, trial := s.Hold(start.Add(2700*time.Millisecond), simPrint, 3, time.Time{})
+	c.Assert(remaining > 0, qt.IsTrue)
+	c.Assert(trial, qt.IsFalse)
+}
+
+// Guards against two trials at once, against a trial that is reserved for ever, and against trials
+// that are repeated at once when their callers leave.
+func TestTrialReservation(t *testing.T) {
+	c := qt.New(t)
+	s := NewSuspects(SuspectsConfig{CrashLimit: 3})
+	for i := range 3 {
+		s.RecordFailure(at(i), simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i)})
+	}
+	_, trial := s.Hold(at(3), simPrint, 0, time.Time{})
+	c.Assert(trial, qt.IsTrue)
+	c.Assert(s.BeginTrial(at(3), simPrint), qt.IsTrue)
+	c.Assert(s.BeginTrial(at(3), simPrint), qt.IsFalse)
+	_, trial = s.Hold(at(4), simPrint, 0, time.Time{})
+	c.Assert(trial, qt.IsFalse)
+	s.EndTrial(at(4), simPrint, false)
+	_, trial = s.Hold(at(4), simPrint, 0, time.Time{})
+	c.Assert(trial, qt.IsTrue, qt.Commentf("a trial that reached no target"))
+	c.Assert(s.BeginTrial(at(4), simPrint), qt.IsTrue)
+	_, trial = s.Hold(at(5).Add(trialTimeout), simPrint, 0, time.Time{})
+	c.Assert(trial, qt.IsTrue, qt.Commentf("a trial without a result"))
+	s.EndTrial(at(5), simPrint, true)
+	remaining, _ := s.Hold(at(5), simPrint, 0, time.Time{})
+	c.Assert(remaining, qt.Equals, trialPauses[shortPauses+1], qt.Commentf("a trial whose caller has left"))
+}
+
+// Guards against a place of the table that is taken for the answer of another request, and against
+// answers that are remembered for too long.
+func TestAnswers(t *testing.T) {
+	c := qt.New(t)
+	var a answers
+	c.Assert(a.last(start, simPrint).IsZero(), qt.IsTrue)
+	a.note(start, simPrint)
+	c.Assert(a.last(start.Add(time.Second), simPrint), qt.Equals, start)
+	c.Assert(a.last(start, simPrint+1<<40).IsZero(), qt.IsTrue)
+	c.Assert(a.last(start.Add(answerMemory+time.Second), simPrint).IsZero(), qt.IsTrue)
+	const wrap = 1 << 32 * time.Millisecond
+	a.note(start.Add(wrap), simPrint)
+	c.Assert(a.last(start.Add(wrap+time.Second), simPrint), qt.Equals, start.Add(wrap))
+}
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -28,11 +28,15 @@
 }
 
 // Suspect is the record of a fingerprint that entries exchange. Zero crashes mean
-// that a target responded to the request, which clears it.
+// that a target responded to the request, which clears it, unless dispatches were unanswered since.
 type Suspect struct {
 	Fingerprint uint64
 	Crashes     int
 	Age         time.Duration // time since the last crash, or since it was cleared
+	Unanswered  int           // unanswered dispatches in a row; CrashLimit if the request is held
+	Trials      int           // unanswered dispatches since the request is held
+	// Since and Last are the times since the first and the last of the unanswered dispatches.
+	Since, Last time.Duration
 }
 
 // Suspects counts, by request fingerprint, the targets that broke their connection
@@ -46,6 +50,7 @@
 // the fingerprint.
 type Suspects struct {
 	cfg           SuspectsConfig
+	answers       answers
 	size          atomic.Int64
 	mu            sync.Mutex
 	byFingerprint map[uint64]*list.Element
@@ -59,9 +64,12 @@
 	breaks      []connectionBreak
 	lastOwn     time.Time // of the last crash that this entry observed
 	lastEvent   time.Time // of the last crash or clearing
-	quarantined bool
+	proven      bool      // CrashLimit targets have ended
+	quarantined bool      // proven or held
 	cleared     bool
+	exported    bool // other entries may know of it
 	peers       [maxPeers]peerCount
+	streak      streak
 }
 
 // connectionBreak is a connection that a target broke, until it is known whether it crashed.
@@ -156,7 +164,7 @@
 	}
 	x := e.Value.(*suspect)
 	x.takeBreaks(xxhash.Sum64String(target))
-	if len(x.breaks) == 0 && x.crashCount() == 0 && !x.cleared {
+	if len(x.breaks) == 0 && x.crashCount() == 0 && x.streak.count() == 0 && !x.cleared {
 		s.remove(e)
 	}
 }
@@ -209,7 +217,7 @@
 }
 
 // QuarantineRemaining returns the remaining quarantine of a request, or 0 if it isn't in
-// quarantine.
+// quarantine. A held request is in none.
 func (s *Suspects) QuarantineRemaining(now time.Time, fp uint64) time.Duration {
 	if s.size.Load() == 0 {
 		return 0
@@ -221,12 +229,19 @@
 		return 0
 	}
 	x := e.Value.(*suspect)
-	if !x.quarantined {
+	if !x.proven {
 		return 0
 	}
 	return max(s.cfg.Quarantine-now.Sub(x.lastEvent), 0)
 }
 
+// NoteAnswer remembers that a request was answered. Requests that have been are held for shorter
+// times.
+func (s *Suspects) NoteAnswer(now time.Time, fp uint64) { s.answers.note(now, fp) }
+
+// LastAnswer returns when a request was last answered, zero if that is unknown or long ago.
+func (s *Suspects) LastAnswer(now time.Time, fp uint64) time.Time { return s.answers.last(now, fp) }
+
 // RecordResponse clears a fingerprint because a target ran the request and is still alive.
 // It reports whether the fingerprint had crashes.
 func (s *Suspects) RecordResponse(now time.Time, fp uint64) bool {
@@ -239,20 +254,20 @@
 	if e == nil {
 		return false
 	}
-	if x := e.Value.(*suspect); x.cleared {
+	if x := e.Value.(*suspect); x.cleared && x.streak.count() == 0 {
 		x.breaks = nil
 		return false
 	}
 	x := s.detach(now, fp)
-	if x.crashCount() == 0 {
-		return false // only broken connections, which other entries don't know of
+	if x.crashCount() == 0 && !x.exported {
+		return false // only failed dispatches, which other entries don't know of
 	}
 	s.clear(x, now)
 	return true
 }
 
 func (s *Suspects) clear(x *suspect, at time.Time) {
-	*x = suspect{fingerprint: x.fingerprint, cleared: true, lastEvent: at}
+	*x = suspect{fingerprint: x.fingerprint, cleared: true, exported: x.exported, lastEvent: at}
 	s.insert(x)
 }
 
@@ -307,10 +322,13 @@
 }
 
 func (s *Suspects) expired(now time.Time, x *suspect) bool {
-	if x.quarantined {
+	if x.streak.held && now.Sub(x.streak.last) < s.holdTime(x.streak.trials) {
+		return false
+	}
+	if x.proven {
 		return now.Sub(x.lastEvent) >= s.cfg.Quarantine
 	}
-	return now.Sub(x.lastEvent) >= s.cfg.CrashWindow
+	return now.Sub(latest(x.lastEvent, x.streak.last)) >= s.cfg.CrashWindow
 }
 
 func (s *Suspects) remove(e *list.Element) {
@@ -328,7 +346,8 @@
 // oldest one beyond MaxFingerprints. Each list has its own limit, so that many single
 // crashes can't evict a request from quarantine.
 func (s *Suspects) insert(x *suspect) {
-	x.quarantined = x.crashCount() >= s.cfg.CrashLimit
+	x.proven = x.crashCount() >= s.cfg.CrashLimit
+	x.quarantined = x.proven || x.streak.held
 	l := s.watched
 	if x.quarantined {
 		l = s.quarantined
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -95,3 +95,17 @@
 	}
 	return rank
 }
+
+// RankAmong is like Rank, among names.
+func RankAmong(names []string, task, name string) (rank int) {
+	own := score(name, task)
+	for _, n := range names {
+		if s := score(n, task); s > own || s == own && n < name {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Slot returns one of n slots, from 0, that an entry has for a task whatever the others are.
+func Slot(task, name string, n int) int { return int(score(name, task) % uint64(max(n, 1))) }
