gateway: a target that leaves a request unanswered is asked whether it still answers

Cause: a dispatch that ends by its deadline says nothing of its target, so it counted neither as a crash nor as one in a row without a response.

Change: after a second, or at the end of a request that has waited 0.4 s, the target is asked for its health. Silence counts as a dispatch without a response, from its beginning: those that were sent meanwhile are failures of their own. An answer means that the request is slow, and counts for nothing. A refused connection, or another ID, is a crash. Held requests are refused with the reason of quarantined ones.

--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -19,11 +19,11 @@
 	if a.QuarantineRemaining = f.quarantineRemaining(s, now); a.QuarantineRemaining > 0 {
 		return
 	}
-	remaining, trial := f.hold(s, now, q.gateway.view.Load().trialRank(q.service, f.text(), q.gateway.self.Name))
+	remaining, trial := f.hold(s, now, q.gateway.view.Load().trialRank(q.service, f.content, q.gateway.self.Name))
 	if trial && !f.beginTrial(s, now) {
 		remaining = minHold
 	}
-	a.HoldRemaining = remaining
+	a.QuarantineRemaining = remaining
 	q.trial = trial && remaining == 0
 	a.Trial = q.trial
 }
@@ -34,8 +34,8 @@
 // trialRank returns the rank of this entry among those that send trials of a request: first those
 // that callers send requests for the service to, then the others. An isolated entry doesn't know
 // who they are. It takes one of as many ranks as the store has records of entries.
-func (v *view) trialRank(s *service, print, self string) int {
-	task := "trial " + print
+func (v *view) trialRank(s *service, fingerprint uint64, self string) int {
+	task := call.TrialTask(fingerprint)
 	if v.isolated {
 		return owner.Slot(task, self, v.known+1)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"plumpitch.example/plumpitch/internal/forward"
@@ -61,6 +62,8 @@
 	timeout  time.Duration // timeout that was sent to the target
 	cancel   context.CancelFunc
 	response *forward.Response
+	ended    *atomic.Bool // its result has arrived
+	checked  bool         // its target was silent and was asked whether it still answers
 }
 
 // result is the outcome of a dispatch.
@@ -91,7 +94,7 @@
 	}
 	now := time.Now()
 	deadline := q.deadline()
-	expiry := time.NewTimer(deadline.Sub(now))
+	expiry := time.NewTimer(min(deadline.Sub(now), silenceTimeout)) // of the request, or of a silent target
 	defer expiry.Stop()
 	q.hedgeTimer = time.NewTimer(deadline.Sub(now)) // reset when the call starts its hedge timer
 	defer q.hedgeTimer.Stop()
@@ -107,11 +110,20 @@
 		case <-q.hedgeTimer.C:
 			actions = q.call.Hedge(time.Now())
 		case <-expiry.C:
-			actions = q.call.Expire(time.Now())
+			now := time.Now()
+			if left := deadline.Sub(now); left > 0 {
+				actions = call.Actions{}
+				expiry.Reset(min(left, q.checkSilence(now, silenceTimeout)))
+				continue
+			}
+			q.checkSilence(now, minSilence)
+			actions = q.call.Expire(now)
 		case <-q.gateway.giveUp:
 			actions = q.call.Expire(time.Now())
 		case <-q.r.Context().Done():
-			actions = q.call.CallerLeft(time.Now())
+			now := time.Now()
+			q.checkSilence(now, minSilence)
+			actions = q.call.CallerLeft(now)
 		}
 	}
 }
@@ -219,7 +231,7 @@
 	d.id, q.pendingID = q.pendingID, 0
 	d.began = time.Now()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(q.r.Context()))
-	d.cancel = cancel
+	d.cancel, d.ended = cancel, new(atomic.Bool)
 	q.inFlight++
 	q.service.instruments.dispatches.Inc(1)
 	timeout := dispatchTimeout(q.deadline(), d.began)
@@ -255,6 +267,7 @@
 // handleResult handles the outcome of a dispatch.
 func (q *request) handleResult(now time.Time, res result) call.Actions {
 	d := &q.dispatches[res.dispatch]
+	d.ended.Store(true)
 	completion := slot.Completion{ID: d.id, Report: q.gateway.resultReport(d.target.ID, res)}
 	if res.failure == nil && !q.validResponse(res.response) {
 		res.failure = &forward.Failure{Target: d.target.Address, Stage: call.StageInvalid, Status: res.response.Status, Cause: errInvalidResponse, Replayable: true}
@@ -272,7 +285,7 @@
 			held = q.noteBrokenConnection(now, d, f.Stage)
 		}
 		q.logFailure(d, f)
-		return q.call.Fail(now, call.Failed{Dispatch: res.dispatch, Stage: f.Stage, Execution: f.Execution, Replayable: true, Held: held})
+		return q.call.Fail(now, call.Failed{Dispatch: res.dispatch, Stage: f.Stage, Execution: f.Execution, Replayable: true, Quarantined: held})
 	}
 	resp := res.response
 	d.response = resp
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -203,7 +203,7 @@
 func (c *control) suspectRumour(now time.Time, s call.Suspect) member.CrashReport {
 	c.suspectSequence++
 	return member.CrashReport{
-		Fingerprint: s.Fingerprint, Crashes: uint32(s.Crashes), Time: now.Add(-s.Age), Reporter: c.gateway.self.Name, Sequence: c.gateway.self.Boot + c.suspectSequence,
+		Fingerprint: s.Fingerprint, Crashes: uint32(s.Crashes), Time: now.Add(-s.LastEvent()), Reporter: c.gateway.self.Name, Sequence: c.gateway.self.Boot + c.suspectSequence,
 		Unanswered: uint32(s.Unanswered), Trials: uint32(s.Trials), Since: now.Add(-s.Since), Last: now.Add(-s.Last),
 	}
 }
--- a/pkg/call/event.go
+++ b/pkg/call/event.go
@@ -9,8 +9,7 @@
 	Attempt             int           // value of HeaderAttempt
 	Depth               int           // value of HeaderDepth
 	HedgeDelay          time.Duration // delay before a hedge; 0 disables it, as for a body that can be read only once
-	QuarantineRemaining time.Duration // remaining quarantine of the request's fingerprint
-	HoldRemaining       time.Duration // until the request may be sent as a trial
+	QuarantineRemaining time.Duration // remaining quarantine of the request's fingerprint, or time until its next trial
 	Trial               bool          // the request is sent as a trial, to one target only
 }
 
@@ -31,8 +30,7 @@
 	Stage       Stage
 	Execution   Execution
 	Replayable  bool // the request body can be sent again
-	Quarantined bool // the request is now in quarantine for crashing targets
-	Held        bool // the request is held now, since its dispatches get no response
+	Quarantined bool // the request is now in quarantine for crashing targets, or held
 }
 
 // ResponseHead is the event of a target's response head.
--- a/pkg/call/outcome.go
+++ b/pkg/call/outcome.go
@@ -104,7 +104,6 @@
 	ReasonCancelled   Reason = "cancelled"   // the caller disconnected
 	ReasonKey         Reason = "key"         // the request has no key of an account
 	ReasonQuarantined Reason = "quarantined" // the request has crashed targets
-	ReasonHeld        Reason = "held"        // the request got no response from several targets in a row
 	ReasonPanic       Reason = "panic"       // an internal error of plumpitch
 )
 
--- a/pkg/call/step.go
+++ b/pkg/call/step.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Arrive starts the lifecycle. A quarantined, held or expired request is refused.
+// Arrive starts the lifecycle. A quarantined or expired request is refused.
 func (c *Call) Arrive(now time.Time, a Arrival) (acts Actions) {
 	if c.state != Arrived {
 		return acts
@@ -17,8 +17,6 @@
 	switch {
 	case a.QuarantineRemaining > 0:
 		c.finish(&acts, ReasonQuarantined, a.QuarantineRemaining)
-	case a.HoldRemaining > 0:
-		c.finish(&acts, ReasonHeld, a.HoldRemaining)
 	case c.remaining(now) <= 0:
 		c.finish(&acts, ReasonDeadline, 0)
 	default:
@@ -148,7 +146,7 @@
 	if e.Quarantined {
 		c.reason = ReasonQuarantined
 	}
-	retry := e.Replayable && !e.Quarantined && !e.Held && e.Stage.retryable()
+	retry := e.Replayable && !e.Quarantined && e.Stage.retryable()
 	c.retryOrFinish(now, &acts, retry)
 	return acts
 }
--- a/pkg/call/streak.go
+++ b/pkg/call/streak.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -50,6 +51,9 @@
 	holdPauses = 4
 )
 
+// TrialTask names the trials of a request, to rank the entries that send them.
+func TrialTask(fp uint64) string { return "trial " + strconv.FormatUint(fp, 36) }
+
 // longPause returns the pause before the next trial once the short pauses are over.
 func longPause(trials int) time.Duration {
 	return trialPauses[min(max(trials, shortPauses), len(trialPauses)-1)]
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -203,6 +203,14 @@
 	}
 }
 
+// LastEvent returns the time since the last crash, clearing or unanswered dispatch.
+func (s Suspect) LastEvent() time.Duration {
+	if s.Unanswered > 0 {
+		return min(s.Age, s.Last)
+	}
+	return s.Age
+}
+
 // Empty reports whether no request is suspected.
 func (s *Suspects) Empty() bool { return s.size.Load() == 0 }
 
