entry: the own interface holds requests by the same decision as the gateway

Callers saw: a request was refused as quarantined for five minutes after all targets had closed their connections for a moment and none of them had ended.

Cause: internal/entry counted each broken connection as a crash, and had no way back but time. Two rules stood for one question, one in each of internal/entry and internal/gateway.

Change: both record failures by call.Suspects.RecordFailure and ask Hold and BeginTrial. A response that breaks off counts as a crash where no check follows. Answers are announced, reports name their entry, so that counts of several entries add up, refusals clear nothing, and a target that lets a request time out is probed.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -32,6 +32,7 @@
 	timer      *time.Timer
 	response   *openResponse
 	refused    bool
+	trial      bool // the request is held, and sent as a trial
 }
 
 // dispatch is one attempt to have the request served by a target.
@@ -81,18 +82,22 @@
 	if d.inFlight > 0 {
 		go d.discardLateResults()
 	}
+	if d.response == nil {
+		d.endTrial()
+	}
 	return d.response, d.q.withBodyError(d.call.Final())
 }
 
 func (d *dispatcher) arrival() call.Arrival {
 	q := d.q
 	a := call.Arrival{
-		Deadline:            q.deadline,
-		Idempotent:          q.idempotent(),
-		Attempt:             q.header.Attempt,
-		Depth:               q.header.Depth,
-		QuarantineRemaining: d.entry.suspects.QuarantineRemaining(q.arrived, q.fingerprint()),
+		Deadline:   q.deadline,
+		Idempotent: q.idempotent(),
+		Attempt:    q.header.Attempt,
+		Depth:      q.header.Depth,
 	}
+	a.QuarantineRemaining, a.Trial = d.entry.checkSuspicion(q.arrived, q.fingerprint())
+	d.trial = a.Trial
 	if q.policy.Hedge && q.stream == nil && a.Idempotent {
 		a.HedgeDelay = q.policy.HedgeAfter
 		d.results = make(chan dispatchResult, call.MaxDispatches)
@@ -276,12 +281,12 @@
 		sent.ticket.done(now, d.outcomeOfFailure(r.failure.Stage), pool.Load{})
 		return d.call.Fail(now, call.Failed{
 			Dispatch: r.index, Stage: r.failure.Stage, Execution: r.failure.Execution, Replayable: replay,
-			Quarantined: d.recordCrash(now, r.failure, sent.started),
+			Quarantined: d.recordFailure(now, r.failure, sent.started),
 		})
 	}
 	sent.response = r.response
-	if r.response.Body == nil {
-		d.entry.suspects.RecordResponse(now, d.q.fingerprint())
+	if r.response.Body == nil && !r.response.Load.Shed {
+		d.entry.recordAnswer(now, d.q.fingerprint())
 	}
 	return d.call.ReceiveHead(now, call.ResponseHead{Dispatch: r.index, Status: r.response.Status, Shed: r.response.Load.Shed, Replayable: replay})
 }
@@ -296,13 +301,25 @@
 	return outcomeOfStage(s)
 }
 
-// recordCrash records a failure that may be a crash of the target, announces it
-// to the peers and reports whether the request is quarantined.
-func (d *dispatcher) recordCrash(now time.Time, f *forward.Failure, began time.Time) bool {
+// recordFailure records a failure that may be a crash of the target, announces it
+// to the peers and reports whether the request is quarantined or held.
+func (d *dispatcher) recordFailure(now time.Time, f *forward.Failure, began time.Time) bool {
+	failed := call.FailedDispatch{Target: f.Target, Stage: f.Stage, Began: began}
+	if f.Stage == call.StageTimeout {
+		go d.entry.recordIfSilent(d.q.fingerprint(), d.q.policy.ProbePath, failed)
+		return false
+	}
 	if !f.Stage.MayBeCrash() {
 		return false
 	}
-	quarantined := d.entry.suspects.RecordCrash(now, d.q.fingerprint(), f.Target, began)
+	quarantined := d.entry.suspects.RecordFailure(now, d.q.fingerprint(), failed)
 	go d.entry.announceSuspect(d.q.fingerprint())
 	return quarantined
 }
+
+// endTrial ends the trial of a held request.
+func (d *dispatcher) endTrial() {
+	if d.trial {
+		d.entry.suspects.EndTrial(time.Now(), d.q.fingerprint(), d.call.Outcome() != call.NotRun)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,9 +58,11 @@
 	snapshot atomic.Pointer[snapshot]
 	forward  *forward.Forwarder
 	suspects *call.Suspects
-	prober   *prober
-	metrics  metrics.Metrics
-	tracing  tracing
+	// suspectReports numbers the reports of suspects, in growing order over all incarnations.
+	suspectReports atomic.Uint64
+	prober         *prober
+	metrics        metrics.Metrics
+	tracing        tracing
 
 	store    *store.Client
 	control  *control
@@ -91,6 +93,7 @@
 		prober:           newProber(),
 		suspects:         call.NewSuspects(call.SuspectsConfig{}),
 	}
+	e.suspectReports.Store(cfg.Boot)
 	e.snapshot.Store(&snapshot{})
 	e.skipTargetResponses = cfg.File.Level != "debug"
 	if e.tracing, err = newTracing(cfg.File.Trace, cfg.TraceOutput); err != nil {
--- a/internal/entry/release.go
+++ b/internal/entry/release.go
@@ -93,10 +93,11 @@
 	outcome := outcomeOfStatus(o.response.Status)
 	if f != nil {
 		outcome = outcomeOfStage(f.Stage)
-		o.dispatcher.recordCrash(now, f, o.dispatchedAt)
+		o.dispatcher.recordFailure(now, f, o.dispatchedAt)
 	} else if o.response.Body != nil {
-		o.dispatcher.entry.suspects.RecordResponse(now, o.dispatcher.q.fingerprint())
+		o.dispatcher.entry.recordAnswer(now, o.dispatcher.q.fingerprint())
 	}
+	o.dispatcher.endTrial()
 	o.finished = true
 	o.ticket.done(now, outcome, poolLoad(o.response.Load))
 }
@@ -109,6 +110,7 @@
 		return
 	}
 	o.finished = true
+	o.dispatcher.endTrial()
 	o.response.Close()
 	o.ticket.done(time.Now(), pool.ConnectionLost, pool.Load{})
 }
--- /dev/null
+++ b/internal/entry/suspicion.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/owner"
+)
+
+// checkSuspicion returns how much longer a request is in quarantine or held, or whether it may be
+// sent as a trial, which is then reserved.
+func (e *Entry) checkSuspicion(now time.Time, fingerprint uint64) (remaining time.Duration, trial bool) {
+	s := e.suspects
+	if s.Empty() {
+		return 0, false
+	}
+	if remaining = s.QuarantineRemaining(now, fingerprint); remaining > 0 {
+		return remaining, false
+	}
+	remaining, trial = s.Hold(now, fingerprint, e.trialRank(fingerprint), s.LastAnswer(now, fingerprint))
+	if trial && !s.BeginTrial(now, fingerprint) {
+		return minHold, false
+	}
+	return remaining, trial
+}
+
+// minHold is when a caller may return whose request found another one's trial in progress.
+const minHold = 250 * time.Millisecond
+
+// trialRank returns the rank of this entry among those that send trials of a request.
+func (e *Entry) trialRank(fingerprint uint64) int {
+	var names []string
+	for _, m := range e.members.Serving() {
+		names = append(names, m.ID.Name)
+	}
+	return owner.RankAmong(names, call.TrialTask(fingerprint), e.cfg.File.Name)
+}
+
+// recordAnswer records that a target has answered a request.
+func (e *Entry) recordAnswer(now time.Time, fingerprint uint64) {
+	e.suspects.NoteAnswer(now, fingerprint)
+	if e.suspects.RecordResponse(now, fingerprint) {
+		go e.announceSuspect(fingerprint)
+	}
+}
+
+// silenceCheckTimeout bounds the probe of a target that has left a request unanswered.
+const silenceCheckTimeout = 300 * time.Millisecond
+
+// recordIfSilent records a dispatch that has timed out as unanswered, if its target answers no
+// probe either.
+func (e *Entry) recordIfSilent(fingerprint uint64, probePath string, d call.FailedDispatch) {
+	ctx, cancel := context.WithTimeout(context.Background(), silenceCheckTimeout)
+	defer cancel()
+	if _, ok := e.prober.send(ctx, "http://"+d.Target+probePath); ok {
+		return
+	}
+	d.Silent = true
+	e.suspects.RecordFailure(time.Now(), fingerprint, d)
+	e.announceSuspect(fingerprint)
+}
