--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,7 +66,11 @@
 	}
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSeed(t, seed, largeSite(), *faultTime) })
+		p := largeSite()
+		for _, e := range targetEnds {
+			p.ends = append(p.ends, e.end)
+		}
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSeed(t, seed, p, *faultTime) })
 	}
 }
 
