call: a hold goes by dispatches in a row, and by trials that were sent as trials

Cause, from the refusals' Retry-After (3,596 s): silent dispatches are recorded a second after they began. Answers that came meanwhile had cleared nothing yet, and each dispatch from before the hold counted as a failed trial. The fingerprint with headers, which has no memory of answers, took both.

Change: a silent dispatch counts only if no answer came since it began; only dispatches that were sent as trials count as such. Where a request of the same content was answered since the first failure, an entry holds one with its headers by its own dispatches alone, as a peer that is cut off reports sound ones too. A clearing is announced at once, and a caller who finds a trial in progress is told to return soon.

TestLateRecords and TestPeerHoldsNoRequestByHeaders failed before.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -304,7 +304,7 @@
 // recordFailure records a failure that may be a crash of the target, announces it
 // to the peers and reports whether the request is quarantined or held.
 func (d *dispatcher) recordFailure(now time.Time, f *forward.Failure, began time.Time) bool {
-	failed := call.FailedDispatch{Target: f.Target, Stage: f.Stage, Began: began}
+	failed := call.FailedDispatch{Target: f.Target, Stage: f.Stage, Began: began, Trial: d.trial}
 	if f.Stage == call.StageTimeout {
 		go d.entry.recordIfSilent(d.q.fingerprint(), d.q.policy.ProbePath, failed)
 		return false
--- a/internal/entry/suspicion.go
+++ b/internal/entry/suspicion.go
@@ -56,7 +56,8 @@
 	if _, ok := e.prober.send(ctx, "http://"+d.Target+probePath); ok {
 		return
 	}
-	d.Silent = true
-	e.suspects.RecordFailure(time.Now(), fingerprint, d)
+	now := time.Now()
+	d.Silent, d.Answered = true, e.suspects.LastAnswer(now, fingerprint)
+	e.suspects.RecordFailure(now, fingerprint, d)
 	e.announceSuspect(fingerprint)
 }
--- a/internal/gateway/crash_ending_test.go
+++ b/internal/gateway/crash_ending_test.go
@@ -47,6 +47,31 @@
 	}
 }
 
+// A request with one header crashes its targets, whose ports go on accepting connections, and every
+// second one of the same content is sound. Guards against sound requests that free a crashing one.
+func TestCrashingHeaderByEnding(t *testing.T) {
+	t.Parallel()
+	const name, crashing = "X-Layout", "broken"
+	w := newCrashWorld(t, worldConfig{targets: 12}, func(r *http.Request) worker.Fault {
+		return worker.Fault{Crash: r.Header.Get(name) == crashing}
+	})
+	w.ending, w.recordTime = worker.Accepting, 4500*time.Millisecond
+	entries := startEntries(w.world, 3)
+	callers := callersFrom(40)
+	for i := range 120 {
+		value := crashing
+		if i%2 == 0 {
+			value = "plain"
+		}
+		entries[i%len(entries)].callFrom(callers[i%len(callers)], fmt.Sprint("h-", i), popularPath, name, value)
+		time.Sleep(60 * time.Millisecond)
+	}
+	all, late := w.endCounts()
+	t.Logf("%d targets ended, %d late", all, late)
+	w.c.Assert(late <= maxLateCrashes, qt.IsTrue, qt.Commentf("%d late of %d", late, all))
+	w.c.Assert(entries[0].callFrom(callers[0], "sound", popularPath, name, "plain").status, qt.Equals, http.StatusOK)
+}
+
 // Targets restart at once at their address under their ID when a request crashes them. Guards
 // against a check that takes the new process for the old one.
 func TestCrashingRequestRestartsTargets(t *testing.T) {
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -116,7 +116,7 @@
 // the background whether it has ended. It reports whether the request is held now.
 func (q *request) noteBrokenConnection(now time.Time, d *dispatch, stage call.Stage) (held bool) {
 	held = q.fingerprints().recordFailure(q.gateway.suspects, now, call.FailedDispatch{
-		Target: d.target.Incarnation(), Stage: stage, Began: d.began, Checked: true,
+		Target: d.target.Incarnation(), Stage: stage, Began: d.began, Trial: q.trial, Checked: true,
 	})
 	if held {
 		q.gateway.control.announceSoon()
--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -108,6 +108,7 @@
 
 // recordFailure records a failed dispatch, and reports whether the request is held now.
 func (f fingerprints) recordFailure(s *call.Suspects, now time.Time, d call.FailedDispatch) (held bool) {
+	d.Answered = s.LastAnswer(now, f.content)
 	held = s.RecordFailure(now, f.content, d)
 	return s.RecordFailure(now, f.headers, d) || held
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -312,6 +312,7 @@
 func (q *request) clearSuspicion(now time.Time, d *dispatch, status int) {
 	q.gateway.suspects.NoteAnswer(now, q.contentFingerprint())
 	if !q.gateway.suspects.Empty() && q.fingerprints().recordResponse(q.gateway.suspects, now) {
+		q.gateway.control.announceSoon()
 		q.logCleared(d, status)
 	}
 }
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		d.checked = true
-		s := silentDispatch{gateway: q.gateway, service: q.service, request: q.id, prints: q.fingerprints(), target: d.target, began: d.began, ended: d.ended}
+		s := silentDispatch{gateway: q.gateway, service: q.service, request: q.id, prints: q.fingerprints(), target: d.target, began: d.began, trial: q.trial, ended: d.ended}
 		go s.resolve()
 	}
 	return next
@@ -51,6 +51,7 @@
 	prints  fingerprints
 	target  slot.Target
 	began   time.Time
+	trial   bool
 	ended   *atomic.Bool // its result has arrived
 }
 
@@ -65,7 +66,7 @@
 	if state == targetEnded {
 		s.service.instruments.crashes.Inc(1)
 	}
-	if s.prints.recordSilence(g.suspects, time.Now(), incarnation, s.began, state) {
+	if s.record(time.Now(), incarnation, state) {
 		g.control.announceSoon()
 	}
 	g.log.WithFields(log.Fields{
@@ -91,12 +92,12 @@
 	return targetLives
 }
 
-// recordSilence records a dispatch that its target has left unanswered, and reports whether the
-// request is held or in quarantine now.
-func (f fingerprints) recordSilence(s *call.Suspects, now time.Time, target string, began time.Time, state targetState) (held bool) {
+// record records the dispatch, and reports whether the request is held or in quarantine now.
+func (s silentDispatch) record(now time.Time, incarnation string, state targetState) (held bool) {
+	suspects := s.gateway.suspects
 	if state == targetEnded {
-		quarantined := s.RecordCrash(now, f.content, target, began)
-		return s.RecordCrash(now, f.headers, target, began) || quarantined
+		quarantined := suspects.RecordCrash(now, s.prints.content, incarnation, s.began)
+		return suspects.RecordCrash(now, s.prints.headers, incarnation, s.began) || quarantined
 	}
-	return f.recordFailure(s, now, call.FailedDispatch{Target: target, Began: began, Silent: true})
+	return s.prints.recordFailure(suspects, now, call.FailedDispatch{Target: incarnation, Began: s.began, Silent: true, Trial: s.trial})
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -123,6 +123,9 @@
 			suspect.Unanswered, suspect.Trials = int(s.Unanswered), int(s.Trials)
 			suspect.Since, suspect.Last = now.Sub(s.Since), now.Sub(s.Last)
 		}
+		if heldOrQuarantined(suspect) {
+			c.announcedSuspects[s.Fingerprint] = announcedOf(suspect)
+		}
 		c.gateway.suspects.Merge(now, s.Reporter, []call.Suspect{suspect})
 	}
 }
--- a/pkg/call/streak.go
+++ b/pkg/call/streak.go
@@ -11,13 +11,14 @@
 // gets one trial at a time, after growing pauses, until one is answered. This needs no proof that a
 // target has ended, and frees a request whose targets have only lost connections.
 type streak struct {
-	own        []time.Time // of the unanswered dispatches at this entry, at most CrashLimit
-	peers      [maxPeers]peerStreak
-	held       bool      // there were CrashLimit of them
-	heldAt     time.Time // of the last of these, at the latest
-	trials     int       // unanswered dispatches since then
-	last       time.Time // of the last unanswered dispatch, at any entry
-	trialUntil time.Time // until then a trial of this entry may be in flight
+	own        []time.Time  // of the unanswered dispatches at this entry, at most CrashLimit
+	peers      []peerStreak // at most maxPeers
+	held       bool         // there were CrashLimit of them
+	heldAt     time.Time    // of the last of these, at the latest
+	trials     int          // unanswered trials
+	ownTrials  int          // those of this entry
+	last       time.Time    // of the last unanswered dispatch, at any entry
+	trialUntil time.Time    // until then a trial of this entry may be in flight
 }
 
 // peerStreak is what a peer has reported of its unanswered dispatches.
@@ -59,17 +60,17 @@
 	return trialPauses[min(max(trials, shortPauses), len(trialPauses)-1)]
 }
 
-// nextTrial returns when the entry of a rank may send the next trial. answered is whether targets have
-// answered the request before.
-func (k *streak) nextTrial(now time.Time, rank int, answered bool) time.Time {
+// nextTrial returns when the entry of a rank may send the next trial, after so many unanswered ones.
+// answered is whether targets have answered the request before.
+func (k *streak) nextTrial(now time.Time, rank, trials int, answered bool) time.Time {
 	ranked := k.last.Add(time.Duration(rank) * rankPause)
 	switch {
 	case answered:
-		return ranked.Add(min(trialPauses[min(k.trials, shortPauses)], maxAnsweredPause))
-	case k.trials < shortPauses && now.Sub(k.heldAt) <= shortPauseTime:
-		return ranked.Add(trialPauses[k.trials])
+		return ranked.Add(min(trialPauses[min(trials, shortPauses)], maxAnsweredPause))
+	case trials < shortPauses && now.Sub(k.heldAt) <= shortPauseTime:
+		return ranked.Add(trialPauses[trials])
 	}
-	return ranked.Add(longPause(k.trials))
+	return ranked.Add(longPause(trials))
 }
 
 // hold makes the request held if it has had limit unanswered dispatches.
@@ -99,11 +100,9 @@
 		entries++
 	}
 	for _, p := range k.peers {
-		if p.count > 0 {
-			n += p.count
-			last[entries] = p.last
-			entries++
-		}
+		n += p.count
+		last[entries] = p.last
+		entries++
 	}
 	return n - repeated(last[:entries])
 }
@@ -114,23 +113,23 @@
 		t = k.own[0]
 	}
 	for _, p := range k.peers {
-		if p.count > 0 && (t.IsZero() || p.since.Before(t)) {
+		if t.IsZero() || p.since.Before(t) {
 			t = p.since
 		}
 	}
 	return t
 }
 
-// add records an unanswered dispatch of this entry. Another one that begins before at counts as
-// part of the same failure.
-func (k *streak) add(at, began time.Time, limit int) {
+// add records an unanswered dispatch of this entry, maybe a trial. Another one that begins before
+// at counts as part of the same failure.
+func (k *streak) add(at, began time.Time, trial bool, limit int) {
 	if k.count() > 0 && began.Before(k.last) {
 		return
 	}
-	if k.held {
+	if trial && k.held {
 		k.countTrial(at)
+		k.trialUntil = time.Time{}
 	}
-	k.trialUntil = time.Time{}
 	k.last = latest(k.last, at)
 	if len(k.own) < limit {
 		k.own = append(k.own, at)
@@ -138,9 +137,10 @@
 	k.hold(limit)
 }
 
-// countTrial counts a dispatch of a held request. The short pauses are over for good once they
+// countTrial counts a trial. The short pauses are over for good once they
 // have taken too long.
 func (k *streak) countTrial(at time.Time) {
+	k.ownTrials++
 	k.trials++
 	if at.Sub(k.heldAt) > shortPauseTime {
 		k.trials = max(k.trials, shortPauses+1)
@@ -151,15 +151,12 @@
 func (k *streak) merge(in peerStreak, trials, limit int) {
 	k.trials = max(k.trials, trials)
 	k.last = latest(k.last, in.last)
-	for i := range k.peers {
-		p := &k.peers[i]
-		if p.count != 0 && p.peer != in.peer {
-			continue
-		}
-		if in.count >= p.count || in.since.After(p.last) {
-			*p = in
-		}
-		break
+	i := slices.IndexFunc(k.peers, func(p peerStreak) bool { return p.peer == in.peer })
+	switch {
+	case i < 0 && len(k.peers) < maxPeers:
+		k.peers = append(k.peers, in)
+	case i >= 0 && (in.count >= k.peers[i].count || in.since.After(k.peers[i].last)):
+		k.peers[i] = in
 	}
 	k.hold(limit)
 }
@@ -167,11 +164,7 @@
 // drop forgets the dispatches from before an answer.
 func (k *streak) drop(answered time.Time, limit int) {
 	k.own = slices.DeleteFunc(k.own, func(at time.Time) bool { return !at.After(answered) })
-	for i := range k.peers {
-		if p := &k.peers[i]; !p.since.After(answered) {
-			*p = peerStreak{}
-		}
-	}
+	k.peers = slices.DeleteFunc(k.peers, func(p peerStreak) bool { return !p.since.After(answered) })
 	switch n := k.count(); {
 	case n == 0:
 		*k = streak{}
@@ -188,6 +181,10 @@
 	// Silent reports whether the target was silent all the while. Stage may be 0 then, as the
 	// dispatch may still be in flight.
 	Silent bool
+	// Trial reports whether the request was held, and sent as a trial.
+	Trial bool
+	// Answered is when a request of the same content was last answered, zero if never.
+	Answered time.Time
 	// Checked reports whether the caller finds out if the target has ended, and then calls
 	// ConfirmCrash or DismissCrash.
 	Checked bool
@@ -200,6 +197,9 @@
 	if !d.Silent && !d.Stage.MayBeCrash() {
 		return false
 	}
+	if d.Silent && d.Answered.After(d.Began) {
+		return false // it is noticed late, and an answer has come since
+	}
 	if d.Stage == StageCut && !d.Checked {
 		return s.RecordCrash(now, fp, d.Target, d.Began)
 	}
@@ -213,7 +213,7 @@
 	if d.Silent {
 		at = d.Began // a dispatch that began later is another failure
 	}
-	x.streak.add(at, d.Began, s.cfg.CrashLimit)
+	x.streak.add(at, d.Began, d.Trial, s.cfg.CrashLimit)
 	if x.lastEvent.IsZero() {
 		x.lastEvent = now
 	}
@@ -223,7 +223,9 @@
 
 // Hold returns how much longer a request is held; 0 if it isn't, or if it may be sent as a trial,
 // once BeginTrial has reserved that. rank is this entry's rank among those that send trials, from 0.
-// answered is when a request of the same content was last answered, zero if never.
+// answered is when a request of the same content was last answered, zero if never. If that was since
+// the first unanswered dispatch, only requests with other headers may be sound: then this entry
+// goes by its own dispatches, as peers that are cut off from targets report sound ones too.
 func (s *Suspects) Hold(now time.Time, fp uint64, rank int, answered time.Time) (remaining time.Duration, trial bool) {
 	if s.size.Load() == 0 {
 		return 0, false
@@ -234,11 +236,20 @@
 	if x == nil || !x.streak.held {
 		return 0, false
 	}
-	known := !answered.IsZero() && answered.Before(x.streak.since())
-	next := latest(x.streak.nextTrial(now, rank, known), x.streak.trialUntil)
-	if left := next.Sub(now); left > 0 {
+	trials, since := x.streak.trials, x.streak.since()
+	if answered.After(since) {
+		if len(x.streak.own) < s.cfg.CrashLimit {
+			return 0, false
+		}
+		rank, trials = 0, x.streak.ownTrials
+	}
+	known := !answered.IsZero() && answered.Before(since)
+	if left := x.streak.nextTrial(now, rank, trials, known).Sub(now); left > 0 {
 		return left, false
 	}
+	if now.Before(x.streak.trialUntil) {
+		return trialPauses[0], false // a trial is in progress, and its result may come at any moment
+	}
 	return 0, true
 }
 
--- a/pkg/call/streak_test.go
+++ b/pkg/call/streak_test.go
@@ -76,7 +76,7 @@
 		e.NoteAnswer(s.now, simPrint)
 		e.RecordResponse(s.now, simPrint)
 	} else {
-		e.RecordFailure(s.now, simPrint, FailedDispatch{Target: strconv.Itoa(len(s.sent)), Stage: StageSent, Began: p.began})
+		e.RecordFailure(s.now, simPrint, FailedDispatch{Target: strconv.Itoa(len(s.sent)), Stage: StageSent, Began: p.began, Trial: p.trial})
 	}
 	if p.trial {
 		e.EndTrial(s.now, simPrint, true)
@@ -172,6 +172,29 @@
 	qt.Assert(t, refused, qt.Equals, 0)
 }
 
+// A peer reports a request as held, and this entry has had an answer to one with the same content
+// and maybe the same headers. Guards against a hold by way of the headers' fingerprint.
+func TestPeerHoldsNoRequestByHeaders(t *testing.T) {
+	c := qt.New(t)
+	cut, sound := NewSuspects(SuspectsConfig{CrashLimit: 3}), NewSuspects(SuspectsConfig{CrashLimit: 3})
+	const headers = simPrint + 1
+	for i := range 6 {
+		cut.RecordFailure(at(i), headers, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i)})
+	}
+	sound.NoteAnswer(at(3), simPrint)
+	sound.Merge(at(6), "cut", cut.Export(at(6), 10))
+	remaining, trial := sound.Hold(at(6), headers, 0, sound.LastAnswer(at(6), simPrint))
+	c.Assert(remaining, qt.Equals, time.Duration(0))
+	c.Assert(trial, qt.IsFalse)
+	for i := 7; i < 10; i++ {
+		remaining, _ = sound.Hold(at(i), headers, 0, sound.LastAnswer(at(i), simPrint))
+		c.Assert(remaining, qt.Equals, time.Duration(0))
+		sound.RecordFailure(at(i), headers, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i)})
+	}
+	remaining, _ = sound.Hold(at(9), headers, 0, sound.LastAnswer(at(9), simPrint))
+	c.Assert(remaining > 0, qt.IsTrue, qt.Commentf("failures of its own"))
+}
+
 // A dispatch that a target never answers is recorded at its deadline. Guards against dispatches
 // in flight meanwhile that count as part of it.
 func TestSilentDispatches(t *testing.T) {
@@ -186,6 +209,26 @@
 	c.Assert(trial, qt.IsFalse)
 }
 
+// Silent dispatches are recorded long after they began. Guards against those that began before the
+// request was held, or before an answer, that lengthen the hold.
+func TestLateRecords(t *testing.T) {
+	c := qt.New(t)
+	s := NewSuspects(SuspectsConfig{CrashLimit: 3})
+	for i := range 50 {
+		began := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		s.RecordFailure(began.Add(time.Second), simPrint, FailedDispatch{Target: "a", Began: began, Silent: true})
+	}
+	_, trial := s.Hold(at(2), simPrint, 0, time.Time{})
+	c.Assert(trial, qt.IsTrue)
+	s = NewSuspects(SuspectsConfig{CrashLimit: 3})
+	for i := range 3 {
+		s.RecordFailure(at(5), simPrint, FailedDispatch{Target: "a", Began: at(i), Silent: true, Answered: at(4)})
+	}
+	remaining, trial := s.Hold(at(5), simPrint, 0, at(4))
+	c.Assert(remaining, qt.Equals, time.Duration(0))
+	c.Assert(trial, qt.IsFalse)
+}
+
 // Guards against two trials at once, against a trial that is reserved for ever, and against trials
 // that are repeated at once when their callers leave.
 func TestTrialReservation(t *testing.T) {
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -34,7 +34,7 @@
 	Crashes     int
 	Age         time.Duration // time since the last crash, or since it was cleared
 	Unanswered  int           // unanswered dispatches in a row; CrashLimit if the request is held
-	Trials      int           // unanswered dispatches since the request is held
+	Trials      int           // unanswered trials since the request is held
 	// Since and Last are the times since the first and the last of the unanswered dispatches.
 	Since, Last time.Duration
 }
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -41,7 +41,7 @@
 	Crashes     uint32 // targets that it has crashed
 	Time        time.Time
 	// Unanswered is the number of its dispatches in a row that got no response, from Since to Last, and
-	// Trials how many of them it got since it is held.
+	// Trials the number of those since it is held.
 	Unanswered, Trials uint32
 	Since, Last        time.Time
 	// Reporter is the entry that observed the crashes; each entry counts only its own
