--- a/pkg/call/call_test.go
+++ b/pkg/call/call_test.go
@@ -125,6 +125,8 @@
 			{3, Decline{Reason: ReasonOverload}},
 		}, "refuse", GivenUp, Unknown, ReasonReset},
 		{"idempotent, reset, quarantined", []step{{0, idempotent}, {0, Choice{"a"}}, {1, Failed{Stage: StageSent, Replayable: true, Quarantined: true}}}, "refuse", GivenUp, Unknown, ReasonQuarantined},
+		{"trial, reset", []step{{0, Arrival{Deadline: deadline, Idempotent: true, Trial: true}}, {0, Choice{"a"}}, {1, mayHaveRun(0, StageSent)}}, "refuse", GivenUp, Unknown, ReasonReset},
+		{"trial, slow", []step{{0, Arrival{Deadline: deadline, Idempotent: true, Trial: true, HedgeDelay: 10 * time.Millisecond}}, {0, Choice{"a"}}, {20, hedge{}}}, "", Dispatched, Unknown, ""},
 		{"idempotent, unavailable", []step{{0, idempotent}, {0, Choice{"a"}}, {1, ResponseHead{Status: 503, Replayable: true}}}, "cancel acquire", Queued, Unknown, ""},
 		{"hedge wins", []step{{0, idempotent}, {0, Choice{"a"}}, {10, hedge{}}, {10, Choice{"b"}}, {12, ResponseHead{Dispatch: 1, Status: 200}}}, "cancel answer", Answered, Ran, ""},
 		{"hedge loses", []step{{0, idempotent}, {0, Choice{"a"}}, {10, hedge{}}, {10, Choice{"b"}}, {12, ResponseHead{Status: 200}}, {13, ResponseHead{Dispatch: 1, Status: 200}}}, "cancel", Answered, Ran, ""},
--- a/pkg/call/streak_test.go
+++ b/pkg/call/streak_test.go
@@ -195,6 +195,37 @@
 	c.Assert(remaining > 0, qt.IsTrue, qt.Commentf("failures of its own"))
 }
 
+// A peer reports a request that this entry has answers to since. Guards against entries without
+// answers of their own that go on holding it.
+func TestAnswerIsToldToOthers(t *testing.T) {
+	c := qt.New(t)
+	cut, sound, other := NewSuspects(SuspectsConfig{CrashLimit: 3}), NewSuspects(SuspectsConfig{CrashLimit: 3}), NewSuspects(SuspectsConfig{CrashLimit: 3})
+	for i := range 3 {
+		cut.RecordFailure(at(i), simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i)})
+	}
+	sound.NoteAnswer(at(1), simPrint)
+	for _, s := range []*Suspects{sound, other} {
+		s.Merge(at(2), "cut", cut.Export(at(2), 10))
+	}
+	remaining, _ := other.Hold(at(2), simPrint, 0, time.Time{})
+	c.Assert(remaining > 0, qt.IsTrue)
+	other.Merge(at(2), "sound", sound.Export(at(2), 10))
+	remaining, _ = other.Hold(at(2), simPrint, 0, time.Time{})
+	c.Assert(remaining, qt.Equals, time.Duration(0))
+}
+
+// All targets break their connections at once. Guards against a hold of a request that had several
+// dispatches in flight.
+func TestSimultaneousFailures(t *testing.T) {
+	s := NewSuspects(SuspectsConfig{CrashLimit: 3})
+	for i := range 5 {
+		s.RecordFailure(at(5), simPrint, FailedDispatch{Target: strconv.Itoa(i), Stage: StageSent, Began: at(i)})
+	}
+	remaining, trial := s.Hold(at(5), simPrint, 0, time.Time{})
+	qt.Assert(t, remaining, qt.Equals, time.Duration(0))
+	qt.Assert(t, trial, qt.IsFalse)
+}
+
 // A dispatch that a target never answers is recorded at its deadline. Guards against dispatches
 // in flight meanwhile that count as part of it.
 func TestSilentDispatches(t *testing.T) {
@@ -237,6 +268,8 @@
 	for i := range 3 {
 		s.RecordFailure(at(i), simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i)})
 	}
+	remaining, _ := s.Hold(at(7), simPrint, 0, time.Time{})
+	c.Assert(remaining, qt.Equals, 3*time.Second, qt.Commentf("the time of short pauses is over"))
 	_, trial := s.Hold(at(3), simPrint, 0, time.Time{})
 	c.Assert(trial, qt.IsTrue)
 	c.Assert(s.BeginTrial(at(3), simPrint), qt.IsTrue)
@@ -250,7 +283,7 @@
 	_, trial = s.Hold(at(5).Add(trialTimeout), simPrint, 0, time.Time{})
 	c.Assert(trial, qt.IsTrue, qt.Commentf("a trial without a result"))
 	s.EndTrial(at(5), simPrint, true)
-	remaining, _ := s.Hold(at(5), simPrint, 0, time.Time{})
+	remaining, _ = s.Hold(at(5), simPrint, 0, time.Time{})
 	c.Assert(remaining, qt.Equals, trialPauses[shortPauses+1], qt.Commentf("a trial whose caller has left"))
 }
 
