gateway: a response that breaks off while it is forwarded counts as a failed dispatch

Callers saw: a request whose targets crash in the middle of a response of over 1 MB went on to one target after the other: 20 of 20 runs.

Cause: such a response has been chosen already when it breaks off, and only failures before that were recorded. internal/entry records both.

Change: the failure is recorded as that of any broken connection. The stand-in of a target sends bodies of a given length for it.

--- a/internal/gateway/crash_ending_test.go
+++ b/internal/gateway/crash_ending_test.go
@@ -128,6 +128,23 @@
 	}
 }
 
+// A request breaks its connection in the middle of a response that is longer than what is read before
+// it's forwarded. Guards against a crash that comes after the beginning of the response.
+func TestCrashInForwardedResponse(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, worldConfig{targets: 8})
+	for _, k := range w.workers {
+		k.SetFaults(func(*http.Request) worker.Fault { return worker.Fault{Cut: true, Length: 2 * maxBufferedResponse} })
+	}
+	e := w.startEntry("a").waitReady()
+	for range 20 {
+		e.call("GET", crashPath, "")
+	}
+	runs := w.arrivals()
+	w.c.Assert(runs <= 2*crashLimit, qt.IsTrue, qt.Commentf("%d runs", runs))
+	w.c.Assert(e.call("GET", crashPath, "").status, qt.Equals, http.StatusServiceUnavailable)
+}
+
 // Targets lose all connections for a while, health checks too, and none of them ends. Guards
 // against a quarantine of a request that many callers send.
 func TestPopularRequestOutlivesSilentTargets(t *testing.T) {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -56,6 +56,9 @@
 	}
 	forward.Copy(q.w, resp, func(f *forward.Failure) {
 		if f != nil {
+			if f.Stage.MayBeCrash() {
+				q.noteBrokenConnection(time.Now(), d, f.Stage)
+			}
 			q.gateway.log.WithFields(q.logFields()).WithError(f.Cause).Info("response to the caller broke off")
 			return
 		}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -23,6 +23,7 @@
 	Fail              bool          // responds with 500 after the run
 	LoseResponse      bool          // closes the connection after the run without a response
 	Cut               bool          // closes the connection within the response body
+	Length            int           // bytes of the response body; 0 for a short text
 	DuplicateResponse bool          // sends the response twice
 	DuplicateDelay    time.Duration // delay between the two responses
 	Unsigned          bool          // responds without a signature
@@ -316,6 +317,9 @@
 
 func (w *Worker) respond(k *conn, r *http.Request, f Fault, body string) bool {
 	text := "ran " + r.URL.Path + " " + body
+	if f.Length > 0 {
+		text = strings.Repeat("x", f.Length)
+	}
 	id := r.Header.Get("Plumpitch-Request-Id")
 	if f.WrongRequestID {
 		id = "another"
