--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -24,7 +24,11 @@
 		remaining = minHold
 	}
 	a.QuarantineRemaining = remaining
-	q.trial = trial && remaining == 0
+	if q.trial = trial && remaining == 0; q.trial {
+		fields := q.logFields()
+		fields["print"] = f.text()
+		q.gateway.log.WithFields(fields).Info("request is sent as a trial")
+	}
 	a.Trial = q.trial
 }
 
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -137,6 +137,13 @@
 	}).Info("told of a request that crashes targets")
 }
 
+// logHeld logs that a request is held or in quarantine, or that one more of its trials has failed.
+func (c *control) logHeld(s call.Suspect) {
+	c.gateway.log.WithFields(log.Fields{
+		"print": strconv.FormatUint(s.Fingerprint, 36), "crashes": s.Crashes, "unanswered": s.Unanswered, "trials": s.Trials,
+	}).Warn("request is held, its targets don't answer it")
+}
+
 // minAnnounceInterval is the least time between two announcements of crashes, besides those of
 // the ticks. A domain that fails breaks the requests of all its targets.
 const minAnnounceInterval = 50 * time.Millisecond
@@ -184,6 +191,9 @@
 		}
 		c.announcedSuspects[s.Fingerprint] = announcedOf(s)
 		changed = append(changed, s)
+		if heldOrQuarantined(s) {
+			c.logHeld(s)
+		}
 		if heldOrQuarantined(s) || announced.toAll() {
 			rumours.CrashReports = append(rumours.CrashReports, c.suspectRumour(now, s))
 		}
