gateway: copies of a request that wait when it becomes held aren't sent

Callers saw: of 300 copies of a request that gets no response, sent at once, 71 to 103 reached targets whose slots were all lost to it.

Cause: quarantine and hold are asked for on arrival only; a queue holds many copies by then.

Change: they are asked for again once a target is free.

--- a/internal/gateway/crash_ending_test.go
+++ b/internal/gateway/crash_ending_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -145,6 +146,29 @@
 	w.c.Assert(e.call("GET", crashPath, "").status, qt.Equals, http.StatusServiceUnavailable)
 }
 
+// Many copies of a request that gets no response wait in the queue when it becomes held. Guards
+// against copies that are sent nonetheless.
+func TestQueuedCopiesOfHeldRequest(t *testing.T) {
+	const copies = 300
+	t.Parallel()
+	w := newWorld(t, worldConfig{targets: 4, attempts: 1})
+	for _, k := range w.workers {
+		k.SetServiceTime(30 * time.Millisecond)
+		k.SetFaults(func(*http.Request) worker.Fault { return worker.Fault{LoseResponse: true} })
+	}
+	e := w.startEntry("a").waitReady()
+	callers := callersFrom(40)
+	var wg sync.WaitGroup
+	for i := range copies {
+		wg.Go(func() { e.callFrom(callers[i%len(callers)], fmt.Sprint("c-", i), crashPath, "", "") })
+	}
+	wg.Wait()
+	slots := 2 * len(w.workers)
+	runs := w.arrivals()
+	t.Logf("%d of %d ran", runs, copies)
+	w.c.Assert(runs <= (crashLimit+2)*slots, qt.IsTrue, qt.Commentf("%d runs", runs))
+}
+
 // Targets lose all connections for a while, health checks too, and none of them ends. Guards
 // against a quarantine of a request that many callers send.
 func TestPopularRequestOutlivesSilentTargets(t *testing.T) {
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -8,28 +8,38 @@
 	"plumpitch.example/plumpitch/pkg/owner"
 )
 
-// checkSuspicion sets what an arrival says of the quarantine and the hold of the request. Most
-// requests need no fingerprint, since none is suspected.
-func (q *request) checkSuspicion(now time.Time, a *call.Arrival) {
+// checkSuspicion returns how much longer the request is in quarantine or held; 0 if it may be sent,
+// maybe as a trial. Most requests need no fingerprint, since none is suspected.
+func (q *request) checkSuspicion(now time.Time) (remaining time.Duration) {
 	s := q.gateway.suspects
 	if s.Empty() {
-		return
+		return 0
 	}
 	f := q.fingerprints()
-	if a.QuarantineRemaining = f.quarantineRemaining(s, now); a.QuarantineRemaining > 0 {
-		return
+	if remaining = f.quarantineRemaining(s, now); remaining > 0 {
+		return remaining
 	}
 	remaining, trial := f.hold(s, now, q.gateway.view.Load().trialRank(q.service, f.content, q.gateway.self.Name))
-	if trial && !f.beginTrial(s, now) {
-		remaining = minHold
+	if !trial {
+		return remaining
 	}
-	a.QuarantineRemaining = remaining
-	if q.trial = trial && remaining == 0; q.trial {
-		fields := q.logFields()
-		fields["print"] = f.text()
-		q.gateway.log.WithFields(fields).Info("request is sent as a trial")
+	if !f.beginTrial(s, now) {
+		return minHold
 	}
-	a.Trial = q.trial
+	q.trial = true
+	fields := q.logFields()
+	fields["print"] = f.text()
+	q.gateway.log.WithFields(fields).Info("request is sent as a trial")
+	return 0
+}
+
+// heldMeanwhile is like checkSuspicion, for a request that gets a target after it has waited or
+// after another dispatch. A trial isn't held.
+func (q *request) heldMeanwhile(now time.Time) time.Duration {
+	if q.trial {
+		return 0
+	}
+	return q.checkSuspicion(now)
 }
 
 // minHold is when a caller may return whose request found another one's trial in progress.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -137,7 +137,8 @@
 		MaxDispatches: min(q.route.MaxDispatches, call.MaxDispatches), Margin: responseMargin, Budget: q.service.budget,
 	})
 	a := call.Arrival{Deadline: deadline, Idempotent: q.route.Idempotent, HedgeDelay: q.service.hedgeDelay(q.route.Name, q.objective.Sub(now))}
-	q.checkSuspicion(now, &a)
+	a.QuarantineRemaining = q.checkSuspicion(now)
+	a.Trial = q.trial
 	return q.call.Arrive(now, a)
 }
 
@@ -214,6 +215,11 @@
 	if reason, revoked := q.keyRevoked(now); revoked && !q.dropAccount(now, reason) {
 		return q.dropRevoked(now, reason)
 	}
+	if remaining := q.heldMeanwhile(now); remaining > 0 {
+		q.service.cancel(now, q.pendingID)
+		q.pendingID = 0
+		return q.call.Decline(now, call.Decline{Reason: call.ReasonQuarantined, RetryAfter: remaining})
+	}
 	d := &q.dispatches[min(q.dispatchCount(), call.MaxDispatches-1)]
 	d.target, d.decision = a.Target, a.Decision
 	return q.call.Choose(now, call.Choice{Target: a.Target.ID})
