--- a/pkg/call/merge.go
+++ b/pkg/call/merge.go
@@ -77,9 +77,7 @@
 	switch {
 	case in.Crashes == 0:
 		if x.streak.drop(at, s.cfg.CrashLimit); !x.lastEvent.After(at) {
-			k := x.streak
-			s.clear(x, at)
-			x.streak = k
+			s.clear(x, at, x.streak)
 			return
 		}
 	case in.Crashes > 0 && !(x.cleared && !at.After(x.lastEvent)):
--- a/pkg/call/streak.go
+++ b/pkg/call/streak.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -52,9 +51,6 @@
 	holdPauses = 4
 )
 
-// TrialTask names the trials of a request, to rank the entries that send them.
-func TrialTask(fp uint64) string { return "trial " + strconv.FormatUint(fp, 36) }
-
 // longPause returns the pause before the next trial once the short pauses are over.
 func longPause(trials int) time.Duration {
 	return trialPauses[min(max(trials, shortPauses), len(trialPauses)-1)]
@@ -84,11 +80,6 @@
 	}
 }
 
-// holdTime returns how long a request is held after its last unanswered dispatch, by its trials.
-func (s *Suspects) holdTime(trials int) time.Duration {
-	return max(holdPauses*longPause(trials), s.cfg.Quarantine)
-}
-
 // count returns the number of unanswered dispatches at all entries. The last ones of several
 // entries count once if they were simultaneous.
 func (k *streak) count() (n int) {
@@ -172,128 +163,3 @@
 		k.held, k.trials = false, 0
 	}
 }
-
-// FailedDispatch is a dispatch that got no complete response.
-type FailedDispatch struct {
-	Target string // unique to the target's incarnation
-	Stage  Stage
-	Began  time.Time
-	// Silent reports whether the target was silent all the while. Stage may be 0 then, as the
-	// dispatch may still be in flight.
-	Silent bool
-	// Trial reports whether the request was held, and sent as a trial.
-	Trial bool
-	// Answered is when a request of the same content was last answered, zero if never.
-	Answered time.Time
-	// Checked reports whether the caller finds out if the target has ended, and then calls
-	// ConfirmCrash or DismissCrash.
-	Checked bool
-}
-
-// RecordFailure records a failed dispatch and reports whether the request is held or in quarantine
-// now. A response that breaks off shows that the target was running this request, and counts as a crash
-// unless the target is checked.
-func (s *Suspects) RecordFailure(now time.Time, fp uint64, d FailedDispatch) bool {
-	if !d.Silent && !d.Stage.MayBeCrash() {
-		return false
-	}
-	if d.Silent && d.Answered.After(d.Began) {
-		return false // it is noticed late, and an answer has come since
-	}
-	if d.Stage == StageCut && !d.Checked {
-		return s.RecordCrash(now, fp, d.Target, d.Began)
-	}
-	if d.Checked && !d.Silent {
-		s.RecordBreak(now, fp, d.Target, d.Began)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	x := s.detach(now, fp)
-	at := now
-	if d.Silent {
-		at = d.Began // a dispatch that began later is another failure
-	}
-	x.streak.add(at, d.Began, d.Trial, s.cfg.CrashLimit)
-	if x.lastEvent.IsZero() {
-		x.lastEvent = now
-	}
-	s.insert(x)
-	return x.quarantined
-}
-
-// Hold returns how much longer a request is held; 0 if it isn't, or if it may be sent as a trial,
-// once BeginTrial has reserved that. rank is this entry's rank among those that send trials, from 0.
-// answered is when a request of the same content was last answered, zero if never. If that was since
-// the first unanswered dispatch, only requests with other headers may be sound: then this entry
-// goes by its own dispatches, as peers that are cut off from targets report sound ones too.
-func (s *Suspects) Hold(now time.Time, fp uint64, rank int, answered time.Time) (remaining time.Duration, trial bool) {
-	if s.size.Load() == 0 {
-		return 0, false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	x := s.known(now, fp)
-	if x == nil || !x.streak.held {
-		return 0, false
-	}
-	trials, since := x.streak.trials, x.streak.since()
-	if answered.After(since) {
-		if len(x.streak.own) < s.cfg.CrashLimit {
-			return 0, false
-		}
-		rank, trials = 0, x.streak.ownTrials
-	}
-	known := !answered.IsZero() && answered.Before(since)
-	if left := x.streak.nextTrial(now, rank, trials, known).Sub(now); left > 0 {
-		return left, false
-	}
-	if now.Before(x.streak.trialUntil) {
-		return trialPauses[0], false // a trial is in progress, and its result may come at any moment
-	}
-	return 0, true
-}
-
-// BeginTrial reserves the trial of a held request. It reports whether the request may be sent,
-// which is so too if it isn't held any more.
-func (s *Suspects) BeginTrial(now time.Time, fp uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	x := s.known(now, fp)
-	if x == nil || !x.streak.held {
-		return true
-	}
-	if now.Before(x.streak.trialUntil) {
-		return false
-	}
-	x.streak.trialUntil = now.Add(trialTimeout)
-	return true
-}
-
-// EndTrial records that a trial has ended. It counts as unanswered if it was dispatched and its
-// result hasn't been recorded.
-func (s *Suspects) EndTrial(now time.Time, fp uint64, dispatched bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	x := s.known(now, fp)
-	if x == nil || x.streak.trialUntil.IsZero() {
-		return
-	}
-	x.streak.trialUntil = time.Time{}
-	if dispatched {
-		x.streak.countTrial(now)
-		x.streak.last = now
-	}
-}
-
-// known returns a fingerprint of the table that hasn't expired, or nil.
-func (s *Suspects) known(now time.Time, fp uint64) *suspect {
-	e := s.byFingerprint[fp]
-	if e == nil {
-		return nil
-	}
-	x := e.Value.(*suspect)
-	if s.expired(now, x) {
-		return nil
-	}
-	return x
-}
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -48,14 +48,17 @@
 // was recorded is counted as part of that crash. So a failure domain that fails with
 // all its targets doesn't quarantine a popular request. A complete response clears
 // the fingerprint.
+//
+// Where nothing shows that targets have ended, dispatches without a response count in a row, and
+// hold the request between trials (streak).
 type Suspects struct {
 	cfg           SuspectsConfig
 	answers       answers
 	size          atomic.Int64
 	mu            sync.Mutex
 	byFingerprint map[uint64]*list.Element
-	watched       *list.List // of *suspect, not in quarantine, most recently changed first
-	quarantined   *list.List // of *suspect, in quarantine, most recently changed first
+	watched       *list.List // of *suspect, neither in quarantine nor held, most recently changed first
+	quarantined   *list.List // of *suspect, in quarantine or held, most recently changed first
 }
 
 type suspect struct {
@@ -270,12 +273,13 @@
 	if x.crashCount() == 0 && !x.exported {
 		return false // only failed dispatches, which other entries don't know of
 	}
-	s.clear(x, now)
+	s.clear(x, now, streak{})
 	return true
 }
 
-func (s *Suspects) clear(x *suspect, at time.Time) {
-	*x = suspect{fingerprint: x.fingerprint, cleared: true, exported: x.exported, lastEvent: at}
+// clear forgets the crashes of a fingerprint; k is what remains of its streak.
+func (s *Suspects) clear(x *suspect, at time.Time, k streak) {
+	*x = suspect{fingerprint: x.fingerprint, cleared: true, exported: x.exported, lastEvent: at, streak: k}
 	s.insert(x)
 }
 
--- a/pkg/call/suspect_test.go
+++ b/pkg/call/suspect_test.go
@@ -198,7 +198,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "s")) * time.Second)
 			fp := rapid.Uint64Range(0, 6).Draw(t, "print")
 			target := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "target")
-			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			switch rapid.IntRange(0, 10).Draw(t, "event") {
 			case 0:
 				s.RecordResponse(now, fp)
 				if s.QuarantineRemaining(now, fp) != 0 {
@@ -213,14 +213,37 @@
 				s.ConfirmCrash(now, fp, target)
 			case 4:
 				s.DismissCrash(fp, target)
+			case 5, 6:
+				began := now.Add(-time.Duration(rapid.IntRange(0, 60).Draw(t, "took")) * time.Second)
+				s.RecordFailure(now, fp, FailedDispatch{
+					Target: target, Stage: rapid.SampledFrom([]Stage{StageSent, StageCut, StageTimeout}).Draw(t, "stage"), Began: began,
+					Silent: rapid.Bool().Draw(t, "silent"), Trial: rapid.Bool().Draw(t, "trial"), Checked: rapid.Bool().Draw(t, "checked"),
+				})
+			case 7:
+				if _, trial := s.Hold(now, fp, 0, s.LastAnswer(now, fp)); trial && !s.BeginTrial(now, fp) {
+					t.Fatal("a trial is due and can't begin")
+				}
+			case 8:
+				s.EndTrial(now, fp, rapid.Bool().Draw(t, "dispatched"))
+			case 9:
+				since, last := rapid.IntRange(-5, 400).Draw(t, "since"), rapid.IntRange(-5, 400).Draw(t, "last")
+				s.Merge(now, target, []Suspect{{
+					Fingerprint: fp, Crashes: rapid.IntRange(0, 2).Draw(t, "crashes"), Age: time.Second, Unanswered: rapid.IntRange(0, 3).Draw(t, "unanswered"),
+					Trials: rapid.IntRange(-1, 9).Draw(t, "trials"), Since: time.Duration(since) * time.Second, Last: time.Duration(last) * time.Second,
+				}})
 			default:
 				s.RecordCrash(now, fp, target, now.Add(-time.Second))
 			}
 			if s.quarantined.Len() > 3 || s.watched.Len() > 3 || len(s.byFingerprint) != s.quarantined.Len()+s.watched.Len() {
 				t.Fatalf("%d quarantined, %d watched, %d in the index", s.quarantined.Len(), s.watched.Len(), len(s.byFingerprint))
 			}
+			for fp, e := range s.byFingerprint {
+				if x := e.Value.(*suspect); x.fingerprint != fp || x.quarantined != (x.proven || x.streak.held) {
+					t.Fatalf("%+v", x)
+				}
+			}
 			for _, x := range s.Export(now, 10) {
-				if x.Age < 0 || x.Crashes < 0 || x.Crashes > 2 {
+				if x.Age < 0 || x.Crashes < 0 || x.Crashes > 2 || x.Unanswered < 0 || x.Unanswered > 2 || x.Trials < 0 || x.Since < 0 || x.Last < 0 {
 					t.Fatalf("exported %+v", x)
 				}
 			}
