call: the rank of an entry is computed for held requests only; BeginTrial says when to return

Ranks among 138 entries for each request while any is suspected would cost some microseconds. The wait beside a trial in progress stood in internal/gateway and internal/entry.

--- a/internal/entry/suspicion.go
+++ b/internal/entry/suspicion.go
@@ -18,16 +18,13 @@
 	if remaining = s.QuarantineRemaining(now, fingerprint); remaining > 0 {
 		return remaining, false
 	}
-	remaining, trial = s.Hold(now, fingerprint, e.trialRank(fingerprint), s.LastAnswer(now, fingerprint))
-	if trial && !s.BeginTrial(now, fingerprint) {
-		return minHold, false
+	rank := func() int { return e.trialRank(fingerprint) }
+	if remaining, trial = s.Hold(now, fingerprint, rank, s.LastAnswer(now, fingerprint)); trial {
+		remaining = s.BeginTrial(now, fingerprint)
 	}
-	return remaining, trial
+	return remaining, trial && remaining == 0
 }
 
-// minHold is when a caller may return whose request found another one's trial in progress.
-const minHold = 250 * time.Millisecond
-
 // trialRank returns the rank of this entry among those that send trials of a request.
 func (e *Entry) trialRank(fingerprint uint64) int {
 	var names []string
--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -74,7 +74,7 @@
 }
 
 // hold returns how much longer a request is held, or whether it may be sent as a trial.
-func (f fingerprints) hold(s *call.Suspects, now time.Time, rank int) (remaining time.Duration, trial bool) {
+func (f fingerprints) hold(s *call.Suspects, now time.Time, rank func() int) (remaining time.Duration, trial bool) {
 	answered := s.LastAnswer(now, f.content)
 	for _, fp := range []uint64{f.content, f.headers} {
 		left, free := s.Hold(now, fp, rank, answered)
@@ -83,16 +83,16 @@
 	return remaining, trial && remaining == 0
 }
 
-// beginTrial reserves a trial, and reports whether the request may be sent.
-func (f fingerprints) beginTrial(s *call.Suspects, now time.Time) bool {
-	if !s.BeginTrial(now, f.content) {
-		return false
+// beginTrial reserves a trial. It returns 0 if the request may be sent, and otherwise when its
+// caller may return.
+func (f fingerprints) beginTrial(s *call.Suspects, now time.Time) (remaining time.Duration) {
+	if remaining = s.BeginTrial(now, f.content); remaining > 0 {
+		return remaining
 	}
-	if !s.BeginTrial(now, f.headers) {
+	if remaining = s.BeginTrial(now, f.headers); remaining > 0 {
 		s.EndTrial(now, f.content, false)
-		return false
 	}
-	return true
+	return remaining
 }
 
 // endTrial ends a trial; dispatched is whether a target got the request.
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -19,12 +19,15 @@
 	if remaining = f.quarantineRemaining(s, now); remaining > 0 {
 		return remaining
 	}
-	remaining, trial := f.hold(s, now, q.gateway.view.Load().trialRank(q.service, f.content, q.gateway.self.Name))
+	rank := func() int {
+		return q.gateway.view.Load().trialRank(q.service.senderNames(), f.content, q.gateway.self.Name)
+	}
+	remaining, trial := f.hold(s, now, rank)
 	if !trial {
 		return remaining
 	}
-	if !f.beginTrial(s, now) {
-		return minHold
+	if remaining = f.beginTrial(s, now); remaining > 0 {
+		return remaining
 	}
 	q.trial = true
 	fields := q.logFields()
@@ -42,18 +45,14 @@
 	return q.checkSuspicion(now)
 }
 
-// minHold is when a caller may return whose request found another one's trial in progress.
-const minHold = 250 * time.Millisecond
-
-// trialRank returns the rank of this entry among those that send trials of a request: first those
-// that callers send requests for the service to, then the others. An isolated entry doesn't know
-// who they are. It takes one of as many ranks as the store has records of entries.
-func (v *view) trialRank(s *service, fingerprint uint64, self string) int {
+// trialRank returns the rank of this entry among those that send trials of a request: first the
+// senders, to which callers send requests for its service, then the others. An isolated entry doesn't
+// know the others, and takes one of as many ranks as the store has records of entries.
+func (v *view) trialRank(senders []string, fingerprint uint64, self string) int {
 	task := call.TrialTask(fingerprint)
 	if v.isolated {
 		return owner.Slot(task, self, v.known+1)
 	}
-	senders := s.senderNames()
 	if slices.Contains(senders, self) {
 		return owner.RankAmong(senders, task, self)
 	}
--- a/pkg/call/hold.go
+++ b/pkg/call/hold.go
@@ -54,11 +54,12 @@
 }
 
 // Hold returns how much longer a request is held; 0 if it isn't, or if it may be sent as a trial,
-// once BeginTrial has reserved that. rank is this entry's rank among those that send trials, from 0.
+// once BeginTrial has reserved that. rank returns this entry's rank among those that send trials, from
+// 0; it is called only for a held request.
 // answered is when a request of the same content was last answered, zero if never. If that was since
 // the first unanswered dispatch, only requests with other headers may be sound: then this entry
 // goes by its own dispatches, as peers that are cut off from targets report sound ones too.
-func (s *Suspects) Hold(now time.Time, fp uint64, rank int, answered time.Time) (remaining time.Duration, trial bool) {
+func (s *Suspects) Hold(now time.Time, fp uint64, rank func() int, answered time.Time) (remaining time.Duration, trial bool) {
 	if s.size.Load() == 0 {
 		return 0, false
 	}
@@ -68,37 +69,39 @@
 	if x == nil || !x.streak.held {
 		return 0, false
 	}
-	trials, since := x.streak.trials, x.streak.since()
+	since := x.streak.since()
+	if answered.After(since) && len(x.streak.own) < s.cfg.CrashLimit {
+		return 0, false
+	}
+	next := time.Time{}
 	if answered.After(since) {
-		if len(x.streak.own) < s.cfg.CrashLimit {
-			return 0, false
-		}
-		rank, trials = 0, x.streak.ownTrials
+		next = x.streak.nextTrial(now, 0, x.streak.ownTrials, false)
+	} else {
+		next = x.streak.nextTrial(now, rank(), x.streak.trials, !answered.IsZero())
 	}
-	known := !answered.IsZero() && answered.Before(since)
-	if left := x.streak.nextTrial(now, rank, trials, known).Sub(now); left > 0 {
+	if left := next.Sub(now); left > 0 {
 		return left, false
 	}
 	if now.Before(x.streak.trialUntil) {
-		return trialPauses[0], false // a trial is in progress, and its result may come at any moment
+		return trialWait, false
 	}
 	return 0, true
 }
 
-// BeginTrial reserves the trial of a held request. It reports whether the request may be sent,
-// which is so too if it isn't held any more.
-func (s *Suspects) BeginTrial(now time.Time, fp uint64) bool {
+// BeginTrial reserves the trial of a held request. It returns 0 if the request may be sent, which is
+// so too if it isn't held any more, and otherwise when its caller may return.
+func (s *Suspects) BeginTrial(now time.Time, fp uint64) (remaining time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.known(now, fp)
 	if x == nil || !x.streak.held {
-		return true
+		return 0
 	}
 	if now.Before(x.streak.trialUntil) {
-		return false
+		return trialWait
 	}
 	x.streak.trialUntil = now.Add(trialTimeout)
-	return true
+	return 0
 }
 
 // EndTrial records that a trial has ended. It counts as unanswered if it was dispatched and its
--- a/pkg/call/streak.go
+++ b/pkg/call/streak.go
@@ -46,6 +46,9 @@
 	rankPause = time.Second
 	// trialTimeout is how long a trial without a result keeps its entry from sending another one.
 	trialTimeout = 10 * time.Second
+	// trialWait is when a caller may return whose request finds another one's trial in progress. The
+	// result of that may come at any moment.
+	trialWait = 250 * time.Millisecond
 	// holdPauses is for how many pauses a request stays held after its last unanswered dispatch,
 	// at least for the time of a quarantine.
 	holdPauses = 4
