--- a/internal/soak/target_ends_test.go
+++ b/internal/soak/target_ends_test.go
@@ -124,6 +124,57 @@
 	c.finish(*firstSeed)
 }
 
+// lossTime is how long targets lose connections in TestPopularRequestsByTargetLoss.
+const lossTime = 4 * time.Second
+
+// All requests of a kind are the same, and all targets or all but one of each service lose their
+// connections for a while and live on. Guards against popular requests that stay held.
+func TestPopularRequestsByTargetLoss(t *testing.T) {
+	losses := []struct {
+		name string
+		loss worker.Ending
+	}{
+		{"dark", worker.Dark},
+		{"accepting", worker.Accepting},
+		{"resetting", worker.Resetting},
+		{"mute", worker.Mute},
+	}
+	if !*fullSize {
+		losses = losses[:1]
+	}
+	for _, tt := range losses {
+		for _, spared := range []int{0, 1} {
+			t.Run(fmt.Sprint(tt.name, ", ", spared, " spared"), func(t *testing.T) { runPopularByLoss(t, tt.loss, spared) })
+		}
+	}
+}
+
+// runPopularByLoss makes all targets but so many of each service lose connections for lossTime.
+func runPopularByLoss(t *testing.T, loss worker.Ending, spared int) {
+	p := largeSite()
+	p.pathCount = 1
+	s := newSite(t, *firstSeed, p)
+	s.startClients()
+	time.Sleep(warmupTime)
+	var lost []*target
+	for _, sv := range s.services {
+		lost = append(lost, s.runningTargets(sv.name)[spared:]...)
+	}
+	for _, k := range lost {
+		k.End(loss)
+	}
+	time.Sleep(lossTime)
+	for _, k := range lost {
+		k.Resume()
+	}
+	time.Sleep(endSettleTime)
+	recovered := time.Now()
+	time.Sleep(observationTime)
+	c := newChecker(s, s.load.stop())
+	c.checkServedSince(recovered)
+	c.finish(*firstSeed)
+}
+
 // checkServedSince checks that requests that crash nothing are served after a time.
 func (c *checker) checkServedSince(from time.Time) {
 	sent, served := 0, 0
