gateway, entry: a target that gave up at the deadline doesn't clear a request

Callers saw: of a request that crashes targets every second dispatch of which ends at its deadline, 11 targets crashed in 40 requests, bound 6.

Cause: each complete response but a refusal cleared the request, a target's 504 too. The target stopped because of the deadline, and shows nothing of what the request would have done.

Change: call.ClearsSuspicion, for both. Evidence: the new row of TestCrashesAmongRefusals, 11 before.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -286,7 +286,7 @@
 	}
 	sent.response = r.response
 	if r.response.Body == nil && !r.response.Load.Shed {
-		d.entry.recordAnswer(now, d.q.fingerprint())
+		d.entry.recordAnswer(now, d.q.fingerprint(), r.response.Status)
 	}
 	return d.call.ReceiveHead(now, call.ResponseHead{Dispatch: r.index, Status: r.response.Status, Shed: r.response.Load.Shed, Replayable: replay})
 }
--- a/internal/entry/release.go
+++ b/internal/entry/release.go
@@ -95,7 +95,7 @@
 		outcome = outcomeOfStage(f.Stage)
 		o.dispatcher.recordFailure(now, f, o.dispatchedAt)
 	} else if o.response.Body != nil {
-		o.dispatcher.entry.recordAnswer(now, o.dispatcher.q.fingerprint())
+		o.dispatcher.entry.recordAnswer(now, o.dispatcher.q.fingerprint(), o.response.Status)
 	}
 	o.dispatcher.endTrial()
 	o.finished = true
--- a/internal/entry/suspicion.go
+++ b/internal/entry/suspicion.go
@@ -34,8 +34,11 @@
 	return owner.RankAmong(names, call.TrialTask(fingerprint), e.cfg.File.Name)
 }
 
-// recordAnswer records that a target has answered a request.
-func (e *Entry) recordAnswer(now time.Time, fingerprint uint64) {
+// recordAnswer records that a target has answered a request with a status.
+func (e *Entry) recordAnswer(now time.Time, fingerprint uint64, status int) {
+	if !call.ClearsSuspicion(status) {
+		return
+	}
 	e.suspects.NoteAnswer(now, fingerprint)
 	if e.suspects.RecordResponse(now, fingerprint) {
 		go e.announceSuspect(fingerprint)
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -25,6 +25,7 @@
 		{"every second one is refused", 2, worker.Fault{Shed: true}},
 		{"two of three are refused", 3, worker.Fault{Shed: true}},
 		{"every second one meets another target", 2, worker.Fault{ReplacedBy: "i-other"}},
+		{"every second one reaches its deadline", 2, worker.Fault{Late: true}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -316,6 +316,9 @@
 
 // clearSuspicion records that a target ran the request and sent its complete response.
 func (q *request) clearSuspicion(now time.Time, d *dispatch, status int) {
+	if !call.ClearsSuspicion(status) {
+		return
+	}
 	q.gateway.suspects.NoteAnswer(now, q.contentFingerprint())
 	if !q.gateway.suspects.Empty() && q.fingerprints().recordResponse(q.gateway.suspects, now) {
 		q.gateway.control.announceSoon()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -31,6 +31,7 @@
 	WrongRequestID    bool          // responds with the ID of another request
 	NoResponse        bool          // runs the request and never responds
 	EarlyResponse     bool          // responds before reading the request body
+	Late              bool          // responds with 504 after the run, as at the deadline
 	Plain503          bool          // responds with 503 after the run, without the Plumpitch-Not-Executed header
 	ReplacedBy        string        // ID of the target that now has this address
 	Crash             bool          // the run terminates the target by calling OnCrash
@@ -331,6 +332,8 @@
 	case f.NoResponse:
 		_, _ = io.Copy(io.Discard, k)
 		return false
+	case f.Late:
+		status = "504 Gateway Timeout"
 	case f.Plain503:
 		status = "503 Service Unavailable"
 	case f.Fail:
--- a/pkg/call/hold.go
+++ b/pkg/call/hold.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 )
@@ -53,6 +54,10 @@
 	return x.quarantined
 }
 
+// ClearsSuspicion reports whether a complete response with this status shows that a target has survived
+// the request. One that gave up at its deadline might have crashed a moment later.
+func ClearsSuspicion(status int) bool { return status != http.StatusGatewayTimeout }
+
 // Hold returns how much longer a request is held; 0 if it isn't, or if it may be sent as a trial,
 // once BeginTrial has reserved that. rank returns this entry's rank among those that send trials, from
 // 0; it is called only for a held request.
