--- a/pkg/call/streak_test.go
+++ b/pkg/call/streak_test.go
@@ -232,18 +232,19 @@
 // A target answers a request, and the next dispatches get no response. Guards against an answer that
 // seems to have come after the first of them, so that the hold grows.
 func TestAnswerJustBeforeFailures(t *testing.T) {
-	c := qt.New(t)
-	s := NewSuspects(SuspectsConfig{CrashLimit: 3})
-	now := start.Add(1900 * time.Microsecond)
-	s.NoteAnswer(start, simPrint+1) // the table counts time from here
-	s.NoteAnswer(now, simPrint)
-	for range 20 {
-		now = now.Add(50 * time.Microsecond)
-		s.RecordFailure(now, simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: now, Trial: true})
-	}
-	for _, withHeaders := range []bool{false, true} {
-		remaining, _ := s.Hold(now, simPrint, withHeaders, rank(0), s.LastAnswer(now, simPrint))
-		c.Assert(remaining <= maxAnsweredPause, qt.IsTrue, qt.Commentf("held for %v", remaining))
+	for offset := time.Duration(0); offset < 2*time.Millisecond; offset += 100 * time.Microsecond {
+		s := NewSuspects(SuspectsConfig{CrashLimit: 3})
+		now := start.Add(offset)
+		s.NoteAnswer(start, simPrint+1) // the table counts time from here
+		s.NoteAnswer(now, simPrint)
+		for range 40 {
+			now = now.Add(50 * time.Microsecond)
+			s.RecordFailure(now, simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: now, Trial: true})
+			for _, withHeaders := range []bool{false, true} {
+				remaining, _ := s.Hold(now, simPrint, withHeaders, rank(0), s.LastAnswer(now, simPrint))
+				qt.Assert(t, remaining <= maxAnsweredPause, qt.IsTrue, qt.Commentf("held for %v", remaining))
+			}
+		}
 	}
 }
 
