call: whether a request was answered before is noted with its first failure

By reading: a popular request whose targets all fail for more than five minutes would have been refused for up to an hour afterwards. Answers are remembered for five minutes, and were asked for at each return.

Change: the streak notes it at its beginning. A request that was never seen answered waits 8, 80 and 800 s, then an hour, so that it is refused for up to ten times as long as its targets fail; 8, 64 s and an hour refused it for an hour after a failure of 75 s. Evidence: TestAnsweredRequestIsFreed with a failure of 15 minutes; TestUnansweredRequest, at most three late dispatches in 10 minutes.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -312,6 +312,7 @@
 	if !f.Stage.MayBeCrash() {
 		return false
 	}
+	failed.Answered = d.entry.suspects.LastAnswer(now, d.q.fingerprint())
 	quarantined := d.entry.suspects.RecordFailure(now, d.q.fingerprint(), failed)
 	go d.entry.announceSuspect(d.q.fingerprint())
 	return quarantined
--- a/pkg/call/hold.go
+++ b/pkg/call/hold.go
@@ -16,7 +16,8 @@
 	Silent bool
 	// Trial reports whether the request was held, and sent as a trial.
 	Trial bool
-	// Answered is when a request of the same content was last answered, zero if never.
+	// Answered is when a request of the same content was last answered, zero if never. A request
+	// that was answered before its first failure is held for shorter times.
 	Answered time.Time
 	// Checked reports whether the caller finds out if the target has ended, and then calls
 	// ConfirmCrash or DismissCrash.
@@ -46,6 +47,7 @@
 	if d.Silent {
 		at = d.Began // a dispatch that began later is another failure
 	}
+	x.streak.noteAnswered(d.Answered)
 	x.streak.add(at, d.Began, d.Trial, s.cfg.CrashLimit)
 	if x.lastEvent.IsZero() {
 		x.lastEvent = now
@@ -83,7 +85,7 @@
 	if alone {
 		next = x.streak.nextTrial(now, 0, x.streak.ownTrials, false)
 	} else {
-		next = x.streak.nextTrial(now, rank(), x.streak.trials, !answered.IsZero())
+		next = x.streak.nextTrial(now, rank(), x.streak.trials, x.streak.answered)
 	}
 	if left := next.Sub(now); left > 0 {
 		return left, false
--- a/pkg/call/merge.go
+++ b/pkg/call/merge.go
@@ -109,6 +109,7 @@
 		s.insert(x)
 		return
 	}
+	x.streak.noteAnswered(answered)
 	x.streak.merge(peerStreak{peer: peer, count: min(in.Unanswered, s.cfg.CrashLimit), since: since, last: last}, in.Trials, s.cfg.CrashLimit)
 	x.exported = true
 	if x.lastEvent.IsZero() {
--- a/pkg/call/streak.go
+++ b/pkg/call/streak.go
@@ -12,6 +12,7 @@
 type streak struct {
 	own        []time.Time  // of the unanswered dispatches at this entry, at most CrashLimit
 	peers      []peerStreak // at most maxPeers
+	answered   bool         // this entry knew of an answer before the first of them
 	held       bool         // there were CrashLimit of them
 	heldAt     time.Time    // of the last of these, at the latest
 	trials     int          // unanswered trials
@@ -32,7 +33,7 @@
 // shortPauseTime only: while trials are rare, each of them would reach targets much later.
 var trialPauses = [...]time.Duration{
 	250 * time.Millisecond, 500 * time.Millisecond, time.Second,
-	8 * time.Second, 64 * time.Second, time.Hour,
+	8 * time.Second, 80 * time.Second, 800 * time.Second, time.Hour,
 }
 
 const (
@@ -60,7 +61,7 @@
 }
 
 // nextTrial returns when the entry of a rank may send the next trial, after so many unanswered ones.
-// answered is whether targets have answered the request before.
+// answered is whether the bound for requests that targets have answered before applies.
 func (k *streak) nextTrial(now time.Time, rank, trials int, answered bool) time.Time {
 	ranked := k.last.Add(time.Duration(rank) * rankPause)
 	switch {
@@ -114,6 +115,14 @@
 	return t
 }
 
+// noteAnswered notes, before the first unanswered dispatch, whether targets have answered the request.
+// The memory of answers may be shorter than a failure of the targets.
+func (k *streak) noteAnswered(at time.Time) {
+	if k.count() == 0 {
+		k.answered = !at.IsZero()
+	}
+}
+
 // add records an unanswered dispatch of this entry, maybe a trial. Another one that begins before
 // at counts as part of the same failure.
 func (k *streak) add(at, began time.Time, trial bool, limit int) {
--- a/pkg/call/streak_test.go
+++ b/pkg/call/streak_test.go
@@ -79,7 +79,9 @@
 		e.NoteAnswer(s.now, simPrint)
 		e.RecordResponse(s.now, simPrint)
 	} else {
-		e.RecordFailure(s.now, simPrint, FailedDispatch{Target: strconv.Itoa(len(s.sent)), Stage: StageSent, Began: p.began, Trial: p.trial})
+		e.RecordFailure(s.now, simPrint, FailedDispatch{
+			Target: strconv.Itoa(len(s.sent)), Stage: StageSent, Began: p.began, Trial: p.trial, Answered: e.LastAnswer(s.now, simPrint),
+		})
 	}
 	if p.trial {
 		e.EndTrial(s.now, simPrint, true)
@@ -144,7 +146,7 @@
 // All targets lose the connections of a request that they have answered before. Guards against a
 // hold that outlasts the failure of the targets.
 func TestAnsweredRequestIsFreed(t *testing.T) {
-	for _, outage := range []time.Duration{700 * time.Millisecond, 4 * time.Second, time.Minute} {
+	for _, outage := range []time.Duration{700 * time.Millisecond, 4 * time.Second, time.Minute, 3 * answerMemory} {
 		t.Run(outage.String(), func(t *testing.T) {
 			from, to := start.Add(time.Second), start.Add(time.Second+outage)
 			s := newHoldSim(3, func(_ int, now time.Time) bool { return now.Before(from) || !now.Before(to) })
@@ -239,7 +241,7 @@
 		s.NoteAnswer(now, simPrint)
 		for range 40 {
 			now = now.Add(50 * time.Microsecond)
-			s.RecordFailure(now, simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: now, Trial: true})
+			s.RecordFailure(now, simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: now, Trial: true, Answered: s.LastAnswer(now, simPrint)})
 			for _, withHeaders := range []bool{false, true} {
 				remaining, _ := s.Hold(now, simPrint, withHeaders, rank(0), s.LastAnswer(now, simPrint))
 				qt.Assert(t, remaining <= maxAnsweredPause, qt.IsTrue, qt.Commentf("held for %v", remaining))
