--- a/internal/gateway/crash_ending_test.go
+++ b/internal/gateway/crash_ending_test.go
@@ -25,6 +25,22 @@
 	{"lingering", worker.Lingering},
 }
 
+// checkLateCrashes sends a request that crashes targets from many callers, and checks that it reaches
+// few of them late and that another one is served.
+func (w *crashWorld) checkLateCrashes() {
+	w.c.Helper()
+	entries := startEntries(w.world, 3)
+	callers := callersFrom(40)
+	for i := range 40 {
+		go entries[i%len(entries)].callFrom(callers[i%len(callers)], fmt.Sprint("c-", i), crashPath, "", "")
+		time.Sleep(200 * time.Millisecond)
+	}
+	all, late := w.endCounts()
+	w.c.Logf("%d targets ended, %d late", all, late)
+	w.c.Assert(late <= maxLateCrashes, qt.IsTrue, qt.Commentf("%d late of %d", late, all))
+	w.waitFor("another request is served", func() bool { return entries[0].call("GET", "/a/other", "").status == http.StatusOK })
+}
+
 // A request crashes its targets, which end without refusing connections. No other request is sent.
 // Guards against ends of targets that are noticed only if they refuse connections, or only by way
 // of other requests.
@@ -34,16 +50,7 @@
 			t.Parallel()
 			w := newCrashWorld(t, worldConfig{targets: 12}, crashOnPath)
 			w.ending, w.recordTime = tt.ending, 4500*time.Millisecond
-			entries := startEntries(w.world, 3)
-			callers := callersFrom(40)
-			for i := range 40 {
-				go entries[i%len(entries)].callFrom(callers[i%len(callers)], fmt.Sprint("c-", i), crashPath, "", "")
-				time.Sleep(200 * time.Millisecond)
-			}
-			all, late := w.endCounts()
-			t.Logf("%d targets ended, %d late", all, late)
-			w.c.Assert(late <= maxLateCrashes, qt.IsTrue, qt.Commentf("%d late of %d", late, all))
-			w.waitFor("another request is served", func() bool { return entries[0].call("GET", "/a/other", "").status == http.StatusOK })
+			w.checkLateCrashes()
 		})
 	}
 }
@@ -81,16 +88,7 @@
 	for range 8 {
 		w.startRestarting()
 	}
-	entries := startEntries(w.world, 3)
-	callers := callersFrom(40)
-	for i := range 40 {
-		go entries[i%len(entries)].callFrom(callers[i%len(callers)], fmt.Sprint("c-", i), crashPath, "", "")
-		time.Sleep(200 * time.Millisecond)
-	}
-	all, late := w.endCounts()
-	t.Logf("%d targets ended, %d late", all, late)
-	w.c.Assert(late <= maxLateCrashes, qt.IsTrue, qt.Commentf("%d late of %d", late, all))
-	w.waitFor("another request is served", func() bool { return entries[0].call("GET", "/a/other", "").status == http.StatusOK })
+	w.checkLateCrashes()
 }
 
 // A request breaks the connection of each target that runs it, and the targets live on. Guards against
