--- a/pkg/call/hold.go
+++ b/pkg/call/hold.go
@@ -77,7 +77,6 @@
 	if x == nil || !x.streak.held {
 		return 0, false
 	}
-	x.streak.noteAnswered(answered)
 	alone := withHeaders && answered.After(x.streak.since())
 	if alone && len(x.streak.own) < s.cfg.CrashLimit {
 		return 0, false
@@ -97,14 +96,13 @@
 	return 0, true
 }
 
-// BeginTrial reserves the trial of a held request. One that was answered before isn't limited to one
-// trial at a time: while targets recover, a trial may wait for one, and the others had to be refused. It returns 0 if the request may be sent, which is
+// BeginTrial reserves the trial of a held request. It returns 0 if the request may be sent, which is
 // so too if it isn't held any more, and otherwise when its caller may return.
 func (s *Suspects) BeginTrial(now time.Time, fp uint64) (remaining time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.known(now, fp)
-	if x == nil || !x.streak.held || x.streak.answered {
+	if x == nil || !x.streak.held {
 		return 0
 	}
 	if now.Before(x.streak.trialUntil) {
--- a/pkg/call/streak.go
+++ b/pkg/call/streak.go
@@ -66,7 +66,7 @@
 	ranked := k.last.Add(time.Duration(rank) * rankPause)
 	switch {
 	case answered:
-		return k.last.Add(min(trialPauses[min(trials, shortPauses)], maxAnsweredPause))
+		return ranked.Add(min(trialPauses[min(trials, shortPauses)], maxAnsweredPause))
 	case trials < shortPauses && now.Sub(k.heldAt) <= shortPauseTime:
 		return ranked.Add(trialPauses[trials])
 	}
@@ -115,11 +115,11 @@
 	return t
 }
 
-// noteAnswered notes whether targets have answered the request before the first unanswered dispatch.
+// noteAnswered notes, before the first unanswered dispatch, whether targets have answered the request.
 // The memory of answers may be shorter than a failure of the targets.
 func (k *streak) noteAnswered(at time.Time) {
-	if !at.IsZero() && (k.count() == 0 || !at.After(k.since())) {
-		k.answered = true
+	if k.count() == 0 {
+		k.answered = !at.IsZero()
 	}
 }
 
