call: popular requests wait for the result of a trial, and each entry sends trials of its own

Cause: while targets recover a trial waits for one itself, and all others were refused beside it; the next ranks waited for its result too, even if its entry was cut off; entries that had heard of the failures only from peers knew of no answer, and their pauses grew.

Change, for requests that targets have answered before: the pause goes by this entry's own failures, without rank; a request beside a trial waits for its result, for at most a second; copies that are queued already are sent; reports say that the request was answered. A fingerprint with headers holds only where its content was answered since. One conversion between suspects and rumours for both interfaces.

TestAnsweredRequestBesideTrial, TestOneEntryDelaysNoTrialOfOthers, TestPeersLearnOfAnswer are new.

--- a/internal/entry/components.go
+++ b/internal/entry/components.go
@@ -94,19 +94,10 @@
 	}
 	now := time.Now()
 	for _, c := range r.CrashReports {
-		e.suspects.Merge(now, "rumour "+c.Reporter, []call.Suspect{suspectOf(now, c)})
+		e.suspects.Merge(now, "rumour "+c.Reporter, []call.Suspect{peer.Suspect(now, c)})
 	}
 }
 
-// suspectOf returns the suspect that a rumour reports.
-func suspectOf(now time.Time, c member.CrashReport) call.Suspect {
-	s := call.Suspect{Fingerprint: c.Fingerprint, Crashes: int(c.Crashes), Age: now.Sub(c.Time)}
-	if c.Unanswered > 0 {
-		s.Unanswered, s.Trials, s.Since, s.Last = int(c.Unanswered), int(c.Trials), now.Sub(c.Since), now.Sub(c.Last)
-	}
-	return s
-}
-
 // announceLeaving marks a target as leaving and spreads that to all entries.
 func (e *Entry) announceLeaving(target string, boot uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -123,11 +114,9 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		_ = e.members.SpreadRumours(ctx, member.Rumours{CrashReports: []member.CrashReport{{
-			Fingerprint: fingerprint, Crashes: uint32(s.Crashes), Time: now.Add(-s.LastEvent()),
-			Unanswered: uint32(s.Unanswered), Trials: uint32(s.Trials), Since: now.Add(-s.Since), Last: now.Add(-s.Last),
-			Reporter: e.cfg.File.Name, Sequence: e.suspectReports.Add(1),
-		}}})
+		report := peer.CrashReport(now, s)
+		report.Reporter, report.Sequence = e.cfg.File.Name, e.suspectReports.Add(1)
+		_ = e.members.SpreadRumours(ctx, member.Rumours{CrashReports: []member.CrashReport{report}})
 		cancel()
 	}
 }
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -96,8 +96,8 @@
 		Attempt:    q.header.Attempt,
 		Depth:      q.header.Depth,
 	}
-	a.QuarantineRemaining, a.Trial = d.entry.checkSuspicion(q.arrived, q.fingerprint())
-	d.trial = a.Trial
+	h := d.entry.awaitTrial(d.ctx, q.arrived, q.fingerprint())
+	a.QuarantineRemaining, a.Trial, d.trial = h.Remaining, h.Trial, h.Trial
 	if q.policy.Hedge && q.stream == nil && a.Idempotent {
 		a.HedgeDelay = q.policy.HedgeAfter
 		d.results = make(chan dispatchResult, call.MaxDispatches)
@@ -304,7 +304,7 @@
 // recordFailure records a failure that may be a crash of the target, announces it
 // to the peers and reports whether the request is quarantined or held.
 func (d *dispatcher) recordFailure(now time.Time, f *forward.Failure, began time.Time) bool {
-	failed := call.FailedDispatch{Target: f.Target, Stage: f.Stage, Began: began, Trial: d.trial}
+	failed := call.FailedDispatch{Target: f.Target, Stage: f.Stage, Began: began, Trial: d.trial, Content: d.q.fingerprint()}
 	if f.Stage == call.StageTimeout {
 		go d.entry.recordIfSilent(d.q.fingerprint(), d.q.policy.ProbePath, failed)
 		return false
@@ -312,7 +312,6 @@
 	if !f.Stage.MayBeCrash() {
 		return false
 	}
-	failed.Answered = d.entry.suspects.LastAnswer(now, d.q.fingerprint())
 	quarantined := d.entry.suspects.RecordFailure(now, d.q.fingerprint(), failed)
 	go d.entry.announceSuspect(d.q.fingerprint())
 	return quarantined
--- a/internal/entry/suspicion.go
+++ b/internal/entry/suspicion.go
@@ -8,21 +8,42 @@
 	"plumpitch.example/plumpitch/pkg/owner"
 )
 
-// checkSuspicion returns how much longer a request is in quarantine or held, or whether it may be
-// sent as a trial, which is then reserved.
-func (e *Entry) checkSuspicion(now time.Time, fingerprint uint64) (remaining time.Duration, trial bool) {
+// checkSuspicion returns whether a request is in quarantine or held. If it returns a trial, that is
+// reserved.
+func (e *Entry) checkSuspicion(now time.Time, fingerprint uint64) (h call.Hold) {
 	s := e.suspects
-	if s.Empty() {
-		return 0, false
+	if h.Remaining = s.QuarantineRemaining(now, fingerprint); h.Remaining > 0 {
+		return h
 	}
-	if remaining = s.QuarantineRemaining(now, fingerprint); remaining > 0 {
-		return remaining, false
+	if h = s.Hold(now, fingerprint, func() int { return e.trialRank(fingerprint) }); h.Trial {
+		h.Remaining = s.BeginTrial(now, fingerprint)
+		h.Trial = h.Remaining == 0
 	}
-	rank := func() int { return e.trialRank(fingerprint) }
-	if remaining, trial = s.Hold(now, fingerprint, false, rank, s.LastAnswer(now, fingerprint)); trial {
-		remaining = s.BeginTrial(now, fingerprint)
+	return h
+}
+
+const (
+	// maxTrialWait bounds the wait for the result of a trial.
+	maxTrialWait = time.Second
+	// trialPoll is the time between two looks for it.
+	trialPoll = 20 * time.Millisecond
+)
+
+// awaitTrial returns checkSuspicion, once the result of a trial can't free the request in a moment
+// any more.
+func (e *Entry) awaitTrial(ctx context.Context, now time.Time, fingerprint uint64) call.Hold {
+	until := now.Add(maxTrialWait)
+	h := e.checkSuspicion(now, fingerprint)
+	for h.Wait && now.Before(until) {
+		select {
+		case <-time.After(trialPoll):
+		case <-ctx.Done():
+			return h
+		}
+		now = time.Now()
+		h = e.checkSuspicion(now, fingerprint)
 	}
-	return remaining, trial && remaining == 0
+	return h
 }
 
 // trialRank returns the rank of this entry among those that send trials of a request.
@@ -57,7 +78,7 @@
 		return
 	}
 	now := time.Now()
-	d.Silent, d.Answered = true, e.suspects.LastAnswer(now, fingerprint)
+	d.Silent = true
 	e.suspects.RecordFailure(now, fingerprint, d)
 	e.announceSuspect(fingerprint)
 }
--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -73,14 +73,12 @@
 	return max(s.QuarantineRemaining(now, f.content), s.QuarantineRemaining(now, f.headers))
 }
 
-// hold returns how much longer a request is held, or whether it may be sent as a trial.
-func (f fingerprints) hold(s *call.Suspects, now time.Time, rank func() int) (remaining time.Duration, trial bool) {
-	answered := s.LastAnswer(now, f.content)
-	for _, fp := range []uint64{f.content, f.headers} {
-		left, free := s.Hold(now, fp, fp == f.headers, rank, answered)
-		remaining, trial = max(remaining, left), trial || free
+// hold returns whether a request is held, by its content or else by its headers.
+func (f fingerprints) hold(s *call.Suspects, now time.Time, rank func() int) call.Hold {
+	if h := s.Hold(now, f.content, rank); h != (call.Hold{}) {
+		return h
 	}
-	return remaining, trial && remaining == 0
+	return s.HoldByHeaders(now, f.headers, f.content)
 }
 
 // beginTrial reserves a trial. It returns 0 if the request may be sent, and otherwise when its
@@ -108,7 +106,7 @@
 
 // recordFailure records a failed dispatch, and reports whether the request is held now.
 func (f fingerprints) recordFailure(s *call.Suspects, now time.Time, d call.FailedDispatch) (held bool) {
-	d.Answered = s.LastAnswer(now, f.content)
+	d.Content = f.content
 	held = s.RecordFailure(now, f.content, d)
 	return s.RecordFailure(now, f.headers, d) || held
 }
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -8,41 +8,65 @@
 	"plumpitch.example/plumpitch/pkg/owner"
 )
 
-// checkSuspicion returns how much longer the request is in quarantine or held; 0 if it may be sent,
-// maybe as a trial. Most requests need no fingerprint, since none is suspected.
-func (q *request) checkSuspicion(now time.Time) (remaining time.Duration) {
+// checkSuspicion returns whether the request is in quarantine or held. If a trial of it is due, it
+// becomes that. Most requests need no fingerprint, since none is suspected.
+func (q *request) checkSuspicion(now time.Time) (h call.Hold) {
 	s := q.gateway.suspects
-	if s.Empty() {
-		return 0
+	if q.trial || s.Empty() {
+		return h
 	}
 	f := q.fingerprints()
-	if remaining = f.quarantineRemaining(s, now); remaining > 0 {
-		return remaining
+	if h.Remaining = f.quarantineRemaining(s, now); h.Remaining > 0 {
+		return h
 	}
 	rank := func() int {
 		return q.gateway.view.Load().trialRank(q.service.senderNames(), f.content, q.gateway.self.Name)
 	}
-	remaining, trial := f.hold(s, now, rank)
-	if !trial {
-		return remaining
+	if h = f.hold(s, now, rank); !h.Trial {
+		return h
 	}
-	if remaining = f.beginTrial(s, now); remaining > 0 {
-		return remaining
+	if h.Remaining = f.beginTrial(s, now); h.Remaining > 0 {
+		return h
 	}
 	q.trial = true
 	fields := q.logFields()
 	fields["print"] = f.text()
 	q.gateway.log.WithFields(fields).Info("request is sent as a trial")
-	return 0
+	return h
+}
+
+const (
+	// maxTrialWait bounds the wait for the result of a trial. While targets recover, a trial waits
+	// for one itself.
+	maxTrialWait = time.Second
+	// trialPoll is the time between two looks for it.
+	trialPoll = 20 * time.Millisecond
+)
+
+// awaitTrial waits while the result of a trial may free the request in a moment.
+func (q *request) awaitTrial(now, deadline time.Time) {
+	until := now.Add(min(maxTrialWait, deadline.Sub(now)))
+	for now.Before(until) && q.checkSuspicion(now).Wait {
+		select {
+		case <-time.After(trialPoll):
+		case <-q.gateway.giveUp:
+			return
+		case <-q.r.Context().Done():
+			return
+		}
+		now = time.Now()
+	}
 }
 
-// heldMeanwhile is like checkSuspicion, for a request that gets a target after it has waited or
-// after another dispatch. A trial isn't held.
+// heldMeanwhile returns how much longer a request is held that gets a target after it has waited, or
+// after another dispatch. One that targets have answered before isn't: it has been in the queue for
+// as long as the targets failed.
 func (q *request) heldMeanwhile(now time.Time) time.Duration {
-	if q.trial {
+	h := q.checkSuspicion(now)
+	if h.Answered {
 		return 0
 	}
-	return q.checkSuspicion(now)
+	return h.Remaining
 }
 
 // trialRank returns the rank of this entry among those that send trials of a request: first the
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -92,8 +92,9 @@
 		q.refuse(reasonNoReach, noConfigRetry)
 		return
 	}
-	now := time.Now()
 	deadline := q.deadline()
+	q.awaitTrial(time.Now(), deadline)
+	now := time.Now()
 	expiry := time.NewTimer(min(deadline.Sub(now), silenceTimeout)) // of the request, or of a silent target
 	defer expiry.Stop()
 	q.hedgeTimer = time.NewTimer(deadline.Sub(now)) // reset when the call starts its hedge timer
@@ -137,7 +138,7 @@
 		MaxDispatches: min(q.route.MaxDispatches, call.MaxDispatches), Margin: responseMargin, Budget: q.service.budget,
 	})
 	a := call.Arrival{Deadline: deadline, Idempotent: q.route.Idempotent, HedgeDelay: q.service.hedgeDelay(q.route.Name, q.objective.Sub(now))}
-	a.QuarantineRemaining = q.checkSuspicion(now)
+	a.QuarantineRemaining = q.checkSuspicion(now).Remaining
 	a.Trial = q.trial
 	return q.call.Arrive(now, a)
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"plumpitch.example/plumpitch/internal/peer"
 	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/member"
@@ -118,11 +119,7 @@
 func (c *control) receiveRumours(now time.Time, r member.Rumours) {
 	for _, s := range r.CrashReports {
 		c.logReceivedSuspect(s.Fingerprint, s.Crashes, s.Reporter)
-		suspect := call.Suspect{Fingerprint: s.Fingerprint, Crashes: int(s.Crashes), Age: now.Sub(s.Time)}
-		if s.Unanswered > 0 {
-			suspect.Unanswered, suspect.Trials = int(s.Unanswered), int(s.Trials)
-			suspect.Since, suspect.Last = now.Sub(s.Since), now.Sub(s.Last)
-		}
+		suspect := peer.Suspect(now, s)
 		if heldOrQuarantined(suspect) {
 			c.announcedSuspects[s.Fingerprint] = announcedOf(suspect)
 		}
@@ -215,10 +212,9 @@
 // suspectRumour returns the gossip record of a suspect.
 func (c *control) suspectRumour(now time.Time, s call.Suspect) member.CrashReport {
 	c.suspectSequence++
-	return member.CrashReport{
-		Fingerprint: s.Fingerprint, Crashes: uint32(s.Crashes), Time: now.Add(-s.LastEvent()), Reporter: c.gateway.self.Name, Sequence: c.gateway.self.Boot + c.suspectSequence,
-		Unanswered: uint32(s.Unanswered), Trials: uint32(s.Trials), Since: now.Add(-s.Since), Last: now.Add(-s.Last),
-	}
+	report := peer.CrashReport(now, s)
+	report.Reporter, report.Sequence = c.gateway.self.Name, c.gateway.self.Boot+c.suspectSequence
+	return report
 }
 
 // otherOwners returns all other entries that own at least one host.
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -153,7 +153,8 @@
 func encodeCrashReport(now time.Time, c member.CrashReport) *wire.Suspect {
 	w := &wire.Suspect{Print: c.Fingerprint, Crashes: c.Crashes, Ago: encodeAge(now, c.Time), By: c.Reporter, Sequence: c.Sequence}
 	if c.Unanswered > 0 {
-		w.Unanswered, w.Trials, w.Since, w.Last = c.Unanswered, c.Trials, encodeAge(now, c.Since), encodeAge(now, c.Last)
+		w.Unanswered, w.Trials, w.Answered = c.Unanswered, c.Trials, c.Answered
+		w.Since, w.Last = encodeAge(now, c.Since), encodeAge(now, c.Last)
 	}
 	return w
 }
@@ -161,7 +162,8 @@
 func decodeCrashReport(now time.Time, w *wire.Suspect) member.CrashReport {
 	c := member.CrashReport{Fingerprint: w.GetPrint(), Crashes: w.GetCrashes(), Time: decodeAge(now, w.GetAgo()), Reporter: w.GetBy(), Sequence: w.GetSequence()}
 	if w.GetUnanswered() > 0 {
-		c.Unanswered, c.Trials, c.Since, c.Last = w.GetUnanswered(), w.GetTrials(), decodeAge(now, w.GetSince()), decodeAge(now, w.GetLast())
+		c.Unanswered, c.Trials, c.Answered = w.GetUnanswered(), w.GetTrials(), w.GetAnswered()
+		c.Since, c.Last = decodeAge(now, w.GetSince()), decodeAge(now, w.GetLast())
 	}
 	return c
 }
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -184,13 +184,13 @@
 func encodeSuspect(s call.Suspect) *peerwire.Suspect {
 	return &peerwire.Suspect{
 		Print: s.Fingerprint, Crashes: uint32(s.Crashes), Ago: millis(s.Age),
-		Unanswered: uint32(s.Unanswered), Trials: uint32(s.Trials), Since: millis(s.Since), Last: millis(s.Last),
+		Unanswered: uint32(s.Unanswered), Trials: uint32(s.Trials), Since: millis(s.Since), Last: millis(s.Last), Answered: s.Answered,
 	}
 }
 
 func decodeSuspect(w *peerwire.Suspect) call.Suspect {
 	return call.Suspect{
 		Fingerprint: w.Print, Crashes: int(w.Crashes), Age: fromMillis(w.Ago),
-		Unanswered: int(w.Unanswered), Trials: int(w.Trials), Since: fromMillis(w.Since), Last: fromMillis(w.Last),
+		Unanswered: int(w.Unanswered), Trials: int(w.Trials), Since: fromMillis(w.Since), Last: fromMillis(w.Last), Answered: w.Answered,
 	}
 }
--- a/pkg/call/hold.go
+++ b/pkg/call/hold.go
@@ -16,9 +16,9 @@
 	Silent bool
 	// Trial reports whether the request was held, and sent as a trial.
 	Trial bool
-	// Answered is when a request of the same content was last answered, zero if never. A request
-	// that was answered before its first failure is held for shorter times.
-	Answered time.Time
+	// Content is the fingerprint of the request's content. A request whose content was answered before
+	// its first failure is held for shorter times.
+	Content uint64
 	// Checked reports whether the caller finds out if the target has ended, and then calls
 	// ConfirmCrash or DismissCrash.
 	Checked bool
@@ -31,9 +31,6 @@
 	if !d.Silent && !d.Stage.MayBeCrash() {
 		return false
 	}
-	if d.Silent && d.Answered.After(d.Began) {
-		return false // it is noticed late, and an answer has come since
-	}
 	if d.Stage == StageCut && !d.Checked {
 		return s.RecordCrash(now, fp, d.Target, d.Began)
 	}
@@ -42,12 +39,16 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	answered := s.lastAnswer(now, d.Content)
+	if d.Silent && answered.After(d.Began) {
+		return false // it is noticed late, and an answer has come since
+	}
 	x := s.detach(now, fp)
 	at := now
 	if d.Silent {
 		at = d.Began // a dispatch that began later is another failure
 	}
-	x.streak.noteAnswered(d.Answered)
+	x.streak.noteAnswered(answered)
 	x.streak.add(at, d.Began, d.Trial, s.cfg.CrashLimit)
 	if x.lastEvent.IsZero() {
 		x.lastEvent = now
@@ -60,40 +61,69 @@
 // the request. One that gave up at its deadline might have crashed a moment later.
 func ClearsSuspicion(status int) bool { return status != http.StatusGatewayTimeout }
 
-// Hold returns how much longer a request is held; 0 if it isn't, or if it may be sent as a trial,
-// once BeginTrial has reserved that. rank returns this entry's rank among those that send trials, from
-// 0; it is called only for a held request.
-// answered is when a request of the same content was last answered, zero if never. withHeaders is
-// whether the fingerprint includes headers. If it does, and the answer came since the first unanswered
-// dispatch, only requests with other headers may be sound: then this entry goes by its own
-// dispatches, as peers that are cut off from targets report sound ones too.
-func (s *Suspects) Hold(now time.Time, fp uint64, withHeaders bool, rank func() int, answered time.Time) (remaining time.Duration, trial bool) {
+// Hold is what becomes of a request that several targets in a row didn't answer. The zero value lets
+// it be sent.
+type Hold struct {
+	Remaining time.Duration // until its next trial
+	Trial     bool          // it may be sent as a trial, once BeginTrial has reserved that
+	Answered  bool          // targets have answered it before
+	Wait      bool          // it may be free in a moment, by the result of a trial
+}
+
+// Hold returns whether a request is held. rank returns this entry's rank among those that send
+// trials, from 0; it is called only where that matters.
+func (s *Suspects) Hold(now time.Time, fp uint64, rank func() int) Hold {
 	if s.size.Load() == 0 {
-		return 0, false
+		return Hold{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.known(now, fp)
 	if x == nil || !x.streak.held {
-		return 0, false
-	}
-	alone := withHeaders && answered.After(x.streak.since())
-	if alone && len(x.streak.own) < s.cfg.CrashLimit {
-		return 0, false
-	}
-	next := time.Time{}
-	if alone {
-		next = x.streak.nextTrial(now, 0, x.streak.ownTrials, false)
-	} else {
-		next = x.streak.nextTrial(now, rank(), x.streak.trials, x.streak.answered)
+		return Hold{}
 	}
-	if left := next.Sub(now); left > 0 {
-		return left, false
+	x.streak.noteAnswered(s.lastAnswer(now, fp))
+	h := x.streak.until(now, x.streak.nextTrial(now, rank))
+	h.Answered = x.streak.answered
+	h.Wait = h.Answered && h.Remaining > 0 && h.Remaining <= trialWait
+	return h
+}
+
+// HoldByHeaders is like Hold, for a fingerprint that includes headers. It holds a request only if one
+// with the same content was answered since its own first failure: else the content is held. Then this
+// entry goes by its own dispatches, as peers that are cut off from targets report sound requests too.
+func (s *Suspects) HoldByHeaders(now time.Time, fp, content uint64) Hold {
+	if s.size.Load() == 0 {
+		return Hold{}
 	}
-	if now.Before(x.streak.trialUntil) {
-		return trialWait, false
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.known(now, fp)
+	if x == nil || len(x.streak.own) < s.cfg.CrashLimit || !s.lastAnswer(now, content).After(x.streak.since()) {
+		return Hold{}
 	}
-	return 0, true
+	return x.streak.until(now, x.streak.ownLast.Add(x.streak.pause(now, x.streak.ownTrials)))
+}
+
+// until returns the hold until the next trial.
+func (k *streak) until(now, trial time.Time) Hold {
+	switch left := trial.Sub(now); {
+	case left > 0:
+		return Hold{Remaining: left}
+	case now.Before(k.trialUntil):
+		return Hold{Remaining: trialWait}
+	}
+	return Hold{Trial: true}
+}
+
+// lastAnswer returns when a request was last answered, at this entry or by the word of others; zero
+// if that is unknown. The caller holds the lock.
+func (s *Suspects) lastAnswer(now time.Time, fp uint64) time.Time {
+	at := s.answers.last(now, fp)
+	if x := s.known(now, fp); x != nil && x.cleared {
+		at = latest(at, x.lastEvent)
+	}
+	return at
 }
 
 // BeginTrial reserves the trial of a held request. It returns 0 if the request may be sent, which is
@@ -124,7 +154,7 @@
 	x.streak.trialUntil = time.Time{}
 	if dispatched {
 		x.streak.countTrial(now)
-		x.streak.last = now
+		x.streak.last, x.streak.ownLast = now, now
 	}
 }
 
--- a/pkg/call/merge.go
+++ b/pkg/call/merge.go
@@ -38,6 +38,7 @@
 		out.Crashes = limit
 	}
 	k := &x.streak
+	out.Answered = k.answered
 	switch {
 	case k.held:
 		out.Unanswered, out.Trials = limit, k.trials
@@ -99,18 +100,15 @@
 		return
 	}
 	since, last := now.Add(-in.Since), now.Add(-in.Last)
+	answered := s.lastAnswer(now, in.Fingerprint)
 	x := s.detach(now, in.Fingerprint)
-	answered := s.answers.last(now, in.Fingerprint)
-	if x.cleared {
-		answered = latest(answered, x.lastEvent)
-	}
 	if answered.After(since) {
 		x.cleared, x.exported, x.lastEvent = true, true, latest(x.lastEvent, answered)
 		s.insert(x)
 		return
 	}
 	x.streak.noteAnswered(answered)
-	x.streak.merge(peerStreak{peer: peer, count: min(in.Unanswered, s.cfg.CrashLimit), since: since, last: last}, in.Trials, s.cfg.CrashLimit)
+	x.streak.merge(peerStreak{peer: peer, count: min(in.Unanswered, s.cfg.CrashLimit), since: since, last: last}, in.Trials, in.Answered, s.cfg.CrashLimit)
 	x.exported = true
 	if x.lastEvent.IsZero() {
 		x.lastEvent = last
--- a/pkg/call/streak.go
+++ b/pkg/call/streak.go
@@ -12,12 +12,13 @@
 type streak struct {
 	own        []time.Time  // of the unanswered dispatches at this entry, at most CrashLimit
 	peers      []peerStreak // at most maxPeers
-	answered   bool         // this entry knew of an answer before the first of them
+	answered   bool         // targets had answered the request before, at any entry
 	held       bool         // there were CrashLimit of them
 	heldAt     time.Time    // of the last of these, at the latest
 	trials     int          // unanswered trials
 	ownTrials  int          // those of this entry
 	last       time.Time    // of the last unanswered dispatch, at any entry
+	ownLast    time.Time    // of that of this entry
 	trialUntil time.Time    // until then a trial of this entry may be in flight
 }
 
@@ -40,7 +41,8 @@
 	shortPauses    = 3
 	shortPauseTime = 2 * time.Second
 	// maxAnsweredPause bounds the pauses of a request that targets have answered before: they are
-	// more likely to have failed than the request to fail them.
+	// more likely to have failed than the request to fail them. Each entry sends trials of its own,
+	// as another one may be cut off from targets.
 	maxAnsweredPause = time.Second
 	// rankPause is how much later an entry sends a trial than the entry of the rank before, so that
 	// the result of that trial reaches it first.
@@ -60,17 +62,24 @@
 	return trialPauses[min(max(trials, shortPauses), len(trialPauses)-1)]
 }
 
-// nextTrial returns when the entry of a rank may send the next trial, after so many unanswered ones.
-// answered is whether the bound for requests that targets have answered before applies.
-func (k *streak) nextTrial(now time.Time, rank, trials int, answered bool) time.Time {
-	ranked := k.last.Add(time.Duration(rank) * rankPause)
-	switch {
-	case answered:
-		return ranked.Add(min(trialPauses[min(trials, shortPauses)], maxAnsweredPause))
-	case trials < shortPauses && now.Sub(k.heldAt) <= shortPauseTime:
-		return ranked.Add(trialPauses[trials])
+// nextTrial returns when this entry may send the next trial. rank returns its rank.
+func (k *streak) nextTrial(now time.Time, rank func() int) time.Time {
+	if k.answered {
+		last := k.ownLast
+		if last.IsZero() {
+			last = k.heldAt
+		}
+		return last.Add(min(trialPauses[min(k.ownTrials, shortPauses)], maxAnsweredPause))
+	}
+	return k.last.Add(time.Duration(rank())*rankPause + k.pause(now, k.trials))
+}
+
+// pause returns the pause after so many unanswered trials.
+func (k *streak) pause(now time.Time, trials int) time.Duration {
+	if trials < shortPauses && now.Sub(k.heldAt) <= shortPauseTime {
+		return trialPauses[trials]
 	}
-	return ranked.Add(longPause(trials))
+	return longPause(trials)
 }
 
 // hold makes the request held if it has had limit unanswered dispatches.
@@ -115,11 +124,11 @@
 	return t
 }
 
-// noteAnswered notes, before the first unanswered dispatch, whether targets have answered the request.
-// The memory of answers may be shorter than a failure of the targets.
+// noteAnswered notes that a target answered the request at a time, zero if that is unknown. The memory of
+// answers may be shorter than a failure of the targets.
 func (k *streak) noteAnswered(at time.Time) {
-	if k.count() == 0 {
-		k.answered = !at.IsZero()
+	if !at.IsZero() && (k.count() == 0 || !at.After(k.since())) {
+		k.answered = true
 	}
 }
 
@@ -133,15 +142,14 @@
 		k.countTrial(at)
 		k.trialUntil = time.Time{}
 	}
-	k.last = latest(k.last, at)
+	k.last, k.ownLast = latest(k.last, at), latest(k.ownLast, at)
 	if len(k.own) < limit {
 		k.own = append(k.own, at)
 	}
 	k.hold(limit)
 }
 
-// countTrial counts a trial. The short pauses are over for good once they
-// have taken too long.
+// countTrial counts a trial. The short pauses are over for good once they have taken too long.
 func (k *streak) countTrial(at time.Time) {
 	k.ownTrials++
 	k.trials++
@@ -150,9 +158,10 @@
 	}
 }
 
-// merge records what a peer has reported.
-func (k *streak) merge(in peerStreak, trials, limit int) {
+// merge records what a peer has reported, with its trials and whether it knew of an answer.
+func (k *streak) merge(in peerStreak, trials int, answered bool, limit int) {
 	k.trials = max(k.trials, trials)
+	k.answered = k.answered || answered
 	k.last = latest(k.last, in.last)
 	i := slices.IndexFunc(k.peers, func(p peerStreak) bool { return p.peer == in.peer })
 	switch {
@@ -172,6 +181,6 @@
 	case n == 0:
 		*k = streak{}
 	case n < limit:
-		k.held, k.trials = false, 0
+		k.held, k.trials, k.ownTrials = false, 0, 0
 	}
 }
--- a/pkg/call/streak_test.go
+++ b/pkg/call/streak_test.go
@@ -18,6 +18,7 @@
 	gossip   time.Duration                       // time between two exchanges of all entries
 	told     time.Time
 	pending  []pendingDispatch
+	waiting  []arrival
 	sent     []time.Time // dispatches
 	refused  []time.Time
 }
@@ -41,16 +42,33 @@
 	return s
 }
 
-// send sends the request through an entry.
-func (s *holdSim) send(entry int) {
-	e := s.entries[entry]
-	remaining, trial := e.Hold(s.now, simPrint, false, rank(entry), e.LastAnswer(s.now, simPrint))
-	if remaining > 0 || trial && e.BeginTrial(s.now, simPrint) > 0 {
+// send sends the request through an entry. It waits for the result of a trial, where that may free
+// it in a moment.
+func (s *holdSim) send(entry int) { s.arrive(arrival{entry, s.now}) }
+
+// arrival is a request that waits, or has just arrived.
+type arrival struct {
+	entry int
+	at    time.Time
+}
+
+const simMaxWait = time.Second
+
+func (s *holdSim) arrive(a arrival) {
+	e := s.entries[a.entry]
+	h := e.Hold(s.now, simPrint, rank(a.entry))
+	if h.Trial {
+		h.Remaining = e.BeginTrial(s.now, simPrint)
+	}
+	switch {
+	case h.Wait && s.now.Sub(a.at) < simMaxWait:
+		s.waiting = append(s.waiting, a)
+	case h.Remaining > 0:
 		s.refused = append(s.refused, s.now)
-		return
+	default:
+		s.sent = append(s.sent, s.now)
+		s.pending = append(s.pending, pendingDispatch{a.entry, s.now, h.Trial})
 	}
-	s.sent = append(s.sent, s.now)
-	s.pending = append(s.pending, pendingDispatch{entry, s.now, trial})
 }
 
 // advance moves the time on.
@@ -66,6 +84,11 @@
 			s.end(p)
 		}
 		s.pending = left
+		waiting := s.waiting
+		s.waiting = nil
+		for _, a := range waiting {
+			s.arrive(a)
+		}
 		if s.now.Sub(s.told) >= s.gossip {
 			s.told = s.now
 			s.exchange()
@@ -80,7 +103,7 @@
 		e.RecordResponse(s.now, simPrint)
 	} else {
 		e.RecordFailure(s.now, simPrint, FailedDispatch{
-			Target: strconv.Itoa(len(s.sent)), Stage: StageSent, Began: p.began, Trial: p.trial, Answered: e.LastAnswer(s.now, simPrint),
+			Target: strconv.Itoa(len(s.sent)), Stage: StageSent, Began: p.began, Trial: p.trial, Content: simPrint,
 		})
 	}
 	if p.trial {
@@ -160,6 +183,42 @@
 	}
 }
 
+// Targets recover from a failure while no request comes, and the first dispatches take long. Guards
+// against requests that are refused beside a trial that waits for its target.
+func TestAnsweredRequestBesideTrial(t *testing.T) {
+	from, to := start.Add(time.Second), start.Add(3*time.Second)
+	s := newHoldSim(3, func(_ int, now time.Time) bool { return now.Before(from) || !now.Before(to) })
+	for n := 0; s.now.Before(to); n++ {
+		s.send(n % 3)
+		s.advance(15 * time.Millisecond)
+	}
+	s.advance(2 * time.Second)
+	before := len(s.refused)
+	s.duration = 700 * time.Millisecond
+	for n := range 120 {
+		s.send(n % 3)
+		s.advance(15 * time.Millisecond)
+	}
+	qt.Assert(t, len(s.refused)-before, qt.Equals, 0)
+}
+
+// All entries are cut off from targets, and one of them stays so. Guards against its failed trials that
+// keep the others from sending any.
+func TestOneEntryDelaysNoTrialOfOthers(t *testing.T) {
+	from, to := start.Add(time.Second), start.Add(3*time.Second)
+	s := newHoldSim(3, func(entry int, now time.Time) bool {
+		return now.Before(from) || entry != 0 && !now.Before(to)
+	})
+	for n := 0; s.now.Before(to.Add(8 * time.Second)); n++ {
+		before := len(s.refused)
+		s.send(n % 3)
+		if n%3 != 0 && s.now.After(to.Add(2*time.Second)) {
+			qt.Assert(t, len(s.refused), qt.Equals, before)
+		}
+		s.advance(15 * time.Millisecond)
+	}
+}
+
 // One entry is cut off from the targets of a request that other entries serve. Guards against its
 // failures holding the request at the others.
 func TestOneEntryHoldsNoRequestOfOthers(t *testing.T) {
@@ -183,20 +242,16 @@
 	cut, sound := NewSuspects(SuspectsConfig{CrashLimit: 3}), NewSuspects(SuspectsConfig{CrashLimit: 3})
 	const headers = simPrint + 1
 	for i := range 6 {
-		cut.RecordFailure(at(i), headers, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i)})
+		cut.RecordFailure(at(i), headers, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i), Content: simPrint})
 	}
 	sound.NoteAnswer(at(3), simPrint)
 	sound.Merge(at(6), "cut", cut.Export(at(6), 10))
-	remaining, trial := sound.Hold(at(6), headers, true, rank(0), sound.LastAnswer(at(6), simPrint))
-	c.Assert(remaining, qt.Equals, time.Duration(0))
-	c.Assert(trial, qt.IsFalse)
+	c.Assert(sound.HoldByHeaders(at(6), headers, simPrint), qt.Equals, Hold{})
 	for i := 7; i < 10; i++ {
-		remaining, _ = sound.Hold(at(i), headers, true, rank(0), sound.LastAnswer(at(i), simPrint))
-		c.Assert(remaining, qt.Equals, time.Duration(0))
-		sound.RecordFailure(at(i), headers, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i)})
+		c.Assert(sound.HoldByHeaders(at(i), headers, simPrint), qt.Equals, Hold{})
+		sound.RecordFailure(at(i), headers, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i), Content: simPrint})
 	}
-	remaining, _ = sound.Hold(at(9), headers, true, rank(0), sound.LastAnswer(at(9), simPrint))
-	c.Assert(remaining > 0, qt.IsTrue, qt.Commentf("failures of its own"))
+	c.Assert(sound.HoldByHeaders(at(9), headers, simPrint).Remaining > 0, qt.IsTrue, qt.Commentf("failures of its own"))
 }
 
 // A peer reports a request that this entry has answers to since. Guards against entries without
@@ -211,11 +266,9 @@
 	for _, s := range []*Suspects{sound, other} {
 		s.Merge(at(2), "cut", cut.Export(at(2), 10))
 	}
-	remaining, _ := other.Hold(at(2), simPrint, false, rank(0), time.Time{})
-	c.Assert(remaining > 0, qt.IsTrue)
+	c.Assert(other.Hold(at(2), simPrint, rank(0)).Remaining > 0, qt.IsTrue)
 	other.Merge(at(2), "sound", sound.Export(at(2), 10))
-	remaining, _ = other.Hold(at(2), simPrint, false, rank(0), time.Time{})
-	c.Assert(remaining, qt.Equals, time.Duration(0))
+	c.Assert(other.Hold(at(2), simPrint, rank(0)), qt.Equals, Hold{})
 }
 
 // All targets break their connections at once. Guards against a hold of a request that had several
@@ -225,30 +278,45 @@
 	for i := range 5 {
 		s.RecordFailure(at(5), simPrint, FailedDispatch{Target: strconv.Itoa(i), Stage: StageSent, Began: at(i)})
 	}
-	remaining, trial := s.Hold(at(5), simPrint, false, rank(0), time.Time{})
-	qt.Assert(t, remaining, qt.Equals, time.Duration(0))
-	qt.Assert(t, trial, qt.IsFalse)
+	qt.Assert(t, s.Hold(at(5), simPrint, rank(0)), qt.Equals, Hold{})
 }
 
 // A target answers a request, and the next dispatches get no response. Guards against an answer that
 // seems to have come after the first of them, so that the hold grows.
 func TestAnswerJustBeforeFailures(t *testing.T) {
+	const headers = simPrint + 1
 	for offset := time.Duration(0); offset < 2*time.Millisecond; offset += 100 * time.Microsecond {
 		s := NewSuspects(SuspectsConfig{CrashLimit: 3})
 		now := start.Add(offset)
-		s.NoteAnswer(start, simPrint+1) // the table counts time from here
+		s.NoteAnswer(start, simPrint+2) // the table counts time from here
 		s.NoteAnswer(now, simPrint)
 		for range 40 {
 			now = now.Add(50 * time.Microsecond)
-			s.RecordFailure(now, simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: now, Trial: true, Answered: s.LastAnswer(now, simPrint)})
-			for _, withHeaders := range []bool{false, true} {
-				remaining, _ := s.Hold(now, simPrint, withHeaders, rank(0), s.LastAnswer(now, simPrint))
-				qt.Assert(t, remaining <= maxAnsweredPause, qt.IsTrue, qt.Commentf("held for %v", remaining))
+			for _, fp := range []uint64{simPrint, headers} {
+				s.RecordFailure(now, fp, FailedDispatch{Target: "a", Stage: StageSent, Began: now, Trial: true, Content: simPrint})
 			}
+			h := s.Hold(now, simPrint, rank(0))
+			qt.Assert(t, h.Remaining <= maxAnsweredPause, qt.IsTrue, qt.Commentf("held for %v", h.Remaining))
+			qt.Assert(t, s.HoldByHeaders(now, headers, simPrint), qt.Equals, Hold{})
 		}
 	}
 }
 
+// Guards against peers without an answer of their own that hold a request by growing pauses, although
+// another one knows that targets have answered it.
+func TestPeersLearnOfAnswer(t *testing.T) {
+	c := qt.New(t)
+	a, b := NewSuspects(SuspectsConfig{CrashLimit: 3}), NewSuspects(SuspectsConfig{CrashLimit: 3})
+	a.NoteAnswer(at(0), simPrint)
+	for i := 1; i < 10; i++ {
+		a.RecordFailure(at(i), simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i), Trial: true, Content: simPrint})
+	}
+	b.Merge(at(10), "a", a.Export(at(10), 10))
+	h := b.Hold(at(10), simPrint, rank(3))
+	c.Assert(h.Trial, qt.IsTrue, qt.Commentf("%+v", h))
+	c.Assert(h.Answered, qt.IsTrue)
+}
+
 // A dispatch that a target never answers is recorded at its deadline. Guards against dispatches
 // in flight meanwhile that count as part of it.
 func TestSilentDispatches(t *testing.T) {
@@ -258,9 +326,7 @@
 		began := start.Add(time.Duration(i) * 300 * time.Millisecond)
 		s.RecordFailure(began.Add(2*time.Second), simPrint, FailedDispatch{Target: "a", Began: began, Silent: true})
 	}
-	remaining, trial := s.Hold(start.Add(2700*time.Millisecond), simPrint, false, rank(3), time.Time{})
-	c.Assert(remaining > 0, qt.IsTrue)
-	c.Assert(trial, qt.IsFalse)
+	c.Assert(s.Hold(start.Add(2700*time.Millisecond), simPrint, rank(3)).Remaining > 0, qt.IsTrue)
 }
 
 // Silent dispatches are recorded long after they began. Guards against those that began before the
@@ -272,15 +338,13 @@
 		began := start.Add(time.Duration(i) * 20 * time.Millisecond)
 		s.RecordFailure(began.Add(time.Second), simPrint, FailedDispatch{Target: "a", Began: began, Silent: true})
 	}
-	_, trial := s.Hold(at(2), simPrint, false, rank(0), time.Time{})
-	c.Assert(trial, qt.IsTrue)
+	c.Assert(s.Hold(at(2), simPrint, rank(0)).Trial, qt.IsTrue)
 	s = NewSuspects(SuspectsConfig{CrashLimit: 3})
+	s.NoteAnswer(at(4), simPrint)
 	for i := range 3 {
-		s.RecordFailure(at(5), simPrint, FailedDispatch{Target: "a", Began: at(i), Silent: true, Answered: at(4)})
+		s.RecordFailure(at(5), simPrint, FailedDispatch{Target: "a", Began: at(i), Silent: true, Content: simPrint})
 	}
-	remaining, trial := s.Hold(at(5), simPrint, false, rank(0), at(4))
-	c.Assert(remaining, qt.Equals, time.Duration(0))
-	c.Assert(trial, qt.IsFalse)
+	c.Assert(s.Hold(at(5), simPrint, rank(0)), qt.Equals, Hold{})
 }
 
 // Guards against two trials at once, against a trial that is reserved for ever, and against trials
@@ -291,23 +355,17 @@
 	for i := range 3 {
 		s.RecordFailure(at(i), simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i)})
 	}
-	remaining, _ := s.Hold(at(7), simPrint, false, rank(0), time.Time{})
-	c.Assert(remaining, qt.Equals, 3*time.Second, qt.Commentf("the time of short pauses is over"))
-	_, trial := s.Hold(at(3), simPrint, false, rank(0), time.Time{})
-	c.Assert(trial, qt.IsTrue)
+	c.Assert(s.Hold(at(7), simPrint, rank(0)).Remaining, qt.Equals, 3*time.Second, qt.Commentf("the time of short pauses is over"))
+	c.Assert(s.Hold(at(3), simPrint, rank(0)).Trial, qt.IsTrue)
 	c.Assert(s.BeginTrial(at(3), simPrint), qt.Equals, time.Duration(0))
 	c.Assert(s.BeginTrial(at(3), simPrint), qt.Equals, trialWait)
-	_, trial = s.Hold(at(4), simPrint, false, rank(0), time.Time{})
-	c.Assert(trial, qt.IsFalse)
+	c.Assert(s.Hold(at(4), simPrint, rank(0)).Trial, qt.IsFalse)
 	s.EndTrial(at(4), simPrint, false)
-	_, trial = s.Hold(at(4), simPrint, false, rank(0), time.Time{})
-	c.Assert(trial, qt.IsTrue, qt.Commentf("a trial that reached no target"))
+	c.Assert(s.Hold(at(4), simPrint, rank(0)).Trial, qt.IsTrue, qt.Commentf("a trial that reached no target"))
 	c.Assert(s.BeginTrial(at(4), simPrint), qt.Equals, time.Duration(0))
-	_, trial = s.Hold(at(5).Add(trialTimeout), simPrint, false, rank(0), time.Time{})
-	c.Assert(trial, qt.IsTrue, qt.Commentf("a trial without a result"))
+	c.Assert(s.Hold(at(5).Add(trialTimeout), simPrint, rank(0)).Trial, qt.IsTrue, qt.Commentf("a trial without a result"))
 	s.EndTrial(at(5), simPrint, true)
-	remaining, _ = s.Hold(at(5), simPrint, false, rank(0), time.Time{})
-	c.Assert(remaining, qt.Equals, trialPauses[shortPauses+1], qt.Commentf("a trial whose caller has left"))
+	c.Assert(s.Hold(at(5), simPrint, rank(0)).Remaining, qt.Equals, trialPauses[shortPauses+1], qt.Commentf("a trial whose caller has left"))
 }
 
 // Guards against a place of the table that is taken for the answer of another request, and against
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -37,6 +37,7 @@
 	Trials      int           // unanswered trials since the request is held
 	// Since and Last are the times since the first and the last of the unanswered dispatches.
 	Since, Last time.Duration
+	Answered    bool // targets had answered the request before
 }
 
 // Suspects counts, by request fingerprint, the targets that broke their connection
@@ -246,13 +247,10 @@
 	return max(s.cfg.Quarantine-now.Sub(x.lastEvent), 0)
 }
 
-// NoteAnswer remembers that a request was answered. Requests that have been are held for shorter
-// times.
+// NoteAnswer remembers that a request was answered, by the fingerprint of its content. Requests that have
+// been are held for shorter times.
 func (s *Suspects) NoteAnswer(now time.Time, fp uint64) { s.answers.note(now, fp) }
 
-// LastAnswer returns when a request was last answered, zero if that is unknown or long ago.
-func (s *Suspects) LastAnswer(now time.Time, fp uint64) time.Time { return s.answers.last(now, fp) }
-
 // RecordResponse clears a fingerprint because a target ran the request and is still alive.
 // It reports whether the fingerprint had crashes.
 func (s *Suspects) RecordResponse(now time.Time, fp uint64) bool {
--- a/pkg/call/suspect_test.go
+++ b/pkg/call/suspect_test.go
@@ -220,7 +220,7 @@
 					Silent: rapid.Bool().Draw(t, "silent"), Trial: rapid.Bool().Draw(t, "trial"), Checked: rapid.Bool().Draw(t, "checked"),
 				})
 			case 7:
-				if _, trial := s.Hold(now, fp, false, rank(0), s.LastAnswer(now, fp)); trial && s.BeginTrial(now, fp) > 0 {
+				if s.Hold(now, fp, rank(0)).Trial && s.BeginTrial(now, fp) > 0 {
 					t.Fatal("a trial is due and can't begin")
 				}
 			case 8:
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -41,9 +41,10 @@
 	Crashes     uint32 // targets that it has crashed
 	Time        time.Time
 	// Unanswered is the number of its dispatches in a row that got no response, from Since to Last, and
-	// Trials the number of those since it is held.
+	// Trials the number of trials among them.
 	Unanswered, Trials uint32
 	Since, Last        time.Time
+	Answered           bool // targets had answered it before
 	// Reporter is the entry that observed the crashes; each entry counts only its own
 	// observations. Sequence orders the reports of one entry.
 	Reporter string
