gateway, soak: one question for a target's health; how targets crash stands beside the ways they end

checkEnded and the check of silent targets asked in two ways. A target that accepts connections and answers nothing is logged as closing, not as one that lives.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -33,10 +33,11 @@
 	targetLives targetState = iota
 	targetEnded
 	targetUnreachable // it has ended, or this entry doesn't reach it
+	targetClosing     // it accepts connections and answers nothing
 )
 
 func (s targetState) String() string {
-	return [...]string{"lives", "ended", "unreachable"}[s]
+	return [...]string{"lives", "ended", "unreachable", "closing"}[s]
 }
 
 // endChecks checks targets that broke a connection, each once at a time: a target that ends
@@ -75,27 +76,31 @@
 }
 
 // checkEnded asks a target for its health. Any response but that of another instance shows that
-// it lives; so does a connection that it accepts.
+// it lives. A connection that it accepts doesn't show that it has ended.
 func (g *Gateway) checkEnded(t slot.Target, healthPath string) targetState {
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
 	for range endCheckTries {
-		_, header, err := g.forward.Probe(ctx, t.Address, healthPath)
-		if err == nil {
-			if id := platform.InstanceID(header); id != "" && id != t.ID {
-				return targetEnded
-			}
-			return targetLives
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return targetEnded
-		}
-		if isUnreachable(err) {
-			return targetUnreachable
+		if state := g.askHealth(ctx, t, healthPath); state != targetClosing {
+			return state
 		}
 		sleep(ctx, endCheckPause)
 	}
-	return targetLives
+	return targetClosing
+}
+
+// askHealth asks a target for its health once.
+func (g *Gateway) askHealth(ctx context.Context, t slot.Target, healthPath string) targetState {
+	_, header, err := g.forward.Probe(ctx, t.Address, healthPath)
+	switch id := platform.InstanceID(header); {
+	case errors.Is(err, syscall.ECONNREFUSED), err == nil && id != "" && id != t.ID:
+		return targetEnded
+	case err == nil:
+		return targetLives
+	case isUnreachable(err):
+		return targetUnreachable
+	}
+	return targetClosing
 }
 
 // isUnreachable reports whether an error of a probe leaves open whether the target has ended.
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/slot"
-	"plumpitch.example/plumpitch/platform"
 )
 
 const (
@@ -23,8 +20,8 @@
 	minSilence = 400 * time.Millisecond
 )
 
-// checkSilence checks the targets that have left this request unanswered for so long. Connections to a
-// target whose machine has ended don't break. It returns the time until the next check.
+// checkSilence checks the targets that have left this request unanswered for the timeout. Connections to
+// a machine that has lost its power don't break. It returns the time until the next check.
 func (q *request) checkSilence(now time.Time, timeout time.Duration) (next time.Duration) {
 	next = silenceTimeout
 	for i := range q.dispatches[:q.dispatchCount()] {
@@ -59,7 +56,11 @@
 // or as a crash if it has ended.
 func (s silentDispatch) resolve() {
 	g, incarnation := s.gateway, s.target.Incarnation()
-	state := g.endChecks.check("silent "+incarnation, func() targetState { return g.checkAnswers(s.target, s.service.healthPath()) })
+	state := g.endChecks.check("silent "+incarnation, func() targetState {
+		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+		defer cancel()
+		return g.askHealth(ctx, s.target, s.service.healthPath())
+	})
 	if state == targetLives || s.ended.Load() {
 		return
 	}
@@ -74,24 +75,6 @@
 	}).Info("target left a request unanswered")
 }
 
-// checkAnswers asks a target for its health. In contrast to checkEnded, a target that sends nothing
-// doesn't count as alive.
-func (g *Gateway) checkAnswers(t slot.Target, healthPath string) targetState {
-	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
-	defer cancel()
-	_, header, err := g.forward.Probe(ctx, t.Address, healthPath)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return targetEnded
-	case err != nil:
-		return targetUnreachable
-	}
-	if id := platform.InstanceID(header); id != "" && id != t.ID {
-		return targetEnded
-	}
-	return targetLives
-}
-
 // record records the dispatch, and reports whether the request is held or in quarantine now.
 func (s silentDispatch) record(now time.Time, incarnation string, state targetState) (held bool) {
 	suspects := s.gateway.suspects
--- a/internal/soak/target_ends_test.go
+++ b/internal/soak/target_ends_test.go
@@ -204,6 +204,41 @@
 	c.site.t.Logf("%d targets crashed, seconds after the first:%s", len(c.site.crashTimes), text)
 }
 
+const (
+	// replacementDelay is the time from a crash until another target replaces the crashed one.
+	replacementDelay = time.Second
+	// recordDeletionDelay is the time from a crash until the target's record is deleted.
+	recordDeletionDelay = 4500 * time.Millisecond
+)
+
+// crashTarget ends a target without a notice to the store, as a crash does.
+func (s *site) crashTarget(k *target) {
+	s.mu.Lock()
+	before := k.crashed
+	k.crashed = true
+	s.mu.Unlock()
+	if before {
+		return
+	}
+	s.logf("%s crashes", k.ID)
+	s.mu.Lock()
+	end := s.nextEnd(len(s.crashTimes))
+	s.crashTimes = append(s.crashTimes, time.Now())
+	s.mu.Unlock()
+	if end == endReborn || end == endRestarted {
+		s.replaceAtOnce(k, end)
+		return
+	}
+	k.crash(s, end)
+	s.schedule(replacementDelay, func() { s.addTarget(k.service) })
+	s.schedule(recordDeletionDelay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		k.recordDeleted = true
+		s.store.Delete("servers", k.ID)
+	})
+}
+
 // nextEnd returns how the n-th target that crashes ends.
 func (p profile) nextEnd(n int) targetEnd {
 	if len(p.ends) == 0 {
--- a/pkg/call/hold.go
+++ b/pkg/call/hold.go
@@ -82,7 +82,6 @@
 	if x == nil || !x.streak.held {
 		return Hold{}
 	}
-	x.streak.noteAnswered(s.lastAnswer(now, fp))
 	h := x.streak.until(now, x.streak.nextTrial(now, rank))
 	h.Answered = x.streak.answered
 	h.Wait = h.Answered && h.Remaining > 0 && h.Remaining <= trialWait
--- a/pkg/call/streak.go
+++ b/pkg/call/streak.go
@@ -124,11 +124,11 @@
 	return t
 }
 
-// noteAnswered notes that a target answered the request at a time, zero if that is unknown. The memory of
-// answers may be shorter than a failure of the targets.
+// noteAnswered notes, before the first unanswered dispatch, whether targets have answered the request.
+// The memory of answers may be shorter than a failure of the targets.
 func (k *streak) noteAnswered(at time.Time) {
-	if !at.IsZero() && (k.count() == 0 || !at.After(k.since())) {
-		k.answered = true
+	if k.count() == 0 {
+		k.answered = !at.IsZero()
 	}
 }
 
--- a/pkg/call/streak_test.go
+++ b/pkg/call/streak_test.go
@@ -202,8 +202,8 @@
 	qt.Assert(t, len(s.refused)-before, qt.Equals, 0)
 }
 
-// All entries are cut off from targets, and one of them stays so. Guards against its failed trials that
-// keep the others from sending any.
+// All entries are cut off from targets, and one of them stays so. Guards against requests that the others
+// refuse for its sake.
 func TestOneEntryDelaysNoTrialOfOthers(t *testing.T) {
 	from, to := start.Add(time.Second), start.Add(3*time.Second)
 	s := newHoldSim(3, func(entry int, now time.Time) bool {
@@ -219,6 +219,31 @@
 	}
 }
 
+// A peer that is cut off from targets reports failed trials. Guards against an entry that they keep from
+// sending its own.
+func TestPeerDelaysNoTrial(t *testing.T) {
+	c := qt.New(t)
+	cut, s := NewSuspects(SuspectsConfig{CrashLimit: 3}), NewSuspects(SuspectsConfig{CrashLimit: 3})
+	s.NoteAnswer(at(0), simPrint)
+	for i := 1; i < 9; i++ {
+		d := FailedDispatch{Target: "a", Stage: StageSent, Began: at(i), Content: simPrint}
+		cut.RecordFailure(at(i), simPrint, d)
+		if i < 4 {
+			s.RecordFailure(at(i), simPrint, d)
+		}
+		s.Merge(at(i), "cut", cut.Export(at(i), 10))
+	}
+	c.Assert(s.Hold(at(8), simPrint, rank(0)).Trial, qt.IsTrue)
+}
+
+// An answer ends a part of a streak. Guards against pauses that go on by trials from before.
+func TestAnswerForgetsTrials(t *testing.T) {
+	k := streak{own: []time.Time{at(1), at(5)}, held: true, trials: 4, ownTrials: 4}
+	k.drop(at(3), 2)
+	qt.Assert(t, k.held, qt.IsFalse)
+	qt.Assert(t, max(k.trials, k.ownTrials), qt.Equals, 0)
+}
+
 // One entry is cut off from the targets of a request that other entries serve. Guards against its
 // failures holding the request at the others.
 func TestOneEntryHoldsNoRequestOfOthers(t *testing.T) {
