call: a request waits beside a trial only, not for the next one

Cause: since a request that targets had answered before waits for the result of a trial if that may come within 250 ms. The first pause is 250 ms long, so that requests waited for its end too, and then were sent as the trial themselves, one an entry.

--- a/pkg/call/hold.go
+++ b/pkg/call/hold.go
@@ -84,7 +84,7 @@
 	}
 	h := x.streak.until(now, x.streak.nextTrial(now, rank))
 	h.Answered = x.streak.answered
-	h.Wait = h.Answered && h.Remaining > 0 && h.Remaining <= trialWait
+	h.Wait = h.Answered && h.Remaining > 0 && now.Before(x.streak.trialUntil)
 	return h
 }
 
--- a/pkg/call/streak_test.go
+++ b/pkg/call/streak_test.go
@@ -393,6 +393,21 @@
 	c.Assert(s.Hold(at(5), simPrint, rank(0)).Remaining, qt.Equals, trialPauses[shortPauses+1], qt.Commentf("a trial whose caller has left"))
 }
 
+// Guards against requests that wait for the next trial, and then are trials themselves, in place of
+// being refused until then.
+func TestNoWaitForTheNextTrial(t *testing.T) {
+	c := qt.New(t)
+	s := NewSuspects(SuspectsConfig{CrashLimit: 3})
+	s.NoteAnswer(at(0), simPrint)
+	for i := range 3 {
+		s.RecordFailure(at(i+1), simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i + 1), Content: simPrint})
+	}
+	c.Assert(s.Hold(at(3).Add(time.Millisecond), simPrint, rank(0)), qt.Equals,
+		Hold{Remaining: trialPauses[0] - time.Millisecond, Answered: true})
+	c.Assert(s.BeginTrial(at(4), simPrint), qt.Equals, time.Duration(0))
+	c.Assert(s.Hold(at(4), simPrint, rank(0)), qt.Equals, Hold{Remaining: trialWait, Answered: true, Wait: true})
+}
+
 // Guards against a place of the table that is taken for the answer of another request, and against
 // answers that are remembered for too long.
 func TestAnswers(t *testing.T) {
