--- a/internal/gateway/crash_ending_test.go
+++ b/internal/gateway/crash_ending_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,9 +28,8 @@
 
 // checkLateCrashes sends a request that crashes targets from many callers, and checks that it reaches
 // few of them late and that another one is served.
-func (w *crashWorld) checkLateCrashes() {
+func (w *crashWorld) checkLateCrashes(entries []*entry) {
 	w.c.Helper()
-	entries := startEntries(w.world, 3)
 	callers := callersFrom(40)
 	for i := range 40 {
 		go entries[i%len(entries)].callFrom(callers[i%len(callers)], fmt.Sprint("c-", i), crashPath, "", "")
@@ -50,7 +50,7 @@
 			t.Parallel()
 			w := newCrashWorld(t, worldConfig{targets: 12}, crashOnPath)
 			w.ending, w.recordTime = tt.ending, 4500*time.Millisecond
-			w.checkLateCrashes()
+			w.checkLateCrashes(startEntries(w.world, 3))
 		})
 	}
 }
@@ -88,7 +88,28 @@
 	for range 8 {
 		w.startRestarting()
 	}
-	w.checkLateCrashes()
+	w.checkLateCrashes(startEntries(w.world, 3))
+}
+
+// A request that targets have answered begins to crash them. Guards against trials without end of a
+// request that was sound.
+func TestSoundRequestTurnsDeadly(t *testing.T) {
+	for _, tt := range endings {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var deadly atomic.Bool
+			w := newCrashWorld(t, worldConfig{targets: 12}, func(r *http.Request) worker.Fault {
+				return worker.Fault{Crash: deadly.Load() && r.URL.Path == crashPath}
+			})
+			w.ending, w.recordTime = tt.ending, 4500*time.Millisecond
+			entries := startEntries(w.world, 3)
+			for i := range 30 {
+				w.c.Assert(entries[i%len(entries)].call("GET", crashPath, "").status, qt.Equals, http.StatusOK)
+			}
+			deadly.Store(true)
+			w.checkLateCrashes(entries)
+		})
+	}
 }
 
 // A request breaks the connection of each target that runs it, and the targets live on. Guards against
@@ -167,6 +188,29 @@
 	w.c.Assert(runs <= (crashLimit+2)*slots, qt.IsTrue, qt.Commentf("%d runs", runs))
 }
 
+// Targets break the connections of requests for a while, and answer health checks. Guards against a
+// popular request that is taken for the cause.
+func TestPopularRequestOutlivesBrokenRequests(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, worldConfig{targets: 8})
+	for _, k := range w.workers {
+		k.SetServiceTime(20 * time.Millisecond)
+	}
+	entries := startEntries(w, 3)
+	callers := callersFrom(40)
+	servedShare(entries, callers, 40)
+	for _, k := range w.workers {
+		k.SetFaults(func(*http.Request) worker.Fault { return worker.Fault{LoseResponse: true} })
+	}
+	servedShare(entries, callers, int(4*time.Second/popularInterval))
+	for _, k := range w.workers {
+		k.SetFaults(noFault)
+	}
+	time.Sleep(settleTime)
+	share := servedShare(entries, callers, 120)
+	w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
+}
+
 // Targets lose all connections for a while, health checks too, and none of them ends. Guards
 // against a quarantine of a request that many callers send.
 func TestPopularRequestOutlivesSilentTargets(t *testing.T) {
