call: a trial is ended by its own result only

Callers saw more trials of a held request than its pauses allow, where targets stay silent.

Cause: a trial is over once its target is found silent, and the next one may begin. When the first one's caller then reached its deadline, it ended whichever trial was in progress, and a third one began beside the second.

Change: a trial is known by the time of its reservation.

Evidence: log of TestSoundRequestTurnsDeadly/dark (a trial at 37.423 s whose result came at 38.761 s, another at the same entry at 38.571 s; 4 late dispatches, allowed 3).

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -32,7 +32,7 @@
 	timer      *time.Timer
 	response   *openResponse
 	refused    bool
-	trial      bool // the request is held, and sent as a trial
+	trial      time.Time // the reservation, if the request is held and sent as a trial
 }
 
 // dispatch is one attempt to have the request served by a target.
@@ -96,8 +96,9 @@
 		Attempt:    q.header.Attempt,
 		Depth:      q.header.Depth,
 	}
-	h := d.entry.awaitTrial(d.ctx, q.arrived, q.fingerprint())
-	a.QuarantineRemaining, a.Trial, d.trial = h.Remaining, h.Trial, h.Trial
+	var h call.Hold
+	h, d.trial = d.entry.awaitTrial(d.ctx, q.arrived, q.fingerprint())
+	a.QuarantineRemaining, a.Trial = h.Remaining, !d.trial.IsZero()
 	if q.policy.Hedge && q.stream == nil && a.Idempotent {
 		a.HedgeDelay = q.policy.HedgeAfter
 		d.results = make(chan dispatchResult, call.MaxDispatches)
@@ -319,7 +320,7 @@
 
 // endTrial ends the trial of a held request.
 func (d *dispatcher) endTrial() {
-	if d.trial {
-		d.entry.suspects.EndTrial(time.Now(), d.q.fingerprint(), d.call.Outcome() != call.NotRun)
+	if !d.trial.IsZero() {
+		d.entry.suspects.EndTrial(time.Now(), d.q.fingerprint(), d.trial, d.call.Outcome() != call.NotRun)
 	}
 }
--- a/internal/entry/suspicion.go
+++ b/internal/entry/suspicion.go
@@ -8,18 +8,20 @@
 	"plumpitch.example/plumpitch/pkg/owner"
 )
 
-// checkSuspicion returns whether a request is in quarantine or held. If it returns a trial, that is
-// reserved.
-func (e *Entry) checkSuspicion(now time.Time, fingerprint uint64) (h call.Hold) {
+// checkSuspicion returns whether a request is in quarantine or held, and the reservation if it may be
+// sent as a trial.
+func (e *Entry) checkSuspicion(now time.Time, fingerprint uint64) (h call.Hold, trial time.Time) {
 	s := e.suspects
 	if h.Remaining = s.QuarantineRemaining(now, fingerprint); h.Remaining > 0 {
-		return h
+		return h, trial
 	}
-	if h = s.Hold(now, fingerprint, func() int { return e.trialRank(fingerprint) }); h.Trial {
-		h.Remaining = s.BeginTrial(now, fingerprint)
-		h.Trial = h.Remaining == 0
+	if h = s.Hold(now, fingerprint, func() int { return e.trialRank(fingerprint) }); !h.Trial {
+		return h, trial
 	}
-	return h
+	if h.Remaining = s.BeginTrial(now, fingerprint); h.Remaining > 0 {
+		return h, trial
+	}
+	return h, now
 }
 
 const (
@@ -31,19 +33,19 @@
 
 // awaitTrial returns checkSuspicion, once the result of a trial can't free the request in a moment
 // any more.
-func (e *Entry) awaitTrial(ctx context.Context, now time.Time, fingerprint uint64) call.Hold {
+func (e *Entry) awaitTrial(ctx context.Context, now time.Time, fingerprint uint64) (h call.Hold, trial time.Time) {
 	until := now.Add(maxTrialWait)
-	h := e.checkSuspicion(now, fingerprint)
+	h, trial = e.checkSuspicion(now, fingerprint)
 	for h.Wait && now.Before(until) {
 		select {
 		case <-time.After(trialPoll):
 		case <-ctx.Done():
-			return h
+			return h, trial
 		}
 		now = time.Now()
-		h = e.checkSuspicion(now, fingerprint)
+		h, trial = e.checkSuspicion(now, fingerprint)
 	}
-	return h
+	return h, trial
 }
 
 // trialRank returns the rank of this entry among those that send trials of a request.
--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -88,15 +88,15 @@
 		return remaining
 	}
 	if remaining = s.BeginTrial(now, f.headers); remaining > 0 {
-		s.EndTrial(now, f.content, false)
+		s.EndTrial(now, f.content, now, false)
 	}
 	return remaining
 }
 
-// endTrial ends a trial; dispatched is whether a target got the request.
-func (f fingerprints) endTrial(s *call.Suspects, now time.Time, dispatched bool) {
-	s.EndTrial(now, f.content, dispatched)
-	s.EndTrial(now, f.headers, dispatched)
+// endTrial ends the trial reserved at a time; dispatched is whether a target got the request.
+func (f fingerprints) endTrial(s *call.Suspects, now, reserved time.Time, dispatched bool) {
+	s.EndTrial(now, f.content, reserved, dispatched)
+	s.EndTrial(now, f.headers, reserved, dispatched)
 }
 
 // crashCount returns the number of target crashes known for a request.
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -12,7 +12,7 @@
 // becomes that. Most requests need no fingerprint, since none is suspected.
 func (q *request) checkSuspicion(now time.Time) (h call.Hold) {
 	s := q.gateway.suspects
-	if q.trial || s.Empty() {
+	if !q.trial.IsZero() || s.Empty() {
 		return h
 	}
 	f := q.fingerprints()
@@ -28,7 +28,7 @@
 	if h.Remaining = f.beginTrial(s, now); h.Remaining > 0 {
 		return h
 	}
-	q.trial = true
+	q.trial = now
 	fields := q.logFields()
 	fields["print"] = f.text()
 	q.gateway.log.WithFields(fields).Info("request is sent as a trial")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -23,7 +23,7 @@
 	arrived  time.Time
 	body     []byte
 	prints   fingerprints // set by fingerprints
-	trial    bool         // the request is held, and sent as a trial
+	trial    time.Time    // the reservation, if the request is held and sent as a trial
 	table    *route.Table // of the view that the request was routed by
 	route    *route.ActiveRoute
 	account  *account.Account // nil without an account
@@ -139,7 +139,7 @@
 	})
 	a := call.Arrival{Deadline: deadline, Idempotent: q.route.Idempotent, HedgeDelay: q.service.hedgeDelay(q.route.Name, q.objective.Sub(now))}
 	a.QuarantineRemaining = q.checkSuspicion(now).Remaining
-	a.Trial = q.trial
+	a.Trial = !q.trial.IsZero()
 	return q.call.Arrive(now, a)
 }
 
@@ -348,8 +348,8 @@
 	if q.call.Outcome() == call.NotRun {
 		q.returnToken()
 	}
-	if q.trial {
-		q.fingerprints().endTrial(q.gateway.suspects, time.Now(), q.call.Outcome() != call.NotRun)
+	if !q.trial.IsZero() {
+		q.fingerprints().endTrial(q.gateway.suspects, time.Now(), q.trial, q.call.Outcome() != call.NotRun)
 	}
 	if q.pendingID != 0 {
 		q.service.cancel(time.Now(), q.pendingID)
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -48,7 +48,7 @@
 	prints  fingerprints
 	target  slot.Target
 	began   time.Time
-	trial   bool
+	trial   time.Time    // its reservation
 	ended   *atomic.Bool // its result has arrived
 }
 
--- a/pkg/call/hold.go
+++ b/pkg/call/hold.go
@@ -14,8 +14,8 @@
 	// Silent reports whether the target was silent all the while. Stage may be 0 then, as the
 	// dispatch may still be in flight.
 	Silent bool
-	// Trial reports whether the request was held, and sent as a trial.
-	Trial bool
+	// Trial is when BeginTrial reserved the dispatch as a trial of a held request; zero for all others.
+	Trial time.Time
 	// Content is the fingerprint of the request's content. A request whose content was answered before
 	// its first failure is held for shorter times.
 	Content uint64
@@ -141,17 +141,13 @@
 	return 0
 }
 
-// EndTrial records that a trial has ended. It counts as unanswered if it was dispatched and its
-// result hasn't been recorded.
-func (s *Suspects) EndTrial(now time.Time, fp uint64, dispatched bool) {
+// EndTrial records that the trial reserved at a time has ended. It counts as unanswered if it was
+// dispatched and its result hasn't been recorded.
+func (s *Suspects) EndTrial(now time.Time, fp uint64, reserved time.Time, dispatched bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.known(now, fp)
-	if x == nil || x.streak.trialUntil.IsZero() {
-		return
-	}
-	x.streak.trialUntil = time.Time{}
-	if dispatched {
+	if x != nil && x.streak.endTrial(reserved) && dispatched {
 		x.streak.countTrial(now)
 		x.streak.last, x.streak.ownLast = now, now
 	}
--- a/pkg/call/streak.go
+++ b/pkg/call/streak.go
@@ -132,15 +132,23 @@
 	}
 }
 
-// add records an unanswered dispatch of this entry, maybe a trial. Another one that begins before
+// endTrial ends the trial that was reserved at a time. It reports false if that trial has ended before.
+func (k *streak) endTrial(reserved time.Time) bool {
+	if reserved.IsZero() || !k.trialUntil.Equal(reserved.Add(trialTimeout)) {
+		return false
+	}
+	k.trialUntil = time.Time{}
+	return true
+}
+
+// add records an unanswered dispatch of this entry, a trial if it was reserved as one. Another one that begins before
 // at counts as part of the same failure.
-func (k *streak) add(at, began time.Time, trial bool, limit int) {
+func (k *streak) add(at, began, reserved time.Time, limit int) {
 	if k.count() > 0 && began.Before(k.last) {
 		return
 	}
-	if trial && k.held {
+	if k.endTrial(reserved) {
 		k.countTrial(at)
-		k.trialUntil = time.Time{}
 	}
 	k.last, k.ownLast = latest(k.last, at), latest(k.ownLast, at)
 	if len(k.own) < limit {
--- a/pkg/call/streak_test.go
+++ b/pkg/call/streak_test.go
@@ -26,7 +26,7 @@
 type pendingDispatch struct {
 	entry int
 	began time.Time
-	trial bool
+	trial time.Time // its reservation
 }
 
 const simPrint = 7
@@ -57,8 +57,10 @@
 func (s *holdSim) arrive(a arrival) {
 	e := s.entries[a.entry]
 	h := e.Hold(s.now, simPrint, rank(a.entry))
+	var trial time.Time
 	if h.Trial {
 		h.Remaining = e.BeginTrial(s.now, simPrint)
+		trial = s.now
 	}
 	switch {
 	case h.Wait && s.now.Sub(a.at) < simMaxWait:
@@ -67,7 +69,7 @@
 		s.refused = append(s.refused, s.now)
 	default:
 		s.sent = append(s.sent, s.now)
-		s.pending = append(s.pending, pendingDispatch{a.entry, s.now, h.Trial})
+		s.pending = append(s.pending, pendingDispatch{a.entry, s.now, trial})
 	}
 }
 
@@ -106,9 +108,7 @@
 			Target: strconv.Itoa(len(s.sent)), Stage: StageSent, Began: p.began, Trial: p.trial, Content: simPrint,
 		})
 	}
-	if p.trial {
-		e.EndTrial(s.now, simPrint, true)
-	}
+	e.EndTrial(s.now, simPrint, p.trial, true)
 }
 
 func (s *holdSim) exchange() {
@@ -318,7 +318,8 @@
 		for range 40 {
 			now = now.Add(50 * time.Microsecond)
 			for _, fp := range []uint64{simPrint, headers} {
-				s.RecordFailure(now, fp, FailedDispatch{Target: "a", Stage: StageSent, Began: now, Trial: true, Content: simPrint})
+				s.BeginTrial(now, fp)
+				s.RecordFailure(now, fp, FailedDispatch{Target: "a", Stage: StageSent, Began: now, Trial: now, Content: simPrint})
 			}
 			h := s.Hold(now, simPrint, rank(0))
 			qt.Assert(t, h.Remaining <= maxAnsweredPause, qt.IsTrue, qt.Commentf("held for %v", h.Remaining))
@@ -334,7 +335,8 @@
 	a, b := NewSuspects(SuspectsConfig{CrashLimit: 3}), NewSuspects(SuspectsConfig{CrashLimit: 3})
 	a.NoteAnswer(at(0), simPrint)
 	for i := 1; i < 10; i++ {
-		a.RecordFailure(at(i), simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i), Trial: true, Content: simPrint})
+		a.BeginTrial(at(i), simPrint)
+		a.RecordFailure(at(i), simPrint, FailedDispatch{Target: "a", Stage: StageSent, Began: at(i), Trial: at(i), Content: simPrint})
 	}
 	b.Merge(at(10), "a", a.Export(at(10), 10))
 	h := b.Hold(at(10), simPrint, rank(3))
@@ -385,11 +387,13 @@
 	c.Assert(s.BeginTrial(at(3), simPrint), qt.Equals, time.Duration(0))
 	c.Assert(s.BeginTrial(at(3), simPrint), qt.Equals, trialWait)
 	c.Assert(s.Hold(at(4), simPrint, rank(0)).Trial, qt.IsFalse)
-	s.EndTrial(at(4), simPrint, false)
+	s.EndTrial(at(4), simPrint, at(3), false)
 	c.Assert(s.Hold(at(4), simPrint, rank(0)).Trial, qt.IsTrue, qt.Commentf("a trial that reached no target"))
 	c.Assert(s.BeginTrial(at(4), simPrint), qt.Equals, time.Duration(0))
+	s.EndTrial(at(5), simPrint, at(3), true)
+	c.Assert(s.Hold(at(5), simPrint, rank(0)).Trial, qt.IsFalse, qt.Commentf("another trial has ended"))
 	c.Assert(s.Hold(at(5).Add(trialTimeout), simPrint, rank(0)).Trial, qt.IsTrue, qt.Commentf("a trial without a result"))
-	s.EndTrial(at(5), simPrint, true)
+	s.EndTrial(at(5), simPrint, at(4), true)
 	c.Assert(s.Hold(at(5), simPrint, rank(0)).Remaining, qt.Equals, trialPauses[shortPauses+1], qt.Commentf("a trial whose caller has left"))
 }
 
--- a/pkg/call/suspect_test.go
+++ b/pkg/call/suspect_test.go
@@ -194,6 +194,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := NewSuspects(SuspectsConfig{MaxFingerprints: 3})
 		now := start
+		var reserved time.Time
 		for range rapid.IntRange(0, 60).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "s")) * time.Second)
 			fp := rapid.Uint64Range(0, 6).Draw(t, "print")
@@ -217,14 +218,17 @@
 				began := now.Add(-time.Duration(rapid.IntRange(0, 60).Draw(t, "took")) * time.Second)
 				s.RecordFailure(now, fp, FailedDispatch{
 					Target: target, Stage: rapid.SampledFrom([]Stage{StageSent, StageCut, StageTimeout}).Draw(t, "stage"), Began: began,
-					Silent: rapid.Bool().Draw(t, "silent"), Trial: rapid.Bool().Draw(t, "trial"), Checked: rapid.Bool().Draw(t, "checked"),
+					Silent: rapid.Bool().Draw(t, "silent"), Trial: reserved, Checked: rapid.Bool().Draw(t, "checked"),
 				})
 			case 7:
-				if s.Hold(now, fp, rank(0)).Trial && s.BeginTrial(now, fp) > 0 {
-					t.Fatal("a trial is due and can't begin")
+				if s.Hold(now, fp, rank(0)).Trial {
+					if s.BeginTrial(now, fp) > 0 {
+						t.Fatal("a trial is due and can't begin")
+					}
+					reserved = now
 				}
 			case 8:
-				s.EndTrial(now, fp, rapid.Bool().Draw(t, "dispatched"))
+				s.EndTrial(now, fp, reserved, rapid.Bool().Draw(t, "dispatched"))
 			case 9:
 				since, last := rapid.IntRange(-5, 400).Draw(t, "since"), rapid.IntRange(-5, 400).Draw(t, "last")
 				s.Merge(now, target, []Suspect{{
