call: a target that ends under a trial counts as crashed

Cause: pauses between its trials stay within a second, since lost connections look the same, and must not refuse a popular request for long.

Change: before a trial its target is asked whether it answers, and after it has failed once more, a second later if it still does. A target that answered before and doesn't after, or runs under another incarnation, counts as crashed by the fingerprint that is held; three of them in a row, at all entries together, are a quarantine as by proof. A trial passes over two targets that answer no check. Connections that are lost for a while break the check before the trial as well, and at most the trial at their beginning counts. The decision stands in pkg/call, for both interfaces.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -42,6 +42,7 @@
 	started  time.Time
 	cancel   context.CancelFunc
 	response *forward.Response
+	alive    bool // the target answered a check just before, which is made for trials only
 }
 
 // dispatchResult is the failure of a dispatch or the head of its response.
@@ -144,7 +145,8 @@
 		return d.call.Decline(time.Now(), call.Decline{Reason: refusalReason(a.Reason), RetryAfter: a.RetryAfter})
 	}
 	d.queueSpan.End()
-	d.dispatches[d.nextIndex()] = dispatch{ticket: d.pending, decision: a}
+	alive := !d.trial.IsZero() && d.entry.answersCheck(d.ctx, time.Until(d.q.deadline)/4, a.Addr, d.q.policy.ProbePath)
+	d.dispatches[d.nextIndex()] = dispatch{ticket: d.pending, decision: a, alive: alive}
 	return d.call.Choose(time.Now(), call.Choice{Target: a.Addr})
 }
 
@@ -183,7 +185,7 @@
 			d.cancel(a.Dispatch)
 		case call.ActionRespond:
 			sent := &d.dispatches[a.Dispatch]
-			d.response = &openResponse{response: sent.response, ticket: sent.ticket, dispatcher: d, dispatchedAt: sent.started}
+			d.response = &openResponse{response: sent.response, ticket: sent.ticket, dispatcher: d, dispatch: sent}
 		case call.ActionRefuse:
 			d.refused = true
 		}
@@ -282,7 +284,7 @@
 		sent.ticket.done(now, d.outcomeOfFailure(r.failure.Stage), pool.Load{})
 		return d.call.Fail(now, call.Failed{
 			Dispatch: r.index, Stage: r.failure.Stage, Execution: r.failure.Execution, Replayable: replay,
-			Quarantined: d.recordFailure(now, r.failure, sent.started),
+			Quarantined: d.recordFailure(now, r.failure, sent),
 		})
 	}
 	sent.response = r.response
@@ -304,8 +306,11 @@
 
 // recordFailure records a failure that may be a crash of the target, announces it
 // to the peers and reports whether the request is quarantined or held.
-func (d *dispatcher) recordFailure(now time.Time, f *forward.Failure, began time.Time) bool {
-	failed := call.FailedDispatch{Target: f.Target, Stage: f.Stage, Began: began, Trial: d.trial, Content: d.q.fingerprint()}
+func (d *dispatcher) recordFailure(now time.Time, f *forward.Failure, sent *dispatch) bool {
+	failed := call.FailedDispatch{
+		Target: f.Target, Stage: f.Stage, Began: sent.started, Trial: d.trial, Alive: sent.alive, Content: d.q.fingerprint(),
+		Checked: sent.alive && f.Stage != call.StageCut,
+	}
 	if f.Stage == call.StageTimeout {
 		go d.entry.recordIfSilent(d.q.fingerprint(), d.q.policy.ProbePath, failed)
 		return false
@@ -315,6 +320,9 @@
 	}
 	quarantined := d.entry.suspects.RecordFailure(now, d.q.fingerprint(), failed)
 	go d.entry.announceSuspect(d.q.fingerprint())
+	if failed.Checked {
+		go d.entry.checkTrial(d.q.fingerprint(), d.q.policy.ProbePath, failed)
+	}
 	return quarantined
 }
 
--- a/internal/entry/policy_test.go
+++ b/internal/entry/policy_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -86,6 +87,53 @@
 	}
 }
 
+// A request that targets have answered begins to crash them, and their ports go on accepting
+// connections. Guards against trials without end of a request that was sound.
+func TestSoundRequestTurnsDeadly(t *testing.T) {
+	const (
+		lateTime = 3 * time.Second
+		maxLate  = 3
+	)
+	var mu sync.Mutex
+	var ends []time.Time
+	var deadly atomic.Bool
+	target := func() string {
+		ended := false
+		return startTarget(t, func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			if !ended && deadly.Load() && strings.HasSuffix(r.URL.Path, "/poison") {
+				ended = true
+				ends = append(ends, time.Now())
+			}
+			if ended {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "ok")
+		})
+	}
+	var targets []string
+	for range 16 {
+		targets = append(targets, target())
+	}
+	w := start(t, testService{name: "deadly", targets: targets})
+	w.c.Assert(w.request("GET", "/v1/call/deadly/poison", nil).StatusCode, qt.Equals, http.StatusOK)
+	deadly.Store(true)
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		w.request("GET", "/v1/call/deadly/poison", nil)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	late := 0
+	for _, at := range ends {
+		if at.Sub(ends[min(2, len(ends)-1)]) > lateTime {
+			late++
+		}
+	}
+	t.Logf("%d targets ended, %d late", len(ends), late)
+	w.c.Assert(late <= maxLate, qt.IsTrue, qt.Commentf("%d late of %d", late, len(ends)))
+}
+
 // maxFreeTime is how long after a failure of its targets a request is served again.
 const maxFreeTime = time.Second
 
--- a/internal/entry/release.go
+++ b/internal/entry/release.go
@@ -93,7 +93,7 @@
 	outcome := outcomeOfStatus(o.response.Status)
 	if f != nil {
 		outcome = outcomeOfStage(f.Stage)
-		o.dispatcher.recordFailure(now, f, o.dispatchedAt)
+		o.dispatcher.recordFailure(now, f, o.dispatch)
 	} else if o.response.Body != nil {
 		o.dispatcher.entry.recordAnswer(now, o.dispatcher.q.fingerprint(), o.response.Status)
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -132,13 +132,13 @@
 // openResponse is a response that is being copied to the caller and still holds
 // its target's slot.
 type openResponse struct {
-	dispatcher   *dispatcher
-	dispatchedAt time.Time
-	response     *forward.Response
-	ticket       ticket
-	cancel       context.CancelFunc
-	finished     bool
-	replay       *claim.Response // recorded response; the other fields are unset
+	dispatcher *dispatcher
+	dispatch   *dispatch
+	response   *forward.Response
+	ticket     ticket
+	cancel     context.CancelFunc
+	finished   bool
+	replay     *claim.Response // recorded response; the other fields are unset
 }
 
 func encodeResponse(_ context.Context, w http.ResponseWriter, response any) error {
--- a/internal/entry/suspicion.go
+++ b/internal/entry/suspicion.go
@@ -68,19 +68,43 @@
 	}
 }
 
-// silenceCheckTimeout bounds the probe of a target that has left a request unanswered.
-const silenceCheckTimeout = 300 * time.Millisecond
+// checkTimeout bounds the probe of a target that has left a request unanswered, or may get a trial.
+const checkTimeout = 300 * time.Millisecond
+
+// answersCheck reports whether a target answers a probe.
+func (e *Entry) answersCheck(ctx context.Context, timeout time.Duration, target, probePath string) bool {
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, checkTimeout))
+	defer cancel()
+	_, ok := e.prober.send(ctx, "http://"+target+probePath)
+	return ok
+}
+
+// checkTrial finds out whether the target of a failed trial has ended.
+func (e *Entry) checkTrial(fingerprint uint64, probePath string, d call.FailedDispatch) {
+	crashed := d.Crashed(e.answersCheck(context.Background(), checkTimeout, d.Target, probePath))
+	if !crashed {
+		time.Sleep(call.TrialRecheck)
+		crashed = d.Crashed(e.answersCheck(context.Background(), checkTimeout, d.Target, probePath))
+	}
+	if !crashed {
+		e.suspects.DismissCrash(fingerprint, d.Target)
+		return
+	}
+	e.suspects.ConfirmTrial(time.Now(), fingerprint, d.Target)
+	e.announceSuspect(fingerprint)
+}
 
 // recordIfSilent records a dispatch that has timed out as unanswered, if its target answers no
 // probe either.
 func (e *Entry) recordIfSilent(fingerprint uint64, probePath string, d call.FailedDispatch) {
-	ctx, cancel := context.WithTimeout(context.Background(), silenceCheckTimeout)
-	defer cancel()
-	if _, ok := e.prober.send(ctx, "http://"+d.Target+probePath); ok {
+	if e.answersCheck(context.Background(), checkTimeout, d.Target, probePath) {
 		return
 	}
 	now := time.Now()
 	d.Silent = true
 	e.suspects.RecordFailure(now, fingerprint, d)
 	e.announceSuspect(fingerprint)
+	if d.Checked {
+		e.checkTrial(fingerprint, probePath, d)
+	}
 }
--- a/internal/gateway/crash_ending_test.go
+++ b/internal/gateway/crash_ending_test.go
@@ -97,19 +97,36 @@
 	for _, tt := range endings {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			var deadly atomic.Bool
-			w := newCrashWorld(t, worldConfig{targets: 12}, func(r *http.Request) worker.Fault {
-				return worker.Fault{Crash: deadly.Load() && r.URL.Path == crashPath}
+			checkSoundThenDeadly(t, func(w *crashWorld) {
+				w.ending, w.recordTime = tt.ending, 4500*time.Millisecond
+				for range 12 {
+					w.startMortal()
+				}
 			})
-			w.ending, w.recordTime = tt.ending, 4500*time.Millisecond
-			entries := startEntries(w.world, 3)
-			for i := range 30 {
-				w.c.Assert(entries[i%len(entries)].call("GET", crashPath, "").status, qt.Equals, http.StatusOK)
+		})
+	}
+	t.Run("restarting", func(t *testing.T) {
+		t.Parallel()
+		checkSoundThenDeadly(t, func(w *crashWorld) {
+			for range 8 {
+				w.startRestarting()
 			}
-			deadly.Store(true)
-			w.checkLateCrashes(entries)
 		})
+	})
+}
+
+func checkSoundThenDeadly(t *testing.T, startTargets func(*crashWorld)) {
+	var deadly atomic.Bool
+	w := newCrashWorld(t, worldConfig{}, func(r *http.Request) worker.Fault {
+		return worker.Fault{Crash: deadly.Load() && r.URL.Path == crashPath}
+	})
+	startTargets(w)
+	entries := startEntries(w.world, 3)
+	for i := range 30 {
+		w.c.Assert(entries[i%len(entries)].call("GET", crashPath, "").status, qt.Equals, http.StatusOK)
 	}
+	deadly.Store(true)
+	w.checkLateCrashes(entries)
 }
 
 // A request breaks the connection of each target that runs it, and the targets live on. Guards against
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -120,13 +120,14 @@
 // noteBrokenConnection records that a target broke the connection of this request, and checks in
 // the background whether it has ended. It reports whether the request is held now.
 func (q *request) noteBrokenConnection(now time.Time, d *dispatch, stage call.Stage) (held bool) {
-	held = q.fingerprints().recordFailure(q.gateway.suspects, now, call.FailedDispatch{
-		Target: d.target.Incarnation(), Stage: stage, Began: d.began, Trial: q.trial, Checked: true,
-	})
+	failed := call.FailedDispatch{
+		Target: d.target.Incarnation(), Stage: stage, Began: d.began, Trial: q.trial, Alive: d.alive, Checked: true,
+	}
+	held = q.fingerprints().recordFailure(q.gateway.suspects, now, failed)
 	if held {
 		q.gateway.control.announceSoon()
 	}
-	b := brokenConnection{gateway: q.gateway, service: q.service, request: q.id, prints: q.fingerprints(), target: d.target, began: d.began}
+	b := brokenConnection{gateway: q.gateway, service: q.service, request: q.id, prints: q.fingerprints(), target: d.target, failed: failed}
 	go b.resolve()
 	return held
 }
@@ -138,19 +139,26 @@
 	request string
 	prints  fingerprints
 	target  slot.Target
-	began   time.Time // of the dispatch
+	failed  call.FailedDispatch
 }
 
 // resolve counts the target as crashed by the request if it has ended. An unreachable target
 // counts only if this entry still reaches others: else the entry is the one that is cut off.
 func (b brokenConnection) resolve() {
 	g, incarnation := b.gateway, b.target.Incarnation()
-	state := g.endChecks.check(incarnation, func() targetState { return g.checkEnded(b.target, b.service.healthPath()) })
-	ended := state == targetEnded || state == targetUnreachable && b.service.answeredSince(b.target.ID, b.began)
+	state := b.check()
+	proven := state == targetEnded || state == targetUnreachable && b.service.answeredSince(b.target.ID, b.failed.Began)
+	byTrial := b.failed.Crashed(state == targetLives)
+	if !proven && !byTrial && b.failed.Alive {
+		time.Sleep(call.TrialRecheck)
+		state = b.check()
+		byTrial = b.failed.Crashed(state == targetLives && !b.service.restarted(b.target))
+	}
+	ended := proven || byTrial
 	if ended {
 		b.service.instruments.crashes.Inc(1)
 	}
-	b.prints.resolveBreak(g.suspects, time.Now(), incarnation, ended)
+	b.prints.resolveBreak(g.suspects, time.Now(), incarnation, proven, byTrial)
 	if ended {
 		g.control.announceSoon()
 	}
@@ -159,3 +167,8 @@
 		"print": b.prints.text(), "crashes": b.prints.crashCount(g.suspects),
 	}).Info("target checked after a broken connection")
 }
+
+func (b brokenConnection) check() targetState {
+	g := b.gateway
+	return g.endChecks.check(b.target.Incarnation(), func() targetState { return g.checkEnded(b.target, b.service.healthPath()) })
+}
--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -111,15 +111,20 @@
 	return s.RecordFailure(now, f.headers, d) || held
 }
 
-// resolveBreak counts the connections that a target broke as a crash, or forgets them.
-func (f fingerprints) resolveBreak(s *call.Suspects, now time.Time, target string, crashed bool) {
+// resolveBreak counts the connections that a target broke as a crash, if it has ended, by proof or by the
+// word of a trial, and else forgets them. It reports whether the request is held or in quarantine now.
+func (f fingerprints) resolveBreak(s *call.Suspects, now time.Time, target string, proven, byTrial bool) (held bool) {
 	for _, fp := range []uint64{f.content, f.headers} {
-		if crashed {
-			s.ConfirmCrash(now, fp, target)
-		} else {
+		switch {
+		case proven:
+			held = s.ConfirmCrash(now, fp, target) || held
+		case byTrial:
+			held = s.ConfirmTrial(now, fp, target) || held
+		default:
 			s.DismissCrash(fp, target)
 		}
 	}
+	return held
 }
 
 // recordResponse clears a request, and reports whether it had crashes.
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/slot"
 )
 
 // checkSuspicion returns whether the request is in quarantine or held. If a trial of it is due, it
@@ -69,6 +71,16 @@
 	return h.Remaining
 }
 
+// maxSkipped is how many targets a trial passes over because they answer no check.
+const maxSkipped = 2
+
+// answersCheck reports whether the target of a trial answers a health check.
+func (q *request) answersCheck(now time.Time, t slot.Target) bool {
+	ctx, cancel := context.WithTimeout(q.r.Context(), min(endCheckTimeout, q.deadline().Sub(now)/4))
+	defer cancel()
+	return q.gateway.askHealth(ctx, t, q.service.healthPath()) == targetLives
+}
+
 // trialRank returns the rank of this entry among those that send trials of a request: first the
 // senders, to which callers send requests for its service, then the others. An isolated entry doesn't
 // know the others, and takes one of as many ranks as the store has records of entries.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -24,6 +24,7 @@
 	body     []byte
 	prints   fingerprints // set by fingerprints
 	trial    time.Time    // the reservation, if the request is held and sent as a trial
+	skipped  []string     // targets that answered no check before the trial
 	table    *route.Table // of the view that the request was routed by
 	route    *route.ActiveRoute
 	account  *account.Account // nil without an account
@@ -64,6 +65,7 @@
 	response *forward.Response
 	ended    *atomic.Bool // its result has arrived
 	checked  bool         // its target was silent and was asked whether it still answers
+	alive    bool         // its target answered a check just before, which is made for trials only
 }
 
 // result is the outcome of a dispatch.
@@ -199,6 +201,7 @@
 		Priority: q.priority(), Hedge: hedge, Class: q.route.Name, Regions: q.route.Regions, Account: q.accountName(),
 	}
 	q.call.EachTarget(func(target string) { r.Tried = append(r.Tried, target) })
+	r.Tried = append(r.Tried, q.skipped...)
 	q.pendingID = q.service.acquire(now, r, q.decisions)
 }
 
@@ -221,9 +224,17 @@
 		q.pendingID = 0
 		return q.call.Decline(now, call.Decline{Reason: call.ReasonQuarantined, RetryAfter: remaining})
 	}
+	alive := !q.trial.IsZero() && q.answersCheck(now, a.Target)
+	if !q.trial.IsZero() && !alive && len(q.skipped) < maxSkipped {
+		q.service.cancel(now, q.pendingID)
+		q.skipped = append(q.skipped, a.Target.ID)
+		q.acquire(false)
+		return call.Actions{}
+	}
 	d := &q.dispatches[min(q.dispatchCount(), call.MaxDispatches-1)]
 	d.target, d.decision = a.Target, a.Decision
-	return q.call.Choose(now, call.Choice{Target: a.Target.ID})
+	d.alive = alive
+	return q.call.Choose(time.Now(), call.Choice{Target: a.Target.ID})
 }
 
 // dispatchCount returns the number of dispatches so far.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -151,6 +152,13 @@
 	return s.answers.otherSince(target, since)
 }
 
+// restarted reports whether a target runs again under its ID.
+func (s *service) restarted(t slot.Target) bool {
+	return slices.ContainsFunc(s.targetList(), func(now slot.Target) bool {
+		return now.ID == t.ID && now.Incarnation() != t.Incarnation()
+	})
+}
+
 // targetCount returns the number of targets.
 func (s *service) targetCount() int {
 	s.mu.Lock()
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -34,7 +34,8 @@
 			continue
 		}
 		d.checked = true
-		s := silentDispatch{gateway: q.gateway, service: q.service, request: q.id, prints: q.fingerprints(), target: d.target, began: d.began, trial: q.trial, ended: d.ended}
+		s := silentDispatch{gateway: q.gateway, service: q.service, request: q.id, prints: q.fingerprints(), target: d.target, ended: d.ended}
+		s.failed = call.FailedDispatch{Target: d.target.Incarnation(), Began: d.began, Silent: true, Trial: q.trial, Alive: d.alive, Checked: true}
 		go s.resolve()
 	}
 	return next
@@ -47,27 +48,24 @@
 	request string
 	prints  fingerprints
 	target  slot.Target
-	began   time.Time
-	trial   time.Time    // its reservation
+	failed  call.FailedDispatch
 	ended   *atomic.Bool // its result has arrived
 }
 
 // resolve asks the target for its health, and records the dispatch as unanswered if it stays silent,
 // or as a crash if it has ended.
 func (s silentDispatch) resolve() {
-	g, incarnation := s.gateway, s.target.Incarnation()
-	state := g.endChecks.check("silent "+incarnation, func() targetState {
-		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
-		defer cancel()
-		return g.askHealth(ctx, s.target, s.service.healthPath())
-	})
+	g := s.gateway
+	state := s.check()
 	if state == targetLives || s.ended.Load() {
 		return
 	}
-	if state == targetEnded {
-		s.service.instruments.crashes.Inc(1)
+	byTrial := false
+	if state != targetEnded && s.failed.Alive {
+		state = s.check()
+		byTrial = s.failed.Crashed(state == targetLives)
 	}
-	if s.record(time.Now(), incarnation, state) {
+	if s.record(time.Now(), state == targetEnded, byTrial) {
 		g.control.announceSoon()
 	}
 	g.log.WithFields(log.Fields{
@@ -75,12 +73,19 @@
 	}).Info("target left a request unanswered")
 }
 
+func (s silentDispatch) check() targetState {
+	return s.gateway.endChecks.check("silent "+s.failed.Target, func() targetState {
+		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+		defer cancel()
+		return s.gateway.askHealth(ctx, s.target, s.service.healthPath())
+	})
+}
+
 // record records the dispatch, and reports whether the request is held or in quarantine now.
-func (s silentDispatch) record(now time.Time, incarnation string, state targetState) (held bool) {
-	suspects := s.gateway.suspects
-	if state == targetEnded {
-		quarantined := suspects.RecordCrash(now, s.prints.content, incarnation, s.began)
-		return suspects.RecordCrash(now, s.prints.headers, incarnation, s.began) || quarantined
+func (s silentDispatch) record(now time.Time, proven, byTrial bool) (held bool) {
+	if proven || byTrial {
+		s.service.instruments.crashes.Inc(1)
 	}
-	return s.prints.recordFailure(suspects, now, call.FailedDispatch{Target: incarnation, Began: s.began, Silent: true, Trial: s.trial})
+	held = s.prints.recordFailure(s.gateway.suspects, now, s.failed)
+	return s.prints.resolveBreak(s.gateway.suspects, now, s.failed.Target, proven, byTrial) || held
 }
--- a/pkg/call/hold.go
+++ b/pkg/call/hold.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // FailedDispatch is a dispatch that got no complete response.
@@ -16,14 +18,25 @@
 	Silent bool
 	// Trial is when BeginTrial reserved the dispatch as a trial of a held request; zero for all others.
 	Trial time.Time
+	// Alive reports whether this is a trial whose target answered a check just before.
+	Alive bool
 	// Content is the fingerprint of the request's content. A request whose content was answered before
 	// its first failure is held for shorter times.
 	Content uint64
 	// Checked reports whether the caller finds out if the target has ended, and then calls
-	// ConfirmCrash or DismissCrash.
+	// ConfirmCrash, ConfirmTrial or DismissCrash.
 	Checked bool
 }
 
+// TrialRecheck is how long after a failed trial its target is checked once more. A process that ends may
+// go on answering for a moment.
+const TrialRecheck = time.Second
+
+// Crashed reports whether the trial counts as a crash, by whether its target answers a check after it.
+// A target that has lost connections is unlikely to have done so between two checks, and in trial
+// after trial.
+func (d FailedDispatch) Crashed(answers bool) bool { return d.Alive && !answers }
+
 // RecordFailure records a failed dispatch and reports whether the request is held or in quarantine
 // now. A response that breaks off shows that the target was running this request, and counts as a crash
 // unless the target is checked.
@@ -34,9 +47,6 @@
 	if d.Stage == StageCut && !d.Checked {
 		return s.RecordCrash(now, fp, d.Target, d.Began)
 	}
-	if d.Checked && !d.Silent {
-		s.RecordBreak(now, fp, d.Target, d.Began)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	answered := s.lastAnswer(now, d.Content)
@@ -44,6 +54,9 @@
 		return false // it is noticed late, and an answer has come since
 	}
 	x := s.detach(now, fp)
+	if d.Checked {
+		x.addBreak(connectionBreak{xxhash.Sum64String(d.Target), d.Began, now, d.Alive && x.streak.held})
+	}
 	at := now
 	if d.Silent {
 		at = d.Began // a dispatch that began later is another failure
--- a/pkg/call/streak_test.go
+++ b/pkg/call/streak_test.go
@@ -412,6 +412,43 @@
 	c.Assert(s.Hold(at(4), simPrint, rank(0)), qt.Equals, Hold{Remaining: trialWait, Answered: true, Wait: true})
 }
 
+// Targets answer a check before each trial and none after it, at two entries that hear of each other late.
+// Guards against trials without end of a request that was sound, and against lost connections that
+// count as crashes.
+func TestFailedTrialsAreCrashes(t *testing.T) {
+	tests := []struct {
+		name           string
+		held           bool
+		alive, answers bool // before, after
+		quarantined    bool
+	}{
+		{"ended", true, true, false, true},
+		{"lives", true, true, true, false},
+		{"cut off before", true, false, false, false},
+		{"held by other headers", false, true, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := NewSuspects(SuspectsConfig{CrashLimit: 3})
+			if tt.held {
+				s.Merge(at(1), "b", []Suspect{{Fingerprint: simPrint, Unanswered: 3}})
+			}
+			s.Merge(at(20), "b", []Suspect{{Fingerprint: simPrint, Crashes: 1, Age: 0}})
+			for i := range 2 {
+				target, began := strconv.Itoa(i), at(10+2*i)
+				d := FailedDispatch{Target: target, Stage: StageSent, Began: began, Alive: tt.alive, Checked: true}
+				s.RecordFailure(at(11+2*i), simPrint, d)
+				if d.Crashed(tt.answers) {
+					s.ConfirmTrial(at(21+i), simPrint, target)
+				} else {
+					s.DismissCrash(simPrint, target)
+				}
+			}
+			qt.Assert(t, s.QuarantineRemaining(at(23), simPrint) > 0, qt.Equals, tt.quarantined)
+		})
+	}
+}
+
 // Guards against a place of the table that is taken for the answer of another request, and against
 // answers that are remembered for too long.
 func TestAnswers(t *testing.T) {
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -80,6 +80,7 @@
 type connectionBreak struct {
 	target    uint64
 	began, at time.Time // of the dispatch, of the break
+	trial     bool      // the request was held and sent as a trial, and the target was alive just before
 }
 
 type peerCount struct {
@@ -121,7 +122,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.detach(now, fp)
-	x.countCrash(connectionBreak{xxhash.Sum64String(target), began, now}, s.cfg.CrashLimit)
+	x.countCrash(connectionBreak{target: xxhash.Sum64String(target), began: began, at: now}, s.cfg.CrashLimit)
 	s.insert(x)
 	return x.quarantined
 }
@@ -133,26 +134,45 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.detach(now, fp)
-	if len(x.breaks) < maxBreaks {
-		x.breaks = append(x.breaks, connectionBreak{xxhash.Sum64String(target), began, now})
-	}
+	x.addBreak(connectionBreak{target: xxhash.Sum64String(target), began: began, at: now})
 	if x.lastEvent.IsZero() {
 		x.lastEvent = now
 	}
 	s.insert(x)
 }
 
+func (x *suspect) addBreak(b connectionBreak) {
+	if len(x.breaks) < maxBreaks {
+		x.breaks = append(x.breaks, b)
+	}
+}
+
 // ConfirmCrash counts the connections that target broke as a crash, at the time of the break. It
 // reports whether the request is in quarantine.
 func (s *Suspects) ConfirmCrash(now time.Time, fp uint64, target string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.confirm(now, fp, target, false)
+}
+
+// ConfirmTrial is like ConfirmCrash, for a target that has ended by the word of a trial only
+// (FailedDispatch.Crashed). Then only trials count, and only for the fingerprint that was held: the
+// others of their requests may be sound.
+func (s *Suspects) ConfirmTrial(now time.Time, fp uint64, target string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirm(now, fp, target, true)
+}
+
+func (s *Suspects) confirm(now time.Time, fp uint64, target string, trialsOnly bool) bool {
 	if s.byFingerprint[fp] == nil {
 		return false
 	}
 	x := s.detach(now, fp)
 	for _, b := range x.takeBreaks(xxhash.Sum64String(target)) {
-		x.countCrash(b, s.cfg.CrashLimit)
+		if b.trial || !trialsOnly {
+			x.countCrash(b, s.cfg.CrashLimit)
+		}
 	}
 	s.insert(x)
 	return x.quarantined
@@ -184,9 +204,10 @@
 	return taken
 }
 
-// countCrash counts a crash, unless the dispatch was in flight when an earlier one happened.
+// countCrash counts a crash, unless the dispatch was in flight when an earlier one happened. A trial is
+// the only dispatch of its entry.
 func (x *suspect) countCrash(b connectionBreak, limit int) {
-	if x.crashCount() > 0 && b.began.Before(x.lastEvent) {
+	if !b.trial && x.crashCount() > 0 && b.began.Before(x.lastEvent) {
 		return
 	}
 	x.addTarget(b.target, limit)
