soak: requests that crash targets may be sound before

TestPoisonByTargetEnd runs once more with targets that answer the request before it begins to crash them; -sound does so for one way of ending.

--- a/internal/soak/check_repeats_test.go
+++ b/internal/soak/check_repeats_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 )
 
@@ -66,7 +65,7 @@
 	crashes := make(map[string][]time.Time)
 	after := make(map[string]int)
 	for _, r := range c.arrivals {
-		if r.attempt == nil || !strings.Contains(r.Path, poison) {
+		if r.attempt == nil || !c.site.crashes(r.Path, r.StartedAt) {
 			continue
 		}
 		earlier := crashes[r.Path]
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -36,6 +36,7 @@
 	refusedSuffixCount atomic.Int64 // requests with refusedSuffix that reached a target
 	loadPercent        atomic.Int64 // request rate, in percent of the normal rate
 	extraRetries       atomic.Int64 // retries that clients send at once, beyond those of the request's kind
+	soundUntil         atomic.Int64 // until then requests with poison crash no target, in Unix ns
 	retryRatio         atomic.Value // retry budget ratio in the settings files: a float64
 	retryRatioSince    time.Time    // when all gateways have to apply retryRatio; zero: from the start
 
@@ -64,16 +65,16 @@
 // target is a worker behind a proxy.
 type target struct {
 	*worker.Worker
-	service            service
-	place              string
-	proxy              *proxy
-	refusedSuffixCount *atomic.Int64 // counter of the site
-	startedMillis      int64         // start of its process, in Unix ms
-	crashed            bool          // its process has exited
-	recordDeleted      bool          // its record in the store was deleted
-	leavingSince       time.Time     // since when its responses announce that it leaves
-	leavingRecordedAt  time.Time     // when the store recorded that it leaves
-	limits             []limit
+	service           service
+	place             string
+	proxy             *proxy
+	site              *site
+	startedMillis     int64     // start of its process, in Unix ms
+	crashed           bool      // its process has exited
+	recordDeleted     bool      // its record in the store was deleted
+	leavingSince      time.Time // since when its responses announce that it leaves
+	leavingRecordedAt time.Time // when the store recorded that it leaves
+	limits            []limit
 }
 
 // limit is a limit that a target reported for some time.
@@ -175,7 +176,7 @@
 	if sv.queueLimit > 0 {
 		k.LimitQueue(sv.queueLimit)
 	}
-	k.refusedSuffixCount = &s.refusedSuffixCount
+	k.site = s
 	k.OnCrash = func() { s.crashTarget(k) }
 	k.Fail(nil)
 	s.targets = append(s.targets, k)
@@ -225,9 +226,9 @@
 func (k *target) Fail(f func(*http.Request) worker.Fault) {
 	k.Worker.SetFaults(func(r *http.Request) worker.Fault {
 		switch {
-		case strings.HasSuffix(r.URL.Path, refusedSuffix) && k.refusedSuffixCount.Add(1)%2 == 0:
+		case strings.HasSuffix(r.URL.Path, refusedSuffix) && k.site.refusedSuffixCount.Add(1)%2 == 0:
 			return worker.Fault{Shed: true}
-		case isPoison(r.URL.Path):
+		case k.site.crashes(r.URL.Path, time.Now()):
 			return worker.Fault{Crash: true}
 		case f != nil:
 			return f(r)
--- a/internal/soak/target_ends_test.go
+++ b/internal/soak/target_ends_test.go
@@ -16,6 +16,7 @@
 
 var (
 	endFlag       = flag.String("end", "", "run TestPoisonByTargetEnd only for this way in which targets end")
+	soundBefore   = flag.Bool("sound", false, "with -end or -full: targets answer the request of TestPoisonByTargetEnd before it begins to crash them")
 	poisonCallers = flag.Int("callers", 40, "number of addresses from which a request that crashes targets comes")
 )
 
@@ -63,6 +64,11 @@
 // isPoison reports whether requests for a path crash the targets that run them.
 func isPoison(path string) bool { return strings.Contains(path, poison) }
 
+// crashes reports whether a request for a path crashes a target that starts to run it at a time.
+func (s *site) crashes(path string, at time.Time) bool {
+	return isPoison(path) && at.UnixNano() >= s.soundUntil.Load()
+}
+
 // callersFrom returns a client for each of n loopback addresses.
 func (s *site) callersFrom(n int) (clients []*http.Client) {
 	for i := range n {
@@ -87,7 +93,9 @@
 // way that doesn't refuse connections. Guards against crashes that are not noticed.
 func TestPoisonByTargetEnd(t *testing.T) {
 	if !*fullSize && *endFlag == "" {
-		runPoisonByEnd(t, 0, unprovenEnds)
+		for _, sound := range []bool{false, true} {
+			t.Run(fmt.Sprint("sound before ", sound), func(t *testing.T) { runPoisonByEnd(t, 0, sound, unprovenEnds) })
+		}
 		return
 	}
 	for _, tt := range targetEnds {
@@ -95,19 +103,28 @@
 			continue
 		}
 		for k, kind := range largeSite().kinds[:2] {
-			t.Run(tt.name+"/"+kind.name, func(t *testing.T) { runPoisonByEnd(t, k, []targetEnd{tt.end}) })
+			t.Run(tt.name+"/"+kind.name, func(t *testing.T) { runPoisonByEnd(t, k, *soundBefore, []targetEnd{tt.end}) })
 		}
 	}
 }
 
-// runPoisonByEnd sends a request of a kind that crashes targets, which end in these ways in turn.
-func runPoisonByEnd(t *testing.T, kind int, ends []targetEnd) {
+// runPoisonByEnd sends a request of a kind that crashes targets, which end in these ways in turn. With
+// sound, they answer it before.
+func runPoisonByEnd(t *testing.T, kind int, sound bool, ends []targetEnd) {
 	p := largeSite()
 	p.ends = ends
 	s := newSite(t, *firstSeed, p)
+	path := s.kinds[kind].prefix + poison
+	if sound {
+		s.soundUntil.Store(time.Now().Add(warmupTime).UnixNano())
+	}
 	s.startClients()
-	time.Sleep(warmupTime)
-	s.sendFromMany(s.kinds[kind], s.kinds[kind].prefix+poison, poisonInterval, poisonTime)
+	if sound {
+		s.sendFromMany(s.kinds[kind], path, poisonInterval, warmupTime)
+	} else {
+		time.Sleep(warmupTime)
+	}
+	s.sendFromMany(s.kinds[kind], path, poisonInterval, poisonTime)
 	time.Sleep(endSettleTime)
 	recovered := time.Now()
 	time.Sleep(observationTime)
