--- a/internal/gateway/crash_ending_test.go
+++ b/internal/gateway/crash_ending_test.go
@@ -228,6 +228,45 @@
 	w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
 }
 
+// Targets lose all connections again and again, and answer for a moment in between. Guards against a
+// popular request that is quarantined because they answered a check before its trials.
+func TestPopularRequestOutlivesFlapping(t *testing.T) {
+	const lossCount, lossTime, answerTime = 8, 600 * time.Millisecond, 30 * time.Millisecond
+	for _, m := range endings {
+		if m.ending == worker.Refusing || m.ending == worker.Lingering {
+			continue
+		}
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, worldConfig{targets: 8})
+			for _, k := range w.workers {
+				k.SetServiceTime(20 * time.Millisecond)
+			}
+			entries := startEntries(w, 3)
+			callers := callersFrom(40)
+			servedShare(entries, callers, 40)
+			var flapping sync.WaitGroup
+			flapping.Go(func() {
+				for range lossCount {
+					for _, k := range w.workers {
+						k.End(m.ending)
+					}
+					time.Sleep(lossTime)
+					for _, k := range w.workers {
+						k.Resume()
+					}
+					time.Sleep(answerTime)
+				}
+			})
+			servedShare(entries, callers, int(lossCount*(lossTime+answerTime)/popularInterval))
+			flapping.Wait()
+			time.Sleep(settleTime)
+			share := servedShare(entries, callers, 120)
+			w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
+		})
+	}
+}
+
 // Targets lose all connections for a while, health checks too, and none of them ends. Guards
 // against a quarantine of a request that many callers send.
 func TestPopularRequestOutlivesSilentTargets(t *testing.T) {
