call: a failed trial counts as a crash only if other targets answer

Callers would have seen a popular request refused for five minutes: all targets lose their connections eight times for 600 ms and answer for 30 ms in between.

Cause: a target that answers a check before a trial and none after it may have lost connections in between, and with short answers that happens three times in a row.

Change: up to three other targets are asked then. If none answers, connections may have been lost, and nothing is counted.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -312,7 +312,7 @@
 		Checked: sent.alive && f.Stage != call.StageCut,
 	}
 	if f.Stage == call.StageTimeout {
-		go d.entry.recordIfSilent(d.q.fingerprint(), d.q.policy.ProbePath, failed)
+		go d.entry.recordIfSilent(d.q.fingerprint(), d.q.service, failed)
 		return false
 	}
 	if !f.Stage.MayBeCrash() {
@@ -321,7 +321,7 @@
 	quarantined := d.entry.suspects.RecordFailure(now, d.q.fingerprint(), failed)
 	go d.entry.announceSuspect(d.q.fingerprint())
 	if failed.Checked {
-		go d.entry.checkTrial(d.q.fingerprint(), d.q.policy.ProbePath, failed)
+		go d.entry.checkTrial(d.q.fingerprint(), d.q.service, failed)
 	}
 	return quarantined
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -133,6 +133,18 @@
 	s.perform(now, s.balancer.SetTargets(now, list, s.scratch[:0]))
 }
 
+// otherTargets returns the addresses of at most n targets, drawn at random, without that at one address.
+func (s *service) otherTargets(addr string, n int) (list []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range rand.Perm(len(s.targetList)) {
+		if t := s.targetList[i]; t.Addr != addr && len(list) < n {
+			list = append(list, t.Addr)
+		}
+	}
+	return list
+}
+
 // markLeaving notes that an incarnation of a target is leaving.
 func (s *service) markLeaving(now time.Time, target string, boot uint64) {
 	s.mu.Lock()
--- a/internal/entry/suspicion.go
+++ b/internal/entry/suspicion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"plumpitch.example/plumpitch/pkg/call"
@@ -79,12 +80,19 @@
 	return ok
 }
 
+// maxOthersAsked is how many targets are asked to tell one that has ended from lost connections.
+const maxOthersAsked = 3
+
 // checkTrial finds out whether the target of a failed trial has ended.
-func (e *Entry) checkTrial(fingerprint uint64, probePath string, d call.FailedDispatch) {
-	crashed := d.Crashed(e.answersCheck(context.Background(), checkTimeout, d.Target, probePath))
+func (e *Entry) checkTrial(fingerprint uint64, s *service, d call.FailedDispatch) {
+	answers := func(target string) bool {
+		return e.answersCheck(context.Background(), checkTimeout, target, s.policy.Load().ProbePath)
+	}
+	othersAnswer := func() bool { return slices.ContainsFunc(s.otherTargets(d.Target, maxOthersAsked), answers) }
+	crashed := d.Crashed(answers(d.Target), othersAnswer)
 	if !crashed {
 		time.Sleep(call.TrialRecheck)
-		crashed = d.Crashed(e.answersCheck(context.Background(), checkTimeout, d.Target, probePath))
+		crashed = d.Crashed(answers(d.Target), othersAnswer)
 	}
 	if !crashed {
 		e.suspects.DismissCrash(fingerprint, d.Target)
@@ -96,8 +104,8 @@
 
 // recordIfSilent records a dispatch that has timed out as unanswered, if its target answers no
 // probe either.
-func (e *Entry) recordIfSilent(fingerprint uint64, probePath string, d call.FailedDispatch) {
-	if e.answersCheck(context.Background(), checkTimeout, d.Target, probePath) {
+func (e *Entry) recordIfSilent(fingerprint uint64, s *service, d call.FailedDispatch) {
+	if e.answersCheck(context.Background(), checkTimeout, d.Target, s.policy.Load().ProbePath) {
 		return
 	}
 	now := time.Now()
@@ -105,6 +113,6 @@
 	e.suspects.RecordFailure(now, fingerprint, d)
 	e.announceSuspect(fingerprint)
 	if d.Checked {
-		e.checkTrial(fingerprint, probePath, d)
+		e.checkTrial(fingerprint, s, d)
 	}
 }
--- a/internal/gateway/crash_callers_test.go
+++ b/internal/gateway/crash_callers_test.go
@@ -121,33 +121,68 @@
 	minServedShare = 0.95
 	// faultTime is how long targets lose connections, and settleTime how long after it the
 	// popular path is served again.
-	faultTime  = 700 * time.Millisecond
-	settleTime = 2 * time.Second
+	faultTime     = 700 * time.Millisecond
+	longFaultTime = 4 * time.Second
+	settleTime    = 2 * time.Second
 )
 
-// All targets close their connections for a short time and none of them ends. Guards against a
-// quarantine of a request that many callers send, which would refuse it to all of them.
+// checkPopularOutlives sends the popular path, from so many callers, while targets fail for d, and checks
+// that it is served settleTime later. fail begins the failure and returns a function that ends it.
+func checkPopularOutlives(t *testing.T, callerCount int, d time.Duration, fail func([]*worker.Worker) (end func())) {
+	w := newWorld(t, worldConfig{targets: 8})
+	for _, k := range w.workers {
+		k.SetServiceTime(20 * time.Millisecond)
+	}
+	entries := startEntries(w, 3)
+	callers := callersFrom(callerCount)
+	servedShare(entries, callers, 40)
+	end := fail(w.workers)
+	servedShare(entries, callers, int(d/popularInterval))
+	end()
+	time.Sleep(settleTime)
+	share := servedShare(entries, callers, 120)
+	w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
+}
+
+// breakRequests makes targets break the connections of requests, and answer health checks.
+func breakRequests(workers []*worker.Worker) (end func()) {
+	setFaults := func(f func(*http.Request) worker.Fault) {
+		for _, k := range workers {
+			k.SetFaults(f)
+		}
+	}
+	setFaults(func(*http.Request) worker.Fault { return worker.Fault{LoseResponse: true} })
+	return func() { setFaults(nil) }
+}
+
+// loseConnections makes targets lose all connections.
+func loseConnections(workers []*worker.Worker, how worker.Ending) (end func()) {
+	for _, k := range workers {
+		k.End(how)
+	}
+	return func() {
+		for _, k := range workers {
+			k.Resume()
+		}
+	}
+}
+
+// All targets close the connections of requests for some time and none of them ends. Guards against
+// a quarantine of a request that many callers send, which would refuse it to all of them.
 func TestPopularRequestOutlivesLostConnections(t *testing.T) {
-	for _, callerCount := range []int{1, 40, 200} {
-		t.Run(fmt.Sprint(callerCount, " callers"), func(t *testing.T) {
+	tests := []struct {
+		callers int
+		fault   time.Duration
+	}{
+		{1, faultTime},
+		{40, faultTime},
+		{200, faultTime},
+		{40, longFaultTime},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.callers, " callers, ", tt.fault), func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, worldConfig{targets: 8})
-			for _, k := range w.workers {
-				k.SetServiceTime(20 * time.Millisecond)
-			}
-			entries := startEntries(w, 3)
-			callers := callersFrom(callerCount)
-			servedShare(entries, callers, 40)
-			for _, k := range w.workers {
-				k.SetFaults(func(*http.Request) worker.Fault { return worker.Fault{LoseResponse: true} })
-			}
-			servedShare(entries, callers, int(faultTime/popularInterval))
-			for _, k := range w.workers {
-				k.SetFaults(nil)
-			}
-			time.Sleep(settleTime)
-			share := servedShare(entries, callers, 120)
-			w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
+			checkPopularOutlives(t, tt.callers, tt.fault, breakRequests)
 		})
 	}
 }
--- a/internal/gateway/crash_ending_test.go
+++ b/internal/gateway/crash_ending_test.go
@@ -205,29 +205,6 @@
 	w.c.Assert(runs <= (crashLimit+2)*slots, qt.IsTrue, qt.Commentf("%d runs", runs))
 }
 
-// Targets break the connections of requests for a while, and answer health checks. Guards against a
-// popular request that is taken for the cause.
-func TestPopularRequestOutlivesBrokenRequests(t *testing.T) {
-	t.Parallel()
-	w := newWorld(t, worldConfig{targets: 8})
-	for _, k := range w.workers {
-		k.SetServiceTime(20 * time.Millisecond)
-	}
-	entries := startEntries(w, 3)
-	callers := callersFrom(40)
-	servedShare(entries, callers, 40)
-	for _, k := range w.workers {
-		k.SetFaults(func(*http.Request) worker.Fault { return worker.Fault{LoseResponse: true} })
-	}
-	servedShare(entries, callers, int(4*time.Second/popularInterval))
-	for _, k := range w.workers {
-		k.SetFaults(noFault)
-	}
-	time.Sleep(settleTime)
-	share := servedShare(entries, callers, 120)
-	w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
-}
-
 // Targets lose all connections again and again, and answer for a moment in between. Guards against a
 // popular request that is quarantined because they answered a check before its trials.
 func TestPopularRequestOutlivesFlapping(t *testing.T) {
@@ -238,31 +215,18 @@
 		}
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, worldConfig{targets: 8})
-			for _, k := range w.workers {
-				k.SetServiceTime(20 * time.Millisecond)
-			}
-			entries := startEntries(w, 3)
-			callers := callersFrom(40)
-			servedShare(entries, callers, 40)
-			var flapping sync.WaitGroup
-			flapping.Go(func() {
-				for range lossCount {
-					for _, k := range w.workers {
-						k.End(m.ending)
-					}
-					time.Sleep(lossTime)
-					for _, k := range w.workers {
-						k.Resume()
+			checkPopularOutlives(t, 40, lossCount*(lossTime+answerTime), func(workers []*worker.Worker) (end func()) {
+				var flapping sync.WaitGroup
+				flapping.Go(func() {
+					for range lossCount {
+						resume := loseConnections(workers, m.ending)
+						time.Sleep(lossTime)
+						resume()
+						time.Sleep(answerTime)
 					}
-					time.Sleep(answerTime)
-				}
+				})
+				return flapping.Wait
 			})
-			servedShare(entries, callers, int(lossCount*(lossTime+answerTime)/popularInterval))
-			flapping.Wait()
-			time.Sleep(settleTime)
-			share := servedShare(entries, callers, 120)
-			w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
 		})
 	}
 }
@@ -275,10 +239,10 @@
 		lost  int // targets that lose connections
 		fault time.Duration
 	}{
-		{"all, shortly", 8, 700 * time.Millisecond},
-		{"all", 8, 4 * time.Second},
-		{"half", 4, 4 * time.Second},
-		{"all but one", 7, 4 * time.Second},
+		{"all, shortly", 8, faultTime},
+		{"all", 8, longFaultTime},
+		{"half", 4, longFaultTime},
+		{"all but one", 7, longFaultTime},
 	}
 	for _, tt := range tests {
 		for _, m := range endings {
@@ -287,23 +251,9 @@
 			}
 			t.Run(tt.name+"/"+m.name, func(t *testing.T) {
 				t.Parallel()
-				w := newWorld(t, worldConfig{targets: 8})
-				for _, k := range w.workers {
-					k.SetServiceTime(20 * time.Millisecond)
-				}
-				entries := startEntries(w, 3)
-				callers := callersFrom(40)
-				servedShare(entries, callers, 40)
-				for _, k := range w.workers[:tt.lost] {
-					k.End(m.ending)
-				}
-				servedShare(entries, callers, int(tt.fault/popularInterval))
-				for _, k := range w.workers[:tt.lost] {
-					k.Resume()
-				}
-				time.Sleep(settleTime)
-				share := servedShare(entries, callers, 120)
-				w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
+				checkPopularOutlives(t, 40, tt.fault, func(workers []*worker.Worker) (end func()) {
+					return loseConnections(workers[:tt.lost], m.ending)
+				})
 			})
 		}
 	}
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -148,11 +150,11 @@
 	g, incarnation := b.gateway, b.target.Incarnation()
 	state := b.check()
 	proven := state == targetEnded || state == targetUnreachable && b.service.answeredSince(b.target.ID, b.failed.Began)
-	byTrial := b.failed.Crashed(state == targetLives)
+	byTrial := b.failed.Crashed(state == targetLives, b.othersAnswer)
 	if !proven && !byTrial && b.failed.Alive {
 		time.Sleep(call.TrialRecheck)
 		state = b.check()
-		byTrial = b.failed.Crashed(state == targetLives && !b.service.restarted(b.target))
+		byTrial = b.failed.Crashed(state == targetLives && !b.service.restarted(b.target), b.othersAnswer)
 	}
 	ended := proven || byTrial
 	if ended {
@@ -172,3 +174,27 @@
 	g := b.gateway
 	return g.endChecks.check(b.target.Incarnation(), func() targetState { return g.checkEnded(b.target, b.service.healthPath()) })
 }
+
+func (b brokenConnection) othersAnswer() bool { return b.gateway.othersAnswer(b.service, b.target) }
+
+// maxOthersAsked is how many targets are asked to tell one that has ended from lost connections.
+const maxOthersAsked = 3
+
+// othersAnswer reports whether another target of the service answers a health check.
+func (g *Gateway) othersAnswer(s *service, t slot.Target) bool {
+	others := slices.DeleteFunc(s.targetList(), func(o slot.Target) bool { return o.ID == t.ID })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), maxOthersAsked)]
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	results := make(chan targetState, len(others))
+	for _, o := range others {
+		go func() { results <- g.askHealth(ctx, o, s.healthPath()) }()
+	}
+	for range others {
+		if <-results == targetLives {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -63,7 +63,7 @@
 	byTrial := false
 	if state != targetEnded && s.failed.Alive {
 		state = s.check()
-		byTrial = s.failed.Crashed(state == targetLives)
+		byTrial = s.failed.Crashed(state == targetLives, func() bool { return g.othersAnswer(s.service, s.target) })
 	}
 	if s.record(time.Now(), state == targetEnded, byTrial) {
 		g.control.announceSoon()
--- a/pkg/call/hold.go
+++ b/pkg/call/hold.go
@@ -32,10 +32,11 @@
 // go on answering for a moment.
 const TrialRecheck = time.Second
 
-// Crashed reports whether the trial counts as a crash, by whether its target answers a check after it.
-// A target that has lost connections is unlikely to have done so between two checks, and in trial
-// after trial.
-func (d FailedDispatch) Crashed(answers bool) bool { return d.Alive && !answers }
+// Crashed reports whether the trial counts as a crash, by whether its target answers a check after it,
+// and whether others do then. If none does, connections may have been lost between the checks.
+func (d FailedDispatch) Crashed(answers bool, othersAnswer func() bool) bool {
+	return d.Alive && !answers && othersAnswer()
+}
 
 // RecordFailure records a failed dispatch and reports whether the request is held or in quarantine
 // now. A response that breaks off shows that the target was running this request, and counts as a crash
--- a/pkg/call/streak_test.go
+++ b/pkg/call/streak_test.go
@@ -420,12 +420,14 @@
 		name           string
 		held           bool
 		alive, answers bool // before, after
+		cutOff         bool // others don't answer either
 		quarantined    bool
 	}{
-		{"ended", true, true, false, true},
-		{"lives", true, true, true, false},
-		{"cut off before", true, false, false, false},
-		{"held by other headers", false, true, false, false},
+		{"ended", true, true, false, false, true},
+		{"lives", true, true, true, false, false},
+		{"cut off before", true, false, false, false, false},
+		{"cut off since", true, true, false, true, false},
+		{"held by other headers", false, true, false, false, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -438,7 +440,7 @@
 				target, began := strconv.Itoa(i), at(10+2*i)
 				d := FailedDispatch{Target: target, Stage: StageSent, Began: began, Alive: tt.alive, Checked: true}
 				s.RecordFailure(at(11+2*i), simPrint, d)
-				if d.Crashed(tt.answers) {
+				if d.Crashed(tt.answers, func() bool { return !tt.cutOff }) {
 					s.ConfirmTrial(at(21+i), simPrint, target)
 				} else {
 					s.DismissCrash(simPrint, target)
