gateway: a trial leaves most targets

Cause: a trial passes over two targets that answer no check, and a target that was passed over isn't given to the request again.

Change: it passes over less than half of the targets.

--- a/internal/gateway/crash_callers_test.go
+++ b/internal/gateway/crash_callers_test.go
@@ -144,6 +144,32 @@
 	w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
 }
 
+// Few targets break the connections of requests for some time, and then answer health checks late. Guards
+// against trials that pass over all targets and are never sent.
+func TestPopularRequestOutlivesSlowHealthChecks(t *testing.T) {
+	for _, targets := range []int{1, 2, 3, 8} {
+		t.Run(fmt.Sprint(targets, " targets"), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, worldConfig{targets: targets})
+			for _, k := range w.workers {
+				k.SetServiceTime(5 * time.Millisecond)
+			}
+			entries := startEntries(w, 3)
+			callers := callersFrom(40)
+			servedShare(entries, callers, 40)
+			end := breakRequests(w.workers)
+			servedShare(entries, callers, int(faultTime/popularInterval))
+			for _, k := range w.workers {
+				k.SetHealthDelay(2 * endCheckTimeout)
+			}
+			end()
+			time.Sleep(settleTime)
+			share := servedShare(entries, callers, 120)
+			w.c.Assert(share >= minServedShare, qt.IsTrue, qt.Commentf("%.2f served", share))
+		})
+	}
+}
+
 // breakRequests makes targets break the connections of requests, and answer health checks.
 func breakRequests(workers []*worker.Worker) (end func()) {
 	setFaults := func(f func(*http.Request) worker.Fault) {
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -74,6 +74,13 @@
 // maxSkipped is how many targets a trial passes over because they answer no check.
 const maxSkipped = 2
 
+// maySkip reports whether the trial may pass over one more target. Most of the targets are left, as they may
+// be slow to answer checks.
+func (q *request) maySkip() bool {
+	skipped := len(q.skipped) + 1
+	return skipped <= maxSkipped && 2*skipped < q.service.targetCount()
+}
+
 // answersCheck reports whether the target of a trial answers a health check.
 func (q *request) answersCheck(now time.Time, t slot.Target) bool {
 	ctx, cancel := context.WithTimeout(q.r.Context(), min(endCheckTimeout, q.deadline().Sub(now)/4))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -225,7 +225,7 @@
 		return q.call.Decline(now, call.Decline{Reason: call.ReasonQuarantined, RetryAfter: remaining})
 	}
 	alive := !q.trial.IsZero() && q.answersCheck(now, a.Target)
-	if !q.trial.IsZero() && !alive && len(q.skipped) < maxSkipped {
+	if !q.trial.IsZero() && !alive && q.maySkip() {
 		q.service.cancel(now, q.pendingID)
 		q.skipped = append(q.skipped, a.Target.ID)
 		q.acquire(false)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -78,7 +78,8 @@
 	overloadCrashes int       // crashes because of more than coldLimit requests in a second
 	limit           string    // value of the Server-Limit header; empty omits it
 	leaving         bool      // responses say that the worker is leaving
-	probeLoadOnly   bool      // responses to probes contain the load, but no limit and no leaving notice
+	healthDelay     time.Duration
+	probeLoadOnly   bool // responses to probes contain the load, but no limit and no leaving notice
 }
 
 // Start starts a worker on a loopback port.
@@ -101,6 +102,9 @@
 // SetServiceTime sets how long a request takes at pace 1.
 func (w *Worker) SetServiceTime(d time.Duration) { w.set(func() { w.serviceTime = d }) }
 
+// SetHealthDelay sets how long a response to a health check takes.
+func (w *Worker) SetHealthDelay(d time.Duration) { w.set(func() { w.healthDelay = d }) }
+
 // SetPace sets the factor on the service time. The load report contains it.
 func (w *Worker) SetPace(x float64) { w.set(func() { w.pace = x }) }
 
@@ -220,7 +224,9 @@
 		head += "Plumpitch-Warmup-Remaining: " + strconv.FormatInt(left.Milliseconds(), 10) + "\r\n"
 	}
 	head += "Content-Length: 0\r\n\r\n"
+	delay := w.healthDelay
 	w.mu.Unlock()
+	time.Sleep(delay)
 	_, _ = io.WriteString(k, head)
 }
 
