--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -111,8 +111,8 @@
 	return s.RecordFailure(now, f.headers, d) || held
 }
 
-// resolveBreak counts the connections that a target broke as a crash, if it has ended, by proof or by the
-// word of a trial, and else forgets them. It reports whether the request is held or in quarantine now.
+// resolveBreak counts the connections that a target broke as a crash if it has ended, proven or as a trial
+// has shown, and else forgets them. It reports whether the request is held or in quarantine now.
 func (f fingerprints) resolveBreak(s *call.Suspects, now time.Time, target string, proven, byTrial bool) (held bool) {
 	for _, fp := range []uint64{f.content, f.headers} {
 		switch {
--- a/pkg/call/suspect.go
+++ b/pkg/call/suspect.go
@@ -155,9 +155,9 @@
 	return s.confirm(now, fp, target, false)
 }
 
-// ConfirmTrial is like ConfirmCrash, for a target that has ended by the word of a trial only
-// (FailedDispatch.Crashed). Then only trials count, and only for the fingerprint that was held: the
-// others of their requests may be sound.
+// ConfirmTrial is like ConfirmCrash, for a target that has ended as only a trial has shown
+// (FailedDispatch.Crashed). Then only trials count, and only for the fingerprint that was held: other
+// requests with the same content may be sound.
 func (s *Suspects) ConfirmTrial(now time.Time, fp uint64, target string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
