--- a/pkg/call/hold.go
+++ b/pkg/call/hold.go
@@ -129,7 +129,7 @@
 	return Hold{Trial: true}
 }
 
-// lastAnswer returns when a request was last answered, at this entry or by the word of others; zero
+// lastAnswer returns when a request was last answered, at this entry or as others reported; zero
 // if that is unknown. The caller holds the lock.
 func (s *Suspects) lastAnswer(now time.Time, fp uint64) time.Time {
 	at := s.answers.last(now, fp)
