--- a/review/1/main.go
+++ b/review/1/main.go
@@ -26,7 +26,7 @@
 // Load. A burst is 108/64 of the usual uploads, below the dose of the site file: 1.7
 // times, for 3 s.
 const (
-	uploadBytes   = 2400 << 10
+	uploadBytes   = 2750 << 10
 	usualUploads  = 64
 	burstUploads  = 108
 	bursts        = 8
@@ -37,7 +37,7 @@
 	lostAllowed   = 3
 	gatewayNumber = 3
 	// uploadPace keeps the uploads at one gateway below the link of its machine, 1000 Mbit/s.
-	uploadPace = 1_800_000
+	uploadPace = 1_900_000
 )
 
 func main() {
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -36,6 +36,7 @@
 	ID, Method, Path, Host string
 	Deadline               time.Duration
 	Body                   []byte
+	Header                 string // further header lines, each with its line break
 	// Pace is how many bytes of the body are sent a second; 0 sends them at once.
 	Pace int
 }
@@ -60,7 +61,7 @@
 	if r.Method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.Body))
 	}
-	if _, err = io.WriteString(c.c, head+"\r\n"); err != nil {
+	if _, err = io.WriteString(c.c, head+r.Header+"\r\n"); err != nil {
 		return a, sent, err
 	}
 	if err = c.sendBody(r); err != nil {
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,15 +34,13 @@
 	Store    *objects.Store
 	Gateways []*Gateway
 	Record   *Record
-	// WorkerReadBuffer is the size of the receive buffers of workers that are added; 0 leaves it
-	// to the system.
-	WorkerReadBuffer int
 
 	program string
 	dir     string
 	net     string // the first three numbers of the addresses
 	servers []*http.Server
 	beats   chan struct{}
+	starts  atomic.Int64 // of workers
 }
 
 // NewSite starts a store. The record is written to record.txt in the folder of the case.
@@ -70,9 +70,19 @@
 		return nil, err
 	}
 	s.serve(l, s.Store)
+	go s.closeOnSignal()
 	return s, nil
 }
 
+// closeOnSignal ends all processes if the case is interrupted.
+func (s *Site) closeOnSignal() {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, os.Interrupt, syscall.SIGTERM)
+	<-c
+	s.Close()
+	os.Exit(ExitNotRun)
+}
+
 // IP returns an address of this site.
 func (s *Site) IP(n int) string { return fmt.Sprintf("%s.%d", s.net, n) }
 
@@ -129,23 +139,47 @@
 // MaxBodyBytes is the limit of a request body in the configuration.
 const MaxBodyBytes = 67108864
 
+const heartbeat = 1500 * time.Millisecond
+
 // AddWorker starts a worker of a service, registers it, and lets it write its heartbeats.
 func (s *Site) AddWorker(n int, service, zone string) (w *Worker, err error) {
-	w, err = startWorker(fmt.Sprintf("i-%s-%d", service, n), s.IP(n)+":8185", s.WorkerReadBuffer, s.Record)
+	return s.AddCrashingWorker(n, service, zone, nil)
+}
+
+// backAfter is how long after a crash a worker is back, as a new incarnation.
+const backAfter = 3 * time.Second
+
+// AddCrashingWorker is like AddWorker, for a worker that crashes under some requests. It is back
+// after some seconds. Its record is removed after three heartbeats of silence.
+func (s *Site) AddCrashingWorker(n int, service, zone string, crashes func(*http.Request) bool) (w *Worker, err error) {
+	id := fmt.Sprintf("i-%s-%d-%d", service, n, s.starts.Add(1))
+	w, err = startWorker(id, s.IP(n)+":8185", s.Record)
 	if err != nil {
 		return nil, err
 	}
+	crashed := make(chan struct{})
+	w.Crashes = crashes
+	w.OnCrash = func() {
+		close(crashed)
+		time.AfterFunc(3*heartbeat, func() { s.Store.Delete("servers", id) })
+		time.AfterFunc(backAfter, func() {
+			if _, err := s.AddCrashingWorker(n, service, zone, crashes); err != nil {
+				s.Record.Add("worker %s isn't back: %v", id, err)
+			}
+		})
+	}
 	go func() {
-		const heartbeat = 1500 * time.Millisecond
 		tick := time.NewTicker(heartbeat)
 		defer tick.Stop()
 		for sequence := 1; ; sequence++ {
-			s.Store.Put("servers", w.ID, map[string]any{
+			s.Store.Put("servers", id, map[string]any{
 				"address": w.Address, "info": map[string]any{"service": service, "version": "v1", "zone": zone, "concurrency": w.Slots},
 				"status": map[string]any{"state": "ready", "sequence": sequence, "warmupLeft": "0ms"},
 			})
 			select {
 			case <-tick.C:
+			case <-crashed:
+				return
 			case <-s.beats:
 				return
 			}
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -1,7 +1,6 @@
 package harness
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -10,7 +9,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -21,39 +19,31 @@
 	Slots       int
 	// Work returns how long a request takes.
 	Work func(*http.Request) time.Duration
-	// BeforeBody is called before a request body is read; nil does nothing.
-	BeforeBody func(*http.Request)
+	// Crashes reports whether a request crashes the worker as soon as it runs; nil means that none
+	// does.
+	Crashes func(*http.Request) bool
+	// OnCrash is called after a crash.
+	OnCrash func()
 
 	record           *Record
+	server           *http.Server
+	crashOnce        sync.Once
 	slots            chan struct{}
 	running, waiting atomic.Int64
 	mu               sync.Mutex
 	started          map[string]bool // requests that it has begun to work on, by ID
 }
 
-// startWorker starts a worker. readBuffer is the size of its sockets' receive buffers; 0 leaves it
-// to the system.
-func startWorker(id, address string, readBuffer int, record *Record) (*Worker, error) {
+func startWorker(id, address string, record *Record) (*Worker, error) {
 	w := &Worker{ID: id, Address: address, Slots: 2, record: record, started: make(map[string]bool)}
 	w.slots = make(chan struct{}, w.Slots)
 	w.Work = func(*http.Request) time.Duration { return 60 * time.Millisecond }
-	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
-		if readBuffer == 0 {
-			return nil
-		}
-		controlErr := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, readBuffer)
-		})
-		if controlErr != nil {
-			return controlErr
-		}
-		return err
-	}}
-	l, err := lc.Listen(context.Background(), "tcp", address)
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	go func() { _ = http.Serve(l, w) }()
+	w.server = &http.Server{Handler: w}
+	go func() { _ = w.server.Serve(l) }()
 	return w, nil
 }
 
@@ -106,8 +96,13 @@
 	defer w.running.Add(-1)
 	w.record.Add("worker %s runs %s %s %s", w.ID, id, r.Method, r.URL.RequestURI())
 	w.noteStarted(id)
-	if w.BeforeBody != nil {
-		w.BeforeBody(r)
+	if w.Crashes != nil && w.Crashes(r) {
+		w.crashOnce.Do(func() {
+			w.record.Add("worker %s crashes under %s", w.ID, id)
+			w.server.Close() // its port refuses connections from now on
+			w.OnCrash()
+		})
+		return
 	}
 	sum := sha256.New()
 	n, err := io.Copy(sum, r.Body)
