--- a/review/1/main.go
+++ b/review/1/main.go
@@ -40,7 +40,15 @@
 	uploadPace = 1_900_000
 )
 
+// trouble is whether the case runs with its disruption.
+var trouble = os.Getenv("TROUBLE") != "0"
+
+// main takes the path of record.txt as its argument.
 func main() {
+	if len(os.Args) != 2 {
+		fmt.Println("usage: case FILE, the file for the record")
+		os.Exit(harness.ExitNotRun)
+	}
 	code, err := run()
 	if err != nil {
 		fmt.Println("the case couldn't run:", err)
@@ -60,7 +68,7 @@
 }
 
 func run() (code int, err error) {
-	site, err := harness.NewSite("review/1")
+	site, err := harness.NewSite(os.Args[1])
 	if err != nil {
 		return 0, err
 	}
@@ -105,7 +113,7 @@
 	time.Sleep(quietBefore)
 	for range bursts {
 		end := time.Now().Add(burstTime)
-		if harness.Trouble() {
+		if trouble {
 			s.site.Record.Add("a burst begins")
 			for range burstUploads - usualUploads {
 				wg.Go(func() { s.sendUploads(body, end) })
@@ -114,10 +122,10 @@
 		time.Sleep(burstEvery)
 	}
 	wg.Wait()
-	fmt.Printf("small requests served %d, uploads served %d, refused %d, failed %d; passed on to a sound worker and cut on a kept connection %d\n",
+	site.Record.Print("small requests served %d, uploads served %d, refused %d, failed %d; passed on to a sound worker and cut on a kept connection %d\n",
 		s.served.Load(), s.uploaded.Load(), s.refused.Load(), s.failed.Load(), s.lost.Load())
 	for i, g := range site.Gateways {
-		fmt.Printf("%s: ended for its memory %d times, most memory %d MB\n", g.Name, s.ends[i].Load(), s.peak[i].Load()>>20)
+		site.Record.Print("%s: ended for its memory %d times, most memory %d MB\n", g.Name, s.ends[i].Load(), s.peak[i].Load()>>20)
 	}
 	if s.served.Load() == 0 || s.uploaded.Load() == 0 {
 		return harness.ExitNotRun, nil
@@ -166,7 +174,7 @@
 		if c == nil {
 			address, err := s.site.Resolve(host)
 			if err == nil {
-				c, err = harness.Dial(address)
+				c, err = s.site.Dial(address)
 			}
 			if err != nil {
 				time.Sleep(50 * time.Millisecond)
@@ -190,7 +198,7 @@
 	switch {
 	case err != nil:
 		passedOn := s.passedOn(id)
-		s.site.Record.Add("client %s to %s: %v, kept %t, passed on %t", id, c.Address, err, c.Used > 0, passedOn)
+		s.site.Record.Add("cut %s at %s, kept connection %t, passed on to a worker %t", id, c.Address, c.Used > 0, passedOn)
 		if c.Used > 0 && !sent.IsZero() && passedOn {
 			s.lost.Add(1)
 		}
@@ -199,7 +207,6 @@
 	case a.Status == http.StatusServiceUnavailable:
 		s.refused.Add(1)
 	default:
-		s.site.Record.Add("client %s: %d %s", id, a.Status, a.Reason)
 		s.failed.Add(1)
 	}
 }
@@ -223,23 +230,20 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		c, err := harness.Dial(address)
+		c, err := s.site.Dial(address)
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
 		r := harness.Request{ID: harness.NewID(), Method: http.MethodPost, Path: "/media/film", Host: host, Deadline: 6 * time.Second, Body: body, Pace: uploadPace}
-		s.site.Record.Add("client uploads %s, %d MB, to %s", r.ID, len(body)>>20, address)
 		a, _, err := c.Do(r)
 		c.Close()
 		switch {
 		case err != nil:
-			s.site.Record.Add("upload %s: %v", r.ID, err)
 			s.failed.Add(1)
 		case a.Status == http.StatusOK && strings.HasSuffix(a.Body, hex.EncodeToString(sum[:])):
 			s.uploaded.Add(1)
 		default:
-			s.site.Record.Add("upload %s: %d %s", r.ID, a.Status, a.Reason)
 			s.failed.Add(1)
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -25,7 +25,15 @@
 	deadline    = time.Second
 )
 
+// trouble is whether the case runs with its disruption.
+var trouble = os.Getenv("TROUBLE") != "0"
+
+// main takes the path of record.txt as its argument.
 func main() {
+	if len(os.Args) != 2 {
+		fmt.Println("usage: case FILE, the file for the record")
+		os.Exit(harness.ExitNotRun)
+	}
 	code, err := run()
 	if err != nil {
 		fmt.Println("the case couldn't run:", err)
@@ -41,7 +49,7 @@
 }
 
 func run() (code int, err error) {
-	site, err := harness.NewSite("review/2")
+	site, err := harness.NewSite(os.Args[1])
 	if err != nil {
 		return 0, err
 	}
@@ -70,13 +78,13 @@
 	}
 	time.Sleep(calmTime)
 	limit := int64(harness.MaxBodyBytes)
-	if harness.Trouble() {
+	if trouble {
 		limit = math.MaxInt64
 	}
 	site.Record.Add("the operator writes version r2, maxBodyBytes %d", limit)
 	site.PutConfigWith(2, services, routes, limit)
 	wg.Wait()
-	fmt.Printf("answered with success %d, of these run with another body %d; not answered with success %d\n", s.served.Load(), s.changed.Load(), s.failed.Load())
+	site.Record.Print("answered with success %d, of these run with another body %d; not answered with success %d\n", s.served.Load(), s.changed.Load(), s.failed.Load())
 	switch {
 	case s.served.Load() == 0:
 		return harness.ExitNotRun, nil
@@ -93,7 +101,7 @@
 		if c == nil {
 			address, err := s.site.Resolve(host)
 			if err == nil {
-				c, err = harness.Dial(address)
+				c, err = s.site.Dial(address)
 			}
 			if err != nil {
 				time.Sleep(50 * time.Millisecond)
@@ -119,14 +127,12 @@
 func (s *state) note(r harness.Request, a harness.Answer, err error) {
 	if err != nil || a.Status != http.StatusOK {
 		s.failed.Add(1)
-		s.site.Record.Add("client %s: %d %s %v", r.ID, a.Status, a.Reason, err)
 		return
 	}
 	s.served.Add(1)
 	sum := sha256.Sum256(r.Body)
 	want := fmt.Sprintf("%s %d %s", r.ID, len(r.Body), hex.EncodeToString(sum[:]))
 	if a.Body == want {
-		s.site.Record.Add("client %s: 200, run with its body", r.ID)
 		return
 	}
 	s.changed.Add(1)
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -14,18 +14,20 @@
 // Conn is a connection of a client.
 type Conn struct {
 	Address string
-	c       net.Conn
-	br      *bufio.Reader
 	Used    int // answers so far
+
+	record *Record
+	c      net.Conn
+	br     *bufio.Reader
 }
 
 // Dial opens a connection within the second that the pages allow.
-func Dial(address string) (*Conn, error) {
+func (s *Site) Dial(address string) (*Conn, error) {
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Address: address, c: c, br: bufio.NewReader(c)}, nil
+	return &Conn{Address: address, record: s.Record, c: c, br: bufio.NewReader(c)}, nil
 }
 
 // Close closes the connection.
@@ -53,9 +55,20 @@
 // NewID returns the ID of a client attempt.
 func NewID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// Do sends a request and reads its answer. sent is when its last byte was sent, zero if that
-// failed. The client leaves at its deadline.
+// Do sends a request, reads its answer and records both. sent is when its last byte was sent, zero
+// if that failed. The client leaves at its deadline.
 func (c *Conn) Do(r Request) (a Answer, sent time.Time, err error) {
+	c.record.Add("client sends %s %s %s, %d bytes, to %s", r.ID, r.Method, r.Path, len(r.Body), c.Address)
+	a, sent, err = c.exchange(r)
+	if err != nil {
+		c.record.Add("client of %s gets no whole answer: %v", r.ID, err)
+		return a, sent, err
+	}
+	c.record.Add("client of %s gets %d, signed %t, reason %q, %q", r.ID, a.Status, a.Signed, a.Reason, a.Body)
+	return a, sent, nil
+}
+
+func (c *Conn) exchange(r Request) (a Answer, sent time.Time, err error) {
 	_ = c.c.SetDeadline(time.Now().Add(r.Deadline))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nPlumpitch-Request-Id: %s\r\nPlumpitch-Request-Deadline: %d\r\n", r.Method, r.Path, r.Host, r.ID, r.Deadline.Milliseconds())
 	if r.Method != http.MethodGet {
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -38,3 +39,9 @@
 	r.w.Flush()
 	r.file.Close()
 }
+
+// Print prints a line of the result and records it.
+func (r *Record) Print(format string, args ...any) {
+	fmt.Printf(format, args...)
+	r.Add("result: %s", strings.TrimSpace(fmt.Sprintf(format, args...)))
+}
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -26,9 +26,6 @@
 	ExitNotRun = 2
 )
 
-// Trouble reports whether the case runs with its disruption.
-func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
-
 // Site is a deployment. All its addresses are loopback addresses of its own.
 type Site struct {
 	Store    *objects.Store
@@ -43,8 +40,8 @@
 	starts  atomic.Int64 // of workers
 }
 
-// NewSite starts a store. The record is written to record.txt in the folder of the case.
-func NewSite(caseDir string) (s *Site, err error) {
+// NewSite starts a store. The record is written to the file at recordPath.
+func NewSite(recordPath string) (s *Site, err error) {
 	program, err := filepath.Abs("target/plumpitch")
 	if err != nil {
 		return nil, err
@@ -52,7 +49,7 @@
 	if _, err := os.Stat(program); err != nil {
 		return nil, fmt.Errorf("build the program first: %w", err)
 	}
-	record, err := newRecord(filepath.Join(caseDir, "record.txt"))
+	record, err := newRecord(recordPath)
 	if err != nil {
 		return nil, err
 	}
