standin/worker: bytes that belong to no request, and bytes without end

The worker could send a second copy of a response only, with the request's ID. It now sends any bytes ahead of the response to a request or a health check, and bytes without end in a status line, header, interim responses or body; its refusals may end early, stall or have no end.

--- a/internal/standin/worker/conn.go
+++ b/internal/standin/worker/conn.go
@@ -176,7 +176,9 @@
 		f := w.fault(r)
 		w.mu.Unlock()
 		if r.Method == http.MethodGet && r.URL.Path == "/health" {
-			w.serveHealth(k)
+			if !w.serveHealth(k, f) {
+				return
+			}
 			continue
 		}
 		open := w.serveRequest(k, r, f)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -35,6 +35,8 @@
 	Plain503          bool          // responds with 503 after the run, without the Plumpitch-Not-Executed header
 	ReplacedBy        string        // ID of the target that now has this address
 	Crash             bool          // the run terminates the target by calling OnCrash
+	Stray             string        // sent when the request has been read, before it runs; belongs to no request
+	Endless           Endless       // sent in place of the response, after the run, until the caller closes
 }
 
 // Run is the log entry of a run.
@@ -80,6 +82,7 @@
 	leaving         bool      // responses say that the worker is leaving
 	healthDelay     time.Duration
 	probeLoadOnly   bool // responses to probes contain the load, but no limit and no leaving notice
+	endlessBytes    int64
 }
 
 // Start starts a worker on a loopback port.
@@ -216,7 +219,26 @@
 	return fmt.Sprintf("Plumpitch-Server-Load: %d,%d,%d,%.0f\r\n", w.running, waiting, w.Slots, 100*w.pace)
 }
 
-func (w *Worker) serveHealth(k *conn) {
+// EndlessBytes returns how many bytes Fault.Endless has sent, until callers closed.
+func (w *Worker) EndlessBytes() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.endlessBytes
+}
+
+// sendEndless sends bytes until the caller closes the connection, and counts them.
+func (w *Worker) sendEndless(k *conn, kind Endless, lines string) {
+	n := sendEndless(k, kind, lines)
+	w.set(func() { w.endlessBytes += n })
+}
+
+// serveHealth responds to a health check and reports whether the connection stays open.
+func (w *Worker) serveHealth(k *conn, f Fault) bool {
+	_, _ = io.WriteString(k, f.Stray)
+	if f.Endless != NotEndless {
+		w.sendEndless(k, f.Endless, "Plumpitch-Instance-Id: "+w.ID+"\r\n")
+		return false
+	}
 	w.mu.Lock()
 	w.probes = append(w.probes, time.Now())
 	head := "HTTP/1.1 200 OK\r\nPlumpitch-Instance-Id: " + w.ID + "\r\n" + w.reportHeaders(true)
@@ -228,6 +250,7 @@
 	w.mu.Unlock()
 	time.Sleep(delay)
 	_, _ = io.WriteString(k, head)
+	return true
 }
 
 // serveRequest serves one request and reports whether the connection stays open.
@@ -243,13 +266,13 @@
 	if f.EarlyResponse {
 		return true
 	}
+	_, _ = io.WriteString(k, f.Stray)
 	if expected := r.Header.Get("Plumpitch-Target-Instance"); expected != "" && expected != w.ID || f.ReplacedBy != "" && expected != f.ReplacedBy {
-		_, _ = io.WriteString(k, "HTTP/1.1 421 Misdirected Request\r\nPlumpitch-Instance-Id: "+f.ReplacedBy+"\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(k, "HTTP/1.1 421 Misdirected Request\r\nPlumpitch-Not-Executed: 1\r\nPlumpitch-Request-Id: "+id+"\r\nPlumpitch-Instance-Id: "+f.ReplacedBy+"\r\nContent-Length: 0\r\n\r\n")
 		return true
 	}
 	if f.Shed || !w.admit() {
-		w.refuse(k, r, f.RetryAfter)
-		return true
+		return w.refuse(k, r, f)
 	}
 	w.run(k, r, string(body))
 	if f.Crash {
@@ -259,16 +282,31 @@
 	return w.respond(k, r, f, string(body))
 }
 
-// refuse refuses a request without running it.
-func (w *Worker) refuse(k *conn, r *http.Request, retryAfter string) {
+// refuse refuses a request without running it, and reports whether the connection stays open.
+// With Fault.Cut or Fault.NoResponse the body of the refusal ends early or stays out, and with
+// Fault.Endless it has no end.
+func (w *Worker) refuse(k *conn, r *http.Request, f Fault) bool {
 	id := r.Header.Get("Plumpitch-Request-Id")
-	refusal := Run{Request: id, Body: retryAfter, StartedAt: time.Now(), Account: field(r, "Plumpitch-Tenant-Id"), LeakedKey: field(r, "Authorization")}
+	refusal := Run{Request: id, Body: f.RetryAfter, StartedAt: time.Now(), Account: field(r, "Plumpitch-Tenant-Id"), LeakedKey: field(r, "Authorization")}
 	w.set(func() { w.refusals = append(w.refusals, refusal) })
 	head := "HTTP/1.1 503 Service Unavailable\r\nPlumpitch-Not-Executed: 1\r\nPlumpitch-Request-Id: " + id + "\r\n"
-	if retryAfter != "" {
-		head += "Retry-After: " + retryAfter + "\r\n"
+	if f.RetryAfter != "" {
+		head += "Retry-After: " + f.RetryAfter + "\r\n"
+	}
+	switch {
+	case f.Endless != NotEndless:
+		w.sendEndless(k, f.Endless, "Plumpitch-Request-Id: "+id+"\r\n")
+		return false
+	case f.Cut:
+		_, _ = io.WriteString(k, head+"Content-Length: 8\r\n\r\nsh")
+		return false
+	case f.NoResponse:
+		_, _ = io.WriteString(k, head+"Content-Length: 8\r\n\r\nsh")
+		_, _ = io.Copy(io.Discard, k)
+		return false
 	}
 	_, _ = io.WriteString(k, head+"Content-Length: 0\r\n\r\n")
+	return true
 }
 
 // run logs a run, waits for the service time, and records when the caller left in the
@@ -335,6 +373,9 @@
 	switch {
 	case f.LoseResponse:
 		return false
+	case f.Endless != NotEndless:
+		w.sendEndless(k, f.Endless, "Plumpitch-Request-Id: "+id+"\r\n")
+		return false
 	case f.NoResponse:
 		_, _ = io.Copy(io.Discard, k)
 		return false
