gateway: responses without the request's ID are counted and logged

A caller that got a 503 for a request that ran left no trace of why: the logs say "shed", whoever sent the refusal. A response whose IDs aren't exactly the request's is now counted by service and kind of ID (stray_responses), and logged with the target, the status and whether it says that the request hasn't run. What is believed is unchanged.

--- /dev/null
+++ b/internal/forward/identity.go
@@ -0,0 +1,46 @@
+package forward
+
+import (
+	"net/http"
+
+	"plumpitch.example/plumpitch/pkg/call"
+)
+
+// Identity is what the request IDs in a response say about the request that it belongs to.
+type Identity uint8
+
+// Identities.
+const (
+	OwnID      Identity = iota // one ID, that of the request
+	NoID                       // none
+	SeveralIDs                 // more than one, equal or not
+	OtherID                    // that of another request
+)
+
+var identityNames = [...]string{OwnID: "own", NoID: "none", SeveralIDs: "several", OtherID: "other"}
+
+// String returns the one-word name of an identity.
+func (i Identity) String() string { return identityNames[i] }
+
+// identify returns the identity of a response to the request with this ID. An empty ID is one
+// that the caller didn't send.
+func identify(h http.Header, name, id string) Identity {
+	ids := h[name]
+	switch {
+	case len(ids) > 1:
+		return SeveralIDs
+	case len(ids) == 0 || ids[0] == "" && id != "":
+		return NoID
+	case ids[0] != id:
+		return OtherID
+	}
+	return OwnID
+}
+
+// idHeader returns the name of the header in which targets echo the request's ID.
+func (d *dispatch) idHeader() string {
+	if d.echoHeader != "" {
+		return d.echoHeader
+	}
+	return call.HeaderRequest
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"plumpitch.example/plumpitch/pkg/call"
 )
 
 // Response is a target's response. If it was read to its end, Buffered contains
@@ -24,6 +22,7 @@
 	Trailer     http.Header // declared names; values are set at the end of Body
 	Load        Load
 	ConnectTime time.Duration // time until a connection was obtained
+	Identity    Identity
 
 	dispatch *dispatch
 }
@@ -40,6 +39,7 @@
 
 // readResponse checks a response head and buffers a short body.
 func (d *dispatch) readResponse(resp *http.Response, f *Forwarder) (r *Response, err error) {
+	identity := identify(resp.Header, d.idHeader(), d.id)
 	if !d.matchesRequest(resp.Header) {
 		d.trace.stale.Store(true)
 	}
@@ -60,6 +60,7 @@
 		Length:      resp.ContentLength,
 		Trailer:     resp.Trailer,
 		ConnectTime: d.trace.connectTime(),
+		Identity:    identity,
 		dispatch:    d,
 	}
 	if d.echoHeader != "" {
@@ -112,11 +113,7 @@
 
 // matchesRequest reports whether a response has the id of this request or none.
 func (d *dispatch) matchesRequest(h http.Header) bool {
-	name := call.HeaderRequest
-	if d.echoHeader != "" {
-		name = d.echoHeader
-	}
-	ids := h[name]
+	ids := h[d.idHeader()]
 	return len(ids) == 0 || ids[0] == d.id
 }
 
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -81,6 +81,15 @@
 	q.gateway.log.WithFields(f).WithError(fail.Cause).Warn("dispatch failed")
 }
 
+// noteStray counts and logs a response that may belong to another request. notRun is whether it
+// says that the request hasn't run.
+func (q *request) noteStray(from string, status int, id forward.Identity, notRun bool) {
+	q.service.instruments.strayResponses(id.String()).Inc(1)
+	f := q.logFields()
+	f["from"], f["status"], f["id"], f["refusal"] = from, status, id.String(), notRun
+	q.gateway.log.WithFields(f).Warn("response without the request's id")
+}
+
 // logFinal logs an error response of this entry.
 func (q *request) logFinal(status int, reason string) {
 	f := q.logFields()
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -77,8 +77,9 @@
 	crashes          tally.Counter                  // dispatches during which the target may have crashed
 	pauses           tally.Counter                  // responses in which a target asked for a pause
 	loadProbes       tally.Counter
-	failedDispatches tally.Counter // dispatches without a valid response
-	passedOn         tally.Counter // requests sent to an entry that reaches the targets
+	failedDispatches tally.Counter                 // dispatches without a valid response
+	passedOn         tally.Counter                 // requests sent to an entry that reaches the targets
+	strayResponses   func(id string) tally.Counter // responses without exactly the request's ID, by the ID found
 }
 
 // service creates the metrics of a service.
@@ -97,6 +98,9 @@
 	si.extraDispatches = func(why string) tally.Counter {
 		return s.Tagged(map[string]string{"reason": why}).Counter("repeats")
 	}
+	si.strayResponses = func(id string) tally.Counter {
+		return s.Tagged(map[string]string{"id": id}).Counter("stray_responses")
+	}
 	si.errorResponses = func(reason string) tally.Counter {
 		return s.Tagged(map[string]string{"reason": reason}).Counter("final_answers")
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -309,6 +309,9 @@
 	d.response = resp
 	q.service.signs.noteHeard(d.target.ID)
 	shed := platform.NotRun(resp.Status, resp.Header)
+	if resp.Identity != forward.OwnID {
+		q.noteStray(d.target.ID, resp.Status, resp.Identity, shed)
+	}
 	completion.AddressReused = platform.Misdirected(resp.Status)
 	switch {
 	case shed:
