gateway: an entry's own responses have the request's ID

A caller's request that was passed on got a refusal that the entry in between couldn't tell from bytes of another request: delegates sent their own responses without an ID. They now echo the ID, as targets do, so that the entry can ask for it.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -111,7 +111,8 @@
 	q.refuse(reason, retry)
 }
 
-// respond sends an error response that comes from this entry and not from a target.
+// respond sends an error response that comes from this entry and not from a target. It has the
+// request's ID, as those of targets do, by which an entry that passed the request on knows it.
 func (q *request) respond(status int, reason string) {
 	q.logFinal(status, reason)
 	if q.account != nil && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) {
@@ -122,6 +123,9 @@
 		q.service.instruments.errorResponses(reason).Inc(1)
 	}
 	q.w.Header().Set(call.HeaderReason, reason)
+	if q.id != "" {
+		q.w.Header().Set(platform.HeaderRequestID, q.id)
+	}
 	q.w.Header().Set("Content-Length", "0")
 	q.w.WriteHeader(status)
 }
