forward: a head that the next response completes belongs to neither

A request ran twice, or its caller got 200 for a failure: bytes that end within a header line ("503, Plumpitch-Not-Executed, X-Cut: a") are completed by the response to the request, whose ID and signature then stand in the same head. The next status line is then part of a header's value, so a response with a status line in a value fails as invalid, and nothing of it is used. A head that ends between two lines was already malformed, as a status line has no colon.

--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -112,7 +112,7 @@
 	if d.trace.stale.Load() {
 		resp, err = nil, errStaleConnection
 	}
-	if errors.As(err, new(*StrayError)) {
+	if err == errMixedHeads || errors.As(err, new(*StrayError)) {
 		resp = nil
 	}
 	f := &Failure{Target: d.params.Target, Cause: err}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -42,6 +42,9 @@
 	if d.trace.stale.Load() {
 		return nil, errStaleConnection
 	}
+	if mixesHeads(resp.Header) {
+		return nil, errMixedHeads
+	}
 	identity := identify(resp.Header, d.idHeader(), d.id)
 	if !d.belongs(identity) {
 		return nil, &StrayError{resp.StatusCode, identity}
