platform: a signed response or a success is no refusal

A request ran twice: a response with Plumpitch-Not-Executed and a signature, or with a success's status, counted as a refusal, though only a response of a run is signed. What says both is now invalid: neither forwarded nor taken for a promise, and a request that may be repeated goes elsewhere.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -12,7 +12,7 @@
 	"plumpitch.example/plumpitch/platform"
 )
 
-var errInvalidResponse = errors.New("invalid response: no signature, wrong request ID or disallowed status")
+var errInvalidResponse = errors.New("invalid response: no signature, wrong request ID, disallowed status or both run and not run")
 
 // validResponse reports whether a response may be forwarded. A success needs the target's
 // signature and the ID of this request. A status that callers take to mean that the
@@ -21,6 +21,8 @@
 	switch {
 	case isRefusal(resp):
 		return true
+	case platform.Contradicts(resp.Status, resp.Header):
+		return false
 	case resp.Status < http.StatusOK || impliesNotRun(resp.Status):
 		return false
 	case resp.Status < http.StatusMultipleChoices:
