gateway: a target's Plumpitch-Reason isn't forwarded

A request that an entry had passed on could run twice: its target answered 404 with Plumpitch-Reason: noroute, the delegate forwarded that, and the entry took it for the delegate's own word that the request hadn't run and sent it to the next delegate. Only entries set this header now; a delegate takes a target's away.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -58,6 +58,7 @@
 	for _, name := range platform.TargetOnlyHeaders {
 		resp.Header.Del(name)
 	}
+	resp.Header.Del(call.HeaderReason) // only entries give reasons; a delegate's is believed
 	if resp.Body == nil {
 		resp.Header.Set("Content-Length", strconv.Itoa(len(resp.Buffered)))
 	}
