forward: shed is believed only with the dispatch's ID

On the own interface a late "shed" of another request made a request run twice, and "shed" on a success dropped the success and sent the request again. It now needs an error status and the dispatch's Plumpitch-Request, once; else the response is the target's own answer and promises nothing. The stand-in target copies the header, as PROTOCOLS.md asks of targets. Targets that don't copy it have their refusals forwarded and not sent elsewhere.

--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -13,7 +13,7 @@
 	Known    bool // the response had a valid report
 	InFlight int  // requests that the target is running; negative if not reported
 	Leaving  bool // the target is leaving and must get no new requests
-	Shed     bool // the target did not start this request
+	Shed     bool // the target did not start this request; needs an error status and the request's ID
 }
 
 const (
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -71,6 +71,7 @@
 	} else {
 		copyHeader(r.Header, resp.Header, isOwnHeader)
 		r.Load = f.readLoad(resp.Header)
+		r.Load.Shed = r.Load.Shed && identity == OwnID && resp.StatusCode >= http.StatusBadRequest
 	}
 	if bodyless {
 		d.release(errResponseClosed)
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -149,6 +149,7 @@
 
 func (t *Target) run(w http.ResponseWriter, r *http.Request) {
 	f := *t.fault.Load()
+	w.Header().Set(call.HeaderRequest, r.Header.Get(call.HeaderRequest))
 	if f.Shed {
 		w.Header().Set(call.HeaderLoad, "shed inflight="+strconv.Itoa(t.Inflight()))
 		http.Error(w, "shedding", http.StatusServiceUnavailable)
--- a/pkg/call/header.go
+++ b/pkg/call/header.go
@@ -22,7 +22,8 @@
 	// HeaderLoad is a target's report of its own load, on its responses.
 	HeaderLoad = "Plumpitch-Load"
 	// HeaderRequest identifies one dispatch. A target that echoes it on its response
-	// prevents the response from being matched to another dispatch.
+	// prevents the response from being matched to another dispatch. Without it, no
+	// report that the request was shed is believed.
 	HeaderRequest = "Plumpitch-Request"
 	// HeaderAccount names the caller's account to the target.
 	HeaderAccount = "Plumpitch-Account"
