forward: a refusal is known by its head

A caller got 502 or 504 for a request that its target had refused: the refusal's body broke off, or stayed out until the deadline, and the dispatch counted as one that may have run. The head of a refusal with the request's ID says all, so its body is dropped: up to 4 KiB within 50 ms are read so that the connection can be used again, else it is closed. The request goes to another target, or its caller gets a true 503.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -65,6 +65,9 @@
 	// unchanged in both directions, and a response body may end with its
 	// connection. If it is empty, plumpitch's own headers are used.
 	EchoHeader string
+	// IsRefusal reports whether a response with the request's ID is a refusal, whose body isn't
+	// needed; nil if none is. Shed requests of the own interface are always refusals.
+	IsRefusal func(status int, h http.Header) bool
 	// Dial opens TCP connections to targets, with a socket; nil means net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -77,6 +77,10 @@
 		d.release(errResponseClosed)
 		return r, nil
 	}
+	if r.Load.Shed || identity == OwnID && f.cfg.IsRefusal != nil && f.cfg.IsRefusal(r.Status, resp.Header) {
+		d.discardBody(resp)
+		return r, nil
+	}
 	if r.Length >= 0 && r.Length <= f.cfg.MaxBufferedBytes {
 		return r, d.readBody(r, resp)
 	}
@@ -115,6 +119,23 @@
 	io.Closer
 }
 
+const (
+	// maxRefusalBody is how much of a refusal's body is read so that its connection can be used
+	// again, in bytes, and refusalBodyTimeout how long that may take.
+	maxRefusalBody     = 4 << 10
+	refusalBodyTimeout = 50 * time.Millisecond
+)
+
+// discardBody drops the body of a refusal. The head says all, so a body that breaks off, stays out
+// or has no end doesn't matter; it only costs the connection.
+func (d *dispatch) discardBody(resp *http.Response) {
+	timer := time.AfterFunc(refusalBodyTimeout, func() { d.cancel(errResponseClosed) })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBody))
+	resp.Body.Close()
+	d.release(errResponseClosed)
+}
+
 // readBody reads a short body to its end, which also releases its connection.
 func (d *dispatch) readBody(r *Response, resp *http.Response) error {
 	r.Buffered = make([]byte, r.Length)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,7 @@
 		cfg: cfg, log: cfg.Log, started: time.Now(), initialized: make(chan struct{}), giveUp: make(chan struct{}),
 		forward: forward.New(forward.Config{
 			EchoHeader: platform.HeaderRequestID, UnackedTimeout: targetAckTimeout, ConnectTimeout: targetConnectTimeout, IdleTimeout: targetIdleTimeout, MaxBufferedBytes: maxBufferedResponse,
-			Dial: cfg.DialTarget,
+			Dial: cfg.DialTarget, IsRefusal: platform.NotRun,
 		}),
 		peers: forward.New(forward.Config{
 			EchoHeader: platform.HeaderRequestID, UnackedTimeout: targetAckTimeout, ConnectTimeout: targetConnectTimeout, MaxBufferedBytes: maxBufferedResponse,
