forward, gateway: a health check takes only its own response

A request that might run once got 502 after a health check on its connection: the check took bytes without an instance, or with two, for its response, and its own came where the request's was due. So did bytes that had been read before the check was written. A response to a check must name exactly one instance, no request and no second status line, and be read after the check was written; else the connection is closed and the target asked once more. What isn't identified then still shows that the target lives, as before, and counts neither as a load report nor as another target at the address.

--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -14,19 +14,27 @@
 // maxProbeBody is the longest body of a probe response that is read, in bytes.
 const maxProbeBody = 4 << 10
 
+// ErrUnidentified is the cause of a failed probe whose response may not be the probe's own. A
+// target, or what has its address, sent it.
+var ErrUnidentified = errors.New("response may not be that of the probe")
+
+// ProbeParams describes a probe.
+type ProbeParams struct {
+	Target string // host:port
+	Path   string
+	// IsOwn reports whether a response's header is that of a probe's response.
+	IsOwn func(h http.Header) bool
+}
+
 // Probe sends a GET to a target on one of the connections that requests use, so
-// that a probe needs no connection of its own.
-func (f *Forwarder) Probe(ctx context.Context, target, path string) (status int, h http.Header, err error) {
-	defer func() { err = errors.WithMessage(err, "probing "+target) }()
-	u := url.URL{Scheme: "http", Host: target, Path: path}
-	var used atomic.Pointer[conn]
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
-			c.beginRequest()
-			used.Store(c)
-		}
-	}})
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+// that a probe needs no connection of its own. A connection whose response isn't
+// identified is closed: the response to the probe may follow, and would be taken
+// for that to the next request.
+func (f *Forwarder) Probe(ctx context.Context, p ProbeParams) (status int, h http.Header, err error) {
+	defer func() { err = errors.WithMessage(err, "probing "+p.Target) }()
+	u := url.URL{Scheme: "http", Host: p.Target, Path: p.Path}
+	var trace probeTrace
+	req, err := http.NewRequestWithContext(trace.attach(ctx), http.MethodGet, u.String(), nil)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -36,17 +44,43 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	if f.cfg.EchoHeader != "" && resp.Header.Get(f.cfg.EchoHeader) != "" {
-		// This is the response to an earlier request on the connection. The
-		// response to the probe would follow, and would be taken for the response
-		// to the next request.
-		if c := used.Load(); c != nil {
-			c.Close()
-		}
-		return 0, nil, errStaleConnection
+	if trace.stale.Load() || mixesHeads(resp.Header) || !p.IsOwn(resp.Header) || f.cfg.EchoHeader != "" && len(resp.Header[f.cfg.EchoHeader]) > 0 {
+		trace.closeConn()
+		return 0, nil, ErrUnidentified
 	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBody)); err != nil {
 		return 0, nil, err
 	}
 	return resp.StatusCode, resp.Header, nil
 }
+
+// probeTrace records the connection of a probe, and whether its response was received before the
+// probe was written.
+type probeTrace struct {
+	conn  atomic.Pointer[conn]
+	stale atomic.Bool
+}
+
+// attach returns a context with the trace hooks.
+func (t *probeTrace) attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				c.beginRequest()
+				t.conn.Store(c)
+			}
+		},
+		GotFirstResponseByte: func() {
+			if c := t.conn.Load(); c != nil && c.stale() {
+				t.stale.Store(true)
+			}
+		},
+	})
+}
+
+// closeConn closes the connection.
+func (t *probeTrace) closeConn() {
+	if c := t.conn.Load(); c != nil {
+		c.Close()
+	}
+}
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -12,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/slot"
@@ -91,11 +93,29 @@
 	return targetClosing
 }
 
-// askHealth asks a target for its health once.
-func (g *Gateway) askHealth(ctx context.Context, t slot.Target, healthPath string) targetState {
-	_, header, err := g.forward.Probe(ctx, t.Address, healthPath)
+// healthTries is how often a target is asked whose response isn't identified.
+const healthTries = 2
+
+// askHealth asks a target for its health. Responses that aren't identified only show that it lives.
+func (g *Gateway) askHealth(ctx context.Context, t slot.Target, healthPath string) (state targetState) {
+	for range healthTries {
+		_, header, err := g.probe(ctx, t.Address, healthPath)
+		if !errors.Is(err, forward.ErrUnidentified) {
+			return healthState(t, header, err)
+		}
+	}
+	return targetLives
+}
+
+// probe asks a target for its health once.
+func (g *Gateway) probe(ctx context.Context, address, healthPath string) (status int, h http.Header, err error) {
+	return g.forward.Probe(ctx, forward.ProbeParams{Target: address, Path: healthPath, IsOwn: platform.IsHealthResponse})
+}
+
+// healthState returns what the response to a health check, or its error, says about a target.
+func healthState(t slot.Target, header http.Header, err error) targetState {
 	switch id := platform.InstanceID(header); {
-	case errors.Is(err, syscall.ECONNREFUSED), err == nil && id != "" && id != t.ID:
+	case errors.Is(err, syscall.ECONNREFUSED), err == nil && id != t.ID:
 		return targetEnded
 	case err == nil:
 		return targetLives
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -250,7 +250,7 @@
 func (s *service) probe(a slot.Action, path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	status, header, err := s.gateway.forward.Probe(ctx, a.Target.Address, path)
+	status, header, err := s.gateway.probe(ctx, a.Target.Address, path)
 	result := slot.ProbeResult{Target: a.Target.ID}
 	s.signs.done.Add(1)
 	switch {
