forward: a health check's response has an end

A target whose health response never ended counted as healthy, and got requests: the check dropped the body after 4 KiB and believed the head. A longer body is now an error.

--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -11,13 +11,15 @@
 	"github.com/pkg/errors"
 )
 
-// maxProbeBody is the longest body of a probe response that is read, in bytes.
+// maxProbeBody is the longest valid body of a probe response, in bytes.
 const maxProbeBody = 4 << 10
 
 // ErrUnidentified is the cause of a failed probe whose response may not be the probe's own. A
 // target, or what has its address, sent it.
 var ErrUnidentified = errors.New("response may not be that of the probe")
 
+var errLongProbeBody = errors.Errorf("body of a probe response is longer than %d bytes", maxProbeBody)
+
 // ProbeParams describes a probe.
 type ProbeParams struct {
 	Target string // host:port
@@ -48,7 +50,11 @@
 		trace.closeConn()
 		return 0, nil, ErrUnidentified
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBody)); err != nil {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBody+1))
+	if err == nil && n > maxProbeBody {
+		err = errLongProbeBody
+	}
+	if err != nil {
 		return 0, nil, err
 	}
 	return resp.StatusCode, resp.Header, nil
