--- a/internal/gateway/net.go
+++ b/internal/gateway/net.go
@@ -17,6 +17,9 @@
 	storeIdleTimeout       = 30 * time.Second
 )
 
+// storeHeaderBytes limits the head of a response of the store.
+const storeHeaderBytes = 64 << 10
+
 // storeClient returns the HTTP client for the store.
 func storeClient() *http.Client {
 	dialer := net.Dialer{Timeout: storeDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
@@ -24,5 +27,6 @@
 	}}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: storeHeaderBytes,
 	}}
 }
