store, entry: responses of the store and of probed targets are bounded

A watch read an event without end into memory, 574 to 667 MB in 3 s; heads had net/http's limit of 10 MB, and a list that was cut at the limit was reported as malformed. An event may now have 4 MB, a head 64 KiB, and a response past its 16 MB is an error that says so.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -109,7 +109,7 @@
 }
 
 func (e *Entry) storeHTTPClient() *http.Client {
-	t := &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns}
+	t := &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxOutsideHeader}
 	return &http.Client{Transport: tracedTransport{&e.tracing, "store", t}}
 }
 
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -60,8 +60,13 @@
 // maxProbeBody is how much of a probe's response body is read, in bytes.
 const maxProbeBody = 4 << 10
 
+// maxOutsideHeader limits the heads of responses of targets to probes, and of the store, in bytes.
+const maxOutsideHeader = 64 << 10
+
 func newProber() *prober {
-	return &prober{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second}}}
+	return &prober{client: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: maxOutsideHeader,
+	}}}
 }
 
 // Probes returns how many probes the entry has sent and their total duration.
--- a/internal/store/call.go
+++ b/internal/store/call.go
@@ -17,6 +17,11 @@
 // of 1 MB each.
 const maxResponseBytes = 16 << 20
 
+// maxHeaderBytes bounds the head of a response, unless Config.HTTP is set.
+const maxHeaderBytes = 64 << 10
+
+var errLongResponse = errors.Errorf("response is longer than %d bytes", maxResponseBytes)
+
 // Get reads one object.
 func (s *Client) Get(ctx context.Context, kind, name string) (o Object, err error) {
 	defer func() { err = errors.WithMessagef(err, "get %s/%s", kind, name) }()
@@ -133,7 +138,10 @@
 
 // decode unmarshals the body of a response into a value. It also returns the body.
 func decode(w *http.Response, into any) (b []byte, err error) {
-	b, err = io.ReadAll(io.LimitReader(w.Body, maxResponseBytes))
+	b, err = io.ReadAll(io.LimitReader(w.Body, maxResponseBytes+1))
+	if err == nil && len(b) > maxResponseBytes {
+		err = errLongResponse
+	}
 	if err != nil {
 		return nil, &Unavailable{Cause: err}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -74,7 +74,7 @@
 		s.addr = "http://" + s.addr
 	}
 	if s.http == nil {
-		s.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+		s.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeaderBytes}}
 	}
 	if s.reads == nil {
 		s.reads = rate.NewLimiter(ReadRate, ReadBurst)
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -33,8 +34,10 @@
 		_, err := decode(w, nil)
 		return err
 	}
-	stream := json.NewDecoder(w.Body)
+	events := &eventReader{r: w.Body}
+	stream := json.NewDecoder(events)
 	for {
+		events.left = maxEventBytes
 		var j changeJSON
 		if err := stream.Decode(&j); err != nil {
 			return &Unavailable{Cause: err}
@@ -43,3 +46,24 @@
 		onChange(Change{Object: Object(j.Object), Deleted: j.Deleted})
 	}
 }
+
+// maxEventBytes bounds one event of a watch, which has a value of up to 1 MB, base64 encoded, and
+// the blanks before it.
+const maxEventBytes = 4 << 20
+
+var errLongEvent = errors.Errorf("event is longer than %d bytes", maxEventBytes)
+
+// eventReader fails once more bytes are read than are left for an event.
+type eventReader struct {
+	r    io.Reader
+	left int
+}
+
+func (e *eventReader) Read(p []byte) (n int, err error) {
+	if e.left <= 0 {
+		return 0, errLongEvent
+	}
+	n, err = e.r.Read(p[:min(len(p), e.left)])
+	e.left -= n
+	return n, err
+}
