entry: a probe's response has an end

A target of the own interface whose probe response never ended, or broke off, counted as healthy: the probe dropped the body after 4 KiB and believed the head. TestProbeResponseWithoutEnd failed before and passes.

--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -57,7 +57,7 @@
 	s.probeBudget.SetShare(now, share)
 }
 
-// maxProbeBody is how much of a probe's response body is read, in bytes.
+// maxProbeBody is the longest valid body of a probe response, in bytes.
 const maxProbeBody = 4 << 10
 
 // maxOutsideHeader limits the heads of responses of targets to probes, and of the store, in bytes.
@@ -99,7 +99,9 @@
 		return load, false
 	}
 	defer res.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxProbeBody))
+	if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxProbeBody+1)); err != nil || n > maxProbeBody {
+		return load, false
+	}
 	if l, known := forward.ParseLoad(res.Header.Get(call.HeaderLoad)); known {
 		load = poolLoad(l)
 	}
