gateway: TestDelegateStops plays the grace period of the users' pages

The grace is now 6 s, as on the pages, where giving up lies within that sixth; load, slots and checks are the same.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -38,6 +38,7 @@
 	// retryShare is the ratio of retries and hedges in the entries' settings; 0 keeps the
 	// default.
 	retryShare float64
+	grace      time.Duration // as in worldConfig
 	// overloadControl is the bound on overload control in the entries' settings.
 	overloadControl bool
 	// links has the connections of entries to targets that tests may cut, by entry.
@@ -47,13 +48,14 @@
 // worldConfig describes a world's targets and the route of its first configuration.
 type worldConfig struct {
 	targets   int
-	routeType string // type of the route; idempotent if empty
-	timeout   string // default 2s
-	attempts  int    // default 3
+	routeType string        // type of the route; idempotent if empty
+	timeout   string        // default 2s
+	attempts  int           // default 3
+	grace     time.Duration // of the entries; 0 keeps that of settingsText
 }
 
 func newWorld(t *testing.T, s worldConfig) *world {
-	w := &world{c: qt.New(t), store: objects.New()}
+	w := &world{c: qt.New(t), store: objects.New(), grace: s.grace}
 	w.server = httptest.NewServer(w.store)
 	t.Cleanup(w.server.CloseClientConnections)
 	for range s.targets {
@@ -128,6 +130,7 @@
 	}
 	s.Bounds.Evacuate, s.Bounds.OverloadControl = w.evacuate, w.overloadControl
 	s.Bounds.RetryShare = cmp.Or(w.retryShare, s.Bounds.RetryShare)
+	s.Bounds.Grace = cmp.Or(w.grace, s.Bounds.Grace)
 	for _, e := range seeds {
 		s.Seeds = append(s.Seeds, e.self.PeerAddress)
 	}
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -219,7 +219,7 @@
 // An entry that serves requests for one that is cut off stops. Guards against requests that are
 // lost with it, or run twice.
 func TestDelegateStops(t *testing.T) {
-	w := newPartitionWorld(t, worldConfig{targets: 8, routeType: "non_idempotent", timeout: "4s", attempts: 1}, 6)
+	w := newPartitionWorld(t, worldConfig{targets: 8, routeType: "non_idempotent", timeout: "4s", attempts: 1, grace: 6 * time.Second}, 6)
 	w.firstTries("POST", w.entries, 5)
 	cut, others := w.split()
 	for _, e := range cut {
