--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -75,7 +75,7 @@
 	g.mu.Lock()
 	g.badSettings = true
 	g.mu.Unlock()
-	g.site.q.Assert(os.WriteFile(g.settingsPath, []byte("nodeName: 7\nip: x"), 0o600), qt.IsNil)
+	g.replaceSettings("nodeName: 7\nip: x")
 }
 
 // writeSettings writes a valid settings file.
@@ -84,7 +84,14 @@
 	g.badSettings = false
 	g.mu.Unlock()
 	text := fmt.Sprintf(settingsTemplate, g.name, g.place, g.ip, g.site.cores, grace, g.site.retryRatio.Load(), g.site.retrySlack, g.site.accountBounds(), g.site.storeProxy.address())
-	g.site.q.Assert(os.WriteFile(g.settingsPath, []byte(text), 0o600), qt.IsNil)
+	g.replaceSettings(text)
+}
+
+// replaceSettings replaces the settings file in one step, so that no process reads a part of it.
+func (g *gateway) replaceSettings(text string) {
+	next := g.settingsPath + ".next"
+	g.site.q.Assert(os.WriteFile(next, []byte(text), 0o600), qt.IsNil)
+	g.site.q.Assert(os.Rename(next, g.settingsPath), qt.IsNil)
 }
 
 func (g *gateway) start() {
