--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/standin/worker"
 	"plumpitch.example/plumpitch/pkg/slot"
@@ -167,3 +168,10 @@
 	time.Sleep(100 * time.Millisecond)
 	c.Assert(sent.Load() < 8<<20, qt.IsTrue, qt.Commentf("%d bytes", sent.Load()))
 }
+
+// Guards against log lines that quote a target's bytes at length.
+func TestCauseInTheLogIsShort(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(shortCause(errors.New("malformed response")).Error(), qt.Equals, "malformed response")
+	c.Assert(len(shortCause(errors.New(strings.Repeat("x", 60<<10))).Error()) < 1<<10, qt.IsTrue)
+}
