--- a/internal/soak/check_repeats_test.go
+++ b/internal/soak/check_repeats_test.go
@@ -20,6 +20,8 @@
 
 // peakValues are the highest measured values of the quantities that these bounds limit.
 type peakValues struct {
+	memory int64 // of a gateway, in MB
+
 	repeats float64       // extra dispatches to a service, relative to the number allowed
 	late    time.Duration // from a caller's deadline to the deadline of an extra dispatch
 	crashes int           // dispatches of a request after it had crashed maxCrashes targets
--- a/internal/soak/profile_test.go
+++ b/internal/soak/profile_test.go
@@ -23,6 +23,7 @@
 	accountLimit      float64     // limit of an account, relative to its usual rate
 	targetLinks       bool        // the links of gateways to targets can be cut
 	ends              []targetEnd // how targets that crash end, in turn; empty: they refuse connections
+	boundsMemory      bool        // gateways have no more memory than on the users' machines
 	anyGateway        bool        // clients use any gateway, not those that the directory names
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -96,6 +96,9 @@
 	attempts := clientLoad.stop()
 	c := newChecker(s, attempts)
 	c.checkAll(recovered)
+	if p.boundsMemory {
+		c.checkMemory()
+	}
 	t.Logf("%d requests, %d served, %d runs, %d faults, peak values: %+v", len(attempts), c.served, c.runCount, s.faultCount, c.peaks)
 	for _, v := range c.violations {
 		t.Errorf("seed %d: %s", seed, v)
