--- a/internal/soak/stray_test.go
+++ b/internal/soak/stray_test.go
@@ -85,7 +85,7 @@
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			p := smallSite()
-			p.faults = append(slices.Clone(p.faults), fault{8, sendStrays}, fault{4, sendEndless})
+			p.faults = append(slices.Clone(p.faults), fault{30, sendStrays}, fault{8, sendEndless})
 			p.boundsMemory = true
 			runSeed(t, seed, p, *faultTime)
 		})
@@ -104,15 +104,18 @@
 	}
 }
 
-// sendStrays makes a target send bytes that belong to no request.
+// sendStrays makes all sound targets send bytes that belong to no request.
 func sendStrays(s *site, rnd *rand.Rand) (string, func()) {
-	k := s.pickTarget(rnd)
-	if k == nil {
-		return "", nil
+	list := s.targetsWhere(func(k *target) bool { return k.leavingSince.IsZero() && k.leavingRecordedAt.IsZero() && !k.crashed })
+	kind, share := strays[rnd.IntN(len(strays))], 0.02+0.2*rnd.Float64()
+	for _, k := range list {
+		k.Fail(strayFault(rand.NewPCG(rnd.Uint64(), 5), share, kind.bytes))
+	}
+	return fmt.Sprintf("each target %s, %.2f of requests and checks", kind.name, share), func() {
+		for _, k := range list {
+			k.Fail(nil)
+		}
 	}
-	kind, share := strays[rnd.IntN(len(strays))], 0.1+0.9*rnd.Float64()
-	k.Fail(strayFault(rand.NewPCG(rnd.Uint64(), 5), share, kind.bytes))
-	return fmt.Sprintf("%s %s, %.2f of requests and checks", k.ID, kind.name, share), func() { k.Fail(nil) }
 }
 
 // sendEndless makes a target send bytes without end, or refusals without their body.
