--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -14,7 +14,9 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/standin/worker"
+	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/pkg/slot"
+	"plumpitch.example/plumpitch/platform"
 )
 
 // maxEndlessHead bounds what may be read of a head without end, with the buffers of the kernel.
@@ -44,10 +46,14 @@
 				}
 				return worker.Fault{Endless: tt.kind}
 			})
-			a := e.call(http.MethodPost, "/a/x", "")
-			w.c.Assert(a.status, qt.Equals, tt.status)
-			w.c.Assert(a.err != nil, qt.Equals, tt.status == 200) // cut at the timeout
-			w.c.Assert(a.took < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", a.took))
+			began := time.Now()
+			resp, err := http.DefaultClient.Do(e.newRequest(context.Background(), "q-endless", http.MethodPost, "/a/x", ""))
+			w.c.Assert(err, qt.IsNil)
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			w.c.Assert(resp.StatusCode, qt.Equals, tt.status)
+			w.c.Assert(err != nil, qt.Equals, tt.status == 200) // cut at the timeout
+			w.c.Assert(time.Since(began) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 			w.waitFor("the end of the connection", func() bool { return k.EndlessBytes() > 0 })
 			w.c.Assert(!tt.bounds || k.EndlessBytes() < maxEndlessHead, qt.IsTrue, qt.Commentf("%d bytes", k.EndlessBytes()))
 			k.SetFaults(nil)
@@ -175,3 +181,30 @@
 	c.Assert(shortCause(errors.New("malformed response")).Error(), qt.Equals, "malformed response")
 	c.Assert(len(shortCause(errors.New(strings.Repeat("x", 60<<10))).Error()) < 1<<10, qt.IsTrue)
 }
+
+// Guards against a delegate whose head without end holds a request or fills memory.
+func TestDelegateHeadWithoutEnd(t *testing.T) {
+	w := newWorld(t, worldConfig{targets: 1, routeType: "non_idempotent"})
+	e := w.startEntry("a").waitReady()
+	address, sent := endlessServer(t, "text/plain", "", "X-Long: x\r\n")
+	began := time.Now()
+	rec, answered := passOnOne(e, owner.Entry{Name: "delegate", PeerAddress: address})
+	w.c.Assert(answered, qt.IsTrue)
+	w.c.Assert(rec.Code, qt.Equals, http.StatusBadGateway)
+	w.c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+	time.Sleep(100 * time.Millisecond)
+	w.c.Assert(sent.Load() < maxEndlessHead, qt.IsTrue, qt.Commentf("%d bytes", sent.Load()))
+}
+
+// Guards against a store whose page without end fills the memory of an entry.
+func TestStorePageWithoutEnd(t *testing.T) {
+	c := qt.New(t)
+	address, sent := endlessServer(t, "application/json", "\r\n{\"items\":[", " ")
+	store := platform.NewStore(platform.StoreConfig{Address: address, HTTP: storeClient(), OnDecodeError: func(string, string, error) {}})
+	began := time.Now()
+	_, _, err := store.Targets().List(context.Background())
+	c.Assert(err, qt.ErrorMatches, "list servers: response is longer than .*")
+	c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
+	time.Sleep(100 * time.Millisecond)
+	c.Assert(sent.Load() < 20<<20, qt.IsTrue, qt.Commentf("%d bytes", sent.Load()))
+}
