gateway: the largest body limit empties no bodies

With maxBodyBytes each request reached its target with an empty body and was answered with 200: the limit plus one overflowed to a negative number, which io.LimitReader takes for the end. The sum no longer overflows, and a body that is shorter than its Content-Length is an error whatever the limit.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -177,10 +178,13 @@
 	if r.ContentLength > l.MaxBodyBytes {
 		return nil, errBodyTooLong
 	}
-	body, err = io.ReadAll(io.LimitReader(r.Body, l.MaxBodyBytes+1))
+	body, err = io.ReadAll(io.LimitReader(r.Body, min(l.MaxBodyBytes, math.MaxInt64-1)+1))
 	if err == nil && int64(len(body)) > l.MaxBodyBytes {
 		return nil, errBodyTooLong
 	}
+	if err == nil && int64(len(body)) < r.ContentLength {
+		err = io.ErrUnexpectedEOF
+	}
 	if err == nil {
 		err = checkTrailer(r.Trailer)
 	}
