load, request: responses of entries to commands are bounded

Commands read the response of an entry, or of what answers at its address, into memory without a limit. It is now 64 MiB. The same limit in internal/load has no test.

--- a/internal/load/cache.go
+++ b/internal/load/cache.go
@@ -92,7 +92,7 @@
 		return found, err
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, res.Body, maxResponseBytes))
 	if err != nil {
 		return found, err
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -86,6 +86,9 @@
 	return r.report, nil
 }
 
+// maxResponseBytes limits each response.
+const maxResponseBytes = 64 << 20
+
 func newClient() *http.Client {
 	dialer := &net.Dialer{Timeout: 2 * time.Second}
 	return &http.Client{Transport: &http.Transport{
@@ -172,7 +175,7 @@
 		return result{lost, err.Error()}
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, res.Body, maxResponseBytes))
 	if err != nil {
 		return result{lost, "body: " + err.Error()}
 	}
--- a/request.go
+++ b/request.go
@@ -14,6 +14,9 @@
 // entryRequestTimeout bounds one request to an entry.
 const entryRequestTimeout = 10 * time.Second
 
+// maxEntryResponse limits the response of an entry to a command, in bytes.
+const maxEntryResponse = 64 << 20
+
 // requestEntry sends a request without a body to an entry and returns the body of the
 // response. If the status is not 200, the error contains the status and the body.
 func requestEntry(ctx context.Context, method, addr, path string) (body []byte, err error) {
@@ -32,7 +35,7 @@
 		return nil, err
 	}
 	defer res.Body.Close()
-	if body, err = io.ReadAll(res.Body); err != nil {
+	if body, err = io.ReadAll(http.MaxBytesReader(nil, res.Body, maxEntryResponse)); err != nil {
 		return nil, err
 	}
 	if res.StatusCode != http.StatusOK {
