gateway: a delegate's reason counts with an error status and the request's ID only

A success with Plumpitch-Reason and without a signature was answered to the caller as a success without a body. A reason now counts only for an error response that has the request's ID; else the response must be valid as a target's. The new row of TestDelegateResponseWithoutOwnID failed before and passes.

--- a/internal/gateway/passon.go
+++ b/internal/gateway/passon.go
@@ -94,13 +94,22 @@
 // notServedHere reports whether a delegate's response says that the request has not run, for a
 // reason that another entry may not have.
 func notServedHere(resp *forward.Response) bool {
-	switch resp.Header.Get(call.HeaderReason) {
+	switch delegateReason(resp) {
 	case reasonNoReach, reasonLeaving, string(call.ReasonConnect), "noconfig", "noservice", "noroute":
 		return resp.Status == http.StatusServiceUnavailable || resp.Status == http.StatusNotFound
 	}
 	return false
 }
 
+// delegateReason returns the reason of an error response that a delegate has made itself for this
+// request; empty if it hasn't.
+func delegateReason(resp *forward.Response) string {
+	if resp.Identity != forward.OwnID || resp.Status < http.StatusBadRequest || platform.IsSigned(resp.Header) {
+		return ""
+	}
+	return resp.Header.Get(call.HeaderReason)
+}
+
 // finishPassOn answers the caller with the response of a delegate, or with its failure.
 func (q *request) finishPassOn(peer string, resp *forward.Response, failure *forward.Failure) {
 	if failure != nil {
@@ -118,7 +127,7 @@
 		return
 	}
 	q.logPassOn(peer, strconv.Itoa(resp.Status))
-	if reason := resp.Header.Get(call.HeaderReason); reason != "" && !platform.IsSigned(resp.Header) {
+	if reason := delegateReason(resp); reason != "" {
 		q.copyRefusal(resp, reason)
 		return
 	}
--- a/internal/gateway/stray_delegate_test.go
+++ b/internal/gateway/stray_delegate_test.go
@@ -80,6 +80,7 @@
 		{"overload, no ID", func(string) string { return delegateResponse(unavailable, "overload") }, true, 502},
 		{"no reach, two IDs", func(id string) string { return delegateResponse(unavailable, "noreach", id, "another") }, true, 502},
 		{"overload, another ID", func(string) string { return delegateResponse(unavailable, "overload", "another") }, true, 502},
+		{"success with a reason, own ID", func(id string) string { return delegateResponse("200 OK", "overload", id) }, true, 502},
 		{"no reach, own ID", func(id string) string { return delegateResponse(unavailable, "noreach", id) }, false, 0},
 		{"overload, own ID", func(id string) string { return delegateResponse(unavailable, "overload", id) }, true, 503},
 	}
