gateway: the test of recorded suspects waits for a quarantine, not for any refusal

Traced: after one or two crashes a request met a target that had just ended, was refused with reason "connect", and the entry was replaced with less than the three crashes that the test then asks for.

--- a/internal/gateway/suspectrecords_test.go
+++ b/internal/gateway/suspectrecords_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/pkg/call"
 )
 
 // Entries that reach the store but not each other get a request that crashes targets. Guards
@@ -39,7 +41,10 @@
 	w.store.Put("entries", "e2", map[string]any{"front": "127.0.0.1:9", "peer": "127.0.0.1:1"})
 	e := w.startEntry("e1").waitReady()
 	w.waitFor("isolated", func() bool { return e.view.Load().isolated })
-	w.waitFor("quarantined", func() bool { return e.call("GET", crashPath, "").status == http.StatusServiceUnavailable })
+	w.waitFor("quarantined", func() bool {
+		a := e.call("GET", crashPath, "")
+		return a.status == http.StatusServiceUnavailable && a.header.Get("Plumpitch-Reason") == string(call.ReasonQuarantined)
+	})
 	w.waitFor("recorded", func() bool { return len(w.store.Names("suspects")) == 1 })
 	time.Sleep(2 * suspectRecordInterval) // the record may have been written before the last crash
 	return e
