--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -129,7 +129,7 @@
 		w := newWorld(t, worldConfig{targets: 1})
 		e := w.startEntry("a").waitReady()
 		k := w.workers[0]
-		k.SetFaults(func(r *http.Request) worker.Fault { return worker.Fault{Endless: kind} })
+		k.SetFaults(func(*http.Request) worker.Fault { return worker.Fault{Endless: kind} })
 		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 		defer cancel()
 		began := time.Now()
@@ -144,7 +144,7 @@
 // endlessServer sends a head and then the text again and again until its caller closes.
 func endlessServer(t *testing.T, contentType, head, text string) (address string, sent *atomic.Int64) {
 	sent = new(atomic.Int64)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		c, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
