--- a/internal/standin/worker/stray.go
+++ b/internal/standin/worker/stray.go
@@ -96,3 +96,16 @@
 		}
 	}
 }
+
+// EndlessBytes returns how many bytes Fault.Endless has sent, until callers closed.
+func (w *Worker) EndlessBytes() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.endlessBytes
+}
+
+// sendEndless sends bytes until the caller closes the connection, and counts them.
+func (w *Worker) sendEndless(k *conn, kind Endless, lines string) {
+	n := sendEndless(k, kind, lines)
+	w.set(func() { w.endlessBytes += n })
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -219,19 +219,6 @@
 	return fmt.Sprintf("Plumpitch-Server-Load: %d,%d,%d,%.0f\r\n", w.running, waiting, w.Slots, 100*w.pace)
 }
 
-// EndlessBytes returns how many bytes Fault.Endless has sent, until callers closed.
-func (w *Worker) EndlessBytes() int64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.endlessBytes
-}
-
-// sendEndless sends bytes until the caller closes the connection, and counts them.
-func (w *Worker) sendEndless(k *conn, kind Endless, lines string) {
-	n := sendEndless(k, kind, lines)
-	w.set(func() { w.endlessBytes += n })
-}
-
 // serveHealth responds to a health check and reports whether the connection stays open.
 func (w *Worker) serveHealth(k *conn, f Fault) bool {
 	_, _ = io.WriteString(k, f.Stray)
