gateway: load probes whose response isn't theirs are counted

They ended without a log line or a count. plumpitch_stray_responses has them under id="health". Nothing else changes; the count itself has no test. Tests of health checks, stray responses and probes pass with the race detector.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/alarm"
+	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/quota"
 	"plumpitch.example/plumpitch/pkg/route"
@@ -246,6 +247,9 @@
 	s.perform(now, s.balancer.Tick(now, nil))
 }
 
+// strayHealth labels responses to health checks that aren't identified, among stray responses.
+const strayHealth = "health"
+
 // probe asks a target for its load and passes the result to the balancer.
 func (s *service) probe(a slot.Action, path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -256,6 +260,8 @@
 	switch {
 	case err == nil:
 		s.signs.noteHeard(a.Target.ID)
+	case errors.Is(err, forward.ErrUnidentified):
+		s.instruments.strayResponses(strayHealth).Inc(1)
 	case isUnreachable(err) || errors.Is(err, syscall.ECONNREFUSED):
 		s.noteUnreachable(a.Target.ID)
 	}
