gateway, memory: request bodies stay within the memory of the VM

Cause: each body was read whole into one growing buffer before its request waited for a token, a target or a slot. maxBodyBytes bounds one body, nothing bounded their sum.

The runtime has a memory limit of 0.8 of memoryMb. Responses are buffered only while there is room. Refused callers get 503 noroom, never dispatched, and the rest of their body is read, as a close would reset the connection. A body is read until the deadline of its request (408 slowbody) in place of 2 minutes. The read buffer of callers' connections is bounded.

Why it holds: bodies with a reservation can be completed by what is reserved; all others hold little, wait with a bounded number of unread bytes, or are refused, those that can't be in time and the slowest first.

--- a/gateway.go
+++ b/gateway.go
@@ -50,6 +50,7 @@
 		return exitError{exitInvalid, err}
 	}
 	debug.SetGCPercent(gatewayGCPercent)
+	gateway.LimitHeap(s.Memory)
 	handler := logs.New(os.Stdout)
 	defer handler.Close()
 	logger := &log.Logger{Handler: handler, Level: minLevel}
--- a/gateway_proof_test.go
+++ b/gateway_proof_test.go
@@ -33,6 +33,7 @@
 	workers  []*worker.Worker
 	gateways []*gatewayProcess
 	version  int
+	memoryMB int // memory of the gateways in their settings; 0 for none
 }
 
 // gatewayProcess is one gateway process, whose output goes to a file.
@@ -74,15 +75,15 @@
 }
 
 const bootSettings = `
-nodeName: "%s"
+nodeName: "%[1]s"
 zone: hall
 region: metro
-ip: "%s"
+ip: "%[2]s"
 listen: {front: "%[2]s:8548", ready: "%[2]s:8542", directory: "%[2]s:8546"}
 internalPorts: [7540, 7555]
-limits: {cpuShare: 1}
-bounds: ["grace=%s"]
-platform: {address: "%s"}
+limits: {cpuShare: 1, memoryMb: %[5]d}
+bounds: ["grace=%[3]s"]
+platform: {address: "%[4]s"}
 `
 
 // start starts a gateway from the given program and waits until it is ready.
@@ -105,7 +106,7 @@
 }
 
 func (s *gatewaySite) writeSettings(g *gatewayProcess, grace string) {
-	text := fmt.Sprintf(bootSettings, g.name, g.ip, grace, s.url)
+	text := fmt.Sprintf(bootSettings, g.name, g.ip, grace, s.url, s.memoryMB)
 	s.q.Assert(os.WriteFile(g.boot, []byte(text), 0o600), qt.IsNil)
 }
 
--- a/internal/callers/response.go
+++ b/internal/callers/response.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -301,6 +302,19 @@
 // Flush sends what has been written so far.
 func (q *response) Flush() { _ = q.FlushError() }
 
+// SetReadDeadline sets the deadline for reading the rest of the body (http.ResponseController). It
+// does nothing once the body has been read.
+func (q *response) SetReadDeadline(deadline time.Time) error {
+	c := q.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if q.body == nil || q.bodyRead {
+		return nil
+	}
+	c.timed = !deadline.IsZero()
+	return c.rwc.SetReadDeadline(deadline)
+}
+
 // EnableFullDuplex lets the handler read the body of the request after its first write
 // (http.ResponseController).
 func (q *response) EnableFullDuplex() error {
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -253,7 +253,7 @@
 	}
 	r.response, r.failure = e.forward.Dispatch(ctx, forward.DispatchParams{
 		Target: to.Addr, Request: q.incoming, Path: q.path,
-		Body: q.body, Stream: q.stream, Length: q.incoming.ContentLength,
+		Body: [][]byte{q.body}, Stream: q.stream, Length: q.incoming.ContentLength,
 		Timeout: a.After, Attempt: a.Attempt, Depth: q.header.Depth, Header: q.addAccount(header), Omit: q.omit,
 	})
 	return r
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"sync"
@@ -33,7 +32,7 @@
 	b.callerTrailer, b.targetTrailer = p.Request.Trailer, trailer
 	if p.Stream == nil {
 		b.copyTrailer()
-		return io.NopCloser(bytes.NewReader(p.Body))
+		return io.NopCloser(newPartsReader(p.Body))
 	}
 	b.src, b.remaining, b.streamed = p.Stream, p.Length, true
 	return b
@@ -84,3 +83,32 @@
 	defer b.mu.Unlock()
 	return b.readErr
 }
+
+// partsReader reads the parts of a body.
+type partsReader struct {
+	parts [][]byte
+	first int // bytes of parts[0] that have been read
+}
+
+func newPartsReader(parts [][]byte) *partsReader { return &partsReader{parts: parts} }
+
+// Read reads from one part.
+func (r *partsReader) Read(p []byte) (n int, err error) {
+	for len(r.parts) > 0 && r.first == len(r.parts[0]) {
+		r.parts, r.first = r.parts[1:], 0
+	}
+	if len(r.parts) == 0 {
+		return 0, io.EOF
+	}
+	n = copy(p, r.parts[0][r.first:])
+	r.first += n
+	return n, nil
+}
+
+// size returns the bytes of a body in parts.
+func size(parts [][]byte) (n int64) {
+	for _, p := range parts {
+		n += int64(len(p))
+	}
+	return n
+}
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -18,7 +18,7 @@
 	Target  string        // host:port
 	Request *http.Request // as received; not modified
 	Path    string        // escaped path at the target; if empty, that of Request
-	Body    []byte        // complete body if Stream is nil
+	Body    [][]byte      // complete body in parts if Stream is nil
 	Stream  io.Reader     // body that can be read once
 	Length  int64         // bytes of Stream; negative if unknown
 	Timeout time.Duration // until the response head, or the end of a buffered response; 0 means no timeout
--- a/internal/forward/failure_test.go
+++ b/internal/forward/failure_test.go
@@ -19,7 +19,7 @@
 // post returns the parameters of a POST dispatch, without a target.
 func post(body string) DispatchParams {
 	r := httptest.NewRequest("POST", "/deposit", strings.NewReader(body))
-	return DispatchParams{Request: r, Body: []byte(body), Timeout: waitLimit}
+	return DispatchParams{Request: r, Body: [][]byte{[]byte(body)}, Timeout: waitLimit}
 }
 
 // A dispatch fails at each stage. A failure with DidNotRun makes the caller
@@ -50,7 +50,7 @@
 		{"reset in the middle of the write", func(p *targetConn) {
 			_, _ = p.br.Peek(10)
 			p.reset()
-		}, func(p *DispatchParams) { p.Body = []byte(big) }, []call.Stage{call.StageSent}, []call.Execution{call.MayHaveRun}},
+		}, func(p *DispatchParams) { p.Body = [][]byte{[]byte(big)} }, []call.Stage{call.StageSent}, []call.Execution{call.MayHaveRun}},
 		{"reset after the write", func(p *targetConn) {
 			p.request()
 			p.reset()
@@ -195,7 +195,7 @@
 				for k, v := range tt.header {
 					r.Header[k] = v
 				}
-				_, fail = f.Dispatch(context.Background(), DispatchParams{Target: target.addr(), Request: r, Body: []byte(tt.body), Timeout: waitLimit})
+				_, fail = f.Dispatch(context.Background(), DispatchParams{Target: target.addr(), Request: r, Body: [][]byte{[]byte(tt.body)}, Timeout: waitLimit})
 				c.Assert(fail != nil, qt.IsTrue, qt.Commentf("request succeeded, %d runs", target.requests.Load()))
 				c.Assert(fail.Execution, qt.Equals, call.MayHaveRun, qt.Commentf("%v", fail))
 				c.Assert(target.conns.Load(), qt.Equals, int64(1))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -68,10 +68,26 @@
 	// IsRefusal reports whether a response with the request's ID is a refusal, whose body isn't
 	// needed; nil if none is. Shed requests of the own interface are always refusals.
 	IsRefusal func(status int, h http.Header) bool
+	// Buffers has room for buffered responses; nil means that there always is.
+	Buffers Buffers
 	// Dial opens TCP connections to targets, with a socket; nil means net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// Buffers bounds the memory of buffered responses. It must be safe for concurrent use.
+type Buffers interface {
+	// Buffer reports whether further bytes may be buffered. It must not block.
+	Buffer(bytes int64) bool
+	// Return ends the use of bytes.
+	Return(bytes int64)
+}
+
+// unlimited has room for all responses.
+type unlimited struct{}
+
+func (unlimited) Buffer(int64) bool { return true }
+func (unlimited) Return(int64)      {}
+
 const (
 	defaultMaxConns         = 200
 	defaultMaxHeaderBytes   = 64 << 10
@@ -149,6 +165,9 @@
 	if c.MaxBufferedBytes <= 0 {
 		c.MaxBufferedBytes = defaultMaxBufferedBytes
 	}
+	if c.Buffers == nil {
+		c.Buffers = unlimited{}
+	}
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{Control: unackedTimeout(c.UnackedTimeout)}).DialContext
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -53,7 +53,7 @@
 	f := New(Config{})
 	defer f.Close()
 	r := httptest.NewRequest("POST", "/a%2Fb?x=1", strings.NewReader("veil"))
-	resp, fail := f.Dispatch(context.Background(), DispatchParams{Target: serverAddr(target), Request: r, Body: []byte("veil"), Timeout: waitLimit})
+	resp, fail := f.Dispatch(context.Background(), DispatchParams{Target: serverAddr(target), Request: r, Body: [][]byte{[]byte("veil")}, Timeout: waitLimit})
 	c.Assert(fail == nil, qt.IsTrue, qt.Commentf("%v", fail))
 	c.Assert(resp.Status, qt.Equals, http.StatusCreated)
 	c.Assert(string(resp.Buffered), qt.Equals, "POST veil")
--- a/internal/forward/header_test.go
+++ b/internal/forward/header_test.go
@@ -72,7 +72,7 @@
 			p.write(ok)
 		})
 		f := New(Config{})
-		params := DispatchParams{Target: target.addr(), Request: httptest.NewRequest(tt.method, "/", nil), Body: []byte(tt.body), Timeout: waitLimit}
+		params := DispatchParams{Target: target.addr(), Request: httptest.NewRequest(tt.method, "/", nil), Body: [][]byte{[]byte(tt.body)}, Timeout: waitLimit}
 		if tt.stream {
 			params.Stream, params.Length = strings.NewReader(tt.body), int64(len(tt.body))
 		}
--- a/internal/forward/omit_test.go
+++ b/internal/forward/omit_test.go
@@ -114,8 +114,8 @@
 	s := newEntry(t, f, target.addr(), func(p *DispatchParams) {
 		p.Omit, p.Header = omitted, added
 		if buffered {
-			p.Body, _ = io.ReadAll(p.Stream)
-			p.Stream = nil
+			body, _ := io.ReadAll(p.Stream)
+			p.Body, p.Stream = [][]byte{body}, nil
 		}
 	})
 	var want []string
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -56,7 +56,7 @@
 // setFraming sets how the end of the body is marked. "identity" stops the
 // transport from reading ahead in an empty body or sending it in chunks.
 func setFraming(out *http.Request, p *DispatchParams) {
-	length := int64(len(p.Body))
+	length := size(p.Body)
 	if p.Stream != nil {
 		length = p.Length
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,11 +26,14 @@
 	Identity    Identity
 
 	dispatch *dispatch
+	buffers  Buffers
+	charged  atomic.Int64 // bytes of buffers
 }
 
 // Close discards the rest of the body. A connection with unread bytes is closed,
 // so that they never reach another caller.
 func (r *Response) Close() {
+	r.uncharge()
 	if r.Body == nil {
 		return
 	}
@@ -65,7 +69,13 @@
 		ConnectTime: d.trace.connectTime(),
 		Identity:    identity,
 		dispatch:    d,
+		buffers:     f.cfg.Buffers,
 	}
+	defer func() {
+		if err != nil {
+			r.uncharge()
+		}
+	}()
 	if d.echoHeader != "" {
 		copyHeader(r.Header, resp.Header, nil)
 	} else {
@@ -81,7 +91,7 @@
 		d.discardBody(resp)
 		return r, nil
 	}
-	if r.Length >= 0 && r.Length <= f.cfg.MaxBufferedBytes {
+	if r.Length >= 0 && r.Length <= f.cfg.MaxBufferedBytes && r.charge(r.Length) {
 		return r, d.readBody(r, resp)
 	}
 	r.Body = &streamedBody{src: resp.Body, dispatch: d, response: r, httpResponse: resp}
@@ -94,20 +104,56 @@
 	return r, nil
 }
 
-// bufferBody reads a body of any framing up to limit bytes. A longer body is
-// streamed. If a buffered body breaks off, nothing was sent to the caller yet, so
+// uncharged is how many bytes of a response may be buffered without a charge. They are part of the
+// charge of a connection.
+const uncharged = 8 << 10
+
+// charge reports whether a number of bytes may be buffered in all.
+func (r *Response) charge(bytes int64) bool {
+	further := bytes - max(r.charged.Load(), uncharged)
+	if further <= 0 {
+		return true
+	}
+	if !r.buffers.Buffer(further) {
+		return false
+	}
+	r.charged.Add(further)
+	return true
+}
+
+// uncharge gives the buffered bytes back.
+func (r *Response) uncharge() {
+	if n := r.charged.Swap(0); n > 0 {
+		r.buffers.Return(n)
+	}
+}
+
+// bufferGrowth is the capacity of a growing buffer, relative to the bytes in it.
+const bufferGrowth = 2
+
+// bufferBody reads a body of any framing up to limit bytes. A longer body, or one for which there
+// is no room, is streamed. If a buffered body breaks off, nothing was sent to the caller yet, so
 // the request may be sent to another target.
 func (d *dispatch) bufferBody(r *Response, limit int64) error {
 	var b bytes.Buffer
-	_, err := io.CopyN(&b, r.Body, limit+1)
-	switch {
-	case err == io.EOF:
-		r.Buffered, r.Length = b.Bytes(), int64(b.Len())
-		r.Close()
-		r.Body = nil
-		return nil
-	case err != nil:
-		return errors.WithMessage(err, "reading the response")
+	for size := min(limit, uncharged/bufferGrowth); ; size = min(limit, bufferGrowth*size) {
+		if !r.charge(bufferGrowth * size) {
+			break
+		}
+		_, err := io.CopyN(&b, r.Body, size+1-int64(b.Len()))
+		if err == io.EOF {
+			r.Buffered, r.Length = b.Bytes(), int64(b.Len())
+			d.release(errResponseClosed)
+			r.Body.Close()
+			r.Body = nil
+			return nil
+		}
+		if err != nil {
+			return errors.WithMessage(err, "reading the response")
+		}
+		if size == limit {
+			break
+		}
 	}
 	r.Body = &prefixedBody{io.MultiReader(&b, r.Body), r.Body}
 	return nil
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -28,6 +28,28 @@
 	return context.WithValue(ctx, callerConnKey{}, callerConn{c, true})
 }
 
+// connOf returns the connection of a request; nil if it is unknown.
+func connOf(r *http.Request) net.Conn {
+	c, _ := r.Context().Value(callerConnKey{}).(callerConn)
+	return c.Conn
+}
+
+// callerHungUp reports whether the caller of a request has closed its side, also behind a body that
+// has not been read.
+func callerHungUp(r *http.Request) bool {
+	sc, ok := connOf(r).(syscall.Conn)
+	if !ok {
+		return r.Context().Err() != nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) { closed = hungUp(int(fd)) })
+	return closed || err != nil
+}
+
 // callerClosed reports whether the caller of a request has closed its connection. The
 // server detects this by a background read, which is late on a busy VM. Without this
 // check, a request whose connection is already closed would still be sent to a target.
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -113,6 +113,10 @@
 	if q.refusal.Kind == slot.Refuse {
 		f["retry"] = q.refusal.RetryAfter.Milliseconds()
 	}
+	if q.noRoom != nil {
+		u := q.gateway.memory.usage()
+		f["cause"], f["length"], f["held"], f["waiting"], f["limit"] = q.noRoom.Cause.String(), q.r.ContentLength, u.Held, u.Waiting, u.Limit
+	}
 	q.gateway.log.WithFields(f).Warn("answered in place of a target")
 }
 
--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -37,7 +37,7 @@
 
 // contentFingerprint returns the hash of the request's content.
 func (q *request) contentFingerprint() uint64 {
-	return call.Fingerprint(q.route.Host, q.r.Method, q.r.URL.EscapedPath(), q.r.URL.RawQuery, call.BodyHash(q.body))
+	return call.Fingerprint(q.route.Host, q.r.Method, q.r.URL.EscapedPath(), q.r.URL.RawQuery, call.BodyHash(q.body...))
 }
 
 // computeFingerprints returns the fingerprints of the request.
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -2,17 +2,9 @@
 
 import (
 	"context"
-	"io"
-	"math"
 	"net/http"
-	"net/textproto"
-	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"plumpitch.example/plumpitch/internal/logs"
-	"plumpitch.example/plumpitch/pkg/route"
 	"plumpitch.example/plumpitch/platform"
 )
 
@@ -58,8 +50,18 @@
 	q.serve()
 }
 
-// serve routes and runs the request.
+// serve serves the request and frees its body.
 func (q *request) serve() {
+	defer func() {
+		if !q.kept {
+			q.closeBody()
+		}
+	}()
+	q.handle()
+}
+
+// handle routes and runs the request.
+func (q *request) handle() {
 	g, r := q.gateway, q.r
 	g.awaitFresh(r.Context(), q.arrived, q.id)
 	v := g.viewAfterStart(r.Context(), q.arrived)
@@ -84,16 +86,9 @@
 		q.respond(http.StatusRequestHeaderFieldsTooLarge, "longheader")
 		return
 	}
-	body, err := readBody(r, limits)
-	switch {
-	case errors.Is(err, errBodyTooLong):
-		q.respond(http.StatusRequestEntityTooLarge, "toolong")
+	if !q.receiveBody(limits) {
 		return
-	case err != nil:
-		g.log.WithError(withoutContent(err)).WithField(logs.FieldRequest, q.id).Info("could not read the request body")
-		panic(http.ErrAbortHandler)
 	}
-	q.body = body
 	if q.passedOn || q.awaitToken(v) {
 		q.run(v.services[q.chooseService()])
 	}
@@ -144,49 +139,3 @@
 	}
 	return n
 }
-
-var (
-	errBodyTooLong      = errors.New("request body is too long")
-	errMalformedTrailer = errors.New("malformed trailer")
-)
-
-// withoutContent replaces the errors of net/http that quote a trailer, which may contain a key.
-func withoutContent(err error) error {
-	if errors.As(err, new(textproto.ProtocolError)) {
-		return errMalformedTrailer
-	}
-	return err
-}
-
-// checkTrailer checks the names of a caller's trailer. net/http accepts names with spaces but
-// doesn't send them, so each target that the request is dispatched to would seem to fail.
-func checkTrailer(trailer http.Header) error {
-	for name := range trailer {
-		if strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, c) }) {
-			return errMalformedTrailer
-		}
-	}
-	return nil
-}
-
-// readBody reads the complete body. The request is dispatched only after that, so that it
-// can be sent to another target if the first one certainly did not run it.
-func readBody(r *http.Request, l route.Limits) (body []byte, err error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if r.ContentLength > l.MaxBodyBytes {
-		return nil, errBodyTooLong
-	}
-	body, err = io.ReadAll(io.LimitReader(r.Body, min(l.MaxBodyBytes, math.MaxInt64-1)+1))
-	if err == nil && int64(len(body)) > l.MaxBodyBytes {
-		return nil, errBodyTooLong
-	}
-	if err == nil && int64(len(body)) < r.ContentLength {
-		err = io.ErrUnexpectedEOF
-	}
-	if err == nil {
-		err = checkTrailer(r.Trailer)
-	}
-	return body, err
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 	self    owner.Entry
 	store   *platform.Store
 	forward *forward.Forwarder
+	memory  *memoryGuard
 	peers   *forward.Forwarder // to other entries
 	// passedOnActive is how many requests that other entries have passed on are being served.
 	passedOnActive atomic.Int64
@@ -90,18 +91,21 @@
 func New(cfg Config) (g *Gateway, err error) {
 	defer func() { err = errors.WithMessage(err, "gateway "+cfg.Settings.Name) }()
 	s := cfg.Settings
+	i := newInstruments(s.Name)
+	room := newMemoryGuard(s.Memory, &i)
 	g = &Gateway{
-		cfg: cfg, log: cfg.Log, started: time.Now(), initialized: make(chan struct{}), giveUp: make(chan struct{}),
+		cfg: cfg, log: cfg.Log, started: time.Now(), initialized: make(chan struct{}), giveUp: make(chan struct{}), memory: room,
 		forward: forward.New(forward.Config{
 			EchoHeader: platform.HeaderRequestID, UnackedTimeout: targetAckTimeout, ConnectTimeout: targetConnectTimeout, IdleTimeout: targetIdleTimeout, MaxBufferedBytes: maxBufferedResponse,
-			Dial: cfg.DialTarget, IsRefusal: platform.NotRun,
+			Dial: cfg.DialTarget, IsRefusal: platform.NotRun, Buffers: room,
 		}),
 		peers: forward.New(forward.Config{
 			EchoHeader: platform.HeaderRequestID, UnackedTimeout: targetAckTimeout, ConnectTimeout: targetConnectTimeout, MaxBufferedBytes: maxBufferedResponse,
+			Buffers: room,
 		}),
 		suspects:    call.NewSuspects(call.SuspectsConfig{CrashLimit: crashLimit}),
 		parseErrors: newParseErrorLog(cfg.Log),
-		instruments: newInstruments(cfg.Settings.Name),
+		instruments: i,
 		freshness:   newFreshness(),
 	}
 	if err := g.listen(); err != nil {
@@ -234,7 +238,10 @@
 	idle := newIdleCloser()
 	return &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, ReadTimeout: callerTimeout, IdleTimeout: callerTimeout,
-		ConnContext: withCallerConn, ConnState: func(c net.Conn, s http.ConnState) { idle.track(c, s, g.idleTimeout()) },
+		ConnContext: withCallerConn, ConnState: func(c net.Conn, s http.ConnState) {
+			idle.track(c, s, g.idleTimeout())
+			g.memory.trackConn(s)
+		},
 	}
 }
 
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -31,6 +31,11 @@
 	accounts         *accountCounters
 	tokenAsks        tally.Counter // asks for tokens of client accounts
 	bucketTransfers  func(result string) tally.Counter
+	memoryLimit      tally.Gauge                      // bytes for traffic
+	memoryHeld       tally.Gauge                      // bytes of bodies and buffered responses
+	bodiesWaiting    tally.Gauge                      // bodies that wait for room
+	roomRefusals     func(cause string) tally.Counter // bodies refused for lack of room
+	connsRefused     tally.Counter                    // connections closed for lack of room
 	targets          tally.Gauge
 	evacuatedDomains tally.Gauge // evacuated failure domains
 }
@@ -44,6 +49,11 @@
 		trafficShare: m.Scope.Gauge("traffic_part"), targets: m.Scope.Gauge("targets"),
 		evacuatedDomains: m.Scope.Gauge("evacuated_places"), tokenAsks: m.Scope.Counter("quota_asks"), accounts: newAccountCounters(m.Scope),
 	}
+	i.memoryLimit, i.memoryHeld, i.bodiesWaiting = m.Scope.Gauge("memory_limit_bytes"), m.Scope.Gauge("memory_held_bytes"), m.Scope.Gauge("bodies_waiting")
+	i.connsRefused = m.Scope.Counter("connections_refused")
+	i.roomRefusals = func(cause string) tally.Counter {
+		return m.Scope.Tagged(map[string]string{"reason": cause}).Counter("bodies_refused")
+	}
 	i.bucketTransfers = func(result string) tally.Counter {
 		return m.Scope.Tagged(map[string]string{"result": result}).Counter("quota_transfers")
 	}
@@ -119,6 +129,10 @@
 		s.instruments.budgetAvailable.Update(s.budget.Available())
 	}
 	c.gateway.quotas.updateGauges(now)
+	u := c.gateway.memory.usage()
+	i.memoryLimit.Update(float64(u.Limit))
+	i.memoryHeld.Update(float64(u.Held))
+	i.bodiesWaiting.Update(float64(u.Waiting))
 	for r := range resourceCount {
 		i.dataAge[r].Update(c.age(now, r).Seconds())
 	}
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -56,21 +56,33 @@
 // splitListener returns a listener of the connections that have one request under way at a
 // time. The others are served by s.
 func (g *Gateway) splitListener(s *callers.Server) net.Listener {
-	return splitListener{g.frontListener, g.pipelines, s.ServeConn}
+	return splitListener{g.frontListener, g.pipelines, func(c net.Conn) {
+		defer g.memory.disconnect()
+		s.ServeConn(c)
+	}, g.memory.connect}
 }
 
 type splitListener struct {
 	net.Listener
 	diverts func() bool
 	serve   func(net.Conn)
+	connect func() bool // reports whether there is room for a connection
 }
 
-// Accept returns the next connection that is not diverted.
+// Accept returns the next connection that is not diverted. Those without room are closed.
 func (l splitListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
-		if err != nil || !l.diverts() {
-			return c, err
+		if err != nil {
+			return nil, err
+		}
+		if !l.connect() {
+			c.Close()
+			continue
+		}
+		boundUnread(c, receiveBuffer)
+		if !l.diverts() {
+			return c, nil
 		}
 		go l.serve(c)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -21,7 +21,10 @@
 	r        *http.Request
 	id       string
 	arrived  time.Time
-	body     []byte
+	body     [][]byte     // in parts
+	held     *heldBody    // room for the body; nil without one
+	noRoom   *errNoRoom   // why there was no room
+	kept     bool         // dispatches that have been cancelled still use the body
 	prints   fingerprints // set by fingerprints
 	trial    time.Time    // the reservation, if the request is held and sent as a trial
 	skipped  []string     // targets that answered no check before the trial
@@ -371,7 +374,13 @@
 			q.dispatches[i].cancel()
 		}
 	}
+	for i := range q.dispatches {
+		if resp := q.dispatches[i].response; resp != nil {
+			resp.Close()
+		}
+	}
 	if q.inFlight > 0 {
+		q.kept = true
 		go q.awaitCancelled()
 	}
 }
@@ -385,6 +394,7 @@
 
 // awaitCancelled waits for the results of cancelled dispatches and frees their slots.
 func (q *request) awaitCancelled() {
+	defer q.closeBody()
 	for ; q.inFlight > 0; q.inFlight-- {
 		res := <-q.results
 		d := &q.dispatches[res.dispatch]
--- a/pkg/call/fingerprint.go
+++ b/pkg/call/fingerprint.go
@@ -27,7 +27,13 @@
 	d.Write(b[:])
 }
 
-// BodyHash returns the hash of a body for Fingerprint.
-func BodyHash(body []byte) uint64 {
-	return xxhash.Sum64(body)
+// BodyHash returns the hash of a body for Fingerprint. It is the same however the body is divided
+// into parts.
+func BodyHash(parts ...[]byte) uint64 {
+	var hash xxhash.Digest
+	hash.Reset()
+	for _, p := range parts {
+		_, _ = hash.Write(p)
+	}
+	return hash.Sum64()
 }
