--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -41,6 +41,7 @@
 		"version": uint64(cfg.Version), "before": uint64(c.config.Version), "source": source, "routes": len(cfg.Routes),
 	}).Info("configuration in force")
 	c.logFieldErrors(cfg.Version, fieldErrs)
+	cfg.Limits = cfg.Limits.Or(c.config.Limits)
 	c.config, c.configData = cfg, raw
 	c.table = route.New(cfg, c.table)
 	c.servicesStale, c.sendersChanged = true, true
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"cmp"
 	"time"
 
 	"plumpitch.example/plumpitch/pkg/account"
@@ -54,7 +55,21 @@
 
 // Limits bound the size of a caller's requests and the time that a connection may idle.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	IdleTimeout    time.Duration // callers reuse connections for up to four fifths of it
+	MaxHeaderBytes int           // 0 if unknown
+	MaxBodyBytes   int64         // 0 if unknown
+	IdleTimeout    time.Duration // callers reuse connections for up to four fifths of it; 0 for none
+}
+
+// Sizes in force in place of unknown ones until a configuration has known ones.
+const (
+	defaultMaxHeaderBytes = 16 << 10
+	defaultMaxBodyBytes   = 64 << 20
+)
+
+// Or returns the limits with the sizes of earlier limits, or else the defaults, in place of unknown
+// ones.
+func (l Limits) Or(earlier Limits) Limits {
+	l.MaxHeaderBytes = cmp.Or(l.MaxHeaderBytes, earlier.MaxHeaderBytes, defaultMaxHeaderBytes)
+	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, earlier.MaxBodyBytes, defaultMaxBodyBytes)
+	return l
 }
--- a/pkg/slot/doc.go
+++ b/pkg/slot/doc.go
@@ -11,6 +11,7 @@
 package slot
 
 import (
+	"math"
 	"strconv"
 	"time"
 )
@@ -68,3 +69,9 @@
 	Slots   int
 	Pace    float64 // service time as a multiple of the baseline: 1 is normal, 2 is half as fast
 }
+
+// total returns the requests at the target. It doesn't overflow, which would make the most loaded
+// target look empty.
+func (l Load) total() int {
+	return l.Running + min(l.Waiting, math.MaxInt-max(l.Running, 0))
+}
--- a/pkg/slot/member.go
+++ b/pkg/slot/member.go
@@ -119,7 +119,7 @@
 func (m *member) recordLoad(now time.Time, l Load) {
 	m.loadKnown = true
 	m.pace = l.Pace
-	m.reportedOther = max(l.Running+l.Waiting-m.inFlight, 0)
+	m.reportedOther = max(l.total()-m.inFlight, 0)
 	m.loadAt = now
 }
 
--- a/pkg/slot/shedding.go
+++ b/pkg/slot/shedding.go
@@ -42,7 +42,7 @@
 
 // hasRoom reports whether a target's report shows a free slot.
 func (m *member) hasRoom(r Report) bool {
-	return r.HasLoad && r.Load.Running+r.Load.Waiting < m.Slots
+	return r.HasLoad && r.Load.total() < m.Slots
 }
 
 // rejecting reports whether most targets reject requests although they have room. A target that
