--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -170,9 +170,15 @@
 		}
 	}
 	for _, n := range w.Numbers {
+		if err := checkNumbers(float64(n.Rate)); err != nil {
+			return p, errors.WithMessage(err, "numbers.rate")
+		}
 		p.OwnerCounts = append(p.OwnerCounts, owner.Count{Host: n.Host, Owners: int(n.Owners), Rate: float64(n.Rate), Sequence: n.Sequence})
 	}
 	for _, l := range w.Loads {
+		if err := checkNumbers(float64(l.Rate)); err != nil {
+			return p, errors.WithMessage(err, "loads.rate")
+		}
 		p.Loads = append(p.Loads, HostLoad{Host: l.Host, Rate: float64(l.Rate)})
 	}
 	for _, s := range w.Suspects {
