gateway: a body for a route without a service is refused at once

A route whose times are invalid has no services and no timeout, so its deadline had passed when the body was to be read: the caller got 408 slowbody in place of 503 noservice. TestBodyWithoutService guards it. A decision about a body that has been closed is skipped.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -126,6 +126,10 @@
 		return false
 	}
 	ctl := http.NewResponseController(q.w)
+	if len(q.route.Services) == 0 {
+		q.refuseUnread(ctl, func() { q.refuse("noservice", noConfigRetry) })
+		return false
+	}
 	held, err := q.gateway.memory.open(time.Now(), memory.Body{
 		Caller: q.callerName(), Length: q.r.ContentLength, Max: l.MaxBodyBytes, Deadline: q.deadline(),
 	}, func() { _ = ctl.SetReadDeadline(longAgo) })
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -177,13 +177,17 @@
 func (m *memoryGuard) plan(now time.Time) {
 	for _, d := range m.budget.Plan(now) {
 		h := m.bodies[d.ID]
+		if h == nil {
+			continue
+		}
 		if d.Verdict == memory.Refuse {
 			m.refused(d)
 		}
-		if h.waiting {
+		switch {
+		case h.waiting:
 			h.waiting = false
 			h.decisions <- d
-		} else {
+		case d.Verdict == memory.Refuse:
 			h.interrupt()
 		}
 	}
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -89,6 +89,15 @@
 	w.c.Assert(w.runs("q-slow"), qt.Equals, 0)
 }
 
+// Guards against callers that send a body for a route that no service can serve, and wait for it.
+func TestBodyWithoutService(t *testing.T) {
+	w := newWorld(t, worldConfig{targets: 1, routeType: "upload", timeout: "none"})
+	e := w.startEntry("a").waitReady()
+	out := e.call(http.MethodPost, "/a/x", strings.Repeat("veil", 100_000))
+	w.c.Assert(out.status, qt.Equals, http.StatusServiceUnavailable)
+	w.c.Assert(w.arrivals(), qt.Equals, 0)
+}
+
 // Guards against bodies, responses and connections that stay charged after their requests.
 func TestMemoryIsGivenBack(t *testing.T) {
 	w := newWorld(t, worldConfig{targets: 2, routeType: "upload"})
