--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -167,7 +167,9 @@
 	b.releases.add(now, bytes)
 }
 
-// Connect charges a connection, if there is room. Disconnect ends the charge.
+// Connect charges a connection, if all of them take no more than their part. Bodies don't keep
+// connections out: while they fill the limit, new connections exceed it, and bodies get less from
+// then on. Disconnect ends the charge.
 func (b *Budget) Connect() bool {
 	if (b.conns+1)*b.cfg.ConnCharge > b.cfg.Limit/connPart {
 		return false
--- a/pkg/memory/plan.go
+++ b/pkg/memory/plan.go
@@ -61,8 +61,11 @@
 		}
 	}
 	slices.SortFunc(list, func(x, y competitor) int {
-		if x.kept != y.kept {
-			return map[bool]int{true: -1, false: 1}[x.kept]
+		switch {
+		case x.kept && !y.kept:
+			return -1
+		case y.kept && !x.kept:
+			return 1
 		}
 		return cmp.Or(x.rank.Compare(y.rank), cmp.Compare(x.id, y.id))
 	})
