memory: only bodies that surely can't be complete in time are refused as late

A body of unknown length that waited for room was refused by its usual size, though it might be small. Of such a body only the next bytes are sure now (TestOnlySureBodiesAreLate).

--- a/pkg/memory/claim.go
+++ b/pkg/memory/claim.go
@@ -86,11 +86,21 @@
 // it counts as one that can't be complete in time.
 const hopelessFactor = 2
 
-// hopeless reports whether the body can't be complete before its deadline.
+// hopeless reports whether the body isn't expected to be complete before its deadline.
 func (c *claim) hopeless(now time.Time, usual int64) bool {
 	return c.left(now, c.need(usual)) > hopelessFactor*max(c.Deadline.Sub(now), 0)
 }
 
+// late reports whether the body surely can't be complete before its deadline. Of a body of unknown
+// length only the next bytes are sure.
+func (c *claim) late(now time.Time) bool {
+	missing := c.asked
+	if c.Length >= 0 {
+		missing = max(c.Length-c.held, c.asked)
+	}
+	return c.left(now, missing) > hopelessFactor*max(c.Deadline.Sub(now), 0)
+}
+
 // minObservation is how long a caller is observed before it counts as slow.
 const minObservation = 250 * time.Millisecond
 
--- a/pkg/memory/plan.go
+++ b/pkg/memory/plan.go
@@ -44,7 +44,7 @@
 		}
 	}
 	for _, c := range list {
-		if c.waiting && c.hopeless(now, b.usual) {
+		if c.waiting && c.late(now) {
 			decisions = append(decisions, b.refuse(now, c.claim, Late))
 		}
 	}
