gateway: TestTargetSpeaksForNoDelegate waits for the run

The stand-in sends the stray response before it begins to run the request, so the caller may have it before the run is on record.

--- a/internal/gateway/stray_delegate_test.go
+++ b/internal/gateway/stray_delegate_test.go
@@ -136,5 +136,6 @@
 	rec, answered := passOnOne(e, e.self)
 	w.c.Assert(answered, qt.IsTrue)
 	w.c.Assert(rec.Code, qt.Equals, http.StatusNotFound)
+	w.waitFor("the run", func() bool { return w.runs("q-pass") > 0 }) // begins behind the response
 	w.c.Assert(w.runs("q-pass"), qt.Equals, 1)
 }
