dial: unread bytes of outgoing connections are bounded

Cause: connections to targets, other entries and the store had receive buffers that the kernel lets grow to megabytes while their bytes aren't read (TestPeerResponseWithoutEnd took 27.7 MB once). Change: internal/dial sets SO_RCVBUF before connecting; forward, relay and the store's client use it.

--- /dev/null
+++ b/internal/dial/dial.go
@@ -0,0 +1,47 @@
+// Package dial opens TCP connections whose kernel buffers and silences are bounded.
+package dial
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Config of a dialer. Zero fields take the defaults of net.Dialer.
+type Config struct {
+	Timeout   time.Duration // for connecting
+	KeepAlive net.KeepAliveConfig
+	// UnackedTimeout is how long sent bytes may stay unacknowledged before the connection counts as
+	// broken.
+	UnackedTimeout time.Duration
+	// ReadBuffer bounds the bytes that the kernel holds unread, which it doubles for its own data.
+	// Without it the buffer of a connection whose bytes aren't read can grow to megabytes.
+	ReadBuffer int
+}
+
+// New returns a dialer.
+func New(cfg Config) *net.Dialer {
+	return &net.Dialer{Timeout: cfg.Timeout, KeepAliveConfig: cfg.KeepAlive, Control: cfg.control}
+}
+
+// control sets the options of a socket before it connects.
+func (cfg Config) control(_, _ string, c syscall.RawConn) error {
+	var err error
+	set := func(fd uintptr) { err = cfg.set(int(fd)) }
+	if controlErr := c.Control(set); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+func (cfg Config) set(fd int) (err error) {
+	if cfg.UnackedTimeout > 0 {
+		err = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(cfg.UnackedTimeout.Milliseconds()))
+	}
+	if err == nil && cfg.ReadBuffer > 0 {
+		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, cfg.ReadBuffer)
+	}
+	return err
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -44,6 +44,7 @@
 
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/dial"
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
@@ -70,7 +71,8 @@
 	IsRefusal func(status int, h http.Header) bool
 	// Buffers has room for buffered responses; nil means that there always is.
 	Buffers Buffers
-	// Dial opens TCP connections to targets, with a socket; nil means net.Dialer.
+	// Dial opens TCP connections to targets, with a socket; nil means a dial.Config with the
+	// UnackedTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
@@ -95,6 +97,9 @@
 	defaultIdleTimeout      = 4 * time.Second
 	defaultStallTimeout     = 30 * time.Second
 	defaultMaxBufferedBytes = 32 << 10
+
+	// readBuffer bounds the unread bytes of a connection to a target.
+	readBuffer = 256 << 10
 )
 
 // Forwarder sends requests to targets. It is safe for concurrent use.
@@ -169,7 +174,7 @@
 		c.Buffers = unlimited{}
 	}
 	if c.Dial == nil {
-		c.Dial = (&net.Dialer{Control: unackedTimeout(c.UnackedTimeout)}).DialContext
+		c.Dial = dial.New(dial.Config{UnackedTimeout: c.UnackedTimeout, ReadBuffer: readBuffer}).DialContext
 	}
 	return c
 }
--- a/internal/gateway/net.go
+++ b/internal/gateway/net.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"plumpitch.example/plumpitch/internal/dial"
 )
 
 // Timeouts of connections to the store. A connection may stop working without a reset
@@ -17,14 +19,17 @@
 	storeIdleTimeout       = 30 * time.Second
 )
 
-// storeHeaderBytes limits the head of a response of the store.
-const storeHeaderBytes = 64 << 10
+// Bounds of a connection to the store, in bytes: the head of a response, and what is unread.
+const (
+	storeHeaderBytes = 64 << 10
+	storeReadBuffer  = 512 << 10
+)
 
 // storeClient returns the HTTP client for the store.
 func storeClient() *http.Client {
-	dialer := net.Dialer{Timeout: storeDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	dialer := dial.New(dial.Config{Timeout: storeDialTimeout, ReadBuffer: storeReadBuffer, KeepAlive: net.KeepAliveConfig{
 		Enable: true, Idle: storeKeepAliveInterval, Interval: storeKeepAliveInterval, Count: storeKeepAliveProbes,
-	}}
+	}})
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: storeHeaderBytes,
--- a/internal/relay/bound.go
+++ b/internal/relay/bound.go
@@ -13,6 +13,9 @@
 	maxReplyBytes   = 8 << 20
 )
 
+// readBuffer bounds the unread bytes of a connection to another entry.
+const readBuffer = 512 << 10
+
 // requestTimeout is how long the request of a call may take to arrive.
 const requestTimeout = 2 * time.Second
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/dial"
 	"plumpitch.example/plumpitch/internal/relay/wire"
 	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/roster"
@@ -82,7 +83,7 @@
 	OnRequest http.Handler                 // serves the callers' requests that other entries pass on
 	// ListenPacket opens the socket for datagrams; nil means net.ListenPacket.
 	ListenPacket func(network, address string) (net.PacketConn, error)
-	// Dial opens the connections for calls and packets by TCP; nil means the default of http.Transport.
+	// Dial opens the connections for calls and packets by TCP; nil means a dialer of its own.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Log  log.Interface
 }
@@ -114,6 +115,9 @@
 // New opens the sockets, so that a port already in use fails the start early.
 func New(cfg Config) (r *Relay, err error) {
 	defer func() { err = errors.WithMessage(err, "relay") }()
+	if cfg.Dial == nil {
+		cfg.Dial = dial.New(dial.Config{ReadBuffer: readBuffer}).DialContext
+	}
 	if cfg.ListenPacket == nil {
 		cfg.ListenPacket = net.ListenPacket
 	}
