platform: an invalid warm-up time is an error of its header

The largest capacity of an entry is defined once, and a probe's invalid warm-up time is logged as other invalid headers are.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -268,7 +268,11 @@
 	if err == nil && platform.InstanceID(header) == a.Target.ID {
 		result.Healthy = status == http.StatusOK
 		result.Report = s.gateway.parseReport(a.Target.ID, status, header)
-		result.ColdFor, result.ColdKnown = platform.WarmupRemaining(header)
+		cold, err := platform.WarmupRemaining(header)
+		result.ColdFor, result.ColdKnown = cold, err == nil
+		if err != nil {
+			s.gateway.parseErrors.logHeader(time.Now(), a.Target.ID, err)
+		}
 	}
 	now := time.Now()
 	s.mu.Lock()
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -7,6 +7,7 @@
 
 	"plumpitch.example/plumpitch/internal/peer/wire"
 	"plumpitch.example/plumpitch/pkg/member"
+	"plumpitch.example/plumpitch/pkg/owner"
 )
 
 func encodeID(id member.ID) *wire.Ident {
@@ -57,9 +58,6 @@
 	}
 }
 
-// maxCapacity is the largest valid capacity of an entry, in requests per second.
-const maxCapacity = 1e9
-
 // DecodeEntry converts a wire entry to its domain type. field is the path of the entry
 // in its message, for errors.
 func DecodeEntry(now time.Time, field string, w *wire.Entry) (e member.Entry, err error) {
@@ -70,8 +68,8 @@
 	if _, ok := wire.State_name[int32(w.GetState())]; !ok {
 		return e, &FieldError{Field: field + ".state", Found: fmt.Sprint(int32(w.GetState())), Expected: "0 to 4"}
 	}
-	if c := float64(w.GetCapacity()); !(c >= 0 && c <= maxCapacity) {
-		return e, &FieldError{Field: field + ".capacity", Found: fmt.Sprint(c), Expected: fmt.Sprintf("0 to %g", float64(maxCapacity))}
+	if c := float64(w.GetCapacity()); !(c >= 0 && c <= owner.MaxCapacity) {
+		return e, &FieldError{Field: field + ".capacity", Found: fmt.Sprint(c), Expected: fmt.Sprintf("0 to %g", float64(owner.MaxCapacity))}
 	}
 	return member.Entry{
 		ID:            id,
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -9,6 +9,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// MaxCapacity is the largest valid capacity of an entry, in requests per second.
+const MaxCapacity = 1e9
+
 // Entry is one incarnation of an entry.
 type Entry struct {
 	Name          string
@@ -17,7 +20,7 @@
 	PeerAddress   string // host:port for other entries, TCP and UDP
 	Place         string // failure domain
 	Region        string
-	// Capacity is in requests per second.
+	// Capacity is in requests per second, up to MaxCapacity.
 	Capacity float64
 }
 
