--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -112,7 +112,7 @@
 
 // Reasons of error responses about bodies.
 const (
-	reasonNoRoom   = "noroom"   // the VM has no memory for the body
+	reasonNoMemory = "nomemory" // the VM has no memory for the body
 	reasonSlowBody = "slowbody" // the body wasn't complete at the deadline
 )
 
@@ -198,15 +198,15 @@
 
 // rejectBody answers a request whose body couldn't be read.
 func (q *request) rejectBody(ctl *http.ResponseController, err error) {
-	var noRoom *errNoRoom
+	var noMemory *errNoMemory
 	switch {
 	case errors.Is(err, errBodyTooLong):
 		q.respond(http.StatusRequestEntityTooLarge, "toolong")
-	case errors.As(err, &noRoom):
-		q.noRoom = noRoom
-		q.refuseUnread(ctl, func() { q.refuse(reasonNoRoom, noRoom.RetryAfter) })
+	case errors.As(err, &noMemory):
+		q.noMemory = noMemory
+		q.refuseUnread(ctl, func() { q.refuse(reasonNoMemory, noMemory.RetryAfter) })
 	case errors.Is(err, errWaitEnded) && !callerHungUp(q.r):
-		q.refuseUnread(ctl, func() { q.refuse(reasonNoRoom, noConfigRetry) })
+		q.refuseUnread(ctl, func() { q.refuse(reasonNoMemory, noConfigRetry) })
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.refuseUnread(ctl, func() { q.respond(http.StatusRequestTimeout, reasonSlowBody) })
 	default:
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -113,9 +113,9 @@
 	if q.refusal.Kind == slot.Refuse {
 		f["retry"] = q.refusal.RetryAfter.Milliseconds()
 	}
-	if q.noRoom != nil {
+	if q.noMemory != nil {
 		u := q.gateway.memory.usage()
-		f["cause"], f["length"], f["held"], f["waiting"], f["limit"] = q.noRoom.Cause.String(), q.r.ContentLength, u.Held, u.Waiting, u.Limit
+		f["cause"], f["length"], f["held"], f["waiting"], f["limit"] = q.noMemory.Cause.String(), q.r.ContentLength, u.Held, u.Waiting, u.Limit
 	}
 	q.gateway.log.WithFields(f).Warn("answered in place of a target")
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -53,7 +53,7 @@
 // serve serves the request and frees its body.
 func (q *request) serve() {
 	defer func() {
-		if !q.kept {
+		if !q.bodyUsed {
 			q.closeBody()
 		}
 	}()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,9 +28,9 @@
 	MetricsPort int    // port of the metrics and the status; 0 takes a free one
 	// ListenPacket opens the socket for datagrams of other entries; nil means net.ListenPacket.
 	ListenPacket func(network, address string) (net.PacketConn, error)
-	// Dial opens TCP connections to other entries; nil means the default of http.Transport.
+	// Dial opens TCP connections to other entries; nil means that of relay.Relay.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// DialTarget opens TCP connections to targets; nil means net.Dialer.
+	// DialTarget opens TCP connections to targets; nil means that of forward.Forwarder.
 	DialTarget func(ctx context.Context, network, address string) (net.Conn, error)
 	Log        log.Interface
 }
@@ -92,7 +92,7 @@
 	defer func() { err = errors.WithMessage(err, "gateway "+cfg.Settings.Name) }()
 	s := cfg.Settings
 	i := newInstruments(s.Name)
-	room := newMemoryGuard(s.Memory, &i)
+	room := newMemoryGuard(s.Memory, &i, cfg.Log)
 	g = &Gateway{
 		cfg: cfg, log: cfg.Log, started: time.Now(), initialized: make(chan struct{}), giveUp: make(chan struct{}), memory: room,
 		forward: forward.New(forward.Config{
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -34,7 +34,7 @@
 	memoryLimit      tally.Gauge                      // bytes for traffic
 	memoryHeld       tally.Gauge                      // bytes of bodies and buffered responses
 	bodiesWaiting    tally.Gauge                      // bodies that wait for room
-	roomRefusals     func(cause string) tally.Counter // bodies refused for lack of room
+	bodyRefusals     func(cause string) tally.Counter // bodies refused for lack of room
 	connsRefused     tally.Counter                    // connections closed for lack of room
 	targets          tally.Gauge
 	evacuatedDomains tally.Gauge // evacuated failure domains
@@ -51,8 +51,8 @@
 	}
 	i.memoryLimit, i.memoryHeld, i.bodiesWaiting = m.Scope.Gauge("memory_limit_bytes"), m.Scope.Gauge("memory_held_bytes"), m.Scope.Gauge("bodies_waiting")
 	i.connsRefused = m.Scope.Counter("connections_refused")
-	i.roomRefusals = func(cause string) tally.Counter {
-		return m.Scope.Tagged(map[string]string{"reason": cause}).Counter("bodies_refused")
+	i.bodyRefusals = func(cause string) tally.Counter {
+		return m.Scope.Tagged(map[string]string{"cause": cause}).Counter("bodies_refused")
 	}
 	i.bucketTransfers = func(result string) tally.Counter {
 		return m.Scope.Tagged(map[string]string{"result": result}).Counter("quota_transfers")
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -7,7 +7,9 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"plumpitch.example/plumpitch/pkg/memory"
 )
@@ -19,7 +21,7 @@
 	heapShare = 0.8
 	// trafficShare is the part for bodies, buffered responses and connections. Up to heapShare,
 	// the heap has room for control state and garbage.
-	trafficShare = 0.45
+	trafficShare = 0.5
 	// unknownMemory is taken for the memory if the settings don't tell it, in bytes.
 	unknownMemory = 256e6
 )
@@ -41,12 +43,14 @@
 
 // memoryGuard bounds the memory that traffic takes. It is safe for concurrent use.
 type memoryGuard struct {
-	mu        sync.Mutex
-	budget    *memory.Budget
-	bodies    map[memory.ID]*heldBody
-	planning  bool // a timer is set
-	refusals  map[memory.Cause]func()
-	refusedIn func() // a connection was refused
+	mu       sync.Mutex
+	budget   *memory.Budget
+	bodies   map[memory.ID]*heldBody
+	planning bool // a timer is set
+	refusals map[memory.Cause]tally.Counter
+	conns    tally.Counter // refused connections
+	log      log.Interface
+	connsLog time.Time // of the latest log line about a refused connection
 }
 
 // heldBody is a body of a request in the budget.
@@ -61,26 +65,24 @@
 	refusal *memory.Decision
 }
 
-// errNoRoom is a body that the budget has refused.
-type errNoRoom struct{ memory.Decision }
+// errNoMemory is a body that the budget has refused.
+type errNoMemory struct{ memory.Decision }
 
-func (e *errNoRoom) Error() string { return "no room for the request body: " + e.Cause.String() }
+func (e *errNoMemory) Error() string { return "no room for the request body: " + e.Cause.String() }
 
 // newMemoryGuard returns a guard for a VM with this memory in bytes; 0 means that it is unknown.
-func newMemoryGuard(bytes int64, i *instruments) *memoryGuard {
+func newMemoryGuard(bytes int64, i *instruments, l log.Interface) *memoryGuard {
 	if bytes <= 0 {
 		bytes = unknownMemory
 	}
 	m := &memoryGuard{
-		bodies: make(map[memory.ID]*heldBody), refusals: make(map[memory.Cause]func()),
+		bodies: make(map[memory.ID]*heldBody), refusals: make(map[memory.Cause]tally.Counter), conns: i.connsRefused, log: l,
 		budget: memory.New(memory.Config{
 			Limit: int64(trafficShare * float64(bytes)), Start: bodyStart, WaitCharge: waitCharge, ConnCharge: connCharge,
 		}),
-		refusedIn: func() { i.connsRefused.Inc(1) },
 	}
 	for _, c := range memory.Causes() {
-		counter := i.roomRefusals(c.String())
-		m.refusals[c] = func() { counter.Inc(1) }
+		m.refusals[c] = i.bodyRefusals(c.String())
 	}
 	return m
 }
@@ -99,8 +101,8 @@
 	defer m.mu.Unlock()
 	d := m.budget.Open(now, b)
 	if d.Verdict == memory.Refuse {
-		m.refusals[d.Cause]()
-		return nil, &errNoRoom{d}
+		m.refusals[d.Cause].Inc(1)
+		return nil, &errNoMemory{d}
 	}
 	h := &heldBody{guard: m, id: d.ID, decisions: make(chan memory.Decision, 1), interrupt: interrupt}
 	m.bodies[d.ID] = h
@@ -121,7 +123,7 @@
 		}
 	}
 	if d.Verdict == memory.Refuse {
-		return waited, &errNoRoom{d}
+		return waited, &errNoMemory{d}
 	}
 	return waited, nil
 }
@@ -165,7 +167,7 @@
 
 // refused notes the refusal of a body. The caller must hold m.mu.
 func (m *memoryGuard) refused(d memory.Decision) {
-	m.refusals[d.Cause]()
+	m.refusals[d.Cause].Inc(1)
 	if h := m.bodies[d.ID]; h != nil {
 		h.refusal = &d
 		delete(m.bodies, d.ID)
@@ -210,7 +212,7 @@
 	if h.refusal == nil {
 		return nil
 	}
-	return &errNoRoom{*h.refusal}
+	return &errNoMemory{*h.refusal}
 }
 
 // complete notes that the body has been read. It returns an error if the body was refused before.
@@ -218,7 +220,7 @@
 	h.guard.mu.Lock()
 	defer h.guard.mu.Unlock()
 	if h.refusal != nil {
-		return &errNoRoom{*h.refusal}
+		return &errNoMemory{*h.refusal}
 	}
 	h.guard.budget.Complete(h.id)
 	h.guard.plan(time.Now())
@@ -252,14 +254,22 @@
 	m.plan(now)
 }
 
+// refusedConnLogPeriod is the time between two log lines about refused connections.
+const refusedConnLogPeriod = time.Second
+
 // connect charges a connection, and reports whether there is room for it.
-func (m *memoryGuard) connect() bool {
+func (m *memoryGuard) connect(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.budget.Connect() {
 		return true
 	}
-	m.refusedIn()
+	m.conns.Inc(1)
+	if now.Sub(m.connsLog) >= refusedConnLogPeriod {
+		m.connsLog = now
+		u := m.budget.Usage()
+		m.log.WithFields(log.Fields{"connections": u.Conns, "held": u.Held, "limit": u.Limit}).Warn("no memory for further connections")
+	}
 	return false
 }
 
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -66,7 +66,7 @@
 	net.Listener
 	diverts func() bool
 	serve   func(net.Conn)
-	connect func() bool // reports whether there is room for a connection
+	connect func(now time.Time) bool // reports whether there is room for a connection
 }
 
 // Accept returns the next connection that is not diverted. Those without room are closed.
@@ -76,7 +76,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if !l.connect() {
+		if !l.connect(time.Now()) {
 			c.Close()
 			continue
 		}
--- a/pkg/memory/claim.go
+++ b/pkg/memory/allocation.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// claim is a body that is being read or held.
-type claim struct {
+// allocation is a body that is being read or held.
+type allocation struct {
 	Body
 	id           ID
 	opened       time.Time
@@ -24,12 +24,12 @@
 }
 
 // resume notes that bytes may be received from now on.
-func (c *claim) resume(now time.Time) {
+func (c *allocation) resume(now time.Time) {
 	c.reading, c.resumed, c.asked = true, now, 0
 }
 
 // pause notes that the bytes have been received.
-func (c *claim) pause(now time.Time) {
+func (c *allocation) pause(now time.Time) {
 	if c.reading {
 		c.readTime += now.Sub(c.resumed)
 		c.received = c.held
@@ -37,13 +37,16 @@
 	}
 }
 
+// large reports whether the body may be larger than a start.
+func (c *allocation) large(start int64) bool { return c.Length < 0 || c.Length > start }
+
 // outgrown is how much of its size a body of unknown length that is larger than usual is taken to
 // lack, as a divisor.
 const outgrown = 4
 
 // need returns how many bytes the body has yet to receive. One of unknown length is taken to be of
 // the usual size, or to be nearly complete beyond that.
-func (c *claim) need(usual int64) int64 {
+func (c *allocation) need(usual int64) int64 {
 	if c.Length >= 0 {
 		return max(c.Length-c.held, c.asked)
 	}
@@ -58,12 +61,12 @@
 )
 
 // rate returns the rate at which the caller sends, in bytes per second.
-func (c *claim) rate(now time.Time) float64 {
+func (c *allocation) rate(now time.Time) float64 {
 	return float64(c.received+assumedBytes) / (c.timeRead(now) + assumedTime).Seconds()
 }
 
 // timeRead returns for how long the caller could send.
-func (c *claim) timeRead(now time.Time) time.Duration {
+func (c *allocation) timeRead(now time.Time) time.Duration {
 	if c.reading {
 		return c.readTime + max(now.Sub(c.resumed), 0)
 	}
@@ -74,7 +77,7 @@
 const maxEstimate = 24 * time.Hour
 
 // left returns how long the body takes until it is complete, by its rate.
-func (c *claim) left(now time.Time, bytes int64) time.Duration {
+func (c *allocation) left(now time.Time, bytes int64) time.Duration {
 	seconds := float64(bytes) / c.rate(now)
 	if seconds >= maxEstimate.Seconds() {
 		return maxEstimate
@@ -87,13 +90,13 @@
 const hopelessFactor = 2
 
 // hopeless reports whether the body isn't expected to be complete before its deadline.
-func (c *claim) hopeless(now time.Time, usual int64) bool {
+func (c *allocation) hopeless(now time.Time, usual int64) bool {
 	return c.left(now, c.need(usual)) > hopelessFactor*max(c.Deadline.Sub(now), 0)
 }
 
 // late reports whether the body surely can't be complete before its deadline. Of a body of unknown
 // length only the next bytes are sure.
-func (c *claim) late(now time.Time) bool {
+func (c *allocation) late(now time.Time) bool {
 	missing := c.asked
 	if c.Length >= 0 {
 		missing = max(c.Length-c.held, c.asked)
@@ -105,18 +108,18 @@
 const minObservation = 250 * time.Millisecond
 
 // slow reports whether the caller is sending too slowly for the body's deadline.
-func (c *claim) slow(now time.Time, usual int64) bool {
+func (c *allocation) slow(now time.Time, usual int64) bool {
 	return c.reading && c.timeRead(now) >= minObservation && c.hopeless(now, usual)
 }
 
 // rank returns the time at which the body would be complete if it had been read without a wait
 // since it was opened. Lower ranks go first. A large body falls behind smaller newcomers for as
 // long as its transfer takes, not for ever.
-func (c *claim) rank(now time.Time, usual int64) time.Time {
+func (c *allocation) rank(now time.Time, usual int64) time.Time {
 	return c.opened.Add(c.left(now, c.held+c.need(usual)))
 }
 
 // after reports whether the body has a higher rank than another.
-func (c *claim) after(o *claim, now time.Time, usual int64) bool {
+func (c *allocation) after(o *allocation, now time.Time, usual int64) bool {
 	return cmp.Or(c.rank(now, usual).Compare(o.rank(now, usual)), cmp.Compare(c.id, o.id)) > 0
 }
--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -31,8 +31,11 @@
 	// startPart is the part of the limit that is kept for the starts of bodies, as a divisor. Small
 	// bodies find room there while large ones fill the rest.
 	startPart = 8
-	// waitPart is the part of the limit that is kept for bodies that wait, as a divisor.
-	waitPart = 16
+	// largeStartPart is the part of these starts that those of large bodies may take.
+	largeStartPart = 2
+	// waitPart is the part of the limit that is kept for bodies that wait, as a divisor. If more of
+	// them waited, their unread bytes would take the room that they wait for.
+	waitPart = 12
 	// connPart is the part of the limit that connections may take, as a divisor.
 	connPart = 2
 )
@@ -106,24 +109,26 @@
 
 // Budget divides memory. It isn't safe for concurrent use.
 type Budget struct {
-	cfg      Config
-	claims   map[ID]*claim
-	lastID   ID
-	held     int64 // bytes of bodies
-	starts   int64 // bytes of bodies without a reservation
-	reserved int64 // bytes that bodies may still receive by their reservations
-	buffered int64 // bytes of responses
-	conns    int64 // connections
-	waiting  int64 // bodies
-	usual    int64 // size in bytes of bodies of unknown length, by the complete ones
-	planned  time.Time
-	pending  []Decision // for the next Plan
-	releases releaseRate
+	cfg         Config
+	allocations map[ID]*allocation
+	callers     map[string]*callerUse // of callers with large bodies
+	lastID      ID
+	held        int64 // bytes of bodies
+	starts      int64 // bytes of bodies without a reservation
+	larges      int64 // of these, bytes of large bodies
+	reserved    int64 // bytes that bodies may still receive by their reservations
+	buffered    int64 // bytes of responses
+	conns       int64 // connections
+	waiting     int64 // bodies
+	usual       int64 // size in bytes of bodies of unknown length, by the complete ones
+	planned     time.Time
+	pending     []Decision // for the next Plan
+	releases    releaseRate
 }
 
 // New returns a Budget without any use.
 func New(cfg Config) *Budget {
-	return &Budget{cfg: cfg, claims: make(map[ID]*claim), usual: cfg.Limit / firstUsual}
+	return &Budget{cfg: cfg, allocations: make(map[ID]*allocation), callers: make(map[string]*callerUse), usual: cfg.Limit / firstUsual}
 }
 
 // Usage is the current use of a Budget.
@@ -148,10 +153,15 @@
 // unreserved returns the bytes that are neither used, nor reserved, nor kept for the starts of
 // bodies and for those that wait.
 func (b *Budget) unreserved() int64 {
-	kept := max(b.cfg.Limit/startPart-b.starts, 0) + max(b.cfg.Limit/waitPart-b.waiting*b.cfg.WaitCharge, 0)
+	kept := max(b.cfg.Limit/startPart-b.starts, 0) + b.cfg.Limit/waitPart - b.waiting*b.cfg.WaitCharge
 	return b.cfg.Limit - b.used() - b.reserved - kept
 }
 
+// reservable returns the bytes of the limit that may be reserved at all.
+func (b *Budget) reservable() int64 {
+	return b.cfg.Limit - b.cfg.Limit/startPart - b.cfg.Limit/waitPart
+}
+
 // Buffer charges bytes of a response, if there is room. Return gives them back.
 func (b *Budget) Buffer(bytes int64) bool {
 	if bytes > b.unreserved() {
@@ -185,30 +195,32 @@
 
 // Open adds a body. It is refused if it can never be held.
 func (b *Budget) Open(now time.Time, body Body) Decision {
-	if body.Length > b.cfg.Limit-b.cfg.Limit/startPart-b.cfg.Limit/waitPart {
+	if body.Length > b.reservable() {
 		return Decision{Verdict: Refuse}
 	}
 	b.lastID++
-	b.claims[b.lastID] = &claim{Body: body, id: b.lastID, opened: now}
+	c := &allocation{Body: body, id: b.lastID, opened: now}
+	b.allocations[b.lastID] = c
+	b.addCaller(c)
 	return Decision{ID: b.lastID, Verdict: Grant}
 }
 
 // Extend asks for room for further bytes of a body, which has received all bytes that it got room
 // for before. After Wait, Plan decides.
 func (b *Budget) Extend(now time.Time, id ID, bytes int64) Decision {
-	c := b.claims[id]
+	c := b.allocations[id]
 	if c == nil {
 		return Decision{ID: id, Verdict: Refuse}
 	}
 	c.pause(now)
 	switch {
-	case c.reserved == 0 && c.held+bytes <= b.cfg.Start && b.starts+bytes <= b.cfg.Limit/startPart && bytes <= b.cfg.Limit-b.used()-b.reserved:
-		c.start += bytes
-		b.starts += bytes
+	case c.reserved == 0 && b.startFits(c, bytes):
+		b.addStart(c, bytes)
 		b.give(now, c, bytes)
 	case bytes <= c.reserved:
 		c.reserved -= bytes
 		b.reserved -= bytes
+		b.use(c, -bytes)
 		b.give(now, c, bytes)
 	default:
 		return b.compete(now, c, bytes)
@@ -217,7 +229,7 @@
 }
 
 // compete reserves room for the rest of a body, or lets it wait.
-func (b *Budget) compete(now time.Time, c *claim, bytes int64) Decision {
+func (b *Budget) compete(now time.Time, c *allocation, bytes int64) Decision {
 	b.unreserve(c)
 	c.asked = bytes
 	if c.Length < 0 && c.held >= b.usual {
@@ -227,8 +239,8 @@
 		b.reserve(c, need)
 		return b.Extend(now, c.id, bytes)
 	}
-	if b.cfg.WaitCharge > b.cfg.Limit-b.used()-b.reserved {
-		last := b.lastOf(now, func(o *claim) bool { return o == c || o.waiting })
+	if (b.waiting+1)*b.cfg.WaitCharge > b.cfg.Limit/waitPart {
+		last := b.lastWaiting(now, c)
 		d := b.refuse(now, last, Full)
 		if last == c {
 			return d
@@ -240,26 +252,47 @@
 	return Decision{ID: c.id, Verdict: Wait}
 }
 
+// startFits reports whether a body may hold further bytes without a reservation.
+func (b *Budget) startFits(c *allocation, bytes int64) bool {
+	starts := b.cfg.Limit / startPart
+	switch {
+	case c.held+bytes > b.cfg.Start, b.starts+bytes > starts, bytes > b.cfg.Limit-b.used()-b.reserved:
+		return false
+	}
+	return !c.large(b.cfg.Start) || b.larges+bytes <= starts/largeStartPart
+}
+
+// addStart counts bytes that a body holds without a reservation; a negative number ends that.
+func (b *Budget) addStart(c *allocation, bytes int64) {
+	c.start += bytes
+	b.starts += bytes
+	if c.large(b.cfg.Start) {
+		b.larges += bytes
+	}
+}
+
 // give lets a body hold further bytes.
-func (b *Budget) give(now time.Time, c *claim, bytes int64) {
+func (b *Budget) give(now time.Time, c *allocation, bytes int64) {
 	c.held += bytes
 	b.held += bytes
+	b.use(c, bytes)
 	c.resume(now)
 }
 
-func (b *Budget) reserve(c *claim, bytes int64) {
+func (b *Budget) reserve(c *allocation, bytes int64) {
 	c.reserved = bytes
 	b.reserved += bytes
-	b.starts -= c.start
-	c.start = 0
+	b.use(c, bytes)
+	b.addStart(c, -c.start)
 }
 
-func (b *Budget) unreserve(c *claim) {
+func (b *Budget) unreserve(c *allocation) {
 	b.reserved -= c.reserved
+	b.use(c, -c.reserved)
 	c.reserved = 0
 }
 
-func (b *Budget) stopWaiting(c *claim) {
+func (b *Budget) stopWaiting(c *allocation) {
 	if c.waiting {
 		c.waiting = false
 		b.waiting--
@@ -268,7 +301,7 @@
 
 // Complete notes that a body has been received. It stays held until Close.
 func (b *Budget) Complete(id ID) {
-	if c := b.claims[id]; c != nil {
+	if c := b.allocations[id]; c != nil {
 		b.unreserve(c)
 		c.complete = true
 		if c.Length < 0 && c.held > b.cfg.Start {
@@ -279,20 +312,21 @@
 
 // Close ends the charge of a body.
 func (b *Budget) Close(now time.Time, id ID) {
-	c := b.claims[id]
+	c := b.allocations[id]
 	if c == nil {
 		return
 	}
 	b.unreserve(c)
 	b.stopWaiting(c)
 	b.held -= c.held
-	b.starts -= c.start
+	b.removeCaller(c)
+	b.addStart(c, -c.start)
 	b.releases.add(now, c.held)
-	delete(b.claims, id)
+	delete(b.allocations, id)
 }
 
 // refuse ends a body that can't be held.
-func (b *Budget) refuse(now time.Time, c *claim, cause Cause) Decision {
+func (b *Budget) refuse(now time.Time, c *allocation, cause Cause) Decision {
 	d := Decision{ID: c.id, Verdict: Refuse, Cause: cause, RetryAfter: b.retryAfter(now, c)}
 	b.Close(now, c.id)
 	return d
--- a/pkg/memory/plan.go
+++ b/pkg/memory/plan.go
@@ -15,7 +15,7 @@
 
 // competitor is a body that waits or has a reservation, as seen by one plan.
 type competitor struct {
-	*claim
+	*allocation
 	rank time.Time
 	need int64
 	kept bool // it keeps its reservation
@@ -34,18 +34,18 @@
 	room := b.unreserved() + b.reserved
 	reserved, blocked := b.choose(list, room)
 	for _, c := range list {
-		b.unreserve(c.claim)
+		b.unreserve(c.allocation)
 	}
 	for _, c := range reserved {
-		b.reserve(c.claim, c.need)
+		b.reserve(c.allocation, c.need)
 		if c.waiting {
-			b.stopWaiting(c.claim)
+			b.stopWaiting(c.allocation)
 			decisions = append(decisions, b.Extend(now, c.id, c.asked))
 		}
 	}
 	for _, c := range list {
 		if c.waiting && c.late(now) {
-			decisions = append(decisions, b.refuse(now, c.claim, Late))
+			decisions = append(decisions, b.refuse(now, c.allocation, Late))
 		}
 	}
 	return append(decisions, b.evict(now, list, blocked)...)
@@ -54,7 +54,7 @@
 // competitors returns the bodies that wait or have a reservation: first those that keep theirs, as
 // their callers send fast enough, then by their ranks.
 func (b *Budget) competitors(now time.Time) (list []competitor) {
-	for _, c := range b.claims {
+	for _, c := range b.allocations {
 		if c.waiting || c.reserved > 0 {
 			kept := c.reserved > 0 && !c.hopeless(now, b.usual)
 			list = append(list, competitor{c, c.rank(now, b.usual), c.need(b.usual), kept})
@@ -75,15 +75,16 @@
 // choose returns the bodies that get a reservation of the room, and the first one that doesn't fit.
 // Bodies of callers that have more than an equal share come last. Those behind one that doesn't fit
 // wait too, so that a large body isn't passed over for ever.
-func (b *Budget) choose(list []competitor, room int64) (chosen []competitor, blocked *claim) {
-	use := make(map[string]int64)
-	for _, c := range b.claims {
-		use[c.Caller] += c.held
+func (b *Budget) choose(list []competitor, room int64) (chosen []competitor, blocked *allocation) {
+	share, use := b.share(), make(map[string]int64)
+	for _, c := range list {
+		if u := b.callers[c.Caller]; u != nil {
+			use[c.Caller] = u.bytes
+		}
 	}
 	for _, c := range list {
-		use[c.Caller] += 0
+		use[c.Caller] -= c.reserved // divided anew
 	}
-	share := b.cfg.Limit / int64(max(len(use), 1))
 	var beyond []competitor
 	for _, pass := range []*[]competitor{&list, &beyond} {
 		for _, c := range *pass {
@@ -95,7 +96,7 @@
 				continue
 			}
 			if !c.kept && c.need > room {
-				return chosen, c.claim
+				return chosen, c.allocation
 			}
 			room -= c.need
 			use[c.Caller] += c.need
@@ -106,7 +107,7 @@
 }
 
 // evict refuses bodies in favour of the blocked one.
-func (b *Budget) evict(now time.Time, list []competitor, blocked *claim) (decisions []Decision) {
+func (b *Budget) evict(now time.Time, list []competitor, blocked *allocation) (decisions []Decision) {
 	if blocked == nil || !blocked.waiting {
 		return nil
 	}
@@ -117,7 +118,7 @@
 		return nil
 	}
 	for lacking := blocked.need(b.usual) - b.unreserved(); lacking > 0; {
-		slow := b.lastOf(now, func(c *claim) bool { return c.slow(now, b.usual) })
+		slow := b.lastOf(now, func(c *allocation) bool { return c.slow(now, b.usual) })
 		if slow == nil {
 			break
 		}
@@ -141,7 +142,7 @@
 			lacking -= c.need
 			if c.held > b.cfg.Start {
 				lacking -= c.held
-				decisions = append(decisions, b.refuse(now, c.claim, Blocked))
+				decisions = append(decisions, b.refuse(now, c.allocation, Blocked))
 			}
 		}
 	}
@@ -150,7 +151,7 @@
 
 // anyUnderWay reports whether a body can be completed or is about to be released.
 func (b *Budget) anyUnderWay(now time.Time) bool {
-	for _, c := range b.claims {
+	for _, c := range b.allocations {
 		if c.complete || c.reserved > 0 || c.reading && !c.hopeless(now, b.usual) {
 			return true
 		}
@@ -159,8 +160,8 @@
 }
 
 // lastOf returns the body of the highest rank among those that are included; nil if none is.
-func (b *Budget) lastOf(now time.Time, include func(*claim) bool) (last *claim) {
-	for _, c := range b.claims {
+func (b *Budget) lastOf(now time.Time, include func(*allocation) bool) (last *allocation) {
+	for _, c := range b.allocations {
 		if !c.complete && include(c) && (last == nil || c.after(last, now, b.usual)) {
 			last = c
 		}
--- a/pkg/memory/release.go
+++ b/pkg/memory/release.go
@@ -33,7 +33,7 @@
 )
 
 // retryAfter estimates how long the room that a body needs takes to become free.
-func (b *Budget) retryAfter(now time.Time, c *claim) time.Duration {
+func (b *Budget) retryAfter(now time.Time, c *allocation) time.Duration {
 	b.releases.decay(now)
 	perSecond := b.releases.bytes / releaseWindow.Seconds()
 	if perSecond <= 0 {
