gateway: TestClientsThatDontBehave plays clients outside the limits against processes

It watches anonymous memory, unread bytes in the kernel and descriptors, kills a process that passes memoryMb, and sends single requests at each limit afterwards. Flags play all listeners, all cores and the users' VMs.

hashTarget sent an empty request ID with its health checks, so gateways didn't believe them.

--- a/gateway_proof_test.go
+++ b/gateway_proof_test.go
@@ -33,7 +33,10 @@
 	workers  []*worker.Worker
 	gateways []*gatewayProcess
 	version  int
-	memoryMB int // memory of the gateways in their settings; 0 for none
+	memoryMB int      // memory of the gateways in their settings; 0 for none
+	maxFds   int      // descriptors of the gateways in their settings; 0 for none
+	bounds   string   // further bounds of the gateways' settings
+	env      []string // further variables of the gateways' environment
 }
 
 // gatewayProcess is one gateway process, whose output goes to a file.
@@ -81,8 +84,8 @@
 ip: "%[2]s"
 listen: {front: "%[2]s:8548", ready: "%[2]s:8542", directory: "%[2]s:8546"}
 internalPorts: [7540, 7555]
-limits: {cpuShare: 1, memoryMb: %[5]d}
-bounds: ["grace=%[3]s"]
+limits: {cpuShare: 1, memoryMb: %[5]d, maxFds: %[6]d}
+bounds: ["grace=%[3]s"%[7]s]
 platform: {address: "%[4]s"}
 `
 
@@ -106,12 +109,12 @@
 }
 
 func (s *gatewaySite) writeSettings(g *gatewayProcess, grace string) {
-	text := fmt.Sprintf(bootSettings, g.name, g.ip, grace, s.url, s.memoryMB)
+	text := fmt.Sprintf(bootSettings, g.name, g.ip, grace, s.url, s.memoryMB, s.maxFds, s.bounds)
 	s.q.Assert(os.WriteFile(g.boot, []byte(text), 0o600), qt.IsNil)
 }
 
 func (s *gatewaySite) run(g *gatewayProcess, program string, out *os.File) {
-	s.runWith(g, exec.Command(program, "gateway", "--metrics", "9464"), out)
+	s.runWith(g, exec.Command(program, "gateway", "--metrics", "9464"), out, s.env...)
 }
 
 // runWith starts a gateway by the given command, with further variables of the environment.
--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -38,6 +38,8 @@
 
 // Store is the fake store. It is an http.Handler.
 type Store struct {
+	BodyLimit int64 // bytes of a body in configurations that are put; 0 for DefaultBodyLimit
+
 	mu             sync.Mutex
 	objects        map[string]map[string]Object
 	history        []event
--- a/internal/standin/objects/records.go
+++ b/internal/standin/objects/records.go
@@ -1,6 +1,7 @@
 package objects
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -99,6 +100,9 @@
 // EndEvacuation removes the evacuation of a failure domain.
 func (s *Store) EndEvacuation(place string) { s.Delete("evacuations", place) }
 
+// DefaultBodyLimit is the size of the largest bodies in bytes unless Store.BodyLimit is set.
+const DefaultBodyLimit = 1 << 20
+
 // PutConfig writes a configuration with these routes and services, and without accounts.
 func (s *Store) PutConfig(version int, routes []Route, services []string) {
 	s.PutAccountConfig(version, routes, services, nil)
@@ -121,7 +125,7 @@
 	}
 	config := map[string]any{
 		"version": "r" + strconv.Itoa(version), "routes": routeRecords, "services": serviceRecords,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3s", "idleTimeout": "15s"},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": cmp.Or(s.BodyLimit, DefaultBodyLimit), "headerTimeout": "3s", "idleTimeout": "15s"},
 	}
 	if accounts != nil {
 		config["tenants"] = accountRecords(accounts)
--- a/memory_proof_test.go
+++ b/memory_proof_test.go
@@ -77,7 +77,9 @@
 		w.Header().Set("Plumpitch-Server-Load", "0,0,2,100")
 		w.Header().Set("Plumpitch-Instance-Id", id)
 		w.Header().Set("Plumpitch-Response-Signature", "signed")
-		w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+		if request := r.Header.Get(platform.HeaderRequestID); request != "" { // none in a health check
+			w.Header().Set(platform.HeaderRequestID, request)
+		}
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = w.Write(body)
 	}
--- a/process_test.go
+++ b/process_test.go
@@ -48,6 +48,9 @@
 }
 
 func TestMain(m *testing.M) {
+	if attack() {
+		return
+	}
 	code := m.Run()
 	if buildPath != "" {
 		os.RemoveAll(filepath.Dir(buildPath))
