--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -23,8 +23,8 @@
 	Start int64
 	// WaitCharge is how many bytes may arrive unread on the connection of a body that waits.
 	WaitCharge int64
-	// ConnCharge is how many bytes a connection takes without a body.
-	ConnCharge int64
+	// Conns is how many bytes are kept for connections and heads, beside Limit.
+	Conns int64
 }
 
 const (
@@ -36,8 +36,9 @@
 	// waitPart is the part of the limit that is kept for bodies that wait, as a divisor. If more of
 	// them waited, their unread bytes would take the room that they wait for.
 	waitPart = 12
-	// connPart is the part of the limit that connections may take, as a divisor.
-	connPart = 2
+	// connPart is the part of the limit that connections and heads may take beside what is kept for
+	// them, while there is room, as a divisor.
+	connPart = 4
 )
 
 // Estimate of the size of bodies whose length is unknown.
@@ -118,7 +119,7 @@
 	larges      int64 // of these, bytes of large bodies
 	reserved    int64 // bytes that bodies may still receive by their reservations
 	buffered    int64 // bytes of responses
-	conns       int64 // connections
+	conns       int64 // bytes of connections and heads
 	waiting     int64 // bodies
 	usual       int64 // size in bytes of bodies of unknown length, by the complete ones
 	planned     time.Time
@@ -136,7 +137,7 @@
 	Limit    int64 // bytes
 	Held     int64 // bytes of bodies and responses
 	Waiting  int64 // bodies that wait
-	Conns    int64 // connections
+	Conns    int64 // bytes of connections and heads
 	Reserved int64 // bytes that are kept for bodies under way
 }
 
@@ -147,7 +148,7 @@
 
 // used returns the bytes that are charged, without reservations.
 func (b *Budget) used() int64 {
-	return b.held + b.buffered + b.conns*b.cfg.ConnCharge + b.waiting*b.cfg.WaitCharge
+	return b.held + b.buffered + max(b.conns-b.cfg.Conns, 0) + b.waiting*b.cfg.WaitCharge
 }
 
 // unreserved returns the bytes that are neither used, nor reserved, nor kept for the starts of
@@ -177,20 +178,24 @@
 	b.releases.add(now, bytes)
 }
 
-// Connect charges a connection, if all of them take no more than their part. Bodies don't keep
-// connections out: while they fill the limit, new connections exceed it, and bodies get less from
-// then on. Disconnect ends the charge.
-func (b *Budget) Connect() bool {
-	if (b.conns+1)*b.cfg.ConnCharge > b.cfg.Limit/connPart {
+// Charge charges bytes of connections and heads, if there is room: in what is kept for them, and
+// then in a part of the limit that nothing else needs. Release ends the charge.
+func (b *Budget) Charge(bytes int64) bool {
+	beyond := b.conns + bytes - b.cfg.Conns
+	if beyond > b.cfg.Limit/connPart || min(beyond, bytes) > max(b.unreserved(), 0) {
 		return false
 	}
-	b.conns++
+	b.conns += bytes
 	return true
 }
 
-// Disconnect ends the charge of a connection.
-func (b *Budget) Disconnect() {
-	b.conns--
+// Release ends the charge of bytes of connections and heads.
+func (b *Budget) Release(now time.Time, bytes int64) {
+	beyond := max(b.conns-b.cfg.Conns, 0)
+	b.conns -= bytes
+	if freed := beyond - max(b.conns-b.cfg.Conns, 0); freed > 0 {
+		b.releases.add(now, freed)
+	}
 }
 
 // Open adds a body. It is refused if it can never be held.
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -57,6 +57,7 @@
 type Limits struct {
 	MaxHeaderBytes int           // 0 if unknown
 	MaxBodyBytes   int64         // 0 if unknown
+	HeaderTimeout  time.Duration // for sending a request head; 0 for none
 	IdleTimeout    time.Duration // callers reuse connections for up to four fifths of it; 0 for none
 }
 
