callers, gateway, relay: every listener serves by one server, within the budget

What callers saw: gateways ended by heads of short fields, unread bytes and crowds; callers, checks and look-ups not served beside crowds that hold connections.

Cause: two servers at the front and net/http's defaults at the others; nothing charged a head while it is read or parsed, unread bytes of idle connections could be 128 KiB each, and connections were admitted by number, past maxFds, in the order in which they came.

Change: internal/callers serves all listeners (front with and without accounts, ready, directory, metrics, entries) and asks a Guard before it holds a head (raw bytes and lines, as they are read and as they are parsed), passes a request on or goes on reading. internal/gateway implements it by pkg/admission, with descriptors from maxFds. Listeners have receive buffers of 16 KiB, as shrinking an accepted connection's buffer stalled a body of 8 MiB for 2.4 s. Heads may take headerTimeout of the configuration, and idle connections at all listeners idleTimeout. The heap's limit is 0.75 of memoryMb.

Short fields and requests ahead still take the processor.

--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -56,6 +56,7 @@
 	q.conn.mu.Lock()
 	defer q.conn.mu.Unlock()
 	q.bodyRead = true
+	q.arrived = q.conn.lease.Complete()
 	q.conn.changed.Broadcast()
 }
 
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -26,6 +26,7 @@
 type conn struct {
 	server *Server
 	rwc    net.Conn
+	lease  Lease
 	raw    syscall.RawConn // nil if rwc has no descriptor
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -34,6 +35,9 @@
 	in       input         // used by the reading goroutine or by the handler that reads a body
 	br       *bufio.Reader // reads from in; nil while it is empty and no request is being read
 	lastPost bool          // the latest request was a POST
+	head     headSize      // charged for the head that is being read
+
+	maxRequests int
 
 	writeDeadline time.Time // used by the response whose turn it is
 
@@ -51,7 +55,10 @@
 }
 
 func newConn(s *Server, rwc net.Conn) *conn {
-	c := &conn{server: s, rwc: rwc, remote: rwc.RemoteAddr().String()}
+	c := &conn{server: s, rwc: rwc, remote: rwc.RemoteAddr().String(), maxRequests: 1}
+	if f := s.cfg.Pipelines; f == nil || f() {
+		c.maxRequests = s.cfg.MaxRequests
+	}
 	c.changed.L = &c.mu
 	c.in.conn = c
 	if sc, ok := rwc.(syscall.Conn); ok {
@@ -81,6 +88,7 @@
 	}
 	r, err := c.readRequest()
 	if err != nil {
+		c.freeHead()
 		c.reject(err)
 		return false
 	}
@@ -105,7 +113,7 @@
 // hasRoom reports whether the bounds allow another request. The caller must hold c.mu.
 func (c *conn) hasRoom() bool {
 	cfg := &c.server.cfg
-	return len(c.active) == 0 || len(c.active) < cfg.MaxRequests && c.waiting <= cfg.MaxWaitingBytes
+	return len(c.active) == 0 || len(c.active) < c.maxRequests && c.waiting <= cfg.MaxWaitingBytes
 }
 
 // stopped reports whether no further handler may be started. The caller must hold c.mu.
@@ -125,9 +133,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.await(func() bool { return c.admits(q) || c.stopped() })
-	if c.stopped() {
+	if c.stopped() || !c.lease.Begin(q.body == nil) {
 		return false
 	}
+	q.arrived = q.body == nil
 	if q.body != nil {
 		c.setReadTimeout(c.server.cfg.ReadTimeout)
 	}
@@ -153,6 +162,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q.finished = true
+	c.lease.End(q.arrived, q.served())
+	c.lease.Free(q.head.bytes, q.head.lines)
 	if i := slices.Index(c.active, q); i >= 0 {
 		c.active = slices.Delete(c.active, i, i+1)
 	}
@@ -295,7 +306,9 @@
 			c.writeDeadline = now.Add(limit)
 			_ = c.rwc.SetWriteDeadline(c.writeDeadline)
 		}
+		c.lease.Write()
 		m, err := c.rwc.Write(p[n:])
+		c.lease.Written()
 		n += m
 		if err == nil {
 			return n, nil
--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -27,8 +28,9 @@
 	conn    *conn
 	start   [startSize]byte
 	ahead   []byte // part of start that has been read from the connection, but not from input
-	limited bool
+	limited bool   // a head is being read
 	remain  int
+	total   int // bytes read
 }
 
 // startSize is how many bytes the wait for a request reads, so that most requests need one
@@ -50,6 +52,11 @@
 		n, err = i.conn.rwc.Read(p)
 	}
 	i.remain -= n
+	i.total += n
+	if i.limited && !i.conn.chargeHead(p[:n]) {
+		return 0, errNoMemory
+	}
+	i.conn.pause(i.conn.lease.Work(n, 0))
 	if err != nil && !isTimeout(err) {
 		i.conn.leave()
 	}
@@ -76,11 +83,17 @@
 type statusError struct {
 	status int
 	text   string
+	header string // further header lines
 }
 
 func (e *statusError) Error() string { return fmt.Sprintf("%d %s", e.status, e.text) }
 
-func malformed(text string) error { return &statusError{http.StatusBadRequest, text} }
+// errNoMemory is a head that may not be held.
+var errNoMemory = &statusError{status: http.StatusServiceUnavailable, header: "Retry-After: 1\r\n"}
+
+func countLines(p []byte) int { return bytes.Count(p, []byte{'\n'}) }
+
+func malformed(text string) error { return &statusError{status: http.StatusBadRequest, text: text} }
 
 // readRequest reads the head of a request. The error is a statusError if it is to be answered.
 func (c *conn) readRequest() (*http.Request, error) {
@@ -90,9 +103,12 @@
 	if c.lastPost {
 		c.skipLineBreaks()
 	}
+	begin := c.in.total - c.br.Buffered()
 	r, err := http.ReadRequest(c.br)
 	switch {
 	case err == nil:
+	case errors.Is(err, errNoMemory):
+		return nil, errNoMemory
 	case c.in.remain <= 0:
 		return nil, &statusError{status: http.StatusRequestHeaderFieldsTooLarge}
 	case errors.Is(err, io.EOF) || errors.As(err, new(*net.OpError)):
@@ -104,16 +120,32 @@
 		return nil, malformed("")
 	}
 	c.lastPost = r.Method == http.MethodPost
+	size := headSize{c.in.total - c.br.Buffered() - begin, len(r.Header)}
+	for _, values := range r.Header {
+		size.lines += len(values) - 1
+	}
+	if !c.settleHead(size) {
+		return nil, errNoMemory
+	}
+	c.pause(c.lease.Work(0, size.lines))
 	return r, checkRequest(r)
 }
 
 // beginHead starts the time and the bound of a head. A response that closes the connection
 // interrupts the reading.
 func (c *conn) beginHead() {
-	c.in.limited, c.in.remain = true, c.server.cfg.MaxHeaderBytes+headSlop
+	limit := valueOf(c.server.cfg.MaxHeaderBytes)
+	if limit <= 0 {
+		limit = http.DefaultMaxHeaderBytes
+	}
+	c.in.limited, c.in.remain = true, 2*limit+headSlop
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.setReadTimeout(c.server.cfg.HeaderTimeout)
+	timeout := valueOf(c.server.cfg.HeaderTimeout)
+	if timeout <= 0 {
+		timeout = c.server.cfg.ReadTimeout
+	}
+	c.setReadTimeout(timeout)
 	c.reader = readerHead
 	if c.closing {
 		c.interrupt()
@@ -141,7 +173,7 @@
 // checkRequest checks what http.ReadRequest doesn't.
 func checkRequest(r *http.Request) error {
 	if r.ProtoMajor != 1 {
-		return &statusError{http.StatusHTTPVersionNotSupported, "unsupported protocol version"}
+		return &statusError{status: http.StatusHTTPVersionNotSupported, text: "unsupported protocol version"}
 	}
 	if r.Host == "" && r.ProtoAtLeast(1, 1) && r.Method != http.MethodConnect {
 		return malformed("missing required Host header")
@@ -216,7 +248,7 @@
 		if e.text != "" {
 			text += ": " + e.text
 		}
-		fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", text, len(text), text)
+		fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", text, e.header, len(text), text)
 	}
 	c.finish(q)
 }
--- a/internal/callers/response.go
+++ b/internal/callers/response.go
@@ -29,6 +29,9 @@
 	cancel     context.CancelFunc
 	concurrent bool
 	wantsClose bool // the request asks to close the connection
+	head       headSize
+	arrived    bool  // the request has arrived with its body; guarded by conn.mu
+	forServed  *bool // set by SetServed
 
 	bodyRead, finished, dead bool // guarded by conn.mu; dead: may not be sent
 
@@ -53,7 +56,8 @@
 }
 
 func newResponse(c *conn, r *http.Request) *response {
-	q := &response{conn: c, length: -1, header: make(http.Header), wantsClose: r.Close}
+	q := &response{conn: c, length: -1, header: make(http.Header), wantsClose: r.Close, head: c.head}
+	c.head = headSize{}
 	ctx, cancel := context.WithCancel(c.ctx)
 	q.cancel = cancel
 	q.req = r.WithContext(ctx)
@@ -108,6 +112,36 @@
 	}
 }
 
+// Response is what a handler may know and say of a request beside http.ResponseWriter.
+type Response interface {
+	// HeaderBytes returns the size of the header lines as they were sent.
+	HeaderBytes() int
+	// SetServed says whether the request was of use to its caller. Without it, responses with a
+	// status from 400 to 499 are of no use.
+	SetServed(served bool)
+}
+
+// HeaderBytes implements Response.
+func (q *response) HeaderBytes() int {
+	const spacesAndBreaks = 6 // of the request line, and the line break of the empty line
+	r := q.req
+	return q.head.bytes - len(r.Method) - len(r.RequestURI) - len(r.Proto) - spacesAndBreaks
+}
+
+// SetServed implements Response.
+func (q *response) SetServed(served bool) { q.forServed = &served }
+
+// served reports whether the request was of use to its caller.
+func (q *response) served() bool {
+	switch {
+	case q.err != nil || !q.ended:
+		return false
+	case q.forServed != nil:
+		return *q.forServed
+	}
+	return q.status < http.StatusBadRequest || q.status >= http.StatusInternalServerError
+}
+
 // release returns the buffers.
 func (q *response) release() {
 	q.mu.Lock()
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -23,7 +23,9 @@
 	// ConnContext returns the context of the requests of a connection; nil means ctx.
 	ConnContext func(ctx context.Context, c net.Conn) context.Context
 
-	HeaderTimeout time.Duration // for reading a request head, from its first byte; 0 means ReadTimeout
+	// HeaderTimeout returns the time for reading a request head, from its first byte. Nil or 0 means
+	// ReadTimeout.
+	HeaderTimeout func() time.Duration
 	// ReadTimeout bounds the reading of a body, from the time at which the request is served,
 	// so that a request that waits for its turn doesn't use it up; 0 means none.
 	ReadTimeout time.Duration
@@ -31,11 +33,18 @@
 	// at each start of that time and must not block; nil or 0 means that there is no limit.
 	IdleTimeout func() time.Duration
 
-	MaxHeaderBytes  int // of a request head; 0 means http.DefaultMaxHeaderBytes
-	MaxRequests     int // requests of one connection that are under way; 0 means 1
+	// MaxHeaderBytes returns the bound of the request line, and of the header lines. Nil or 0 means
+	// http.DefaultMaxHeaderBytes. A head of up to twice the bound is read, so that the handler can
+	// tell its caller; see Response.
+	MaxHeaderBytes func() int
+	MaxRequests    int // requests of one connection that are under way; 0 means 1
+	// Pipelines reports whether a new connection may have MaxRequests under way, and not just one;
+	// nil means that it may.
+	Pipelines       func() bool
 	MaxWaitingBytes int // bytes of responses of one connection that wait for earlier ones
 
-	Log log.Interface // nil means log.Log
+	Guard Guard         // nil admits everything
+	Log   log.Interface // nil means log.Log
 }
 
 // writeTimeout is how long a write may make no progress before its connection is closed. It
@@ -57,12 +66,9 @@
 
 // New returns a server.
 func New(cfg Config) *Server {
-	if cfg.MaxHeaderBytes <= 0 {
-		cfg.MaxHeaderBytes = http.DefaultMaxHeaderBytes
-	}
 	cfg.MaxRequests = max(cfg.MaxRequests, 1)
-	if cfg.HeaderTimeout <= 0 {
-		cfg.HeaderTimeout = cfg.ReadTimeout
+	if cfg.Guard == nil {
+		cfg.Guard = unguarded{}
 	}
 	if cfg.Log == nil {
 		cfg.Log = log.Log
@@ -93,7 +99,9 @@
 		switch {
 		case err == nil:
 			delay = minAcceptDelay
-			go s.serve(s.add(rwc))
+			if c := s.add(rwc); c != nil {
+				go s.serve(c)
+			}
 		case s.down.Load():
 			return http.ErrServerClosed
 		case isTemporary(err):
@@ -117,7 +125,11 @@
 }
 
 // ServeConn serves one connection until it ends.
-func (s *Server) ServeConn(rwc net.Conn) { s.serve(s.add(rwc)) }
+func (s *Server) ServeConn(rwc net.Conn) {
+	if c := s.add(rwc); c != nil {
+		s.serve(c)
+	}
+}
 
 func (s *Server) serve(c *conn) {
 	defer s.remove(c)
@@ -140,9 +152,16 @@
 	delete(s.listeners, l)
 }
 
-// add registers a connection, so that Shutdown waits for it.
+// add registers a connection, so that Shutdown waits for it. It closes one that isn't admitted, and
+// returns nil.
 func (s *Server) add(rwc net.Conn) *conn {
 	c := newConn(s, rwc)
+	host, _, _ := net.SplitHostPort(c.remote)
+	if c.lease = s.cfg.Guard.Connect(host, c.fail); c.lease == nil {
+		c.cancel()
+		rwc.Close()
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
@@ -153,6 +172,7 @@
 }
 
 func (s *Server) remove(c *conn) {
+	c.lease.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
--- a/internal/callers/wait.go
+++ b/internal/callers/wait.go
@@ -19,11 +19,16 @@
 
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
-func (c *conn) idleTimeout() time.Duration {
-	if f := c.server.cfg.IdleTimeout; f != nil {
-		return f()
+// valueOf returns the value of a setting that may change; 0 if it isn't set.
+func valueOf[T any](setting func() T) (value T) {
+	if setting != nil {
+		return setting()
 	}
-	return 0
+	return value
+}
+
+func (c *conn) idleTimeout() time.Duration {
+	return valueOf(c.server.cfg.IdleTimeout)
 }
 
 // setReadTimeout sets the time from now at which reading fails; 0 means never. The caller
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -130,7 +130,7 @@
 		q.refuseUnread(ctl, func() { q.refuse("noservice", noConfigRetry) })
 		return false
 	}
-	held, err := q.gateway.memory.open(time.Now(), memory.Body{
+	held, err := q.gateway.guard.open(time.Now(), memory.Body{
 		Caller: q.callerName(), Length: q.r.ContentLength, Max: l.MaxBodyBytes, Deadline: q.deadline(),
 	}, func() { _ = ctl.SetReadDeadline(longAgo) })
 	if err == nil {
@@ -204,6 +204,7 @@
 		q.respond(http.StatusRequestEntityTooLarge, "toolong")
 	case errors.As(err, &noMemory):
 		q.noMemory = noMemory
+		q.setServed(false)
 		q.refuseUnread(ctl, func() { q.refuse(reasonNoMemory, noMemory.RetryAfter) })
 	case errors.Is(err, errWaitEnded) && !callerHungUp(q.r):
 		q.refuseUnread(ctl, func() { q.refuse(reasonNoMemory, noConfigRetry) })
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -12,26 +12,15 @@
 // callerConnKey is the context key of a request's connection.
 type callerConnKey struct{}
 
-// callerConn is the connection of a request.
-type callerConn struct {
-	net.Conn
-	pipelined bool // further requests may follow before the response
-}
-
 // withCallerConn stores a caller's connection in the context for callerClosed.
 func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, callerConn{c, false})
-}
-
-// withPipelinedConn does the same for a connection with several requests under way.
-func withPipelinedConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, callerConn{c, true})
+	return context.WithValue(ctx, callerConnKey{}, c)
 }
 
 // connOf returns the connection of a request; nil if it is unknown.
 func connOf(r *http.Request) net.Conn {
-	c, _ := r.Context().Value(callerConnKey{}).(callerConn)
-	return c.Conn
+	c, _ := r.Context().Value(callerConnKey{}).(net.Conn)
+	return c
 }
 
 // callerHungUp reports whether the caller of a request has closed its side, also behind a body that
@@ -57,28 +46,8 @@
 	if r.Context().Err() != nil {
 		return true
 	}
-	c, _ := r.Context().Value(callerConnKey{}).(callerConn)
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	check, closed := atEnd, false
-	if c.pipelined {
-		check = hungUp
-	}
-	err = raw.Control(func(fd uintptr) { closed = check(int(fd)) })
-	return closed || err != nil
-}
-
-// atEnd reports whether the caller has closed its side and nothing is left to read.
-func atEnd(fd int) bool {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n == 0 && err == nil
+	_, ok := connOf(r).(syscall.Conn)
+	return ok && callerHungUp(r)
 }
 
 // hungUp reports whether the caller has closed its side or reset the connection, also behind
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/internal/relay"
+	"plumpitch.example/plumpitch/pkg/admission"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/owner"
@@ -42,7 +43,7 @@
 	self    owner.Entry
 	store   *platform.Store
 	forward *forward.Forwarder
-	memory  *memoryGuard
+	guard   *guard
 	peers   *forward.Forwarder // to other entries
 	// passedOnActive is how many requests that other entries have passed on are being served.
 	passedOnActive atomic.Int64
@@ -92,9 +93,9 @@
 	defer func() { err = errors.WithMessage(err, "gateway "+cfg.Settings.Name) }()
 	s := cfg.Settings
 	i := newInstruments(s.Name)
-	room := newMemoryGuard(s.Memory, &i, cfg.Log)
+	room := newGuard(s, &i, cfg.Log)
 	g = &Gateway{
-		cfg: cfg, log: cfg.Log, started: time.Now(), initialized: make(chan struct{}), giveUp: make(chan struct{}), memory: room,
+		cfg: cfg, log: cfg.Log, started: time.Now(), initialized: make(chan struct{}), giveUp: make(chan struct{}), guard: room,
 		forward: forward.New(forward.Config{
 			EchoHeader: platform.HeaderRequestID, UnackedTimeout: targetAckTimeout, ConnectTimeout: targetConnectTimeout, IdleTimeout: targetIdleTimeout, MaxBufferedBytes: maxBufferedResponse,
 			Dial: cfg.DialTarget, IsRefusal: platform.NotRun, Buffers: room,
@@ -124,6 +125,7 @@
 		Source:  g.control, OnPacket: g.receivePacket, Log: g.log, OnRequest: http.HandlerFunc(g.servePassedOn),
 		Self:   func() member.ID { return *g.selfID.Load() },
 		OnSent: g.instruments.countSent, OnLost: func(packets int) { g.instruments.packetsLost.Inc(int64(packets)) }, ListenPacket: cfg.ListenPacket, Dial: cfg.Dial,
+		Listen: listen, Guard: g.guard.at(admission.Entries), MaxHeaderBytes: g.maxHeaderBytes,
 	}); err != nil {
 		g.closeListeners()
 		return nil, err
@@ -175,7 +177,7 @@
 		{"directory", &g.directoryListener, s.DirectoryAddress},
 		{"metrics", &g.metricsListener, net.JoinHostPort(s.IP, strconv.Itoa(cfg.MetricsPort))},
 	} {
-		if *l.listener, err = net.Listen("tcp", l.addr); err != nil {
+		if *l.listener, err = listen(l.addr); err != nil {
 			g.closeListeners()
 			return errors.WithMessage(err, l.name)
 		}
@@ -209,21 +211,19 @@
 	s.Add(newEvacuationReader(g))
 	supervisor := s.ServeBackground(traffic)
 	front := g.frontServer()
-	aux := &http.Server{Handler: g.auxHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerTimeout}
+	aux := g.auxHandler()
 	failed := make(chan error, 4)
-	pipelined := g.pipelinedServer()
-	go func() { failed <- front.Serve(g.splitListener(pipelined)) }()
-	go func() { failed <- aux.Serve(g.readyListener) }()
-	go func() { failed <- aux.Serve(g.directoryListener) }()
-	operator := &http.Server{Handler: g.operatorHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerTimeout}
-	go func() { failed <- operator.Serve(g.metricsListener) }()
+	go func() { failed <- front.Serve(g.frontListener) }()
+	go func() { failed <- g.auxServer(admission.Checks, aux).Serve(g.readyListener) }()
+	go func() { failed <- g.auxServer(admission.Lookups, aux).Serve(g.directoryListener) }()
+	go func() { failed <- g.auxServer(admission.Operators, g.operatorHandler()).Serve(g.metricsListener) }()
 	defer g.instruments.Close()
 	g.log.WithFields(log.Fields{
 		"front": g.self.CallerAddress, "peer": g.self.PeerAddress, "metrics": g.metricsListener.Addr().String(), "capacity": g.self.Capacity,
 	}).Info(logs.MessageStarted)
 	select {
 	case <-ctx.Done():
-		g.stop(front, pipelined)
+		g.stop(front)
 	case err = <-failed:
 		err = errors.WithMessage(err, "listener")
 	case err = <-supervisor:
@@ -233,18 +233,6 @@
 	return err
 }
 
-// frontServer returns the server for callers' requests.
-func (g *Gateway) frontServer() *http.Server {
-	idle := newIdleCloser()
-	return &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, ReadTimeout: callerTimeout, IdleTimeout: callerTimeout,
-		ConnContext: withCallerConn, ConnState: func(c net.Conn, s http.ConnState) {
-			idle.track(c, s, g.idleTimeout())
-			g.memory.trackConn(s)
-		},
-	}
-}
-
 // stopCause returns the log text for the reason of a stop.
 func stopCause(err error) string {
 	if err == nil {
@@ -252,12 +240,3 @@
 	}
 	return err.Error()
 }
-
-// Timeouts of callers' connections.
-const (
-	// headerTimeout bounds the reading of a request header.
-	headerTimeout = 10 * time.Second
-	// callerTimeout bounds an idle connection and the reading of a request. The
-	// configuration may set a shorter idle timeout.
-	callerTimeout = 2 * time.Minute
-)
--- /dev/null
+++ b/internal/gateway/guard.go
@@ -0,0 +1,240 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sys/unix"
+
+	"plumpitch.example/plumpitch/internal/callers"
+	"plumpitch.example/plumpitch/pkg/admission"
+)
+
+const (
+	// reservedFiles is how many descriptors the platform keeps for files.
+	reservedFiles = 200
+	// callerFiles is the part of the other descriptors that connections of callers may take. The rest
+	// is for connections to targets, other entries and the store.
+	callerFiles = 0.75
+	// unknownFiles is taken for the descriptors if the settings don't tell them.
+	unknownFiles = 1024
+	// idleReceiveBuffer bounds the unread bytes of a connection until a large body is read. The kernel
+	// doubles it for its own data and holds up to 24 KiB.
+	idleReceiveBuffer = 16 << 10
+	unreadCharge      = 24 << 10
+)
+
+// Charges of heads in bytes, for the raw and the parsed form.
+const (
+	headByteCharge = 2
+	headLineCharge = 400
+)
+
+// Charges of processor time, for one core of the usual kind.
+const (
+	connWork    = 50 * time.Microsecond // to accept and close a connection
+	readWork    = 5 * time.Microsecond
+	byteWork    = 5 * time.Nanosecond
+	requestWork = 50 * time.Microsecond
+	lineWork    = time.Microsecond
+)
+
+// maxConns returns how many connections of callers a VM may have.
+func maxConns(memory, files int64) int64 {
+	if files <= 0 {
+		files = unknownFiles
+	}
+	byFiles := int64(callerFiles * float64(max(files-reservedFiles, 0)))
+	return min(byFiles, int64(unreadShare*float64(memory))/unreadCharge)
+}
+
+// guardCounters count what a guard refuses.
+type guardCounters struct {
+	connsRefused func(class string) tally.Counter // connections that weren't admitted
+	connsEvicted func(class string) tally.Counter // connections that were closed for lack of room
+	headsRefused func(class string) tally.Counter // requests whose heads found no room
+	workDelayed  func(class string) tally.Counter // reads that were delayed
+}
+
+func newGuardCounters(scope tally.Scope) guardCounters {
+	count := func(name string) func(class string) tally.Counter {
+		return func(class string) tally.Counter { return scope.Tagged(map[string]string{"class": class}).Counter(name) }
+	}
+	return guardCounters{count("connections_refused"), count("connections_evicted"), count("heads_refused"), count("work_delayed")}
+}
+
+// at returns the guard of the connections of a class.
+func (m *guard) at(class admission.Class) callers.Guard { return classGuard{m, class} }
+
+// classGuard implements callers.Guard.
+type classGuard struct {
+	*guard
+	class admission.Class
+}
+
+// Connect implements callers.Guard.
+func (g classGuard) Connect(address string, evict func()) callers.Lease {
+	now := time.Now()
+	g.mu.Lock()
+	id, evicted := g.budget.Connect(now, g.class, address)
+	evicts := g.takeEvicted(now, evicted)
+	g.counters.connsEvicted(g.class.String()).Inc(int64(len(evicts)))
+	if id == 0 {
+		g.counters.connsRefused(g.class.String()).Inc(1)
+		g.logLack(now, "no room for a connection", g.class)
+	} else {
+		g.evicts[id] = evict
+		g.budget.Work(now, id, connWork)
+	}
+	g.mu.Unlock()
+	for _, evict := range evicts {
+		evict()
+	}
+	if id == 0 {
+		return nil
+	}
+	return lease{g, id}
+}
+
+// takeEvicted returns the functions that close evicted connections. The caller must hold m.mu.
+func (m *guard) takeEvicted(now time.Time, ids []admission.ID) (evicts []func()) {
+	for _, id := range ids {
+		evicts = append(evicts, m.evicts[id])
+		delete(m.evicts, id)
+	}
+	if len(ids) > 0 {
+		m.plan(now)
+	}
+	return evicts
+}
+
+// lackLogPeriod is the time between two log lines about connections for which there is no room.
+const lackLogPeriod = time.Second
+
+// logLack logs what was closed or refused for lack of room. The caller must hold m.mu.
+func (m *guard) logLack(now time.Time, message string, class admission.Class) {
+	if now.Sub(m.logged) < lackLogPeriod {
+		return
+	}
+	m.logged = now
+	u, bodies := m.budget.Usage(class), m.budget.Memory.Usage()
+	m.log.WithFields(log.Fields{
+		"class": class.String(), "connections": u.Conns, "bytes": u.Bytes, "held": bodies.Held, "limit": bodies.Limit,
+	}).Warn(message)
+}
+
+// lease implements callers.Lease.
+type lease struct {
+	classGuard
+	id admission.ID
+}
+
+// Work implements callers.Lease.
+func (l lease) Work(bytes, lines int) time.Duration {
+	cost := readWork + time.Duration(bytes)*byteWork
+	if lines > 0 {
+		cost = requestWork + time.Duration(lines)*lineWork
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delay := l.budget.Work(time.Now(), l.id, cost)
+	if delay > 0 {
+		l.counters.workDelayed(l.class.String()).Inc(1)
+	}
+	return delay
+}
+
+func headCharge(bytes, lines int) int64 { return int64(headByteCharge*bytes + headLineCharge*lines) }
+
+// Hold implements callers.Lease.
+func (l lease) Hold(bytes, lines int) bool {
+	now := time.Now()
+	l.mu.Lock()
+	evicted, ok := l.budget.Hold(now, l.id, headCharge(bytes, lines))
+	evicts := l.takeEvicted(now, evicted)
+	l.counters.connsEvicted(l.class.String()).Inc(int64(len(evicts)))
+	if !ok {
+		l.counters.headsRefused(l.class.String()).Inc(1)
+		l.logLack(now, "no room for a request head", l.class)
+	}
+	l.mu.Unlock()
+	for _, evict := range evicts {
+		evict()
+	}
+	return ok
+}
+
+// Free implements callers.Lease.
+func (l lease) Free(bytes, lines int) {
+	if bytes == 0 && lines == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.budget.Free(now, l.id, headCharge(bytes, lines))
+	l.plan(now)
+}
+
+// Begin implements callers.Lease.
+func (l lease) Begin(complete bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.budget.Begin(l.id, complete)
+}
+
+// Complete implements callers.Lease.
+func (l lease) Complete() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.budget.Complete(l.id)
+}
+
+// End implements callers.Lease.
+func (l lease) End(complete, served bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.End(time.Now(), l.id, complete, served)
+}
+
+// Write implements callers.Lease.
+func (l lease) Write() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.Write(time.Now(), l.id)
+}
+
+// Written implements callers.Lease.
+func (l lease) Written() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.Written(l.id)
+}
+
+// Close implements callers.Lease.
+func (l lease) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.budget.Disconnect(now, l.id)
+	delete(l.evicts, l.id)
+	l.plan(now)
+}
+
+// listen opens a listener whose connections have small receive buffers.
+func listen(address string) (net.Listener, error) {
+	c := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		controlErr := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, idleReceiveBuffer)
+		})
+		if controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	return c.Listen(context.Background(), "tcp", address)
+}
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -35,7 +35,7 @@
 	memoryHeld       tally.Gauge                      // bytes of bodies and buffered responses
 	bodiesWaiting    tally.Gauge                      // bodies that wait for room
 	bodyRefusals     func(cause string) tally.Counter // bodies refused for lack of room
-	connsRefused     tally.Counter                    // connections closed for lack of room
+	guard            guardCounters
 	targets          tally.Gauge
 	evacuatedDomains tally.Gauge // evacuated failure domains
 }
@@ -50,7 +50,7 @@
 		evacuatedDomains: m.Scope.Gauge("evacuated_places"), tokenAsks: m.Scope.Counter("quota_asks"), accounts: newAccountCounters(m.Scope),
 	}
 	i.memoryLimit, i.memoryHeld, i.bodiesWaiting = m.Scope.Gauge("memory_limit_bytes"), m.Scope.Gauge("memory_held_bytes"), m.Scope.Gauge("bodies_waiting")
-	i.connsRefused = m.Scope.Counter("connections_refused")
+	i.guard = newGuardCounters(m.Scope)
 	i.bodyRefusals = func(cause string) tally.Counter {
 		return m.Scope.Tagged(map[string]string{"cause": cause}).Counter("bodies_refused")
 	}
@@ -129,7 +129,7 @@
 		s.instruments.budgetAvailable.Update(s.budget.Available())
 	}
 	c.gateway.quotas.updateGauges(now)
-	u := c.gateway.memory.usage()
+	u := c.gateway.guard.usage()
 	i.memoryLimit.Update(float64(u.Limit))
 	i.memoryHeld.Update(float64(u.Held))
 	i.bodiesWaiting.Update(float64(u.Waiting))
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
+	"cmp"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -11,17 +11,22 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"plumpitch.example/plumpitch/pkg/admission"
 	"plumpitch.example/plumpitch/pkg/memory"
+	"plumpitch.example/plumpitch/platform"
 )
 
 // Division of the memory of a VM. The rest is for bytes in the kernel and memory that the runtime
 // doesn't count.
 const (
 	// heapShare is the part that the runtime may use. The collector runs more often near it.
-	heapShare = 0.8
-	// trafficShare is the part for bodies, buffered responses and connections. Up to heapShare,
-	// the heap has room for control state and garbage.
+	heapShare = 0.75
+	// trafficShare is the part for bodies and buffered responses, and connShare that for connections
+	// and heads. Up to heapShare, the heap has room for control state and garbage.
 	trafficShare = 0.5
+	connShare    = 0.08
+	// unreadShare is the part for what the kernel holds unread on idle connections.
+	unreadShare = 0.2
 	// unknownMemory is taken for the memory if the settings don't tell it, in bytes.
 	unknownMemory = 256e6
 )
@@ -29,33 +34,35 @@
 // Charges of a connection and of a body, in bytes.
 const (
 	bodyStart = 64 << 10
-	// receiveBuffer bounds the unread bytes of a connection. The kernel doubles it for its own data.
+	// receiveBuffer bounds the unread bytes of a connection that waits for room for a body. The kernel
+	// doubles it for its own data.
 	receiveBuffer = 64 << 10
 	// bodyReceiveBuffer is that of a connection whose body is being read and has room. It lets
 	// callers that are far away send several megabytes per second.
 	bodyReceiveBuffer = 256 << 10
 	waitCharge        = 2 * receiveBuffer
-	connCharge        = 16 << 10
+	connCharge        = 8 << 10
 )
 
 // memoryPlanPeriod is the time between two plans while bodies wait for room.
 const memoryPlanPeriod = 10 * time.Millisecond
 
-// memoryGuard bounds the memory that traffic takes. It is safe for concurrent use.
-type memoryGuard struct {
+// guard bounds what callers hold of the VM and do on it. It is safe for concurrent use.
+type guard struct {
 	mu       sync.Mutex
-	budget   *memory.Budget
+	budget   *admission.Budget
+	evicts   map[admission.ID]func() // of the connections
+	counters guardCounters
 	bodies   map[memory.ID]*heldBody
 	planning bool // a timer is set
 	refusals map[memory.Cause]tally.Counter
-	conns    tally.Counter // refused connections
 	log      log.Interface
-	connsLog time.Time // of the latest log line about a refused connection
+	logged   time.Time // of the latest log line about connections
 }
 
 // heldBody is a body of a request in the budget.
 type heldBody struct {
-	guard     *memoryGuard
+	guard     *guard
 	id        memory.ID
 	decisions chan memory.Decision // of a wait
 	interrupt func()               // ends a read that is under way
@@ -70,15 +77,17 @@
 
 func (e *errNoMemory) Error() string { return "no room for the request body: " + e.Cause.String() }
 
-// newMemoryGuard returns a guard for a VM with this memory in bytes; 0 means that it is unknown.
-func newMemoryGuard(bytes int64, i *instruments, l log.Interface) *memoryGuard {
-	if bytes <= 0 {
-		bytes = unknownMemory
-	}
-	m := &memoryGuard{
-		bodies: make(map[memory.ID]*heldBody), refusals: make(map[memory.Cause]tally.Counter), conns: i.connsRefused, log: l,
-		budget: memory.New(memory.Config{
-			Limit: int64(trafficShare * float64(bytes)), Start: bodyStart, WaitCharge: waitCharge, ConnCharge: connCharge,
+// newGuard returns a guard for a VM with these settings; 0 means that a value is unknown.
+func newGuard(s platform.Settings, i *instruments, l log.Interface) *guard {
+	bytes := cmp.Or(s.Memory, int64(unknownMemory))
+	m := &guard{
+		bodies: make(map[memory.ID]*heldBody), refusals: make(map[memory.Cause]tally.Counter), log: l,
+		evicts: make(map[admission.ID]func()), counters: i.guard,
+		budget: admission.New(admission.Config{
+			Memory: memory.Config{
+				Limit: int64(trafficShare * float64(bytes)), Start: bodyStart, WaitCharge: waitCharge, Conns: int64(connShare * float64(bytes)),
+			},
+			Conns: maxConns(bytes, s.MaxFiles), Conn: connCharge, Cores: s.Cores,
 		}),
 	}
 	for _, c := range memory.Causes() {
@@ -96,10 +105,10 @@
 }
 
 // open adds a request's body. interrupt ends a read of it.
-func (m *memoryGuard) open(now time.Time, b memory.Body, interrupt func()) (*heldBody, error) {
+func (m *guard) open(now time.Time, b memory.Body, interrupt func()) (*heldBody, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := m.budget.Open(now, b)
+	d := m.budget.Memory.Open(now, b)
 	if d.Verdict == memory.Refuse {
 		m.refusals[d.Cause].Inc(1)
 		return nil, &errNoMemory{d}
@@ -137,7 +146,7 @@
 		return *h.refusal
 	}
 	now := time.Now()
-	d := m.budget.Extend(now, h.id, bytes)
+	d := m.budget.Memory.Extend(now, h.id, bytes)
 	if d.Verdict == memory.Refuse {
 		m.refused(d)
 	}
@@ -166,7 +175,7 @@
 var errWaitEnded = errors.New("the wait for room has ended")
 
 // refused notes the refusal of a body. The caller must hold m.mu.
-func (m *memoryGuard) refused(d memory.Decision) {
+func (m *guard) refused(d memory.Decision) {
 	m.refusals[d.Cause].Inc(1)
 	if h := m.bodies[d.ID]; h != nil {
 		h.refusal = &d
@@ -176,8 +185,8 @@
 
 // plan makes the decisions that are due, and sets a timer while bodies wait. The caller must hold
 // m.mu.
-func (m *memoryGuard) plan(now time.Time) {
-	for _, d := range m.budget.Plan(now) {
+func (m *guard) plan(now time.Time) {
+	for _, d := range m.budget.Memory.Plan(now) {
 		h := m.bodies[d.ID]
 		if h == nil {
 			continue
@@ -193,7 +202,7 @@
 			h.interrupt()
 		}
 	}
-	if m.planning || m.budget.Usage().Waiting == 0 {
+	if m.planning || m.budget.Memory.Usage().Waiting == 0 {
 		return
 	}
 	m.planning = true
@@ -222,7 +231,7 @@
 	if h.refusal != nil {
 		return &errNoMemory{*h.refusal}
 	}
-	h.guard.budget.Complete(h.id)
+	h.guard.budget.Memory.Complete(h.id)
 	h.guard.plan(time.Now())
 	return nil
 }
@@ -233,63 +242,31 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	m.budget.Close(now, h.id)
+	m.budget.Memory.Close(now, h.id)
 	delete(m.bodies, h.id)
 	m.plan(now)
 }
 
 // Buffer implements forward.Buffers.
-func (m *memoryGuard) Buffer(bytes int64) bool {
+func (m *guard) Buffer(bytes int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.budget.Buffer(bytes)
+	return m.budget.Memory.Buffer(bytes)
 }
 
 // Return implements forward.Buffers.
-func (m *memoryGuard) Return(bytes int64) {
+func (m *guard) Return(bytes int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	m.budget.Return(now, bytes)
+	m.budget.Memory.Return(now, bytes)
 	m.plan(now)
 }
 
-// refusedConnLogPeriod is the time between two log lines about refused connections.
-const refusedConnLogPeriod = time.Second
-
-// connect charges a connection, and reports whether there is room for it.
-func (m *memoryGuard) connect(now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.budget.Connect() {
-		return true
-	}
-	m.conns.Inc(1)
-	if now.Sub(m.connsLog) >= refusedConnLogPeriod {
-		m.connsLog = now
-		u := m.budget.Usage()
-		m.log.WithFields(log.Fields{"connections": u.Conns, "held": u.Held, "limit": u.Limit}).Warn("no memory for further connections")
-	}
-	return false
-}
-
-func (m *memoryGuard) disconnect() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.budget.Disconnect()
-}
-
-// trackConn ends the charge of a connection of an http.Server (http.Server.ConnState).
-func (m *memoryGuard) trackConn(s http.ConnState) {
-	if s == http.StateClosed || s == http.StateHijacked {
-		m.disconnect()
-	}
-}
-
-func (m *memoryGuard) usage() memory.Usage {
+func (m *guard) usage() memory.Usage {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.budget.Usage()
+	return m.budget.Memory.Usage()
 }
 
 // boundUnread bounds the unread bytes of a connection.
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -1,39 +1,37 @@
 package gateway
 
 import (
-	"net"
 	"net/http"
 	"time"
 
 	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/internal/relay"
+	"plumpitch.example/plumpitch/pkg/admission"
 )
 
 // Bounds of a connection with several requests under way. Together they keep a connection
 // below a hundredth of the memory of the smallest VMs.
 const (
-	maxPipelined       = 16
-	maxPipelinedBytes  = 256 << 10
-	maxPipelinedHeader = 64 << 10
+	maxPipelined      = 16
+	maxPipelinedBytes = 256 << 10
 )
 
-// pipelinedServer returns the server of the connections on which callers may have several
-// requests under way.
-func (g *Gateway) pipelinedServer() *callers.Server {
+// frontServer returns the server for callers' requests. With client accounts, callers may have
+// several requests under way on a connection.
+func (g *Gateway) frontServer() *callers.Server {
 	return callers.New(callers.Config{
-		Handler: http.HandlerFunc(g.serve), Concurrent: g.concurrent, ConnContext: withPipelinedConn,
-		HeaderTimeout: headerTimeout, ReadTimeout: callerTimeout, IdleTimeout: g.pipelinedIdleTimeout,
-		MaxHeaderBytes: maxPipelinedHeader, MaxRequests: maxPipelined, MaxWaitingBytes: maxPipelinedBytes, Log: g.log,
+		Handler: http.HandlerFunc(g.serve), Concurrent: g.concurrent, Pipelines: g.pipelines, ConnContext: withCallerConn,
+		HeaderTimeout: g.headerTimeout, ReadTimeout: callerTimeout, IdleTimeout: g.idleTimeout, MaxHeaderBytes: g.maxHeaderBytes,
+		MaxRequests: maxPipelined, MaxWaitingBytes: maxPipelinedBytes, Guard: g.guard.at(admission.Traffic), Log: g.log,
 	})
 }
 
-// pipelinedIdleTimeout returns the idle timeout of these connections. It is bounded also
-// without a limit in the configuration, as http.Server bounds it for the others.
-func (g *Gateway) pipelinedIdleTimeout() time.Duration {
-	if d := g.idleTimeout(); d > 0 {
-		return min(d, callerTimeout)
-	}
-	return callerTimeout
+// auxServer returns the server of another listener.
+func (g *Gateway) auxServer(class admission.Class, h http.Handler) *callers.Server {
+	return callers.New(callers.Config{
+		Handler: h, HeaderTimeout: g.headerTimeout, ReadTimeout: auxTimeout, IdleTimeout: g.idleTimeout,
+		MaxHeaderBytes: g.maxHeaderBytes, Guard: g.guard.at(class), Log: g.log,
+	})
 }
 
 // concurrent reports whether a request may be served beside earlier ones of its connection.
@@ -53,41 +51,6 @@
 	return table != nil && table.Config.Accounts != nil
 }
 
-// splitListener returns a listener of the connections that have one request under way at a
-// time. The others are served by s.
-func (g *Gateway) splitListener(s *callers.Server) net.Listener {
-	return splitListener{g.frontListener, g.pipelines, func(c net.Conn) {
-		defer g.memory.disconnect()
-		s.ServeConn(c)
-	}, g.memory.connect}
-}
-
-type splitListener struct {
-	net.Listener
-	diverts func() bool
-	serve   func(net.Conn)
-	connect func(now time.Time) bool // reports whether there is room for a connection
-}
-
-// Accept returns the next connection that is not diverted. Those without room are closed.
-func (l splitListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if !l.connect(time.Now()) {
-			c.Close()
-			continue
-		}
-		boundUnread(c, receiveBuffer)
-		if !l.diverts() {
-			return c, nil
-		}
-		go l.serve(c)
-	}
-}
-
 // receivePacket handles a packet of another entry. Those about tokens bypass the control loop,
 // since requests wait for them.
 func (g *Gateway) receivePacket(p relay.Packet, from string) {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/platform"
@@ -51,6 +52,7 @@
 	d := &q.dispatches[i]
 	resp := d.response
 	d.response = nil
+	q.setServed(true)
 	q.service.instruments.forwarded.Inc(1)
 	q.countAccount(resultServed)
 	q.service.instruments.latency.RecordDuration(time.Since(q.arrived))
@@ -137,3 +139,10 @@
 	q.w.Header().Set("Content-Length", "0")
 	q.w.WriteHeader(status)
 }
+
+// setServed says whether the request was of use to its caller.
+func (q *request) setServed(served bool) {
+	if r, ok := q.w.(callers.Response); ok {
+		r.SetServed(served)
+	}
+}
--- a/internal/gateway/timeouts.go
+++ b/internal/gateway/timeouts.go
@@ -1,58 +1,47 @@
 package gateway
 
 import (
-	"net"
-	"net/http"
-	"sync"
+	"cmp"
 	"time"
-)
 
-// idleCloser closes callers' connections that are idle for longer than the configuration
-// allows. That limit may change while the server runs, but http.Server's idle timeout
-// cannot. Without a limit, abandoned connections would use up the file descriptors of a
-// small VM.
-type idleCloser struct {
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
+	"plumpitch.example/plumpitch/pkg/route"
+)
 
-func newIdleCloser() *idleCloser {
-	return &idleCloser{timers: make(map[net.Conn]*time.Timer)}
-}
+// Timeouts and bounds of callers' connections where the configuration has no smaller ones.
+const (
+	// headerTimeout bounds the reading of a request head.
+	headerTimeout = 10 * time.Second
+	// headerSlack is added to the time that the configuration gives callers to send a head, for
+	// retransmissions and a busy VM.
+	headerSlack = 500 * time.Millisecond
+	// callerTimeout bounds an idle connection and the reading of a request.
+	callerTimeout = 2 * time.Minute
+	// auxTimeout bounds the reading of a request to another listener.
+	auxTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a request head until there is a configuration.
+	maxHeaderBytes = 64 << 10
+)
 
-// track handles a state change of a connection (http.Server.ConnState). Callers reuse a
-// connection only if it has been idle for at most four fifths of limit, so none is closed
-// while a caller sends a request on it.
-func (i *idleCloser) track(c net.Conn, s http.ConnState, limit time.Duration) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if t := i.timers[c]; t != nil {
-		t.Stop()
-		delete(i.timers, c)
-	}
-	if limit <= 0 || s != http.StateNew && s != http.StateIdle {
-		return
+// limits returns the limits of the configuration in force.
+func (g *Gateway) limits() (l route.Limits) {
+	if table := g.view.Load().table; table != nil {
+		return table.Config.Limits
 	}
-	i.timers[c] = time.AfterFunc(limit, func() { i.close(c) })
+	return l
 }
 
-// close closes a connection unless a request has arrived on it in the meantime.
-func (i *idleCloser) close(c net.Conn) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.timers[c] == nil {
-		return
-	}
-	delete(i.timers, c)
-	c.Close()
+// idleTimeout returns the idle timeout of callers' connections. It is bounded also without a limit in
+// the configuration: abandoned connections would use up the descriptors of a small VM. Callers reuse
+// a connection only if it has been idle for at most four fifths of the limit, so none is closed while
+// a caller sends a request on it.
+func (g *Gateway) idleTimeout() time.Duration {
+	return min(cmp.Or(g.limits().IdleTimeout, callerTimeout), callerTimeout)
 }
 
-// idleTimeout returns the idle timeout of callers' connections from the configuration in
-// force, or 0 without one.
-func (g *Gateway) idleTimeout() time.Duration {
-	table := g.view.Load().table
-	if table == nil {
-		return 0
-	}
-	return table.Config.Limits.IdleTimeout
+// headerTimeout returns the time for reading a request head.
+func (g *Gateway) headerTimeout() time.Duration {
+	return min(cmp.Or(g.limits().HeaderTimeout, headerTimeout)+headerSlack, headerTimeout)
 }
+
+// maxHeaderBytes returns the bound of the header lines of a request.
+func (g *Gateway) maxHeaderBytes() int { return cmp.Or(g.limits().MaxHeaderBytes, maxHeaderBytes) }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/internal/dial"
 	"plumpitch.example/plumpitch/internal/relay/wire"
 	"plumpitch.example/plumpitch/pkg/member"
@@ -83,6 +84,12 @@
 	OnRequest http.Handler                 // serves the callers' requests that other entries pass on
 	// ListenPacket opens the socket for datagrams; nil means net.ListenPacket.
 	ListenPacket func(network, address string) (net.PacketConn, error)
+	// Listen opens the listener for calls; nil means net.Listen for TCP.
+	Listen func(address string) (net.Listener, error)
+	Guard  callers.Guard // of the connections for calls; nil admits all
+	// MaxHeaderBytes returns the bound of the header lines of a request that is passed on, whose head
+	// may have twice as many bytes; nil means that of calls.
+	MaxHeaderBytes func() int
 	// Dial opens the connections for calls and packets by TCP; nil means a dialer of its own.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Log  log.Interface
@@ -94,7 +101,7 @@
 	cfg      Config
 	packets  net.PacketConn
 	listener net.Listener
-	server   *http.Server
+	server   *callers.Server
 	client   *http.Client
 	paths    *paths
 	streams  *streams
@@ -118,6 +125,9 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dial.New(dial.Config{ReadBuffer: readBuffer}).DialContext
 	}
+	if cfg.Listen == nil {
+		cfg.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	if cfg.ListenPacket == nil {
 		cfg.ListenPacket = net.ListenPacket
 	}
@@ -134,11 +144,15 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
 	r.streams = &streams{ctx: ctx, log: cfg.Log, deliver: r.deliver, lost: cfg.OnLost, queues: make(map[string]chan []byte)}
-	r.server = &http.Server{
-		Handler:           r.handler(wire.NewRelayServer(&server{relay: r, source: cfg.Source})),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       2 * idleTimeout,
+	if cfg.MaxHeaderBytes == nil {
+		cfg.MaxHeaderBytes = func() int { return maxHeaderBytes }
 	}
+	r.server = callers.New(callers.Config{
+		Handler:        r.handler(wire.NewRelayServer(&server{relay: r, source: cfg.Source})),
+		HeaderTimeout:  func() time.Duration { return headerTimeout },
+		IdleTimeout:    func() time.Duration { return 2 * idleTimeout },
+		MaxHeaderBytes: cfg.MaxHeaderBytes, Guard: cfg.Guard, Log: cfg.Log,
+	})
 	return r, nil
 }
 
@@ -172,7 +186,7 @@
 		if r.packets, err = r.cfg.ListenPacket("udp4", r.cfg.Address); err != nil {
 			return err
 		}
-		if r.listener, err = net.Listen("tcp", r.Address()); err == nil {
+		if r.listener, err = r.cfg.Listen(r.Address()); err == nil {
 			return nil
 		}
 		r.packets.Close()
@@ -204,7 +218,14 @@
 func (r *Relay) Close() {
 	r.stop()
 	r.packets.Close()
-	r.server.Close()
+	_ = r.server.Shutdown(ended()) // its error is that of the context
+}
+
+// ended returns a context that has ended.
+func ended() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
 }
 
 func (r *Relay) String() string { return "relay" }
