gateway: the size of a header is that of its lines as they were sent

What callers saw: 431 for a head of 15.5 KiB inside maxHeaderBytes, in calm, every time. Cause: headerBytes counted four bytes beside each name and value; a line of 'aaa:' and its break has two beside its colon. Change: the server counts the bytes that it reads; the request line doesn't count. Result: single requests whose header lines have 16384 bytes, in lines of 6 and of 60 bytes, were refused in each run of TestClientsThatDontBehave before, and are served.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/platform"
 )
 
@@ -82,7 +83,7 @@
 		return
 	}
 	limits := v.table.Config.Limits
-	if headerBytes(r) > limits.MaxHeaderBytes {
+	if q.headerBytes() > limits.MaxHeaderBytes {
 		q.respond(http.StatusRequestHeaderFieldsTooLarge, "longheader")
 		return
 	}
@@ -129,13 +130,12 @@
 // store is unavailable.
 const noConfigRetry = 200 * time.Millisecond
 
-// headerBytes returns the size of a request's header lines.
-func headerBytes(r *http.Request) (n int) {
-	const colonAndBreak = 4
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + colonAndBreak
-		}
+// headerBytes returns the size of the request's header lines as its caller sent them; 0 if another
+// entry has passed it on, which adds lines of its own.
+func (q *request) headerBytes() int {
+	r, ok := q.w.(callers.Response)
+	if !ok || q.passedOn {
+		return 0
 	}
-	return n
+	return r.HeaderBytes()
 }
