--- a/internal/callers/order_test.go
+++ b/internal/callers/order_test.go
@@ -9,6 +9,20 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// Guards against several requests under way on a connection that may have only one.
+func TestConnectionWithoutPipelining(t *testing.T) {
+	cfg := testConfig()
+	cfg.Pipelines = constant(false)
+	w := newWorld(t, cfg)
+	c := dial(t, w.addr)
+	c.get("/a", "/b")
+	w.await(&w.started, 1)
+	time.Sleep(20 * time.Millisecond)
+	qt.Assert(t, w.snapshot(&w.started), qt.DeepEquals, []string{"/a"})
+	w.openAll()
+	c.expect("/a", "/b")
+}
+
 // Guards against responses in the order of completion, and against requests that wait for
 // the response of an earlier one before they start.
 func TestResponsesInRequestOrder(t *testing.T) {
