gateway: the read of a refused body is interrupted without the lock of the guard

What callers would see: an entry that hangs. Found in reading the change: plan interrupts the read of a body while it holds the guard's lock, and the interrupt locks the connection; since the server asks the guard while it holds the connection's lock (Begin, End), the two can wait for each other. Change: the interrupt runs in a goroutine of its own, and refusedWith waits for its end, so that it can't cut the discarding of the body that follows. Result: TestInterruptHoldsNoLock, whose interrupt takes the guard's lock, doesn't end without the change and passes with it. No process was seen to hang.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -70,8 +70,9 @@
 	interrupt func()               // ends a read that is under way
 
 	// Guarded by guard.mu.
-	waiting bool
-	refusal *memory.Decision
+	waiting     bool
+	refusal     *memory.Decision
+	interrupted chan struct{} // closed when interrupt has returned; nil unless it was called
 }
 
 // errNoMemory is a body that the budget has refused.
@@ -201,7 +202,11 @@
 			h.waiting = false
 			h.decisions <- d
 		case d.Verdict == memory.Refuse:
-			h.interrupt()
+			h.interrupted = make(chan struct{})
+			go func() { // it locks the connection, which may wait for m.mu
+				defer close(h.interrupted)
+				h.interrupt()
+			}()
 		}
 	}
 	if m.planning || m.budget.Memory.Usage().Waiting == 0 {
@@ -216,14 +221,19 @@
 	})
 }
 
-// refusedWith returns the refusal of a body that was being read; nil if there is none.
+// refusedWith returns the refusal of a body that was being read; nil if there is none. The read is no
+// longer interrupted then.
 func (h *heldBody) refusedWith() error {
 	h.guard.mu.Lock()
-	defer h.guard.mu.Unlock()
-	if h.refusal == nil {
+	refusal, interrupted := h.refusal, h.interrupted
+	h.guard.mu.Unlock()
+	if interrupted != nil {
+		<-interrupted
+	}
+	if refusal == nil {
 		return nil
 	}
-	return &errNoMemory{*h.refusal}
+	return &errNoMemory{*refusal}
 }
 
 // complete notes that the body has been read. It returns an error if the body was refused before.
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -50,6 +50,45 @@
 	h.close()
 }
 
+// Guards against an entry that hangs, as it interrupts the read of a refused body while it holds the
+// lock that the connection needs.
+func TestInterruptHoldsNoLock(t *testing.T) {
+	const size = 3 << 20
+	i := newInstruments("a")
+	m := newGuard(platform.Settings{Memory: 10e6}, &i, log.Log)
+	interrupted := make(chan struct{})
+	open := func(interrupt func()) *heldBody {
+		h, err := m.open(time.Now(), memory.Body{Length: size, Deadline: time.Now().Add(time.Second)}, interrupt)
+		qt.Assert(t, err, qt.IsNil)
+		return h
+	}
+	slow := open(func() {
+		m.usage()
+		close(interrupted)
+	})
+	held := int64(0)
+	for held < size*2/3 { // too much to leave room for the other body
+		n := memory.NextPart(held)
+		qt.Assert(t, slow.ask(n).Verdict, qt.Equals, memory.Grant)
+		held += n
+	}
+	began := time.Now()
+	never := func(time.Time) bool { return time.Since(began) > waitLimit }
+	other := open(func() {})
+	for held := int64(0); held <= bodyStart; {
+		n := memory.NextPart(held)
+		_, err := other.extend(n, never, func() {})
+		qt.Assert(t, err, qt.IsNil)
+		held += n
+	}
+	select {
+	case <-interrupted:
+	case <-time.After(waitLimit):
+		t.Fatal("the read of the slow body wasn't interrupted")
+	}
+	qt.Assert(t, slow.refusedWith(), qt.IsNotNil)
+}
+
 // Guards against callers that see a reset in place of the refusal, as the entry closes the
 // connection while they still send the body, and against refused requests that run.
 func TestRefusalWhileCallerSends(t *testing.T) {
--- a/pkg/admission/evict.go
+++ b/pkg/admission/evict.go
@@ -74,8 +74,9 @@
 // what they hold themselves.
 func (b *Budget) rank(now time.Time) {
 	for _, o := range b.callers {
-		o.advance(now)
-		o.held = 0
+		if o.held = 0; o.conns > 0 {
+			o.advance(now)
+		}
 	}
 	list := b.victims.list[:0]
 	for _, c := range b.conns {
@@ -86,7 +87,9 @@
 		}
 	}
 	for _, o := range b.callers {
-		o.score = o.scoreWith(0)
+		if o.conns > 0 {
+			o.score = o.scoreWith(0)
+		}
 	}
 	slices.SortFunc(list, func(x, y candidate) int {
 		return cmp.Or(cmp.Compare(y.caller.score, x.caller.score), cmp.Compare(y.held, x.held), cmp.Compare(x.id, y.id))
