gateway: fewer calls of the guard per request, counters are made once

Cause: each head looked up its counters by tags, twice, and took the guard's lock nine times. Change: a part of a head is charged in one call, the end of a request with its head in another.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -161,8 +161,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q.finished = true
-	c.lease.End(q.arrived, q.served())
-	c.lease.Free(q.head.bytes, q.head.lines)
+	c.lease.End(q.arrived, q.served(), q.head.bytes, q.head.lines)
 	if i := slices.Index(c.active, q); i >= 0 {
 		c.active = slices.Delete(c.active, i, i+1)
 	}
--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -14,17 +14,25 @@
 
 // Lease is what a connection may hold and do.
 type Lease interface {
-	// Work charges the processor time for reading or writing bytes, for header lines, and for
-	// requests. It returns for how long the connection has to wait before it goes on.
-	Work(bytes, lines, requests int) time.Duration
-	// Hold charges a part of a head: its bytes and header lines. It reports whether they may be held.
+	// Read charges the processor time for bytes that have been read. It returns for how long the
+	// connection has to wait before it goes on.
+	Read(bytes int) time.Duration
+	// ReadHead does the same for a part of a head with a number of lines, and charges what the part
+	// takes. It reports whether the part may be held.
+	ReadHead(bytes, lines int) (wait time.Duration, ok bool)
+	// Hold charges a part of a head that had been read before. It reports whether it may be held.
 	Hold(bytes, lines int) bool
+	// Free ends the charge of a part of a head.
 	Free(bytes, lines int)
+	// Request charges the processor time for a request. It returns for how long the connection has to
+	// wait before it goes on.
+	Request() time.Duration
 	// Begin notes that a request is passed to the handler; complete means that its body has
 	// arrived. It reports whether the connection hasn't been evicted.
 	Begin(complete bool) bool
 	Complete() bool // the body has arrived
-	End(complete, served bool)
+	// End notes the end of a request with a head, and whether its caller was served.
+	End(complete, served bool, bytes, lines int)
 	// Write and Written note the begin and the end of a write.
 	Write()
 	Written(bytes int)
@@ -34,18 +42,20 @@
 // unguarded admits everything.
 type unguarded struct{}
 
-func (unguarded) Connect(string, func()) Lease     { return unguarded{} }
-func (unguarded) Work(int, int, int) time.Duration { return 0 }
-func (unguarded) Hold(int, int) bool               { return true }
-func (unguarded) Free(int, int)                    {}
-func (unguarded) Begin(bool) bool                  { return true }
-func (unguarded) Complete() bool                   { return true }
-func (unguarded) End(bool, bool)                   {}
-func (unguarded) Write()                           {}
-func (unguarded) Written(int)                      {}
-func (unguarded) Close()                           {}
+func (unguarded) Connect(string, func()) Lease            { return unguarded{} }
+func (unguarded) Read(int) time.Duration                  { return 0 }
+func (unguarded) ReadHead(int, int) (time.Duration, bool) { return 0, true }
+func (unguarded) Hold(int, int) bool                      { return true }
+func (unguarded) Free(int, int)                           {}
+func (unguarded) Request() time.Duration                  { return 0 }
+func (unguarded) Begin(bool) bool                         { return true }
+func (unguarded) Complete() bool                          { return true }
+func (unguarded) End(bool, bool, int, int)                {}
+func (unguarded) Write()                                  {}
+func (unguarded) Written(int)                             {}
+func (unguarded) Close()                                  {}
 
-// headSize is what a head takes: bytes, and header lines.
+// headSize is what a head takes: bytes, and lines with those of the request and of the end.
 type headSize struct{ bytes, lines int }
 
 // pause waits for a time, or until the connection ends.
@@ -64,16 +74,18 @@
 // charge charges bytes that have just been read, and waits as long as the guard wants. It returns an
 // error if they are part of a head and may not be held.
 func (c *conn) charge(p []byte) error {
-	lines := 0
-	if c.in.limited {
-		lines = bytes.Count(p, lineBreak)
-		if !c.lease.Hold(len(p), lines) {
-			return errNoMemory
-		}
-		c.head.bytes += len(p)
-		c.head.lines += lines
+	if !c.in.limited {
+		c.pause(c.lease.Read(len(p)))
+		return nil
 	}
-	c.pause(c.lease.Work(len(p), lines, 0))
+	lines := bytes.Count(p, lineBreak)
+	wait, ok := c.lease.ReadHead(len(p), lines)
+	if !ok {
+		return errNoMemory
+	}
+	c.head.bytes += len(p)
+	c.head.lines += lines
+	c.pause(wait)
 	return nil
 }
 
@@ -82,8 +94,10 @@
 // settleHead replaces the charge for the bytes read with that for the head, which may have been read
 // ahead or be followed by other bytes.
 func (c *conn) settleHead(size headSize) bool {
-	more := headSize{max(size.bytes-c.head.bytes, 0), max(size.lines-c.head.lines, 0)}
-	if !c.lease.Hold(more.bytes, more.lines) {
+	if size == c.head {
+		return true
+	}
+	if !c.lease.Hold(max(size.bytes-c.head.bytes, 0), max(size.lines-c.head.lines, 0)) {
 		return false
 	}
 	c.lease.Free(max(c.head.bytes-size.bytes, 0), max(c.head.lines-size.lines, 0))
--- a/internal/callers/guard_test.go
+++ b/internal/callers/guard_test.go
@@ -47,9 +47,9 @@
 	unguarded
 }
 
-func (l *testLease) Work(_, _, requests int) time.Duration {
-	return time.Duration(requests) * l.delay
-}
+func (l *testLease) Request() time.Duration { return l.delay }
+
+func (l *testLease) ReadHead(bytes, lines int) (time.Duration, bool) { return 0, l.Hold(bytes, lines) }
 
 func (l *testLease) Hold(bytes, lines int) bool {
 	l.mu.Lock()
@@ -69,7 +69,8 @@
 	l.held.lines -= lines
 }
 
-func (l *testLease) End(_, served bool) {
+func (l *testLease) End(_, served bool, bytes, lines int) {
+	l.Free(bytes, lines)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if served {
--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -133,14 +133,14 @@
 		return nil, malformed("")
 	}
 	c.lastPost = r.Method == http.MethodPost
-	size := headSize{c.in.total - c.br.Buffered() - begin, len(r.Header)}
+	size := headSize{c.in.total - c.br.Buffered() - begin, len(r.Header) + 2}
 	for _, values := range r.Header {
 		size.lines += len(values) - 1
 	}
 	if !c.settleHead(size) {
 		return nil, errNoMemory
 	}
-	c.pause(c.lease.Work(0, 0, 1))
+	c.pause(c.lease.Request())
 	return r, checkRequest(r)
 }
 
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -54,17 +54,23 @@
 	return min(byFiles, int64(unreadShare*float64(memory))/unreadCharge)
 }
 
-// guardCounters count what a guard refuses.
+// guardCounters count what a guard refuses, by class.
 type guardCounters struct {
-	connsRefused func(class string) tally.Counter // connections that weren't admitted
-	connsEvicted func(class string) tally.Counter // connections that were closed for lack of room
-	headsRefused func(class string) tally.Counter // requests whose heads found no room
-	workDelayed  func(class string) tally.Counter // reads that were delayed
+	connsRefused classCounters // connections that weren't admitted
+	connsEvicted classCounters // connections that were closed for lack of room
+	headsRefused classCounters // requests whose heads found no room
+	workDelayed  classCounters // reads that were delayed
 }
 
+type classCounters map[admission.Class]tally.Counter
+
 func newGuardCounters(scope tally.Scope) guardCounters {
-	count := func(name string) func(class string) tally.Counter {
-		return func(class string) tally.Counter { return scope.Tagged(map[string]string{"class": class}).Counter(name) }
+	count := func(name string) classCounters {
+		counters := make(classCounters)
+		for _, class := range admission.Classes() {
+			counters[class] = scope.Tagged(map[string]string{"class": class.String()}).Counter(name)
+		}
+		return counters
 	}
 	return guardCounters{count("connections_refused"), count("connections_evicted"), count("heads_refused"), count("work_delayed")}
 }
@@ -83,10 +89,9 @@
 	now := time.Now()
 	g.mu.Lock()
 	id, evicted := g.budget.Connect(now, g.class, address)
-	evicts := g.takeEvicted(now, evicted)
-	g.counters.connsEvicted(g.class.String()).Inc(int64(len(evicts)))
+	evicts := g.takeEvicted(now, evicted, g.class)
 	if id == 0 {
-		g.counters.connsRefused(g.class.String()).Inc(1)
+		g.counters.connsRefused[g.class].Inc(1)
 		g.logLack(now, "no room for a connection", g.class)
 	} else {
 		g.evicts[id] = evict
@@ -102,13 +107,15 @@
 	return lease{g, id}
 }
 
-// takeEvicted returns the functions that close evicted connections. The caller must hold m.mu.
-func (m *guard) takeEvicted(now time.Time, ids []admission.ID) (evicts []func()) {
+// takeEvicted returns the functions that close the connections that were evicted for one of a class.
+// The caller must hold m.mu.
+func (m *guard) takeEvicted(now time.Time, ids []admission.ID, class admission.Class) (evicts []func()) {
 	for _, id := range ids {
 		evicts = append(evicts, m.evicts[id])
 		delete(m.evicts, id)
 	}
 	if len(ids) > 0 {
+		m.counters.connsEvicted[class].Inc(int64(len(ids)))
 		m.plan(now)
 	}
 	return evicts
@@ -135,34 +142,48 @@
 	id admission.ID
 }
 
-// Work implements callers.Lease.
-func (l lease) Work(bytes, lines, requests int) time.Duration {
-	cost := time.Duration(bytes)*byteWork + time.Duration(lines)*lineWork + time.Duration(requests)*requestWork
-	if bytes > 0 {
-		cost += readWork
-	}
+// Read implements callers.Lease.
+func (l lease) Read(bytes int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.work(time.Now(), readWork+time.Duration(bytes)*byteWork)
+}
+
+// Request implements callers.Lease.
+func (l lease) Request() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delay := l.budget.Work(time.Now(), l.id, cost)
+	return l.work(time.Now(), requestWork)
+}
+
+// work charges processor time. The caller must hold l.mu.
+func (l lease) work(now time.Time, cost time.Duration) time.Duration {
+	delay := l.budget.Work(now, l.id, cost)
 	if delay > 0 {
-		l.counters.workDelayed(l.class.String()).Inc(1)
+		l.counters.workDelayed[l.class].Inc(1)
 	}
 	return delay
 }
 
 func headCharge(bytes, lines int) int64 { return int64(headByteCharge*bytes + headLineCharge*lines) }
 
-// Hold implements callers.Lease.
-func (l lease) Hold(bytes, lines int) bool {
+// ReadHead implements callers.Lease.
+func (l lease) ReadHead(bytes, lines int) (wait time.Duration, ok bool) {
 	now := time.Now()
 	l.mu.Lock()
-	evicted, ok := l.budget.Hold(now, l.id, headCharge(bytes, lines))
-	evicts := l.takeEvicted(now, evicted)
-	l.counters.connsEvicted(l.class.String()).Inc(int64(len(evicts)))
-	if !ok {
-		l.counters.headsRefused(l.class.String()).Inc(1)
-		l.logLack(now, "no room for a request head", l.class)
+	evicts, ok := l.hold(now, headCharge(bytes, lines))
+	wait = l.work(now, readWork+time.Duration(bytes)*byteWork+time.Duration(lines)*lineWork)
+	l.mu.Unlock()
+	for _, evict := range evicts {
+		evict()
 	}
+	return wait, ok
+}
+
+// Hold implements callers.Lease.
+func (l lease) Hold(bytes, lines int) bool {
+	l.mu.Lock()
+	evicts, ok := l.hold(time.Now(), headCharge(bytes, lines))
 	l.mu.Unlock()
 	for _, evict := range evicts {
 		evict()
@@ -170,6 +191,18 @@
 	return ok
 }
 
+// hold charges bytes, and returns the functions that close the connections evicted for them. The
+// caller must hold l.mu.
+func (l lease) hold(now time.Time, bytes int64) (evicts []func(), ok bool) {
+	evicted, ok := l.budget.Hold(now, l.id, bytes)
+	evicts = l.takeEvicted(now, evicted, l.class)
+	if !ok {
+		l.counters.headsRefused[l.class].Inc(1)
+		l.logLack(now, "no room for a request head", l.class)
+	}
+	return evicts, ok
+}
+
 // Free implements callers.Lease.
 func (l lease) Free(bytes, lines int) {
 	if bytes == 0 && lines == 0 {
@@ -197,10 +230,13 @@
 }
 
 // End implements callers.Lease.
-func (l lease) End(complete, served bool) {
+func (l lease) End(complete, served bool, bytes, lines int) {
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.budget.End(time.Now(), l.id, complete, served)
+	l.budget.End(now, l.id, complete, served)
+	l.budget.Free(now, l.id, headCharge(bytes, lines))
+	l.plan(now)
 }
 
 // Write implements callers.Lease.
@@ -241,9 +277,7 @@
 // sweep evicts connections whose callers don't read. Responses that aren't buffered hold a target for
 // as long as they are under way. The caller must hold m.mu.
 func (m *guard) sweep(now time.Time) {
-	evicted := m.budget.EvictStalled(now)
-	evicts := m.takeEvicted(now, evicted)
-	m.counters.connsEvicted(admission.Traffic.String()).Inc(int64(len(evicts)))
+	evicts := m.takeEvicted(now, m.budget.EvictStalled(now), admission.Traffic)
 	if len(evicts) > 0 {
 		m.logLack(now, "no room for a response: closed connections that aren't read", admission.Traffic)
 		go func() {
