gateway: replies to other entries have larger send buffers

With 64 KiB in the kernel, a reply of 1 MB to an entry 40 ms away would take longer than the half second that its call has.

--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -26,8 +26,11 @@
 	// doubles it for its own data and holds up to 24 KiB.
 	idleReceiveBuffer = 16 << 10
 	unreadCharge      = 24 << 10
-	// sendBuffer bounds the bytes that a caller hasn't read. The kernel doubles it for its own data.
-	sendBuffer = 64 << 10
+	// sendBuffer bounds the bytes that a caller hasn't read, and entrySendBuffer those that another entry
+	// hasn't read, which may be far away and has half a second for a reply of up to 8 MiB. The kernel
+	// doubles them for its own data.
+	sendBuffer      = 64 << 10
+	entrySendBuffer = 512 << 10
 )
 
 // Charges of heads in bytes, for the raw and the parsed form.
@@ -298,8 +301,8 @@
 	})
 }
 
-// listen opens a listener whose connections have small buffers.
-func listen(address string) (net.Listener, error) {
+// listen opens a listener whose connections have bounded buffers.
+func listen(address string, sendBuffer int) (net.Listener, error) {
 	c := net.ListenConfig{KeepAlive: noKeepAlive, Control: func(_, _ string, c syscall.RawConn) (err error) {
 		controlErr := c.Control(func(fd uintptr) {
 			if err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, idleReceiveBuffer); err == nil {
