gateway: unsent bytes count as memory; a body that is followed by unread requests ends a gateway

TestClientsThatDontBehave counts what clients leave unread in the kernel of the gateway too, which is memory of its VM as much as what the gateway hasn't read, says how single requests were refused and how long they took, and plays one more kind of clients: a body of 1 MiB, then requests whose responses are not read.

Seen with 400 of these clients at the front, with and without accounts, on one core with 100 MB: killed at 104 and 101 MB, 32 and 36 MB of them unread. The receive buffer of a connection stays at 64 KiB (128 KiB in the kernel) after a large body, and 24 KiB are reckoned with.

--- a/clients_proof_test.go
+++ b/clients_proof_test.go
@@ -297,10 +297,12 @@
 type usage struct {
 	anon    int64 // bytes of anonymous memory
 	unread  int64 // bytes in the kernel that the process hasn't read
+	unsent  int64 // bytes in the kernel that its clients haven't read
 	sockets int64
+	sum     int64 // bytes at the same time
 }
 
-// usageOf measures a gateway. unread is read from the table of the kernel by the gateway's address.
+// usageOf measures a gateway. Bytes in the kernel are read from its table by the gateway's address.
 func (s *clientsSite) usageOf() (u usage) {
 	pid := s.gateway.cmd.Process.Pid
 	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
@@ -319,9 +321,11 @@
 		if len(f) < 5 || !strings.HasPrefix(f[1], local) || f[3] == "0A" {
 			continue
 		}
-		_, queued, _ := strings.Cut(f[4], ":")
-		n, _ := strconv.ParseInt(queued, 16, 64)
+		unsent, unread, _ := strings.Cut(f[4], ":")
+		n, _ := strconv.ParseInt(unread, 16, 64)
 		u.unread += n
+		n, _ = strconv.ParseInt(unsent, 16, 64)
+		u.unsent += n
 	}
 	return u
 }
@@ -330,8 +334,10 @@
 func (s *clientsSite) watch(ctx context.Context) (most usage) {
 	for ; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
 		u := s.usageOf()
-		most.anon, most.unread, most.sockets = max(most.anon, u.anon), max(most.unread, u.unread), max(most.sockets, u.sockets)
-		if sum := u.anon + u.unread; sum > int64(s.vm.memoryMB)*1e6 {
+		most.anon, most.unread, most.unsent, most.sockets = max(most.anon, u.anon), max(most.unread, u.unread), max(most.unsent, u.unsent), max(most.sockets, u.sockets)
+		sum := u.anon + u.unread + u.unsent
+		most.sum = max(most.sum, sum)
+		if sum > int64(s.vm.memoryMB)*1e6 {
 			s.q.Check(sum, qt.Equals, int64(s.vm.memoryMB)*1e6, qt.Commentf("the gateway is beyond its memory: %+v", u))
 			s.gateway.signal(syscall.SIGKILL)
 			return most
@@ -369,11 +375,9 @@
 	stop := startAttacker(s.t, kind, s.address(s.door.port), s.door.path, s.vm.clients)
 	most := s.watch(ctx)
 	all.Wait()
-	s.t.Logf("%d connections; at most %d MB of memory, %d MB unread, %d descriptors", stop(), most.anon/1e6, most.unread/1e6, most.sockets)
-	s.refusals.Range(func(refusal, _ any) bool {
-		s.t.Logf("refused: %v", refusal)
-		return true
-	})
+	s.t.Logf("%d connections; at most %d MB of memory, %d MB unread, %d MB unsent, %d MB in all, %d descriptors",
+		stop(), most.anon/1e6, most.unread/1e6, most.unsent/1e6, most.sum/1e6, most.sockets)
+	s.logRefusals("refused")
 	s.t.Logf("callers: %v; readiness: %v; look-ups: %v", calls, checks, lookups)
 	select {
 	case err := <-s.gateway.exited:
@@ -395,6 +399,15 @@
 	}
 }
 
+// logRefusals logs how requests were refused since the last call.
+func (s *clientsSite) logRefusals(prefix string) {
+	s.refusals.Range(func(refusal, _ any) bool {
+		s.t.Logf("%s: %v", prefix, refusal)
+		return true
+	})
+	s.refusals.Clear()
+}
+
 // checkServed requires that 9 of 10 requests were served, and no two in a row were not where one
 // client sends them.
 func (s *clientsSite) checkServed(name string, c *tally) {
@@ -426,8 +439,10 @@
 	}
 	time.Sleep(200 * time.Millisecond) // connections of the load end
 	for _, tt := range tests {
-		client := &http.Client{Transport: &http.Transport{}}
+		client, began := &http.Client{Transport: &http.Transport{}}, time.Now()
 		s.q.Check(s.call(client, "single "+tt.name, tt.body, singleTimeout, tt.change), qt.IsTrue, qt.Commentf("single request: %s", tt.name))
+		s.t.Logf("single request: %s: %v", tt.name, time.Since(began).Round(time.Millisecond))
+		s.logRefusals("refused: " + tt.name)
 		client.CloseIdleConnections()
 	}
 	for _, n := range []int{6, 60} {
--- a/misbehaviour_test.go
+++ b/misbehaviour_test.go
@@ -151,6 +151,7 @@
 	{name: "requests ahead", clients: 100, play: sendAhead("")},
 	{name: "requests ahead for long responses", clients: 100, play: sendAhead(fmt.Sprint(headerBytes, ": 500000\r\n"))},
 	{name: "requests ahead from one address", clients: 100, few: true, play: sendAhead("")},
+	{name: "body, then requests ahead", clients: 400, play: sendBodyThenAhead},
 	{name: "slow heads", clients: 1500, play: sendSlowly},
 	{name: "slow bodies", clients: 1500, play: sendBodySlowly},
 	{name: "nothing", clients: 1500, play: sendNothing},
@@ -288,6 +289,17 @@
 	}
 }
 
+// sendBodyThenAhead sends a large body and then requests without reading the responses.
+func sendBodyThenAhead(ctx context.Context, a *attacker, c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetReadBuffer(4 << 10)
+	}
+	if _, err := io.WriteString(c, a.head(http.MethodPost)+fmt.Sprintf("Content-Length: %d\r\n\r\n", clientsUpload)+strings.Repeat("v", clientsUpload)); err != nil {
+		return
+	}
+	sendAhead(fmt.Sprint(headerBytes, ": 500000\r\n", "X-Long: ", strings.Repeat("v", clientsHeader/2), "\r\n"))(ctx, a, c)
+}
+
 // slowPause is between two bytes of a slow client.
 const slowPause = 100 * time.Millisecond
 
