admission: work is delayed by what its own caller owes, not by a queue of all

Cause: delayed work of a class waited in one queue whose end could lie 20 s ahead, also for callers that came later and behind work of callers that were gone. Each part of a body waited for a fraction of a millisecond, which timers make one or two. And a byte was charged with 5 ns: a body of 60 MiB takes 60 ms of the gateway, read and passed on (schedstat, 3 runs).

Change: a caller waits until what it owes has decayed to its level: room is divided among the callers of a class in proportion to their use, and those that owe less leave the rest to the others. Callers that have been gone for a second don't take part. Delays under 10 ms are left out; what they would have been stays owed. A byte is 1 ns. A served request cancels at most 1 ms of the work for its head: heads of 2,700 lines, which are served, took the processor of others.

--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -39,11 +39,11 @@
 	headLineCharge = 400
 )
 
-// Charges of processor time, for one core of the usual kind.
+// Charges of processor time, for one core of the usual kind. A byte of a body is read and written.
 const (
 	connWork    = 50 * time.Microsecond // to accept and close a connection
 	readWork    = 5 * time.Microsecond
-	byteWork    = 5 * time.Nanosecond
+	byteWork    = time.Nanosecond
 	requestWork = 50 * time.Microsecond
 	lineWork    = 2 * time.Microsecond // with the collection of what it leaves
 )
@@ -98,7 +98,7 @@
 		g.logLack(now, "no room for a connection", g.class)
 	} else {
 		g.evicts[id] = evict
-		g.budget.Work(now, id, connWork)
+		g.budget.Work(now, id, connWork, 0)
 	}
 	g.mu.Unlock()
 	for _, evict := range evicts {
@@ -149,19 +149,19 @@
 func (l lease) Read(bytes int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.work(time.Now(), readWork+time.Duration(bytes)*byteWork)
+	return l.work(time.Now(), readWork+time.Duration(bytes)*byteWork, 0)
 }
 
 // Request implements callers.Lease.
 func (l lease) Request() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.work(time.Now(), requestWork)
+	return l.work(time.Now(), requestWork, 0)
 }
 
-// work charges processor time. The caller must hold l.mu.
-func (l lease) work(now time.Time, cost time.Duration) time.Duration {
-	delay := l.budget.Work(now, l.id, cost)
+// work charges processor time, a part of it for a head. The caller must hold l.mu.
+func (l lease) work(now time.Time, cost, head time.Duration) time.Duration {
+	delay := l.budget.Work(now, l.id, cost, head)
 	if delay > 0 {
 		l.counters.workDelayed[l.class].Inc(1)
 	}
@@ -175,7 +175,8 @@
 	now := time.Now()
 	l.mu.Lock()
 	evicts, ok := l.hold(now, headCharge(bytes, lines))
-	wait = l.work(now, readWork+time.Duration(bytes)*byteWork+time.Duration(lines)*lineWork)
+	cost := readWork + time.Duration(bytes)*byteWork + time.Duration(lines)*lineWork
+	wait = l.work(now, cost, cost)
 	l.mu.Unlock()
 	for _, evict := range evicts {
 		evict()
@@ -254,7 +255,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.budget.Written(l.id)
-	l.budget.Work(time.Now(), l.id, time.Duration(bytes)*byteWork)
+	l.budget.Work(time.Now(), l.id, time.Duration(bytes)*byteWork, 0)
 }
 
 // Close implements callers.Lease.
--- a/pkg/admission/caller.go
+++ b/pkg/admission/caller.go
@@ -19,8 +19,9 @@
 	evicted float64       // connections, decaying by servedTime
 	owed    time.Duration // processor time without use, decaying by owedTime
 	updated time.Time
-	held    float64 // byte seconds, by the latest ranking
-	score   float64 // what it held then for its use
+	left    time.Time // when its last connection ended
+	held    float64   // byte seconds, by the latest ranking
+	score   float64   // what it held then for its use
 }
 
 const (
@@ -67,6 +68,7 @@
 	if c.conns > 0 {
 		return
 	}
+	c.left = now
 	if c.advance(now); c.owed < minOwed && c.evicted < minEvicted {
 		b.removeCaller(c)
 	}
--- a/pkg/admission/conn.go
+++ b/pkg/admission/conn.go
@@ -11,8 +11,9 @@
 	class  Class
 	caller *caller
 	bytes  int64
-	since  time.Time     // of the end of its last request, or of its start
-	work   time.Duration // processor time for requests that haven't ended
+	since  time.Time // of the end of its last request, or of its start
+	// Processor time for requests that haven't ended, without their heads and for them.
+	work, headWork time.Duration
 	// busy is how many complete requests are being served.
 	busy    int
 	writing time.Time // begin of a write that hasn't ended; zero without one
@@ -81,7 +82,7 @@
 		c.caller.served++
 		b.refund(now, c)
 	}
-	c.work = 0
+	c.work, c.headWork = 0, 0
 }
 
 // Write notes the begin of a write of a response, and Written its end.
--- a/pkg/admission/sim_test.go
+++ b/pkg/admission/sim_test.go
@@ -146,7 +146,7 @@
 		s.disconnect(k)
 		return
 	}
-	if delay := s.b.Work(s.now, k.id, simRequest); delay > 0 {
+	if delay := s.b.Work(s.now, k.id, simRequest, simRequest/2); delay > 0 {
 		s.delayed[k.name]++
 		k.delayed, k.next = true, s.now.Add(delay)
 		return
@@ -249,3 +249,80 @@
 		s.c.Assert(counts, qt.HasLen, 0)
 	}
 }
+
+// Guards against work of a crowd that has left, and of one that stays, which makes a caller wait far
+// longer than its part of the processor takes.
+func TestPaceBesideCrowd(t *testing.T) {
+	const (
+		late  = 1500 * time.Microsecond // by which pauses are too long
+		cost  = 25 * time.Microsecond   // of a part of a body
+		parts = 12_000
+		crowd = 200
+	)
+	tests := []struct {
+		name  string
+		stays bool
+		most  time.Duration
+	}{
+		{"left", false, 5 * time.Second},
+		// It shares a quarter of half of a core with the crowd.
+		{"stays", true, time.Duration(1.5 * parts * cost.Seconds() / simCores * 4 * crowd * float64(time.Second))},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSimulation(qt.New(t))
+			ids := make([]ID, crowd)
+			for i := range ids {
+				ids[i], _ = s.b.Connect(s.now, Traffic, fmt.Sprint("crowd", i))
+			}
+			for range 20 {
+				for _, id := range ids {
+					s.b.Work(s.now, id, time.Millisecond, 0)
+				}
+			}
+			next := make([]time.Time, crowd)
+			id, _ := s.b.Connect(s.now, Traffic, "caller")
+			if !tt.stays {
+				for _, id := range ids {
+					s.b.Disconnect(s.now, id)
+				}
+			}
+			began := s.now
+			for range parts {
+				s.now = s.now.Add(cost)
+				if delay := s.b.Work(s.now, id, cost, 0); delay > 0 {
+					s.now = s.now.Add(delay + late)
+				}
+				for i, id := range ids {
+					if tt.stays && !s.now.Before(next[i]) {
+						next[i] = s.now.Add(s.b.Work(s.now, id, cost, 0) + late)
+					}
+				}
+			}
+			took := s.now.Sub(began)
+			t.Logf("%v of at most %v", took, tt.most)
+			s.c.Assert(took <= tt.most, qt.IsTrue, qt.Commentf("%v of at most %v", took, tt.most))
+		})
+	}
+}
+
+// Guards against heads of many lines, which are served, that take the processor of others.
+func TestPaceOfServedHeads(t *testing.T) {
+	const lines = 5 * time.Millisecond // of processor time
+	s := newSimulation(qt.New(t))
+	id, _ := s.b.Connect(s.now, Traffic, "caller")
+	other, _ := s.b.Connect(s.now, Traffic, "other")
+	work, began := time.Duration(0), s.now
+	for s.now.Sub(began) < simTime {
+		delay := s.b.Work(s.now, id, simRequest+lines, lines)
+		s.now = s.now.Add(delay + simRequest + lines)
+		work += simRequest + lines
+		s.b.Begin(id, true)
+		s.b.End(s.now, id, true, true)
+		s.c.Assert(s.b.Work(s.now, other, simRequest, simRequest/2), qt.Equals, time.Duration(0))
+		s.b.Begin(other, true)
+		s.b.End(s.now, other, true, true)
+	}
+	most := (simTime + 2*owedTime).Seconds() * simCores / workPart[Traffic] * float64(lines) / float64(lines-maxHeadRefund) * 1.2
+	s.c.Assert(work.Seconds() <= most, qt.IsTrue, qt.Commentf("%v of at most %v s", work, most))
+}
