callers: a delayed connection ends when its caller leaves

A connection whose reads were delayed didn't notice its caller's close, or the end of the time in which the rest of a refused body is read, until the delay was over, up to 20 s later; it kept its descriptor and its bytes. Now a pause looks for the close, at doubling periods from 25 ms to 0.4 s, and the time for the rest bounds it.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -282,8 +282,7 @@
 	c.mu.Unlock()
 	if linger {
 		c.closeWrite()
-		_ = c.rwc.SetReadDeadline(time.Now().Add(lingerTimeout))
-		c.discard()
+		c.discard(time.Now().Add(lingerTimeout))
 	}
 	c.rwc.Close()
 	c.mu.Lock()
@@ -293,14 +292,14 @@
 	}
 }
 
-// discard reads and drops what the caller sends, up to the read deadline.
-func (c *conn) discard() {
+// discard reads and drops what the caller sends, up to a deadline.
+func (c *conn) discard(deadline time.Time) {
+	_ = c.rwc.SetReadDeadline(deadline)
 	buf := discardBuffers.Get().(*[discardSize]byte)
 	defer discardBuffers.Put(buf)
-	c.in.limited = false
 	for {
 		n, err := c.rwc.Read(buf[:])
-		if err != nil || c.charge(buf[:n]) != nil {
+		if err != nil || !c.pause(min(c.lease.Read(n), time.Until(deadline))) {
 			return
 		}
 	}
--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"time"
 )
 
@@ -58,25 +59,37 @@
 // headSize is what a head takes: bytes, and lines with those of the request and of the end.
 type headSize struct{ bytes, lines int }
 
-// pause waits for a time, or until the connection ends.
-func (c *conn) pause(d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-c.ctx.Done():
+// Times between two looks for the caller's close in a pause. They double.
+const (
+	minLeavePeriod = 25 * time.Millisecond
+	maxLeavePeriod = 400 * time.Millisecond
+)
+
+// pause waits for a time. It ends early and returns false if the connection ends or the caller
+// closes its side, also behind unread bytes: what it holds is then of no use.
+func (c *conn) pause(d time.Duration) bool {
+	for period := minLeavePeriod; d > 0; period = min(2*period, maxLeavePeriod) {
+		step := min(d, period)
+		t := time.NewTimer(step)
+		select {
+		case <-t.C:
+		case <-c.ctx.Done():
+			t.Stop()
+			return false
+		}
+		if d -= step; c.hungUp() {
+			c.leave()
+			return false
+		}
 	}
+	return true
 }
 
 // charge charges bytes that have just been read, and waits as long as the guard wants. It returns an
-// error if they are part of a head and may not be held.
+// error if they are part of a head and may not be held, and io.EOF if the caller leaves meanwhile.
 func (c *conn) charge(p []byte) error {
 	if !c.in.limited {
-		c.pause(c.lease.Read(len(p)))
-		return nil
+		return c.delay(c.lease.Read(len(p)))
 	}
 	lines := bytes.Count(p, lineBreak)
 	wait, ok := c.lease.ReadHead(len(p), lines)
@@ -85,7 +98,14 @@
 	}
 	c.head.bytes += len(p)
 	c.head.lines += lines
-	c.pause(wait)
+	return c.delay(wait)
+}
+
+// delay pauses, and returns io.EOF if the connection is of no use any more.
+func (c *conn) delay(d time.Duration) error {
+	if !c.pause(d) {
+		return io.EOF
+	}
 	return nil
 }
 
--- a/internal/callers/guard_test.go
+++ b/internal/callers/guard_test.go
@@ -15,8 +15,9 @@
 // testGuard is a guard with room for some header lines.
 type testGuard struct {
 	mu      sync.Mutex
-	lines   int // room
-	delay   time.Duration
+	lines   int           // room
+	delay   time.Duration // of a request
+	parts   time.Duration // delay of each part of a body
 	refuses bool
 	held    headSize
 	conns   int
@@ -47,6 +48,8 @@
 	unguarded
 }
 
+func (l *testLease) Read(int) time.Duration { return l.parts }
+
 func (l *testLease) Request() time.Duration { return l.delay }
 
 func (l *testLease) ReadHead(bytes, lines int) (time.Duration, bool) { return 0, l.Hold(bytes, lines) }
@@ -223,3 +226,38 @@
 	c.expect("/free")
 	qt.Assert(t, time.Since(began) >= delay, qt.IsTrue)
 }
+
+// Guards against delayed connections that are kept after their callers have left, or whose rest is
+// read for longer than the time for it.
+func TestDelayedConnectionEnds(t *testing.T) {
+	const request = "POST /free HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		close   bool
+	}{
+		{"body of a caller that has left", func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }, true},
+		{"rest of a refused body", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			g := &testGuard{lines: 100, parts: time.Minute}
+			cfg := testConfig()
+			cfg.Guard, cfg.Handler = g, tt.handler
+			w := newWorld(t, cfg)
+			c := dial(t, w.addr)
+			c.send(request + strings.Repeat("v", 8<<10))
+			if tt.close {
+				time.Sleep(50 * time.Millisecond) // the delay has begun
+				c.Close()
+			}
+			for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+				if _, conns, _ := g.usage(); conns == 0 {
+					return
+				}
+				qt.Assert(t, time.Now().Before(end), qt.IsTrue)
+			}
+		})
+	}
+}
--- a/internal/callers/wait.go
+++ b/internal/callers/wait.go
@@ -128,21 +128,33 @@
 // watch waits until the caller closes its side, also behind unread bytes. It returns io.EOF
 // then, and a timeout if it was interrupted.
 func (c *conn) watch() error {
-	err := c.raw.Read(func(fd uintptr) bool {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		for {
-			_, err := unix.Poll(fds, 0)
-			if err != unix.EINTR {
-				return err != nil || fds[0].Revents != 0
-			}
-		}
-	})
+	err := c.raw.Read(hungUp)
 	if err == nil {
 		return io.EOF
 	}
 	return err
 }
 
+// hungUp reports whether the peer of a socket has closed its side or reset the connection.
+func hungUp(fd uintptr) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	for {
+		_, err := unix.Poll(fds, 0)
+		if err != unix.EINTR {
+			return err != nil || fds[0].Revents != 0
+		}
+	}
+}
+
+// hungUp reports whether the caller has closed its side, also behind unread bytes.
+func (c *conn) hungUp() (up bool) {
+	if c.raw == nil {
+		return false
+	}
+	err := c.raw.Control(func(fd uintptr) { up = hungUp(fd) })
+	return up || err != nil
+}
+
 // readable reports whether bytes of the caller have arrived that are not read yet.
 func (c *conn) readable() bool {
 	if c.raw == nil {
