admission, callers, gateway: what the kernel holds for connections is charged

Cause: 24 KiB of unread bytes were reckoned with for a connection, which may have 512 KiB in the kernel while a large body is read and 128 KiB for ever after; refused bodies, whose rest is dropped, kept theirs too. Bytes that a caller doesn't read, up to 128 KiB a connection (1 MiB to other entries), were not counted at all.

Change: admission.Budget has one bound for the bytes in the kernel. Each connection has 24 KiB unread and 18 KiB unsent; a large body or response gets a window beyond that if there is room (windows_refused counts those that don't). A connection at rest keeps its window until others need the room; one for sending ends once the caller has read, which the guard looks for ten times a second while there are any. The runtime may use 0.7 of the memory (0.75 before), the kernel 0.3; 1,584 connections at 284 MB (2,311 before).

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -38,7 +38,10 @@
 
 	maxRequests int
 
-	writeDeadline time.Time // used by the response whose turn it is
+	// Used by the response whose turn it is.
+	writeDeadline time.Time
+	written       int  // bytes of it
+	sendWide      bool // the send buffer has been widened for it
 
 	mu      sync.Mutex
 	changed sync.Cond // on mu; broadcast on each change that a wait may depend on
@@ -51,6 +54,7 @@
 	gone    bool // the caller has closed its side
 	broken  bool // nothing more can be written
 	linger  bool // the caller may still be sending when the connection is closed
+	wide    bool // the receive buffer has been widened
 }
 
 func newConn(s *Server, rwc net.Conn) *conn {
@@ -163,6 +167,9 @@
 	q.finished = true
 	c.lease.End(q.arrived, q.served(), q.head.bytes, q.head.lines)
 	if i := slices.Index(c.active, q); i >= 0 {
+		if i == 0 {
+			c.endSend()
+		}
 		c.active = slices.Delete(c.active, i, i+1)
 	}
 	c.changed.Broadcast()
@@ -292,6 +299,13 @@
 	}
 }
 
+// setReceiveBuffer bounds the bytes that the caller may send before they are read.
+func (c *conn) setReceiveBuffer(bytes int) {
+	if t, ok := c.rwc.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = t.SetReadBuffer(bytes) // fails if the connection has ended
+	}
+}
+
 // discard reads and drops what the caller sends, up to a deadline.
 func (c *conn) discard(deadline time.Time) {
 	_ = c.rwc.SetReadDeadline(deadline)
@@ -309,9 +323,50 @@
 
 var discardBuffers = sync.Pool{New: func() any { return new([discardSize]byte) }}
 
+// wideSend is how many bytes of a response are sent before its send buffer is widened, and before it is
+// tried again.
+const wideSend = 16 << 10
+
+// widenSend widens the send buffer for a large response.
+func (c *conn) widenSend(bytes int) {
+	before := c.written
+	c.written += bytes
+	if c.sendWide || c.written/wideSend == before/wideSend {
+		return
+	}
+	if size := c.lease.SendBuffer(); size > 0 {
+		c.sendWide = true
+		c.setSendBuffer(size)
+	}
+}
+
+// endSend notes the end of the response whose turn it is.
+func (c *conn) endSend() {
+	if c.sendWide {
+		c.lease.Sent()
+	}
+	c.written, c.sendWide = 0, false
+}
+
+func (c *conn) setSendBuffer(bytes int) {
+	if t, ok := c.rwc.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		_ = t.SetWriteBuffer(bytes) // fails if the connection has ended
+	}
+}
+
+// narrowSend sets the send buffer if no more bytes than that are unsent.
+func (c *conn) narrowSend(sendBuffer int) bool {
+	if c.unsent() > sendBuffer {
+		return false
+	}
+	c.setSendBuffer(sendBuffer)
+	return true
+}
+
 // Write writes to the caller. It fails, and the connection is closed, if a write makes no
 // progress for the write timeout.
 func (c *conn) Write(p []byte) (n int, err error) {
+	c.widenSend(len(p))
 	for {
 		limit := c.server.writeTimeout
 		// Moving the deadline for every write would cost more than the write of a small
--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -8,9 +8,18 @@
 
 // Guard decides what connections may hold and do. It must be safe for concurrent use.
 type Guard interface {
-	// Connect admits a connection from an address, without its port, or returns nil. evict closes
-	// the connection at once; it may be called until the end of the lease.
-	Connect(address string, evict func()) Lease
+	// Connect admits a connection from an address, without its port, or returns nil. The actions may be
+	// called until the end of the lease.
+	Connect(address string, a Actions) Lease
+}
+
+// Actions are what a guard may do to a connection.
+type Actions struct {
+	Evict  func()                  // closes it at once
+	Narrow func(receiveBuffer int) // ends its window; see Lease.Widen
+	// NarrowSend ends its window for sending, see Lease.SendBuffer, if the caller has read what has been
+	// sent up to the size of the buffer. It reports whether it has.
+	NarrowSend func(sendBuffer int) bool
 }
 
 // Lease is what a connection may hold and do.
@@ -37,13 +46,23 @@
 	// Write and Written note the begin and the end of a write.
 	Write()
 	Written(bytes int)
+	// Widen reports whether the receive buffer may have so many bytes. It stays until it is narrowed.
+	Widen(receiveBuffer int) bool
+	// Rest notes that all that has arrived is read, so that the buffer may be narrowed. Resume notes
+	// that more has arrived, and reports whether it hasn't been.
+	Rest()
+	Resume() bool
+	// SendBuffer returns the size of the send buffer for a response with more than so many bytes; 0 if it
+	// stays as it is. Sent notes that all has been written; the buffer stays until it is narrowed.
+	SendBuffer() int
+	Sent()
 	Close()
 }
 
 // unguarded admits everything.
 type unguarded struct{}
 
-func (unguarded) Connect(string, func()) Lease            { return unguarded{} }
+func (unguarded) Connect(string, Actions) Lease           { return unguarded{} }
 func (unguarded) Read(int) time.Duration                  { return 0 }
 func (unguarded) ReadHead(int, int) (time.Duration, bool) { return 0, true }
 func (unguarded) Hold(int, int) bool                      { return true }
@@ -54,6 +73,11 @@
 func (unguarded) End(bool, bool, int, int)                {}
 func (unguarded) Write()                                  {}
 func (unguarded) Written(int)                             {}
+func (unguarded) Widen(int) bool                          { return true }
+func (unguarded) Rest()                                   {}
+func (unguarded) Resume() bool                            { return true }
+func (unguarded) SendBuffer() int                         { return 0 }
+func (unguarded) Sent()                                   {}
 func (unguarded) Close()                                  {}
 
 // headSize is what a head takes: bytes, and lines with those of the request and of the end.
--- a/internal/callers/guard_test.go
+++ b/internal/callers/guard_test.go
@@ -25,14 +25,14 @@
 	evict   func()
 }
 
-func (g *testGuard) Connect(_ string, evict func()) Lease {
+func (g *testGuard) Connect(_ string, a Actions) Lease {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.refuses {
 		return nil
 	}
 	g.conns++
-	g.evict = evict
+	g.evict = a.Evict
 	return &testLease{testGuard: g}
 }
 
--- a/internal/callers/response.go
+++ b/internal/callers/response.go
@@ -120,6 +120,9 @@
 	// SetServed says whether the request was of use to its caller. Without it, requests with an unread
 	// body and those with a status from 400 on are of no use.
 	SetServed(served bool)
+	// Widen lets the caller send more bytes before they are read, if there is room for them, and
+	// reports whether it may. The handler must be reading the body.
+	Widen(receiveBuffer int) bool
 }
 
 // HeaderBytes implements Response.
@@ -132,6 +135,19 @@
 // SetServed implements Response.
 func (q *response) SetServed(served bool) { q.forServed = &served }
 
+// Widen implements Response.
+func (q *response) Widen(receiveBuffer int) bool {
+	c := q.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lease.Widen(receiveBuffer) {
+		return false
+	}
+	c.setReceiveBuffer(receiveBuffer)
+	c.wide = true
+	return true
+}
+
 // served reports whether the request was of use to its caller.
 func (q *response) served() bool {
 	switch {
--- a/internal/callers/wait.go
+++ b/internal/callers/wait.go
@@ -83,10 +83,16 @@
 		}
 		c.setReadTimeout(timeout)
 		c.reader = readerIdle
+		if c.wide {
+			c.lease.Rest()
+		}
 		c.mu.Unlock()
 		n, err := c.rwc.Read(c.in.start[:])
 		c.mu.Lock()
 		c.reader = readerBusy
+		if c.wide {
+			c.wide = c.lease.Resume()
+		}
 		switch {
 		case n > 0:
 			c.in.ahead = c.in.start[:n]
@@ -167,3 +173,12 @@
 	})
 	return err == nil && n > 0
 }
+
+// unsent returns how many bytes the caller hasn't acknowledged.
+func (c *conn) unsent() (n int) {
+	if c.raw == nil {
+		return 0
+	}
+	_ = c.raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	return n
+}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/memory"
 	"plumpitch.example/plumpitch/pkg/route"
@@ -151,19 +152,15 @@
 // readHeld reads the body up to the request's deadline.
 func (q *request) readHeld(ctl *http.ResponseController, l route.Limits) (body [][]byte, err error) {
 	_ = ctl.SetReadDeadline(q.deadline())
-	conn := connOf(q.r)
-	large := false
+	conn, _ := q.w.(callers.Response)
+	wide := false
 	body, err = readBody(q.r, l, func(bytes int64) error {
-		waited, err := q.held.extend(bytes, q.endOfWait, func() { boundUnread(conn, receiveBuffer) })
-		if !large && bytes >= bodyStart || waited {
-			large = true
-			boundUnread(conn, bodyReceiveBuffer)
+		err := q.held.extend(bytes, q.endOfWait)
+		if err == nil && !wide && conn != nil && bytes >= bodyStart {
+			wide = conn.Widen(bodyReceiveBuffer)
 		}
 		return err
 	})
-	if large {
-		boundUnread(conn, receiveBuffer)
-	}
 	if refusal := q.held.refusedWith(); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,7 +125,7 @@
 		Source:  g.control, OnPacket: g.receivePacket, Log: g.log, OnRequest: http.HandlerFunc(g.servePassedOn),
 		Self:   func() member.ID { return *g.selfID.Load() },
 		OnSent: g.instruments.countSent, OnLost: func(packets int) { g.instruments.packetsLost.Inc(int64(packets)) }, ListenPacket: cfg.ListenPacket, Dial: cfg.Dial,
-		Listen: func(address string) (net.Listener, error) { return listen(address, entrySendBuffer) }, Guard: g.guard.at(admission.Entries), MaxHeaderBytes: g.maxHeaderBytes,
+		Listen: listen, Guard: g.guard.at(admission.Entries), MaxHeaderBytes: g.maxHeaderBytes,
 	}); err != nil {
 		g.closeListeners()
 		return nil, err
@@ -177,7 +177,7 @@
 		{"directory", &g.directoryListener, s.DirectoryAddress},
 		{"metrics", &g.metricsListener, net.JoinHostPort(s.IP, strconv.Itoa(cfg.MetricsPort))},
 	} {
-		if *l.listener, err = listen(l.addr, sendBuffer); err != nil {
+		if *l.listener, err = listen(l.addr); err != nil {
 			g.closeListeners()
 			return errors.WithMessage(err, l.name)
 		}
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -26,11 +26,15 @@
 	// doubles it for its own data and holds up to 24 KiB.
 	idleReceiveBuffer = 16 << 10
 	unreadCharge      = 24 << 10
-	// sendBuffer bounds the bytes that a caller hasn't read, and entrySendBuffer those that another entry
-	// hasn't read, which may be far away and has half a second for a reply of up to 8 MiB. The kernel
-	// doubles them for its own data.
-	sendBuffer      = 64 << 10
-	entrySendBuffer = 512 << 10
+	// idleSendBuffer bounds the bytes that a caller hasn't read until it gets a large response. The
+	// kernel doubles it and holds up to 18 KiB.
+	idleSendBuffer = 16 << 10
+	unsentCharge   = 18 << 10
+	// sendBuffer bounds them for a large response, and entrySendBuffer for one to another entry, which
+	// may be far away and has half a second for a reply of up to 8 MiB.
+	sendBuffer       = 64 << 10
+	entrySendBuffer  = 512 << 10
+	connKernelCharge = unreadCharge + unsentCharge
 )
 
 // Charges of heads in bytes, for the raw and the parsed form.
@@ -54,7 +58,7 @@
 		files = unknownFiles
 	}
 	byFiles := int64(callerFiles * float64(max(files-reservedFiles, 0)))
-	return min(byFiles, int64(unreadShare*float64(memory))/unreadCharge)
+	return min(byFiles, int64((kernelShare-windowShare)*float64(memory))/connKernelCharge)
 }
 
 // guardCounters count what a guard refuses, by class.
@@ -63,6 +67,8 @@
 	connsEvicted classCounters // connections that were closed for lack of room
 	headsRefused classCounters // requests whose heads found no room
 	workDelayed  classCounters // reads that were delayed
+	// windowsRefused are bodies that were read without a larger receive buffer
+	windowsRefused classCounters
 }
 
 type classCounters map[admission.Class]tally.Counter
@@ -75,7 +81,7 @@
 		}
 		return counters
 	}
-	return guardCounters{count("connections_refused"), count("connections_evicted"), count("heads_refused"), count("work_delayed")}
+	return guardCounters{count("connections_refused"), count("connections_evicted"), count("heads_refused"), count("work_delayed"), count("windows_refused")}
 }
 
 // at returns the guard of the connections of a class.
@@ -88,21 +94,21 @@
 }
 
 // Connect implements callers.Guard.
-func (g classGuard) Connect(address string, evict func()) callers.Lease {
+func (g classGuard) Connect(address string, a callers.Actions) callers.Lease {
 	now := time.Now()
 	g.mu.Lock()
-	id, evicted := g.budget.Connect(now, g.class, address)
-	evicts := g.takeEvicted(now, evicted, g.class)
+	id, evicted, narrowed := g.budget.Connect(now, g.class, address)
+	actions := append(g.takeEvicted(now, evicted, g.class), g.narrows(narrowed)...)
 	if id == 0 {
 		g.counters.connsRefused[g.class].Inc(1)
 		g.logLack(now, "no room for a connection", g.class)
 	} else {
-		g.evicts[id] = evict
+		g.conns[id] = a
 		g.budget.Work(now, id, connWork, 0)
 	}
 	g.mu.Unlock()
-	for _, evict := range evicts {
-		evict()
+	for _, action := range actions {
+		action()
 	}
 	if id == 0 {
 		return nil
@@ -114,8 +120,8 @@
 // The caller must hold m.mu.
 func (m *guard) takeEvicted(now time.Time, ids []admission.ID, class admission.Class) (evicts []func()) {
 	for _, id := range ids {
-		evicts = append(evicts, m.evicts[id])
-		delete(m.evicts, id)
+		evicts = append(evicts, m.conns[id].Evict)
+		delete(m.conns, id)
 	}
 	if len(ids) > 0 {
 		m.counters.connsEvicted[class].Inc(int64(len(ids)))
@@ -124,6 +130,15 @@
 	return evicts
 }
 
+// narrows returns the functions that end the windows of connections. The caller must hold m.mu.
+func (m *guard) narrows(ids []admission.ID) (narrows []func()) {
+	for _, id := range ids {
+		narrow := m.conns[id].Narrow
+		narrows = append(narrows, func() { narrow(idleReceiveBuffer) })
+	}
+	return narrows
+}
+
 // lackLogPeriod is the time between two log lines about connections for which there is no room.
 const lackLogPeriod = time.Second
 
@@ -258,13 +273,92 @@
 	l.budget.Work(time.Now(), l.id, time.Duration(bytes)*byteWork, 0)
 }
 
+// Widen implements callers.Lease. The kernel doubles a receive buffer for its own data.
+func (l lease) Widen(receiveBuffer int) bool {
+	l.mu.Lock()
+	narrowed, ok := l.budget.Widen(l.id, 2*int64(receiveBuffer))
+	narrows := l.narrows(narrowed)
+	if !ok {
+		l.counters.windowsRefused[l.class].Inc(1)
+	}
+	l.mu.Unlock()
+	for _, narrow := range narrows {
+		narrow()
+	}
+	return ok
+}
+
+// Rest implements callers.Lease.
+func (l lease) Rest() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.Rest(time.Now(), l.id)
+}
+
+// Resume implements callers.Lease.
+func (l lease) Resume() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.budget.Resume(l.id)
+}
+
+// SendBuffer implements callers.Lease.
+func (l lease) SendBuffer() int {
+	size := sendBuffer
+	if l.class == admission.Entries {
+		size = entrySendBuffer
+	}
+	l.mu.Lock()
+	narrowed, ok := l.budget.WidenSend(l.id, 2*int64(size))
+	narrows := l.narrows(narrowed)
+	delete(l.sent, l.id)
+	l.mu.Unlock()
+	for _, narrow := range narrows {
+		narrow()
+	}
+	if !ok {
+		return 0
+	}
+	return size
+}
+
+// narrowPeriod is the time between two looks whether callers have read large responses.
+const narrowPeriod = 100 * time.Millisecond
+
+// Sent implements callers.Lease.
+func (l lease) Sent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[l.id] = struct{}{}
+	if !l.narrowing {
+		l.narrowing = true
+		time.AfterFunc(narrowPeriod, l.narrowSent)
+	}
+}
+
+// narrowSent ends the windows for sending of callers that have read their responses.
+func (m *guard) narrowSent() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id := range m.sent {
+		if a, ok := m.conns[id]; !ok || a.NarrowSend(idleSendBuffer) {
+			m.budget.EndSend(id)
+			delete(m.sent, id)
+		}
+	}
+	if m.narrowing = len(m.sent) > 0; m.narrowing {
+		time.AfterFunc(narrowPeriod, m.narrowSent)
+	}
+}
+
 // Close implements callers.Lease.
 func (l lease) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.budget.Disconnect(now, l.id)
-	delete(l.evicts, l.id)
+	delete(l.conns, l.id)
+	delete(l.sent, l.id)
 	l.plan(now)
 }
 
@@ -303,11 +397,11 @@
 }
 
 // listen opens a listener whose connections have bounded buffers.
-func listen(address string, sendBuffer int) (net.Listener, error) {
+func listen(address string) (net.Listener, error) {
 	c := net.ListenConfig{KeepAlive: noKeepAlive, Control: func(_, _ string, c syscall.RawConn) (err error) {
 		controlErr := c.Control(func(fd uintptr) {
 			if err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, idleReceiveBuffer); err == nil {
-				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, idleSendBuffer)
 			}
 		})
 		if controlErr != nil {
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -11,22 +10,24 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/pkg/admission"
 	"plumpitch.example/plumpitch/pkg/memory"
 	"plumpitch.example/plumpitch/platform"
 )
 
-// Division of the memory of a VM. The rest is for bytes in the kernel and memory that the runtime
-// doesn't count.
+// Division of the memory of a VM.
 const (
 	// heapShare is the part that the runtime may use. The collector runs more often near it.
-	heapShare = 0.75
+	heapShare = 0.7
 	// trafficShare is the part for bodies and buffered responses, and connShare that for connections
 	// and heads. Up to heapShare, the heap has room for control state and garbage.
 	trafficShare = 0.5
 	connShare    = 0.08
-	// unreadShare is the part for what the kernel holds unread on idle connections.
-	unreadShare = 0.2
+	// kernelShare is the part for what the kernel holds for connections, and windowShare that for large
+	// bodies and responses however many connections there are.
+	kernelShare = 0.3
+	windowShare = 0.06
 	// unknownMemory is taken for the memory if the settings don't tell it, in bytes.
 	unknownMemory = 256e6
 )
@@ -34,13 +35,10 @@
 // Charges of a connection and of a body, in bytes.
 const (
 	bodyStart = 64 << 10
-	// receiveBuffer bounds the unread bytes of a connection that waits for room for a body. The kernel
-	// doubles it for its own data.
-	receiveBuffer = 64 << 10
-	// bodyReceiveBuffer is that of a connection whose body is being read and has room. It lets
-	// callers that are far away send several megabytes per second.
+	// bodyReceiveBuffer bounds the unread bytes of a connection whose large body is being read, if there
+	// is room for a window. It lets callers that are far away send several megabytes per second.
 	bodyReceiveBuffer = 256 << 10
-	waitCharge        = 2 * receiveBuffer
+	waitCharge        = 128 << 10
 	connCharge        = 8 << 10
 )
 
@@ -49,17 +47,19 @@
 
 // guard bounds what callers hold of the VM and do on it. It is safe for concurrent use.
 type guard struct {
-	mu       sync.Mutex
-	budget   *admission.Budget
-	evicts   map[admission.ID]func() // of the connections
-	counters guardCounters
-	bodies   map[memory.ID]*heldBody
-	planning bool      // a timer is set
-	sweeping bool      // the same for callers that don't read
-	lacked   time.Time // when a response found no room
-	refusals map[memory.Cause]tally.Counter
-	log      log.Interface
-	logged   time.Time // of the latest log line about connections
+	mu        sync.Mutex
+	budget    *admission.Budget
+	conns     map[admission.ID]callers.Actions
+	sent      map[admission.ID]struct{} // connections with a window for sending between responses
+	counters  guardCounters
+	bodies    map[memory.ID]*heldBody
+	planning  bool      // a timer is set
+	narrowing bool      // the same for sent
+	sweeping  bool      // the same for callers that don't read
+	lacked    time.Time // when a response found no room
+	refusals  map[memory.Cause]tally.Counter
+	log       log.Interface
+	logged    time.Time // of the latest log line about connections
 }
 
 // heldBody is a body of a request in the budget.
@@ -85,12 +85,13 @@
 	bytes := cmp.Or(s.Memory, int64(unknownMemory))
 	m := &guard{
 		bodies: make(map[memory.ID]*heldBody), refusals: make(map[memory.Cause]tally.Counter), log: l,
-		evicts: make(map[admission.ID]func()), counters: i.guard,
+		conns: make(map[admission.ID]callers.Actions), sent: make(map[admission.ID]struct{}), counters: i.guard,
 		budget: admission.New(admission.Config{
 			Memory: memory.Config{
 				Limit: int64(trafficShare * float64(bytes)), Start: bodyStart, WaitCharge: waitCharge, Conns: int64(connShare * float64(bytes)),
 			},
 			Conns: maxConns(bytes, s.MaxFiles), Conn: connCharge, Cores: s.Cores,
+			Kernel: int64(kernelShare * float64(bytes)), ConnKernel: connKernelCharge, Windows: int64(windowShare * float64(bytes)),
 		}),
 	}
 	for _, c := range memory.Causes() {
@@ -124,20 +125,19 @@
 // waitCheckPeriod is the time between two calls of ended in a wait for room.
 const waitCheckPeriod = 50 * time.Millisecond
 
-// extend waits for room for further bytes, and reports whether it had to wait. It calls onWait
-// before a wait, and ended from time to time, which reports whether the wait has to end.
-func (h *heldBody) extend(bytes int64, ended func(now time.Time) bool, onWait func()) (waited bool, err error) {
+// extend waits for room for further bytes. It calls ended from time to time, which reports whether the
+// wait has to end.
+func (h *heldBody) extend(bytes int64, ended func(now time.Time) bool) (err error) {
 	d := h.ask(bytes)
-	if waited = d.Verdict == memory.Wait; waited {
-		onWait()
+	if d.Verdict == memory.Wait {
 		if d, err = h.await(ended); err != nil {
-			return waited, err
+			return err
 		}
 	}
 	if d.Verdict == memory.Refuse {
-		return waited, &errNoMemory{d}
+		return &errNoMemory{d}
 	}
-	return waited, nil
+	return nil
 }
 
 // ask asks for room for further bytes.
@@ -286,10 +286,3 @@
 	defer m.mu.Unlock()
 	return m.budget.Memory.Usage()
 }
-
-// boundUnread bounds the unread bytes of a connection.
-func boundUnread(c net.Conn, bytes int) {
-	if t, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok {
-		_ = t.SetReadBuffer(bytes) // fails if the connection has ended
-	}
-}
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	qt "github.com/frankban/quicktest"
 
+	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/pkg/admission"
 	"plumpitch.example/plumpitch/pkg/memory"
 	"plumpitch.example/plumpitch/platform"
@@ -35,14 +36,14 @@
 	i := newInstruments("a")
 	m := newGuard(platform.Settings{Memory: smallestVM}, &i, log.Log)
 	for range connections {
-		qt.Assert(t, m.at(admission.Traffic).Connect("127.0.0.1", nil), qt.IsNotNil)
+		qt.Assert(t, m.at(admission.Traffic).Connect("127.0.0.1", callers.Actions{}), qt.IsNotNil)
 	}
 	h, err := m.open(time.Now(), memory.Body{Length: largestBody, Deadline: time.Now().Add(waitLimit)}, func() {})
 	qt.Assert(t, err, qt.IsNil)
 	never := func(time.Time) bool { return true }
 	for held := int64(0); held < largestBody; {
 		n := min(memory.NextPart(held), largestBody-held)
-		_, err := h.extend(n, never, func() {})
+		err := h.extend(n, never)
 		qt.Assert(t, err, qt.IsNil)
 		held += n
 	}
@@ -77,7 +78,7 @@
 	other := open(func() {})
 	for held := int64(0); held <= bodyStart; {
 		n := memory.NextPart(held)
-		_, err := other.extend(n, never, func() {})
+		err := other.extend(n, never)
 		qt.Assert(t, err, qt.IsNil)
 		held += n
 	}
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -49,6 +49,10 @@
 	Conns  int64   // connections of all listeners
 	Conn   int64   // bytes of a connection without a request
 	Cores  float64 // processor time per second, in seconds; 0 means that it isn't bounded
+	// Kernel is how many bytes the kernel may hold for all connections, unread by either side, and
+	// ConnKernel for each without a window. Windows is how many bytes windows may have however many
+	// connections there are.
+	Kernel, ConnKernel, Windows int64
 }
 
 const (
@@ -78,11 +82,13 @@
 	lastID  ID
 	victims victims
 	work    [classCount]processor
+	windows int64        // bytes
+	wide    map[ID]*conn // connections with a window
 }
 
 // New returns a Budget without any use.
 func New(cfg Config) *Budget {
-	b := &Budget{Memory: memory.New(cfg.Memory), cfg: cfg, conns: make(map[ID]*conn), callers: make(map[callerKey]*caller)}
+	b := &Budget{Memory: memory.New(cfg.Memory), cfg: cfg, conns: make(map[ID]*conn), wide: make(map[ID]*conn), callers: make(map[callerKey]*caller)}
 	for class, part := range keptPart {
 		if part > 0 {
 			u := &b.classes[class]
@@ -94,8 +100,8 @@
 }
 
 // Connect admits a connection of a caller, or returns 0. The evicted connections have to be closed;
-// their use has ended.
-func (b *Budget) Connect(now time.Time, class Class, address string) (id ID, evicted []ID) {
+// their use has ended. The narrowed ones have to go back to the unread bytes of each connection.
+func (b *Budget) Connect(now time.Time, class Class, address string) (id ID, evicted, narrowed []ID) {
 	c := &conn{class: class, caller: b.callerOf(now, callerKey{class, address}), since: now}
 	c.caller.conns++
 	for !b.connFits(class) {
@@ -103,7 +109,7 @@
 		if v == nil {
 			c.caller.conns--
 			b.forget(now, c.caller)
-			return 0, evicted
+			return 0, evicted, nil
 		}
 		evicted = append(evicted, b.evict(now, v))
 	}
@@ -115,9 +121,9 @@
 	evicted = append(evicted, more...)
 	if !ok {
 		b.remove(now, c)
-		return 0, evicted
+		return 0, evicted, nil
 	}
-	return c.id, evicted
+	return c.id, evicted, b.narrowIdle(c)
 }
 
 // Disconnect ends a connection. It does nothing if the connection was evicted.
@@ -197,6 +203,8 @@
 // remove ends the use of a connection.
 func (b *Budget) remove(now time.Time, c *conn) {
 	b.free(now, c, c.bytes)
+	b.narrow(c)
+	b.endSend(c)
 	b.classes[c.class].conns--
 	delete(b.conns, c.id)
 	c.caller.conns--
--- a/pkg/admission/conn.go
+++ b/pkg/admission/conn.go
@@ -17,6 +17,8 @@
 	// busy is how many complete requests are being served.
 	busy    int
 	writing time.Time // begin of a write that hasn't ended; zero without one
+	window  window
+	unsent  int64 // bytes of the window for sending
 }
 
 // stallTime is how long a write of a response may take before its connection may be evicted.
