admission: the use of callers is remembered between their connections

Cause: a caller was forgotten once it had no connection, and with it the requests that were served; as new as those of the crowd, it lost connections, and these were remembered, each making the next loss more likely.

Change: callers without a connection are remembered until their use, evictions and work count no more, 4,096 at most, those that were served most for longest. Evictions count against a caller only beyond its served requests.

--- a/pkg/admission/caller.go
+++ b/pkg/admission/caller.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -28,12 +30,12 @@
 	// servedTime and owedTime are the times in which past use and past work decay to 1/e.
 	servedTime = 10 * time.Second
 	owedTime   = 2 * time.Second
-	// maxAbsent bounds the callers without a connection that are remembered for their work.
+	// maxAbsent bounds the callers without a connection that are remembered.
 	maxAbsent = 4096
-	// minOwed is the least processor time for which a caller without a connection is remembered.
-	minOwed = 10 * time.Microsecond
-	// minEvicted is the least number of evictions for which it is remembered.
-	minEvicted = 0.1
+	// minOwed is the least processor time for which a caller without a connection is remembered, and
+	// minCount the least number of served requests or evictions.
+	minOwed  = 10 * time.Microsecond
+	minCount = 0.1
 )
 
 // decay returns the part that is left of what decays in a time.
@@ -63,23 +65,34 @@
 	return c
 }
 
-// forget removes a caller without connections once it owes nothing.
+// forget removes a caller without connections once its past counts no more. Callers whose use were
+// forgotten between two requests would be as new as those of a crowd each time.
 func (b *Budget) forget(now time.Time, c *caller) {
 	if c.conns > 0 {
 		return
 	}
 	c.left = now
-	if c.advance(now); c.owed < minOwed && c.evicted < minEvicted {
+	if c.advance(now); c.owed < minOwed && c.evicted < minCount && c.served < minCount {
 		b.removeCaller(c)
 	}
-	if len(b.callers) <= len(b.conns)+maxAbsent {
-		return
+	if len(b.callers) > len(b.conns)+maxAbsent {
+		b.forgetAbsent(now)
 	}
-	for _, o := range b.callers {
-		if o.conns == 0 {
-			b.removeCaller(o)
+}
+
+// forgetAbsent removes half of the callers without connections, those that were served least first.
+func (b *Budget) forgetAbsent(now time.Time) {
+	var absent []*caller
+	for _, c := range b.callers {
+		if c.conns == 0 {
+			c.advance(now)
+			absent = append(absent, c)
 		}
 	}
+	slices.SortFunc(absent, func(x, y *caller) int { return cmp.Compare(x.served, y.served) })
+	for _, c := range absent[:len(absent)/2] {
+		b.removeCaller(c)
+	}
 }
 
 func (b *Budget) removeCaller(c *caller) {
--- a/pkg/admission/evict.go
+++ b/pkg/admission/evict.go
@@ -35,7 +35,7 @@
 // there is none, or if its caller doesn't hold clearly more for its use than that of the other one.
 func (b *Budget) victim(now time.Time, newcomer *conn, bytes int64) *conn {
 	newcomer.caller.advance(now)
-	least := newcomer.caller.scoreWith(newcomer.heldWith(now, bytes)) * evictMargin * (1 + newcomer.caller.evicted)
+	least := newcomer.caller.scoreWith(newcomer.heldWith(now, bytes)) * evictMargin * newcomer.caller.penalty()
 	if age := now.Sub(b.victims.ranked); age >= victimTime || age < 0 {
 		b.rank(now)
 	}
@@ -123,8 +123,13 @@
 // stalledBatch is how many connections EvictStalled evicts at most.
 const stalledBatch = 16
 
-// scoreWith returns what the caller holds for its use, with further byte seconds. Connections that
-// were evicted before count against it.
+// scoreWith returns what the caller holds for its use, with further byte seconds.
 func (c *caller) scoreWith(held float64) float64 {
-	return (c.held + held) * (1 + c.evicted) / (1 + c.served)
+	return (c.held + held) * c.penalty() / (1 + c.served)
+}
+
+// penalty is by how much the evictions of a caller count against it: not at all as long as more of its
+// requests are served than connections of it are evicted.
+func (c *caller) penalty() float64 {
+	return max(1, (1+c.evicted)/(1+c.served))
 }
--- a/pkg/admission/sim_test.go
+++ b/pkg/admission/sim_test.go
@@ -18,7 +18,7 @@
 	simCores     = 0.5
 	simStep      = 5 * time.Millisecond
 	simTime      = 10 * time.Second
-	simReconnect = 50 * time.Millisecond
+	simReconnect = 20 * time.Millisecond
 	simBefore    = 2 * time.Second        // without the crowd
 	simRequest   = 100 * time.Microsecond // processor time of a request
 )
@@ -38,6 +38,7 @@
 	pause   time.Duration // between two requests
 	renew   bool          // each request has its own connection
 	fresh   bool          // each connection has its own address
+	lag     time.Duration // from a new connection to its request
 }
 
 // client is a client with its connection.
@@ -127,6 +128,10 @@
 		}
 		k.id = id
 		s.owners[id] = k
+		if k.lag > 0 {
+			k.next = s.now.Add(k.lag)
+			return
+		}
 	case k.busy:
 		s.finish(k)
 		return
@@ -209,15 +214,16 @@
 		t.Run(tt.name, func(t *testing.T) {
 			s := newSimulation(qt.New(t))
 			ordinary := habit{clients: 20, sources: 20, head: 5 << 10, serve: 30 * time.Millisecond, pause: 50 * time.Millisecond}
-			kept, renewed, shared, fresh, checks, lookups, entries := ordinary, ordinary, ordinary, ordinary, ordinary, ordinary, ordinary
+			kept, renewed, shared, few, fresh, checks, lookups, entries := ordinary, ordinary, ordinary, ordinary, ordinary, ordinary, ordinary, ordinary
 			kept.name = "kept"
 			renewed.name, renewed.renew = "renewed", true
 			shared.name, shared.sources = "shared", 1
+			few.name, few.clients, few.sources, few.renew, few.serve, few.lag = "few", 8, 1, true, simStep, 40*time.Millisecond
 			fresh.name, fresh.renew, fresh.fresh = "fresh", true, true
 			checks.name, checks.clients, checks.class, checks.renew = "checks", 2, Checks, true
 			lookups.name, lookups.clients, lookups.class, lookups.renew = "lookups", 2, Lookups, true
 			entries.name, entries.class = "entries", Entries
-			list := []habit{kept, renewed, shared, fresh, checks, lookups, entries}
+			list := []habit{kept, renewed, shared, few, fresh, checks, lookups, entries}
 			for _, h := range list {
 				s.add(h)
 			}
@@ -227,7 +233,7 @@
 			s.play(simTime)
 			t.Logf("served %v, refused %v, evicted %v, delayed %v, work of no use %v", s.served, s.refused, s.evicted, s.delayed, s.work)
 			for _, h := range list {
-				possible := h.clients * int((simBefore+simTime)/(h.serve+h.pause+2*simStep))
+				possible := h.clients * int((simBefore+simTime)/(h.lag+h.serve+h.pause+2*simStep))
 				s.c.Check(s.served[h.name] >= possible*9/10, qt.IsTrue, qt.Commentf("%s: %d of %d", h.name, s.served[h.name], possible))
 				s.c.Check(s.cut[h.name], qt.Equals, 0, qt.Commentf("%s", h.name))
 				s.c.Check(s.delayed[h.name], qt.Equals, 0, qt.Commentf("%s", h.name))
