guard: a package of its own; tiny chunks are charged by their lines

The guard of a gateway's listeners moves from internal/gateway to internal/guard, so that entries can use it.

Each response that found no room ordered all connections anew, up to thousands of times a second; once in 100 ms is enough.

--- a/gateway.go
+++ b/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/integrii/flaggy"
 
 	"plumpitch.example/plumpitch/internal/gateway"
+	"plumpitch.example/plumpitch/internal/guard"
 	"plumpitch.example/plumpitch/internal/hangup"
 	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/platform"
@@ -50,7 +51,7 @@
 		return exitError{exitInvalid, err}
 	}
 	debug.SetGCPercent(gatewayGCPercent)
-	gateway.LimitHeap(s.Memory)
+	guard.LimitHeap(s.Memory)
 	handler := logs.New(os.Stdout)
 	defer handler.Close()
 	logger := &log.Logger{Handler: handler, Level: minLevel}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -313,7 +313,7 @@
 	defer discardBuffers.Put(buf)
 	for {
 		n, err := c.rwc.Read(buf[:])
-		if err != nil || !c.pause(min(c.lease.Read(n), time.Until(deadline))) {
+		if err != nil || !c.pause(min(c.lease.Read(n, 0), time.Until(deadline))) {
 			return
 		}
 	}
--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -24,9 +24,9 @@
 
 // Lease is what a connection may hold and do.
 type Lease interface {
-	// Read charges the processor time for bytes that have been read. It returns for how long the
-	// connection has to wait before it goes on.
-	Read(bytes int) time.Duration
+	// Read charges the processor time for bytes that have been read, with a number of lines if they are
+	// chunks. It returns for how long the connection has to wait before it goes on.
+	Read(bytes, lines int) time.Duration
 	// ReadHead does the same for a part of a head with a number of lines, and charges what the part
 	// takes. It reports whether the part may be held.
 	ReadHead(bytes, lines int) (wait time.Duration, ok bool)
@@ -63,7 +63,7 @@
 type unguarded struct{}
 
 func (unguarded) Connect(string, Actions) Lease           { return unguarded{} }
-func (unguarded) Read(int) time.Duration                  { return 0 }
+func (unguarded) Read(int, int) time.Duration             { return 0 }
 func (unguarded) ReadHead(int, int) (time.Duration, bool) { return 0, true }
 func (unguarded) Hold(int, int) bool                      { return true }
 func (unguarded) Free(int, int)                           {}
@@ -112,10 +112,13 @@
 // charge charges bytes that have just been read, and waits as long as the guard wants. It returns an
 // error if they are part of a head and may not be held, and io.EOF if the caller leaves meanwhile.
 func (c *conn) charge(p []byte) error {
+	lines := 0
+	if c.in.limited || c.in.chunked {
+		lines = bytes.Count(p, lineBreak)
+	}
 	if !c.in.limited {
-		return c.delay(c.lease.Read(len(p)))
+		return c.delay(c.lease.Read(len(p), lines))
 	}
-	lines := bytes.Count(p, lineBreak)
 	wait, ok := c.lease.ReadHead(len(p), lines)
 	if !ok {
 		return errNoMemory
--- a/internal/callers/guard_test.go
+++ b/internal/callers/guard_test.go
@@ -48,7 +48,7 @@
 	unguarded
 }
 
-func (l *testLease) Read(int) time.Duration { return l.parts }
+func (l *testLease) Read(int, int) time.Duration { return l.parts }
 
 func (l *testLease) Request() time.Duration { return l.delay }
 
--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -30,6 +30,7 @@
 	ahead   []byte // part of start that has been read from the connection, but not from input
 	limited bool   // a head is being read
 	inLine  bool   // of it, the request line
+	chunked bool   // a body in chunks follows the head
 	remain  int
 	limit   int // of the header lines
 	total   int // bytes read
@@ -133,6 +134,7 @@
 		return nil, malformed("")
 	}
 	c.lastPost = r.Method == http.MethodPost
+	c.in.chunked = len(r.TransferEncoding) > 0
 	size := headSize{c.in.total - c.br.Buffered() - begin, len(r.Header) + 2}
 	for _, values := range r.Header {
 		size.lines += len(values) - 1
@@ -151,6 +153,7 @@
 	if limit <= 0 {
 		limit = http.DefaultMaxHeaderBytes
 	}
+	c.in.chunked = false
 	c.in.limited, c.in.inLine, c.in.remain, c.in.limit = true, true, 2*limit+headSlop, limit
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/callers"
+	"plumpitch.example/plumpitch/internal/guard"
 	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/memory"
 	"plumpitch.example/plumpitch/pkg/route"
@@ -131,7 +132,7 @@
 		q.refuseUnread(ctl, func() { q.refuse("noservice", noConfigRetry) })
 		return false
 	}
-	held, err := q.gateway.guard.open(time.Now(), memory.Body{
+	held, err := q.gateway.guard.Open(time.Now(), memory.Body{
 		Caller: q.callerName(), Length: q.r.ContentLength, Max: l.MaxBodyBytes, Deadline: q.deadline(),
 	}, func() { _ = ctl.SetReadDeadline(longAgo) })
 	if err == nil {
@@ -149,26 +150,29 @@
 // longAgo is a read deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
+// wideBody is the size of a part of a body from which on its connection may send more ahead.
+const wideBody = 64 << 10
+
 // readHeld reads the body up to the request's deadline.
 func (q *request) readHeld(ctl *http.ResponseController, l route.Limits) (body [][]byte, err error) {
 	_ = ctl.SetReadDeadline(q.deadline())
 	conn, _ := q.w.(callers.Response)
 	wide := false
 	body, err = readBody(q.r, l, func(bytes int64) error {
-		err := q.held.extend(bytes, q.endOfWait)
-		if err == nil && !wide && conn != nil && bytes >= bodyStart {
-			wide = conn.Widen(bodyReceiveBuffer)
+		err := q.held.Extend(bytes, q.endOfWait)
+		if err == nil && !wide && conn != nil && bytes >= wideBody {
+			wide = conn.Widen(guard.BodyReceiveBuffer)
 		}
 		return err
 	})
-	if refusal := q.held.refusedWith(); refusal != nil {
+	if refusal := q.held.Refused(); refusal != nil {
 		return nil, refusal
 	}
 	if err != nil {
 		return nil, err
 	}
 	_ = ctl.SetReadDeadline(time.Time{})
-	return body, q.held.complete()
+	return body, q.held.Complete()
 }
 
 // callerName returns the account of the request, or the address of its caller without one.
@@ -195,7 +199,7 @@
 
 // rejectBody answers a request whose body couldn't be read.
 func (q *request) rejectBody(ctl *http.ResponseController, err error) {
-	var noMemory *errNoMemory
+	var noMemory *guard.Refusal
 	switch {
 	case errors.Is(err, errBodyTooLong):
 		q.respond(http.StatusRequestEntityTooLarge, "toolong")
@@ -203,7 +207,7 @@
 		q.noMemory = noMemory
 		q.setServed(false)
 		q.refuseUnread(ctl, func() { q.refuse(reasonNoMemory, noMemory.RetryAfter) })
-	case errors.Is(err, errWaitEnded) && !callerHungUp(q.r):
+	case errors.Is(err, guard.ErrWaitEnded) && !callerHungUp(q.r):
 		q.refuseUnread(ctl, func() { q.refuse(reasonNoMemory, noConfigRetry) })
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.refuseUnread(ctl, func() { q.respond(http.StatusRequestTimeout, reasonSlowBody) })
@@ -237,6 +241,6 @@
 func (q *request) closeBody() {
 	q.body = nil
 	if q.held != nil {
-		q.held.close()
+		q.held.Close()
 	}
 }
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -114,7 +114,7 @@
 		f["retry"] = q.refusal.RetryAfter.Milliseconds()
 	}
 	if q.noMemory != nil {
-		u := q.gateway.guard.usage()
+		u := q.gateway.guard.Usage()
 		f["cause"], f["length"], f["held"], f["waiting"], f["limit"] = q.noMemory.Cause.String(), q.r.ContentLength, u.Held, u.Waiting, u.Limit
 	}
 	q.gateway.log.WithFields(f).Warn("answered in place of a target")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/internal/guard"
 	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/pkg/admission"
@@ -43,7 +44,7 @@
 	self    owner.Entry
 	store   *platform.Store
 	forward *forward.Forwarder
-	guard   *guard
+	guard   *guard.Guard
 	peers   *forward.Forwarder // to other entries
 	// passedOnActive is how many requests that other entries have passed on are being served.
 	passedOnActive atomic.Int64
@@ -93,7 +94,7 @@
 	defer func() { err = errors.WithMessage(err, "gateway "+cfg.Settings.Name) }()
 	s := cfg.Settings
 	i := newInstruments(s.Name)
-	room := newGuard(s, &i, cfg.Log)
+	room := guard.New(guard.Config{Memory: s.Memory, Files: s.MaxFiles, Cores: s.Cores, Scope: i.Scope, Log: cfg.Log})
 	g = &Gateway{
 		cfg: cfg, log: cfg.Log, started: time.Now(), initialized: make(chan struct{}), giveUp: make(chan struct{}), guard: room,
 		forward: forward.New(forward.Config{
@@ -125,7 +126,7 @@
 		Source:  g.control, OnPacket: g.receivePacket, Log: g.log, OnRequest: http.HandlerFunc(g.servePassedOn),
 		Self:   func() member.ID { return *g.selfID.Load() },
 		OnSent: g.instruments.countSent, OnLost: func(packets int) { g.instruments.packetsLost.Inc(int64(packets)) }, ListenPacket: cfg.ListenPacket, Dial: cfg.Dial,
-		Listen: listen, Guard: g.guard.at(admission.Entries), MaxHeaderBytes: g.maxHeaderBytes,
+		Listen: guard.Listen, Guard: g.guard.At(admission.Entries), MaxHeaderBytes: g.maxHeaderBytes,
 	}); err != nil {
 		g.closeListeners()
 		return nil, err
@@ -177,7 +178,7 @@
 		{"directory", &g.directoryListener, s.DirectoryAddress},
 		{"metrics", &g.metricsListener, net.JoinHostPort(s.IP, strconv.Itoa(cfg.MetricsPort))},
 	} {
-		if *l.listener, err = listen(l.addr); err != nil {
+		if *l.listener, err = guard.Listen(l.addr); err != nil {
 			g.closeListeners()
 			return errors.WithMessage(err, l.name)
 		}
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -31,11 +31,9 @@
 	accounts         *accountCounters
 	tokenAsks        tally.Counter // asks for tokens of client accounts
 	bucketTransfers  func(result string) tally.Counter
-	memoryLimit      tally.Gauge                      // bytes for traffic
-	memoryHeld       tally.Gauge                      // bytes of bodies and buffered responses
-	bodiesWaiting    tally.Gauge                      // bodies that wait for room
-	bodyRefusals     func(cause string) tally.Counter // bodies refused for lack of room
-	guard            guardCounters
+	memoryLimit      tally.Gauge // bytes for traffic
+	memoryHeld       tally.Gauge // bytes of bodies and buffered responses
+	bodiesWaiting    tally.Gauge // bodies that wait for room
 	targets          tally.Gauge
 	evacuatedDomains tally.Gauge // evacuated failure domains
 }
@@ -50,10 +48,6 @@
 		evacuatedDomains: m.Scope.Gauge("evacuated_places"), tokenAsks: m.Scope.Counter("quota_asks"), accounts: newAccountCounters(m.Scope),
 	}
 	i.memoryLimit, i.memoryHeld, i.bodiesWaiting = m.Scope.Gauge("memory_limit_bytes"), m.Scope.Gauge("memory_held_bytes"), m.Scope.Gauge("bodies_waiting")
-	i.guard = newGuardCounters(m.Scope)
-	i.bodyRefusals = func(cause string) tally.Counter {
-		return m.Scope.Tagged(map[string]string{"cause": cause}).Counter("bodies_refused")
-	}
 	i.bucketTransfers = func(result string) tally.Counter {
 		return m.Scope.Tagged(map[string]string{"result": result}).Counter("quota_transfers")
 	}
@@ -129,7 +123,7 @@
 		s.instruments.budgetAvailable.Update(s.budget.Available())
 	}
 	c.gateway.quotas.updateGauges(now)
-	u := c.gateway.guard.usage()
+	u := c.gateway.guard.Usage()
 	i.memoryLimit.Update(float64(u.Limit))
 	i.memoryHeld.Update(float64(u.Held))
 	i.bodiesWaiting.Update(float64(u.Waiting))
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -22,7 +22,7 @@
 	return callers.New(callers.Config{
 		Handler: http.HandlerFunc(g.serve), Concurrent: g.concurrent, Pipelines: g.pipelines, ConnContext: withCallerConn,
 		HeaderTimeout: g.headerTimeout, ReadTimeout: callerTimeout, IdleTimeout: g.idleTimeout, MaxHeaderBytes: g.maxHeaderBytes,
-		MaxRequests: maxPipelined, MaxWaitingBytes: maxPipelinedBytes, Guard: g.guard.at(admission.Traffic), Log: g.log,
+		MaxRequests: maxPipelined, MaxWaitingBytes: maxPipelinedBytes, Guard: g.guard.At(admission.Traffic), Log: g.log,
 	})
 }
 
@@ -30,7 +30,7 @@
 func (g *Gateway) auxServer(class admission.Class, h http.Handler) *callers.Server {
 	return callers.New(callers.Config{
 		Handler: h, HeaderTimeout: g.headerTimeout, ReadTimeout: auxTimeout, IdleTimeout: g.idleTimeout,
-		MaxHeaderBytes: g.maxHeaderBytes, Guard: g.guard.at(class), Log: g.log,
+		MaxHeaderBytes: g.maxHeaderBytes, Guard: g.guard.At(class), Log: g.log,
 	})
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/internal/guard"
 	"plumpitch.example/plumpitch/pkg/account"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/route"
@@ -21,14 +22,14 @@
 	r        *http.Request
 	id       string
 	arrived  time.Time
-	body     [][]byte     // in parts
-	held     *heldBody    // room for the body; nil without one
-	noMemory *errNoMemory // why there was no room
-	bodyUsed bool         // cancelled dispatches still use the body
-	prints   fingerprints // set by fingerprints
-	trial    time.Time    // the reservation, if the request is held and sent as a trial
-	skipped  []string     // targets that answered no check before the trial
-	table    *route.Table // of the view that the request was routed by
+	body     [][]byte       // in parts
+	held     *guard.Body    // room for the body; nil without one
+	noMemory *guard.Refusal // why there was no room
+	bodyUsed bool           // cancelled dispatches still use the body
+	prints   fingerprints   // set by fingerprints
+	trial    time.Time      // the reservation, if the request is held and sent as a trial
+	skipped  []string       // targets that answered no check before the trial
+	table    *route.Table   // of the view that the request was routed by
 	route    *route.ActiveRoute
 	account  *account.Account // nil without an account
 	key      account.Digest   // of the account's key that the request carries
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -1,14 +1,10 @@
-package gateway
+package guard
 
 import (
-	"context"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sys/unix"
 
 	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/pkg/admission"
@@ -49,7 +45,9 @@
 	readWork    = 5 * time.Microsecond
 	byteWork    = time.Nanosecond
 	requestWork = 50 * time.Microsecond
-	lineWork    = 2 * time.Microsecond // with the collection of what it leaves
+	lineWork    = 2 * time.Microsecond // of a head, with the collection of what it leaves
+	// chunkLineWork is for each of the two lines of a chunk.
+	chunkLineWork = 20 * time.Nanosecond
 )
 
 // maxConns returns how many connections of callers a VM may have.
@@ -61,8 +59,8 @@
 	return min(byFiles, int64((kernelShare-windowShare)*float64(memory))/connKernelCharge)
 }
 
-// guardCounters count what a guard refuses, by class.
-type guardCounters struct {
+// counters count what a guard refuses, by class.
+type counters struct {
 	connsRefused classCounters // connections that weren't admitted
 	connsEvicted classCounters // connections that were closed for lack of room
 	headsRefused classCounters // requests whose heads found no room
@@ -73,23 +71,23 @@
 
 type classCounters map[admission.Class]tally.Counter
 
-func newGuardCounters(scope tally.Scope) guardCounters {
+func newCounters(scope tally.Scope) counters {
 	count := func(name string) classCounters {
-		counters := make(classCounters)
+		byClass := make(classCounters)
 		for _, class := range admission.Classes() {
-			counters[class] = scope.Tagged(map[string]string{"class": class.String()}).Counter(name)
+			byClass[class] = scope.Tagged(map[string]string{"class": class.String()}).Counter(name)
 		}
-		return counters
+		return byClass
 	}
-	return guardCounters{count("connections_refused"), count("connections_evicted"), count("heads_refused"), count("work_delayed"), count("windows_refused")}
+	return counters{count("connections_refused"), count("connections_evicted"), count("heads_refused"), count("work_delayed"), count("windows_refused")}
 }
 
-// at returns the guard of the connections of a class.
-func (m *guard) at(class admission.Class) callers.Guard { return classGuard{m, class} }
+// At returns the guard of the connections of a class.
+func (m *Guard) At(class admission.Class) callers.Guard { return classGuard{m, class} }
 
 // classGuard implements callers.Guard.
 type classGuard struct {
-	*guard
+	*Guard
 	class admission.Class
 }
 
@@ -118,7 +116,7 @@
 
 // takeEvicted returns the functions that close the connections that were evicted for one of a class.
 // The caller must hold m.mu.
-func (m *guard) takeEvicted(now time.Time, ids []admission.ID, class admission.Class) (evicts []func()) {
+func (m *Guard) takeEvicted(now time.Time, ids []admission.ID, class admission.Class) (evicts []func()) {
 	for _, id := range ids {
 		evicts = append(evicts, m.conns[id].Evict)
 		delete(m.conns, id)
@@ -131,7 +129,7 @@
 }
 
 // narrows returns the functions that end the windows of connections. The caller must hold m.mu.
-func (m *guard) narrows(ids []admission.ID) (narrows []func()) {
+func (m *Guard) narrows(ids []admission.ID) (narrows []func()) {
 	for _, id := range ids {
 		narrow := m.conns[id].Narrow
 		narrows = append(narrows, func() { narrow(idleReceiveBuffer) })
@@ -143,7 +141,7 @@
 const lackLogPeriod = time.Second
 
 // logLack logs what was closed or refused for lack of room. The caller must hold m.mu.
-func (m *guard) logLack(now time.Time, message string, class admission.Class) {
+func (m *Guard) logLack(now time.Time, message string, class admission.Class) {
 	if now.Sub(m.logged) < lackLogPeriod {
 		return
 	}
@@ -161,10 +159,10 @@
 }
 
 // Read implements callers.Lease.
-func (l lease) Read(bytes int) time.Duration {
+func (l lease) Read(bytes, lines int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.work(time.Now(), readWork+time.Duration(bytes)*byteWork, 0)
+	return l.work(time.Now(), readWork+time.Duration(bytes)*byteWork+time.Duration(lines)*chunkLineWork, 0)
 }
 
 // Request implements callers.Lease.
@@ -337,7 +335,7 @@
 }
 
 // narrowSent ends the windows for sending of callers that have read their responses.
-func (m *guard) narrowSent() {
+func (m *Guard) narrowSent() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id := range m.sent {
@@ -362,9 +360,6 @@
 	l.plan(now)
 }
 
-// noKeepAlive stands for connections without TCP keep-alive: the server has its own timeouts.
-const noKeepAlive = -1
-
 // sweepPeriod is the time between two looks for callers that don't read while there is no room for
 // responses, and sweepTime how long that goes on after a response found none.
 const (
@@ -374,7 +369,7 @@
 
 // sweep evicts connections whose callers don't read. Responses that aren't buffered hold a target for
 // as long as they are under way. The caller must hold m.mu.
-func (m *guard) sweep(now time.Time) {
+func (m *Guard) sweep(now time.Time) {
 	evicts := m.takeEvicted(now, m.budget.EvictStalled(now), admission.Traffic)
 	if len(evicts) > 0 {
 		m.logLack(now, "no room for a response: closed connections that aren't read", admission.Traffic)
@@ -395,19 +390,3 @@
 		m.sweep(time.Now())
 	})
 }
-
-// listen opens a listener whose connections have bounded buffers.
-func listen(address string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAlive: noKeepAlive, Control: func(_, _ string, c syscall.RawConn) (err error) {
-		controlErr := c.Control(func(fd uintptr) {
-			if err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, idleReceiveBuffer); err == nil {
-				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, idleSendBuffer)
-			}
-		})
-		if controlErr != nil {
-			return controlErr
-		}
-		return err
-	}}
-	return c.Listen(context.Background(), "tcp", address)
-}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -1,4 +1,4 @@
-package gateway
+package guard
 
 import (
 	"cmp"
@@ -13,7 +13,6 @@
 	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/pkg/admission"
 	"plumpitch.example/plumpitch/pkg/memory"
-	"plumpitch.example/plumpitch/platform"
 )
 
 // Division of the memory of a VM.
@@ -32,27 +31,28 @@
 	unknownMemory = 256e6
 )
 
+// BodyReceiveBuffer bounds the unread bytes of a connection whose large body is being read, if there is
+// room for a window. It lets callers that are far away send several megabytes per second.
+const BodyReceiveBuffer = 256 << 10
+
 // Charges of a connection and of a body, in bytes.
 const (
-	bodyStart = 64 << 10
-	// bodyReceiveBuffer bounds the unread bytes of a connection whose large body is being read, if there
-	// is room for a window. It lets callers that are far away send several megabytes per second.
-	bodyReceiveBuffer = 256 << 10
-	waitCharge        = 128 << 10
-	connCharge        = 8 << 10
+	bodyStart  = 64 << 10
+	waitCharge = 128 << 10
+	connCharge = 8 << 10
 )
 
 // memoryPlanPeriod is the time between two plans while bodies wait for room.
 const memoryPlanPeriod = 10 * time.Millisecond
 
-// guard bounds what callers hold of the VM and do on it. It is safe for concurrent use.
-type guard struct {
+// Guard bounds what callers hold of the VM and do on it. It is safe for concurrent use.
+type Guard struct {
 	mu        sync.Mutex
 	budget    *admission.Budget
 	conns     map[admission.ID]callers.Actions
 	sent      map[admission.ID]struct{} // connections with a window for sending between responses
-	counters  guardCounters
-	bodies    map[memory.ID]*heldBody
+	counters  counters
+	bodies    map[memory.ID]*Body
 	planning  bool      // a timer is set
 	narrowing bool      // the same for sent
 	sweeping  bool      // the same for callers that don't read
@@ -62,9 +62,9 @@
 	logged    time.Time // of the latest log line about connections
 }
 
-// heldBody is a body of a request in the budget.
-type heldBody struct {
-	guard     *guard
+// Body is a body of a request in the budget.
+type Body struct {
+	guard     *Guard
 	id        memory.ID
 	decisions chan memory.Decision // of a wait
 	interrupt func()               // ends a read that is under way
@@ -75,27 +75,36 @@
 	interrupted chan struct{} // closed when interrupt has returned; nil unless it was called
 }
 
-// errNoMemory is a body that the budget has refused.
-type errNoMemory struct{ memory.Decision }
+// Refusal is the error of a body for which there is no room.
+type Refusal struct{ memory.Decision }
+
+func (e *Refusal) Error() string { return "no room for the request body: " + e.Cause.String() }
 
-func (e *errNoMemory) Error() string { return "no room for the request body: " + e.Cause.String() }
+// Config of a Guard. 0 means that a value is unknown.
+type Config struct {
+	Memory int64       // bytes of the VM
+	Files  int64       // descriptors of the process
+	Cores  float64     // processor time per second, in seconds
+	Scope  tally.Scope // of the counters
+	Log    log.Interface
+}
 
-// newGuard returns a guard for a VM with these settings; 0 means that a value is unknown.
-func newGuard(s platform.Settings, i *instruments, l log.Interface) *guard {
-	bytes := cmp.Or(s.Memory, int64(unknownMemory))
-	m := &guard{
-		bodies: make(map[memory.ID]*heldBody), refusals: make(map[memory.Cause]tally.Counter), log: l,
-		conns: make(map[admission.ID]callers.Actions), sent: make(map[admission.ID]struct{}), counters: i.guard,
+// New returns a guard.
+func New(cfg Config) *Guard {
+	bytes := cmp.Or(cfg.Memory, int64(unknownMemory))
+	m := &Guard{
+		bodies: make(map[memory.ID]*Body), refusals: make(map[memory.Cause]tally.Counter), log: cfg.Log,
+		conns: make(map[admission.ID]callers.Actions), sent: make(map[admission.ID]struct{}), counters: newCounters(cfg.Scope),
 		budget: admission.New(admission.Config{
 			Memory: memory.Config{
 				Limit: int64(trafficShare * float64(bytes)), Start: bodyStart, WaitCharge: waitCharge, Conns: int64(connShare * float64(bytes)),
 			},
-			Conns: maxConns(bytes, s.MaxFiles), Conn: connCharge, Cores: s.Cores,
+			Conns: maxConns(bytes, cfg.Files), Conn: connCharge, Cores: cfg.Cores,
 			Kernel: int64(kernelShare * float64(bytes)), ConnKernel: connKernelCharge, Windows: int64(windowShare * float64(bytes)),
 		}),
 	}
 	for _, c := range memory.Causes() {
-		m.refusals[c] = i.bodyRefusals(c.String())
+		m.refusals[c] = cfg.Scope.Tagged(map[string]string{"cause": c.String()}).Counter("bodies_refused")
 	}
 	return m
 }
@@ -108,16 +117,16 @@
 	}
 }
 
-// open adds a request's body. interrupt ends a read of it.
-func (m *guard) open(now time.Time, b memory.Body, interrupt func()) (*heldBody, error) {
+// Open adds a request's body. interrupt ends a read of it. The error is a Refusal.
+func (m *Guard) Open(now time.Time, b memory.Body, interrupt func()) (*Body, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := m.budget.Memory.Open(now, b)
 	if d.Verdict == memory.Refuse {
 		m.refusals[d.Cause].Inc(1)
-		return nil, &errNoMemory{d}
+		return nil, &Refusal{d}
 	}
-	h := &heldBody{guard: m, id: d.ID, decisions: make(chan memory.Decision, 1), interrupt: interrupt}
+	h := &Body{guard: m, id: d.ID, decisions: make(chan memory.Decision, 1), interrupt: interrupt}
 	m.bodies[d.ID] = h
 	return h, nil
 }
@@ -125,9 +134,9 @@
 // waitCheckPeriod is the time between two calls of ended in a wait for room.
 const waitCheckPeriod = 50 * time.Millisecond
 
-// extend waits for room for further bytes. It calls ended from time to time, which reports whether the
-// wait has to end.
-func (h *heldBody) extend(bytes int64, ended func(now time.Time) bool) (err error) {
+// Extend waits for room for further bytes. It calls ended from time to time, which reports whether the
+// wait has to end. The error is a Refusal or ErrWaitEnded.
+func (h *Body) Extend(bytes int64, ended func(now time.Time) bool) (err error) {
 	d := h.ask(bytes)
 	if d.Verdict == memory.Wait {
 		if d, err = h.await(ended); err != nil {
@@ -135,13 +144,13 @@
 		}
 	}
 	if d.Verdict == memory.Refuse {
-		return &errNoMemory{d}
+		return &Refusal{d}
 	}
 	return nil
 }
 
 // ask asks for room for further bytes.
-func (h *heldBody) ask(bytes int64) memory.Decision {
+func (h *Body) ask(bytes int64) memory.Decision {
 	m := h.guard
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -159,7 +168,7 @@
 }
 
 // await waits for the decision about a body.
-func (h *heldBody) await(ended func(now time.Time) bool) (d memory.Decision, err error) {
+func (h *Body) await(ended func(now time.Time) bool) (d memory.Decision, err error) {
 	check := time.NewTicker(waitCheckPeriod)
 	defer check.Stop()
 	for {
@@ -168,17 +177,17 @@
 			return d, nil
 		case now := <-check.C:
 			if ended(now) {
-				return d, errWaitEnded
+				return d, ErrWaitEnded
 			}
 		}
 	}
 }
 
-// errWaitEnded is a body whose request ended while it waited for room.
-var errWaitEnded = errors.New("the wait for room has ended")
+// ErrWaitEnded is a body whose request ended while it waited for room.
+var ErrWaitEnded = errors.New("the wait for room has ended")
 
 // refused notes the refusal of a body. The caller must hold m.mu.
-func (m *guard) refused(d memory.Decision) {
+func (m *Guard) refused(d memory.Decision) {
 	m.refusals[d.Cause].Inc(1)
 	if h := m.bodies[d.ID]; h != nil {
 		h.refusal = &d
@@ -188,7 +197,7 @@
 
 // plan makes the decisions that are due, and sets a timer while bodies wait. The caller must hold
 // m.mu.
-func (m *guard) plan(now time.Time) {
+func (m *Guard) plan(now time.Time) {
 	for _, d := range m.budget.Memory.Plan(now) {
 		h := m.bodies[d.ID]
 		if h == nil {
@@ -221,9 +230,9 @@
 	})
 }
 
-// refusedWith returns the refusal of a body that was being read; nil if there is none. The read is no
+// Refused returns the Refusal of a body that was being read; nil if there is none. The read is no
 // longer interrupted then.
-func (h *heldBody) refusedWith() error {
+func (h *Body) Refused() error {
 	h.guard.mu.Lock()
 	refusal, interrupted := h.refusal, h.interrupted
 	h.guard.mu.Unlock()
@@ -233,23 +242,23 @@
 	if refusal == nil {
 		return nil
 	}
-	return &errNoMemory{*refusal}
+	return &Refusal{*refusal}
 }
 
-// complete notes that the body has been read. It returns an error if the body was refused before.
-func (h *heldBody) complete() error {
+// Complete notes that the body has been read. It returns its Refusal if it was refused before.
+func (h *Body) Complete() error {
 	h.guard.mu.Lock()
 	defer h.guard.mu.Unlock()
 	if h.refusal != nil {
-		return &errNoMemory{*h.refusal}
+		return &Refusal{*h.refusal}
 	}
 	h.guard.budget.Memory.Complete(h.id)
 	h.guard.plan(time.Now())
 	return nil
 }
 
-// close ends the use of the body.
-func (h *heldBody) close() {
+// Close ends the use of the body.
+func (h *Body) Close() {
 	m := h.guard
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -260,20 +269,21 @@
 }
 
 // Buffer implements forward.Buffers.
-func (m *guard) Buffer(bytes int64) bool {
+func (m *Guard) Buffer(bytes int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.budget.Memory.Buffer(bytes) {
 		return true
 	}
 	now := time.Now()
-	m.lacked = now
-	m.sweep(now)
+	if m.lacked = now; !m.sweeping {
+		m.sweep(now)
+	}
 	return false
 }
 
 // Return implements forward.Buffers.
-func (m *guard) Return(bytes int64) {
+func (m *Guard) Return(bytes int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
@@ -281,8 +291,16 @@
 	m.plan(now)
 }
 
-func (m *guard) usage() memory.Usage {
+// Usage returns what bodies, responses and connections use.
+func (m *Guard) Usage() memory.Usage {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.budget.Memory.Usage()
 }
+
+// ClassUsage returns what the connections of a class use.
+func (m *Guard) ClassUsage(class admission.Class) admission.Usage {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.budget.Usage(class)
+}
