entry: clients outside the limits end no entry

Callers: an entry of the own interface had no bound of what its clients may hold.

Cause: net/http's server at all three listeners, with a limit of one head and none of their number.

Change: callers, peers and operators are served by internal/callers with internal/guard, as at gateways. The settings file has memory and files, by default those of the VM. What is buffered of a body (64 KiB at most) has room in the same budget or is refused as not run.

--- a/clients_proof_test.go
+++ b/clients_proof_test.go
@@ -302,9 +302,9 @@
 	sum     int64 // bytes at the same time
 }
 
-// usageOf measures a gateway. Bytes in the kernel are read from its table by the gateway's address.
-func (s *clientsSite) usageOf() (u usage) {
-	pid := s.gateway.cmd.Process.Pid
+// usageOf measures a process. Bytes in the kernel are read from its table by the address that only this
+// process listens on.
+func usageOf(pid int, address string) (u usage) {
 	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	_, rest, _ := strings.Cut(string(text), "RssAnon:")
 	field, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
@@ -314,7 +314,7 @@
 		u.sockets = int64(len(files))
 	}
 	table, _ := os.ReadFile("/proc/net/tcp")
-	ip := net.ParseIP(s.gateway.ip).To4()
+	ip := net.ParseIP(address).To4()
 	local := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
 	for line := range strings.Lines(string(table)) {
 		f := strings.Fields(line)
@@ -333,7 +333,7 @@
 // watch measures the gateway until ctx ends. It kills a gateway beyond its memory.
 func (s *clientsSite) watch(ctx context.Context) (most usage) {
 	for ; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
-		u := s.usageOf()
+		u := usageOf(s.gateway.cmd.Process.Pid, s.gateway.ip)
 		most.anon, most.unread, most.unsent, most.sockets = max(most.anon, u.anon), max(most.unread, u.unread), max(most.unsent, u.unsent), max(most.sockets, u.sockets)
 		sum := u.anon + u.unread + u.unsent
 		most.sum = max(most.sum, sum)
--- a/cluster_test.go
+++ b/cluster_test.go
@@ -27,6 +27,9 @@
 	targets    []*process
 	entries    []*process
 	entryNames []string
+	vm         vmSize   // of further entries; unbounded if it is zero
+	ip         string   // on which they listen
+	env        []string // further variables of their environment
 }
 
 // clusterSlots bounds the number of clusters that run at a time, so that parallel tests
@@ -58,7 +61,7 @@
 	t.Helper()
 	clusterSlots <- struct{}{}
 	t.Cleanup(func() { <-clusterSlots })
-	return &cluster{store: "http://" + spawn(t, 1, "standin", "store", "--settings", "examples/swanbourne.json").addrs[0]}
+	return &cluster{ip: "127.0.0.1", store: "http://" + spawn(t, 1, "standin", "store", "--settings", "examples/swanbourne.json").addrs[0]}
 }
 
 // startTarget adds a target. It registers itself in the VM list only if args contain
@@ -105,12 +108,12 @@
 	file := filepath.Join(t.TempDir(), "entry.json")
 	text, err := json.Marshal(map[string]any{
 		"name": name, "region": "perth-metro", "place": testPlaces[n%3],
-		"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "operators": "127.0.0.1:0",
-		"platform": c.store, "seeds": seeds,
+		"callers": c.ip + ":0", "peers": c.ip + ":0", "operators": c.ip + ":0",
+		"platform": c.store, "seeds": seeds, "memory": c.vm.memoryMB, "files": c.vm.maxFds,
 	})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, os.WriteFile(file, text, 0o600), qt.IsNil)
-	c.entries = append(c.entries, spawn(t, 3, "entry", file))
+	c.entries = append(c.entries, spawnWith(t, c.env, 3, "entry", file))
 	c.entryNames = append(c.entryNames, name)
 	return n
 }
--- a/gateway_proof_test.go
+++ b/gateway_proof_test.go
@@ -49,10 +49,16 @@
 	exited chan error
 }
 
-// lastLoopbackAddr is the number of the last loopback address in use. Each gateway of all
-// tests has its own address, so the settings can use fixed ports.
+// lastLoopbackAddr is the number of the last loopback address in use.
 var lastLoopbackAddr atomic.Int64
 
+// nextLoopbackAddr returns an address that no other process of the tests has, so that settings can use
+// fixed ports.
+func nextLoopbackAddr() string {
+	n := lastLoopbackAddr.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, n/250, 1+n%250)
+}
+
 func newGatewaySite(t *testing.T, targets int) *gatewaySite {
 	t.Helper()
 	s := &gatewaySite{q: qt.New(t), t: t, store: objects.New()}
@@ -92,11 +98,7 @@
 // start starts a gateway from the given program and waits until it is ready.
 func (s *gatewaySite) start(program string) *gatewayProcess {
 	s.t.Helper()
-	n := lastLoopbackAddr.Add(1)
-	g := &gatewayProcess{
-		name: fmt.Sprint("gateway-", len(s.gateways)), ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, n/250, 1+n%250),
-		exited: make(chan error, 1),
-	}
+	g := &gatewayProcess{name: fmt.Sprint("gateway-", len(s.gateways)), ip: nextLoopbackAddr(), exited: make(chan error, 1)}
 	dir := s.t.TempDir()
 	g.boot, g.log = filepath.Join(dir, "boot.yaml"), filepath.Join(dir, "log")
 	s.writeSettings(g, "3s")
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/guard"
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
@@ -33,6 +34,7 @@
 	src       io.Reader
 	conn      *http.ResponseController
 	remaining int64       // bytes up to the limit; negative is no limit
+	held      *guard.Body // room for what is buffered; nil without any
 	complete  atomic.Bool // the whole body was read
 	tooLong   atomic.Bool // the body exceeds the limit
 }
@@ -111,11 +113,22 @@
 }
 
 func (q *request) bufferBody(n int64) error {
+	if err := q.holdBody(n); err != nil {
+		return err
+	}
 	q.body = make([]byte, n)
 	if _, err := q.upload.readBefore(q.body, q.deadline); err != nil {
 		return q.bodyReadError(err)
 	}
 	q.upload.complete.Store(true)
+	return q.completeBody()
+}
+
+// completeBody notes that what is buffered of the body has been read.
+func (q *request) completeBody() error {
+	if err := q.upload.held.Complete(); err != nil {
+		return finalError{noMemory(err)}
+	}
 	return nil
 }
 
@@ -123,16 +136,19 @@
 // which the fingerprint needs to detect a key that is reused for another request.
 // If the body is longer, the rest is streamed.
 func (q *request) bufferPrefix(n int64) error {
+	if err := q.holdBody(maxBufferedBody); err != nil {
+		return err
+	}
 	prefix := make([]byte, maxBufferedBody)
 	read, err := q.upload.readBefore(prefix, q.deadline)
 	q.body = prefix[:read]
 	switch err {
 	case io.EOF, io.ErrUnexpectedEOF:
-		return nil
+		return q.completeBody()
 	case nil:
 		q.cachedFingerprint = q.computeFingerprint(call.BodyHash(q.body) + uint64(n))
 		q.stream = io.MultiReader(bytes.NewReader(q.body), q.upload)
-		return nil
+		return q.completeBody()
 	}
 	return q.bodyReadError(err)
 }
@@ -140,6 +156,9 @@
 // bodyReadError returns the final error for a body that couldn't be buffered. The
 // request wasn't dispatched yet.
 func (q *request) bodyReadError(err error) error {
+	if refusal := q.upload.held.Refused(); refusal != nil {
+		return finalError{noMemory(refusal)}
+	}
 	if errors.Is(err, errTooLong) {
 		return finalError{q.bodyTooLong(call.NotRun, "more")}
 	}
--- a/internal/entry/components.go
+++ b/internal/entry/components.go
@@ -7,11 +7,13 @@
 
 	"golang.org/x/time/rate"
 
+	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/internal/claims"
 	"plumpitch.example/plumpitch/internal/members"
 	"plumpitch.example/plumpitch/internal/peer"
 	"plumpitch.example/plumpitch/internal/settings"
 	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/admission"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/member"
 )
@@ -75,11 +77,17 @@
 	return &server{
 		name:     "peers",
 		listener: e.counters.Listener(e.peers),
-		http: peer.NewServer(peer.ServerConfig{
-			Self:     e.self().ID,
-			Members:  e.members,
-			Settings: e.settingsSync(),
-			Counters: e.counters,
+		http: callers.New(callers.Config{
+			Handler: peer.NewHandler(peer.ServerConfig{
+				Self:     e.self().ID,
+				Members:  e.members,
+				Settings: e.settingsSync(),
+				Counters: e.counters,
+			}),
+			ReadTimeout:    peer.ReadTimeout,
+			IdleTimeout:    func() time.Duration { return peer.ServerIdleTimeout },
+			MaxHeaderBytes: func() int { return peer.MaxHeaderBytes },
+			Guard:          e.guard.At(admission.Entries), Log: e.log,
 		}),
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,13 +19,16 @@
 	"github.com/thejerf/suture/v4"
 	"golang.org/x/time/rate"
 
+	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/internal/claims"
 	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/internal/guard"
 	"plumpitch.example/plumpitch/internal/members"
 	"plumpitch.example/plumpitch/internal/metrics"
 	"plumpitch.example/plumpitch/internal/peer"
 	"plumpitch.example/plumpitch/internal/settings"
 	"plumpitch.example/plumpitch/internal/store"
+	"plumpitch.example/plumpitch/pkg/admission"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/member"
 )
@@ -75,6 +78,7 @@
 
 	claimRate *rate.Limiter // this entry's share of claimWritesPerSecond
 
+	guard     *guard.Guard // of all listeners
 	callers   net.Listener
 	peers     net.Listener
 	operators net.Listener
@@ -99,6 +103,7 @@
 	if e.tracing, err = newTracing(cfg.File.Trace, cfg.TraceOutput); err != nil {
 		return nil, err
 	}
+	e.guard = e.newGuard()
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -125,7 +130,7 @@
 		{"peers", &e.peers, f.Peers},
 		{"operators", &e.operators, f.Operators},
 	} {
-		if *l.listener, err = net.Listen("tcp", l.addr); err != nil {
+		if *l.listener, err = guard.Listen(l.addr); err != nil {
 			e.closeListeners()
 			return errors.WithMessage(err, l.field)
 		}
@@ -240,8 +245,8 @@
 // trafficSupervisor returns the supervisor of the servers for callers and operators.
 func (e *Entry) trafficSupervisor() *suture.Supervisor {
 	s := suture.New("traffic", suture.Spec{EventHook: e.logSupervisorEvent, Timeout: stopTimeout})
-	s.Add(newServer("callers", e.callers, e.callerHandler()))
-	s.Add(newServer("operators", e.operators, e.operatorHandler()))
+	s.Add(e.newServer("callers", admission.Traffic, e.callers, e.callerHandler()))
+	s.Add(e.newServer("operators", admission.Operators, e.operators, e.operatorHandler()))
 	return s
 }
 
@@ -253,18 +258,25 @@
 type server struct {
 	name     string
 	listener net.Listener
-	http     *http.Server
+	http     *callers.Server
 }
 
-// newServer returns a server whose time and size limits bound the resources that
-// a slow or greedy client can hold.
-func newServer(name string, listener net.Listener, h http.Handler) *server {
-	return &server{name: name, listener: listener, http: &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: 5 * time.Second,
-		IdleTimeout:       time.Minute,
-		MaxHeaderBytes:    64 << 10,
-	}}
+// Limits of the servers for callers and operators.
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// newServer returns a server for callers or operators.
+func (e *Entry) newServer(name string, class admission.Class, listener net.Listener, h http.Handler) *server {
+	return &server{name: name, listener: listener, http: callers.New(callers.Config{
+		Handler:        h,
+		HeaderTimeout:  func() time.Duration { return headerTimeout },
+		IdleTimeout:    func() time.Duration { return idleTimeout },
+		MaxHeaderBytes: func() int { return maxHeaderBytes },
+		Guard:          e.guard.At(class), Log: e.log,
+	})}
 }
 
 // stopTimeout limits each step of a graceful stop.
--- a/internal/entry/file.go
+++ b/internal/entry/file.go
@@ -24,6 +24,8 @@
 	Seeds     []string // host:port of other entries' peer listeners, for joining
 	Trace     string   // "off" or "stdout"
 	Level     string   // least severe log level: debug, info, warn, error
+	Memory    int      // megabytes that the process may use; 0 for those of the VM
+	Files     int      // descriptors that the process may use; 0 for its limit
 }
 
 // fileWire is the JSON encoding of File.
@@ -38,6 +40,8 @@
 	Seeds     []string `json:"seeds"`
 	Trace     string   `json:"trace"`
 	Level     string   `json:"level"`
+	Memory    int      `json:"memory"`
+	Files     int      `json:"files"`
 }
 
 // ReadFile reads, decodes and checks a settings file.
@@ -104,6 +108,14 @@
 	if !strings.HasPrefix(f.Platform, "http://") && !strings.HasPrefix(f.Platform, "https://") {
 		return errors.Errorf("platform: found %q, expected an http or https URL", f.Platform)
 	}
+	for _, n := range []struct {
+		field string
+		value int
+	}{{"memory", f.Memory}, {"files", f.Files}} {
+		if n.value < 0 {
+			return errors.Errorf("%s: found %d, expected a positive number", n.field, n.value)
+		}
+	}
 	if f.Trace != traceOff && f.Trace != traceStdout {
 		return errors.Errorf("trace: found %q, expected %q or %q", f.Trace, traceOff, traceStdout)
 	}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/trace"
 
+	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/pkg/call"
 )
@@ -73,6 +74,7 @@
 			ow.body = newCallerBody(w, r)
 			in.Body = ow.body
 			defer ow.body.limitLinger()
+			defer ow.body.free()
 		}
 		defer e.recordOutcome(ow, r, id, span, began)
 		defer e.recoverPanic(ow, id)
@@ -103,6 +105,9 @@
 func (e *Entry) recordOutcome(w *outcomeWriter, r *http.Request, id string, span trace.Span, began time.Time) {
 	name, _ := splitPath(r.URL.EscapedPath())
 	outcome := w.Header().Get(call.HeaderOutcome)
+	if r, ok := w.ResponseWriter.(callers.Response); ok {
+		r.SetServed(outcome == "" && w.started)
+	}
 	if sv, ok := e.snapshot.Load().services[name]; ok {
 		sv.metrics.latency.RecordDuration(time.Since(began))
 		sv.metrics.count(outcome)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/kit/endpoint"
 
 	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/internal/guard"
 	"plumpitch.example/plumpitch/pkg/account"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/claim"
@@ -30,6 +31,7 @@
 	body              []byte
 	stream            io.Reader // set instead of body if the body is streamed
 	upload            *callerBody
+	guard             *guard.Guard // of the memory for what is buffered of the body
 	header            call.Header
 	key               string           // of a non-idempotent request
 	account           *account.Account // nil without accounts, or without a key for a public service
@@ -47,7 +49,7 @@
 	if !ok {
 		return nil, unknownService(name)
 	}
-	q := &request{incoming: r, service: sv, policy: sv.policy.Load(), path: path, arrived: now}
+	q := &request{incoming: r, service: sv, policy: sv.policy.Load(), path: path, arrived: now, guard: e.guard}
 	if err := q.readAccount(s.accounts); err != nil {
 		return nil, err
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -91,7 +91,7 @@
 		MaxIdleConns:           maxIdleConns,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}
 }
 
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"path"
 	"sync/atomic"
+	"syscall"
+
+	"github.com/pkg/errors"
 )
 
 // Method is a method of the peer protocol.
@@ -85,6 +88,15 @@
 	counters *Counters
 }
 
+// SyscallConn gives the server access to the socket.
+func (c countedConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the connection has no descriptor")
+	}
+	return sc.SyscallConn()
+}
+
 func (c countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.counters.ConnIn.Add(int64(n))
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -45,25 +45,30 @@
 // the server closed an idle connection while a request is written, the request would
 // fail and the entry would look dead.
 const (
-	readTimeout       = 5 * time.Second
+	ReadTimeout       = 5 * time.Second
 	writeTimeout      = 10 * time.Second
-	serverIdleTimeout = 2 * time.Minute
-	maxHeaderBytes    = 8 << 10
+	ServerIdleTimeout = 2 * time.Minute
+	MaxHeaderBytes    = 8 << 10
 )
 
-// NewServer returns the HTTP server of the peer protocol. If cfg.Settings is nil,
-// Settings calls fail with the code Unimplemented.
-func NewServer(cfg ServerConfig) *http.Server {
+// NewHandler returns the handler of the peer protocol. If cfg.Settings is nil, Settings calls fail with
+// the code Unimplemented.
+func NewHandler(cfg ServerConfig) http.Handler {
 	if cfg.Counters == nil {
 		cfg.Counters = &Counters{}
 	}
-	inner := wire.NewPeerServer(&server{cfg})
+	return countHandler(wire.NewPeerServer(&server{cfg}), cfg.Counters)
+}
+
+// NewServer returns an HTTP server of the peer protocol that bounds no memory, for tests and
+// experiments.
+func NewServer(cfg ServerConfig) *http.Server {
 	return &http.Server{
-		Handler:        countHandler(inner, cfg.Counters),
-		ReadTimeout:    readTimeout,
+		Handler:        NewHandler(cfg),
+		ReadTimeout:    ReadTimeout,
 		WriteTimeout:   writeTimeout,
-		IdleTimeout:    serverIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout:    ServerIdleTimeout,
+		MaxHeaderBytes: MaxHeaderBytes,
 	}
 }
 
--- a/process_test.go
+++ b/process_test.go
@@ -68,8 +68,15 @@
 
 // spawn starts the program and reads the first n lines of its output.
 func spawn(t *testing.T, n int, args ...string) *process {
+	t.Helper()
+	return spawnWith(t, nil, n, args...)
+}
+
+// spawnWith does the same with further variables of the environment.
+func spawnWith(t *testing.T, env []string, n int, args ...string) *process {
 	t.Helper()
 	p := &process{cmd: exec.Command(program(t), args...), stderr: &bytes.Buffer{}, exited: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
 	out, err := p.cmd.StdoutPipe()
 	qt.Assert(t, err, qt.IsNil)
 	p.cmd.Stderr = p.stderr
