callers, guard: a window ends only when nothing is unread

Cause: a connection counted as at rest once its reader waited for the next request, and its window went to another one. On a busy core the next body has arrived by then, up to 496 KiB, before the reader runs (280 connections held more than 192 KiB, with windows for 160).

Change: the guard shrinks the buffer and asks the socket how much is unread. Only then is the window free; otherwise the connection counts as in use.

TestNarrowWithUnreadBytes; TestWindows plays connections at which more has arrived.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -323,6 +323,12 @@
 
 var discardBuffers = sync.Pool{New: func() any { return new([discardSize]byte) }}
 
+// narrow sets the receive buffer. What has arrived before stays.
+func (c *conn) narrow(receiveBuffer int) bool {
+	c.setReceiveBuffer(receiveBuffer)
+	return c.unread() <= receiveBuffer
+}
+
 // wideSend is how many bytes of a response are sent before its send buffer is widened, and before it is
 // tried again.
 const wideSend = 16 << 10
--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -15,8 +15,9 @@
 
 // Actions are what a guard may do to a connection.
 type Actions struct {
-	Evict  func()                  // closes it at once
-	Narrow func(receiveBuffer int) // ends its window; see Lease.Widen
+	Evict func() // closes it at once
+	// Narrow ends its window, see Lease.Widen, and reports whether no more bytes than that are unread.
+	Narrow func(receiveBuffer int) bool
 	// NarrowSend ends its window for sending, see Lease.SendBuffer, if the caller has read what has been
 	// sent up to the size of the buffer. It reports whether it has.
 	NarrowSend func(sendBuffer int) bool
--- a/internal/callers/guard_test.go
+++ b/internal/callers/guard_test.go
@@ -22,7 +22,7 @@
 	held    headSize
 	conns   int
 	served  int
-	evict   func()
+	actions Actions
 }
 
 func (g *testGuard) Connect(_ string, a Actions) Lease {
@@ -32,10 +32,17 @@
 		return nil
 	}
 	g.conns++
-	g.evict = a.Evict
+	g.actions = a
 	return &testLease{testGuard: g}
 }
 
+// act returns the actions of the latest connection.
+func (g *testGuard) act() Actions {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.actions
+}
+
 // usage returns what is held, and the number of connections and of served requests.
 func (g *testGuard) usage() (held headSize, conns, served int) {
 	g.mu.Lock()
@@ -169,7 +176,7 @@
 		c := dial(t, w.addr)
 		c.get("/free")
 		c.expect("/free")
-		g.evict()
+		g.act().Evict()
 		_, err := c.read(http.MethodGet)
 		qt.Assert(t, err, qt.IsNotNil)
 	})
@@ -261,3 +268,35 @@
 		})
 	}
 }
+
+// Guards against windows that end, and are charged no more, while their bytes are still unread.
+func TestNarrowWithUnreadBytes(t *testing.T) {
+	const buffer = 16 << 10
+	resume := make(chan struct{})
+	g := &testGuard{lines: 1000}
+	cfg := testConfig()
+	cfg.Guard = g
+	cfg.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			w.(Response).Widen(256 << 10)
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		<-resume
+	})
+	w := newWorld(t, cfg)
+	c := dial(t, w.addr)
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nv")
+	head := "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("v", 7<<10) + "\r\n\r\n"
+	for range 10 { // these wait for the first request
+		c.send(head)
+	}
+	time.Sleep(50 * time.Millisecond)
+	qt.Assert(t, g.act().Narrow(buffer), qt.IsFalse)
+	close(resume)
+	for range 11 {
+		a, err := c.read(http.MethodGet)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, a.StatusCode, qt.Equals, http.StatusOK)
+	}
+	qt.Assert(t, g.act().Narrow(buffer), qt.IsTrue)
+}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -166,7 +166,7 @@
 func (s *Server) add(rwc net.Conn) *conn {
 	c := newConn(s, rwc)
 	host, _, _ := net.SplitHostPort(c.remote)
-	if c.lease = s.cfg.Guard.Connect(host, Actions{Evict: c.fail, Narrow: c.setReceiveBuffer, NarrowSend: c.narrowSend}); c.lease == nil {
+	if c.lease = s.cfg.Guard.Connect(host, Actions{Evict: c.fail, Narrow: c.narrow, NarrowSend: c.narrowSend}); c.lease == nil {
 		c.cancel()
 		rwc.Close()
 		return nil
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -95,8 +95,9 @@
 func (g classGuard) Connect(address string, a callers.Actions) callers.Lease {
 	now := time.Now()
 	g.mu.Lock()
-	id, evicted, narrowed := g.budget.Connect(now, g.class, address)
-	actions := append(g.takeEvicted(now, evicted, g.class), g.narrows(narrowed)...)
+	id, evicted := g.budget.Connect(now, g.class, address)
+	evicts := g.takeEvicted(now, evicted, g.class)
+	g.narrow(g.budget.WindowsFit)
 	if id == 0 {
 		g.counters.connsRefused[g.class].Inc(1)
 		g.logLack(now, "no room for a connection", g.class)
@@ -105,8 +106,8 @@
 		g.budget.Work(now, id, connWork, 0)
 	}
 	g.mu.Unlock()
-	for _, action := range actions {
-		action()
+	for _, evict := range evicts {
+		evict()
 	}
 	if id == 0 {
 		return nil
@@ -128,13 +129,21 @@
 	return evicts
 }
 
-// narrows returns the functions that end the windows of connections. The caller must hold m.mu.
-func (m *Guard) narrows(ids []admission.ID) (narrows []func()) {
-	for _, id := range ids {
-		narrow := m.conns[id].Narrow
-		narrows = append(narrows, func() { narrow(idleReceiveBuffer) })
+// narrow ends windows of connections at rest until fits reports true, and reports whether it did. The
+// caller must hold m.mu.
+func (m *Guard) narrow(fits func() bool) bool {
+	for !fits() {
+		id := m.budget.Resting()
+		if id == 0 {
+			return false
+		}
+		if m.conns[id].Narrow(idleReceiveBuffer) {
+			m.budget.Narrow(id)
+		} else {
+			m.budget.Resume(id) // the connection hasn't noticed yet that more has arrived
+		}
 	}
-	return narrows
+	return true
 }
 
 // lackLogPeriod is the time between two log lines about connections for which there is no room.
@@ -274,15 +283,11 @@
 // Widen implements callers.Lease. The kernel doubles a receive buffer for its own data.
 func (l lease) Widen(receiveBuffer int) bool {
 	l.mu.Lock()
-	narrowed, ok := l.budget.Widen(l.id, 2*int64(receiveBuffer))
-	narrows := l.narrows(narrowed)
+	defer l.mu.Unlock()
+	ok := l.narrow(func() bool { return l.budget.Widen(l.id, 2*int64(receiveBuffer)) })
 	if !ok {
 		l.counters.windowsRefused[l.class].Inc(1)
 	}
-	l.mu.Unlock()
-	for _, narrow := range narrows {
-		narrow()
-	}
 	return ok
 }
 
@@ -307,14 +312,10 @@
 		size = entrySendBuffer
 	}
 	l.mu.Lock()
-	narrowed, ok := l.budget.WidenSend(l.id, 2*int64(size))
-	narrows := l.narrows(narrowed)
+	defer l.mu.Unlock()
 	delete(l.sent, l.id)
-	l.mu.Unlock()
-	for _, narrow := range narrows {
-		narrow()
-	}
-	if !ok {
+	if !l.narrow(func() bool { return l.budget.WidenSend(l.id, 2*int64(size)) }) {
+		l.counters.windowsRefused[l.class].Inc(1)
 		return 0
 	}
 	return size
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -100,8 +100,8 @@
 }
 
 // Connect admits a connection of a caller, or returns 0. The evicted connections have to be closed;
-// their use has ended. The narrowed ones have to go back to the unread bytes of each connection.
-func (b *Budget) Connect(now time.Time, class Class, address string) (id ID, evicted, narrowed []ID) {
+// their use has ended.
+func (b *Budget) Connect(now time.Time, class Class, address string) (id ID, evicted []ID) {
 	c := &conn{class: class, caller: b.callerOf(now, callerKey{class, address}), since: now}
 	c.caller.conns++
 	for !b.connFits(class) {
@@ -109,7 +109,7 @@
 		if v == nil {
 			c.caller.conns--
 			b.forget(now, c.caller)
-			return 0, evicted, nil
+			return 0, evicted
 		}
 		evicted = append(evicted, b.evict(now, v))
 	}
@@ -121,9 +121,9 @@
 	evicted = append(evicted, more...)
 	if !ok {
 		b.remove(now, c)
-		return 0, evicted, nil
+		return 0, evicted
 	}
-	return c.id, evicted, b.narrowIdle(c)
+	return c.id, evicted
 }
 
 // Disconnect ends a connection. It does nothing if the connection was evicted.
--- a/pkg/admission/sim_test.go
+++ b/pkg/admission/sim_test.go
@@ -119,7 +119,7 @@
 		if k.conns++; k.fresh {
 			k.address = fmt.Sprint(k.name, k.number, "-", k.conns)
 		}
-		id, evicted, _ := s.b.Connect(s.now, k.class, k.address)
+		id, evicted := s.b.Connect(s.now, k.class, k.address)
 		s.drop(evicted)
 		if id == 0 {
 			s.refused[k.name]++
@@ -279,7 +279,7 @@
 			s := newSimulation(qt.New(t))
 			ids := make([]ID, crowd)
 			for i := range ids {
-				ids[i], _, _ = s.b.Connect(s.now, Traffic, fmt.Sprint("crowd", i))
+				ids[i], _ = s.b.Connect(s.now, Traffic, fmt.Sprint("crowd", i))
 			}
 			for range 20 {
 				for _, id := range ids {
@@ -287,7 +287,7 @@
 				}
 			}
 			next := make([]time.Time, crowd)
-			id, _, _ := s.b.Connect(s.now, Traffic, "caller")
+			id, _ := s.b.Connect(s.now, Traffic, "caller")
 			if !tt.stays {
 				for _, id := range ids {
 					s.b.Disconnect(s.now, id)
@@ -316,8 +316,8 @@
 func TestPaceOfServedHeads(t *testing.T) {
 	const lines = 5 * time.Millisecond // of processor time
 	s := newSimulation(qt.New(t))
-	id, _, _ := s.b.Connect(s.now, Traffic, "caller")
-	other, _, _ := s.b.Connect(s.now, Traffic, "other")
+	id, _ := s.b.Connect(s.now, Traffic, "caller")
+	other, _ := s.b.Connect(s.now, Traffic, "other")
 	work, began := time.Duration(0), s.now
 	for s.now.Sub(began) < simTime {
 		delay := s.b.Work(s.now, id, simRequest+lines, lines)
--- a/pkg/admission/window.go
+++ b/pkg/admission/window.go
@@ -11,34 +11,27 @@
 }
 
 // Widen lets bytes arrive unread on a connection, beyond those that each connection has. It returns
-// false, and changes nothing, if there is no room for them. The narrowed connections, which are at
-// rest, have to go back to the bytes of each connection.
-func (b *Budget) Widen(id ID, bytes int64) (narrowed []ID, ok bool) {
+// false, and changes nothing, if there is no room for them; Resting tells which window may end.
+func (b *Budget) Widen(id ID, bytes int64) bool {
 	c := b.conns[id]
-	if c == nil {
-		return nil, false
-	}
-	if narrowed, ok = b.makeWindowRoom(c, bytes-c.window.bytes); !ok {
-		return narrowed, false
+	if c == nil || !b.windowFits(bytes-c.window.bytes) {
+		return false
 	}
 	b.windows += bytes - c.window.bytes
 	c.window.bytes, c.window.used = bytes, true
 	b.wide[id] = c
-	return narrowed, true
+	return true
 }
 
 // WidenSend does the same for bytes that are sent and that the caller hasn't read, until EndSend.
-func (b *Budget) WidenSend(id ID, bytes int64) (narrowed []ID, ok bool) {
+func (b *Budget) WidenSend(id ID, bytes int64) bool {
 	c := b.conns[id]
-	if c == nil {
-		return nil, false
-	}
-	if narrowed, ok = b.makeWindowRoom(c, bytes-c.unsent); !ok {
-		return narrowed, false
+	if c == nil || !b.windowFits(bytes-c.unsent) {
+		return false
 	}
 	b.windows += bytes - c.unsent
 	c.unsent = bytes
-	return narrowed, true
+	return true
 }
 
 // EndSend notes that what the caller hasn't read of a connection is within the bytes of each one.
@@ -53,19 +46,6 @@
 	c.unsent = 0
 }
 
-// makeWindowRoom makes room for further bytes of a connection's windows by those of others at rest.
-func (b *Budget) makeWindowRoom(c *conn, bytes int64) (narrowed []ID, ok bool) {
-	for bytes > b.windowRoom() {
-		o := b.idleWindow(c)
-		if o == nil {
-			return narrowed, bytes <= 0
-		}
-		b.narrow(o)
-		narrowed = append(narrowed, o.id)
-	}
-	return narrowed, true
-}
-
 // Rest notes that all that has arrived on a connection is read. The connection keeps its window until
 // others need the room: a caller whose window shrinks loses what it has sent meanwhile.
 func (b *Budget) Rest(now time.Time, id ID) {
@@ -84,38 +64,37 @@
 	return true
 }
 
-// windowRoom returns the bytes that further windows may have.
-func (b *Budget) windowRoom() int64 {
-	return max(b.cfg.Kernel-int64(len(b.conns))*b.cfg.ConnKernel, b.cfg.Windows) - b.windows
+// Resting returns the connection that has been at rest with a window for longest; 0 if there is none.
+func (b *Budget) Resting() (id ID) {
+	var first *conn
+	for _, c := range b.wide {
+		if !c.window.used && (first == nil || c.window.since.Before(first.window.since)) {
+			first = c
+		}
+	}
+	if first == nil {
+		return 0
+	}
+	return first.id
 }
 
-// idleWindow returns the connection, other than c, that has been at rest with a window for longest; nil
-// if there is none.
-func (b *Budget) idleWindow(c *conn) (first *conn) {
-	for _, o := range b.wide {
-		if o != c && !o.window.used && (first == nil || o.window.since.Before(first.window.since)) {
-			first = o
-		}
+// Narrow ends the window of a connection, which has no more unread bytes than each connection may have.
+func (b *Budget) Narrow(id ID) {
+	if c := b.conns[id]; c != nil {
+		b.narrow(c)
 	}
-	return first
 }
 
-// narrow ends the window of a connection.
 func (b *Budget) narrow(c *conn) {
 	b.windows -= c.window.bytes
 	c.window = window{}
 	delete(b.wide, c.id)
 }
 
-// narrowIdle ends windows at rest that connections have left no room for.
-func (b *Budget) narrowIdle(c *conn) (narrowed []ID) {
-	for b.windowRoom() < 0 {
-		o := b.idleWindow(c)
-		if o == nil {
-			break
-		}
-		b.narrow(o)
-		narrowed = append(narrowed, o.id)
-	}
-	return narrowed
+// WindowsFit reports whether there is room for all windows beside the connections.
+func (b *Budget) WindowsFit() bool { return b.windowFits(0) }
+
+func (b *Budget) windowFits(bytes int64) bool {
+	room := max(b.cfg.Kernel-int64(len(b.conns))*b.cfg.ConnKernel, b.cfg.Windows)
+	return bytes < 0 || b.windows+bytes <= room
 }
--- a/pkg/admission/window_test.go
+++ b/pkg/admission/window_test.go
@@ -35,27 +35,36 @@
 			delete(used, id)
 		}
 	}
+	narrow := func(fits func() bool) bool { // as a guard does
+		for !fits() {
+			id := b.Resting()
+			if id == 0 {
+				return false
+			}
+			c.Assert(used[id], qt.IsFalse)
+			if random.IntN(4) == 0 { // more has arrived
+				b.Resume(id)
+				used[id] = true
+				continue
+			}
+			b.Narrow(id)
+			delete(wide, id)
+		}
+		return true
+	}
 	for step := range 20_000 {
 		now = now.Add(time.Millisecond)
 		switch n := random.IntN(10); {
 		case n < 5 || len(open) == 0:
-			id, evicted, narrowed := b.Connect(now, Traffic, fmt.Sprint(step%500))
+			id, evicted := b.Connect(now, Traffic, fmt.Sprint(step%500))
 			drop(evicted)
-			for _, id := range narrowed {
-				c.Assert(used[id], qt.IsFalse)
-				delete(wide, id)
-			}
+			narrow(b.WindowsFit)
 			if id != 0 {
 				open = append(open, id)
 			}
 		case n < 8:
 			id := open[random.IntN(len(open))]
-			narrowed, ok := b.Widen(id, size)
-			for _, id := range narrowed {
-				c.Assert(used[id], qt.IsFalse)
-				delete(wide, id)
-			}
-			if ok {
+			if narrow(func() bool { return b.Widen(id, size) }) {
 				wide[id], used[id] = size, true
 			}
 		case n < 9:
@@ -76,11 +85,10 @@
 		inUse := int64(len(used)) * size
 		c.Assert(sum <= unread || sum-inUse <= unread-windows && inUse <= unread, qt.IsTrue, qt.Commentf("%d bytes, %d in use, step %d", sum, inUse, step))
 	}
-	id, _, _ := b.Connect(now, Traffic, "newcomer")
+	id, _ := b.Connect(now, Traffic, "newcomer")
 	c.Assert(id, qt.Not(qt.Equals), ID(0))
 	for _, id := range open {
 		b.Rest(now, id)
 	}
-	_, ok := b.Widen(id, size)
-	c.Assert(ok, qt.IsTrue)
+	c.Assert(narrow(func() bool { return b.Widen(id, size) }), qt.IsTrue)
 }
