--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -16,10 +16,11 @@
 // Actions are what a guard may do to a connection.
 type Actions struct {
 	Evict func() // closes it at once
-	// Narrow ends its window, see Lease.Widen, and reports whether no more bytes than that are unread.
+	// Narrow bounds its receive buffer again, see Lease.Widen, and reports whether no more bytes than
+	// that are unread.
 	Narrow func(receiveBuffer int) bool
-	// NarrowSend ends its window for sending, see Lease.SendBuffer, if the caller has read what has been
-	// sent up to the size of the buffer. It reports whether it has.
+	// NarrowSend bounds its send buffer again, see Lease.SendBuffer, unless the caller has yet to read
+	// more bytes than that. It reports whether it did.
 	NarrowSend func(sendBuffer int) bool
 }
 
@@ -53,8 +54,8 @@
 	// that more has arrived, and reports whether it hasn't been.
 	Rest()
 	Resume() bool
-	// SendBuffer returns the size of the send buffer for a response with more than so many bytes; 0 if it
-	// stays as it is. Sent notes that all has been written; the buffer stays until it is narrowed.
+	// SendBuffer returns the size of the send buffer for a large response; 0 if there is no room for a
+	// larger one. Sent notes that all has been written; the buffer stays until it is narrowed.
 	SendBuffer() int
 	Sent()
 	Close()
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -65,7 +65,7 @@
 	connsEvicted classCounters // connections that were closed for lack of room
 	headsRefused classCounters // requests whose heads found no room
 	workDelayed  classCounters // reads that were delayed
-	// windowsRefused are bodies that were read without a larger receive buffer
+	// windowsRefused are large bodies and responses that got no larger buffer.
 	windowsRefused classCounters
 }
 
@@ -83,7 +83,7 @@
 }
 
 // At returns the guard of the connections of a class.
-func (m *Guard) At(class admission.Class) callers.Guard { return classGuard{m, class} }
+func (g *Guard) At(class admission.Class) callers.Guard { return classGuard{g, class} }
 
 // classGuard implements callers.Guard.
 type classGuard struct {
@@ -116,31 +116,31 @@
 }
 
 // takeEvicted returns the functions that close the connections that were evicted for one of a class.
-// The caller must hold m.mu.
-func (m *Guard) takeEvicted(now time.Time, ids []admission.ID, class admission.Class) (evicts []func()) {
+// The caller must hold g.mu.
+func (g *Guard) takeEvicted(now time.Time, ids []admission.ID, class admission.Class) (evicts []func()) {
 	for _, id := range ids {
-		evicts = append(evicts, m.conns[id].Evict)
-		delete(m.conns, id)
+		evicts = append(evicts, g.conns[id].Evict)
+		delete(g.conns, id)
 	}
 	if len(ids) > 0 {
-		m.counters.connsEvicted[class].Inc(int64(len(ids)))
-		m.plan(now)
+		g.counters.connsEvicted[class].Inc(int64(len(ids)))
+		g.plan(now)
 	}
 	return evicts
 }
 
 // narrow ends windows of connections at rest until fits reports true, and reports whether it did. The
-// caller must hold m.mu.
-func (m *Guard) narrow(fits func() bool) bool {
+// caller must hold g.mu.
+func (g *Guard) narrow(fits func() bool) bool {
 	for !fits() {
-		id := m.budget.Resting()
+		id := g.budget.Resting()
 		if id == 0 {
 			return false
 		}
-		if m.conns[id].Narrow(idleReceiveBuffer) {
-			m.budget.Narrow(id)
+		if g.conns[id].Narrow(idleReceiveBuffer) {
+			g.budget.Narrow(id)
 		} else {
-			m.budget.Resume(id) // the connection hasn't noticed yet that more has arrived
+			g.budget.Resume(id) // the connection hasn't noticed yet that more has arrived
 		}
 	}
 	return true
@@ -149,14 +149,14 @@
 // lackLogPeriod is the time between two log lines about connections for which there is no room.
 const lackLogPeriod = time.Second
 
-// logLack logs what was closed or refused for lack of room. The caller must hold m.mu.
-func (m *Guard) logLack(now time.Time, message string, class admission.Class) {
-	if now.Sub(m.logged) < lackLogPeriod {
+// logLack logs what was closed or refused for lack of room. The caller must hold g.mu.
+func (g *Guard) logLack(now time.Time, message string, class admission.Class) {
+	if now.Sub(g.logged) < lackLogPeriod {
 		return
 	}
-	m.logged = now
-	u, bodies := m.budget.Usage(class), m.budget.Memory.Usage()
-	m.log.WithFields(log.Fields{
+	g.logged = now
+	u, bodies := g.budget.Usage(class), g.budget.Memory.Usage()
+	g.log.WithFields(log.Fields{
 		"class": class.String(), "connections": u.Conns, "bytes": u.Bytes, "held": bodies.Held, "limit": bodies.Limit,
 	}).Warn(message)
 }
@@ -336,17 +336,17 @@
 }
 
 // narrowSent ends the windows for sending of callers that have read their responses.
-func (m *Guard) narrowSent() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for id := range m.sent {
-		if a, ok := m.conns[id]; !ok || a.NarrowSend(idleSendBuffer) {
-			m.budget.EndSend(id)
-			delete(m.sent, id)
+func (g *Guard) narrowSent() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id := range g.sent {
+		if a, ok := g.conns[id]; !ok || a.NarrowSend(idleSendBuffer) {
+			g.budget.EndSend(id)
+			delete(g.sent, id)
 		}
 	}
-	if m.narrowing = len(m.sent) > 0; m.narrowing {
-		time.AfterFunc(narrowPeriod, m.narrowSent)
+	if g.narrowing = len(g.sent) > 0; g.narrowing {
+		time.AfterFunc(narrowPeriod, g.narrowSent)
 	}
 }
 
@@ -369,25 +369,25 @@
 )
 
 // sweep evicts connections whose callers don't read. Responses that aren't buffered hold a target for
-// as long as they are under way. The caller must hold m.mu.
-func (m *Guard) sweep(now time.Time) {
-	evicts := m.takeEvicted(now, m.budget.EvictStalled(now), admission.Traffic)
+// as long as they are under way. The caller must hold g.mu.
+func (g *Guard) sweep(now time.Time) {
+	evicts := g.takeEvicted(now, g.budget.EvictStalled(now), admission.Traffic)
 	if len(evicts) > 0 {
-		m.logLack(now, "no room for a response: closed connections that aren't read", admission.Traffic)
+		g.logLack(now, "no room for a response: closed connections that aren't read", admission.Traffic)
 		go func() {
 			for _, evict := range evicts {
 				evict()
 			}
 		}()
 	}
-	if m.sweeping || now.Sub(m.lacked) >= sweepTime {
+	if g.sweeping || now.Sub(g.lacked) >= sweepTime {
 		return
 	}
-	m.sweeping = true
+	g.sweeping = true
 	time.AfterFunc(sweepPeriod, func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.sweeping = false
-		m.sweep(time.Now())
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.sweeping = false
+		g.sweep(time.Now())
 	})
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -92,7 +92,7 @@
 // New returns a guard.
 func New(cfg Config) *Guard {
 	bytes := cmp.Or(cfg.Memory, int64(unknownMemory))
-	m := &Guard{
+	g := &Guard{
 		bodies: make(map[memory.ID]*Body), refusals: make(map[memory.Cause]tally.Counter), log: cfg.Log,
 		conns: make(map[admission.ID]callers.Actions), sent: make(map[admission.ID]struct{}), counters: newCounters(cfg.Scope),
 		budget: admission.New(admission.Config{
@@ -104,9 +104,9 @@
 		}),
 	}
 	for _, c := range memory.Causes() {
-		m.refusals[c] = cfg.Scope.Tagged(map[string]string{"cause": c.String()}).Counter("bodies_refused")
+		g.refusals[c] = cfg.Scope.Tagged(map[string]string{"cause": c.String()}).Counter("bodies_refused")
 	}
-	return m
+	return g
 }
 
 // LimitHeap sets the limit of the runtime for a VM with this memory in bytes. Without it the heap
@@ -118,16 +118,16 @@
 }
 
 // Open adds a request's body. interrupt ends a read of it. The error is a Refusal.
-func (m *Guard) Open(now time.Time, b memory.Body, interrupt func()) (*Body, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	d := m.budget.Memory.Open(now, b)
+func (g *Guard) Open(now time.Time, b memory.Body, interrupt func()) (*Body, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := g.budget.Memory.Open(now, b)
 	if d.Verdict == memory.Refuse {
-		m.refusals[d.Cause].Inc(1)
+		g.refusals[d.Cause].Inc(1)
 		return nil, &Refusal{d}
 	}
-	h := &Body{guard: m, id: d.ID, decisions: make(chan memory.Decision, 1), interrupt: interrupt}
-	m.bodies[d.ID] = h
+	h := &Body{guard: g, id: d.ID, decisions: make(chan memory.Decision, 1), interrupt: interrupt}
+	g.bodies[d.ID] = h
 	return h, nil
 }
 
@@ -151,19 +151,19 @@
 
 // ask asks for room for further bytes.
 func (h *Body) ask(bytes int64) memory.Decision {
-	m := h.guard
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	g := h.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if h.refusal != nil {
 		return *h.refusal
 	}
 	now := time.Now()
-	d := m.budget.Memory.Extend(now, h.id, bytes)
+	d := g.budget.Memory.Extend(now, h.id, bytes)
 	if d.Verdict == memory.Refuse {
-		m.refused(d)
+		g.refused(d)
 	}
 	h.waiting = d.Verdict == memory.Wait
-	m.plan(now)
+	g.plan(now)
 	return d
 }
 
@@ -186,25 +186,25 @@
 // ErrWaitEnded is a body whose request ended while it waited for room.
 var ErrWaitEnded = errors.New("the wait for room has ended")
 
-// refused notes the refusal of a body. The caller must hold m.mu.
-func (m *Guard) refused(d memory.Decision) {
-	m.refusals[d.Cause].Inc(1)
-	if h := m.bodies[d.ID]; h != nil {
+// refused notes the refusal of a body. The caller must hold g.mu.
+func (g *Guard) refused(d memory.Decision) {
+	g.refusals[d.Cause].Inc(1)
+	if h := g.bodies[d.ID]; h != nil {
 		h.refusal = &d
-		delete(m.bodies, d.ID)
+		delete(g.bodies, d.ID)
 	}
 }
 
 // plan makes the decisions that are due, and sets a timer while bodies wait. The caller must hold
-// m.mu.
-func (m *Guard) plan(now time.Time) {
-	for _, d := range m.budget.Memory.Plan(now) {
-		h := m.bodies[d.ID]
+// g.mu.
+func (g *Guard) plan(now time.Time) {
+	for _, d := range g.budget.Memory.Plan(now) {
+		h := g.bodies[d.ID]
 		if h == nil {
 			continue
 		}
 		if d.Verdict == memory.Refuse {
-			m.refused(d)
+			g.refused(d)
 		}
 		switch {
 		case h.waiting:
@@ -212,21 +212,21 @@
 			h.decisions <- d
 		case d.Verdict == memory.Refuse:
 			h.interrupted = make(chan struct{})
-			go func() { // it locks the connection, which may wait for m.mu
+			go func() { // it locks the connection, which may wait for g.mu
 				defer close(h.interrupted)
 				h.interrupt()
 			}()
 		}
 	}
-	if m.planning || m.budget.Memory.Usage().Waiting == 0 {
+	if g.planning || g.budget.Memory.Usage().Waiting == 0 {
 		return
 	}
-	m.planning = true
+	g.planning = true
 	time.AfterFunc(memoryPlanPeriod, func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.planning = false
-		m.plan(time.Now())
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.planning = false
+		g.plan(time.Now())
 	})
 }
 
@@ -259,48 +259,48 @@
 
 // Close ends the use of the body.
 func (h *Body) Close() {
-	m := h.guard
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	g := h.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	now := time.Now()
-	m.budget.Memory.Close(now, h.id)
-	delete(m.bodies, h.id)
-	m.plan(now)
+	g.budget.Memory.Close(now, h.id)
+	delete(g.bodies, h.id)
+	g.plan(now)
 }
 
 // Buffer implements forward.Buffers.
-func (m *Guard) Buffer(bytes int64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.budget.Memory.Buffer(bytes) {
+func (g *Guard) Buffer(bytes int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.budget.Memory.Buffer(bytes) {
 		return true
 	}
 	now := time.Now()
-	if m.lacked = now; !m.sweeping {
-		m.sweep(now)
+	if g.lacked = now; !g.sweeping {
+		g.sweep(now)
 	}
 	return false
 }
 
 // Return implements forward.Buffers.
-func (m *Guard) Return(bytes int64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+func (g *Guard) Return(bytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	now := time.Now()
-	m.budget.Memory.Return(now, bytes)
-	m.plan(now)
+	g.budget.Memory.Return(now, bytes)
+	g.plan(now)
 }
 
 // Usage returns what bodies, responses and connections use.
-func (m *Guard) Usage() memory.Usage {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.budget.Memory.Usage()
+func (g *Guard) Usage() memory.Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Memory.Usage()
 }
 
 // ClassUsage returns what the connections of a class use.
-func (m *Guard) ClassUsage(class admission.Class) admission.Usage {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.budget.Usage(class)
+func (g *Guard) ClassUsage(class admission.Class) admission.Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Usage(class)
 }
