--- a/pkg/admission/caller.go
+++ b/pkg/admission/caller.go
@@ -60,7 +60,6 @@
 	if c == nil {
 		c = &caller{callerKey: key, updated: now}
 		b.callers[key] = c
-		b.work[key.class].callers++
 	}
 	return c
 }
@@ -97,5 +96,4 @@
 
 func (b *Budget) removeCaller(c *caller) {
 	delete(b.callers, c.callerKey)
-	b.work[c.class].callers--
 }
--- a/pkg/admission/processor.go
+++ b/pkg/admission/processor.go
@@ -9,7 +9,6 @@
 type processor struct {
 	owed    time.Duration // sum over all callers, decaying by owedTime
 	updated time.Time
-	callers int
 	level   float64 // seconds that a caller without use may owe, by the latest division
 	divided time.Time
 }
