dial: a reset that a write is told of reaches the reader

What callers saw: a target answers a long upload at once with a 200 that has neither a length nor chunks, sends a part of the body and resets the connection while the upload is written. The caller got that part as a complete response.

Cause: the kernel reports the error of a connection once. If the write of the upload gets ECONNRESET, a read finds the bytes that had arrived and then a plain end, until net/http closes the connection after the failed write.

Change: connections of internal/dial are of a type of their own, dial.Conn. Each read and write is one non-blocking system call whose error is recorded under the same lock, so a read that finds the end after a write was told of a reset returns the reset. Waits and deadlines stay those of the raw connection, outside the lock. EPIPE as the first error is none: the peer had closed its side in order before, and the kernel tells readers so whatever came later. internal/forward reads and counts on the same type. The clients of probes, of the store, of peers, `plumpitch load`, `plumpitch request` and the settings' client use the dialer now; those of the relay and of gateways' stores did already, delegates go through internal/forward.

TestResponseDuringUpload holds what stays allowed: a target that closes its side, or keeps the connection, and reads on.

Why it holds: a read can find the early end only after the error was taken from the socket, which only a call under the lock does, and it is recorded before the lock is given back.

--- a/dev_gateway.go
+++ b/dev_gateway.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/logs"
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/internal/site"
 	"plumpitch.example/plumpitch/platform"
 )
@@ -96,7 +97,7 @@
 	}
 	r.Host = site.Host
 	r.Header.Set(platform.HeaderRequestID, "dev-"+strconv.Itoa(n))
-	w, err := http.DefaultClient.Do(r)
+	w, err := reply.Client.Do(r)
 	if err != nil {
 		return false, err
 	}
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -1,7 +1,9 @@
-// Package dial opens TCP connections whose kernel buffers and silences are bounded.
+// Package dial opens TCP connections whose kernel buffers and silences are bounded, and whose
+// readers learn of each reset.
 package dial
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -21,9 +23,28 @@
 	ReadBuffer int
 }
 
+// Dialer opens connections.
+type Dialer struct {
+	dialer net.Dialer
+}
+
 // New returns a dialer.
-func New(cfg Config) *net.Dialer {
-	return &net.Dialer{Timeout: cfg.Timeout, KeepAliveConfig: cfg.KeepAlive, Control: cfg.control}
+func New(cfg Config) *Dialer {
+	return &Dialer{net.Dialer{Timeout: cfg.Timeout, KeepAliveConfig: cfg.KeepAlive, Control: cfg.control}}
+}
+
+// DialContext opens a connection, which is a *Conn.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	k, err := NewConn(c)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return k, nil
 }
 
 // control sets the options of a socket before it connects.
--- a/internal/dial/dial_test.go
+++ b/internal/dial/dial_test.go
@@ -1,6 +1,7 @@
 package dial
 
 import (
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -37,7 +38,7 @@
 				n, _ := peer.Write(make([]byte, 256<<20))
 				sent <- n
 			}()
-			conn, err := New(tt.cfg).Dial("tcp", l.Addr().String())
+			conn, err := New(tt.cfg).DialContext(context.Background(), "tcp", l.Addr().String())
 			c.Assert(err, qt.IsNil)
 			defer conn.Close()
 			const read = 64 << 20 // the kernel's buffer grows as long as its bytes are read
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 
 	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/internal/claims"
+	"plumpitch.example/plumpitch/internal/dial"
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/internal/guard"
 	"plumpitch.example/plumpitch/internal/members"
@@ -114,7 +115,9 @@
 }
 
 func (e *Entry) storeHTTPClient() *http.Client {
-	t := &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxOutsideHeader}
+	t := &http.Transport{
+		DialContext: dial.New(dial.Config{}).DialContext, MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxOutsideHeader,
+	}
 	return &http.Client{Transport: tracedTransport{&e.tracing, "store", t}}
 }
 
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"plumpitch.example/plumpitch/internal/dial"
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/pool"
@@ -65,6 +66,7 @@
 
 func newProber() *prober {
 	return &prober{client: &http.Client{Transport: &http.Transport{
+		DialContext:         dial.New(dial.Config{}).DialContext,
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: maxOutsideHeader,
 	}}}
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -3,54 +3,45 @@
 import (
 	"io"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/dial"
 )
 
 // conn counts the bytes of one connection. The counts show whether any part of
 // a failed request left the process, and whether a response was received before
 // its request was written.
 //
-// Reads use the raw connection, so that reading bytes from the kernel and
-// counting them is one step under mu. Between two separate steps, bytes of an
-// earlier response would be neither in the kernel nor counted, and would be taken
-// for the response to the next request.
+// Reading bytes from the kernel and counting them is one step under mu. Between
+// two separate steps, bytes of an earlier response would be neither in the kernel
+// nor counted, and would be taken for the response to the next request.
 type conn struct {
-	net.Conn
+	*dial.Conn
 	rawConn   syscall.RawConn
 	written   atomic.Int64 // bytes that the kernel accepted, and those of a write in progress
 	broken    atomic.Bool  // the target ended the connection
 	received  atomic.Int64 // bytes read since the start or the first write of the current request
 	unwritten atomic.Bool  // nothing of the current request was written yet
 
-	mu       sync.Mutex // held for each read and for the peek before a write
+	mu       sync.Locker // held for each read and for the peek before a write
 	peekFunc func(fd uintptr)
 	empty    bool // result of peekFunc: open, with nothing to read
-	readFunc func(fd uintptr) bool
-	op       readOp
-}
-
-// readOp is the argument and the result of one read.
-type readOp struct {
-	p   []byte
-	n   int
-	err error
 }
 
 func newConn(c net.Conn) (k *conn, err error) {
 	defer func() { err = errors.WithMessage(err, "connection to a target") }()
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return nil, errors.Errorf("found %T, expected a connection with a file descriptor", c)
+	d, err := dial.NewConn(c)
+	if err != nil {
+		return nil, err
 	}
-	k = &conn{Conn: c}
+	k = &conn{Conn: d, mu: d}
 	k.peekFunc = k.peekFD
-	k.readFunc = k.readFD
-	k.rawConn, err = sc.SyscallConn()
+	d.OnRead = func(n int) { k.received.Add(int64(n)) }
+	k.rawConn, err = d.SyscallConn()
 	return k, err
 }
 
@@ -61,39 +52,8 @@
 	c.empty = err == syscall.EAGAIN
 }
 
-// readFD reads without blocking, and returns false if there is nothing to read yet.
-func (c *conn) readFD(fd uintptr) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r := &c.op
-	r.n, r.err = syscall.Read(int(fd), r.p)
-	for r.err == syscall.EINTR {
-		r.n, r.err = syscall.Read(int(fd), r.p)
-	}
-	r.n = max(r.n, 0)
-	if r.err == syscall.EAGAIN {
-		return false
-	}
-	c.received.Add(int64(r.n))
-	return true
-}
-
-// Read must not be called concurrently; only the transport's read loop calls it.
 func (c *conn) Read(p []byte) (n int, err error) {
-	if len(p) == 0 {
-		return 0, nil
-	}
-	c.op = readOp{p: p}
-	err = c.rawConn.Read(c.readFunc)
-	n = c.op.n
-	switch {
-	case err != nil:
-	case c.op.err != nil:
-		err = os.NewSyscallError("read", c.op.err)
-	case n == 0:
-		err = io.EOF
-	}
-	c.op = readOp{}
+	n, err = c.Conn.Read(p)
 	c.recordError(err)
 	return n, err
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -8,7 +8,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +18,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/dial"
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
@@ -89,8 +89,11 @@
 // maxResponseBytes limits each response.
 const maxResponseBytes = 64 << 20
 
+// connectTimeout is the timeout of a TCP connection.
+const connectTimeout = 2 * time.Second
+
 func newClient() *http.Client {
-	dialer := &net.Dialer{Timeout: 2 * time.Second}
+	dialer := dial.New(dial.Config{Timeout: connectTimeout})
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxInFlight,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
+	"plumpitch.example/plumpitch/internal/dial"
 	"plumpitch.example/plumpitch/internal/peer/wire"
 	"plumpitch.example/plumpitch/pkg/member"
 )
@@ -77,7 +78,7 @@
 }
 
 func newTransport(cfg ClientConfig) *http.Transport {
-	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	dialer := dial.New(dial.Config{Timeout: cfg.DialTimeout})
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- a/internal/settings/client.go
+++ b/internal/settings/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/pkg/tree"
 )
 
@@ -123,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := reply.Client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"plumpitch.example/plumpitch/internal/dial"
 )
 
 // Rate limits of one entry: rates in calls per second, and bursts in calls. The
@@ -74,7 +76,9 @@
 		s.addr = "http://" + s.addr
 	}
 	if s.http == nil {
-		s.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeaderBytes}}
+		s.http = &http.Client{Transport: &http.Transport{
+			DialContext: dial.New(dial.Config{}).DialContext, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeaderBytes,
+		}}
 	}
 	if s.reads == nil {
 		s.reads = rate.NewLimiter(ReadRate, ReadBurst)
--- a/request.go
+++ b/request.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/reply"
 )
 
 // entryRequestTimeout bounds one request to an entry.
@@ -30,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := reply.Client.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/standin.go
+++ b/standin.go
@@ -13,6 +13,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/internal/site"
 	"plumpitch.example/plumpitch/internal/standin/platform"
 	"plumpitch.example/plumpitch/internal/standin/target"
@@ -88,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := reply.Client.Do(req)
 	if err != nil {
 		return err
 	}
