--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,7 +117,10 @@
 	g.bounds.Store(&s.Bounds)
 	g.store = platform.NewStore(platform.StoreConfig{
 		Address: s.StoreAddress, Name: s.Name, HTTP: storeClient(),
-		OnDecodeError: func(kind, name string, err error) { g.parseErrors.logObject(time.Now(), kind, name, err) },
+		OnDecodeError: func(kind, name string, err error) {
+			g.instruments.refusedObjects(kind).Inc(1)
+			g.parseErrors.logObject(time.Now(), kind, name, err)
+		},
 	})
 	g.control = newControl(g)
 	g.quotas = newQuotas(g)
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -21,13 +21,14 @@
 	pulls            tally.Counter // pulls from other entries
 	freshnessWaits   tally.Counter // requests that waited for newer store data
 	storeReads       [resourceCount]tally.Counter
-	failedStoreReads [resourceCount]tally.Counter // reads without a response of the store
-	configVersion    tally.Gauge                  // version in force
-	dataAge          [resourceCount]tally.Gauge   // seconds since the store confirmed the data
-	liveEntries      tally.Gauge                  // live entries
-	knownEntries     tally.Gauge                  // other entries, dead ones included
-	upEntries        tally.Gauge                  // other entries that are up
-	trafficShare     tally.Gauge                  // share of all requests that this entry reckons with
+	failedStoreReads [resourceCount]tally.Counter    // reads without a response of the store
+	refusedObjects   func(kind string) tally.Counter // objects of the store that can't be decoded, each time that they are read
+	configVersion    tally.Gauge                     // version in force
+	dataAge          [resourceCount]tally.Gauge      // seconds since the store confirmed the data
+	liveEntries      tally.Gauge                     // live entries
+	knownEntries     tally.Gauge                     // other entries, dead ones included
+	upEntries        tally.Gauge                     // other entries that are up
+	trafficShare     tally.Gauge                     // share of all requests that this entry reckons with
 	accounts         *accountCounters
 	tokenAsks        tally.Counter // asks for tokens of client accounts
 	bucketTransfers  func(result string) tally.Counter
@@ -48,6 +49,9 @@
 		evacuatedDomains: m.Scope.Gauge("evacuated_places"), tokenAsks: m.Scope.Counter("quota_asks"), accounts: newAccountCounters(m.Scope),
 	}
 	i.memoryLimit, i.memoryHeld, i.bodiesWaiting = m.Scope.Gauge("memory_limit_bytes"), m.Scope.Gauge("memory_held_bytes"), m.Scope.Gauge("bodies_waiting")
+	i.refusedObjects = func(kind string) tally.Counter {
+		return m.Scope.Tagged(map[string]string{"kind": kind}).Counter("store_objects_refused")
+	}
 	i.bucketTransfers = func(result string) tally.Counter {
 		return m.Scope.Tagged(map[string]string{"result": result}).Counter("quota_transfers")
 	}
--- a/internal/gateway/parseerror.go
+++ b/internal/gateway/parseerror.go
@@ -19,6 +19,8 @@
 	parseErrorBurst      = 50
 	// maxParseErrors bounds the objects and targets that are remembered.
 	maxParseErrors = 1024
+	// maxLoggedName bounds the name of an object in a line, in bytes.
+	maxLoggedName = 200
 )
 
 // parseErrorLog logs parse errors at a limited rate. It is safe for concurrent use.
@@ -36,10 +38,11 @@
 
 // logObject logs that an object of the store could not be parsed.
 func (l *parseErrorLog) logObject(now time.Time, kind, name string, err error) {
+	name = name[:min(len(name), maxLoggedName)]
 	if !l.allow(now, kind+"/"+name) {
 		return
 	}
-	l.log.WithError(err).WithFields(log.Fields{"kind": kind, "name": name}).Warn("store: object not understood")
+	l.log.WithError(shortCause(err)).WithFields(log.Fields{"kind": kind, "name": name}).Warn("store: object not understood")
 }
 
 // logHeader logs that a response header of a target could not be parsed.
--- a/internal/standin/objects/http.go
+++ b/internal/standin/objects/http.go
@@ -1,9 +1,12 @@
 package objects
 
 import (
+	"cmp"
 	"encoding/json"
+	"fmt"
 	"net/http"
-	"sort"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -21,11 +24,6 @@
 	Status   json.RawMessage `json:"status"`
 }
 
-type eventWire struct {
-	Object  objectWire `json:"object"`
-	Deleted bool       `json:"deleted"`
-}
-
 func encodeObject(o Object) objectWire {
 	return objectWire{
 		Metadata: metaWire{Name: o.Name, Revision: o.Revision, CreatedRev: o.Created, Finalizers: []string{}},
@@ -33,6 +31,27 @@
 	}
 }
 
+// writeList writes a response with a list of texts, which need not be JSON.
+func writeList(w http.ResponseWriter, field string, list []string, revision uint64, more bool) {
+	w.Header().Set("Content-Type", "application/json")
+	_, err := fmt.Fprintf(w, `{%q:[%s],"hasMore":%t,"atRev":%d}`, field, strings.Join(list, ","), more, revision)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// text returns the encoding of an object.
+func (o Object) text() string {
+	if o.raw != nil {
+		return o.raw(o.Revision)
+	}
+	data, err := json.Marshal(encodeObject(o))
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -45,18 +64,21 @@
 	after, kind := r.URL.Query().Get("after"), r.PathValue("kind")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items := []objectWire{}
+	var objects []Object
 	for _, o := range s.objects[kind] {
 		if s.rewrite != nil {
 			o = s.rewrite(r, kind, o)
 		}
 		if o.Name > after {
-			items = append(items, encodeObject(o))
+			objects = append(objects, o)
 		}
 	}
-	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
-	more := len(items) > s.pageSize
-	writeJSON(w, http.StatusOK, map[string]any{"items": items[:min(len(items), s.pageSize)], "hasMore": more, "atRev": s.revision})
+	slices.SortFunc(objects, func(a, b Object) int { return cmp.Compare(a.Name, b.Name) })
+	var items []string
+	for _, o := range objects[:min(len(objects), s.pageSize)] {
+		items = append(items, o.text())
+	}
+	writeList(w, "items", items, s.revision, len(objects) > s.pageSize)
 }
 
 // serveWatch responds as soon as there are changes, or at the end of the wait time. While
@@ -96,11 +118,11 @@
 }
 
 func (s *Store) writeEvents(w http.ResponseWriter, list []event, revision uint64) {
-	events := []eventWire{}
+	var events []string
 	for _, e := range list {
-		events = append(events, eventWire{Object: encodeObject(e.object), Deleted: e.deleted})
+		events = append(events, fmt.Sprintf(`{"object":%s,"deleted":%t}`, e.object.text(), e.deleted))
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"events": events, "atRev": revision})
+	writeList(w, "events", events, revision, false)
 }
 
 func (s *Store) serveCreate(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -17,6 +18,7 @@
 	Revision uint64
 	Created  uint64 // revision at which the object was created
 	Spec     json.RawMessage
+	raw      func(revision uint64) string // its encoding in lists and watches; may be nil
 }
 
 // event is one change in the history.
@@ -135,9 +137,28 @@
 	return s.put(kind, name, data).Revision
 }
 
+// PutText writes an object with this text as its spec, which need not be JSON.
+func (s *Store) PutText(kind, name, spec string) uint64 {
+	return s.PutRaw(kind, name, func(revision uint64) string {
+		return fmt.Sprintf(`{"metadata":{"name":%q,"revision":%d},"spec":%s,"status":null}`, name, revision, spec)
+	})
+}
+
+// PutRaw writes an object that lists and watches return as the text that encode returns.
+func (s *Store) PutRaw(kind, name string, encode func(revision uint64) string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.putObject(kind, Object{Name: name, raw: encode}).Revision
+}
+
 func (s *Store) put(kind, name string, spec json.RawMessage) Object {
+	return s.putObject(kind, Object{Name: name, Spec: spec})
+}
+
+func (s *Store) putObject(kind string, o Object) Object {
 	s.revision++
-	o := Object{Name: name, Revision: s.revision, Created: s.revision, Spec: spec}
+	name := o.Name
+	o.Revision, o.Created = s.revision, s.revision
 	if old, ok := s.objects[kind][name]; ok {
 		o.Created = old.Created
 	}
