store: an odd object is refused alone

An entry that started beside one VM or drain that can't be decoded (nested, a number too large) never got ready, and a running one took no change of the list. In a watch such an object ended the stream; Follow opened it again from the same version, met the object again, and so on: no change of any other object arrived by watch.

Before: TestEntryBesideOddObjects "timed out waiting for the entry to be ready", 3 of 3 cases; TestListBesideOddObjects and TestVMsBesideOddOnes "got non-nil error"; TestWatchBesideOddObjects got "a" in place of "a", "b". An object without a name, or null in a list, was taken as an object, and null as the response to a read as a missing one.

Objects, VMs and events are now split and decoded one by one. What can't be decoded is left out, counted (plumpitch_store_objects_refused) and reported by its name and field, also if it is the one that a follower reads; its last sound value stays in force. A read must return the object that was asked for. The limited log of such lines moves from the gateway to internal/logs, with its test.

--- a/internal/entry/components.go
+++ b/internal/entry/components.go
@@ -53,6 +53,7 @@
 	e.claimRate = rate.NewLimiter(claimWritesPerSecond, claimWritesPerSecond/10)
 	return store.New(store.Config{
 		Addr: e.cfg.File.Platform, HTTP: e.storeHTTPClient(), Writes: e.claimRate, Reads: rate.NewLimiter(claimWritesPerSecond, claimWritesPerSecond/10),
+		OnDecodeError: e.logDecodeError,
 	})
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"plumpitch.example/plumpitch/internal/claims"
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/internal/guard"
+	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/internal/members"
 	"plumpitch.example/plumpitch/internal/metrics"
 	"plumpitch.example/plumpitch/internal/peer"
@@ -54,6 +55,7 @@
 type Entry struct {
 	cfg                 Config
 	log                 log.Interface
+	parseErrors         *logs.ParseErrors
 	skipTargetResponses bool          // don't log requests that a target responded to
 	supersededSignal    chan struct{} // signals that a later incarnation is running
 	leaving             atomic.Bool   // leave has begun
@@ -97,6 +99,7 @@
 		prober:           newProber(),
 		suspects:         call.NewSuspects(call.SuspectsConfig{}),
 	}
+	e.parseErrors = logs.NewParseErrors(e.log)
 	e.suspectReports.Store(cfg.Boot)
 	e.snapshot.Store(&snapshot{})
 	e.skipTargetResponses = cfg.File.Level != "debug"
@@ -107,12 +110,18 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
-	e.store = store.New(store.Config{Addr: cfg.File.Platform, HTTP: e.storeHTTPClient(), Reads: rate.NewLimiter(storeReadsPerSecond, storeReadBurst)})
+	e.store = store.New(store.Config{
+		Addr: cfg.File.Platform, HTTP: e.storeHTTPClient(), Reads: rate.NewLimiter(storeReadsPerSecond, storeReadBurst), OnDecodeError: e.logDecodeError,
+	})
 	e.control = newControl(e)
 	e.build()
 	return e, nil
 }
 
+func (e *Entry) logDecodeError(kind, name string, err error) {
+	e.parseErrors.Object(time.Now(), kind, name, err)
+}
+
 func (e *Entry) storeHTTPClient() *http.Client {
 	t := &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxOutsideHeader}
 	return &http.Client{Transport: tracedTransport{&e.tracing, "store", t}}
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -87,6 +87,7 @@
 	} {
 		scope.Tagged(map[string]string{"kind": c.kind}).Counter("store_calls").Inc(int64(c.now - c.last))
 	}
+	scope.Counter("store_objects_refused").Inc(int64(now.Refused - r.lastStoreCounts.Refused))
 	r.lastStoreCounts = now
 }
 
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -79,19 +79,7 @@
 	if fail.Stage.MayBeCrash() {
 		f["print"], f["crashes"], f["caller"] = q.fingerprints().text(), q.fingerprints().crashCount(q.gateway.suspects), q.callerAddress()
 	}
-	q.gateway.log.WithFields(f).WithError(shortCause(fail.Cause)).Warn("dispatch failed")
-}
-
-// maxCauseBytes is how much of the cause of a failed dispatch is logged, in bytes.
-const maxCauseBytes = 300
-
-// shortCause returns an error with the beginning of the text. net/http quotes malformed heads, which
-// may have the size of the limit.
-func shortCause(err error) error {
-	if text := err.Error(); len(text) > maxCauseBytes {
-		return errors.New(text[:maxCauseBytes] + "...")
-	}
-	return err
+	q.gateway.log.WithFields(f).WithError(logs.Short(fail.Cause)).Warn("dispatch failed")
 }
 
 // noteStray counts a failed dispatch whose response may belong to another request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,7 +52,7 @@
 	control        *control
 	suspects       *call.Suspects
 	endChecks      endChecks
-	parseErrors    *parseErrorLog
+	parseErrors    *logs.ParseErrors
 	leaving        atomic.Bool
 	selfID         atomic.Pointer[member.ID] // this incarnation's ID in the membership
 	enrolled       atomic.Bool               // this entry has a record in the store
@@ -106,7 +106,7 @@
 			Buffers: room,
 		}),
 		suspects:    call.NewSuspects(call.SuspectsConfig{CrashLimit: crashLimit}),
-		parseErrors: newParseErrorLog(cfg.Log),
+		parseErrors: logs.NewParseErrors(cfg.Log),
 		instruments: i,
 		freshness:   newFreshness(),
 	}
@@ -119,7 +119,7 @@
 		Address: s.StoreAddress, Name: s.Name, HTTP: storeClient(),
 		OnDecodeError: func(kind, name string, err error) {
 			g.instruments.refusedObjects(kind).Inc(1)
-			g.parseErrors.logObject(time.Now(), kind, name, err)
+			g.parseErrors.Object(time.Now(), kind, name, err)
 		},
 	})
 	g.control = newControl(g)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -27,7 +27,7 @@
 func (g *Gateway) parseReport(target string, status int, h http.Header) slot.Report {
 	report, err := platform.ParseReport(status, h)
 	if err != nil {
-		g.parseErrors.logHeader(time.Now(), target, err)
+		g.parseErrors.Header(time.Now(), target, err)
 	}
 	return report
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -271,7 +271,7 @@
 		cold, err := platform.WarmupRemaining(header)
 		result.ColdFor, result.ColdKnown = cold, err == nil
 		if err != nil {
-			s.gateway.parseErrors.logHeader(time.Now(), a.Target.ID, err)
+			s.gateway.parseErrors.Header(time.Now(), a.Target.ID, err)
 		}
 	}
 	now := time.Now()
--- a/internal/gateway/parseerror.go
+++ b/internal/logs/parseerror.go
@@ -1,11 +1,12 @@
-package gateway
+package logs
 
 import (
 	"sync"
 	"time"
 
 	"github.com/apex/log"
-	limiter "golang.org/x/time/rate"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 )
 
 // Rate limits of the log lines about store objects and response headers that can't be
@@ -23,30 +24,31 @@
 	maxLoggedName = 200
 )
 
-// parseErrorLog logs parse errors at a limited rate. It is safe for concurrent use.
-type parseErrorLog struct {
+// ParseErrors logs objects and headers that can't be parsed at a limited rate. It is safe for concurrent use.
+type ParseErrors struct {
 	log     log.Interface
-	limiter *limiter.Limiter
+	limiter *rate.Limiter
 
 	mu         sync.Mutex
 	lastLogged map[string]time.Time
 }
 
-func newParseErrorLog(l log.Interface) *parseErrorLog {
-	return &parseErrorLog{log: l, limiter: limiter.NewLimiter(parseErrorsPerSecond, parseErrorBurst), lastLogged: make(map[string]time.Time)}
+// NewParseErrors returns a ParseErrors that writes to l.
+func NewParseErrors(l log.Interface) *ParseErrors {
+	return &ParseErrors{log: l, limiter: rate.NewLimiter(parseErrorsPerSecond, parseErrorBurst), lastLogged: make(map[string]time.Time)}
 }
 
-// logObject logs that an object of the store could not be parsed.
-func (l *parseErrorLog) logObject(now time.Time, kind, name string, err error) {
+// Object logs that an object of the store could not be parsed.
+func (l *ParseErrors) Object(now time.Time, kind, name string, err error) {
 	name = name[:min(len(name), maxLoggedName)]
 	if !l.allow(now, kind+"/"+name) {
 		return
 	}
-	l.log.WithError(shortCause(err)).WithFields(log.Fields{"kind": kind, "name": name}).Warn("store: object not understood")
+	l.log.WithError(Short(err)).WithFields(log.Fields{"kind": kind, "name": name}).Warn("store: object not understood")
 }
 
-// logHeader logs that a response header of a target could not be parsed.
-func (l *parseErrorLog) logHeader(now time.Time, target string, err error) {
+// Header logs that a response header of a target could not be parsed.
+func (l *ParseErrors) Header(now time.Time, target string, err error) {
 	if !l.allow(now, "response/"+target) {
 		return
 	}
@@ -54,7 +56,7 @@
 }
 
 // allow reports whether a line about key may be logged now.
-func (l *parseErrorLog) allow(now time.Time, key string) bool {
+func (l *ParseErrors) allow(now time.Time, key string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if last, ok := l.lastLogged[key]; ok && now.Sub(last) < parseErrorInterval || !l.limiter.AllowN(now, 1) {
@@ -66,3 +68,14 @@
 	l.lastLogged[key] = now
 	return true
 }
+
+// maxErrorBytes is how much of an error's text Short keeps, in bytes.
+const maxErrorBytes = 300
+
+// Short returns an error with the beginning of the text. Errors may quote what was received at length.
+func Short(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(text[:maxErrorBytes] + "...")
+	}
+	return err
+}
--- a/internal/standin/platform/fault.go
+++ b/internal/standin/platform/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -14,6 +15,7 @@
 	SilentWatches bool          // watches stay open and deliver no changes
 	FlapInterval  time.Duration // the store alternates between up and down, each for this long; 0 is off
 	VMListLag     time.Duration // age of the VM list
+	OddObject     string        // text before the first object of each list and watch; need not be JSON
 }
 
 // SetFaults replaces the injected faults.
@@ -93,3 +95,24 @@
 	p.faults.LostResponses--
 	return true
 }
+
+// withOddObject adds the odd object, if any, to the text of a list or an event.
+func (p *Platform) withOddObject(text string) string {
+	odd := p.Faults().OddObject
+	if odd == "" {
+		return text
+	}
+	if strings.HasPrefix(text, `{"object":`) {
+		return `{"object":` + odd + `,"deleted":false}` + text
+	}
+	for _, field := range []string{"objects", "vms"} {
+		if before, after, ok := strings.Cut(text, `"`+field+`":[`); ok {
+			separator := ","
+			if strings.HasPrefix(after, "]") {
+				separator = ""
+			}
+			return before + `"` + field + `":[` + odd + separator + after
+		}
+	}
+	return text
+}
--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -55,15 +55,15 @@
 
 // saveWatched caches an object received from a watch, so that the next read of the
 // object doesn't transfer it a second time.
-func (t *responseCache) saveWatched(c changeJSON) {
-	if c.Tag == "" {
+func (t *responseCache) saveWatched(o Object, tag string) {
+	if tag == "" {
 		return
 	}
-	body, err := json.Marshal(c.Object)
+	body, err := json.Marshal(objectJSON(o))
 	if err != nil || len(body) > maxCachedResponseBytes {
 		return
 	}
-	t.put(objectPath(c.Object.Kind, c.Object.Name), cachedResponse{etag: c.Tag, body: body})
+	t.put(objectPath(o.Kind, o.Name), cachedResponse{etag: tag, body: body})
 }
 
 func (t *responseCache) put(path string, response cachedResponse) {
--- a/internal/store/call.go
+++ b/internal/store/call.go
@@ -25,36 +25,38 @@
 // Get reads one object.
 func (s *Client) Get(ctx context.Context, kind, name string) (o Object, err error) {
 	defer func() { err = errors.WithMessagef(err, "get %s/%s", kind, name) }()
-	var j objectJSON
-	err = s.query(ctx, readCalls, objectPath(kind, name), &j)
-	return Object(j), err
+	err = s.query(ctx, readCalls, objectPath(kind, name), func(b []byte) (err error) {
+		o, err = decodeObject(b)
+		if err == nil && o.Name != name {
+			err = errors.Errorf("name: found %.40q, expected %q", o.Name, name)
+		}
+		if err != nil {
+			s.refuse(kind, name, err)
+		}
+		return err
+	})
+	return o, err
 }
 
-// List reads all objects of a kind. The returned version is the store's version
-// at the time of the list; a watch can start from it.
+// List reads all objects of a kind, without those that can't be decoded. The returned version
+// is the store's version at the time of the list; a watch can start from it.
 func (s *Client) List(ctx context.Context, kind string) (objects []Object, version uint64, err error) {
 	defer func() { err = errors.WithMessagef(err, "list %s", kind) }()
-	var j listJSON
-	if err = s.query(ctx, readCalls, "/v1/objects/"+url.PathEscape(kind), &j); err != nil {
-		return nil, 0, err
-	}
-	for _, o := range j.Objects {
-		objects = append(objects, Object(o))
-	}
-	return objects, j.Version, nil
+	err = s.query(ctx, readCalls, "/v1/objects/"+url.PathEscape(kind), func(b []byte) (err error) {
+		objects, version, err = s.decodeList(kind, b)
+		return err
+	})
+	return objects, version, err
 }
 
-// VMs reads the VM list.
+// VMs reads the VM list, without VMs that can't be decoded.
 func (s *Client) VMs(ctx context.Context) (list []VM, err error) {
 	defer func() { err = errors.WithMessage(err, "vms") }()
-	var j vmsJSON
-	if err = s.query(ctx, vmListCalls, "/v1/vms", &j); err != nil {
-		return nil, err
-	}
-	for _, vm := range j.VMs {
-		list = append(list, VM(vm))
-	}
-	return list, nil
+	err = s.query(ctx, vmListCalls, "/v1/vms", func(b []byte) (err error) {
+		list, err = s.decodeVMs(b)
+		return err
+	})
+	return list, err
 }
 
 // Put writes value if the object's current version equals expected, and returns
@@ -84,7 +86,7 @@
 		return 0, &Unavailable{Cause: err, NotSent: true}
 	}
 	var j versionJSON
-	err := s.attempt(ctx, writeCalls, method, path, body, &j)
+	err := s.attempt(ctx, writeCalls, method, path, body, func(b []byte) error { return json.Unmarshal(b, &j) })
 	var c *ErrConflict
 	if errors.As(err, &c) {
 		c.Expected = expected
@@ -94,12 +96,12 @@
 
 // query sends a read request, and retries it until ctx is done while the store is
 // unavailable.
-func (s *Client) query(ctx context.Context, k counter, path string, into any) error {
+func (s *Client) query(ctx context.Context, k counter, path string, parse func(b []byte) error) error {
 	for n := 0; ; n++ {
 		if err := s.reads.Wait(ctx); err != nil {
 			return &Unavailable{Cause: err, NotSent: true}
 		}
-		err := s.attempt(ctx, k, http.MethodGet, path, nil, into)
+		err := s.attempt(ctx, k, http.MethodGet, path, nil, parse)
 		if !IsUnavailable(err) || s.pause(ctx, n) != nil {
 			return err
 		}
@@ -107,7 +109,7 @@
 	}
 }
 
-func (s *Client) attempt(ctx context.Context, k counter, method, path string, body []byte, into any) (err error) {
+func (s *Client) attempt(ctx context.Context, k counter, method, path string, body []byte, parse func(b []byte) error) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	s.counts[k].Add(1)
@@ -127,17 +129,20 @@
 	}
 	defer func() { _ = w.Body.Close() }()
 	if w.StatusCode == http.StatusNotModified && cached != nil {
-		return parse(cached, into)
+		return unusable(parse(cached))
+	}
+	b, err := readBody(w)
+	if err == nil {
+		err = unusable(parse(b))
 	}
-	b, err := decode(w, into)
 	if err == nil {
 		s.cache.save(r, w, b)
 	}
 	return err
 }
 
-// decode unmarshals the body of a response into a value. It also returns the body.
-func decode(w *http.Response, into any) (b []byte, err error) {
+// readBody returns the body of a successful response.
+func readBody(w *http.Response) (b []byte, err error) {
 	b, err = io.ReadAll(io.LimitReader(w.Body, maxResponseBytes+1))
 	if err == nil && len(b) > maxResponseBytes {
 		err = errLongResponse
@@ -159,14 +164,15 @@
 	case w.StatusCode != http.StatusOK:
 		return nil, errors.Errorf("store: found status %d, expected 200: %.200s", w.StatusCode, b)
 	}
-	return b, parse(b, into)
+	return b, nil
 }
 
-func parse(b []byte, into any) error {
-	if err := json.Unmarshal(b, into); err != nil {
-		return &Unavailable{Cause: errors.WithMessage(err, "answer")}
+// unusable returns an error for a response that can't be decoded, or nil if err is nil.
+func unusable(err error) error {
+	if err == nil {
+		return nil
 	}
-	return nil
+	return &Unavailable{Cause: errors.WithMessage(err, "answer")}
 }
 
 // dialFailed reports whether err is a failure to connect, in which case no request
--- a/internal/store/count.go
+++ b/internal/store/count.go
@@ -10,6 +10,7 @@
 	vmListCalls
 	retriedCalls
 	failedCalls
+	refusedObjects
 	numCounters
 )
 
@@ -21,6 +22,7 @@
 	VMs     uint64
 	Retries uint64 // attempts after the first
 	Failed  uint64 // attempts without a usable response
+	Refused uint64 // objects that can't be decoded, each time that one is read
 }
 
 // Counts returns the number of calls made so far.
@@ -32,5 +34,6 @@
 		VMs:     s.counts[vmListCalls].Load(),
 		Retries: s.counts[retriedCalls].Load(),
 		Failed:  s.counts[failedCalls].Load(),
+		Refused: s.counts[refusedObjects].Load(),
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -43,6 +43,9 @@
 	Timeout time.Duration // of one attempt
 	Backoff Backoff
 	Rand    *rand.Rand // source of jitter
+	// OnDecodeError is called each time that an object can't be decoded; may be nil. name is
+	// empty if it is unknown.
+	OnDecodeError func(kind, name string, err error)
 }
 
 // Client is a client of the platform. It is safe for concurrent use.
@@ -57,6 +60,8 @@
 	rand    *rand.Rand
 	counts  [numCounters]atomic.Uint64
 	cache   responseCache
+
+	onDecodeError func(kind, name string, err error)
 }
 
 // New returns a Client for the platform at c.Addr.
@@ -69,6 +74,8 @@
 		timeout: c.Timeout,
 		backoff: c.Backoff,
 		rand:    c.Rand,
+
+		onDecodeError: c.OnDecodeError,
 	}
 	if !strings.Contains(s.addr, "://") {
 		s.addr = "http://" + s.addr
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -2,17 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/pkg/rawjson"
 )
 
 // Watch calls onChange for each change of an object of the kind after version
-// from, in order. It returns when the stream ends or ctx is done, and always
+// from, in order. An event that can't be decoded is left out. It returns when the stream ends or ctx is done, and always
 // returns a non-nil error. It doesn't reopen the watch; Follow does.
 func (s *Client) Watch(ctx context.Context, kind string, from uint64, onChange func(Change)) (err error) {
 	defer func() { err = errors.WithMessagef(err, "watch %s", kind) }()
@@ -31,39 +31,27 @@
 	}
 	defer func() { _ = w.Body.Close() }()
 	if w.StatusCode != http.StatusOK {
-		_, err := decode(w, nil)
-		return err
+		if _, err := readBody(w); err != nil {
+			return err
+		}
+		return unusable(errors.Errorf("found status %d, expected 200", w.StatusCode))
 	}
-	events := &eventReader{r: w.Body}
-	stream := json.NewDecoder(events)
+	events := rawjson.NewReader(w.Body, maxEventBytes)
 	for {
-		events.left = maxEventBytes
-		var j changeJSON
-		if err := stream.Decode(&j); err != nil {
+		raw, err := events.Next()
+		if err != nil {
 			return &Unavailable{Cause: err}
 		}
-		s.cache.saveWatched(j)
-		onChange(Change{Object: Object(j.Object), Deleted: j.Deleted})
+		c, tag, err := decodeChange(raw)
+		if err != nil {
+			s.refuse(kind, c.Object.Name, err)
+			continue
+		}
+		s.cache.saveWatched(c.Object, tag)
+		onChange(c)
 	}
 }
 
 // maxEventBytes bounds one event of a watch, which has a value of up to 1 MB, base64 encoded, and
 // the blanks before it.
 const maxEventBytes = 4 << 20
-
-var errLongEvent = errors.Errorf("event is longer than %d bytes", maxEventBytes)
-
-// eventReader fails once more bytes are read than are left for an event.
-type eventReader struct {
-	r    io.Reader
-	left int
-}
-
-func (e *eventReader) Read(p []byte) (n int, err error) {
-	if e.left <= 0 {
-		return 0, errLongEvent
-	}
-	n, err = e.r.Read(p[:min(len(p), e.left)])
-	e.left -= n
-	return n, err
-}
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -7,11 +7,6 @@
 	Value   []byte `json:"value"`
 }
 
-type listJSON struct {
-	Objects []objectJSON `json:"objects"`
-	Version uint64       `json:"version"`
-}
-
 type putJSON struct {
 	Version uint64 `json:"version"`
 	Value   []byte `json:"value"`
@@ -21,12 +16,6 @@
 	Version uint64 `json:"version"`
 }
 
-type changeJSON struct {
-	Object  objectJSON `json:"object"`
-	Deleted bool       `json:"deleted"`
-	Tag     string     `json:"tag"`
-}
-
 type vmJSON struct {
 	ID      string `json:"id"`
 	Addr    string `json:"addr"`
@@ -36,7 +25,3 @@
 	Boot    uint64 `json:"boot"`
 	State   string `json:"state"`
 }
-
-type vmsJSON struct {
-	VMs []vmJSON `json:"vms"`
-}
