--- a/internal/gateway/quotatransfer_test.go
+++ b/internal/gateway/quotatransfer_test.go
@@ -160,7 +160,7 @@
 	issuer, others := issuerOf(w, entries, "busy")
 	time.Sleep(6 * time.Second) // the bucket is full
 	b := *quotaBounds(*issuer.bounds.Load())
-	b.Grace = stopReserve
+	b.Grace = time.Millisecond
 	issuer.bounds.Store(&b)
 	issuer.quotas.mu.Lock()
 	issuer.stop()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"plumpitch.example/plumpitch/internal/logs"
+	"plumpitch.example/plumpitch/pkg/grace"
 )
 
 // Times of a graceful stop.
@@ -18,25 +19,19 @@
 	// busy VM. An http.Server drops requests that it reads after its shutdown has begun,
 	// and such a caller would see its connection close without a response.
 	lastRequestWait = 100 * time.Millisecond
-	// stopReserve is the part of the grace period reserved for the exit of the process.
-	stopReserve = 500 * time.Millisecond
-	// responseReserve is how long before the shutdown deadline unfinished requests are
-	// given up, so that callers get a response before their connections close.
-	responseReserve = 100 * time.Millisecond
 )
 
 // stop stops the entry gracefully. It reports not ready and leaves the directory at once,
 // serves requests until callers no longer use its address, and then shuts down.
 func (g *Gateway) stop(servers ...shutdowner) {
-	grace := g.bounds.Load().Grace
-	deadline := time.Now().Add(grace - stopReserve)
-	g.leaving.Store(true)
 	began, left := time.Now(), make(chan time.Time, 1)
+	period := grace.New(grace.Config{Began: began, Grace: g.bounds.Load().Grace, Drain: drainTime})
+	g.leaving.Store(true)
 	g.control.enqueue(context.Background(), leaveStarted{left})
 	g.log.Info(logs.MessageStopping)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), period.Exits)
 	defer cancel()
-	giveUp := time.AfterFunc(time.Until(deadline)-responseReserve, func() { close(g.giveUp) })
+	giveUp := time.AfterFunc(time.Until(period.Ends), func() { close(g.giveUp) })
 	defer giveUp.Stop()
 	go func() {
 		if !g.enrolled.Load() {
@@ -46,9 +41,9 @@
 			g.log.WithError(err).Warn("could not remove this entry's record from the store")
 		}
 	}()
-	sleep(ctx, min(drainTime, grace/2))
+	sleep(ctx, time.Until(period.Closes))
 	g.frontListener.Close()
-	sleep(ctx, lastRequestWait)
+	sleep(ctx, min(lastRequestWait, time.Until(period.Ends)/2))
 	g.shutdown(ctx, servers)
 	g.awaitPassedOn(ctx)
 	awaitTransfers(began, left)
--- /dev/null
+++ b/internal/gateway/stop_late_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// lateCase is a request that comes to an entry that stops.
+type lateCase struct {
+	name  string
+	grace time.Duration
+	work  time.Duration // of targets
+	slots int           // of the target
+	// send writes the request with the ID "late"; began is the start of the stop.
+	send func(c *rawCaller, began time.Time)
+	want int
+}
+
+const lateHead = "POST /a/late HTTP/1.1\r\nHost: veil.example\r\nPlumpitch-Request-Id: late\r\nPlumpitch-Request-Deadline: 5000\r\n"
+
+// sendLate writes a small request some time after the start of the stop.
+func sendLate(after time.Duration) func(*rawCaller, time.Time) {
+	return func(c *rawCaller, began time.Time) {
+		time.Sleep(time.Until(began.Add(after)))
+		c.write(lateHead + "Content-Length: 0\r\n\r\n")
+	}
+}
+
+// uploadLate writes a request at the start of the stop whose body is complete some time later.
+func uploadLate(after time.Duration) func(*rawCaller, time.Time) {
+	return func(c *rawCaller, began time.Time) {
+		const parts = 10
+		c.write(lateHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", parts*100))
+		for i := range parts {
+			time.Sleep(time.Until(began.Add(after * time.Duration(i+1) / parts)))
+			if _, err := io.WriteString(c, strings.Repeat("x", 100)); err != nil {
+				return // the entry has ended
+			}
+		}
+	}
+}
+
+// A request of a kept connection, which may run only once, comes late in the grace period of a stop.
+// Guards against one that is passed on to a target and then cut off, and against one that is refused
+// although its target would have been in time.
+func TestLateRequestInStop(t *testing.T) {
+	tests := []lateCase{
+		{"before the port closes", 3 * time.Second, 600 * time.Millisecond, 4, sendLate(1200 * time.Millisecond), 200},
+		{"after the port closes", 3 * time.Second, 500 * time.Millisecond, 4, sendLate(1550 * time.Millisecond), 200},
+		{"upload", 3 * time.Second, 200 * time.Millisecond, 4, uploadLate(1900 * time.Millisecond), 200},
+		{"grace of 2 s", 2 * time.Second, 1200 * time.Millisecond, 4, sendLate(300 * time.Millisecond), 200},
+		{"grace of 1 s", time.Second, 300 * time.Millisecond, 4, sendLate(450 * time.Millisecond), 200},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, worldConfig{targets: 1, routeType: "non_idempotent", timeout: "8s", grace: tt.grace})
+			w.workers[0].Slots = tt.slots
+			w.writeTarget(w.workers[0], "gowns", "ready")
+			w.workers[0].SetServiceTime(tt.work)
+			e := w.startEntry("a").waitReady()
+			c := dialCaller(w, e)
+			for i := range 4 {
+				c.writeRequest(http.MethodPost, "/a/x", fmt.Sprint("earlier-", i), "")
+				w.c.Assert(c.read().StatusCode, qt.Equals, http.StatusOK)
+			}
+			began := time.Now()
+			e.stop()
+			go tt.send(c, began)
+			r, err := http.ReadResponse(c.reader, nil)
+			w.c.Assert(err, qt.IsNil, qt.Commentf("after %v, %d runs", time.Since(began), w.runs("late")))
+			w.c.Check(r.StatusCode, qt.Equals, tt.want, qt.Commentf("%v after %v, %d runs", r.Header, time.Since(began), w.runs("late")))
+			w.c.Check(r.StatusCode == http.StatusOK, qt.Equals, w.runs("late") == 1)
+			w.c.Check(r.Close, qt.IsTrue)
+			if tt.want == http.StatusServiceUnavailable {
+				w.c.Check(r.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+				w.c.Check(w.runs("late"), qt.Equals, 0)
+			}
+			w.c.Assert(<-e.done, qt.IsNil)
+			w.c.Check(time.Since(began) < tt.grace, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		})
+	}
+}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -84,7 +84,7 @@
 			case a := <-answers:
 				w.c.Assert(a.err, qt.IsNil)
 				w.c.Assert(a.status, qt.Equals, http.StatusGatewayTimeout)
-			case <-time.After(stopReserve / 2):
+			case <-time.After(250 * time.Millisecond):
 				w.c.Fatal("the gateway has stopped, and the caller got no response")
 			}
 		})
