soak: copies of responses, resets amid uploads, invalid heads, odd records, stops in series

Callers saw false responses and refusals, and gateways knew no targets, where faults of targets came together that the soak didn't play. Targets may now have several records of one address and send a response again, clients send requests again under their ID and send bodies of up to 8 MiB, and targets reset connections amid these. The log of a run has the status that the target sent in full, so that each signed response is compared with it; a made-up run of the accounts' checks therefore names its status. Runs of an ID that was sent again belong to the last attempt before them.

--- a/internal/soak/check_accounts_unit_test.go
+++ b/internal/soak/check_accounts_unit_test.go
@@ -49,7 +49,7 @@
 
 // run records that a target ran a request as one of an account.
 func (r *records) run(at time.Duration, a *attempt, account string) {
-	r.addRuns(r.k, []worker.Run{{Request: a.id, StartedAt: r.start.Add(at), Account: account}}, true)
+	r.addRuns(r.k, []worker.Run{{Request: a.id, StartedAt: r.start.Add(at), Account: account, Status: 200}}, true)
 }
 
 // serve records n requests of an account, one every gap, that were run and answered.
--- a/internal/soak/check_repeats_test.go
+++ b/internal/soak/check_repeats_test.go
@@ -37,7 +37,7 @@
 func (c *checker) checkDeadline(r arrival, remaining time.Duration) {
 	late := r.StartedAt.Add(remaining).Sub(r.attempt.sentAt.Add(r.attempt.deadline))
 	around := interval{r.attempt.sentAt.Add(-settleTime), r.StartedAt}
-	if r.StartedAt == c.runs[r.Request][0].StartedAt || overlaps(r.attempt.gateway.disturbances(), around) || overlaps(c.site.disturbances, around) {
+	if r.StartedAt == c.runsOf(r.attempt)[0].StartedAt || overlaps(r.attempt.gateway.disturbances(), around) || overlaps(c.site.disturbances, around) {
 		return
 	}
 	c.peaks.late = max(c.peaks.late, late)
@@ -51,7 +51,7 @@
 // Targets that crashed don't count.
 func (c *checker) checkTargetCount(a *attempt) {
 	ranAt := make(map[*target]bool)
-	for _, r := range c.runs[a.id] {
+	for _, r := range c.runsOf(a) {
 		if !r.target.crashed {
 			ranAt[r.target] = true
 		}
@@ -90,7 +90,7 @@
 // of the pause.
 func (c *checker) checkPauses(k *target) {
 	for _, refused := range k.Refusals() {
-		from := c.byID[refused.Request]
+		from := c.attemptAt(refused.Request, refused.StartedAt)
 		if refused.Body != "2" || from == nil { // Body holds the Retry-After header
 			continue
 		}
@@ -114,15 +114,19 @@
 // checkRetryBudget checks that the extra dispatches of all gateways together stay within the
 // retry budget of each service.
 func (c *checker) checkRetryBudget(sv service) {
-	seen := make(map[string]bool)
+	type request struct {
+		id      string
+		attempt *attempt
+	}
+	seen := make(map[request]bool)
 	var extra []time.Time       // extra dispatches in the window
 	highest, message := 0.0, "" // of all windows
 	for _, r := range c.arrivals {
 		if r.target.service.name != sv.name {
 			continue
 		}
-		if !seen[r.Request] {
-			seen[r.Request] = true
+		if key := (request{r.Request, r.attempt}); !seen[key] {
+			seen[key] = true
 			continue
 		}
 		if r.StartedAt.Before(c.site.retryRatioSince) {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -17,6 +17,7 @@
 	limitWindow   = 4 * time.Second        // window in which requests to a limited target are counted
 	limitGrace    = 3 * time.Second        // from the start of a limit until it is checked
 	settleTime    = 3 * time.Second        // after this time without a disturbance, a gateway's state is current
+	maxStatus     = 599                    // of a response
 )
 
 // arrival is a request that reached a target, which ran or refused it.
@@ -32,7 +33,7 @@
 type checker struct {
 	site       *site
 	attempts   []*attempt
-	byID       map[string]*attempt
+	byID       map[string]*attempt  // the last one, if an ID was sent again
 	arrivals   []arrival            // ordered by time
 	runs       map[string][]arrival // arrivals that ran, by request ID
 	violations []string
@@ -45,7 +46,9 @@
 func newChecker(s *site, attempts []*attempt) *checker {
 	c := &checker{site: s, attempts: attempts, byID: make(map[string]*attempt), runs: make(map[string][]arrival), kinds: make(map[string]int)}
 	for _, a := range attempts {
-		c.byID[a.id] = a
+		if b := c.byID[a.id]; b == nil || b.sentAt.Before(a.sentAt) {
+			c.byID[a.id] = a
+		}
 	}
 	for _, k := range s.targets {
 		c.addRuns(k, k.Runs(), true)
@@ -58,7 +61,7 @@
 // addRuns adds the requests that a target ran or refused.
 func (c *checker) addRuns(k *target, list []worker.Run, ran bool) {
 	for _, r := range list {
-		x := arrival{r, k, c.byID[r.Request], ran}
+		x := arrival{r, k, c.attemptAt(r.Request, r.StartedAt), ran}
 		c.arrivals = append(c.arrivals, x)
 		if ran {
 			c.runs[r.Request] = append(c.runs[r.Request], x)
@@ -67,6 +70,26 @@
 	}
 }
 
+// attemptAt returns the last attempt with an ID that was sent before a time, or the first one; nil if
+// no client sent the ID.
+func (c *checker) attemptAt(id string, at time.Time) *attempt {
+	a := c.byID[id]
+	for a != nil && a.earlier != nil && at.Before(a.sentAt) {
+		a = a.earlier
+	}
+	return a
+}
+
+// runsOf returns the runs of an attempt.
+func (c *checker) runsOf(a *attempt) (list []arrival) {
+	for _, r := range c.runs[a.id] {
+		if r.attempt == a {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // sort orders the records by time.
 func (c *checker) sort() {
 	slices.SortFunc(c.attempts, func(a, b *attempt) int { return a.sentAt.Compare(b.sentAt) })
@@ -108,14 +131,23 @@
 // that ran this request. If the status guarantees that the request didn't run, it checks this
 // for requests that must not run twice.
 func (c *checker) checkResponse(a *attempt) {
-	runs := c.runs[a.id]
+	const maxQuoted = 100
+	runs := c.runsOf(a)
+	signed := slices.ContainsFunc(runs, func(r arrival) bool { return r.target.ID == a.signer })
+	answered := slices.ContainsFunc(runs, func(r arrival) bool { return r.target.ID == a.signer && r.Status == a.status })
 	switch {
+	case a.status > maxStatus:
+		c.addViolation("request %s received status %d", a.id, a.status)
 	case a.status == http.StatusOK:
 		c.served++
-		signed := slices.ContainsFunc(runs, func(r arrival) bool { return r.target.ID == a.signer })
 		if !signed || a.responseID != a.id || a.responseBody != "ran "+a.path+" "+a.requestBody {
-			c.addViolation("request %s received the response of another request: signed by %q, id %q, body %q", a.id, a.signer, a.responseID, a.responseBody)
+			c.addViolation("request %s received the response of another request, or a part: signed by %q, id %q, body of %d bytes %.*q",
+				a.id, a.signer, a.responseID, len(a.responseBody), maxQuoted, a.responseBody)
+		} else if !answered {
+			c.addViolation("request %s succeeded, but %s sent no complete and valid success", a.id, a.signer)
 		}
+	case a.signer != "" && !answered:
+		c.addViolation("request %s received status %d as that of %s, which sent another", a.id, a.status, a.signer)
 	case impliesNotRun(a.status) && a.runOnce && len(runs) > 0:
 		c.addViolation("request %s was refused with status %d, but ran at %s", a.id, a.status, c.site.timeOffset(runs[0].StartedAt))
 	}
@@ -133,16 +165,17 @@
 
 // checkRunsOnce checks that a request that must not run twice ran at most once.
 func (c *checker) checkRunsOnce(a *attempt) {
-	if runs := c.runs[a.id]; a.runOnce && len(runs) > 1 {
+	if runs := c.runsOf(a); a.runOnce && len(runs) > 1 {
 		c.addViolation("request %s ran %d times, at %s and %s", a.id, len(runs), runs[0].target.ID, runs[1].target.ID)
 	}
 }
 
 // checkPlannedStop checks that a planned stop of a gateway interrupts no request that the
-// gateway has dispatched. It skips requests that took more than 2 s and requests near another
-// disturbance.
+// gateway has dispatched. It skips requests that took more than 2 s, requests near another
+// disturbance, and those whose target broke off.
 func (c *checker) checkPlannedStop(a *attempt) {
-	if a.err == nil || a.abandoned || len(c.runs[a.id]) == 0 || a.endedAt.Sub(a.sentAt) > 2*time.Second {
+	brokeOff := slices.ContainsFunc(c.runsOf(a), func(r arrival) bool { return r.Unread })
+	if a.err == nil || a.abandoned || brokeOff || len(c.runsOf(a)) == 0 || a.endedAt.Sub(a.sentAt) > 2*time.Second {
 		return
 	}
 	around := interval{a.sentAt.Add(-settleTime), a.endedAt.Add(time.Second)}
@@ -169,7 +202,7 @@
 		switch remaining, err := strconv.ParseInt(r.Deadline, 10, 64); {
 		case r.attempt == nil:
 			c.addViolation("%s ran request %q, which no client sent", r.target.ID, r.Request)
-		case r.Path != r.attempt.path || r.Body != r.attempt.requestBody:
+		case r.Path != r.attempt.path || r.Body != r.attempt.requestBody && !r.Unread:
 			c.addViolation("%s ran request %s with a path or body that the client didn't send: %s %q", r.target.ID, r.Request, r.Path, r.Body)
 		case err != nil || time.Duration(remaining)*time.Millisecond > r.attempt.deadline:
 			c.addViolation("%s received request %s with an invalid or extended deadline %q", r.target.ID, r.Request, r.Deadline)
@@ -296,7 +329,7 @@
 			c.addViolation("services of %s differ from those in the store: %+v", g.name, s.Services)
 		}
 		for _, sv := range s.Services {
-			if len(sv.Targets) != len(c.site.recordedTargets(sv.Name)) {
+			if len(sv.Targets) != c.site.recordCount(sv.Name) {
 				c.addViolation("targets of %s differ from those in the store: %+v", g.name, sv)
 			}
 		}
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -18,6 +18,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"plumpitch.example/plumpitch/internal/standin/worker"
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
@@ -26,7 +27,10 @@
 	kind        requestKind
 	id          string
 	path        string
-	requestBody string
+	requestBody string    // as targets log it
+	upload      *upload   // the body, until it was sent, if that is long
+	earlier     *attempt  // the attempt that had this ID before; nil: none
+	bodySentAt  time.Time // when the last byte was read for sending; zero if it wasn't
 	credentials
 	abandoned    bool // the client closed the connection before the response
 	behindClose  bool // an earlier response on the connection announced its end
@@ -143,6 +147,9 @@
 	extraRetries := int(c.site.extraRetries.Load())
 	for range 1 + k.retries + extraRetries {
 		a := c.sendOnce(k, path)
+		if a != nil && c.site.againShare > 0 && c.rnd.Float64() < c.site.againShare {
+			a = c.sendAgain(a)
+		}
 		remaining := k.deadline - time.Since(started)
 		if a == nil || a.status == http.StatusOK || k.runOnce && !impliesNotRun(a.status) || remaining <= 0 {
 			return
@@ -153,6 +160,18 @@
 	}
 }
 
+// sendAgain sends a request once more under its ID, to the same gateway, if it got a response after
+// which it may run.
+func (c *client) sendAgain(a *attempt) *attempt {
+	if a.status == 0 || a.runOnce && !impliesNotRun(a.status) {
+		return a
+	}
+	b := c.load.newAttempt(a.gateway, a.kind, a.path, a.credentials)
+	b.id, b.requestBody, b.earlier = a.id, a.requestBody, a
+	c.load.exchange(c.http, b)
+	return b
+}
+
 // sendOnce sends one attempt. It returns nil if it knows no gateway.
 func (c *client) sendOnce(k requestKind, path string) *attempt {
 	g := c.pickGateway()
@@ -172,6 +191,9 @@
 	if now := time.Now(); len(c.resolved) == 0 || now.After(c.resolvedUntil) {
 		if list := c.site.resolve(c.rnd); len(list) > 0 {
 			c.resolved, c.resolvedUntil = list, now.Add(time.Duration(1+c.rnd.IntN(3))*time.Second)
+			if c.site.keepsGateways {
+				c.resolvedUntil = now.Add(time.Hour)
+			}
 		}
 	}
 	if len(c.resolved) == 0 {
@@ -231,8 +253,12 @@
 	defer cancel()
 	r := a.newRequest(ctx)
 	a.sentAt = time.Now()
+	a.bodySentAt = a.sentAt
 	a.readResponse(c.Do(r))
 	a.endedAt = time.Now()
+	if a.upload != nil {
+		a.bodySentAt, a.upload = a.upload.sentAt(), nil
+	}
 	l.add(a)
 }
 
@@ -245,6 +271,9 @@
 	case k.method == http.MethodGet:
 	case strings.Contains(path, poison):
 		a.requestBody = poison
+	case k.uploadBytes > 0:
+		text := strings.Repeat(a.id+" ", int(uploadShare(n)*float64(k.uploadBytes))/(len(a.id)+1))
+		a.upload, a.requestBody = &upload{text: text, pause: k.uploadPause()}, worker.Digest(text)
 	default:
 		a.requestBody = "b" + a.id
 	}
@@ -268,6 +297,9 @@
 	if a.requestBody == "" {
 		r.ContentLength, r.TransferEncoding = -1, []string{"identity"}
 	}
+	if a.upload != nil {
+		r.Body, r.ContentLength = a.upload, int64(len(a.upload.text))
+	}
 	r.Host = host
 	r.Header.Set("Plumpitch-Request-Id", a.id)
 	r.Header.Set("Plumpitch-Request-Deadline", strconv.FormatInt(a.deadline.Milliseconds(), 10))
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -73,6 +74,7 @@
 	}
 	active.Wait()
 	s.rewriteAll()
+	s.removeOtherRecords()
 	s.logf("all faults have ended")
 }
 
@@ -163,11 +165,11 @@
 	if rnd.IntN(3) == 0 {
 		g.writeBadSettings()
 		g.reload()
-		return g.name + " reloads invalid settings", func() { g.writeSettings("3s") }
+		return g.name + " reloads invalid settings", func() { g.writeSettings(cmp.Or(s.grace, "3s")) }
 	}
 	g.writeSettings(strconv.Itoa(3+rnd.IntN(3)) + "s")
 	g.reload()
-	return g.name + " reloads its settings", func() { g.writeSettings("3s") }
+	return g.name + " reloads its settings", func() { g.writeSettings(cmp.Or(s.grace, "3s")) }
 }
 
 // failStore disturbs the calls to the store, of one gateway or of all.
@@ -293,7 +295,9 @@
 // pickTarget picks a target at random that neither leaves nor has crashed. It returns nil if
 // there are fewer than 3.
 func (s *site) pickTarget(rnd *rand.Rand) *target {
-	list := s.targetsWhere(func(k *target) bool { return k.leavingSince.IsZero() && k.leavingRecordedAt.IsZero() && !k.crashed })
+	list := s.targetsWhere(func(k *target) bool {
+		return k.leavingSince.IsZero() && k.leavingRecordedAt.IsZero() && !k.crashed && !k.service.special()
+	})
 	if len(list) < 3 {
 		return nil
 	}
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -63,7 +64,7 @@
 	}
 	dir := s.t.TempDir()
 	g.settingsPath, g.logPath = filepath.Join(dir, "boot.yaml"), filepath.Join(dir, "log")
-	g.writeSettings("3s")
+	g.writeSettings(cmp.Or(s.grace, "3s"))
 	g.start()
 	s.gateways = append(s.gateways, g)
 	s.t.Cleanup(func() { g.kill() })
--- a/internal/soak/profile_test.go
+++ b/internal/soak/profile_test.go
@@ -25,6 +25,10 @@
 	ends              []targetEnd // how targets that crash end, in turn; empty: they refuse connections
 	boundsMemory      bool        // gateways have no more memory than on the users' machines
 	anyGateway        bool        // clients use any gateway, not those that the directory names
+	maxBodyBytes      int64       // of a request, as configured; 0: that of the stand-in
+	againShare        float64     // share of the responses after which clients send the request again, with its ID
+	keepsGateways     bool        // clients use the gateways that they know until one fails
+	grace             string      // between SIGTERM and SIGKILL, as in the settings; empty: 3s
 }
 
 // service is a service and its targets.
@@ -35,8 +39,14 @@
 	queueLimit   int           // queued requests at a target; 0: unlimited
 	serviceTime  time.Duration // duration of a request at its target
 	variablePace bool          // each target is slow a quarter of the time
+	records      int           // further records of each target, which have its address
+	direct       bool          // gateways connect to targets without a proxy, so that resets reach them as they are
 }
 
+// special reports whether faults on targets leave the service out, because its targets have several
+// records or no proxy.
+func (v service) special() bool { return v.records > 0 || v.direct }
+
 // requestKind is a kind of request.
 type requestKind struct {
 	name          string
@@ -51,6 +61,8 @@
 	deadline      time.Duration // that its clients set
 	retries       int           // by its clients
 	weight        int           // relative to the other kinds
+	uploadBytes   int           // largest body; 0: a few bytes
+	uploadTime    time.Duration // that clients take to send a body of uploadBytes
 }
 
 // smallSite is the profile of a site with one service, small enough to observe every target.
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -57,6 +57,7 @@
 	partialLosses  []interval       // the store was disturbed for some gateways
 	cuts           []interval       // groups of gateways could not reach each other
 	calm           []interval       // nothing was disturbed
+	starts         []startBesideOddRecord
 }
 
 // interval is a period of time.
@@ -67,6 +68,7 @@
 	*worker.Worker
 	service           service
 	place             string
+	aliases           []string // names of further records with its address
 	proxy             *proxy
 	site              *site
 	startedMillis     int64     // start of its process, in Unix ms
@@ -86,6 +88,7 @@
 // newSite starts a site and waits until all gateways are ready.
 func newSite(t *testing.T, seed uint64, p profile) *site {
 	s := &site{profile: p, t: t, q: qt.New(t), seed: seed, startedAt: time.Now(), store: objects.New()}
+	s.store.BodyLimit = p.maxBodyBytes
 	if p.datagramLoss == 0 && p.accountCount == 0 && !p.targetLinks {
 		s.program = buildProgram(t)
 	}
@@ -171,6 +174,10 @@
 func (s *site) register(k *target) {
 	s.t.Cleanup(k.Close)
 	sv := k.service
+	for i := range sv.records {
+		k.aliases = append(k.aliases, fmt.Sprintf("%s-%d", k.ID, i))
+	}
+	k.SetAliases(k.aliases...)
 	k.Slots = sv.slots
 	k.SetServiceTime(sv.serviceTime)
 	if sv.queueLimit > 0 {
@@ -237,6 +244,14 @@
 	})
 }
 
+// recordCount returns the number of records of a service in the store.
+func (s *site) recordCount(name string) (n int) {
+	for _, k := range s.recordedTargets(name) {
+		n += 1 + len(k.aliases)
+	}
+	return n
+}
+
 // recordedTargets returns the targets of a service that have a record in the store.
 func (s *site) recordedTargets(name string) []*target {
 	return s.targetsWhere(func(k *target) bool { return k.service.name == name && !k.recordDeleted })
@@ -260,15 +275,25 @@
 	s.t.Cleanup(func() { timer.Stop() })
 }
 
-// writeRecord writes the record of a target to the store, unless the target has crashed. The
+// address returns the address in the record of a target.
+func (k *target) address() string {
+	if k.service.direct {
+		return k.Address()
+	}
+	return k.proxy.address()
+}
+
+// writeRecord writes the records of a target to the store, unless the target has crashed. The
 // caller holds the lock.
 func (s *site) writeRecord(k *target) {
 	if k.crashed {
 		return
 	}
-	s.store.PutTarget(objects.Target{
-		ID: k.ID, Address: k.proxy.address(), StartedMillis: k.startedMillis, Service: k.service.name, Place: k.place, Slots: k.service.slots, Leaving: !k.leavingRecordedAt.IsZero(),
-	})
+	for _, id := range append([]string{k.ID}, k.aliases...) {
+		s.store.PutTarget(objects.Target{
+			ID: id, Address: k.address(), StartedMillis: k.startedMillis, Service: k.service.name, Place: k.place, Slots: k.service.slots, Leaving: !k.leavingRecordedAt.IsZero(),
+		})
+	}
 }
 
 // publishConfig writes the configuration with the next version.
@@ -308,6 +333,24 @@
 	}
 }
 
+// removeOtherRecords removes the records among the targets' that are not of a target, which a restore of
+// the store may have brought back.
+func (s *site) removeOtherRecords() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make(map[string]bool)
+	for _, k := range s.targets {
+		for _, id := range append([]string{k.ID}, k.aliases...) {
+			names[id] = true
+		}
+	}
+	for _, name := range s.store.Names("servers") {
+		if !names[name] {
+			s.store.Delete("servers", name)
+		}
+	}
+}
+
 // addDisturbance records a disturbance of the store or of links.
 func (s *site) addDisturbance(from, to time.Time) {
 	s.mu.Lock()
--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -130,9 +130,14 @@
 	if err != nil {
 		panic(err)
 	}
+	return s.PutJSON(kind, name, data)
+}
+
+// PutJSON writes an object whose content is encoded already, whatever it is.
+func (s *Store) PutJSON(kind, name string, spec json.RawMessage) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.put(kind, name, data).Revision
+	return s.put(kind, name, spec).Revision
 }
 
 func (s *Store) put(kind, name string, spec json.RawMessage) Object {
--- a/internal/standin/worker/conn.go
+++ b/internal/standin/worker/conn.go
@@ -148,6 +148,7 @@
 	net.Conn
 	br     *bufio.Reader
 	worker *Worker
+	sent   map[string]string // the latest response to each request ID
 }
 
 // Write reports success for data that a silent worker drops.
@@ -162,7 +163,7 @@
 func (c *conn) drain() { _, _ = io.Copy(io.Discard, c.Conn) }
 
 func (w *Worker) serve(c net.Conn) {
-	k := &conn{c, bufio.NewReader(c), w}
+	k := &conn{Conn: c, br: bufio.NewReader(c), worker: w, sent: make(map[string]string)}
 	for {
 		r, err := http.ReadRequest(k.br)
 		if err != nil {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -5,10 +5,12 @@
 package worker
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +39,10 @@
 	Crash             bool          // the run terminates the target by calling OnCrash
 	Stray             string        // sent when the request has been read, before it runs; belongs to no request
 	Endless           Endless       // sent in place of the response, after the run, until the caller closes
+	ShedStatus        string        // with Shed: status line of the refusal; empty for 503
+	Copy              Copy          // the response to an earlier request with the same ID on the connection comes again first
+	EarlyReset        time.Duration // responds 200 with a part of the body at once, and resets the connection after this time
+	Head              Head          // what is odd about the head of the response, after the run
 }
 
 // Run is the log entry of a run.
@@ -46,7 +52,10 @@
 	Body         string
 	Deadline     string
 	StartedAt    time.Time
+	EndedAt      time.Time // when the work ended
 	CallerLeftAt time.Time // when the caller's connection closed during the run
+	Status       int       // of the response that was sent; 0 if none was, or a part or an invalid one
+	Unread       bool      // the body wasn't read
 	Account      string    // account named by Plumpitch-Tenant-Id
 	LeakedKey    string    // value of Authorization, if one arrived
 }
@@ -83,6 +92,8 @@
 	healthDelay     time.Duration
 	probeLoadOnly   bool // responses to probes contain the load, but no limit and no leaving notice
 	endlessBytes    int64
+	copies          int
+	aliases         []string // other IDs under which it serves requests
 }
 
 // Start starts a worker on a loopback port.
@@ -243,6 +254,10 @@
 // serveRequest serves one request and reports whether the connection stays open.
 func (w *Worker) serveRequest(k *conn, r *http.Request, f Fault) bool {
 	id := r.Header.Get("Plumpitch-Request-Id")
+	if f.EarlyReset > 0 {
+		w.resetEarly(k, r, f)
+		return false
+	}
 	if f.EarlyResponse {
 		_, _ = io.WriteString(k, "HTTP/1.1 413 Content Too Large\r\nPlumpitch-Request-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -254,19 +269,30 @@
 		return true
 	}
 	_, _ = io.WriteString(k, f.Stray)
-	if expected := r.Header.Get("Plumpitch-Target-Instance"); expected != "" && expected != w.ID || f.ReplacedBy != "" && expected != f.ReplacedBy {
-		_, _ = io.WriteString(k, "HTTP/1.1 421 Misdirected Request\r\nPlumpitch-Not-Executed: 1\r\nPlumpitch-Request-Id: "+id+"\r\nPlumpitch-Instance-Id: "+f.ReplacedBy+"\r\nContent-Length: 0\r\n\r\n")
+	k.sendCopy(f.Copy, id)
+	if expected := r.Header.Get("Plumpitch-Target-Instance"); w.isOther(expected) || f.ReplacedBy != "" && expected != f.ReplacedBy {
+		k.send(id, "HTTP/1.1 421 Misdirected Request\r\nPlumpitch-Not-Executed: 1\r\nPlumpitch-Request-Id: "+id+"\r\nPlumpitch-Instance-Id: "+f.ReplacedBy+"\r\nContent-Length: 0\r\n\r\n")
 		return true
 	}
 	if f.Shed || !w.admit() {
 		return w.refuse(k, r, f)
 	}
-	w.run(k, r, string(body))
+	i := w.run(k, r, Digest(string(body)))
 	if f.Crash {
 		w.OnCrash()
 		return false
 	}
-	return w.respond(k, r, f, string(body))
+	return w.respond(k, r, f, i)
+}
+
+// SetAliases sets other IDs under which the worker serves requests, as a target with several records.
+func (w *Worker) SetAliases(ids ...string) { w.set(func() { w.aliases = ids }) }
+
+// isOther reports whether an ID is that of another target.
+func (w *Worker) isOther(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return id != "" && id != w.ID && !slices.Contains(w.aliases, id)
 }
 
 // refuse refuses a request without running it, and reports whether the connection stays open.
@@ -276,7 +302,7 @@
 	id := r.Header.Get("Plumpitch-Request-Id")
 	refusal := Run{Request: id, Body: f.RetryAfter, StartedAt: time.Now(), Account: field(r, "Plumpitch-Tenant-Id"), LeakedKey: field(r, "Authorization")}
 	w.set(func() { w.refusals = append(w.refusals, refusal) })
-	head := "HTTP/1.1 503 Service Unavailable\r\nPlumpitch-Not-Executed: 1\r\nPlumpitch-Request-Id: " + id + "\r\n"
+	head := "HTTP/1.1 " + cmp.Or(f.ShedStatus, "503 Service Unavailable") + "\r\nPlumpitch-Not-Executed: 1\r\nPlumpitch-Request-Id: " + id + "\r\n"
 	if f.RetryAfter != "" {
 		head += "Retry-After: " + f.RetryAfter + "\r\n"
 	}
@@ -292,21 +318,26 @@
 		_, _ = io.Copy(io.Discard, k)
 		return false
 	}
-	_, _ = io.WriteString(k, head+"Content-Length: 0\r\n\r\n")
+	k.send(id, head+"Content-Length: 0\r\n\r\n")
 	return true
 }
 
-// run logs a run, waits for the service time, and records when the caller left in the
-// meantime.
-func (w *Worker) run(k *conn, r *http.Request, body string) {
+// logRun adds a run to the log and returns its index.
+func (w *Worker) logRun(r *http.Request, body string) (i int) {
 	w.mu.Lock()
-	i := len(w.runs)
+	defer w.mu.Unlock()
 	w.runs = append(w.runs, Run{
 		Request: r.Header.Get("Plumpitch-Request-Id"), Path: r.URL.RequestURI(), Body: body,
 		Deadline: r.Header.Get("Plumpitch-Request-Deadline"), StartedAt: time.Now(),
 		Account: field(r, "Plumpitch-Tenant-Id"), LeakedKey: field(r, "Authorization"),
 	})
-	w.mu.Unlock()
+	return len(w.runs) - 1
+}
+
+// run logs a run, waits for the service time, and records when the caller left in the
+// meantime. It returns the index of the run in the log.
+func (w *Worker) run(k *conn, r *http.Request, body string) (i int) {
+	i = w.logRun(r, body)
 	defer w.acquireSlot()()
 	began := time.Now()
 	w.mu.Lock()
@@ -325,7 +356,11 @@
 		}
 		_ = k.SetReadDeadline(time.Time{})
 	}
-	w.set(func() { w.running-- })
+	w.set(func() {
+		w.running--
+		w.runs[i].EndedAt = time.Now()
+	})
+	return i
 }
 
 // field returns the values of a header and trailer field, joined by ", ". Names with
@@ -347,8 +382,12 @@
 	return ok && t.Timeout()
 }
 
-func (w *Worker) respond(k *conn, r *http.Request, f Fault, body string) bool {
-	text := "ran " + r.URL.Path + " " + body
+// respond responds to the request of the run with index i, and reports whether the connection stays
+// open.
+func (w *Worker) respond(k *conn, r *http.Request, f Fault, i int) bool {
+	w.mu.Lock()
+	text := "ran " + r.URL.Path + " " + w.runs[i].Body
+	w.mu.Unlock()
 	if f.Length > 0 {
 		text = strings.Repeat("x", f.Length)
 	}
@@ -377,8 +416,16 @@
 		sign = ""
 	}
 	w.mu.Lock()
-	head := "HTTP/1.1 " + status + "\r\nPlumpitch-Request-Id: " + id + "\r\n" + sign + w.reportHeaders(false)
+	head := "\r\nPlumpitch-Request-Id: " + id + "\r\n" + sign + w.reportHeaders(false)
+	if !f.Cut && f.Head == SoundHead {
+		w.runs[i].Status, _ = strconv.Atoi(status[:3])
+	}
 	w.mu.Unlock()
+	if f.Head != SoundHead {
+		_, _ = io.WriteString(k, "HTTP/1.1 "+f.Head.response(head, text))
+		return false
+	}
+	head = "HTTP/1.1 " + status + head
 	if f.NoLength {
 		_, _ = io.WriteString(k, head+"\r\n"+text)
 		return false
@@ -388,7 +435,7 @@
 		_, _ = io.WriteString(k, response[:len(response)-1])
 		return false
 	}
-	_, _ = io.WriteString(k, response)
+	k.send(r.Header.Get("Plumpitch-Request-Id"), response)
 	if f.DuplicateResponse {
 		if f.DuplicateDelay > 0 {
 			time.Sleep(f.DuplicateDelay)
