--- a/internal/soak/records_test.go
+++ b/internal/soak/records_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -30,15 +29,15 @@
 func nested() string { return strings.Repeat("[", nesting) + strings.Repeat("]", nesting) }
 
 // oddRecord returns the record number i of the list.
-func oddRecord(sv service, place string, i int) json.RawMessage {
+func oddRecord(sv service, place string, i int) string {
 	r := oddRecords[i]
 	if !strings.HasPrefix(r.spec, `"`) {
-		return json.RawMessage(r.spec)
+		return r.spec
 	}
 	// The odd field comes last, and counts.
-	return json.RawMessage(fmt.Sprintf(
+	return fmt.Sprintf(
 		`{"address": "127.0.0.1:1", "born": 1, "info": {"service": %q, "version": "v1", "zone": %q, "concurrency": 4}, "status": {"state": "ready", "sequence": 1, "warmupLeft": "0ms"}, %s}`,
-		sv.name, place, r.spec))
+		sv.name, place, r.spec)
 }
 
 // The users' bounds on a gateway that starts and a target that joins, on a calm site.
@@ -55,7 +54,7 @@
 			s := newSite(t, *firstSeed, smallSite())
 			clients := s.startClients()
 			time.Sleep(time.Second)
-			s.store.PutJSON("servers", "i-odd", oddRecord(s.services[0], s.place(0), i))
+			s.store.PutText("servers", "i-odd", oddRecord(s.services[0], s.place(0), i))
 			s.checkStart()
 			s.checkJoin()
 			s.store.Delete("servers", "i-odd")
@@ -120,7 +119,7 @@
 	}
 	i := rnd.IntN(len(oddRecords))
 	id := fmt.Sprintf("i-odd-%d", rnd.Uint32())
-	s.store.PutJSON("servers", id, oddRecord(s.services[0], s.place(0), i))
+	s.store.PutText("servers", id, oddRecord(s.services[0], s.place(0), i))
 	name := fmt.Sprintf("%s as %s, while %s is killed and a target joins", oddRecords[i].name, id, g.name)
 	from := time.Now()
 	g.kill()
--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -132,14 +132,9 @@
 	if err != nil {
 		panic(err)
 	}
-	return s.PutJSON(kind, name, data)
-}
-
-// PutJSON writes an object whose content is encoded already, whatever it is.
-func (s *Store) PutJSON(kind, name string, spec json.RawMessage) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.put(kind, name, spec).Revision
+	return s.put(kind, name, data).Revision
 }
 
 // PutText writes an object with this text as its spec, which need not be JSON.
