gateway: a request that comes too late in a stop is refused, not passed on

Callers of a gateway in a planned stop got 504 in place of the answer of a target that was at work on their request, also where it may run once only: a request that was complete late in the grace period was passed on however little time was left, and given up with all others 0.6 s before the end. That hits slow uploads, requests on kept connections around the close of the port, retries, and long work.

A request that ends by its deadline before is always admitted. It is asked when the head has arrived, before the dispatch, and before each retry and hedge.

The cases that a target can finish are served as before: an upload that is complete at 1.9 s of 3 s with 0.2 s of work, a request at 1.55 s with 0.5 s.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -82,6 +82,9 @@
 	if !q.authenticate() {
 		return
 	}
+	if g.leaving.Load() && q.refusedLate(v.services[q.route.Split.Peek()]) {
+		return
+	}
 	limits := v.table.Config.Limits
 	if q.headerBytes() > limits.MaxHeaderBytes {
 		q.respond(http.StatusRequestHeaderFieldsTooLarge, "longheader")
@@ -90,9 +93,16 @@
 	if !q.receiveBody(limits) {
 		return
 	}
-	if q.passedOn || q.awaitToken(v) {
-		q.run(v.services[q.chooseService()])
+	if !q.passedOn && !q.awaitToken(v) {
+		return
+	}
+	s := v.services[q.chooseService()]
+	if q.refusedLate(s) {
+		q.returnToken()
+		return
 	}
+	q.run(s)
+	q.noteDuration(time.Now())
 }
 
 // Waits of requests that arrive while the entry starts.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/pkg/admission"
 	"plumpitch.example/plumpitch/pkg/call"
+	"plumpitch.example/plumpitch/pkg/grace"
 	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/owner"
 	"plumpitch.example/plumpitch/platform"
@@ -54,9 +55,10 @@
 	endChecks      endChecks
 	parseErrors    *parseErrorLog
 	leaving        atomic.Bool
-	selfID         atomic.Pointer[member.ID] // this incarnation's ID in the membership
-	enrolled       atomic.Bool               // this entry has a record in the store
-	restores       atomic.Uint64             // restores of the store from a copy since the start
+	period         atomic.Pointer[grace.Period] // of a stop; set just before leaving
+	selfID         atomic.Pointer[member.ID]    // this incarnation's ID in the membership
+	enrolled       atomic.Bool                  // this entry has a record in the store
+	restores       atomic.Uint64                // restores of the store from a copy since the start
 	started        time.Time
 	initialized    chan struct{} // closed once a view has everything needed to choose a target
 	giveUp         chan struct{} // closed when a stop gives up the unfinished requests
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -220,6 +220,9 @@
 	if callerClosed(q.r) {
 		return q.call.CallerLeft(now)
 	}
+	if q.tooLate(now, q.service) {
+		return q.declineLeaving(now)
+	}
 	if reason, revoked := q.keyRevoked(now); revoked && !q.dropAccount(now, reason) {
 		return q.dropRevoked(now, reason)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -33,6 +33,7 @@
 	answers         lastAnswers
 	signs           contactSigns
 	lost            atomic.Bool // this entry is cut off from the targets; set by the control loop
+	durations       durations
 
 	mu           sync.Mutex
 	config       route.Service
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -26,6 +26,7 @@
 func (g *Gateway) stop(servers ...shutdowner) {
 	began, left := time.Now(), make(chan time.Time, 1)
 	period := grace.New(grace.Config{Began: began, Grace: g.bounds.Load().Grace, Drain: drainTime})
+	g.period.Store(&period)
 	g.leaving.Store(true)
 	g.control.enqueue(context.Background(), leaveStarted{left})
 	g.log.Info(logs.MessageStopping)
--- a/internal/gateway/stop_late_test.go
+++ b/internal/gateway/stop_late_test.go
@@ -5,24 +5,26 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/worker"
 )
 
 // lateCase is a request that comes to an entry that stops.
 type lateCase struct {
 	name  string
 	grace time.Duration
-	work  time.Duration // of targets
-	slots int           // of the target
+	work  time.Duration // of the target
 	// send writes the request with the ID "late"; began is the start of the stop.
 	send func(c *rawCaller, began time.Time)
 	want int
 }
 
-const lateHead = "POST /a/late HTTP/1.1\r\nHost: veil.example\r\nPlumpitch-Request-Id: late\r\nPlumpitch-Request-Deadline: 5000\r\n"
+const lateHead = "POST /a/late HTTP/1.1\r\nHost: veil.example\r\nPlumpitch-Request-Id: late\r\nPlumpitch-Request-Deadline: 9000\r\n"
 
 // sendLate writes a small request some time after the start of the stop.
 func sendLate(after time.Duration) func(*rawCaller, time.Time) {
@@ -51,17 +53,22 @@
 // although its target would have been in time.
 func TestLateRequestInStop(t *testing.T) {
 	tests := []lateCase{
-		{"before the port closes", 3 * time.Second, 600 * time.Millisecond, 4, sendLate(1200 * time.Millisecond), 200},
-		{"after the port closes", 3 * time.Second, 500 * time.Millisecond, 4, sendLate(1550 * time.Millisecond), 200},
-		{"upload", 3 * time.Second, 200 * time.Millisecond, 4, uploadLate(1900 * time.Millisecond), 200},
-		{"grace of 2 s", 2 * time.Second, 1200 * time.Millisecond, 4, sendLate(300 * time.Millisecond), 200},
-		{"grace of 1 s", time.Second, 300 * time.Millisecond, 4, sendLate(450 * time.Millisecond), 200},
+		{"before the port closes", 3 * time.Second, 600 * time.Millisecond, sendLate(1200 * time.Millisecond), 200},
+		{"after the port closes", 3 * time.Second, 500 * time.Millisecond, sendLate(1550 * time.Millisecond), 200},
+		{"after the port closes, long work", 3 * time.Second, 1200 * time.Millisecond, sendLate(1550 * time.Millisecond), 503},
+		{"upload", 3 * time.Second, 200 * time.Millisecond, uploadLate(1900 * time.Millisecond), 200},
+		{"upload, long work", 3 * time.Second, 900 * time.Millisecond, uploadLate(1900 * time.Millisecond), 503},
+		{"upload that is complete at the end", 3 * time.Second, 200 * time.Millisecond, uploadLate(2500 * time.Millisecond), 503},
+		{"upload in a grace of 6 s, long work", 6 * time.Second, 1200 * time.Millisecond, uploadLate(4600 * time.Millisecond), 503},
+		{"grace of 2 s", 2 * time.Second, 1200 * time.Millisecond, sendLate(300 * time.Millisecond), 200},
+		{"grace of 1 s", time.Second, 300 * time.Millisecond, sendLate(450 * time.Millisecond), 200},
+		{"grace of 1 s, long work", time.Second, 600 * time.Millisecond, sendLate(500 * time.Millisecond), 503},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			w := newWorld(t, worldConfig{targets: 1, routeType: "non_idempotent", timeout: "8s", grace: tt.grace})
-			w.workers[0].Slots = tt.slots
+			w.workers[0].Slots = 4
 			w.writeTarget(w.workers[0], "gowns", "ready")
 			w.workers[0].SetServiceTime(tt.work)
 			e := w.startEntry("a").waitReady()
@@ -87,3 +94,46 @@
 		})
 	}
 }
+
+// A target fails late in the grace period of a stop. Guards against a retry that is cut off while the
+// other target runs it.
+func TestRetryInStop(t *testing.T) {
+	tests := []struct {
+		name string
+		work time.Duration
+		want int
+		runs int
+	}{
+		{"in time", 300 * time.Millisecond, 200, 2},
+		{"too late", 600 * time.Millisecond, 502, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, worldConfig{targets: 2, timeout: "8s"})
+			w.retryShare = 1
+			for _, k := range w.workers {
+				k.SetServiceTime(tt.work)
+			}
+			e := w.startEntry("a").waitReady()
+			c := dialCaller(w, e)
+			for i := range 8 { // fills the retry budget
+				c.writeRequest(http.MethodPost, "/a/x", fmt.Sprint("earlier-", i), "")
+				w.c.Assert(c.read().StatusCode, qt.Equals, http.StatusOK)
+			}
+			var failed atomic.Bool
+			for _, k := range w.workers {
+				k.SetFaults(func(r *http.Request) worker.Fault {
+					return worker.Fault{LoseResponse: strings.HasSuffix(r.URL.Path, "late") && !failed.Swap(true)}
+				})
+			}
+			began := time.Now()
+			e.stop()
+			sendLate(1550*time.Millisecond)(c, began)
+			r := c.read()
+			w.c.Check(r.StatusCode, qt.Equals, tt.want, qt.Commentf("%v after %v", r.Header, time.Since(began)))
+			w.c.Check(w.runs("late"), qt.Equals, tt.runs)
+			w.c.Assert(<-e.done, qt.IsNil)
+		})
+	}
+}
--- a/pkg/grace/grace.go
+++ b/pkg/grace/grace.go
@@ -38,3 +38,33 @@
 		Exits:  ends.Add(min(maxFlush, reserve/4)),
 	}
 }
+
+// Request is what is known of a request that may be begun.
+type Request struct {
+	Deadline time.Time     // by which it ends in any case
+	Usual    time.Duration // usual time that one takes
+	Longest  time.Duration // longest recent time that one took; 0 if there is none
+}
+
+// usualFactor is how many times its usual time a request is given.
+const usualFactor = 1.1
+
+// Admits reports whether a request that begins now is likely to end before Ends. From Closes on, few
+// callers still use this process and others serve them as well, so a request may begin only if the
+// longest ones would end in time. A period that hasn't begun is zero and admits everything.
+func (p Period) Admits(now time.Time, r Request) bool {
+	left := p.Ends.Sub(now)
+	switch {
+	case p.Ends.IsZero():
+		return true
+	case left <= 0:
+		return false
+	case !r.Deadline.After(p.Ends):
+		return true
+	case float64(r.Usual)*usualFactor > float64(left):
+		return false
+	case now.Before(p.Closes):
+		return true
+	}
+	return r.Longest > 0 && r.Longest+r.Longest/4 <= left
+}
