forward: a connection carries a request's ID once

Callers were told 503, 421 or 429 for requests that ran, and requests that may run once ran twice: a target refused a request, the same request came to the same connection again, and a copy of the refusal was taken for the response to it. The same held for a copy of a 500 or a 200, and for a delegate that is asked again.

Cause: an ID shows whose a response is only while its connection has carried it once, and the transport hands out any idle connection to an address. Several records of one address, a delegate that is asked again and a caller that repeats its ID bring one ID to one connection twice.

If the transport hands out a connection that has carried the ID, it is closed before anything is written or read from a streamed body, and the request goes out on another one as a new dispatch within the same timeout. A hash that two IDs share costs a connection and lets nothing through, so no response can be that of an earlier request with the same ID.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -19,6 +19,7 @@
 	remaining   int64 // bytes not yet read; negative if the length is unknown
 	streamed    bool  // src is set; it can be read only once
 	readStarted atomic.Bool
+	closed      bool // the connection was given up; nothing is read
 
 	mu      sync.Mutex
 	readErr error
@@ -39,8 +40,12 @@
 }
 
 // Read records a read error of the caller's body, so that it isn't attributed to
-// the target.
+// the target. Nothing is read for a connection that was given up, whose error the transport
+// may find only when it has filled a buffer.
 func (b *body) Read(p []byte) (n int, err error) {
+	if b.closed {
+		return 0, errGivenUp
+	}
 	b.readStarted.Store(true)
 	n, err = b.src.Read(p)
 	b.remaining -= int64(n)
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -26,6 +26,7 @@
 	broken    atomic.Bool  // the target ended the connection
 	received  atomic.Int64 // bytes read since the start or the first write of the current request
 	unwritten atomic.Bool  // nothing of the current request was written yet
+	ids       carriedIDs   // used by the dispatch that has the connection
 
 	mu       sync.Mutex // held for each read and for the peek before a write
 	peekFunc func(fd uintptr)
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -36,14 +36,43 @@
 // Dispatch sends the request to its target once. Exactly one of the results is
 // not nil. Until the response is closed, cancelling ctx cancels the request at
 // the target.
+//
+// A connection that has carried the request's ID is closed before anything is written to it, and
+// the next one is tried. Each try closes one connection, so MaxConns of them leave none of the
+// old ones.
 func (f *Forwarder) Dispatch(ctx context.Context, p DispatchParams) (*Response, *Failure) {
-	d := &dispatch{params: &p, parent: ctx, started: time.Now(), stallTimeout: f.cfg.StallTimeout, echoHeader: f.cfg.EchoHeader}
+	started := time.Now()
+	for tries, repeatedIDs := 0, 0; ; tries++ {
+		d := f.newDispatch(ctx, &p, started)
+		r, fail := d.send(f)
+		if d.trace.repeatedID {
+			repeatedIDs++
+		}
+		switch {
+		case r != nil:
+			r.RepeatedIDs = repeatedIDs
+			return r, nil
+		case !d.trace.givenUp || tries >= f.cfg.MaxConns:
+			fail.RepeatedIDs = repeatedIDs
+			return nil, fail
+		}
+	}
+}
+
+// newDispatch returns a dispatch on one connection, for a Dispatch call that started earlier.
+func (f *Forwarder) newDispatch(ctx context.Context, p *DispatchParams, started time.Time) *dispatch {
+	d := &dispatch{params: p, parent: ctx, started: started, stallTimeout: f.cfg.StallTimeout, echoHeader: f.cfg.EchoHeader}
 	d.id = strconv.FormatUint(f.lastID.Add(1), 36)
 	d.ctx, d.cancel = context.WithCancelCause(ctx)
-	d.trace.cancel = d.cancel
+	d.trace.cancel, d.trace.body = d.cancel, &d.body
 	if p.Timeout > 0 {
-		d.timer = time.AfterFunc(p.Timeout, func() { d.cancel(errTimeout) })
+		d.timer = time.AfterFunc(p.Timeout-time.Since(started), func() { d.cancel(errTimeout) })
 	}
+	return d
+}
+
+// send sends the request and reads the head of the response.
+func (d *dispatch) send(f *Forwarder) (*Response, *Failure) {
 	req, err := d.newRequest(d.trace.attach(d.ctx))
 	if err != nil {
 		return nil, d.fail(nil, err)
@@ -61,7 +90,7 @@
 	return r, nil
 }
 
-// dispatch is the state of one Dispatch call until its response is closed.
+// dispatch is the state of a request on one connection until its response is closed.
 type dispatch struct {
 	params       *DispatchParams
 	parent       context.Context
@@ -109,7 +138,10 @@
 // fail ends the dispatch and returns its failure, with the stage at which it occurred.
 // resp is nil if no response head was received.
 func (d *dispatch) fail(resp *http.Response, err error) *Failure {
-	if d.trace.stale.Load() {
+	switch {
+	case d.trace.givenUp:
+		resp, err = nil, errGivenUp
+	case d.trace.stale.Load():
 		resp, err = nil, errStaleConnection
 	}
 	if err == errMixedHeads || errors.As(err, new(*StrayError)) {
@@ -169,8 +201,11 @@
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
-// release stops the timer and cancels the context.
+// release stops the timer and cancels the context. The last request of a connection closes it.
 func (d *dispatch) release(cause error) {
+	if d.trace.lastRequest {
+		d.trace.closeConn()
+	}
 	if d.timer != nil {
 		d.timer.Stop()
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -31,6 +31,15 @@
 // Without it, a target that copies the Plumpitch-Request header of the request
 // to its response is protected from this case too.
 //
+// The ID tells this only while the connection has carried it once. A caller or a
+// gateway may send a request again, and a late copy of the first response, such as
+// a refusal, has the same ID. With Config.EchoHeader, a connection therefore
+// carries each ID once: it keeps hashes of the IDs, and is closed after
+// maxConnRequests of them. If the transport chooses a connection that has carried
+// the ID, it is closed with nothing written, no byte of a streamed body is read,
+// and the request is sent on another one. Without Config.EchoHeader, each dispatch
+// has an ID of its own.
+//
 // A response with neither a Content-Length nor chunked encoding is rejected,
 // because its end looks the same as a broken connection.
 package forward
@@ -198,6 +207,7 @@
 	Header      http.Header   // of the response head, if one was received
 	Replayable  bool          // the request body can be sent again
 	ConnectTime time.Duration // time until a connection was obtained; 0 if there was none
+	RepeatedIDs int           // connections that were given up since they had carried the request's ID
 	Cause       error
 }
 
@@ -215,6 +225,7 @@
 var (
 	errTimeout           = errors.New("timeout waiting for the response")
 	errStalled           = errors.New("response body stalled")
+	errGivenUp           = errors.New("connection has carried the ID of the request, or too many requests")
 	errStaleConnection   = errors.New("connection unusable or response received before the request was written")
 	errResent            = errors.New("transport tried to resend the request")
 	errUnframed          = errors.New("response has neither Content-Length nor chunked encoding")
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -140,7 +140,8 @@
 }
 
 // requestHeader returns the headers for the target. If Config.EchoHeader is set, it
-// also sets d.id to the caller's id, which the target copies to its response.
+// also sets d.id to the caller's id, which the target copies to its response. A caller may send
+// an id again, unlike those of Dispatch.
 func (d *dispatch) requestHeader() http.Header {
 	if d.echoHeader == "" {
 		h := d.params.targetHeader()
@@ -156,6 +157,7 @@
 		h[k] = v
 	}
 	d.id = h.Get(d.echoHeader)
+	d.trace.id = d.id
 	return h
 }
 
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -23,6 +23,7 @@
 	Trailer     http.Header // declared names; values are set at the end of Body
 	Load        Load
 	ConnectTime time.Duration // time until a connection was obtained
+	RepeatedIDs int           // connections that were given up since they had carried the request's ID
 	Identity    Identity
 
 	dispatch *dispatch
--- a/internal/forward/trace.go
+++ b/internal/forward/trace.go
@@ -15,8 +15,13 @@
 	cancel          context.CancelCauseFunc
 	connRequests    atomic.Int32 // calls of getConn
 	conn            atomic.Pointer[conn]
-	writtenBefore   int64        // bytes written to conn before this request
-	stale           atomic.Bool  // the response belongs to an earlier request
+	writtenBefore   int64       // bytes written to conn before this request
+	stale           atomic.Bool // the response belongs to an earlier request
+	id              string      // ID that no connection may carry twice; empty if there is none
+	body            *body
+	repeatedID      bool         // conn had carried the ID already
+	givenUp         bool         // conn was closed before anything of the request was written
+	lastRequest     bool         // conn carries no further request
 	connRequestedAt time.Time    // when a connection was requested
 	connectNanos    atomic.Int64 // time until it was obtained, in ns
 	// onConnected is called when a connection is obtained, before anything is written to it.
@@ -49,7 +54,11 @@
 	}
 	t.connectNanos.Store(int64(time.Since(t.connRequestedAt)))
 	t.writtenBefore = c.beginRequest()
-	t.onConnected()
+	if t.carry(c) {
+		t.onConnected()
+	} else {
+		t.giveUp(c)
+	}
 	t.conn.Store(c)
 }
 
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -29,13 +29,17 @@
 // addDecision adds the inputs of the choice of a target: its requests in flight, its pace
 // (service time as a multiple of the baseline) and the age in ms of its load report if it
 // has sent one, the expected response time, the number of probed targets, the wait for the
-// choice and the time left for the dispatch.
+// choice, the time left for the dispatch, and how many connections had carried the request's ID
+// and were given up for it, if any.
 func addDecision(f log.Fields, d *dispatch) {
 	f["target"], f["inflight"], f["asked"] = d.target.ID, d.decision.InFlight, d.decision.Probed
 	if d.decision.LoadKnown {
 		f["pace"], f["age"] = math.Round(100*d.decision.Pace)/100, d.decision.LoadAge.Milliseconds()
 	}
 	f["waited"], f["expected"], f["left"] = d.decision.Waited.Milliseconds(), d.decision.Expected.Milliseconds(), d.timeout.Milliseconds()
+	if d.repeatedIDs > 0 {
+		f["repeated"] = d.repeatedIDs
+	}
 }
 
 // logResponse logs that a target's response is forwarded.
@@ -102,6 +106,18 @@
 	}
 }
 
+// noteRepeatedIDs counts and logs the connections that were given up for a dispatch. fields are those
+// of its target.
+func (q *request) noteRepeatedIDs(connections int, fields log.Fields) {
+	if connections == 0 {
+		return
+	}
+	q.service.instruments.repeatedIDs.Inc(int64(connections))
+	f := q.logFields()
+	f["repeated"] = connections
+	q.gateway.log.WithFields(f).WithFields(fields).Info("gave up connections that had carried the request's ID")
+}
+
 // logFinal logs an error response of this entry.
 func (q *request) logFinal(status int, reason string) {
 	f := q.logFields()
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -84,6 +84,7 @@
 	failedDispatches tally.Counter                 // dispatches without a valid response
 	passedOn         tally.Counter                 // requests sent to an entry that reaches the targets
 	strayResponses   func(id string) tally.Counter // responses without exactly the request's ID, by the ID found
+	repeatedIDs      tally.Counter                 // connections given up since they had carried the request's ID
 }
 
 // service creates the metrics of a service.
@@ -94,7 +95,7 @@
 		dispatches: s.Counter("dispatches"), loadProbes: s.Counter("load_questions"),
 		budgetDenied: s.Counter("repeats_denied"), budgetAvailable: s.Gauge("repeats_saved"), burst: s.Gauge("repeats_burst"),
 		crashes: s.Counter("crashes"), pauses: s.Counter("pauses"),
-		failedDispatches: s.Counter("dispatches_failed"), passedOn: s.Counter("passed_on"), refusals: make(map[slot.Reason]tally.Counter),
+		failedDispatches: s.Counter("dispatches_failed"), passedOn: s.Counter("passed_on"), repeatedIDs: s.Counter("repeated_ids"), refusals: make(map[slot.Reason]tally.Counter),
 	}
 	for _, r := range []slot.Reason{slot.Full, slot.NoTarget, slot.Cold, slot.Paused, slot.Limited} {
 		si.refusals[r] = s.Tagged(map[string]string{"reason": r.String()}).Counter("refusals")
--- a/internal/gateway/passon.go
+++ b/internal/gateway/passon.go
@@ -64,6 +64,7 @@
 		}
 	}()
 	resp, failure := q.dispatchTo(ctx, e.PeerAddress)
+	q.noteRepeatedIDs(result{response: resp, failure: failure}.repeatedIDs(), log.Fields{"peer": e.Name})
 	switch {
 	case failure != nil && neverSent(failure):
 		q.logPassOn(e.Name, failure.Stage.String())
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"plumpitch.example/plumpitch/internal/forward"
 	"plumpitch.example/plumpitch/internal/guard"
 	"plumpitch.example/plumpitch/pkg/account"
@@ -70,6 +72,8 @@
 	ended    *atomic.Bool // its result has arrived
 	checked  bool         // its target was silent and was asked whether it still answers
 	alive    bool         // its target answered a check just before, which is made for trials only
+	// repeatedIDs is how many connections were given up since they had carried the request's ID.
+	repeatedIDs int
 }
 
 // result is the outcome of a dispatch.
@@ -79,6 +83,14 @@
 	failure  *forward.Failure
 }
 
+// repeatedIDs returns how many connections were given up since they had carried the request's ID.
+func (r result) repeatedIDs() int {
+	if r.failure != nil {
+		return r.failure.RepeatedIDs
+	}
+	return r.response.RepeatedIDs
+}
+
 // responseMargin is how long before its deadline a request is given up, so that the
 // response reaches the caller in time.
 const responseMargin = 2 * time.Millisecond
@@ -290,6 +302,8 @@
 func (q *request) handleResult(now time.Time, res result) call.Actions {
 	d := &q.dispatches[res.dispatch]
 	d.ended.Store(true)
+	d.repeatedIDs = res.repeatedIDs()
+	q.noteRepeatedIDs(d.repeatedIDs, log.Fields{"target": d.target.ID})
 	completion := slot.Completion{ID: d.id, Report: q.gateway.resultReport(d.target.ID, res)}
 	if res.failure == nil && !q.validResponse(res.response) {
 		res.failure = &forward.Failure{Target: d.target.Address, Stage: call.StageInvalid, Status: res.response.Status, Cause: errInvalidResponse, Replayable: true}
--- a/internal/gateway/stray_delegate_test.go
+++ b/internal/gateway/stray_delegate_test.go
@@ -139,3 +139,21 @@
 	w.waitFor("the run", func() bool { return w.runs("q-pass") > 0 }) // begins behind the response
 	w.c.Assert(w.runs("q-pass"), qt.Equals, 1)
 }
+
+// Guards against a request that a delegate runs and another delegate gets too: the first one is asked
+// again on the same connection, and a copy of its refusal is taken for its response.
+func TestCopyOfDelegatesRefusal(t *testing.T) {
+	w := newWorld(t, worldConfig{targets: 1, routeType: "non_idempotent"})
+	e := w.startEntry("a").waitReady()
+	copyFirst := func(w io.Writer, copied, response string) { _, _ = io.WriteString(w, copied+response) }
+	for range 10 {
+		k := startCopyingTarget(t, func(id string) string { return delegateResponse("503 Service Unavailable", "noreach", id) }, copyFirst)
+		to := owner.Entry{Name: "delegate", PeerAddress: k.address}
+		_, answered := passOnOne(e, to)
+		w.c.Assert(answered, qt.IsFalse)
+		rec, answered := passOnOne(e, to)
+		w.c.Check(answered, qt.IsTrue)
+		w.c.Check(rec.Code, qt.Equals, http.StatusOK)
+		w.c.Check(k.runCount("q-pass"), qt.Equals, 1)
+	}
+}
