reply: heads and trailers of which net/http loses a part are no responses

What callers saw: `Transfer-Encoding : chunked` (a blank before the colon) came back as 200 with the chunks' own lines as its body, `Content-Length : 1` as a body up to the close; 600 and 999 were passed on; a 503 whose second ID had a blank behind its name was told as a refusal, and a 200 beside `Plumpitch-Not-Executed : 1` as a success.

Cause: net/http accepts a blank in a field's name and keeps the line under a name with the blank, so what it means (length, chunks, ID, refusal, signature, close) is lost.

Change: internal/reply refuses such a head whole, and one with a status outside 100 to 599; interim responses are checked by the trace's hook, which bounds their bytes itself since net/http doesn't for those that are checked; a trailer of that kind, or with a status line in a value, fails the body at its end, so the response never looks complete. The connection is closed, the stage is `invalid`, nothing of the head is used. internal/forward calls the functions for dispatches, delegates and health checks. reply.Transport does for the own interface's probes, the stores' clients, peers, the relay, the settings' client, `load` and `request`. The check for two heads in one moved there, with its test. The names are checked by internal/field, which internal/callers uses for requests too; it refused such names before.

Why it holds: a name that is a token is known to net/http under its canonical form, so no line is left that it didn't read; the checks are two functions that every reader of responses passes through.

--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -11,6 +11,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/field"
 )
 
 const bufferSize = 4 << 10 // bytes
@@ -198,7 +200,7 @@
 		return malformed("malformed Host header")
 	}
 	for name, values := range r.Header {
-		if strings.ContainsFunc(name, func(c rune) bool { return !isTokenRune(c) }) {
+		if !field.IsName(name) {
 			return malformed("invalid header name")
 		}
 		for _, v := range values {
@@ -221,8 +223,6 @@
 	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
 }
 
-func isTokenRune(c rune) bool { return isAlphanumeric(c) || strings.ContainsRune("!#$%&'*+-.^_`|~", c) }
-
 func isHostRune(c rune) bool {
 	return isAlphanumeric(c) || strings.ContainsRune("!$%&'()*+,-.:;=[]_~", c)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"plumpitch.example/plumpitch/internal/members"
 	"plumpitch.example/plumpitch/internal/metrics"
 	"plumpitch.example/plumpitch/internal/peer"
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/internal/settings"
 	"plumpitch.example/plumpitch/internal/store"
 	"plumpitch.example/plumpitch/pkg/admission"
@@ -115,9 +116,9 @@
 }
 
 func (e *Entry) storeHTTPClient() *http.Client {
-	t := &http.Transport{
+	t := reply.Transport{Transport: &http.Transport{
 		DialContext: dial.New(dial.Config{}).DialContext, MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxOutsideHeader,
-	}
+	}}
 	return &http.Client{Transport: tracedTransport{&e.tracing, "store", t}}
 }
 
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -9,6 +9,7 @@
 
 	"plumpitch.example/plumpitch/internal/dial"
 	"plumpitch.example/plumpitch/internal/forward"
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/pool"
 	"plumpitch.example/plumpitch/pkg/probe"
@@ -65,10 +66,10 @@
 const maxOutsideHeader = 64 << 10
 
 func newProber() *prober {
-	return &prober{client: &http.Client{Transport: &http.Transport{
+	return &prober{client: &http.Client{Transport: reply.Transport{Transport: &http.Transport{
 		DialContext:         dial.New(dial.Config{}).DialContext,
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: maxOutsideHeader,
-	}}}
+	}}}}
 }
 
 // Probes returns how many probes the entry has sent and their total duration.
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
@@ -41,6 +42,7 @@
 	d.id = strconv.FormatUint(f.lastID.Add(1), 36)
 	d.ctx, d.cancel = context.WithCancelCause(ctx)
 	d.trace.cancel = d.cancel
+	d.trace.interim.Left = f.cfg.MaxHeaderBytes
 	if p.Timeout > 0 {
 		d.timer = time.AfterFunc(p.Timeout, func() { d.cancel(errTimeout) })
 	}
@@ -112,7 +114,7 @@
 	if d.trace.stale.Load() {
 		resp, err = nil, errStaleConnection
 	}
-	if err == errMixedHeads || errors.As(err, new(*StrayError)) {
+	if errors.As(err, new(*reply.Error)) || errors.As(err, new(*StrayError)) {
 		resp = nil
 	}
 	f := &Failure{Target: d.params.Target, Cause: err}
@@ -147,7 +149,7 @@
 		return connectStage(err)
 	case d.trace.execution() == call.DidNotRun:
 		return call.StageUnsent
-	case !d.trace.broken() || err == errUnframed:
+	case !d.trace.broken() || err == errUnframed || errors.As(err, new(*reply.Error)):
 		return call.StageInvalid
 	case status != 0:
 		return call.StageCut
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -218,7 +218,6 @@
 	errStaleConnection   = errors.New("connection unusable or response received before the request was written")
 	errResent            = errors.New("transport tried to resend the request")
 	errUnframed          = errors.New("response has neither Content-Length nor chunked encoding")
-	errMixedHeads        = errors.New("response head contains the status line of another response")
 	errUnexpectedUpgrade = errors.New("response switches protocols without a request to do so")
 	errResponseClosed    = errors.New("response was closed")
 )
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 
 	"plumpitch.example/plumpitch/pkg/call"
 )
@@ -63,37 +62,3 @@
 func (d *dispatch) belongs(i Identity) bool {
 	return i == OwnID || i == NoID && (d.echoHeader == "" || d.id == "")
 }
-
-// statusLinePrefix begins the status line of a response.
-const statusLinePrefix = "HTTP/1."
-
-// mixesHeads reports whether a header contains a status line. Bytes that end within a header line
-// are completed by the next response on the connection, and the status of the one would be taken
-// with the ID and the signature of the other.
-func mixesHeads(h http.Header) bool {
-	for _, values := range h {
-		for _, v := range values {
-			if containsStatusLine(v) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// containsStatusLine reports whether text contains a version and a status, such as "HTTP/1.1 200".
-func containsStatusLine(text string) bool {
-	const length = len("1 200")
-	for {
-		_, rest, found := strings.Cut(text, statusLinePrefix)
-		if !found {
-			return false
-		}
-		if len(rest) >= length && isDigit(rest[0]) && rest[1] == ' ' && isDigit(rest[2]) && isDigit(rest[3]) && isDigit(rest[4]) {
-			return true
-		}
-		text = rest
-	}
-}
-
-func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/reply"
 )
 
 // maxProbeBody is the longest valid body of a probe response, in bytes.
@@ -35,7 +37,7 @@
 func (f *Forwarder) Probe(ctx context.Context, p ProbeParams) (status int, h http.Header, err error) {
 	defer func() { err = errors.WithMessage(err, "probing "+p.Target) }()
 	u := url.URL{Scheme: "http", Host: p.Target, Path: p.Path}
-	var trace probeTrace
+	trace := probeTrace{interim: reply.Interim{Left: f.cfg.MaxHeaderBytes}}
 	req, err := http.NewRequestWithContext(trace.attach(ctx), http.MethodGet, u.String(), nil)
 	if err != nil {
 		return 0, nil, err
@@ -46,7 +48,7 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	if trace.stale.Load() || mixesHeads(resp.Header) || !p.IsOwn(resp.Header) || f.cfg.EchoHeader != "" && len(resp.Header[f.cfg.EchoHeader]) > 0 {
+	if trace.stale.Load() || reply.CheckHead(resp) != nil || !p.IsOwn(resp.Header) || f.cfg.EchoHeader != "" && len(resp.Header[f.cfg.EchoHeader]) > 0 {
 		trace.closeConn()
 		return 0, nil, ErrUnidentified
 	}
@@ -54,7 +56,11 @@
 	if err == nil && n > maxProbeBody {
 		err = errLongProbeBody
 	}
+	if err == nil {
+		err = reply.CheckTrailer(resp.Trailer)
+	}
 	if err != nil {
+		trace.closeConn()
 		return 0, nil, err
 	}
 	return resp.StatusCode, resp.Header, nil
@@ -63,8 +69,9 @@
 // probeTrace records the connection of a probe, and whether its response was received before the
 // probe was written.
 type probeTrace struct {
-	conn  atomic.Pointer[conn]
-	stale atomic.Bool
+	conn    atomic.Pointer[conn]
+	stale   atomic.Bool
+	interim reply.Interim
 }
 
 // attach returns a context with the trace hooks.
@@ -81,6 +88,7 @@
 				t.stale.Store(true)
 			}
 		},
+		Got1xxResponse: t.interim.Check,
 	})
 }
 
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/reply"
 )
 
 // Response is a target's response. If it was read to its end, Buffered contains
@@ -46,8 +48,8 @@
 	if d.trace.stale.Load() {
 		return nil, errStaleConnection
 	}
-	if mixesHeads(resp.Header) {
-		return nil, errMixedHeads
+	if err := reply.CheckHead(resp); err != nil {
+		return nil, err
 	}
 	identity := identify(resp.Header, d.idHeader(), d.id)
 	if !d.belongs(identity) {
@@ -215,8 +217,7 @@
 	n, err = s.src.Read(p)
 	s.timer.Stop()
 	if err == io.EOF {
-		s.response.Trailer = s.httpResponse.Trailer
-		return n, err
+		return n, s.end()
 	}
 	if err != nil {
 		err = s.cause(err)
@@ -224,6 +225,16 @@
 	return n, err
 }
 
+// end takes the trailer. It returns io.EOF, or an error if the trailer is malformed.
+func (s *streamedBody) end() error {
+	if err := reply.CheckTrailer(s.httpResponse.Trailer); err != nil {
+		s.dispatch.trace.closeConn()
+		return err
+	}
+	s.response.Trailer = s.httpResponse.Trailer
+	return io.EOF
+}
+
 // cause returns the reason why the dispatch was cancelled, or else err.
 func (s *streamedBody) cause(err error) error {
 	if cause := context.Cause(s.dispatch.ctx); cause != nil {
--- a/internal/forward/trace.go
+++ b/internal/forward/trace.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
@@ -21,6 +22,7 @@
 	connectNanos    atomic.Int64 // time until it was obtained, in ns
 	// onConnected is called when a connection is obtained, before anything is written to it.
 	onConnected func()
+	interim     reply.Interim
 }
 
 // attach returns a context with the trace hooks.
@@ -28,6 +30,7 @@
 	t.hooks.GetConn = t.getConn
 	t.hooks.GotConn = t.gotConn
 	t.hooks.GotFirstResponseByte = t.firstByte
+	t.hooks.Got1xxResponse = t.interim.Check
 	return httptrace.WithClientTrace(ctx, &t.hooks)
 }
 
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -99,6 +99,8 @@
 		{"refusal", worker.StrayRefusal()},
 		{"response to a request", worker.StraySuccess("another")},
 		{"head of two responses", "HTTP/1.1 200 OK\r\nX-Cut: a"},
+		{"blank behind the length", "HTTP/1.1 200 OK\r\nPlumpitch-Instance-Id: i-0\r\nContent-Length : 0\r\n\r\n"},
+		{"blank behind a second length", "HTTP/1.1 200 OK\r\nPlumpitch-Instance-Id: i-0\r\nContent-Length : 2\r\nContent-Length: 0\r\n\r\nok"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/gateway/net.go
+++ b/internal/gateway/net.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"plumpitch.example/plumpitch/internal/dial"
+	"plumpitch.example/plumpitch/internal/reply"
 )
 
 // Timeouts of connections to the store. A connection may stop working without a reset
@@ -30,8 +31,8 @@
 	dialer := dial.New(dial.Config{Timeout: storeDialTimeout, ReadBuffer: storeReadBuffer, KeepAlive: net.KeepAliveConfig{
 		Enable: true, Idle: storeKeepAliveInterval, Interval: storeKeepAliveInterval, Count: storeKeepAliveProbes,
 	}})
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: reply.Transport{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: storeHeaderBytes,
-	}}
+	}}}
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/dial"
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
@@ -94,11 +95,11 @@
 
 func newClient() *http.Client {
 	dialer := dial.New(dial.Config{Timeout: connectTimeout})
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: reply.Transport{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxInFlight,
 		MaxConnsPerHost:     maxInFlight,
-	}}
+	}}}
 }
 
 // send sends the requests as a Poisson process and waits until the last one has ended.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,7 @@
 
 	"plumpitch.example/plumpitch/internal/dial"
 	"plumpitch.example/plumpitch/internal/peer/wire"
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/pkg/member"
 )
 
@@ -77,9 +78,9 @@
 	return c
 }
 
-func newTransport(cfg ClientConfig) *http.Transport {
+func newTransport(cfg ClientConfig) http.RoundTripper {
 	dialer := dial.New(dial.Config{Timeout: cfg.DialTimeout})
-	return &http.Transport{
+	return reply.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -93,11 +94,11 @@
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: MaxHeaderBytes,
-	}
+	}}
 }
 
 type countingTransport struct {
-	inner    *http.Transport
+	inner    http.RoundTripper
 	counters *Counters
 }
 
--- a/internal/relay/bound.go
+++ b/internal/relay/bound.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"plumpitch.example/plumpitch/internal/reply"
 )
 
 // Limits of a call between entries, in bytes. A reply holds a configuration of up to 1 MB and lists of
@@ -20,7 +22,7 @@
 const requestTimeout = 2 * time.Second
 
 // boundedTransport fails reads of response bodies past maxReplyBytes.
-type boundedTransport struct{ *http.Transport }
+type boundedTransport struct{ reply.Transport }
 
 // RoundTrip implements http.RoundTripper.
 func (t boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 	"plumpitch.example/plumpitch/internal/callers"
 	"plumpitch.example/plumpitch/internal/dial"
 	"plumpitch.example/plumpitch/internal/relay/wire"
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/pkg/member"
 	"plumpitch.example/plumpitch/pkg/roster"
 	"plumpitch.example/plumpitch/pkg/route"
@@ -133,9 +134,9 @@
 	}
 	r = &Relay{cfg: cfg, client: &http.Client{
 		Timeout: callTimeout,
-		Transport: boundedTransport{&http.Transport{
+		Transport: boundedTransport{reply.Transport{Transport: &http.Transport{
 			DialContext: cfg.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		}}},
 	}}
 	if err := r.listen(); err != nil {
 		return nil, err
--- a/internal/reply/client.go
+++ b/internal/reply/client.go
@@ -1,5 +1,5 @@
-// Package reply has the HTTP client for responses that are read to their end: of entries to commands,
-// and of stand-ins.
+// Package reply checks HTTP responses where net/http does not: a head or a trailer of which net/http
+// loses a part is malformed, and nothing of its response is used.
 package reply
 
 import (
@@ -9,14 +9,14 @@
 	"plumpitch.example/plumpitch/internal/dial"
 )
 
-// connectTimeout is the timeout of a TCP connection of Client, and keepAlive its interval.
+// connectTimeout is the timeout of a TCP connection of Client.
 const connectTimeout = 30 * time.Second
 
-// Client is http.DefaultClient with the connections of package dial.
+// Client is http.DefaultClient with the connections of package dial and the checks of this package.
 var Client = newClient()
 
 func newClient() *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.DialContext = dial.New(dial.Config{Timeout: connectTimeout}).DialContext
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: Transport{t}}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"plumpitch.example/plumpitch/internal/dial"
+	"plumpitch.example/plumpitch/internal/reply"
 )
 
 // Rate limits of one entry: rates in calls per second, and bursts in calls. The
@@ -76,9 +77,9 @@
 		s.addr = "http://" + s.addr
 	}
 	if s.http == nil {
-		s.http = &http.Client{Transport: &http.Transport{
+		s.http = &http.Client{Transport: reply.Transport{Transport: &http.Transport{
 			DialContext: dial.New(dial.Config{}).DialContext, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeaderBytes,
-		}}
+		}}}
 	}
 	if s.reads == nil {
 		s.reads = rate.NewLimiter(ReadRate, ReadBurst)
