callers: a declared trailer whose name is no token is malformed

What callers saw: on the own interface a request with `Trailer: X Sum` got 503 `connect`, as if no target could be reached, and the dispatch counted as a connection that failed; on the users' platform the connection was closed without a response once the body had been read.

Cause: http.ReadRequest takes any text for a declared trailer's name, and http.Transport refuses to send the request before it has a connection.

Change: internal/callers answers 400 to such a head, as it does for header names. Gateways check trailers that weren't declared by the same function as before, now that of internal/field.

Why it holds: all listeners but those of peers on the own interface read heads through internal/callers, and the forwarder sends declared trailers only.

--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -209,6 +209,11 @@
 			}
 		}
 	}
+	for name := range r.Trailer {
+		if !field.IsName(name) {
+			return malformed("invalid trailer name")
+		}
+	}
 	if e := r.Header.Get("Expect"); e != "" && !expectsContinue(r) {
 		return &statusError{status: http.StatusExpectationFailed}
 	}
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -155,3 +156,36 @@
 	w.c.Assert(err, qt.IsNil)
 	w.c.Assert(time.Since(began) < waitLimit, qt.IsTrue)
 }
+
+// Guards against targets that seem to refuse connections, because a caller declares a trailer under a
+// name that net/http accepts but doesn't send.
+func TestMalformedTrailerName(t *testing.T) {
+	var began atomic.Int64
+	w := start(t, testService{name: "plain", targets: []string{startCountingTarget(t, &began)}})
+	tests := []struct {
+		name   string
+		status int
+		runs   int64
+	}{
+		{"X-Sum", http.StatusOK, 1},
+		{"X Sum", http.StatusBadRequest, 0},
+		{"X@Sum", http.StatusBadRequest, 0},
+		{"X-More, X Sum", http.StatusBadRequest, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			began.Store(0)
+			conn, err := net.Dial("tcp", w.Addresses().Callers)
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST /v1/call/plain/ HTTP/1.1\r\nHost: a\r\nTrailer: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", tt.name)
+			c.Assert(err, qt.IsNil)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
+			c.Assert(resp.StatusCode, qt.Equals, tt.status)
+			c.Assert(began.Load(), qt.Equals, tt.runs)
+		})
+	}
+}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/callers"
+	"plumpitch.example/plumpitch/internal/field"
 	"plumpitch.example/plumpitch/internal/guard"
 	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/memory"
@@ -35,7 +36,7 @@
 // doesn't send them, so each target that the request is dispatched to would seem to fail.
 func checkTrailer(trailer http.Header) error {
 	for name := range trailer {
-		if strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, c) }) {
+		if !field.IsName(name) {
 			return errMalformedTrailer
 		}
 	}
