--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
@@ -65,6 +66,7 @@
 	d.id = strconv.FormatUint(f.lastID.Add(1), 36)
 	d.ctx, d.cancel = context.WithCancelCause(ctx)
 	d.trace.cancel, d.trace.body = d.cancel, &d.body
+	d.trace.interim.Left = f.cfg.MaxHeaderBytes
 	if p.Timeout > 0 {
 		d.timer = time.AfterFunc(p.Timeout-time.Since(started), func() { d.cancel(errTimeout) })
 	}
@@ -144,7 +146,7 @@
 	case d.trace.stale.Load():
 		resp, err = nil, errStaleConnection
 	}
-	if err == errMixedHeads || errors.As(err, new(*StrayError)) {
+	if errors.As(err, new(*reply.Error)) || errors.As(err, new(*StrayError)) {
 		resp = nil
 	}
 	f := &Failure{Target: d.params.Target, Cause: err}
@@ -179,7 +181,7 @@
 		return connectStage(err)
 	case d.trace.execution() == call.DidNotRun:
 		return call.StageUnsent
-	case !d.trace.broken() || err == errUnframed:
+	case !d.trace.broken() || err == errUnframed || errors.As(err, new(*reply.Error)):
 		return call.StageInvalid
 	case status != 0:
 		return call.StageCut
