platform, store: addresses of targets and entries are checked

A record with port 99999, 65536, 0, -1, 1e400 or letters, or a host name, became a target: it was chosen, dialled and probed, and its slots counted. An entry with such an address was gossiped with and named to callers. On the own store one VM with slots made the sum over all targets overflow.

Before: TestGatewayBesideBadPorts found 16 targets in place of 2; TestBadAddresses "got nil error" in 11 of its cases; TestVMsBesideOddOnes took VMs with ports 65536 and 0, without an address, and with such slots.

pkg/address takes an IP address and a port from 1 to 65535 (0 too where a listener is opened), and the parse functions of targets, entries, VMs and both settings files use it, so that the error names the field.

--- a/internal/entry/file.go
+++ b/internal/entry/file.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net"
 	"os"
 	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
+
+	"plumpitch.example/plumpitch/pkg/address"
 )
 
 // File holds the settings of one entry process, which it can't get from the
@@ -96,13 +97,13 @@
 	for _, a := range []struct{ field, value string }{
 		{"callers", f.Callers}, {"peers", f.Peers}, {"operators", f.Operators},
 	} {
-		if err := checkAddress(a.field, a.value); err != nil {
-			return err
+		if err := address.CheckListen(a.value); err != nil {
+			return errors.WithMessage(err, a.field)
 		}
 	}
 	for _, s := range f.Seeds {
-		if err := checkAddress("seeds", s); err != nil {
-			return err
+		if err := address.Check(s); err != nil {
+			return errors.WithMessage(err, "seeds")
 		}
 	}
 	if !strings.HasPrefix(f.Platform, "http://") && !strings.HasPrefix(f.Platform, "https://") {
@@ -121,13 +122,3 @@
 	}
 	return nil
 }
-
-// checkAddress rejects an address that isn't an IP address with a port. Host names
-// aren't resolved.
-func checkAddress(field, value string) error {
-	host, _, err := net.SplitHostPort(value)
-	if err != nil || net.ParseIP(host) == nil {
-		return errors.Errorf("%s: found %q, expected an IP address and a port such as 127.0.0.1:8080", field, value)
-	}
-	return nil
-}
--- a/internal/gateway/odd_records_test.go
+++ b/internal/gateway/odd_records_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/objects"
 )
 
 // nestedText returns lists within each other.
@@ -76,3 +78,26 @@
 func (e *entry) revisionOfConfig() (position uint64) {
 	return e.control.requestTurn(e.w.c.Context(), resourceConfig).revision.Position()
 }
+
+// Guards against targets and entries with addresses that nothing can listen on.
+func TestGatewayBesideBadPorts(t *testing.T) {
+	ports := []string{"99999", "65536", "0", "-1", "1e400", "http", ""}
+	w := newWorld(t, worldConfig{targets: 1})
+	write := func(round string) {
+		for i, port := range ports {
+			name := fmt.Sprint("bad-", round, i)
+			w.store.PutTarget(objects.Target{ID: name, Address: "127.0.0.1:" + port, Service: "gowns", Place: "hall", Slots: 100})
+			w.store.Put("entries", name, map[string]any{"front": "127.0.0.1:" + port, "peer": "127.0.0.1:1"})
+		}
+	}
+	write("list")
+	e := w.startEntry("a").waitReady()
+	write("watch")
+	w.startTarget("gowns")
+	w.waitFor("the target after them", func() bool { return e.hasTarget("i-1") })
+	w.c.Assert(e.targetCount("gowns"), qt.Equals, 2)
+	for n := range 50 {
+		w.c.Assert(e.call("GET", fmt.Sprint("/a/", n), "").status, qt.Equals, http.StatusOK)
+	}
+	w.c.Assert(e.view.Load().known, qt.Equals, 0)
+}
--- a/internal/store/decode.go
+++ b/internal/store/decode.go
@@ -5,9 +5,14 @@
 
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/pkg/address"
 	"plumpitch.example/plumpitch/pkg/rawjson"
 )
 
+// maxSlots is the largest valid number of a VM's slots. Sums over all VMs stay far from the limit
+// of their type.
+const maxSlots = 1_000_000
+
 // vmKind is the kind of the VMs in reports of errors.
 const vmKind = "vms"
 
@@ -120,6 +125,12 @@
 	if j.ID == "" {
 		return "", vm, errors.New("id: found nothing, expected a name")
 	}
+	if err := address.Check(j.Addr); err != nil {
+		return j.ID, vm, errors.WithMessage(err, "addr")
+	}
+	if j.Slots < 0 || j.Slots > maxSlots {
+		return j.ID, vm, errors.Errorf("slots: found %d, expected a whole number from 0 to %d", j.Slots, maxSlots)
+	}
 	return j.ID, VM(j), nil
 }
 
--- a/internal/store/odd_test.go
+++ b/internal/store/odd_test.go
@@ -100,6 +100,11 @@
 		{"nested field", with(`"place"`, `"more":`+nested(20_000)+`,"place"`), `vms/odd: more: nested .*`},
 		{"large number of slots", with(`"slots":2`, `"slots":1e400`), `vms/odd: .*slots.*`},
 		{"boot beyond 64 bits", with(`"boot":1`, `"boot":18446744073709551616`), `vms/odd: .*boot.*`},
+		{"port beyond all", with(`127.0.0.1:80`, `127.0.0.1:65536`), `vms/odd: addr: found "127.0.0.1:65536", expected .*`},
+		{"port 0", with(`127.0.0.1:80`, `127.0.0.1:0`), `vms/odd: addr: .*`},
+		{"no address", with(`127.0.0.1:80`, ``), `vms/odd: addr: .*`},
+		{"slots beyond all sums", with(`"slots":2`, `"slots":9223372036854775807`), `vms/odd: slots: found 9223372036854775807, expected .*`},
+		{"fewer slots than none", with(`"slots":2`, `"slots":-1`), `vms/odd: slots: .*`},
 		{"no id", with(`"odd"`, `""`), `vms/: id: found nothing, expected a name`},
 	}
 	for _, tt := range tests {
