gateway: a record with an odd boot number delays no start

The difference of two boot numbers was taken for a time, which is negative for numbers more than 2^63 apart.

Before: TestStartedTogether counted 1 in place of 0 for "half of all numbers away" and "greatest number". The difference is compared as the unsigned number that it is.

--- a/internal/gateway/firstread.go
+++ b/internal/gateway/firstread.go
@@ -92,7 +92,7 @@
 		}
 	}
 	for _, it := range items {
-		together := time.Duration(max(it.Value.Boot, self.Boot)-min(it.Value.Boot, self.Boot)) < startWindow
+		together := max(it.Value.Boot, self.Boot)-min(it.Value.Boot, self.Boot) < uint64(startWindow)
 		if it.Revision < own && together {
 			n++
 		}
--- a/internal/gateway/odd_records_test.go
+++ b/internal/gateway/odd_records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -10,6 +11,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"plumpitch.example/plumpitch/internal/standin/objects"
+	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/roster"
 )
 
 // nestedText returns lists within each other.
@@ -101,3 +104,26 @@
 	}
 	w.c.Assert(e.view.Load().known, qt.Equals, 0)
 }
+
+// Guards against a start that waits for an entry whose boot number is far from any time.
+func TestStartedTogether(t *testing.T) {
+	self := owner.Entry{Name: "self", Boot: 1_800_000_000_000_000_000}
+	tests := []struct {
+		name string
+		boot uint64
+		want int
+	}{
+		{"at once", self.Boot, 1},
+		{"shortly before", self.Boot - uint64(startWindow)/2, 1},
+		{"long before", self.Boot - uint64(startWindow), 0},
+		{"no time", 0, 0},
+		{"half of all numbers away", self.Boot + 1<<63, 0},
+		{"greatest number", math.MaxUint64, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			items := []roster.Item[owner.Entry]{{Name: "other", Revision: 3, Value: owner.Entry{Name: "other", Boot: tt.boot}}, {Name: "self", Revision: 4, Value: self}}
+			qt.Assert(t, countEnrolledBefore(self, items), qt.Equals, tt.want)
+		})
+	}
+}
