--- a/internal/gateway/odd_records_test.go
+++ b/internal/gateway/odd_records_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/objects"
+	"plumpitch.example/plumpitch/pkg/owner"
+	"plumpitch.example/plumpitch/pkg/roster"
 )
 
 // nestedText returns lists within each other.
@@ -76,3 +81,49 @@
 func (e *entry) revisionOfConfig() (position uint64) {
 	return e.control.requestTurn(e.w.c.Context(), resourceConfig).revision.Position()
 }
+
+// Guards against targets and entries with addresses that nothing can listen on.
+func TestGatewayBesideBadPorts(t *testing.T) {
+	ports := []string{"99999", "65536", "0", "-1", "1e400", "http", ""}
+	w := newWorld(t, worldConfig{targets: 1})
+	write := func(round string) {
+		for i, port := range ports {
+			name := fmt.Sprint("bad-", round, i)
+			w.store.PutTarget(objects.Target{ID: name, Address: "127.0.0.1:" + port, Service: "gowns", Place: "hall", Slots: 100})
+			w.store.Put("entries", name, map[string]any{"front": "127.0.0.1:" + port, "peer": "127.0.0.1:1"})
+		}
+	}
+	write("list")
+	e := w.startEntry("a").waitReady()
+	write("watch")
+	w.startTarget("gowns")
+	w.waitFor("the target after them", func() bool { return e.hasTarget("i-1") })
+	w.c.Assert(e.targetCount("gowns"), qt.Equals, 2)
+	for n := range 50 {
+		w.c.Assert(e.call("GET", fmt.Sprint("/a/", n), "").status, qt.Equals, http.StatusOK)
+	}
+	w.c.Assert(e.view.Load().known, qt.Equals, 0)
+}
+
+// Guards against a start that waits for an entry whose boot number is far from any time.
+func TestStartedTogether(t *testing.T) {
+	self := owner.Entry{Name: "self", Boot: 1_800_000_000_000_000_000}
+	tests := []struct {
+		name string
+		boot uint64
+		want int
+	}{
+		{"at once", self.Boot, 1},
+		{"shortly before", self.Boot - uint64(startWindow)/2, 1},
+		{"long before", self.Boot - uint64(startWindow), 0},
+		{"no time", 0, 0},
+		{"half of all numbers away", self.Boot + 1<<63, 0},
+		{"greatest number", math.MaxUint64, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			items := []roster.Item[owner.Entry]{{Name: "other", Revision: 3, Value: owner.Entry{Name: "other", Boot: tt.boot}}, {Name: "self", Revision: 4, Value: self}}
+			qt.Assert(t, countEnrolledBefore(self, items), qt.Equals, tt.want)
+		})
+	}
+}
