callers, gateway: requests behind others are answered when an entry leaves

A caller with client accounts that had several requests on a connection of an entry in a planned stop got no answer to those that had to wait for earlier ones (non-idempotent ones, and all behind them): the entry had read them, and closed the connection with the response before them, as long after their arrival as that one took. Each response of an entry that stops had "Connection: close", by which the server drops what waits.

The server decides now: after Server.Leave a connection ends with the response to a request that began since, but only if nothing else of the caller has arrived: no request that waits, none that is partly read, and no unread bytes. That also holds after a body, where the end of the reading was not seen yet.

Evidence: TestStopAnswersRequestsThatWaitForTheirTurn failed before in all three cases: the first response said that the connection ends, the second request, read 0.25 s before, had 0 runs and "unexpected EOF". TestLeave has the cases of the server. Callers of one request at a time see the same as before: each response after the start of a stop ends its connection.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -49,6 +49,7 @@
 	waiting int // bytes of responses that wait for earlier ones
 	reader  readerState
 	timed   bool // a read deadline is set; owned by the reading goroutine while it is busy
+	arrives bool // bytes of a request have been read that isn't active yet
 	closing bool // no further request is read
 	dropped bool // a response closes the connection: no further handler is started
 	gone    bool // the caller has closed its side
@@ -147,6 +148,7 @@
 		c.closing = true
 	}
 	c.active = append(c.active, q)
+	c.arrives = false
 	go q.run()
 	return true
 }
@@ -212,7 +214,8 @@
 	if q != c.active[len(c.active)-1] {
 		return false
 	}
-	if !c.closing && c.server.down.Load() && c.reader == readerIdle && !c.readable() {
+	read := (q.body == nil || q.bodyRead) && !c.arrives // all that has arrived belongs to q and earlier ones
+	if !c.closing && (q.leaving || c.server.down.Load()) && read && !c.hasUnread() && !c.readable() {
 		c.closing, c.linger = true, true // the caller may send further requests until it reads this
 		c.interrupt()
 	}
--- a/internal/callers/response.go
+++ b/internal/callers/response.go
@@ -29,6 +29,7 @@
 	cancel     context.CancelFunc
 	concurrent bool
 	wantsClose bool // the request asks to close the connection
+	leaving    bool // the request has begun after Server.Leave
 	head       headSize
 	arrived    bool  // the request has arrived with its body; guarded by conn.mu
 	forServed  *bool // set by SetServed
@@ -57,7 +58,7 @@
 }
 
 func newResponse(c *conn, r *http.Request) *response {
-	q := &response{conn: c, length: -1, header: make(http.Header), wantsClose: r.Close, head: c.head}
+	q := &response{conn: c, length: -1, header: make(http.Header), wantsClose: r.Close, leaving: c.server.leaving.Load(), head: c.head}
 	c.head = headSize{}
 	ctx, cancel := context.WithCancel(c.ctx)
 	q.cancel = cancel
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -55,6 +55,7 @@
 type Server struct {
 	cfg          Config
 	writeTimeout time.Duration
+	leaving      atomic.Bool // set by Leave
 	down         atomic.Bool // Shutdown has begun
 
 	mu        sync.Mutex
@@ -196,6 +197,10 @@
 	}
 }
 
+// Leave makes connections end with the response to a request that begins from now on, unless further
+// requests have arrived.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
 // Shutdown closes the listeners of Serve and idle connections, lets the requests under way
 // and those that have just arrived finish, and waits for the connections to end. If ctx ends
 // first, it closes the others and returns the error of ctx.
--- a/internal/callers/stop_test.go
+++ b/internal/callers/stop_test.go
@@ -47,3 +47,42 @@
 	c.Close()
 	qt.Assert(t, <-done, qt.IsNil)
 }
+
+// Guards against a connection that goes on after Leave, and against one that ends although further
+// requests have arrived.
+func TestLeave(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		max     int
+		targets []string
+		began   int // requests that begin before Leave
+		closes  bool
+	}{
+		{"one request", 8, []string{"/a"}, 0, true},
+		{"several requests", 8, []string{"/a", "/b", "/c"}, 0, true},
+		{"requests that wait for their turn", 1, []string{"/a", "/b", "/c"}, 0, true},
+		{"requests that wait for one from before", 1, []string{"/a", "/b"}, 1, true},
+		{"requests from before", 8, []string{"/a", "/b"}, 2, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.MaxRequests = tt.max
+			w := newWorld(t, cfg)
+			c := dial(t, w.addr)
+			if tt.began == 0 {
+				w.server.Leave()
+			}
+			c.get(tt.targets...)
+			w.await(&w.started, min(len(tt.targets), tt.max))
+			time.Sleep(5 * time.Millisecond)
+			w.server.Leave()
+			for i, p := range tt.targets {
+				w.open(p)
+				qt.Assert(t, c.expect(p).Close, qt.Equals, tt.closes && i == len(tt.targets)-1, qt.Commentf(p))
+			}
+			if tt.closes {
+				c.expectEnd()
+			}
+		})
+	}
+}
--- a/internal/callers/wait.go
+++ b/internal/callers/wait.go
@@ -69,6 +69,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing || c.hasUnread() {
+		c.arrives = !c.closing
 		return !c.closing
 	}
 	c.releaseReader()
@@ -96,6 +97,7 @@
 		switch {
 		case n > 0:
 			c.in.ahead = c.in.start[:n]
+			c.arrives = !c.closing
 			return !c.closing
 		case !isTimeout(err):
 			c.leaveLocked()
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -43,11 +43,7 @@
 
 // serve handles one request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	now := time.Now()
-	if g.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	q := &request{gateway: g, w: w, r: r, arrived: now, id: platform.RequestID(r.Header)}
+	q := &request{gateway: g, w: w, r: r, arrived: time.Now(), id: platform.RequestID(r.Header)}
 	q.serve()
 }
 
--- a/internal/gateway/pipeline_stop_test.go
+++ b/internal/gateway/pipeline_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -158,3 +159,44 @@
 		})
 	}
 }
+
+// Requests that have to wait for earlier ones of their connection come while the entry stops. Guards
+// against a response that ends the connection although requests behind it have been read.
+func TestStopAnswersRequestsThatWaitForTheirTurn(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		delay   time.Duration // from the start of the stop to the requests; the port closes after 1.5 s
+		methods []string
+		key     string
+	}{
+		{"while callers use the address", 300 * time.Millisecond, []string{"GET", "POST", "GET", "GET", "POST"}, "k1"},
+		{"before the port closes", 1300 * time.Millisecond, []string{"GET", "POST", "GET"}, "k1"},
+		{"just after the port is closed", 1550 * time.Millisecond, []string{"GET", "POST"}, "k1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w, e := startPipelined(t, 250*time.Millisecond)
+			c := dialCaller(w, e)
+			paths := map[string]string{"GET": "/a/", "POST": "/o/"}
+			for i := range 8 {
+				m := []string{"GET", "POST"}[i%2]
+				c.writeRequest(m, paths[m], fmt.Sprint("first-", i), tt.key)
+				w.c.Assert(c.read().StatusCode, qt.Equals, http.StatusOK)
+			}
+			e.stop()
+			time.Sleep(tt.delay)
+			for i, m := range tt.methods {
+				c.writeRequest(m, paths[m], fmt.Sprint("p-", i), tt.key)
+			}
+			for i := range tt.methods {
+				r, err := http.ReadResponse(c.reader, nil)
+				w.c.Assert(err, qt.IsNil, qt.Commentf("request %d, %d runs", i, w.runs(fmt.Sprint("p-", i))))
+				_, err = io.Copy(io.Discard, r.Body)
+				w.c.Assert(err, qt.IsNil)
+				w.c.Check(r.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("request %d: %v", i, r.Header))
+				w.c.Check(r.Close, qt.Equals, i == len(tt.methods)-1, qt.Commentf("request %d: %v", i, r.Header))
+			}
+			w.c.Assert(<-e.done, qt.IsNil)
+		})
+	}
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -28,6 +28,9 @@
 	period := grace.New(grace.Config{Began: began, Grace: g.bounds.Load().Grace, Drain: drainTime})
 	g.period.Store(&period)
 	g.leaving.Store(true)
+	for _, s := range servers {
+		s.Leave()
+	}
 	g.control.enqueue(context.Background(), leaveStarted{left})
 	g.log.Info(logs.MessageStopping)
 	ctx, cancel := context.WithDeadline(context.Background(), period.Exits)
@@ -53,6 +56,7 @@
 
 // shutdowner is a server of callers' connections.
 type shutdowner interface {
+	Leave()
 	Shutdown(ctx context.Context) error
 }
 
