gateway: an upload that isn't complete at the end of a stop gets a response

A caller that was still sending a request body at the end of an entry's grace period saw its connection close without a response, and couldn't tell that the request has not run: only the waits for targets and for memory ended when a stop gives requests up, the reading of a body went on until the connections were closed.

The reading ends now at the same time as the waits, and the caller gets 503 (leaving) with Retry-After: nothing of the request has been passed on.

Evidence: TestLateRequestInStop "upload that isn't complete at the end" failed before with "unexpected EOF" 2.72 s after the start of a stop with a grace period of 3 s.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"math"
 	"net/http"
@@ -156,6 +157,7 @@
 // readHeld reads the body up to the request's deadline.
 func (q *request) readHeld(ctl *http.ResponseController, l route.Limits) (body [][]byte, err error) {
 	_ = ctl.SetReadDeadline(q.deadline())
+	defer context.AfterFunc(q.gateway.serving, func() { _ = ctl.SetReadDeadline(longAgo) })()
 	conn, _ := q.w.(callers.Response)
 	wide := false
 	body, err = readBody(q.r, l, func(bytes int64) error {
@@ -209,6 +211,8 @@
 		q.refuseUnread(ctl, func() { q.refuse(reasonNoMemory, noMemory.RetryAfter) })
 	case errors.Is(err, guard.ErrWaitEnded) && !callerHungUp(q.r):
 		q.refuseUnread(ctl, func() { q.refuse(reasonNoMemory, noConfigRetry) })
+	case errors.Is(err, os.ErrDeadlineExceeded) && q.gateway.serving.Err() != nil:
+		q.refuseLeaving()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.refuseUnread(ctl, func() { q.respond(http.StatusRequestTimeout, reasonSlowBody) })
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,8 +60,10 @@
 	enrolled       atomic.Bool                  // this entry has a record in the store
 	restores       atomic.Uint64                // restores of the store from a copy since the start
 	started        time.Time
-	initialized    chan struct{} // closed once a view has everything needed to choose a target
-	giveUp         chan struct{} // closed when a stop gives up the unfinished requests
+	initialized    chan struct{}   // closed once a view has everything needed to choose a target
+	serving        context.Context // ends when a stop gives up the unfinished requests
+	endServing     context.CancelFunc
+	giveUp         <-chan struct{} // closed at the end of serving
 	bounds         atomic.Pointer[platform.Bounds]
 	view           atomic.Pointer[view]
 
@@ -98,7 +100,7 @@
 	i := newInstruments(s.Name)
 	room := guard.New(guard.Config{Memory: s.Memory, Files: s.MaxFiles, Cores: s.Cores, Scope: i.Scope, Log: cfg.Log})
 	g = &Gateway{
-		cfg: cfg, log: cfg.Log, started: time.Now(), initialized: make(chan struct{}), giveUp: make(chan struct{}), guard: room,
+		cfg: cfg, log: cfg.Log, started: time.Now(), initialized: make(chan struct{}), guard: room,
 		forward: forward.New(forward.Config{
 			EchoHeader: platform.HeaderRequestID, UnackedTimeout: targetAckTimeout, ConnectTimeout: targetConnectTimeout, IdleTimeout: targetIdleTimeout, MaxBufferedBytes: maxBufferedResponse,
 			Dial: cfg.DialTarget, IsRefusal: platform.NotRun, Buffers: room,
@@ -112,6 +114,8 @@
 		instruments: i,
 		freshness:   newFreshness(),
 	}
+	g.serving, g.endServing = context.WithCancel(context.Background())
+	g.giveUp = g.serving.Done()
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -35,7 +35,7 @@
 	g.log.Info(logs.MessageStopping)
 	ctx, cancel := context.WithDeadline(context.Background(), period.Exits)
 	defer cancel()
-	giveUp := time.AfterFunc(time.Until(period.Ends), func() { close(g.giveUp) })
+	giveUp := time.AfterFunc(time.Until(period.Ends), g.endServing)
 	defer giveUp.Stop()
 	go func() {
 		if !g.enrolled.Load() {
--- a/internal/gateway/stop_late_test.go
+++ b/internal/gateway/stop_late_test.go
@@ -59,6 +59,7 @@
 		{"upload", 3 * time.Second, 200 * time.Millisecond, uploadLate(1900 * time.Millisecond), 200},
 		{"upload, long work", 3 * time.Second, 900 * time.Millisecond, uploadLate(1900 * time.Millisecond), 503},
 		{"upload that is complete at the end", 3 * time.Second, 200 * time.Millisecond, uploadLate(2500 * time.Millisecond), 503},
+		{"upload that isn't complete at the end", 3 * time.Second, 10 * time.Millisecond, uploadLate(4 * time.Second), 503},
 		{"upload in a grace of 6 s, long work", 6 * time.Second, 1200 * time.Millisecond, uploadLate(4600 * time.Millisecond), 503},
 		{"grace of 2 s", 2 * time.Second, 1200 * time.Millisecond, sendLate(300 * time.Millisecond), 200},
 		{"grace of 1 s", time.Second, 300 * time.Millisecond, sendLate(450 * time.Millisecond), 200},
