forward: a full connection is closed when it is handed out

A request without an ID got 502, though its target had answered nothing wrong: it was on a connection that had carried the 1,024th request with an ID, and the connection was closed when that request's response was, by which time the transport may have given the connection to another.

Evidence: TestRequestOnFullConnection failed before with "failed at invalid: raw-read tcp 127.0.0.1:59562->127.0.0.1:33595: use of closed network connection". Health checks on such a connection were sent again by net/http on a new one.

A full connection is now closed by the next request with an ID that gets it, which has it to itself, and is sent on another one. Requests without an ID and health checks go on using it.

--- a/internal/forward/carried.go
+++ b/internal/forward/carried.go
@@ -39,7 +39,6 @@
 		return false
 	}
 	t.repeatedID = c.ids.add(t.id)
-	t.lastRequest = c.ids.full()
 	return !t.repeatedID
 }
 
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -37,8 +37,8 @@
 // not nil. Until the response is closed, cancelling ctx cancels the request at
 // the target.
 //
-// A connection that has carried the request's ID is closed before anything is written to it, and
-// the next one is tried. Each try closes one connection, so MaxConns of them leave none of the
+// A connection that has carried the request's ID, or is full, is closed before anything is written
+// to it, and the next one is tried. Each try closes one connection, so MaxConns of them leave none of the
 // old ones.
 func (f *Forwarder) Dispatch(ctx context.Context, p DispatchParams) (*Response, *Failure) {
 	started := time.Now()
@@ -201,11 +201,8 @@
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
-// release stops the timer and cancels the context. The last request of a connection closes it.
+// release stops the timer and cancels the context.
 func (d *dispatch) release(cause error) {
-	if d.trace.lastRequest {
-		d.trace.closeConn()
-	}
 	if d.timer != nil {
 		d.timer.Stop()
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -34,9 +34,9 @@
 // The ID tells this only while the connection has carried it once. A caller or a
 // gateway may send a request again, and a late copy of the first response, such as
 // a refusal, has the same ID. With Config.EchoHeader, a connection therefore
-// carries each ID once: it keeps hashes of the IDs, and is closed after
-// maxConnRequests of them. If the transport chooses a connection that has carried
-// the ID, it is closed with nothing written, no byte of a streamed body is read,
+// carries each ID once: it keeps hashes of the IDs, and carries no more than
+// maxConnRequests of them. If the transport chooses a connection that is full or has
+// carried the ID, it is closed with nothing written, no byte of a streamed body is read,
 // and the request is sent on another one. Without Config.EchoHeader, each dispatch
 // has an ID of its own.
 //
--- a/internal/forward/header_test.go
+++ b/internal/forward/header_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -185,6 +186,21 @@
 			}
 		}
 	})
+	b.Run("request ID", func(b *testing.B) {
+		b.ReportAllocs()
+		identified := newEchoForwarder(b, Config{})
+		echo := newRaw(b, func(p *targetConn) {
+			for r := p.request(); r != nil; r = p.request() {
+				p.write(responseWith("200 OK", r.Header.Get(idHeader), "ok"))
+			}
+		})
+		for i := 0; b.Loop(); i++ {
+			r.Header.Set(idHeader, strconv.Itoa(i))
+			if _, fail := identified.Dispatch(b.Context(), DispatchParams{Target: echo.addr(), Request: r, Timeout: waitLimit}); fail != nil {
+				b.Fatal(fail)
+			}
+		}
+	})
 	b.Run("transport", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
--- a/internal/forward/repeated_test.go
+++ b/internal/forward/repeated_test.go
@@ -345,6 +345,52 @@
 	}
 }
 
+// Guards against a request that is cut because an earlier response on its full connection is closed late.
+func TestRequestOnFullConnection(t *testing.T) {
+	c := qt.New(t)
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	target := newRaw(t, func(p *targetConn) {
+		for n, r := 1, p.request(); r != nil; n, r = n+1, p.request() {
+			id, body := r.Header.Get(idHeader), ""
+			if id == "" {
+				arrived <- struct{}{}
+				<-release
+			} else if n == maxConnRequests {
+				body = strings.Repeat("x", 1<<20)
+			}
+			p.write(responseWith("200 OK", id, body))
+		}
+	})
+	f := newEchoForwarder(t, Config{})
+	send := func(id string) (*Response, *Failure) {
+		p := post("veil")
+		p.Target = target.addr()
+		if id != "" {
+			p.Request.Header.Set(idHeader, id)
+		}
+		return f.Dispatch(context.Background(), p)
+	}
+	var last *Response
+	for i := range maxConnRequests {
+		resp, fail := send(fmt.Sprint("q-", i))
+		c.Assert(fail == nil, qt.IsTrue, qt.Commentf("%v", fail))
+		last = resp
+	}
+	_, err := io.Copy(io.Discard, last.Body)
+	c.Assert(err, qt.IsNil)
+	failure := make(chan *Failure)
+	go func() {
+		_, fail := send("")
+		failure <- fail
+	}()
+	<-arrived
+	last.Close()
+	close(release)
+	fail := <-failure
+	c.Assert(fail == nil, qt.IsTrue, qt.Commentf("%v", fail))
+	c.Assert(target.conns.Load(), qt.Equals, int64(1))
+}
+
 // Guards against a repeat that can't be sent and then counts as one that may have run, or whose body is lost.
 func TestRepeatWithoutAnotherConnection(t *testing.T) {
 	c := qt.New(t)
--- a/internal/forward/trace.go
+++ b/internal/forward/trace.go
@@ -21,7 +21,6 @@
 	body            *body
 	repeatedID      bool         // conn had carried the ID already
 	givenUp         bool         // conn was closed before anything of the request was written
-	lastRequest     bool         // conn carries no further request
 	connRequestedAt time.Time    // when a connection was requested
 	connectNanos    atomic.Int64 // time until it was obtained, in ns
 	// onConnected is called when a connection is obtained, before anything is written to it.
