--- a/internal/forward/carried.go
+++ b/internal/forward/carried.go
@@ -30,7 +30,7 @@
 // full reports whether the connection must carry no further request with an ID.
 func (c carriedIDs) full() bool { return len(c) >= maxConnRequests }
 
-// carry prepares a connection for the request, and reports whether it may be written there.
+// carry notes the request's ID on a connection, and reports whether it may be written there.
 func (t *transportTrace) carry(c *conn) bool {
 	if t.id == "" {
 		return true
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -37,9 +37,9 @@
 // not nil. Until the response is closed, cancelling ctx cancels the request at
 // the target.
 //
-// A connection that has carried the request's ID, or is full, is closed before anything is written
-// to it, and the next one is tried. Each try closes one connection, so MaxConns of them leave none of the
-// old ones.
+// A connection that has carried the request's ID, or is full, is closed before
+// anything is written to it, and another one is tried. Each try closes one, so
+// after MaxConns of them none of the old ones is left.
 func (f *Forwarder) Dispatch(ctx context.Context, p DispatchParams) (*Response, *Failure) {
 	started := time.Now()
 	for tries, repeatedIDs := 0, 0; ; tries++ {
--- a/internal/gateway/repeated_test.go
+++ b/internal/gateway/repeated_test.go
@@ -164,7 +164,7 @@
 				w.retryShare = 1
 				e := w.startEntry("a")
 				served := 0
-				for round := range 15 {
+				for round := range 8 {
 					replaceRecords(w, k, round)
 					w.waitFor("the records", func() bool { return e.hasTarget(k.records[2]) && e.targetCount("gowns") == len(k.records) })
 					e.call(http.MethodGet, "/a/earn", "") // opens a connection, and earns a repeat
