--- a/internal/entry/probe_test.go
+++ b/internal/entry/probe_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"plumpitch.example/plumpitch/internal/standin/endless"
 )
 
 // Guards against a target that counts as healthy by a probe response without end.
@@ -33,3 +36,27 @@
 		c.Assert(ctx.Err(), qt.IsNil)
 	}
 }
+
+// Guards against targets whose probe responses without end fill the memory of an entry.
+func TestManyProbeResponsesWithoutEnd(t *testing.T) {
+	const calls, timeout, maxHeap, maxRead = 50, time.Second, 50 * endless.HeadHeap, 50 << 20
+	for _, tt := range endless.Cases("") {
+		t.Run(tt.Name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newProber()
+			r, err := endless.Call(tt, calls, func(address string) error {
+				ctx, cancel := context.WithTimeout(t.Context(), timeout)
+				defer cancel()
+				if _, ok := p.send(ctx, "http://"+address); !ok {
+					return errors.New("probe failed")
+				}
+				return nil
+			})
+			c.Assert(err, qt.IsNil)
+			c.Assert(r.Complete, qt.Equals, 0)
+			c.Assert(r.Heap < maxHeap, qt.IsTrue, qt.Commentf("%d KB", r.Heap>>10))
+			c.Assert(r.Longest < 2*timeout, qt.IsTrue, qt.Commentf("%v", r.Longest))
+			c.Assert(r.Sent < maxRead, qt.IsTrue, qt.Commentf("%d KB", r.Sent>>10))
+		})
+	}
+}
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"plumpitch.example/plumpitch/internal/standin/endless"
 )
 
 // endlessPeer sends a head and then blocks of the text until its caller closes.
@@ -94,3 +96,25 @@
 		c.Assert(body.read.Load() < maxEndlessBytes, qt.IsTrue, qt.Commentf("%d bytes", body.read.Load()))
 	}
 }
+
+// Guards against peers whose responses without end, to many calls at a time, fill the memory of an entry.
+func TestManyPeerResponsesWithoutEnd(t *testing.T) {
+	const calls, maxHeap, maxRead = 8, 8 * 5 * (8 << 20), 8 * (10 << 20)
+	for _, tt := range endless.Cases("Content-Type: application/protobuf\r\n") {
+		t.Run(tt.Name, func(t *testing.T) {
+			c := qt.New(t)
+			relay := startRelay(t, fixedSource{}, ignorePacket)
+			r, err := endless.Call(tt, calls, func(address string) error {
+				ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+				defer cancel()
+				_, err := relay.Pull(ctx, address, PullQuery{})
+				return err
+			})
+			c.Assert(err, qt.IsNil)
+			c.Assert(r.Complete, qt.Equals, 0)
+			c.Assert(r.Heap < maxHeap, qt.IsTrue, qt.Commentf("%d KB", r.Heap>>10))
+			c.Assert(r.Longest < 3*callTimeout, qt.IsTrue, qt.Commentf("%v", r.Longest))
+			c.Assert(tt.Slow || r.Sent < maxRead, qt.IsTrue, qt.Commentf("%d KB", r.Sent>>10))
+		})
+	}
+}
--- a/internal/store/endless_test.go
+++ b/internal/store/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/time/rate"
 
+	"plumpitch.example/plumpitch/internal/standin/endless"
 	"plumpitch.example/plumpitch/internal/store"
 )
 
@@ -68,3 +70,39 @@
 		})
 	}
 }
+
+// Guards against a store whose bytes without end, to many calls at a time, fill the memory of an entry.
+func TestManyStoreResponsesWithoutEnd(t *testing.T) {
+	const (
+		calls   = 8
+		timeout = 2 * time.Second
+		// A response is held in parts that are joined in the end, and they aren't collected at once.
+		maxHeap = calls * 5 * (16 << 20)
+		maxRead = calls * maxEndlessBytes
+	)
+	for _, tt := range endless.Cases("") {
+		for _, watch := range []bool{false, true} {
+			t.Run(fmt.Sprint(tt.Name, watch), func(t *testing.T) {
+				c := qt.New(t)
+				r, err := endless.Call(tt, calls, func(address string) error {
+					s := store.New(store.Config{
+						Addr: address, Reads: rate.NewLimiter(rate.Inf, 1), Writes: rate.NewLimiter(rate.Inf, 1),
+						Backoff: store.Backoff{Base: time.Minute, Cap: time.Minute}, Timeout: timeout,
+					})
+					ctx, cancel := context.WithTimeout(t.Context(), timeout)
+					defer cancel()
+					if watch {
+						return s.Watch(ctx, "k", 0, func(store.Change) {})
+					}
+					_, err := s.Put(ctx, "k", "n", 0, nil)
+					return err
+				})
+				c.Assert(err, qt.IsNil)
+				c.Assert(r.Complete, qt.Equals, 0)
+				c.Assert(r.Heap < maxHeap, qt.IsTrue, qt.Commentf("%d KB", r.Heap>>10))
+				c.Assert(r.Longest < 2*timeout, qt.IsTrue, qt.Commentf("%v", r.Longest))
+				c.Assert(tt.Slow || r.Sent < maxRead, qt.IsTrue, qt.Commentf("%d KB", r.Sent>>10))
+			})
+		}
+	}
+}
