load: heads of responses are bounded

The load test's client took heads of up to 10 MB, net/http's default, on up to 2,048 connections. Its heads are now bounded by 64 KiB, as those of all other clients of the data path are.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -86,8 +86,11 @@
 	return r.report, nil
 }
 
-// maxResponseBytes limits each response.
-const maxResponseBytes = 64 << 20
+// Limits of each response, in bytes: the body and the head.
+const (
+	maxResponseBytes = 64 << 20
+	maxHeaderBytes   = 64 << 10
+)
 
 func newClient() *http.Client {
 	dialer := &net.Dialer{Timeout: 2 * time.Second}
@@ -95,6 +98,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxInFlight,
 		MaxConnsPerHost:     maxInFlight,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
