--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -87,8 +87,11 @@
 	return r.report, nil
 }
 
-// maxResponseBytes limits each response.
-const maxResponseBytes = 64 << 20
+// Limits of each response, in bytes: the body and the head.
+const (
+	maxResponseBytes = 64 << 20
+	maxHeaderBytes   = 64 << 10
+)
 
 // connectTimeout is the timeout of a TCP connection.
 const connectTimeout = 2 * time.Second
@@ -99,6 +102,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxInFlight,
 		MaxConnsPerHost:     maxInFlight,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
 }
 
