gateway: the wait for a token ends with the grace period of a stop

A caller of a limited account saw its connection close without a response to a request that the entry had read whole, if it waited for a token at the end of the grace period, for example while the account's issuer was silent: this wait alone didn't end when a stop gives requests up.

It ends now as the others do, with 503 (leaving); a token that comes at the same moment is given back.

--- a/internal/gateway/quotarequest.go
+++ b/internal/gateway/quotarequest.go
@@ -31,6 +31,10 @@
 	case <-q.r.Context().Done():
 		t.abandon(time.Now(), q.account.Name, id, decision)
 		panic(http.ErrAbortHandler)
+	case <-q.gateway.giveUp:
+		t.abandon(time.Now(), q.account.Name, id, decision)
+		q.refuseLeaving()
+		return false
 	case <-expiry.C:
 		t.abandon(time.Now(), q.account.Name, id, decision)
 		q.respond(http.StatusGatewayTimeout, reasonNoQuota)
--- a/internal/gateway/stop_late_test.go
+++ b/internal/gateway/stop_late_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"plumpitch.example/plumpitch/internal/standin/objects"
 	"plumpitch.example/plumpitch/internal/standin/worker"
 )
 
@@ -24,7 +25,7 @@
 	want int
 }
 
-const lateHead = "POST /a/late HTTP/1.1\r\nHost: veil.example\r\nPlumpitch-Request-Id: late\r\nPlumpitch-Request-Deadline: 9000\r\n"
+const lateHead = "POST /a/late HTTP/1.1\r\nHost: veil.example\r\nAuthorization: Bearer k1\r\nPlumpitch-Request-Id: late\r\nPlumpitch-Request-Deadline: 9000\r\n"
 
 // sendLate writes a small request some time after the start of the stop.
 func sendLate(after time.Duration) func(*rawCaller, time.Time) {
@@ -138,3 +139,32 @@
 		})
 	}
 }
+
+// A request asks for a token at the end of the grace period of a stop, and the issuer is silent. Guards
+// against one that has been read whole and gets no response.
+func TestTokenWaitInStop(t *testing.T) {
+	w := newWorld(t, worldConfig{targets: 1})
+	w.configureAccounts(objects.Account{Name: "busy", Keys: []string{"k1"}, Rate: 100, Burst: 100})
+	entries := startQuotaEntries(w, 2)
+	issuer, others := issuerOf(w, entries, "busy")
+	e := others[0]
+	c := dialCaller(w, e)
+	for i := range 4 {
+		c.writeGet("/a/x", fmt.Sprint("earlier-", i), "k1")
+		w.c.Assert(c.read().StatusCode, qt.Equals, http.StatusOK)
+	}
+	began := time.Now()
+	e.stop()
+	time.Sleep(time.Until(began.Add(time.Second)))
+	c.write(lateHead + "Content-Length: 4\r\n\r\n")
+	time.Sleep(time.Until(began.Add(2500 * time.Millisecond)))
+	issuer.relay.Close()
+	time.Sleep(time.Until(began.Add(2580 * time.Millisecond)))
+	c.write("body")
+	r, err := http.ReadResponse(c.reader, nil)
+	w.c.Assert(err, qt.IsNil, qt.Commentf("after %v", time.Since(began)))
+	w.c.Check(r.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	w.c.Check(r.Header.Get("Plumpitch-Reason"), qt.Equals, reasonLeaving)
+	w.c.Check(w.runs("late"), qt.Equals, 0)
+	w.c.Assert(<-e.done, qt.IsNil)
+}
