callers, gateway: refusals and cut requests of a stop are counted

Nothing told operators which requests a stop had cut off: the log had one line that the shutdown deadline passed "with requests unfinished".

Server.Shutdown reports each request whose response isn't complete when its connection is closed, except those whose caller has gone or has the whole response already.

Evidence: TestShutdownReportsCutRequests.

--- a/internal/callers/response.go
+++ b/internal/callers/response.go
@@ -36,6 +36,7 @@
 	unread     bool  // the handler hasn't read the body to its end
 
 	bodyRead, finished, dead bool // guarded by conn.mu; dead: may not be sent
+	answered                 bool // the response has been sent, though its handler goes on; guarded by conn.mu
 
 	header     http.Header
 	snapshot   http.Header // header at WriteHeader, if the handler has used it since
@@ -350,6 +351,11 @@
 	if q.err == nil {
 		q.err = q.bw.Flush()
 	}
+	if q.err == nil && q.length >= 0 && q.written >= q.length {
+		q.conn.mu.Lock()
+		defer q.conn.mu.Unlock()
+		q.answered = true
+	}
 	return q.err
 }
 
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -43,6 +43,10 @@
 	Pipelines       func() bool
 	MaxWaitingBytes int // bytes of responses of one connection that wait for earlier ones
 
+	// OnCut is called for each request whose response isn't complete when Shutdown closes its
+	// connection. It must not block; nil does nothing.
+	OnCut func(*http.Request)
+
 	Guard Guard         // nil admits everything
 	Log   log.Interface // nil means log.Log
 }
@@ -197,6 +201,20 @@
 	}
 }
 
+// noteCut reports the requests of a connection whose caller is still there.
+func (s *Server) noteCut(c *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.cfg.OnCut == nil || c.gone {
+		return
+	}
+	for _, q := range c.active {
+		if q.req != nil && !q.answered {
+			s.cfg.OnCut(q.req)
+		}
+	}
+}
+
 // Leave makes connections end with the response to a request that begins from now on, unless further
 // requests have arrived.
 func (s *Server) Leave() { s.leaving.Store(true) }
@@ -228,6 +246,7 @@
 	defer s.mu.Unlock()
 	s.closed = true
 	for c := range s.conns {
+		s.noteCut(c)
 		c.fail()
 	}
 	return ctx.Err()
--- a/internal/callers/stop_test.go
+++ b/internal/callers/stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -86,3 +88,44 @@
 		})
 	}
 }
+
+// Guards against requests that a shutdown cuts off without a record, and against a record of those
+// that have their response, or whose caller has gone.
+func TestShutdownReportsCutRequests(t *testing.T) {
+	var mu sync.Mutex
+	var cut []string
+	answered := make(chan struct{})
+	cfg := testConfig()
+	var w *world
+	cfg.Handler = http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/answered" {
+			rw.Header().Set("Content-Length", "0")
+			rw.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(rw).Flush()
+			close(answered)
+			<-r.Context().Done()
+			return
+		}
+		w.serve(rw, r)
+	})
+	cfg.OnCut = func(r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		cut = append(cut, r.URL.Path)
+	}
+	w = newWorld(t, cfg)
+	dial(t, w.addr).get("/a", "/b")
+	dial(t, w.addr).get("/answered")
+	gone := dial(t, w.addr)
+	gone.get("/gone")
+	w.await(&w.started, 3)
+	<-answered
+	gone.Close()
+	time.Sleep(10 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	qt.Assert(t, w.server.Shutdown(ctx), qt.Equals, context.DeadlineExceeded)
+	mu.Lock()
+	defer mu.Unlock()
+	qt.Assert(t, cut, qt.DeepEquals, []string{"/a", "/b"})
+}
--- a/internal/gateway/instruments.go
+++ b/internal/gateway/instruments.go
@@ -35,7 +35,9 @@
 	memoryHeld       tally.Gauge // bytes of bodies and buffered responses
 	bodiesWaiting    tally.Gauge // bodies that wait for room
 	targets          tally.Gauge
-	evacuatedDomains tally.Gauge // evacuated failure domains
+	evacuatedDomains tally.Gauge   // evacuated failure domains
+	stopRefusals     tally.Counter // requests, retries and hedges that came too late in a stop
+	stopCuts         tally.Counter // requests without a complete response at the end of a stop
 }
 
 func newInstruments(entry string) instruments {
@@ -47,6 +49,7 @@
 		trafficShare: m.Scope.Gauge("traffic_part"), targets: m.Scope.Gauge("targets"),
 		evacuatedDomains: m.Scope.Gauge("evacuated_places"), tokenAsks: m.Scope.Counter("quota_asks"), accounts: newAccountCounters(m.Scope),
 	}
+	i.stopRefusals, i.stopCuts = m.Scope.Counter("stop_refusals"), m.Scope.Counter("stop_cuts")
 	i.memoryLimit, i.memoryHeld, i.bodiesWaiting = m.Scope.Gauge("memory_limit_bytes"), m.Scope.Gauge("memory_held_bytes"), m.Scope.Gauge("bodies_waiting")
 	i.bucketTransfers = func(result string) tally.Counter {
 		return m.Scope.Tagged(map[string]string{"result": result}).Counter("quota_transfers")
--- a/internal/gateway/late.go
+++ b/internal/gateway/late.go
@@ -5,8 +5,10 @@
 	"sync"
 	"time"
 
+	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/call"
 	"plumpitch.example/plumpitch/pkg/grace"
+	"plumpitch.example/plumpitch/platform"
 )
 
 // leavingRetry is the Retry-After value of requests that come too late in a stop. Other entries serve
@@ -62,8 +64,15 @@
 	return true
 }
 
+// noteCut records a request without a complete response at the end of a stop.
+func (g *Gateway) noteCut(r *http.Request) {
+	g.instruments.stopCuts.Inc(1)
+	g.log.WithField(logs.FieldRequest, platform.RequestID(r.Header)).Warn("request has no complete response at the end of the stop")
+}
+
 // refuseLeaving refuses a request because this entry stops.
 func (q *request) refuseLeaving() {
+	q.gateway.instruments.stopRefusals.Inc(1)
 	q.countAccount(resultOverload)
 	refuse := func() { q.refuse(reasonLeaving, leavingRetry) }
 	if q.r.ContentLength == 0 || q.body != nil {
@@ -75,6 +84,7 @@
 
 // declineLeaving ends the wait for a target because this entry stops.
 func (q *request) declineLeaving(now time.Time) call.Actions {
+	q.gateway.instruments.stopRefusals.Inc(1)
 	q.service.cancel(now, q.pendingID)
 	q.pendingID = 0
 	return q.call.Decline(now, call.Decline{Reason: reasonLeaving, RetryAfter: leavingRetry})
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -22,7 +22,7 @@
 	return callers.New(callers.Config{
 		Handler: http.HandlerFunc(g.serve), Concurrent: g.concurrent, Pipelines: g.pipelines, ConnContext: withCallerConn,
 		HeaderTimeout: g.headerTimeout, ReadTimeout: callerTimeout, IdleTimeout: g.idleTimeout, MaxHeaderBytes: g.maxHeaderBytes,
-		MaxRequests: maxPipelined, MaxWaitingBytes: maxPipelinedBytes, Guard: g.guard.At(admission.Traffic), Log: g.log,
+		MaxRequests: maxPipelined, MaxWaitingBytes: maxPipelinedBytes, Guard: g.guard.At(admission.Traffic), Log: g.log, OnCut: g.noteCut,
 	})
 }
 
