callers: connections that are never idle end with a shutdown

A caller that always has several requests on a connection kept it until the end of the grace period, though the port was closed long before: a shutdown ended only connections without an unread byte. Its last requests were refused or cut off by the end of the process.

What has been read already, also behind others in the buffer, is served, and the last response says that the connection ends; a head of which a part only has been read was not passed on and is dropped.

--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -31,6 +31,8 @@
 	limited bool   // a head is being read
 	inLine  bool   // of it, the request line
 	chunked bool   // a body in chunks follows the head
+	stopped bool   // no further bytes of heads are read from the connection
+	partial bool   // a head was not read to its end because of that
 	remain  int
 	limit   int // of the header lines
 	total   int // bytes read
@@ -40,6 +42,9 @@
 // read, and an idle connection holds little memory.
 const startSize = 512
 
+// errStopped ends the reading of a head that may not be completed.
+var errStopped = errors.New("the server is shutting down")
+
 // Read reads from the connection. The requests are cancelled if the caller has closed it.
 func (i *input) Read(p []byte) (n int, err error) {
 	if i.limited && len(p) > i.remain {
@@ -51,6 +56,9 @@
 	case len(i.ahead) > 0:
 		n = copy(p, i.ahead)
 		i.ahead = i.ahead[n:]
+	case i.limited && i.stopped:
+		i.partial = true
+		return 0, errStopped
 	default:
 		n, err = i.conn.rwc.Read(p)
 	}
@@ -125,6 +133,8 @@
 		return nil, errNoMemory
 	case c.in.remain <= 0:
 		return nil, &statusError{status: http.StatusRequestHeaderFieldsTooLarge}
+	case c.in.partial: // some errors would say that the head is malformed
+		return nil, errStopped
 	case errors.Is(err, io.EOF) || errors.As(err, new(*net.OpError)):
 		return nil, err
 	// The type of these errors isn't exported.
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -61,6 +61,7 @@
 	writeTimeout time.Duration
 	leaving      atomic.Bool // set by Leave
 	down         atomic.Bool // Shutdown has begun
+	downAt       time.Time   // when it began; read once down is set
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -219,12 +220,20 @@
 // requests have arrived.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
+// readsNoMore reports whether Shutdown has begun so long ago that no further requests are read.
+func (s *Server) readsNoMore(now time.Time) bool {
+	return s.down.Load() && now.Sub(s.downAt) > lastRequestWait
+}
+
 // Shutdown closes the listeners of Serve and idle connections, lets the requests under way
 // and those that have just arrived finish, and waits for the connections to end. If ctx ends
 // first, it closes the others and returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
-	s.down.Store(true)
+	if !s.down.Load() {
+		s.downAt = time.Now()
+		s.down.Store(true)
+	}
 	for l := range s.listeners {
 		l.Close()
 	}
--- a/internal/callers/stop_test.go
+++ b/internal/callers/stop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,3 +130,53 @@
 	defer mu.Unlock()
 	qt.Assert(t, cut, qt.DeepEquals, []string{"/a", "/b"})
 }
+
+// A caller always has several requests under way while the server shuts down. Guards against a
+// connection that goes on until the shutdown gives up, and against a request that begins and gets no
+// response.
+func TestShutdownEndsPipelines(t *testing.T) {
+	for _, part := range []int{3, 7, 19} {
+		checkShutdownEndsPipelines(t, part)
+	}
+}
+
+// checkShutdownEndsPipelines sends requests in parts of this many bytes.
+func checkShutdownEndsPipelines(t *testing.T, part int) {
+	const work, gap = 40 * time.Millisecond, 2 * time.Millisecond
+	var began atomic.Int64
+	cfg := testConfig()
+	cfg.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		began.Add(1)
+		time.Sleep(work)
+	})
+	w := newWorld(t, cfg)
+	c := dial(t, w.addr)
+	go func() { // until the connection ends; parts of requests are on the way all the time
+		const requests = "GET /a HTTP/1.1\r\nHost: h\r\nX-Field: value\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+		for err := error(nil); err == nil; {
+			for i := 0; i < len(requests) && err == nil; i += part {
+				time.Sleep(gap)
+				_, err = io.WriteString(c, requests[i:min(i+part, len(requests))])
+			}
+		}
+	}()
+	done := make(chan error, 1)
+	var downAt time.Time
+	time.AfterFunc(2*work, func() {
+		downAt = time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		done <- w.server.Shutdown(ctx)
+	})
+	answered := int64(0)
+	for closed := false; !closed; answered++ {
+		r, err := c.read(http.MethodGet)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.StatusCode, qt.Equals, http.StatusOK)
+		closed = r.Close
+	}
+	c.Close()
+	qt.Assert(t, <-done, qt.IsNil)
+	qt.Assert(t, time.Since(downAt) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(downAt)))
+	qt.Assert(t, began.Load(), qt.Equals, answered)
+}
--- a/internal/callers/wait.go
+++ b/internal/callers/wait.go
@@ -68,6 +68,10 @@
 func (c *conn) awaitByte() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.active) > 0 && c.server.readsNoMore(time.Now()) {
+		c.in.stopped, c.linger = true, true // the caller may send requests all the time
+		c.closing = c.closing || !c.hasUnread()
+	}
 	if c.closing || c.hasUnread() {
 		c.arrives = !c.closing
 		return !c.closing
