--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -43,6 +43,10 @@
 	Pipelines       func() bool
 	MaxWaitingBytes int // bytes of responses of one connection that wait for earlier ones
 
+	// OnCut is called for each request whose response isn't complete when Shutdown closes its
+	// connection. It must not block; nil does nothing.
+	OnCut func(*http.Request)
+
 	Guard Guard         // nil admits everything
 	Log   log.Interface // nil means log.Log
 }
@@ -57,6 +61,7 @@
 	writeTimeout time.Duration
 	leaving      atomic.Bool // set by Leave
 	down         atomic.Bool // Shutdown has begun
+	downAt       time.Time   // when it began; read once down is set
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -197,16 +202,38 @@
 	}
 }
 
+// noteCut reports the requests of a connection whose caller is still there.
+func (s *Server) noteCut(c *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.cfg.OnCut == nil || c.gone {
+		return
+	}
+	for _, q := range c.active {
+		if q.req != nil && !q.answered {
+			s.cfg.OnCut(q.req)
+		}
+	}
+}
+
 // Leave makes connections end with the response to a request that begins from now on, unless further
 // requests have arrived.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
+// readsNoMore reports whether Shutdown has begun so long ago that no further requests are read.
+func (s *Server) readsNoMore(now time.Time) bool {
+	return s.down.Load() && now.Sub(s.downAt) > lastRequestWait
+}
+
 // Shutdown closes the listeners of Serve and idle connections, lets the requests under way
 // and those that have just arrived finish, and waits for the connections to end. If ctx ends
 // first, it closes the others and returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
-	s.down.Store(true)
+	if !s.down.Load() {
+		s.downAt = time.Now()
+		s.down.Store(true)
+	}
 	for l := range s.listeners {
 		l.Close()
 	}
@@ -228,6 +255,7 @@
 	defer s.mu.Unlock()
 	s.closed = true
 	for c := range s.conns {
+		s.noteCut(c)
 		c.fail()
 	}
 	return ctx.Err()
--- a/internal/callers/stop_test.go
+++ b/internal/callers/stop_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,3 +89,94 @@
 		})
 	}
 }
+
+// Guards against requests that a shutdown cuts off without a record, and against a record of those
+// that have their response, or whose caller has gone.
+func TestShutdownReportsCutRequests(t *testing.T) {
+	var mu sync.Mutex
+	var cut []string
+	answered := make(chan struct{})
+	cfg := testConfig()
+	var w *world
+	cfg.Handler = http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/answered" {
+			rw.Header().Set("Content-Length", "0")
+			rw.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(rw).Flush()
+			close(answered)
+			<-r.Context().Done()
+			return
+		}
+		w.serve(rw, r)
+	})
+	cfg.OnCut = func(r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		cut = append(cut, r.URL.Path)
+	}
+	w = newWorld(t, cfg)
+	dial(t, w.addr).get("/a", "/b")
+	dial(t, w.addr).get("/answered")
+	gone := dial(t, w.addr)
+	gone.get("/gone")
+	w.await(&w.started, 3)
+	<-answered
+	gone.Close()
+	time.Sleep(10 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	qt.Assert(t, w.server.Shutdown(ctx), qt.Equals, context.DeadlineExceeded)
+	mu.Lock()
+	defer mu.Unlock()
+	qt.Assert(t, cut, qt.DeepEquals, []string{"/a", "/b"})
+}
+
+// A caller always has several requests under way while the server shuts down. Guards against a
+// connection that goes on until the shutdown gives up, and against a request that begins and gets no
+// response.
+func TestShutdownEndsPipelines(t *testing.T) {
+	for _, part := range []int{3, 7, 19} {
+		checkShutdownEndsPipelines(t, part)
+	}
+}
+
+// checkShutdownEndsPipelines sends requests in parts of this many bytes.
+func checkShutdownEndsPipelines(t *testing.T, part int) {
+	const work, gap = 40 * time.Millisecond, 2 * time.Millisecond
+	var began atomic.Int64
+	cfg := testConfig()
+	cfg.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		began.Add(1)
+		time.Sleep(work)
+	})
+	w := newWorld(t, cfg)
+	c := dial(t, w.addr)
+	go func() { // until the connection ends; parts of requests are on the way all the time
+		const requests = "GET /a HTTP/1.1\r\nHost: h\r\nX-Field: value\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+		for err := error(nil); err == nil; {
+			for i := 0; i < len(requests) && err == nil; i += part {
+				time.Sleep(gap)
+				_, err = io.WriteString(c, requests[i:min(i+part, len(requests))])
+			}
+		}
+	}()
+	done := make(chan error, 1)
+	var downAt time.Time
+	time.AfterFunc(2*work, func() {
+		downAt = time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		done <- w.server.Shutdown(ctx)
+	})
+	answered := int64(0)
+	for closed := false; !closed; answered++ {
+		r, err := c.read(http.MethodGet)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.StatusCode, qt.Equals, http.StatusOK)
+		closed = r.Close
+	}
+	c.Close()
+	qt.Assert(t, <-done, qt.IsNil)
+	qt.Assert(t, time.Since(downAt) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(downAt)))
+	qt.Assert(t, began.Load(), qt.Equals, answered)
+}
