--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
@@ -36,14 +37,44 @@
 // Dispatch sends the request to its target once. Exactly one of the results is
 // not nil. Until the response is closed, cancelling ctx cancels the request at
 // the target.
+//
+// A connection that has carried the request's ID is closed before anything is written to it, and
+// the next one is tried. Each try closes one connection, so MaxConns of them leave none of the
+// old ones.
 func (f *Forwarder) Dispatch(ctx context.Context, p DispatchParams) (*Response, *Failure) {
-	d := &dispatch{params: &p, parent: ctx, started: time.Now(), stallTimeout: f.cfg.StallTimeout, echoHeader: f.cfg.EchoHeader}
+	started := time.Now()
+	for tries, repeatedIDs := 0, 0; ; tries++ {
+		d := f.newDispatch(ctx, &p, started)
+		r, fail := d.send(f)
+		if d.trace.repeatedID {
+			repeatedIDs++
+		}
+		switch {
+		case r != nil:
+			r.RepeatedIDs = repeatedIDs
+			return r, nil
+		case !d.trace.givenUp || tries >= f.cfg.MaxConns:
+			fail.RepeatedIDs = repeatedIDs
+			return nil, fail
+		}
+	}
+}
+
+// newDispatch returns a dispatch on one connection, for a Dispatch call that started earlier.
+func (f *Forwarder) newDispatch(ctx context.Context, p *DispatchParams, started time.Time) *dispatch {
+	d := &dispatch{params: p, parent: ctx, started: started, stallTimeout: f.cfg.StallTimeout, echoHeader: f.cfg.EchoHeader}
 	d.id = strconv.FormatUint(f.lastID.Add(1), 36)
 	d.ctx, d.cancel = context.WithCancelCause(ctx)
-	d.trace.cancel = d.cancel
+	d.trace.cancel, d.trace.body = d.cancel, &d.body
+	d.trace.interim.Left = f.cfg.MaxHeaderBytes
 	if p.Timeout > 0 {
-		d.timer = time.AfterFunc(p.Timeout, func() { d.cancel(errTimeout) })
+		d.timer = time.AfterFunc(p.Timeout-time.Since(started), func() { d.cancel(errTimeout) })
 	}
+	return d
+}
+
+// send sends the request and reads the head of the response.
+func (d *dispatch) send(f *Forwarder) (*Response, *Failure) {
 	req, err := d.newRequest(d.trace.attach(d.ctx))
 	if err != nil {
 		return nil, d.fail(nil, err)
@@ -61,7 +92,7 @@
 	return r, nil
 }
 
-// dispatch is the state of one Dispatch call until its response is closed.
+// dispatch is the state of a request on one connection until its response is closed.
 type dispatch struct {
 	params       *DispatchParams
 	parent       context.Context
@@ -109,10 +140,13 @@
 // fail ends the dispatch and returns its failure, with the stage at which it occurred.
 // resp is nil if no response head was received.
 func (d *dispatch) fail(resp *http.Response, err error) *Failure {
-	if d.trace.stale.Load() {
+	switch {
+	case d.trace.givenUp:
+		resp, err = nil, errGivenUp
+	case d.trace.stale.Load():
 		resp, err = nil, errStaleConnection
 	}
-	if err == errMixedHeads || errors.As(err, new(*StrayError)) {
+	if errors.As(err, new(*reply.Error)) || errors.As(err, new(*StrayError)) {
 		resp = nil
 	}
 	f := &Failure{Target: d.params.Target, Cause: err}
@@ -147,7 +181,7 @@
 		return connectStage(err)
 	case d.trace.execution() == call.DidNotRun:
 		return call.StageUnsent
-	case !d.trace.broken() || err == errUnframed:
+	case !d.trace.broken() || err == errUnframed || errors.As(err, new(*reply.Error)):
 		return call.StageInvalid
 	case status != 0:
 		return call.StageCut
@@ -169,8 +203,11 @@
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
-// release stops the timer and cancels the context.
+// release stops the timer and cancels the context. The last request of a connection closes it.
 func (d *dispatch) release(cause error) {
+	if d.trace.lastRequest {
+		d.trace.closeConn()
+	}
 	if d.timer != nil {
 		d.timer.Stop()
 	}
--- a/internal/forward/trace.go
+++ b/internal/forward/trace.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"plumpitch.example/plumpitch/internal/reply"
 	"plumpitch.example/plumpitch/pkg/call"
 )
 
@@ -15,12 +16,18 @@
 	cancel          context.CancelCauseFunc
 	connRequests    atomic.Int32 // calls of getConn
 	conn            atomic.Pointer[conn]
-	writtenBefore   int64        // bytes written to conn before this request
-	stale           atomic.Bool  // the response belongs to an earlier request
+	writtenBefore   int64       // bytes written to conn before this request
+	stale           atomic.Bool // the response belongs to an earlier request
+	id              string      // ID that no connection may carry twice; empty if there is none
+	body            *body
+	repeatedID      bool         // conn had carried the ID already
+	givenUp         bool         // conn was closed before anything of the request was written
+	lastRequest     bool         // conn carries no further request
 	connRequestedAt time.Time    // when a connection was requested
 	connectNanos    atomic.Int64 // time until it was obtained, in ns
 	// onConnected is called when a connection is obtained, before anything is written to it.
 	onConnected func()
+	interim     reply.Interim
 }
 
 // attach returns a context with the trace hooks.
@@ -28,6 +35,7 @@
 	t.hooks.GetConn = t.getConn
 	t.hooks.GotConn = t.gotConn
 	t.hooks.GotFirstResponseByte = t.firstByte
+	t.hooks.Got1xxResponse = t.interim.Check
 	return httptrace.WithClientTrace(ctx, &t.hooks)
 }
 
@@ -49,7 +57,11 @@
 	}
 	t.connectNanos.Store(int64(time.Since(t.connRequestedAt)))
 	t.writtenBefore = c.beginRequest()
-	t.onConnected()
+	if t.carry(c) {
+		t.onConnected()
+	} else {
+		t.giveUp(c)
+	}
 	t.conn.Store(c)
 }
 
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"math"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"plumpitch.example/plumpitch/internal/callers"
+	"plumpitch.example/plumpitch/internal/field"
 	"plumpitch.example/plumpitch/internal/guard"
 	"plumpitch.example/plumpitch/internal/logs"
 	"plumpitch.example/plumpitch/pkg/memory"
@@ -35,7 +37,7 @@
 // doesn't send them, so each target that the request is dispatched to would seem to fail.
 func checkTrailer(trailer http.Header) error {
 	for name := range trailer {
-		if strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, c) }) {
+		if !field.IsName(name) {
 			return errMalformedTrailer
 		}
 	}
@@ -156,6 +158,7 @@
 // readHeld reads the body up to the request's deadline.
 func (q *request) readHeld(ctl *http.ResponseController, l route.Limits) (body [][]byte, err error) {
 	_ = ctl.SetReadDeadline(q.deadline())
+	defer context.AfterFunc(q.gateway.serving, func() { _ = ctl.SetReadDeadline(longAgo) })()
 	conn, _ := q.w.(callers.Response)
 	wide := false
 	body, err = readBody(q.r, l, func(bytes int64) error {
@@ -209,6 +212,8 @@
 		q.refuseUnread(ctl, func() { q.refuse(reasonNoMemory, noMemory.RetryAfter) })
 	case errors.Is(err, guard.ErrWaitEnded) && !callerHungUp(q.r):
 		q.refuseUnread(ctl, func() { q.refuse(reasonNoMemory, noConfigRetry) })
+	case errors.Is(err, os.ErrDeadlineExceeded) && q.gateway.serving.Err() != nil:
+		q.refuseLeaving()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.refuseUnread(ctl, func() { q.respond(http.StatusRequestTimeout, reasonSlowBody) })
 	default:
