call: a dispatch of which nothing was sent doesn't use up the attempts

On a route with attempts = 1, each request for which a target without a listener was chosen was refused with 503, reason connect, though other targets were free: a record whose address refuses connections cost callers their requests until the target was excluded, and again at each trial of it. The configuration's attempts bound the workers to which a request is sent; to this one nothing was.

A dispatch that failed while connecting, or before its first byte was written, no longer counts towards the limit, up to 3 dispatches in all. The retry budget is charged as before, and only requests that can't have run, or may run twice, are repeated. Trials of suspects stay at one dispatch.

--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -13,7 +13,9 @@
 
 // Config configures a Call. Zero fields take the defaults.
 type Config struct {
-	MaxDispatches int           // limit of dispatches; default 3, at most MaxDispatches
+	// MaxDispatches limits the dispatches; default 3, at most MaxDispatches. One of which nothing was
+	// sent doesn't count among the first 3, except for a trial.
+	MaxDispatches int
 	Margin        time.Duration // no dispatch when less time remains before the deadline; default 2 ms
 	RetryAfter    time.Duration // delay before the caller retries, unless a better one is known; default 100 ms
 	Budget        *Budget       // of the service; nil allows no extra dispatch
@@ -37,6 +39,7 @@
 type dispatchState struct {
 	target string
 	status dispatchStatus
+	unsent bool // it failed before anything was sent to the target
 }
 
 type dispatchStatus uint8
@@ -120,6 +123,17 @@
 	return n
 }
 
+// mayDispatch reports whether the request may be dispatched again, by the number of dispatches.
+func (c *Call) mayDispatch() bool {
+	counted := c.n
+	for i := range c.dispatches[:c.n] {
+		if c.dispatches[i].unsent && !c.arrival.Trial {
+			counted--
+		}
+	}
+	return c.n < max(c.cfg.MaxDispatches, defaultMaxDispatches) && counted < c.cfg.MaxDispatches
+}
+
 // remaining returns the time in which a target can still respond.
 func (c *Call) remaining(now time.Time) time.Duration {
 	return c.arrival.Deadline.Sub(now) - c.cfg.Margin
--- a/pkg/call/step.go
+++ b/pkg/call/step.go
@@ -139,6 +139,7 @@
 		return acts
 	}
 	c.dispatches[e.Dispatch].status = statusAfter(e.Execution)
+	c.dispatches[e.Dispatch].unsent = e.Execution == DidNotRun && e.Stage <= StageUnsent
 	if c.state.Final() {
 		return acts
 	}
@@ -189,7 +190,7 @@
 // could be taken twice. Only a failure that proves that the request did not run sets a
 // dispatch to statusNotRun.
 func (c *Call) takeRetryToken(now time.Time) bool {
-	if c.n >= c.cfg.MaxDispatches || c.remaining(now) <= 0 {
+	if !c.mayDispatch() || c.remaining(now) <= 0 {
 		return false
 	}
 	notRun := c.Outcome() == NotRun
@@ -289,7 +290,7 @@
 	if c.state != Dispatched || c.pending != acquireNone || !c.arrival.Idempotent || c.inFlight() != 1 {
 		return acts
 	}
-	if c.n >= c.cfg.MaxDispatches || c.remaining(now) <= 0 || !c.takeToken(false) {
+	if !c.mayDispatch() || c.remaining(now) <= 0 || !c.takeToken(false) {
 		return acts
 	}
 	c.pending = acquireHedge
