gateway: a response for another entry is sent before the stop closes its connection

An entry that passed a request on to a delegate in a planned stop could get no response though the target had answered: the delegate counted the request as over when its handler returned, but a short response is only written after that, and the stop closes the connections of other entries as soon as no passed on request is left.

The handler sends the response before the request is counted as over; so it does with its refusal as it leaves.

Evidence: TestPassedOnResponseIsSentWhileActive failed before: the response was sent with 0 requests active in place of 1. How often a stop hits the time between was not measured.

--- a/internal/gateway/passon.go
+++ b/internal/gateway/passon.go
@@ -180,11 +180,13 @@
 	q := &request{gateway: g, w: w, r: r, arrived: time.Now(), id: platform.RequestID(r.Header), passedOn: true, chosen: r.Header.Get(relay.HeaderService)}
 	if g.leaving.Load() {
 		q.refuse(reasonLeaving, noConfigRetry)
-		return
+	} else {
+		r.Header.Del(relay.HeaderPassedOn)
+		r.Header.Del(relay.HeaderService)
+		q.serve()
 	}
-	r.Header.Del(relay.HeaderPassedOn)
-	r.Header.Del(relay.HeaderService)
-	q.serve()
+	// A stop closes the connections of other entries once no request is active.
+	_ = http.NewResponseController(w).Flush()
 }
 
 // chooseService returns the service that serves the request: the next one of the route's split.
--- a/internal/gateway/stop_late_test.go
+++ b/internal/gateway/stop_late_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/internal/standin/objects"
 	"plumpitch.example/plumpitch/internal/standin/worker"
 )
@@ -168,3 +170,33 @@
 	w.c.Check(w.runs("late"), qt.Equals, 0)
 	w.c.Assert(<-e.done, qt.IsNil)
 }
+
+// flushRecorder records how many passed on requests are active when a response is sent.
+type flushRecorder struct {
+	*httptest.ResponseRecorder
+	gateway *Gateway
+	active  int64
+}
+
+func (f *flushRecorder) Flush() {
+	f.active = f.gateway.passedOnActive.Load()
+	f.ResponseRecorder.Flush()
+}
+
+// A stop closes the connections of other entries once no passed on request is active. Guards against a
+// response that is dropped because it is only sent after that.
+func TestPassedOnResponseIsSentWhileActive(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		w := newWorld(t, worldConfig{targets: 1, routeType: "non_idempotent"})
+		e := w.startEntry("a").waitReady()
+		e.leaving.Store(leaving)
+		rec := &flushRecorder{httptest.NewRecorder(), e.Gateway, 0}
+		r := e.newRequest(t.Context(), "q-pass", http.MethodPost, "/a/book", "")
+		r.Header.Set(relay.HeaderPassedOn, "b")
+		r.Header.Set(relay.HeaderService, "gowns")
+		e.servePassedOn(rec, r)
+		w.c.Check(rec.active, qt.Equals, int64(1))
+		w.c.Check(e.passedOnActive.Load(), qt.Equals, int64(0))
+		w.c.Check(rec.Code == http.StatusServiceUnavailable, qt.Equals, leaving)
+	}
+}
