--- a/internal/gateway/stop_late_test.go
+++ b/internal/gateway/stop_late_test.go
@@ -200,3 +200,65 @@
 		w.c.Check(rec.Code == http.StatusServiceUnavailable, qt.Equals, leaving)
 	}
 }
+
+// startStreamer starts a target whose responses begin at once and last some time.
+func startStreamer(w *world, lasts time.Duration) (runs *atomic.Int64) {
+	runs = new(atomic.Int64)
+	s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Plumpitch-Instance-Id", "i-stream")
+		if r.URL.Path == "/health" {
+			return
+		}
+		runs.Add(1)
+		rw.Header().Set("Plumpitch-Request-Id", r.Header.Get("Plumpitch-Request-Id"))
+		rw.Header().Set("Plumpitch-Response-Signature", "signed")
+		for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			_, _ = rw.Write(make([]byte, 64<<10)) // soon more than an entry buffers
+			_ = http.NewResponseController(rw).Flush()
+		}
+	}))
+	w.c.Cleanup(s.Close)
+	w.store.PutTarget(objects.Target{ID: "i-stream", Address: s.Listener.Addr().String(), Service: "gowns", Place: "hall", Slots: 4})
+	return runs
+}
+
+// Responses begin at once and last long while their entry stops. Guards against one that is cut off,
+// because only the time until its head counts.
+func TestStreamInStop(t *testing.T) {
+	tests := []struct {
+		name  string
+		lasts time.Duration
+		sent  time.Duration // from the start of the stop
+		want  int
+	}{
+		{"under way", 1500 * time.Millisecond, -300 * time.Millisecond, 200},
+		{"late and in time", 600 * time.Millisecond, 1550 * time.Millisecond, 200},
+		{"too late", 1200 * time.Millisecond, 1550 * time.Millisecond, 503},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, worldConfig{routeType: "non_idempotent", timeout: "8s"})
+			runs := startStreamer(w, tt.lasts)
+			e := w.startEntry("a").waitReady()
+			c := dialCaller(w, e)
+			for i := range 2 {
+				c.writeRequest(http.MethodPost, "/a/x", fmt.Sprint("earlier-", i), "")
+				w.c.Assert(c.read().StatusCode, qt.Equals, http.StatusOK)
+			}
+			began := time.Now().Add(max(-tt.sent, 0))
+			if tt.sent < 0 {
+				sendLate(tt.sent)(c, began)
+			}
+			time.Sleep(time.Until(began))
+			e.stop()
+			if tt.sent >= 0 {
+				sendLate(tt.sent)(c, began)
+			}
+			r := c.read() // complete
+			w.c.Check(r.StatusCode, qt.Equals, tt.want, qt.Commentf("%v", r.Header))
+			w.c.Check(runs.Load() == 3, qt.Equals, tt.want == http.StatusOK)
+			w.c.Assert(<-e.done, qt.IsNil)
+		})
+	}
+}
