--- a/internal/gateway/stop_load_test.go
+++ b/internal/gateway/stop_load_test.go
@@ -207,3 +207,41 @@
 	once.Name, once.Prefix, once.Kind = "r-o", "/o/", "non_idempotent"
 	w.store.PutAccountConfig(w.version, []objects.Route{safe, once}, []string{"gowns", "veils"}, []objects.Account{{Name: "bride", Keys: []string{"k1"}}})
 }
+
+// Callers send to an entry that is asked to stop while it starts. Guards against a request that is
+// read and gets no answer, and against a stop that takes longer than its grace period.
+func TestStopDuringStart(t *testing.T) {
+	for _, delay := range []time.Duration{0, 5 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			const grace = 2 * time.Second
+			w := newWorld(t, worldConfig{targets: 2, grace: grace})
+			w.configureLoad()
+			for _, k := range w.workers {
+				k.Slots = 16
+				k.SetServiceTime(30 * time.Millisecond)
+				w.writeTarget(k, "gowns", "ready")
+			}
+			l := &stopLoad{w: w, e: w.startEntry("a"), key: "k1", methods: []string{"POST", "GET"}, depth: 1, rng: rand.New(rand.NewPCG(1, 1))}
+			var callers sync.WaitGroup
+			for n := range 8 {
+				callers.Go(func() { l.run(n) })
+			}
+			time.Sleep(delay)
+			began := time.Now()
+			l.e.stop()
+			w.c.Assert(<-l.e.done, qt.IsNil)
+			w.c.Check(time.Since(began) < grace, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+			callers.Wait()
+			served := 0
+			for _, r := range l.sent {
+				if r.status == http.StatusOK {
+					served++
+				}
+				w.c.Check(r.status == http.StatusOK || w.runs(r.id) == 0, qt.IsTrue, qt.Commentf("%s: status %d", r.id, r.status))
+				w.c.Check(r.status != 0 || r.ended.Sub(r.whole) <= lossSlack, qt.IsTrue, qt.Commentf("%s: %v", r.id, r.ended.Sub(r.whole)))
+			}
+			w.c.Check(served > 0, qt.IsTrue, qt.Commentf("of %d", len(l.sent)))
+		})
+	}
+}
