entry: a stop waits for requests up to the timeout of their service

A caller of an entry of the own interface in a planned stop saw its connection close without a response while a target worked on its request, if that lasted a minute longer than the entry's leaving: each step of a stop was bounded by a minute, but settings allow timeouts of 10 minutes.

The callers' server waits for the longest timeout of all services now, by which each request ends with a response; the other steps keep their minute.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,7 @@
 	skipTargetResponses bool          // don't log requests that a target responded to
 	supersededSignal    chan struct{} // signals that a later incarnation is running
 	leaving             atomic.Bool   // leave has begun
+	stopTimeout         time.Duration // of each step of a stop
 
 	snapshot atomic.Pointer[snapshot]
 	forward  *forward.Forwarder
@@ -94,6 +95,7 @@
 		forward:          forward.New(forward.Config{}),
 		metrics:          metrics.New(cfg.File.Name),
 		supersededSignal: make(chan struct{}, 1),
+		stopTimeout:      stopTimeout,
 		prober:           newProber(),
 		suspects:         call.NewSuspects(call.SuspectsConfig{}),
 	}
@@ -244,8 +246,10 @@
 
 // trafficSupervisor returns the supervisor of the servers for callers and operators.
 func (e *Entry) trafficSupervisor() *suture.Supervisor {
-	s := suture.New("traffic", suture.Spec{EventHook: e.logSupervisorEvent, Timeout: stopTimeout})
-	s.Add(e.newServer("callers", admission.Traffic, e.callers, e.callerHandler()))
+	s := suture.New("traffic", suture.Spec{EventHook: e.logSupervisorEvent, Timeout: maxRequestTime + e.stopTimeout})
+	c := e.newServer("callers", admission.Traffic, e.callers, e.callerHandler())
+	c.timeout = e.requestTimeout
+	s.Add(c)
 	s.Add(e.newServer("operators", admission.Operators, e.operators, e.operatorHandler()))
 	return s
 }
@@ -257,6 +261,7 @@
 // server serves HTTP on one of the entry's listeners.
 type server struct {
 	name     string
+	timeout  func() time.Duration // of the shutdown
 	listener net.Listener
 	http     *callers.Server
 }
@@ -270,7 +275,7 @@
 
 // newServer returns a server for callers or operators.
 func (e *Entry) newServer(name string, class admission.Class, listener net.Listener, h http.Handler) *server {
-	return &server{name: name, listener: listener, http: callers.New(callers.Config{
+	return &server{name: name, timeout: func() time.Duration { return e.stopTimeout }, listener: listener, http: callers.New(callers.Config{
 		Handler:        h,
 		HeaderTimeout:  func() time.Duration { return headerTimeout },
 		IdleTimeout:    func() time.Duration { return idleTimeout },
@@ -298,7 +303,9 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		return s.http.Shutdown(shutdownContext())
+		ctx, cancel := context.WithTimeout(context.Background(), s.timeout())
+		defer cancel()
+		return s.http.Shutdown(ctx)
 	}
 }
 
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -117,19 +117,21 @@
 	w.c.Assert(err, qt.IsNil)
 }
 
-func (w *testEntry) serve() {
+// serve runs the entry until stop is called, or to the end of the test.
+func (w *testEntry) serve() (stop func()) {
 	w.t.Helper()
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		_ = w.Serve(ctx)
 		close(done)
 	}()
 	w.t.Cleanup(func() {
-		stop()
+		cancel()
 		<-done
 	})
 	w.waitFor("the entry to be ready", func() bool { return w.Ready() && w.targetsKnown() })
+	return cancel
 }
 
 // targetsKnown reports whether every service has targets.
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// maxRequestTime is the longest timeout of a service that the settings allow.
+const maxRequestTime = 10 * time.Minute
+
+// requestTimeout returns how long the requests in flight may take to finish: each ends by the timeout
+// of its service.
+func (e *Entry) requestTimeout() (d time.Duration) {
+	for _, sv := range e.snapshot.Load().services {
+		d = max(d, sv.policy.Load().Timeout)
+	}
+	return max(min(d, maxRequestTime)+stopMargin, e.stopTimeout)
+}
+
 // announceDeparture writes the remaining claim outcomes to the store, then
 // announces to the other entries that this one has left.
 func (e *Entry) announceDeparture() {
