--- a/internal/soak/check_stops_unit_test.go
+++ b/internal/soak/check_stops_unit_test.go
@@ -116,3 +116,14 @@
 	}
 	return a
 }
+
+// Guards against a request that is sent again under its ID with another body, which would seem to be the
+// gateway's doing.
+func TestUploadSentAgain(t *testing.T) {
+	a := &attempt{id: "q1", kind: requestKind{uploadBytes: 1 << 20}}
+	a.setUpload(a.id, 1<<20)
+	b := &attempt{id: "q2", kind: a.kind}
+	b.setUpload(a.id, a.uploadBytes)
+	qt.Assert(t, b.upload.text, qt.Equals, a.upload.text)
+	qt.Assert(t, b.requestBody, qt.Equals, a.requestBody)
+}
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -29,6 +29,7 @@
 	path        string
 	requestBody string    // as targets log it
 	upload      *upload   // the body, until it was sent, if that is long
+	uploadBytes int       // size that the body was made for; 0: it is short
 	earlier     *attempt  // the attempt that had this ID before; nil: none
 	bodySentAt  time.Time // when the last byte was read for sending; zero if it wasn't
 	credentials
@@ -168,6 +169,9 @@
 	}
 	b := c.load.newAttempt(a.gateway, a.kind, a.path, a.credentials)
 	b.id, b.requestBody, b.earlier = a.id, a.requestBody, a
+	if b.upload != nil {
+		b.setUpload(a.id, a.uploadBytes)
+	}
 	c.load.exchange(c.http, b)
 	return b
 }
@@ -272,14 +276,19 @@
 	case strings.Contains(path, poison):
 		a.requestBody = poison
 	case k.uploadBytes > 0:
-		text := strings.Repeat(a.id+" ", int(uploadShare(n)*float64(k.uploadBytes))/(len(a.id)+1))
-		a.upload, a.requestBody = &upload{text: text, pause: k.uploadPause()}, worker.Digest(text)
+		a.setUpload(a.id, int(uploadShare(n)*float64(k.uploadBytes)))
 	default:
 		a.requestBody = "b" + a.id
 	}
 	return a
 }
 
+// setUpload gives the attempt a body of about a size, made of an ID.
+func (a *attempt) setUpload(id string, size int) {
+	text := strings.Repeat(id+" ", size/(len(id)+1))
+	a.upload, a.uploadBytes, a.requestBody = &upload{text: text, pause: a.kind.uploadPause()}, size, worker.Digest(text)
+}
+
 // add records an attempt that has ended.
 func (l *loadGenerator) add(a *attempt) {
 	l.mu.Lock()
