--- a/internal/gateway/stop_late_test.go
+++ b/internal/gateway/stop_late_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"plumpitch.example/plumpitch/internal/relay"
 	"plumpitch.example/plumpitch/internal/standin/objects"
 	"plumpitch.example/plumpitch/internal/standin/worker"
 )
@@ -168,3 +170,95 @@
 	w.c.Check(w.runs("late"), qt.Equals, 0)
 	w.c.Assert(<-e.done, qt.IsNil)
 }
+
+// flushRecorder records how many passed on requests are active when a response is sent.
+type flushRecorder struct {
+	*httptest.ResponseRecorder
+	gateway *Gateway
+	active  int64
+}
+
+func (f *flushRecorder) Flush() {
+	f.active = f.gateway.passedOnActive.Load()
+	f.ResponseRecorder.Flush()
+}
+
+// A stop closes the connections of other entries once no passed on request is active. Guards against a
+// response that is dropped because it is only sent after that.
+func TestPassedOnResponseIsSentWhileActive(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		w := newWorld(t, worldConfig{targets: 1, routeType: "non_idempotent"})
+		e := w.startEntry("a").waitReady()
+		e.leaving.Store(leaving)
+		rec := &flushRecorder{httptest.NewRecorder(), e.Gateway, 0}
+		r := e.newRequest(t.Context(), "q-pass", http.MethodPost, "/a/book", "")
+		r.Header.Set(relay.HeaderPassedOn, "b")
+		r.Header.Set(relay.HeaderService, "gowns")
+		e.servePassedOn(rec, r)
+		w.c.Check(rec.active, qt.Equals, int64(1))
+		w.c.Check(e.passedOnActive.Load(), qt.Equals, int64(0))
+		w.c.Check(rec.Code == http.StatusServiceUnavailable, qt.Equals, leaving)
+	}
+}
+
+// startStreamer starts a target whose responses begin at once and last some time.
+func startStreamer(w *world, lasts time.Duration) (runs *atomic.Int64) {
+	runs = new(atomic.Int64)
+	s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Plumpitch-Instance-Id", "i-stream")
+		if r.URL.Path == "/health" {
+			return
+		}
+		runs.Add(1)
+		rw.Header().Set("Plumpitch-Request-Id", r.Header.Get("Plumpitch-Request-Id"))
+		rw.Header().Set("Plumpitch-Response-Signature", "signed")
+		for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			_, _ = rw.Write(make([]byte, 64<<10)) // soon more than an entry buffers
+			_ = http.NewResponseController(rw).Flush()
+		}
+	}))
+	w.c.Cleanup(s.Close)
+	w.store.PutTarget(objects.Target{ID: "i-stream", Address: s.Listener.Addr().String(), Service: "gowns", Place: "hall", Slots: 4})
+	return runs
+}
+
+// Responses begin at once and last long while their entry stops. Guards against one that is cut off,
+// because only the time until its head counts.
+func TestStreamInStop(t *testing.T) {
+	tests := []struct {
+		name  string
+		lasts time.Duration
+		sent  time.Duration // from the start of the stop
+		want  int
+	}{
+		{"under way", 1500 * time.Millisecond, -300 * time.Millisecond, 200},
+		{"late and in time", 600 * time.Millisecond, 1550 * time.Millisecond, 200},
+		{"too late", 1200 * time.Millisecond, 1550 * time.Millisecond, 503},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, worldConfig{routeType: "non_idempotent", timeout: "8s"})
+			runs := startStreamer(w, tt.lasts)
+			e := w.startEntry("a").waitReady()
+			c := dialCaller(w, e)
+			for i := range 2 {
+				c.writeRequest(http.MethodPost, "/a/x", fmt.Sprint("earlier-", i), "")
+				w.c.Assert(c.read().StatusCode, qt.Equals, http.StatusOK)
+			}
+			began := time.Now().Add(max(-tt.sent, 0))
+			if tt.sent < 0 {
+				sendLate(tt.sent)(c, began)
+			}
+			time.Sleep(time.Until(began))
+			e.stop()
+			if tt.sent >= 0 {
+				sendLate(tt.sent)(c, began)
+			}
+			r := c.read() // complete
+			w.c.Check(r.StatusCode, qt.Equals, tt.want, qt.Commentf("%v", r.Header))
+			w.c.Check(runs.Load() == 3, qt.Equals, tt.want == http.StatusOK)
+			w.c.Assert(<-e.done, qt.IsNil)
+		})
+	}
+}
