reply: a status line that another one completes is malformed

Callers saw the status of one response with the rest of another: bytes of a copy that end within its reason, such as "HTTP/1.1 421 Mis", are completed by the status line of the request's own response. net/http takes that line for the reason, and the ID, the fields and the body that follow are the request's own. A 421 with the request's ID and no signature counts as a refusal of what ran; a 404 was passed on with another response's body. The check for a status line within a response covered the values of fields only.

Before, TestMalformedResponse failed with: value is not true, body "ok" (two heads in the status line); TestMalformedProbeResponse: got nil value but want non-nil, status 421; TestTransport the same.

The reason is checked like the values, for all that call CheckHead. A head cut elsewhere in its status line or within a name is refused by net/http already.

--- a/internal/forward/malformed_test.go
+++ b/internal/forward/malformed_test.go
@@ -25,6 +25,8 @@
 	{"status with a plus", "HTTP/1.1 +20 OK\r\nX-Id\r\nContent-Length: 2\r\n\r\nok"},
 	{"status with a minus", "HTTP/1.1 -20 OK\r\nX-Id\r\nContent-Length: 2\r\n\r\nok"},
 	{"status with an exponent", "HTTP/1.1 2e2 OK\r\nX-Id\r\nContent-Length: 2\r\n\r\nok"},
+	{"two heads in the status line", "HTTP/1.1 421 MisHTTP/1.1 200 OK\r\nX-Id\r\nContent-Length: 2\r\n\r\nok"},
+	{"status line with no reason before the next", "HTTP/1.1 404 HTTP/1.1 200 OK\r\nX-Id\r\nContent-Length: 2\r\n\r\nok"},
 	{"blank within a name", "HTTP/1.1 200 OK\r\nX-Id\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok"},
 	{"blank behind a name", "HTTP/1.1 200 OK\r\nX-Id\r\nX-Odd : 1\r\nContent-Length: 2\r\n\r\nok"},
 	{"blank behind a name, no body", "HTTP/1.1 200 OK\r\nX-Id\r\nX-Odd : 1\r\nContent-Length: 0\r\n\r\n"},
--- a/internal/reply/check.go
+++ b/internal/reply/check.go
@@ -30,6 +30,9 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return &Error{"status", resp.Status}
 	}
+	if containsStatusLine(resp.Status) {
+		return &Error{"status line", resp.Status}
+	}
 	if err := checkFields("header", resp.Header); err != nil {
 		return err
 	}
@@ -41,8 +44,8 @@
 func CheckTrailer(h http.Header) error { return checkFields("trailer", h) }
 
 // checkFields checks the names of fields, and that no value contains a status line. Bytes that end
-// within a field are completed by the next response on the connection, and the status of the one
-// would be taken with the rest of the other.
+// within a reason or a field are completed by the next response on the connection, and the status
+// of the one would be taken with the rest of the other.
 func checkFields(part string, h http.Header) error {
 	for name, values := range h {
 		if !field.IsName(name) {
--- a/internal/reply/transport_test.go
+++ b/internal/reply/transport_test.go
@@ -59,6 +59,7 @@
 		{"blank in an interim response", "HTTP/1.1 103 Early Hints\r\nX Odd: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false},
 		{"interim responses without end", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<20), false},
 		{"two heads", "HTTP/1.1 200 OK\r\nX-Cut: aHTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nok", false},
+		{"two heads in the status line", "HTTP/1.1 503 FuHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false},
 		{"blank in a declared trailer", "HTTP/1.1 200 OK\r\nTrailer: X Odd\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false},
 		{"blank in a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Odd : 1\r\n\r\n", false},
 	}
