reply: a head of another version of HTTP is malformed

Callers saw responses whose status line names a version that isn't spoken, such as HTTP/2.0 or HTTP/0.9, as 200. net/http takes any digit for the version. Below 1.1 it drops Transfer-Encoding, so that a body in chunks was passed on with the lines of the chunks.

CheckHead refuses a major version other than 1 on connections without TLS, before anything is used. HTTP/1.0 is still accepted: whether such a head had a Transfer-Encoding can't be seen behind net/http.

--- a/internal/reply/check.go
+++ b/internal/reply/check.go
@@ -27,6 +27,9 @@
 
 // CheckHead returns an Error for a head that is none, although net/http accepts it.
 func CheckHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 && resp.TLS == nil { // HTTP/2 is spoken over TLS only
+		return &Error{"version", resp.Proto}
+	}
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return &Error{"status", resp.Status}
 	}
--- a/internal/reply/transport_test.go
+++ b/internal/reply/transport_test.go
@@ -51,6 +51,8 @@
 		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true},
 		{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n", true},
 		{"interim response", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true},
+		{"version 2.0", "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok", false},
+		{"version 0.9", "HTTP/0.9 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false},
 		{"status 600", "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok", false},
 		{"status 099", "HTTP/1.1 099 Odd\r\nContent-Length: 2\r\n\r\nok", false},
 		{"blank behind a length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", false},
