forward: a connection carries one request without an ID

Callers that send no ID saw the response to another request: a late copy of a response without an ID, written on the same connection before the response to the next such request, was taken for it. A response without an ID is that of any request without one, and the memory of a connection's IDs left these requests out.

Before, TestCopyOfResponseWithoutID failed with: values are not equal, got "/q-0", want "/q-1".

No ID now counts as an ID, so that a connection carries it once; the next request without one goes out on another connection. Requests with an ID keep theirs: to them a response without an ID is a stray one. This costs each request without an ID a connection; those of the users' clients all have one.

--- a/internal/forward/carried.go
+++ b/internal/forward/carried.go
@@ -30,12 +30,13 @@
 // full reports whether the connection must carry no further request with an ID.
 func (c carriedIDs) full() bool { return len(c) >= maxConnRequests }
 
-// carry notes the request's ID on a connection, and reports whether it may be written there.
+// carry notes the request's ID on a connection, and reports whether it may be written there. No ID
+// is one too: the responses to all requests without one look alike.
 func (t *transportTrace) carry(c *conn) bool {
-	if t.id == "" {
+	if !t.idOnce {
 		return true
 	}
-	if c.ids.full() {
+	if t.id != "" && c.ids.full() {
 		return false
 	}
 	t.repeatedID = c.ids.add(t.id)
--- a/internal/forward/repeated_test.go
+++ b/internal/forward/repeated_test.go
@@ -525,3 +525,29 @@
 		}
 	}
 }
+
+// Guards against a late copy of the response to a request without an ID that is taken for the response
+// to another one.
+func TestCopyOfResponseWithoutID(t *testing.T) {
+	c := qt.New(t)
+	target := newRaw(t, func(p *targetConn) {
+		for last := ""; ; {
+			r := p.request()
+			if r == nil {
+				return
+			}
+			response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+			p.write(last + response)
+			last = response
+		}
+	})
+	f := newEchoForwarder(t, Config{})
+	for i := range 20 {
+		path := fmt.Sprint("/q-", i)
+		p := DispatchParams{Target: target.addr(), Request: httptest.NewRequest("POST", path, nil), Timeout: waitLimit}
+		resp, fail := f.Dispatch(context.Background(), p)
+		c.Assert(fail == nil, qt.IsTrue, qt.Commentf("%v", fail))
+		c.Check(string(resp.Buffered), qt.Equals, path)
+		resp.Close()
+	}
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -157,7 +157,7 @@
 		h[k] = v
 	}
 	d.id = h.Get(d.echoHeader)
-	d.trace.id = d.id
+	d.trace.id, d.trace.idOnce = d.id, true
 	return h
 }
 
--- a/internal/forward/trace.go
+++ b/internal/forward/trace.go
@@ -18,7 +18,8 @@
 	conn            atomic.Pointer[conn]
 	writtenBefore   int64       // bytes written to conn before this request
 	stale           atomic.Bool // the response belongs to an earlier request
-	id              string      // ID that no connection may carry twice; empty if there is none
+	id              string      // the caller's ID; empty if there is none
+	idOnce          bool        // no connection may carry id twice
 	body            *body
 	repeatedID      bool         // conn had carried the ID already
 	givenUp         bool         // conn was closed before anything of the request was written
