forward: targets of the users' platform speak HTTP/1.1

Callers saw a body in chunks with the chunks' own lines, as a success, if a target called its response HTTP/1.0. net/http drops Transfer-Encoding from such a head without a trace, so nothing behind it can tell how the body ends.

Evidence: TestResponseInHTTP10 failed before with body "2\r\nok\r\n0\r\n\r\n", and "2\r" where a length stood beside it.

Responses in HTTP/1.0 are malformed on the users' platform, whose protocol is HTTP/1.1, before anything of them is used. Without EchoHeader, a response in chunks that lost its encoding has no length and is refused as before; one with a length beside the chunks is open.

--- a/internal/forward/malformed_test.go
+++ b/internal/forward/malformed_test.go
@@ -177,3 +177,29 @@
 		})
 	}
 }
+
+// Guards against a body in chunks that is taken with the chunks' lines: net/http drops the field that
+// names the encoding from a response in HTTP/1.0.
+func TestResponseInHTTP10(t *testing.T) {
+	users, own := Config{EchoHeader: "X-Id"}, Config{}
+	tests := []struct {
+		name string
+		cfg  Config
+		text string
+		want string // body; empty if the response is malformed
+	}{
+		{"users' platform, chunks", users, "HTTP/1.0 200 OK\r\nX-Id\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ""},
+		{"users' platform, chunks and length", users, "HTTP/1.0 200 OK\r\nX-Id\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n", ""},
+		{"users' platform, length", users, "HTTP/1.0 200 OK\r\nX-Id\r\nContent-Length: 2\r\n\r\nok", ""},
+		{"own interface, chunks", own, "HTTP/1.0 200 OK\r\nX-Id\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ""},
+		{"own interface, length", own, "HTTP/1.0 200 OK\r\nX-Id\r\nContent-Length: 2\r\n\r\nok", "ok"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			body, fail := exchange(t, tt.cfg, tt.text, true)
+			c.Assert(fail == nil, qt.Equals, tt.want != "", qt.Commentf("body %q, %v", body, fail))
+			c.Assert(body, qt.Equals, tt.want)
+		})
+	}
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -52,6 +52,10 @@
 	if err := reply.CheckHead(resp); err != nil {
 		return nil, err
 	}
+	if d.echoHeader != "" && !resp.ProtoAtLeast(1, 1) {
+		// net/http drops Transfer-Encoding from HTTP/1.0, so the end of the body is unknown.
+		return nil, &reply.Error{Part: "version", Found: resp.Proto}
+	}
 	identity := identify(resp.Header, d.idHeader(), d.id)
 	if !d.belongs(identity) {
 		return nil, &StrayError{resp.StatusCode, identity}
