--- a/pkg/tree/table.go
+++ b/pkg/tree/table.go
@@ -57,7 +57,7 @@
 		}, func(p *Policy) *float64 { return &p.RetryShare }),
 		rangeField(countType, fieldSpec{
 			name: "attempts", def: "3", min: "1", max: "10",
-			help: "Most dispatches of one request, the first included.",
+			help: "Most dispatches of one request, the first included. One of which nothing was sent, as after a refused connection, doesn't count among the first 3.",
 		}, func(p *Policy) *int { return &p.MaxDispatches }),
 		boolField(fieldSpec{
 			name: "hedge", def: "false",
