--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -35,10 +35,10 @@
 // gateway may send a request again, and a late copy of the first response, such as
 // a refusal, has the same ID. With Config.EchoHeader, a connection therefore
 // carries each ID once: it keeps hashes of the IDs, and carries no more than
-// maxConnRequests of them. If the transport chooses a connection that is full or has
-// carried the ID, it is closed with nothing written, no byte of a streamed body is read,
-// and the request is sent on another one. A connection carries one request without an ID. Without Config.EchoHeader, each dispatch
-// has an ID of its own.
+// maxConnRequests of them. Having no ID counts as an ID. If the transport chooses
+// a connection that is full or has carried the ID, it is closed with nothing
+// written, no byte of a streamed body is read, and the request is sent on another
+// one. Without Config.EchoHeader, each dispatch has an ID of its own.
 //
 // A response with neither a Content-Length nor chunked encoding is rejected,
 // because its end looks the same as a broken connection.
