--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -78,7 +78,7 @@
 	if !q.authenticate() {
 		return
 	}
-	if g.leaving.Load() && q.refusedLate(v.services[q.route.Split.Peek()]) {
+	if g.leaving.Load() && q.refusedLate(time.Now(), v.services[q.route.Split.Peek()]) {
 		return
 	}
 	limits := v.table.Config.Limits
@@ -93,7 +93,7 @@
 		return
 	}
 	s := v.services[q.chooseService()]
-	if q.refusedLate(s) {
+	if q.refusedLate(time.Now(), s) {
 		q.returnToken()
 		return
 	}
--- a/internal/gateway/late.go
+++ b/internal/gateway/late.go
@@ -55,8 +55,8 @@
 }
 
 // refusedLate refuses a request that comes too late in a stop, and reports whether it has.
-func (q *request) refusedLate(s *service) bool {
-	if !q.tooLate(time.Now(), s) {
+func (q *request) refusedLate(now time.Time, s *service) bool {
+	if !q.tooLate(now, s) {
 		return false
 	}
 	q.service = s
