--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,11 +18,11 @@
 
 // cases are the scripted cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(record string, trouble bool) (broken bool, err error){
-	"cold":    playCold,
-	"quota":   playQuota,
-	"recover": playRecover,
-	"stall":   playStall,
-	"stream":  playStream,
+	"cold":   playCold,
+	"quota":  playQuota,
+	"stall":  playStall,
+	"stream": playStream,
+	"upload": playUpload,
 }
 
 // maxRun bounds a case.
--- a/review/rig/quota.go
+++ b/review/rig/quota.go
@@ -31,7 +31,7 @@
 // accountBounds are the bounds of a site with client accounts.
 var accountBounds = []string{
 	"drain=2500ms", "grace=6s", "configApply=2500ms", "retryBudgetRatio=0.2", "retryBudgetSlack=212", "budgetWindow=10s", "quotaWindow=5s",
-	"quotaFactor=0.1", "quotaSlack=20", "revoke=5000ms", "strictRevoke=false", "probesPerS=42", "ttl_max=5s", "stableWindow=3000ms", "recovery=15s",
+	"quotaFactor=0.1", "quotaSlack=20", "revoke=5000ms", "strictRevoke=false", "probesPerS=42", "ttl_max=5s", "stableWindow=3000ms",
 }
 
 // playQuota replaces three of nine gateways, which are lost for good, by five new ones, and then sends
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -56,7 +56,7 @@
 	store                      *objects.Store
 	gateways                   []*gateway
 	targets                    []*target
-	lastIP, lastID             int
+	lastIP                     int
 
 	mu     sync.Mutex
 	record *os.File
