--- a/review/rig/cold.go
+++ b/review/rig/cold.go
@@ -220,9 +220,7 @@
 				}
 				id := fmt.Sprintf("c%02d-%04d", i, n)
 				status, keep := s.exchange(c, br, id)
-				if status != http.StatusOK {
-					s.log("%s: status %d", id, status)
-				}
+				s.log("%s: sent and answered, status %d", id, status)
 				if !keep {
 					c.Close()
 					c = nil
@@ -257,10 +255,11 @@
 		var cold []time.Time
 		for _, a := range t.arrivals {
 			total++
-			if a.at.After(t.coldFrom) && a.at.Before(t.coldUntil) {
+			isCold := a.at.After(t.coldFrom) && a.at.Before(t.coldUntil)
+			if isCold {
 				cold = append(cold, a.at)
-				s.log("%s got %s at %.3f, %.3f s after it turned cold", t.id, a.id, a.at.Sub(s.began).Seconds(), a.at.Sub(t.coldFrom).Seconds())
 			}
+			s.log("%s ran %s at %.3f, cold: %t", t.id, a.id, a.at.Sub(s.began).Seconds(), isCold)
 		}
 		most, first := 0, 0
 		for i := range cold {
--- a/review/rig/stream.go
+++ b/review/rig/stream.go
@@ -134,8 +134,12 @@
 	counted, working := 0, 0
 	for i := range streamCount {
 		d := t.runs[fmt.Sprintf("d%03d", i)]
-		if d == nil || left[i].IsZero() {
-			s.log("d%03d: not run, or its client didn't leave", i)
+		if d == nil {
+			s.log("d%03d: not run", i)
+			continue
+		}
+		if left[i].IsZero() {
+			s.log("d%03d: run from %.3f to %.3f, its client stayed", i, d.began.Sub(s.began).Seconds(), d.ended.Sub(s.began).Seconds())
 			continue
 		}
 		if d.began.Add(streamWork).Before(left[i].Add(goneTime)) {
